--- /dev/null
+++ b/src/core/httpserver.h
@@ -0,0 +1,67 @@
+/// \file
+/// Port: an HTTP server. The adapter is in src/httpserver.
+#ifndef APRICOTWING_CORE_HTTPSERVER_H
+#define APRICOTWING_CORE_HTTPSERVER_H
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace apricotwing {
+
+/// A whole request. Header names are in lower case.
+struct HttpRequest {
+  std::string Method;
+  std::string Path;  ///< Without the query.
+  std::string Query; ///< Without the question mark.
+  std::map<std::string, std::string> Headers;
+  std::string Body;
+};
+
+struct HttpResponse {
+  int Status = 200;
+  std::string ContentType = "application/json";
+  std::map<std::string, std::string> Headers;
+  std::string Body;
+};
+
+/// Sends the response of one request. May be called from any thread, at most
+/// once; later calls are ignored.
+using Responder = std::function<void(HttpResponse)>;
+
+/// Handles a request, now or later, by calling \p Respond. Called from the
+/// server's threads, so it must be thread-safe and must not block for long.
+using HttpHandler = std::function<void(HttpRequest, Responder)>;
+
+struct HttpServerOptions {
+  std::string Address = "127.0.0.1";
+  std::uint16_t Port = 0; ///< 0: any free port.
+  std::size_t Threads = 2;
+  std::size_t MaxBodyBytes = std::size_t(1) << 20;
+  std::uint32_t ReadTimeoutMs = 5000; ///< For a whole request to arrive.
+  std::size_t MaxConnections = 2048;
+};
+
+/// A running server; the destructor stops it.
+class HttpServer {
+public:
+  virtual ~HttpServer() = default;
+
+  /// The port that the server is bound to. Thread-safe.
+  virtual std::uint16_t port() const = 0;
+
+  /// Accepts no new connection; open ones go on. Thread-safe.
+  virtual void stopAccepting() = 0;
+};
+
+/// Starts a RESTinio server. Throws Error(BadSettings) if the address cannot
+/// be bound. Defined in src/httpserver.
+std::unique_ptr<HttpServer> startHttpServer(const HttpServerOptions &Options,
+                                            HttpHandler Handler);
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/core/resources.h
@@ -0,0 +1,82 @@
+/// \file
+/// Amounts of processors, memory and accelerators.
+#ifndef APRICOTWING_CORE_RESOURCES_H
+#define APRICOTWING_CORE_RESOURCES_H
+
+#include <algorithm>
+#include <cstdint>
+
+namespace apricotwing {
+
+/// A value type with one amount per resource. Amounts are signed so that a
+/// difference can be negative; a request or a capacity never is.
+struct Resources {
+  std::int64_t CpuMillis = 0;    ///< Thousandths of a core.
+  std::int64_t MemoryMib = 0;    ///< MiB.
+  std::int64_t Accelerators = 0; ///< Whole devices.
+
+  friend bool operator==(const Resources &, const Resources &) = default;
+
+  Resources &operator+=(const Resources &Other) {
+    CpuMillis += Other.CpuMillis;
+    MemoryMib += Other.MemoryMib;
+    Accelerators += Other.Accelerators;
+    return *this;
+  }
+
+  Resources &operator-=(const Resources &Other) {
+    CpuMillis -= Other.CpuMillis;
+    MemoryMib -= Other.MemoryMib;
+    Accelerators -= Other.Accelerators;
+    return *this;
+  }
+
+  friend Resources operator+(Resources Left, const Resources &Right) {
+    return Left += Right;
+  }
+
+  friend Resources operator-(Resources Left, const Resources &Right) {
+    return Left -= Right;
+  }
+
+  friend Resources operator*(Resources Left, std::int64_t Count) {
+    return {Left.CpuMillis * Count, Left.MemoryMib * Count,
+            Left.Accelerators * Count};
+  }
+
+  /// True if every amount is at most that of \p Capacity.
+  bool fitsIn(const Resources &Capacity) const {
+    return CpuMillis <= Capacity.CpuMillis && MemoryMib <= Capacity.MemoryMib &&
+           Accelerators <= Capacity.Accelerators;
+  }
+
+  /// True if no amount is negative.
+  bool isNonNegative() const {
+    return CpuMillis >= 0 && MemoryMib >= 0 && Accelerators >= 0;
+  }
+
+  /// Component-wise larger of both.
+  static Resources max(const Resources &Left, const Resources &Right) {
+    return {std::max(Left.CpuMillis, Right.CpuMillis),
+            std::max(Left.MemoryMib, Right.MemoryMib),
+            std::max(Left.Accelerators, Right.Accelerators)};
+  }
+
+  /// Largest fraction of \p Total that one of the amounts takes; a resource
+  /// of which \p Total has none is left out.
+  double dominantFraction(const Resources &Total) const {
+    double Result = 0;
+    if (Total.CpuMillis > 0)
+      Result = std::max(Result, double(CpuMillis) / double(Total.CpuMillis));
+    if (Total.MemoryMib > 0)
+      Result = std::max(Result, double(MemoryMib) / double(Total.MemoryMib));
+    if (Total.Accelerators > 0)
+      Result =
+          std::max(Result, double(Accelerators) / double(Total.Accelerators));
+    return Result;
+  }
+};
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/core/run.cpp
@@ -0,0 +1,176 @@
+#include "core/run.h"
+
+#include "core/error.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace apricotwing {
+
+namespace {
+
+template <typename Enum> using NameRow = std::pair<Enum, std::string_view>;
+
+constexpr std::array<NameRow<RunKind>, 3> RunKindNames = {{
+    {RunKind::Batch, "batch"},
+    {RunKind::Gang, "gang"},
+    {RunKind::Service, "service"},
+}};
+
+constexpr std::array<NameRow<Priority>, 2> PriorityNames = {{
+    {Priority::Normal, "normal"},
+    {Priority::Urgent, "urgent"},
+}};
+
+constexpr std::array<NameRow<LostPolicy>, 2> LostPolicyNames = {{
+    {LostPolicy::Restart, "restart"},
+    {LostPolicy::Fail, "fail"},
+}};
+
+constexpr std::array<NameRow<RunState>, 7> RunStateNames = {{
+    {RunState::Accepted, "accepted"},
+    {RunState::Pending, "pending"},
+    {RunState::Running, "running"},
+    {RunState::Succeeded, "succeeded"},
+    {RunState::Failed, "failed"},
+    {RunState::Cancelled, "cancelled"},
+    {RunState::Unschedulable, "unschedulable"},
+}};
+
+constexpr std::array<NameRow<TaskState>, 8> TaskStateNames = {{
+    {TaskState::Pending, "pending"},
+    {TaskState::Starting, "starting"},
+    {TaskState::Running, "running"},
+    {TaskState::Stopping, "stopping"},
+    {TaskState::Succeeded, "succeeded"},
+    {TaskState::Failed, "failed"},
+    {TaskState::Cancelled, "cancelled"},
+    {TaskState::Lost, "lost"},
+}};
+
+template <typename Table, typename Enum>
+std::string_view nameIn(const Table &Rows, Enum Value) {
+  for (const auto &[Known, Name] : Rows)
+    if (Known == Value)
+      return Name;
+  return "invalid";
+}
+
+template <typename Table>
+auto parseIn(const Table &Rows, std::string_view What, std::string_view Name) {
+  std::string Choices;
+  for (const auto &[Known, KnownName] : Rows) {
+    if (KnownName == Name)
+      return Known;
+    Choices += Choices.empty() ? "" : ", ";
+    Choices += KnownName;
+  }
+  throw Error(ErrorKind::BadRequest,
+              std::string(What) + " has the unknown value '" +
+                  std::string(Name) + "'",
+              "use one of: " + Choices);
+}
+
+void checkRange(std::string_view Field, std::int64_t Value, std::int64_t Least,
+                std::int64_t Most) {
+  if (Value >= Least && Value <= Most)
+    return;
+  throw Error(ErrorKind::BadRequest,
+              std::string(Field) + " is " + std::to_string(Value),
+              "use a value from " + std::to_string(Least) + " to " +
+                  std::to_string(Most));
+}
+
+} // namespace
+
+std::string_view runKindName(RunKind Value) {
+  return nameIn(RunKindNames, Value);
+}
+
+RunKind parseRunKind(std::string_view Name) {
+  return parseIn(RunKindNames, "kind", Name);
+}
+
+std::string_view priorityName(Priority Value) {
+  return nameIn(PriorityNames, Value);
+}
+
+Priority parsePriority(std::string_view Name) {
+  return parseIn(PriorityNames, "priority", Name);
+}
+
+std::string_view lostPolicyName(LostPolicy Value) {
+  return nameIn(LostPolicyNames, Value);
+}
+
+LostPolicy parseLostPolicy(std::string_view Name) {
+  return parseIn(LostPolicyNames, "on_lost", Name);
+}
+
+std::string_view runStateName(RunState Value) {
+  return nameIn(RunStateNames, Value);
+}
+
+RunState parseRunState(std::string_view Name) {
+  return parseIn(RunStateNames, "state", Name);
+}
+
+std::string_view taskStateName(TaskState Value) {
+  return nameIn(TaskStateNames, Value);
+}
+
+TaskState parseTaskState(std::string_view Name) {
+  return parseIn(TaskStateNames, "state", Name);
+}
+
+bool isFinal(RunState State) {
+  return State == RunState::Succeeded || State == RunState::Failed ||
+         State == RunState::Cancelled;
+}
+
+bool isFinal(TaskState State) {
+  return State == TaskState::Succeeded || State == TaskState::Failed ||
+         State == TaskState::Cancelled;
+}
+
+void validate(const RunSpec &Spec) {
+  checkRange("tasks", Spec.Tasks, 1, MaxTasksPerRun);
+  checkRange("cpu_millis", Spec.PerTask.CpuMillis, 0, MaxCpuMillisPerTask);
+  checkRange("memory_mib", Spec.PerTask.MemoryMib, 0, MaxMemoryMibPerTask);
+  checkRange("accelerators", Spec.PerTask.Accelerators, 0,
+             MaxAcceleratorsPerTask);
+  checkRange("estimate_seconds", Spec.EstimateSeconds, 1, MaxEstimateSeconds);
+  checkRange("max_attempts", Spec.MaxAttempts, 1, 100);
+  checkRange("length of idempotency_key",
+             std::int64_t(Spec.IdempotencyKey.size()), 1, 128);
+  if (Spec.PerTask == Resources{})
+    throw Error(ErrorKind::BadRequest, "resources are all zero",
+                "ask for at least one of cpu_millis, memory_mib, accelerators");
+}
+
+std::string toString(const TaskId &Id) {
+  return Id.Run + "/" + std::to_string(Id.Index);
+}
+
+std::string toString(const AttemptId &Id) {
+  return toString(Id.Task) + "#" + std::to_string(Id.Attempt);
+}
+
+TaskId parseTaskId(std::string_view Text) {
+  const std::size_t Slash = Text.rfind('/');
+  TaskId Id;
+  if (Slash != std::string_view::npos) {
+    Id.Run = std::string(Text.substr(0, Slash));
+    const char *End = Text.data() + Text.size();
+    const auto [Rest, Failure] =
+        std::from_chars(Text.data() + Slash + 1, End, Id.Index);
+    if (Failure == std::errc() && Rest == End && !Id.Run.empty())
+      return Id;
+  }
+  throw Error(ErrorKind::BadRequest,
+              "'" + std::string(Text) + "' is not a task id",
+              "write a task id as <run>/<index>");
+}
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/core/tableservice.cpp
@@ -0,0 +1,30 @@
+#include "core/tableservice.h"
+
+#include "core/error.h"
+
+namespace apricotwing {
+
+CommitResult commitDefinitely(TableService &Table, const Transaction &Change,
+                              const std::string &DecidingKey, int Attempts) {
+  bool InDoubt = false;
+  for (int Attempt = 1;; ++Attempt) {
+    try {
+      if (Table.transact(Change) == CommitResult::Committed)
+        return CommitResult::Committed;
+      const std::optional<Row> Deciding = Table.read(DecidingKey);
+      const bool Mine = Deciding && Deciding->Transaction == Change.Id;
+      return Mine ? CommitResult::Committed : CommitResult::Conflict;
+    } catch (const Error &Failure) {
+      InDoubt |= Failure.kind() == ErrorKind::StoreUnknownOutcome;
+      if (Attempt < Attempts)
+        continue;
+      // A later refusal says nothing about an earlier attempt in doubt.
+      if (InDoubt && Failure.kind() != ErrorKind::StoreUnknownOutcome)
+        throw Error(ErrorKind::StoreUnknownOutcome, Failure.what(),
+                    Failure.remedy(), Outcome::Unknown);
+      throw;
+    }
+  }
+}
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/httpserver/placeholder.cpp
@@ -0,0 +1,1 @@
+// Placeholder translation unit, replaced by the first real one.
