Add the JSON codecs for rows, the API and the platform

Rows, callers' bodies and platform messages need one text form each, and no other library may handle bare JSON.

Rows and answers ignore unknown fields instead, so that instances of two versions can run side by side during an update.

--- /dev/null
+++ b/src/wire/instancecodec.h
@@ -0,0 +1,44 @@
+/// \file
+/// Bodies of the operators' lists of entry instances and workers.
+#ifndef APRICOTWING_WIRE_INSTANCECODEC_H
+#define APRICOTWING_WIRE_INSTANCECODEC_H
+
+#include "core/platform.h"
+#include "core/records.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace apricotwing {
+
+/// An entry instance as an operator sees it.
+struct InstanceView {
+  SessionId Id;
+  std::string Address;
+  std::string PeerAddress;
+  std::string Zone;
+  SessionState State = SessionState::Live;
+  std::vector<ShardId> Shards; ///< Shards that the instance owns.
+};
+
+/// A worker as an operator sees it.
+struct WorkerView {
+  ListedWorker Worker;
+  Resources Reserved;
+  std::uint32_t Tasks = 0; ///< Attempts that may be running.
+  bool Drained = false;
+  bool Quarantined = false;
+  std::int64_t SilentMs = 0; ///< Since the last answer.
+};
+
+/// Bodies of the answers. Decoding throws Error(BadRequest) and ignores
+/// unknown fields. Thread-safe.
+std::string encodeInstances(const std::vector<InstanceView> &Instances);
+std::vector<InstanceView> decodeInstances(const std::string &Text);
+std::string encodeWorkers(const std::vector<WorkerView> &Workers);
+std::vector<WorkerView> decodeWorkers(const std::string &Text);
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/wire/platformcodec.h
@@ -0,0 +1,63 @@
+/// \file
+/// Bodies of the messages to the platform: table service, instance list and
+/// workers. The stand-ins of the tests use the same functions.
+#ifndef APRICOTWING_WIRE_PLATFORMCODEC_H
+#define APRICOTWING_WIRE_PLATFORMCODEC_H
+
+#include "core/platform.h"
+#include "core/tableservice.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace apricotwing {
+
+/// A scan of the table service.
+struct ScanRequest {
+  std::string Prefix;
+  std::string After;
+  std::uint32_t Limit = 0;
+};
+
+/// Rows of a read or of a scan.
+struct RowPage {
+  std::vector<Row> Rows;
+  bool More = false; ///< A scan found rows beyond its limit.
+};
+
+/// Table service. Decoding throws Error(BadRequest) and ignores unknown
+/// fields; encoding throws Error(Internal) for a string that is not UTF-8.
+/// Thread-safe.
+std::string encodeTransaction(const Transaction &Change);
+Transaction decodeTransaction(const std::string &Text);
+std::string encodeRevision(std::uint64_t Revision);
+std::uint64_t decodeRevision(const std::string &Text);
+
+/// The rows whose condition did not hold, with their actual versions.
+std::string encodeConflicts(const std::vector<RowCondition> &Conflicts);
+std::vector<RowCondition> decodeConflicts(const std::string &Text);
+std::string encodeReadRequest(const std::vector<std::string> &Keys);
+std::vector<std::string> decodeReadRequest(const std::string &Text);
+std::string encodeScanRequest(const ScanRequest &Request);
+ScanRequest decodeScanRequest(const std::string &Text);
+std::string encodeRowPage(const RowPage &Page);
+RowPage decodeRowPage(const std::string &Text);
+
+/// Instance list; the same rules.
+std::string encodeInstanceSnapshot(const InstanceSnapshot &Snapshot);
+InstanceSnapshot decodeInstanceSnapshot(const std::string &Text);
+
+/// Workers; the same rules.
+std::string encodeLeaseRenewal(const LeaseRenewal &Renewal);
+LeaseRenewal decodeLeaseRenewal(const std::string &Text);
+std::string encodeLeaseAnswer(const LeaseAnswer &Answer);
+LeaseAnswer decodeLeaseAnswer(const std::string &Text);
+std::string encodeTaskStart(const TaskStart &Start);
+TaskStart decodeTaskStart(const std::string &Text);
+std::string encodeTaskStop(const TaskStop &Stop);
+TaskStop decodeTaskStop(const std::string &Text);
+
+} // namespace apricotwing
+
+#endif
