Add the libcurl adapters for the platform, workers and upstreams

The ports of the core need adapters that say precisely whether a request was sent. HttpClient counts the moments in which libcurl is about to write a request and ends a call in which libcurl would write it a second time, unless the caller allows that. A call is "not sent" only if that moment never came. Timeouts and error codes alone were ruled out as the measure: a timeout can fall before or after the first byte.

The same moment serves a last check of the sender's authority, after the connection is open and right before the first byte. Non-idempotent requests use a new connection and close it afterwards.

Idle handles are kept per address and hold one connection each, which keeps the connections to one executor at the number of calls that were open at the same time.

--- /dev/null
+++ b/src/platform/crypto.h
@@ -0,0 +1,22 @@
+/// \file
+/// Digests and random identifiers.
+#ifndef APRICOTWING_PLATFORM_CRYPTO_H
+#define APRICOTWING_PLATFORM_CRYPTO_H
+
+#include <string>
+#include <string_view>
+
+namespace apricotwing {
+
+/// SHA-256 of \p Data as 64 lower-case hexadecimal digits. Throws
+/// Error(Internal) if the library fails. Thread-safe.
+std::string sha256Hex(std::string_view Data);
+
+/// 128 bits from the system's cryptographic generator as 32 lower-case
+/// hexadecimal digits. Throws Error(Internal) if there is no randomness.
+/// Thread-safe.
+std::string randomId();
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/platform/httpclient.cpp
@@ -0,0 +1,296 @@
+#include "platform/httpclient.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace apricotwing {
+
+namespace {
+
+/// Idle handles kept over all addresses; each costs up to one socket.
+constexpr std::size_t MaxIdleHandles = 512;
+
+/// Idle connections older than this are not used again, because a peer or a
+/// load balancer may be about to close them.
+constexpr long MaxIdleSeconds = 30;
+
+using HandlePointer = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+/// State of one call that the callbacks of libcurl work on.
+struct Transfer {
+  const HttpCall &Call;
+  HttpResult &Result;
+  int Sends = 0;
+  bool Vetoed = false;
+  bool Overflowed = false;
+};
+
+int onReadyToSend(void *Context, char *, char *, int, int) {
+  auto &State = *static_cast<Transfer *>(Context);
+  if (State.Sends > 0 && !State.Call.MayResend)
+    return CURL_PREREQFUNC_ABORT;
+  if (State.Call.MaySend && !State.Call.MaySend()) {
+    State.Vetoed = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++State.Sends;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t onBody(char *Data, std::size_t, std::size_t Size, void *Context) {
+  auto &State = *static_cast<Transfer *>(Context);
+  if (State.Result.Body.size() + Size > State.Call.MaxAnswerBytes) {
+    State.Overflowed = true;
+    return 0;
+  }
+  State.Result.Body.append(Data, Size);
+  return Size;
+}
+
+std::string_view trimmed(std::string_view Text) {
+  const auto IsSpace = [](char Letter) {
+    return Letter == ' ' || Letter == '\t' || Letter == '\r' || Letter == '\n';
+  };
+  while (!Text.empty() && IsSpace(Text.front()))
+    Text.remove_prefix(1);
+  while (!Text.empty() && IsSpace(Text.back()))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+std::size_t onHeader(char *Data, std::size_t, std::size_t Size, void *Context) {
+  HttpResult &Result = static_cast<Transfer *>(Context)->Result;
+  const std::string_view Line(Data, Size);
+  // A status line starts a new block, for example after "100 Continue".
+  if (Line.starts_with("HTTP/")) {
+    Result.Headers.clear();
+    return Size;
+  }
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return Size;
+  std::string Name(Line.substr(0, Colon));
+  std::transform(
+      Name.begin(), Name.end(), Name.begin(),
+      [](unsigned char Letter) { return char(std::tolower(Letter)); });
+  Result.Headers[Name] = trimmed(Line.substr(Colon + 1));
+  return Size;
+}
+
+bool hasLineBreak(const std::string &Text) {
+  return Text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
+}
+
+bool isWellFormed(const HttpCall &Call) {
+  return !hasLineBreak(Call.Url) &&
+         std::none_of(
+             Call.Headers.begin(), Call.Headers.end(), [](const auto &Header) {
+               return hasLineBreak(Header.first) || hasLineBreak(Header.second);
+             });
+}
+
+/// "host:port" of an absolute URL.
+std::string addressOf(const std::string &Url) {
+  const std::size_t Scheme = Url.find("://");
+  const std::size_t Start = Scheme == std::string::npos ? 0 : Scheme + 3;
+  return Url.substr(Start, Url.find('/', Start) - Start);
+}
+
+HeaderList headerList(const HttpCall &Call) {
+  // Without this, libcurl waits up to 1 s for "100 Continue" before it sends
+  // a large body.
+  curl_slist *List = curl_slist_append(nullptr, "Expect:");
+  for (const auto &[Name, Value] : Call.Headers)
+    List = curl_slist_append(
+        List, (Value.empty() ? Name + ";" : Name + ": " + Value).c_str());
+  return {List, curl_slist_free_all};
+}
+
+void setMethod(CURL *Handle, const HttpCall &Call) {
+  if (Call.Method == "GET") {
+    curl_easy_setopt(Handle, CURLOPT_HTTPGET, 1L);
+    return;
+  }
+  curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, Call.Method.c_str());
+  if (Call.Method == "DELETE" && Call.Body.empty())
+    return;
+  curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                   curl_off_t(Call.Body.size()));
+  curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Call.Body.data());
+}
+
+void setTimeouts(CURL *Handle, const HttpCall &Call) {
+  // libcurl takes 0 for no limit.
+  const auto Total = std::max<Duration::rep>(Call.Timeout.count(), 1);
+  const auto Connect =
+      std::clamp<Duration::rep>(Call.ConnectTimeout.count(), 1, Total);
+  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS, long(Total));
+  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS, long(Connect));
+}
+
+void setConnectionUse(CURL *Handle, const HttpCall &Call) {
+  const long Fresh = Call.Connections == ConnectionUse::Fresh ? 1 : 0;
+  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, Fresh);
+  curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, Fresh);
+  curl_easy_setopt(Handle, CURLOPT_MAXCONNECTS, 1L);
+  curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxIdleSeconds);
+}
+
+void setCallbacks(CURL *Handle, Transfer &State) {
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, onReadyToSend);
+  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, &State);
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, onBody);
+  curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &State);
+  curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, onHeader);
+  curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &State);
+}
+
+void setUp(CURL *Handle, const HttpCall &Call, Transfer &State,
+           const HeaderList &Headers) {
+  curl_easy_reset(Handle);
+  curl_easy_setopt(Handle, CURLOPT_URL, Call.Url.c_str());
+  curl_easy_setopt(Handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(Handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(Handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, Headers.get());
+  setMethod(Handle, Call);
+  setTimeouts(Handle, Call);
+  setConnectionUse(Handle, Call);
+  setCallbacks(Handle, State);
+}
+
+/// Fills in the outcome of a transfer that ended with \p Code.
+void conclude(const Transfer &State, CURLcode Code, CURL *Handle) {
+  HttpResult &Result = State.Result;
+  long Status = 0;
+  curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+  Result.Status = int(Status);
+  if (Code == CURLE_OK) {
+    Result.State = TransferState::Complete;
+    return;
+  }
+  Result.State =
+      State.Sends == 0 ? TransferState::NotSent : TransferState::InDoubt;
+  if (State.Vetoed)
+    Result.Detail = "the sender withdrew the request before it was sent";
+  else if (State.Overflowed)
+    Result.Detail = "the answer is larger than allowed";
+  else if (Code == CURLE_ABORTED_BY_CALLBACK)
+    Result.Detail = "the connection closed without an answer";
+  else
+    Result.Detail = curl_easy_strerror(Code);
+}
+
+} // namespace
+
+std::string_view HttpResult::header(const std::string &Name) const {
+  const auto Found = Headers.find(Name);
+  return Found == Headers.end() ? std::string_view() : Found->second;
+}
+
+HttpClient::HttpClient() {
+  static std::once_flag Initialised;
+  std::call_once(Initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+HttpClient::~HttpClient() {
+  for (const IdleHandle &Entry : Idle)
+    curl_easy_cleanup(Entry.Handle);
+}
+
+HttpResult HttpClient::perform(const HttpCall &Call) {
+  HttpResult Result;
+  Result.State = TransferState::NotSent;
+  if (!isWellFormed(Call)) {
+    Result.Detail = "the URL or a header contains a line break";
+    return Result;
+  }
+  const std::string Address = addressOf(Call.Url);
+  HandlePointer Handle(takeHandle(Address), curl_easy_cleanup);
+  if (!Handle) {
+    Result.Detail = "libcurl is out of memory";
+    return Result;
+  }
+  const HeaderList Headers = headerList(Call);
+  Transfer State{Call, Result};
+  setUp(Handle.get(), Call, State, Headers);
+  conclude(State, curl_easy_perform(Handle.get()), Handle.get());
+  countTraffic(Handle.get());
+  const bool Keep = Result.State == TransferState::Complete &&
+                    Call.Connections == ConnectionUse::Reused &&
+                    (!Call.KeepConnection || Call.KeepConnection(Result));
+  if (Keep)
+    returnHandle(Address, Handle.release());
+  return Result;
+}
+
+HttpTraffic HttpClient::traffic() const {
+  return {BytesSent.load(), BytesReceived.load(), Calls.load()};
+}
+
+void *HttpClient::takeHandle(const std::string &Address) {
+  {
+    const std::lock_guard Lock(Mutex);
+    const auto Found =
+        std::find_if(Idle.begin(), Idle.end(), [&](const IdleHandle &Entry) {
+          return Entry.Address == Address;
+        });
+    if (Found != Idle.end()) {
+      void *Handle = Found->Handle;
+      Idle.erase(Found);
+      return Handle;
+    }
+  }
+  return curl_easy_init();
+}
+
+void HttpClient::returnHandle(const std::string &Address, void *Handle) {
+  void *Surplus = nullptr;
+  {
+    const std::lock_guard Lock(Mutex);
+    Idle.push_front({Address, Handle});
+    if (Idle.size() > MaxIdleHandles) {
+      Surplus = Idle.back().Handle;
+      Idle.pop_back();
+    }
+  }
+  if (Surplus)
+    curl_easy_cleanup(Surplus);
+}
+
+void HttpClient::countTraffic(void *Handle) {
+  long RequestBytes = 0;
+  long HeaderBytes = 0;
+  curl_off_t Uploaded = 0;
+  curl_off_t Downloaded = 0;
+  curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &RequestBytes);
+  curl_easy_getinfo(Handle, CURLINFO_HEADER_SIZE, &HeaderBytes);
+  curl_easy_getinfo(Handle, CURLINFO_SIZE_UPLOAD_T, &Uploaded);
+  curl_easy_getinfo(Handle, CURLINFO_SIZE_DOWNLOAD_T, &Downloaded);
+  BytesSent += std::uint64_t(RequestBytes) + std::uint64_t(Uploaded);
+  BytesReceived += std::uint64_t(HeaderBytes) + std::uint64_t(Downloaded);
+  ++Calls;
+}
+
+std::string escapePath(const std::string &Text) {
+  static constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Result;
+  for (const unsigned char Byte : Text) {
+    if (std::isalnum(Byte) != 0 ||
+        std::string_view("-._~/").find(char(Byte)) != std::string_view::npos) {
+      Result += char(Byte);
+      continue;
+    }
+    Result += '%';
+    Result += Digits[Byte >> 4U];
+    Result += Digits[Byte & 15U];
+  }
+  return Result;
+}
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/platform/httpobjectstore.h
@@ -0,0 +1,42 @@
+/// \file
+/// The platform's object store over HTTP.
+#ifndef APRICOTWING_PLATFORM_HTTPOBJECTSTORE_H
+#define APRICOTWING_PLATFORM_HTTPOBJECTSTORE_H
+
+#include "core/platform.h"
+#include "platform/httpclient.h"
+
+#include <string>
+
+namespace apricotwing {
+
+/// Each call writes or reads one whole object, so repeating one is harmless.
+/// Owned by the daemon; thread-safe.
+class HttpObjectStore final : public ObjectStore {
+public:
+  /// \p Url is the store's base URL, \p Timeout the limit in milliseconds
+  /// for each call. \p Client must outlive this object.
+  HttpObjectStore(HttpClient &Client, std::string Url, Duration Timeout);
+
+  /// See ObjectStore. After an error the object may have either content.
+  /// Thread-safe.
+  void put(const std::string &Name, const std::string &Content) override;
+
+  /// See ObjectStore. Thread-safe.
+  std::optional<std::string> read(const std::string &Name) override;
+
+  /// See ObjectStore. Thread-safe.
+  void remove(const std::string &Name) override;
+
+private:
+  HttpResult perform(const std::string &Method, const std::string &Name,
+                     const std::string &Content = {});
+
+  HttpClient &Client;
+  std::string Url;
+  Duration Timeout;
+};
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/platform/httpworkerclient.h
@@ -0,0 +1,42 @@
+/// \file
+/// Calls to workers over HTTP.
+#ifndef APRICOTWING_PLATFORM_HTTPWORKERCLIENT_H
+#define APRICOTWING_PLATFORM_HTTPWORKERCLIENT_H
+
+#include "core/platform.h"
+#include "platform/httpclient.h"
+
+#include <string>
+
+namespace apricotwing {
+
+/// All messages to workers may arrive twice: leases have absolute deadlines,
+/// and starts and stops name their attempt. Owned by the daemon; thread-safe.
+class HttpWorkerClient final : public WorkerClient {
+public:
+  /// \p Timeout is the limit in milliseconds for each call. \p Client must
+  /// outlive this object.
+  HttpWorkerClient(HttpClient &Client, Duration Timeout);
+
+  /// See WorkerClient. Thread-safe.
+  LeaseAnswer renew(const std::string &Address,
+                    const LeaseRenewal &Renewal) override;
+
+  /// See WorkerClient. A worker without a valid lease refuses with
+  /// Error(UpstreamFailed) and outcome NotRun. Thread-safe.
+  void start(const std::string &Address, const TaskStart &Start) override;
+
+  /// See WorkerClient. Thread-safe.
+  void stop(const std::string &Address, const TaskStop &Stop) override;
+
+private:
+  std::string post(const std::string &Address, const std::string &Path,
+                   std::string Body);
+
+  HttpClient &Client;
+  Duration Timeout;
+};
+
+} // namespace apricotwing
+
+#endif
