Add the RESTinio adapter behind the HTTP server port

Cause: the daemon and the stand-ins need a server that answers from any thread and that a slow sender cannot block. Ruled out: restinio::run, which owns its threads and closes the acceptor from outside them. The listening socket is shut down instead; that ends the accepts from any thread. Change: startHttpServer with limits on body, headers, connections and read time; requests without a response are tracked, so that a stop waits for them and a dropped responder answers 500 with outcome unknown.

--- /dev/null
+++ b/src/httpserver/exchange.cpp
@@ -0,0 +1,115 @@
+#include "httpserver/exchange.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+#include <vector>
+
+namespace apricotwing {
+
+namespace {
+
+void appendJsonString(std::string &Text, std::string_view Value) {
+  Text += '"';
+  for (const char C : Value) {
+    if (C == '"' || C == '\\') {
+      Text += '\\';
+      Text += C;
+    } else if (static_cast<unsigned char>(C) < 0x20) {
+      std::array<char, 8> Escape{};
+      std::snprintf(Escape.data(), Escape.size(), "\\u%04x", unsigned(C));
+      Text += Escape.data();
+    } else {
+      Text += C;
+    }
+  }
+  Text += '"';
+}
+
+void appendMember(std::string &Text, std::string_view Name,
+                  std::string_view Value) {
+  if (Text.back() != '{')
+    Text += ',';
+  appendJsonString(Text, Name);
+  Text += ':';
+  appendJsonString(Text, Value);
+}
+
+} // namespace
+
+HttpResponse errorResponse(const Error &Failure) {
+  HttpResponse Result;
+  Result.Status = httpStatus(Failure.kind());
+  Result.Headers["Apricotwing-Outcome"] = outcomeName(Failure.outcome());
+  std::string Members = "{";
+  appendMember(Members, "kind", errorCode(Failure.kind()));
+  appendMember(Members, "message", Failure.what());
+  appendMember(Members, "remedy", Failure.remedy());
+  appendMember(Members, "outcome", outcomeName(Failure.outcome()));
+  Result.Body = "{\"error\":" + Members + "}}";
+  return Result;
+}
+
+Exchange::Exchange(OpenExchanges &Registry, std::uint64_t Id,
+                   ResponseWriter Writer)
+    : Registry(Registry), Id(Id), Writer(std::move(Writer)) {}
+
+Exchange::~Exchange() {
+  respond(errorResponse(Error(ErrorKind::Internal,
+                              "the request was dropped without a response",
+                              "report this as a bug", Outcome::Unknown)));
+}
+
+void Exchange::abandon() {
+  const std::lock_guard Lock(Mutex);
+  Writer = nullptr;
+}
+
+void Exchange::respond(HttpResponse Response) {
+  // Held while sending, so that abandon() returns only when no sender uses
+  // the connection any more.
+  const std::lock_guard Lock(Mutex);
+  const ResponseWriter Send = std::exchange(Writer, nullptr);
+  if (!Send)
+    return;
+  try {
+    Send(std::move(Response), [&From = Registry, Id = Id] { From.remove(Id); });
+  } catch (const std::exception &) {
+    // The connection is gone; nobody waits for the response.
+    Registry.remove(Id);
+  }
+}
+
+std::shared_ptr<Exchange> OpenExchanges::add(ResponseWriter Writer) {
+  const std::lock_guard Lock(Mutex);
+  const std::uint64_t Id = NextId++;
+  auto Result = std::make_shared<Exchange>(*this, Id, std::move(Writer));
+  Open.emplace(Id, Result);
+  return Result;
+}
+
+void OpenExchanges::waitUntilEmpty(std::chrono::milliseconds Limit) {
+  std::unique_lock Lock(Mutex);
+  Changed.wait_for(Lock, Limit, [this] { return Open.empty(); });
+}
+
+void OpenExchanges::abandonAll() {
+  std::vector<std::shared_ptr<Exchange>> Remaining;
+  {
+    const std::lock_guard Lock(Mutex);
+    for (auto &[Id, Weak] : Open)
+      if (auto Call = Weak.lock())
+        Remaining.push_back(std::move(Call));
+    Open.clear();
+  }
+  for (const auto &Call : Remaining)
+    Call->abandon();
+}
+
+void OpenExchanges::remove(std::uint64_t Id) {
+  const std::lock_guard Lock(Mutex);
+  Open.erase(Id);
+  Changed.notify_all();
+}
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/httpserver/restinioserver.cpp
@@ -0,0 +1,258 @@
+#include "core/error.h"
+#include "core/httpserver.h"
+#include "httpserver/exchange.h"
+
+#include <restinio/all.hpp>
+
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace apricotwing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct ServerTraits : restinio::default_traits_t {
+  static constexpr bool use_connection_count_limiter = true; // NOLINT
+};
+
+using RestinioServer = restinio::http_server_t<ServerTraits>;
+using RestinioSettings = restinio::server_settings_t<ServerTraits>;
+
+/// A handler that has not answered by then never will: callers wait at most
+/// 10 s, and other calls end with the timeouts of the store.
+constexpr auto HandlingTimeout = 60s;
+
+/// A caller that reads its response more slowly is disconnected.
+constexpr auto WriteTimeout = 20s;
+
+/// Longest wait of the destructor for open requests.
+constexpr auto StopTimeout = 15s;
+
+constexpr std::size_t MaxUrlBytes = 8192;
+constexpr std::size_t MaxHeaderBytes = 16384;
+constexpr std::size_t MaxHeaderFields = 100;
+
+/// RESTinio closes the connection without a response above its own limit, so
+/// that one lies above the limit that is answered with 413.
+std::uint64_t receiveLimit(std::size_t MaxBodyBytes) {
+  constexpr std::size_t Slack = std::size_t(64) << 10; // 64 KiB
+  return 2 * std::uint64_t(MaxBodyBytes) + Slack;
+}
+
+/// RESTinio stops accepting for good once accept() fails for want of file
+/// descriptors, so the server leaves most of them to other uses.
+std::size_t connectionLimit(std::size_t Wanted) {
+  rlimit Files{};
+  if (getrlimit(RLIMIT_NOFILE, &Files) != 0 || Files.rlim_cur == RLIM_INFINITY)
+    return Wanted;
+  return std::min<std::size_t>(
+      Wanted, std::max<std::size_t>(std::size_t(Files.rlim_cur) / 4, 1));
+}
+
+std::string toLower(std::string_view Text) {
+  std::string Result(Text);
+  std::transform(Result.begin(), Result.end(), Result.begin(),
+                 [](unsigned char C) { return char(std::tolower(C)); });
+  return Result;
+}
+
+HttpRequest toHttpRequest(const restinio::request_handle_t &Request) {
+  HttpRequest Result;
+  const auto &Header = Request->header();
+  Result.Method = std::string(Header.method().c_str());
+  Result.Path = std::string(Header.path());
+  Result.Query = std::string(Header.query());
+  Header.for_each_field([&Result](const auto &Field) {
+    std::string &Value = Result.Headers[toLower(Field.name())];
+    if (!Value.empty())
+      Value += ", ";
+    Value += Field.value();
+  });
+  Result.Body = Request->body();
+  return Result;
+}
+
+struct StatusRow {
+  std::uint16_t Code;
+  const char *Phrase;
+};
+
+constexpr std::array StatusTable = {
+    StatusRow{200, "OK"},
+    StatusRow{201, "Created"},
+    StatusRow{202, "Accepted"},
+    StatusRow{204, "No Content"},
+    StatusRow{400, "Bad Request"},
+    StatusRow{401, "Unauthorized"},
+    StatusRow{403, "Forbidden"},
+    StatusRow{404, "Not Found"},
+    StatusRow{405, "Method Not Allowed"},
+    StatusRow{408, "Request Timeout"},
+    StatusRow{409, "Conflict"},
+    StatusRow{413, "Payload Too Large"},
+    StatusRow{429, "Too Many Requests"},
+    StatusRow{500, "Internal Server Error"},
+    StatusRow{502, "Bad Gateway"},
+    StatusRow{503, "Service Unavailable"},
+    StatusRow{504, "Gateway Timeout"},
+    StatusRow{507, "Insufficient Storage"},
+};
+
+const char *phraseOf(int Status) {
+  for (const StatusRow &Row : StatusTable)
+    if (Row.Code == Status)
+      return Row.Phrase;
+  return "Status";
+}
+
+/// Writes a response to the connection of its request.
+void writeResponse(const restinio::request_handle_t &Request,
+                   HttpResponse Response, bool Close,
+                   std::function<void()> Written) {
+  auto Builder = Request->create_response(restinio::http_status_line_t{
+      restinio::http_status_code_t{std::uint16_t(Response.Status)},
+      phraseOf(Response.Status)});
+  if (!Response.ContentType.empty())
+    Builder.append_header("Content-Type", std::move(Response.ContentType));
+  for (auto &[Name, Value] : Response.Headers)
+    Builder.append_header(Name, Value);
+  if (Close)
+    Builder.connection_close();
+  Builder.set_body(std::move(Response.Body));
+  Builder.done([Done = std::move(Written)](const auto &) { Done(); });
+}
+
+HttpResponse tooLarge(std::size_t MaxBodyBytes) {
+  return errorResponse(Error(ErrorKind::TooLarge,
+                             "the body is larger than " +
+                                 std::to_string(MaxBodyBytes) + " bytes",
+                             "send a smaller body, or raise max_body_bytes"));
+}
+
+/// The adapter; see core/httpserver.h. The io threads are owned here, so that
+/// a slow sender costs a connection and no thread.
+class Server final : public HttpServer {
+public:
+  Server(const HttpServerOptions &Options, HttpHandler Handler)
+      : Options(Options), Handler(std::move(Handler)),
+        Adapter(restinio::external_io_context(Context), settings()) {
+    try {
+      Adapter.open_sync();
+    } catch (const std::exception &Failure) {
+      throw Error(ErrorKind::BadSettings,
+                  "cannot listen on " + Options.Address + ":" +
+                      std::to_string(Options.Port) + ": " + Failure.what(),
+                  "choose an address of this host and a free port");
+    }
+    for (std::size_t I = 0; I < std::max<std::size_t>(Options.Threads, 1); ++I)
+      Threads.emplace_back([this] { Context.run(); });
+  }
+
+  ~Server() override {
+    stopAccepting();
+    Open.waitUntilEmpty(StopTimeout);
+    Context.stop();
+    for (std::thread &Thread : Threads)
+      Thread.join();
+    Open.abandonAll();
+    Adapter.close_sync();
+  }
+
+  std::uint16_t port() const override { return BoundPort; }
+
+  void stopAccepting() override {
+    // The acceptor of RESTinio belongs to its io threads; shutting the
+    // listening socket down ends its accepts from any thread.
+    if (!Stopping.exchange(true))
+      ::shutdown(ListenSocket, SHUT_RDWR);
+  }
+
+private:
+  RestinioSettings settings() {
+    const auto ReadTimeout = std::chrono::milliseconds(Options.ReadTimeoutMs);
+    RestinioSettings Result;
+    Result.address(Options.Address)
+        .port(Options.Port)
+        .read_next_http_message_timelimit(ReadTimeout)
+        .handle_request_timeout(HandlingTimeout)
+        .write_http_response_timelimit(WriteTimeout)
+        .timer_manager(std::clamp<std::chrono::steady_clock::duration>(
+            ReadTimeout / 4, 20ms, 1000ms))
+        .max_pipelined_requests(1)
+        .max_parallel_connections(connectionLimit(Options.MaxConnections))
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(MaxUrlBytes)
+                .max_field_name_size(MaxHeaderBytes)
+                .max_field_value_size(MaxHeaderBytes)
+                .max_field_count(MaxHeaderFields)
+                .max_body_size(receiveLimit(Options.MaxBodyBytes)))
+        .socket_options_setter([](auto &Socket) {
+          Socket.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &Acceptor) {
+          ListenSocket = Acceptor.native_handle();
+          BoundPort = Acceptor.local_endpoint().port();
+        })
+        .request_handler([this](auto Request) {
+          handle(std::move(Request));
+          return restinio::request_accepted();
+        });
+    return Result;
+  }
+
+  void handle(restinio::request_handle_t Request) {
+    const bool Oversized = Request->body().size() > Options.MaxBodyBytes;
+    auto Call = Open.add([this, Request](HttpResponse Response,
+                                         std::function<void()> Written) {
+      const bool Close = Stopping ||
+                         Response.Status == httpStatus(ErrorKind::TooLarge) ||
+                         !Request->header().should_keep_alive();
+      writeResponse(Request, std::move(Response), Close, std::move(Written));
+    });
+    if (Oversized) {
+      Call->respond(tooLarge(Options.MaxBodyBytes));
+      return;
+    }
+    try {
+      Handler(toHttpRequest(Request), [Call](HttpResponse Response) {
+        Call->respond(std::move(Response));
+      });
+    } catch (const Error &Failure) {
+      Call->respond(errorResponse(Failure));
+    } catch (const std::exception &Failure) {
+      Call->respond(
+          errorResponse(Error(ErrorKind::Internal, Failure.what(),
+                              "report this as a bug", Outcome::Unknown)));
+    }
+  }
+
+  const HttpServerOptions Options;
+  HttpHandler Handler;
+  OpenExchanges Open;
+  std::atomic<bool> Stopping = false;
+  int ListenSocket = -1;
+  std::uint16_t BoundPort = 0;
+  asio::io_context Context;
+  RestinioServer Adapter;
+  std::vector<std::thread> Threads;
+};
+
+} // namespace
+
+std::unique_ptr<HttpServer> startHttpServer(const HttpServerOptions &Options,
+                                            HttpHandler Handler) {
+  return std::make_unique<Server>(Options, std::move(Handler));
+}
+
+} // namespace apricotwing
