Fix the public headers of the coordination classes

The daemon is written against sessions, membership, shard ownership, grants, worker leases, the configuration ledger and timers, so their interfaces come first.

--- /dev/null
+++ b/src/core/grantholder.h
@@ -0,0 +1,93 @@
+/// \file
+/// Use of one pool's grants by this process.
+#ifndef APRICOTWING_CORE_GRANTHOLDER_H
+#define APRICOTWING_CORE_GRANTHOLDER_H
+
+#include "core/grantledger.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace apricotwing {
+
+/// An amount in use; handed back to GrantHolder::unuse().
+struct GrantUse {
+  std::string Unit;
+  std::int64_t Amount = 0;
+  std::uint64_t Generation = 0; ///< Session generation that it belongs to.
+};
+
+/// Counts what is in use of the grants of one pool, tracks demand, and decides
+/// how much to hold. Owned by the daemon, which calls it under the lock of the
+/// pool. No I/O. Not thread-safe.
+class GrantHolder {
+public:
+  /// Grants change in multiples of \p Step per unit; \p IdleAfter is how long
+  /// an amount stays unused before it is given back.
+  explicit GrantHolder(std::int64_t Step = 1,
+                       Duration IdleAfter = Duration(5000));
+
+  /// Takes \p Amount of \p Unit if the grant allows it; otherwise notes the
+  /// demand for the next round. The caller has checked its session.
+  std::optional<GrantUse> tryUse(const std::string &Unit,
+                                 std::int64_t Amount = 1);
+
+  /// Gives back what tryUse() returned. A use of an earlier session is
+  /// ignored.
+  void unuse(const GrantUse &Use);
+
+  /// Amount of \p Unit that tryUse() could still take.
+  std::int64_t available(const std::string &Unit) const;
+
+  /// Amount of \p Unit in use.
+  std::int64_t inUse(const std::string &Unit) const;
+
+  /// Amount of \p Unit that may be used at most.
+  std::int64_t usable(const std::string &Unit) const;
+
+  /// True if beginRound() would change something.
+  bool needsRound(TimePoint Now) const;
+
+  /// Starts a round: decides the targets, lowers the usable amounts to them
+  /// at once, and returns the targets that differ from the grant for
+  /// GrantLedger::adjust(). Never goes below what is in use. A unit whose
+  /// grant exceeds \p Capacity (from the last endRound()) is lowered.
+  UnitAmounts beginRound(TimePoint Now);
+
+  /// The round returned \p Share.
+  void endRound(const PoolShare &Share, TimePoint Now);
+
+  /// The round failed: usable amounts stay at the smaller of the old grant
+  /// and the target, and all units are asked for again in the next round.
+  void failRound();
+
+  /// The session was lost: nothing is granted any more.
+  void reset();
+
+private:
+  struct UnitState {
+    std::int64_t Granted = 0; ///< As last read from the row.
+    std::int64_t Usable = 0;  ///< At most Granted.
+    std::int64_t InUse = 0;
+    std::int64_t Unmet = 0; ///< Refused since the last round.
+    std::int64_t Peak = 0;  ///< Highest use since PeakSince.
+    std::optional<TimePoint> PeakSince;
+    std::optional<std::int64_t> Ceiling; ///< Capacity of the unit.
+    bool Uncertain = false; ///< A failed round may have changed the row.
+  };
+
+  std::int64_t target(const UnitState &State, TimePoint Now) const;
+  std::int64_t roundUp(std::int64_t Amount) const;
+
+  std::int64_t Step;
+  Duration IdleAfter;
+  std::uint64_t Generation = 1;
+  std::map<std::string, UnitState> Units;
+};
+
+} // namespace apricotwing
+
+#endif
