Give the rows of the operators' lists names of their own

Cause: src/wire and src/core both had a WorkerView, and src/daemon repeated AuthoritySettings of the core. Change: WorkerStatus and InstanceStatus in src/wire; the settings use the core's AuthoritySettings. Measured: the workspace builds again.

--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -3,6 +3,7 @@
 #ifndef APRICOTWING_DAEMON_SETTINGS_H
 #define APRICOTWING_DAEMON_SETTINGS_H
 
+#include "core/authoritysettings.h"
 #include "core/run.h"
 #include "core/time.h"
 #include "daemon/loglevel.h"
@@ -52,14 +53,6 @@
   Duration Timeout{0};
 };
 
-struct AuthoritySettings {
-  Duration Renew{0};        ///< Between two renewal rounds.
-  Duration Valid{0};        ///< T: from the start of a successful round.
-  Duration Fence{0};        ///< F: without a change of another session.
-  Duration Promise{0};      ///< P: for which a peer promises.
-  Duration MaxExtension{0}; ///< G: from the last successful round.
-};
-
 struct SchedulerSettings {
   Duration Tick{0};
   std::uint32_t ShardsPerCell = 0;
--- a/src/wire/instancecodec.cpp
+++ b/src/wire/instancecodec.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-Json toJson(const InstanceView &View) {
+Json toJson(const InstanceStatus &View) {
   Json Result = toJson(View.Id);
   Result["address"] = View.Address;
   Result["peer_address"] = View.PeerAddress;
@@ -18,8 +18,8 @@
   return Result;
 }
 
-InstanceView readInstanceView(JsonReader &Reader) {
-  InstanceView View;
+InstanceStatus readInstanceView(JsonReader &Reader) {
+  InstanceStatus View;
   View.Id = readSessionId(Reader);
   View.Address = Reader.text("address");
   View.PeerAddress = Reader.text("peer_address");
@@ -29,7 +29,7 @@
   return View;
 }
 
-Json toJson(const WorkerView &View) {
+Json toJson(const WorkerStatus &View) {
   Json Result = toJson(View.Worker);
   Result["reserved"] = toJson(View.Reserved);
   Result["tasks"] = View.Tasks;
@@ -39,8 +39,8 @@
   return Result;
 }
 
-WorkerView readWorkerView(JsonReader &Reader) {
-  WorkerView View;
+WorkerStatus readWorkerView(JsonReader &Reader) {
+  WorkerStatus View;
   View.Worker = readListedWorker(Reader);
   View.Reserved = readResources(Reader.object("reserved"));
   View.Tasks = Reader.number<std::uint32_t>("tasks");
@@ -52,27 +52,27 @@
 
 } // namespace
 
-std::string encodeInstances(const std::vector<InstanceView> &Instances) {
+std::string encodeInstances(const std::vector<InstanceStatus> &Instances) {
   Json List = Json::array();
-  for (const InstanceView &View : Instances)
+  for (const InstanceStatus &View : Instances)
     List.push_back(toJson(View));
   return dumpJson({{"instances", std::move(List)}});
 }
 
-std::vector<InstanceView> decodeInstances(const std::string &Text) {
+std::vector<InstanceStatus> decodeInstances(const std::string &Text) {
   return decodeBody(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
     return Reader.list("instances", readInstanceView);
   });
 }
 
-std::string encodeWorkers(const std::vector<WorkerView> &Workers) {
+std::string encodeWorkers(const std::vector<WorkerStatus> &Workers) {
   Json List = Json::array();
-  for (const WorkerView &View : Workers)
+  for (const WorkerStatus &View : Workers)
     List.push_back(toJson(View));
   return dumpJson({{"workers", std::move(List)}});
 }
 
-std::vector<WorkerView> decodeWorkers(const std::string &Text) {
+std::vector<WorkerStatus> decodeWorkers(const std::string &Text) {
   return decodeBody(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
     return Reader.list("workers", readWorkerView);
   });
--- a/src/wire/instancecodec.h
+++ b/src/wire/instancecodec.h
@@ -13,7 +13,7 @@
 namespace apricotwing {
 
 /// An entry instance as an operator sees it.
-struct InstanceView {
+struct InstanceStatus {
   SessionId Id;
   std::string Address;
   std::string PeerAddress;
@@ -23,7 +23,7 @@
 };
 
 /// A worker as an operator sees it.
-struct WorkerView {
+struct WorkerStatus {
   ListedWorker Worker;
   Resources Reserved;
   std::uint32_t Tasks = 0; ///< Attempts that may be running.
@@ -34,10 +34,10 @@
 
 /// Bodies of the answers. Decoding throws Error(BadRequest) and ignores
 /// unknown fields. Thread-safe.
-std::string encodeInstances(const std::vector<InstanceView> &Instances);
-std::vector<InstanceView> decodeInstances(const std::string &Text);
-std::string encodeWorkers(const std::vector<WorkerView> &Workers);
-std::vector<WorkerView> decodeWorkers(const std::string &Text);
+std::string encodeInstances(const std::vector<InstanceStatus> &Instances);
+std::vector<InstanceStatus> decodeInstances(const std::string &Text);
+std::string encodeWorkers(const std::vector<WorkerStatus> &Workers);
+std::vector<WorkerStatus> decodeWorkers(const std::string &Text);
 
 } // namespace apricotwing
 
