Add the services of the daemon

Cause: the decisions of the core need threads, ports and an HTTP interface to serve a request from end to end. Ruled out: one big event loop, because calls of the table service block and a slow store must not delay interactive requests.

--- /dev/null
+++ b/src/daemon/context.h
@@ -0,0 +1,43 @@
+/// \file
+/// What all services of one daemon share.
+#ifndef APRICOTWING_DAEMON_CONTEXT_H
+#define APRICOTWING_DAEMON_CONTEXT_H
+
+#include "core/platform.h"
+#include "core/records.h"
+#include "core/sessionmanager.h"
+#include "core/tableservice.h"
+#include "core/transactionids.h"
+#include "daemon/log.h"
+#include "daemon/metrics.h"
+#include "daemon/settings.h"
+
+#include <cstdint>
+
+namespace apricotwing {
+
+/// References to the ports and to the parts that every service uses. Owned by
+/// the Daemon, which outlives all services. Each member is thread-safe, but
+/// for the methods of SessionManager that belong to the renewal thread.
+struct DaemonContext {
+  const Settings &Values;
+  const Clock &Time;
+  Log &Events;
+  Metrics &Counts;
+  const RecordCodec &Codec;
+  TransactionIds &Ids;
+  TableService &Table;
+  ObjectStore &Objects;
+  InstanceList &List;
+  WorkerClient &Workers;
+  UpstreamClient &Upstreams;
+  PeerClient &Peers;
+  SessionManager &Session;
+
+  /// True while this process may act on its session. Thread-safe.
+  bool hasAuthority() const { return Session.isValid(Time.now()); }
+};
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/daemon/grantservice.cpp
@@ -0,0 +1,244 @@
+#include "daemon/grantservice.h"
+
+#include "core/shardmap.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace apricotwing {
+
+namespace {
+
+constexpr Duration RoundPeriod{200};
+
+/// A pool is looked at this often even without a change of demand, so that a
+/// lower capacity and freed units are noticed.
+constexpr Duration RefreshPeriod{3000};
+
+/// The unit of the pools of concurrent requests.
+const std::string RequestUnit = "requests";
+
+std::vector<InstanceId> liveInstances(const SessionManager &Session) {
+  std::vector<InstanceId> Result;
+  for (const MemberRow &Member : Session.members())
+    if (Member.Record.State == SessionState::Live)
+      Result.push_back(Member.Record.Id.Instance);
+  return Result;
+}
+
+} // namespace
+
+GrantService::GrantService(DaemonContext &Context, RequestService &Requests,
+                           const ListService &List)
+    : Context(Context), Requests(Requests), List(List),
+      Ledger(Context.Table, Context.Codec, Context.Ids),
+      Thread(
+          RoundPeriod, [this] { round(); },
+          [&Context](const std::exception &Failure) {
+            Context.Events.failure(Component::Grants, "round failed", Failure);
+          }) {}
+
+std::map<std::string, UnitAmounts> GrantService::held() const {
+  const std::lock_guard Lock(Mutex);
+  return Held;
+}
+
+void GrantService::logFailure(const std::string &Pool, const Error &Failure) {
+  Context.Events.failure(Component::Grants, "cannot adjust pool " + Pool,
+                         Failure);
+}
+
+void GrantService::round() {
+  const SessionId Own = Context.Session.sessionId();
+  const std::string Holder = toString(Own);
+  if (Holder != HolderInUse) {
+    Requests.resetGrants(Own);
+    HolderInUse = Holder;
+    LastRound.clear();
+    Overdraft.clear();
+    const std::lock_guard Lock(Mutex);
+    Held.clear();
+  }
+  const std::shared_ptr<const Config> Document = Context.Session.config();
+  if (!Document || !Context.hasAuthority())
+    return;
+  setCapacities(*Document);
+  for (const auto &[Upstream, Unused] : Document->Upstreams)
+    adjustSlots(Upstream, Holder);
+  const auto Wanted = Requests.withRouter([&](RequestRouter &Router) {
+    return Router.wantedRequests(Context.Time.now());
+  });
+  for (const auto &[Team, Unused] : Document->Teams) {
+    const auto Found = Wanted.find(Team);
+    adjustTeam(Team, Found == Wanted.end() ? 0 : Found->second, Holder);
+  }
+  publishTeams();
+  Requests.dispatch();
+}
+
+void GrantService::setCapacities(const Config &Document) {
+  const ListService::Snapshot Listed = List.latest();
+  if (!Listed)
+    return;
+  const std::vector<InstanceId> Live = liveInstances(Context.Session);
+  const auto Ensure = [&](const std::string &Pool,
+                          const UnitAmounts &Capacity) {
+    if (rendezvousOwner(Pool, Live) != Context.Values.Instance.Id)
+      return;
+    const auto Known = Capacities.find(Pool);
+    if (Known != Capacities.end() && Known->second == Capacity)
+      return;
+    try {
+      Ledger.ensureCapacity(Pool, Capacity);
+      Capacities[Pool] = Capacity;
+    } catch (const Error &Failure) {
+      logFailure(Pool, Failure);
+    }
+  };
+  for (const auto &[Upstream, Value] : Document.Upstreams) {
+    UnitAmounts Slots;
+    for (const ListedExecutor &Executor : Listed->Executors)
+      if (Executor.Upstream == Upstream)
+        Slots[Executor.Id] = Value.Slots;
+    Ensure(keys::executorPool(Upstream), Slots);
+  }
+  for (const auto &[Team, Value] : Document.Teams)
+    Ensure(keys::requestPool(Team), {{RequestUnit, Value.Limit.Requests}});
+}
+
+bool GrantService::needsRound(const std::string &Pool,
+                              const UnitAmounts &Wanted) const {
+  const auto Last = LastRound.find(Pool);
+  if (Last == LastRound.end() ||
+      Context.Time.now() - Last->second >= RefreshPeriod)
+    return true;
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Held.find(Pool);
+  for (const auto &[Unit, Amount] : Wanted) {
+    std::int64_t Present = 0;
+    if (Found != Held.end()) {
+      const auto Entry = Found->second.find(Unit);
+      Present = Entry == Found->second.end() ? 0 : Entry->second;
+    }
+    if (Present < Amount)
+      return true;
+  }
+  return false;
+}
+
+UnitAmounts GrantService::adjusted(const std::string &Pool,
+                                   const std::string &Holder,
+                                   const UnitAmounts &Targets) {
+  LastRound[Pool] = Context.Time.now();
+  const PoolShare Share = Ledger.adjust(Pool, Holder, Targets);
+  std::int64_t Excess = 0;
+  for (const auto &[Unit, Free] : Share.Free)
+    Excess = std::max(Excess, -Free);
+  Overdraft[Pool] = Excess;
+  return Share.Granted;
+}
+
+void GrantService::adjustSlots(const std::string &Upstream,
+                               const std::string &Holder) {
+  const std::string Pool = keys::executorPool(Upstream);
+  UnitAmounts Wanted;
+  UnitAmounts Lowered;
+  Requests.withRouter([&](RequestRouter &Router) {
+    Wanted = Router.wantedSlots(Upstream, Context.Time.now());
+  });
+  if (!needsRound(Pool, Wanted))
+    return;
+  {
+    const std::lock_guard Lock(Mutex);
+    Lowered = Held[Pool];
+  }
+  for (auto &[Executor, Amount] : Lowered) {
+    const auto Found = Wanted.find(Executor);
+    const std::int64_t Target = Found == Wanted.end() ? 0 : Found->second;
+    Wanted[Executor] = Target;
+    Amount = std::min(Amount, Target);
+  }
+  // Between the two calls on the router nothing may use what is given back.
+  Requests.withRouter([&](RequestRouter &Router) {
+    Router.setSlotGrants(Upstream, Lowered);
+    for (const auto &[Executor, Used] : Router.usedSlots(Upstream))
+      Wanted[Executor] = std::max(Wanted[Executor], Used);
+  });
+  try {
+    const UnitAmounts Granted = adjusted(Pool, Holder, Wanted);
+    const std::lock_guard Lock(Mutex);
+    Held[Pool] = Granted;
+    Lowered = Granted;
+  } catch (const Error &Failure) {
+    logFailure(Pool, Failure);
+    const std::lock_guard Lock(Mutex);
+    Held[Pool] = Lowered;
+  }
+  Requests.withRouter(
+      [&](RequestRouter &Router) { Router.setSlotGrants(Upstream, Lowered); });
+}
+
+void GrantService::adjustTeam(const TeamName &Team, std::int64_t Wanted,
+                              const std::string &Holder) {
+  const std::string Pool = keys::requestPool(Team);
+  std::int64_t Present = 0;
+  {
+    const std::lock_guard Lock(Mutex);
+    Present = Held[Pool][RequestUnit];
+  }
+  std::int64_t Target = Wanted;
+  // After a reduction of the limit every holder gives back what exceeds it.
+  if (Overdraft[Pool] > 0)
+    Target =
+        std::max<std::int64_t>(0, std::min(Target, Present - Overdraft[Pool]));
+  if (!needsRound(Pool, {{RequestUnit, Target}}) && Overdraft[Pool] == 0)
+    return;
+  {
+    const std::lock_guard Lock(Mutex);
+    Held[Pool][RequestUnit] = std::min(Present, Target);
+  }
+  publishTeams();
+  const auto Used = Requests.withRouter(
+      [](RequestRouter &Router) { return Router.usedRequests(); });
+  const auto InUse = Used.find(Team);
+  if (InUse != Used.end())
+    Target = std::max(Target, InUse->second);
+  try {
+    const UnitAmounts Granted = adjusted(Pool, Holder, {{RequestUnit, Target}});
+    const std::lock_guard Lock(Mutex);
+    const auto Found = Granted.find(RequestUnit);
+    Held[Pool][RequestUnit] = Found == Granted.end() ? 0 : Found->second;
+  } catch (const Error &Failure) {
+    logFailure(Pool, Failure);
+  }
+}
+
+void GrantService::publishTeams() {
+  const std::shared_ptr<const Config> Document = Context.Session.config();
+  RequestRouter::Amounts ByTeam;
+  {
+    const std::lock_guard Lock(Mutex);
+    for (const auto &[Team, Unused] : Document->Teams)
+      ByTeam[Team] = Held[keys::requestPool(Team)][RequestUnit];
+  }
+  Requests.withRouter(
+      [&](RequestRouter &Router) { Router.setTeamGrants(ByTeam); });
+}
+
+void GrantService::finish() {
+  Thread.stop();
+  std::set<std::string> Pools;
+  for (const auto &[Pool, Unused] : held())
+    Pools.insert(Pool);
+  for (const std::string &Pool : Pools) {
+    try {
+      Ledger.releaseAll(Pool, HolderInUse);
+    } catch (const Error &Failure) {
+      // The grants are reclaimed after the session row has been deleted.
+      logFailure(Pool, Failure);
+    }
+  }
+}
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/daemon/grantservice.h
@@ -0,0 +1,63 @@
+/// \file
+/// Rounds that move grants of executor slots and team limits by demand.
+#ifndef APRICOTWING_DAEMON_GRANTSERVICE_H
+#define APRICOTWING_DAEMON_GRANTSERVICE_H
+
+#include "core/grantledger.h"
+#include "daemon/context.h"
+#include "daemon/listservice.h"
+#include "daemon/periodicthread.h"
+#include "daemon/requestservice.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace apricotwing {
+
+/// Holds this instance's part of the pools of interactive requests. A grant is
+/// lowered in the router before the row is written, and raised only after the
+/// row was written. Owned by the Daemon; runs on a thread of its own.
+class GrantService {
+public:
+  GrantService(DaemonContext &Context, RequestService &Requests,
+               const ListService &List);
+
+  /// Runs a round soon. Thread-safe.
+  void wake() { Thread.wake(); }
+
+  /// Ends the thread and releases all grants. Call when no request is open.
+  void finish();
+
+  /// Grants in use by pool, for the state dump. Thread-safe.
+  std::map<std::string, UnitAmounts> held() const;
+
+private:
+  void round();
+  void setCapacities(const Config &Document);
+  void adjustSlots(const std::string &Upstream, const std::string &Holder);
+  void adjustTeam(const TeamName &Team, std::int64_t Wanted,
+                  const std::string &Holder);
+  void publishTeams();
+  UnitAmounts adjusted(const std::string &Pool, const std::string &Holder,
+                       const UnitAmounts &Targets);
+  bool needsRound(const std::string &Pool, const UnitAmounts &Wanted) const;
+  void logFailure(const std::string &Pool, const Error &Failure);
+
+  DaemonContext &Context;
+  RequestService &Requests;
+  const ListService &List;
+  GrantLedger Ledger;
+  std::string HolderInUse;
+  std::uint64_t CapacityVersion = 0;
+  std::map<std::string, UnitAmounts> Capacities; ///< As last ensured.
+  std::map<std::string, std::int64_t> Overdraft; ///< By pool, to give back.
+  std::map<std::string, TimePoint> LastRound;
+  mutable std::mutex Mutex; ///< Guards Held.
+  std::map<std::string, UnitAmounts> Held;
+  PeriodicThread Thread;
+};
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/daemon/taskgrants.cpp
@@ -0,0 +1,92 @@
+#include "daemon/taskgrants.h"
+
+#include <algorithm>
+
+namespace apricotwing {
+
+namespace {
+
+/// With several shards a pool that gave less than wanted is tried again after
+/// this time.
+constexpr Duration RetryPeriod{1000};
+
+const std::string CpuUnit = "cpu_millis";
+const std::string MemoryUnit = "memory_mib";
+const std::string AcceleratorUnit = "accelerators";
+
+UnitAmounts toUnits(const Resources &Value) {
+  return {{CpuUnit, Value.CpuMillis},
+          {MemoryUnit, Value.MemoryMib},
+          {AcceleratorUnit, Value.Accelerators}};
+}
+
+std::int64_t amountOf(const UnitAmounts &Units, const std::string &Unit) {
+  const auto Found = Units.find(Unit);
+  return Found == Units.end() ? 0 : Found->second;
+}
+
+Resources toResources(const UnitAmounts &Units) {
+  return {amountOf(Units, CpuUnit), amountOf(Units, MemoryUnit),
+          amountOf(Units, AcceleratorUnit)};
+}
+
+Resources smaller(const Resources &Left, const Resources &Right) {
+  return {std::min(Left.CpuMillis, Right.CpuMillis),
+          std::min(Left.MemoryMib, Right.MemoryMib),
+          std::min(Left.Accelerators, Right.Accelerators)};
+}
+
+Resources amountFor(const std::map<TeamName, Resources> &ByTeam,
+                    const TeamName &Team) {
+  const auto Found = ByTeam.find(Team);
+  return Found == ByTeam.end() ? Resources{} : Found->second;
+}
+
+} // namespace
+
+TaskGrants::TaskGrants(DaemonContext &Context, ShardOwnership &Ownership,
+                       ShardScheduler &Scheduler)
+    : Context(Context), Ownership(Ownership), Scheduler(Scheduler),
+      Ledger(Context.Table, Context.Codec, Context.Ids) {}
+
+void TaskGrants::advance(const Config &Document, TimePoint Now) {
+  const bool SingleShard = Context.Values.Scheduler.ShardsPerCell == 1;
+  const auto Demand = Scheduler.demand();
+  const auto Allocated = Scheduler.allocated();
+  for (const auto &[Team, Value] : Document.Teams) {
+    const Resources &Limit = Value.Limit.Tasks;
+    const Resources InUse = amountFor(Allocated, Team);
+    // A single shard holds the whole limit, which spares a round per change
+    // of demand.
+    const Resources Wanted =
+        SingleShard ? Limit : smaller(Limit, InUse + amountFor(Demand, Team));
+    const Resources Target = Resources::max(Wanted, InUse);
+    const auto Last = LastRound.find(Team);
+    const bool IsRecent =
+        Last != LastRound.end() && Now - Last->second < RetryPeriod;
+    const bool IsSettled = Held.contains(Team) && Held[Team] == Target &&
+                           EnsuredLimits[Team] == Limit;
+    if (IsSettled || (IsRecent && EnsuredLimits[Team] == Limit))
+      continue;
+    adjust(Team, Limit, Target, Now);
+  }
+  Scheduler.setGrants(Held);
+}
+
+void TaskGrants::adjust(const TeamName &Team, const Resources &Limit,
+                        const Resources &Target, TimePoint Now) {
+  const std::string Pool = keys::taskPool(Team);
+  LastRound[Team] = Now;
+  Held[Team] = smaller(Held[Team], Target);
+  Scheduler.setGrants(Held);
+  if (EnsuredLimits[Team] != Limit || !EnsuredLimits.contains(Team)) {
+    Ledger.ensureCapacity(Pool, toUnits(Limit));
+    EnsuredLimits[Team] = Limit;
+  }
+  const RowCondition Guard = Ownership.ownershipCondition(Scheduler.shard());
+  const PoolShare Share =
+      Ledger.adjust(Pool, Scheduler.shard(), toUnits(Target), {Guard});
+  Held[Team] = toResources(Share.Granted);
+}
+
+} // namespace apricotwing
