Add the command line with a choice among servers

People and programs need every call of the API. One table of commands gives the parser, the help text and the documentation test their names and options. A call goes to the next server only if it certainly did not run, or if it has the same effect twice (reads, submissions with their idempotency key, cancellations). A failure counts as not run only if no attempt of the call can have run. Typed options of Boost were ruled out for numbers: they accept -1 for an unsigned value.

--- /dev/null
+++ b/src/cli/clustercommands.cpp
@@ -0,0 +1,99 @@
+#include "cli/clustercommands.h"
+
+#include "cli/proposal.h"
+#include "cli/report.h"
+#include "cli/statedump.h"
+#include "wire/instancecodec.h"
+
+#include <array>
+
+namespace apricotwing {
+
+namespace {
+
+std::string joined(const std::vector<std::string> &Words) {
+  std::string Result;
+  for (const std::string &Word : Words)
+    Result += (Result.empty() ? "" : ",") + Word;
+  return Result;
+}
+
+std::string fraction(std::int64_t Used, std::int64_t Total) {
+  return std::to_string(Used) + "/" + std::to_string(Total);
+}
+
+ExitCode instances(Invocation &Call) {
+  const std::string Body = Call.Client.call(
+      {.Path = "/v1/instances", .Repeat = RepeatPolicy::Always});
+  Report Result({"instance", "epoch", "state", "zone", "address",
+                 "peer_address", "shards"});
+  for (const InstanceView &View : decodeInstances(Body))
+    Result.add({View.Id.Instance,
+                static_cast<std::int64_t>(View.Id.SessionEpoch),
+                std::string(sessionStateName(View.State)), View.Zone,
+                View.Address, View.PeerAddress, joined(View.Shards)});
+  Result.print(Call.Out, Call.Json);
+  return ExitCode::Success;
+}
+
+std::string conditionOf(const WorkerView &View) {
+  if (View.Quarantined)
+    return "quarantined";
+  if (View.Drained)
+    return "drained";
+  return std::string(listedStateName(View.Worker.State));
+}
+
+ExitCode workers(Invocation &Call) {
+  const std::string Body =
+      Call.Client.call({.Path = "/v1/workers", .Repeat = RepeatPolicy::Always});
+  Report Result({"worker", "condition", "zone", "rack", "tasks", "cpu_millis",
+                 "memory_mib", "accelerators", "silent_ms"});
+  for (const WorkerView &View : decodeWorkers(Body)) {
+    const Resources &Capacity = View.Worker.Capacity;
+    Result.add({View.Worker.Id, conditionOf(View), View.Worker.Zone,
+                View.Worker.Rack, std::int64_t(View.Tasks),
+                fraction(View.Reserved.CpuMillis, Capacity.CpuMillis),
+                fraction(View.Reserved.MemoryMib, Capacity.MemoryMib),
+                fraction(View.Reserved.Accelerators, Capacity.Accelerators),
+                View.SilentMs});
+  }
+  Result.print(Call.Out, Call.Json);
+  return ExitCode::Success;
+}
+
+ExitCode drain(Invocation &Call) {
+  return propose(Call, readConfig(Call).Version,
+                 {DrainWorker{Call.Arguments[0]}});
+}
+
+ExitCode undrain(Invocation &Call) {
+  return propose(Call, readConfig(Call).Version,
+                 {UndrainWorker{Call.Arguments[0]}});
+}
+
+ExitCode state(Invocation &Call) {
+  const std::string Body =
+      Call.Client.call({.Path = "/statez", .Repeat = RepeatPolicy::Always});
+  if (Call.Json)
+    Call.Out << Body << "\n";
+  else
+    Call.Out << formatStateDump(Body);
+  return ExitCode::Success;
+}
+
+constexpr std::array Commands = {
+    CommandInfo{"instances", "", "List the instances.", {}, instances},
+    CommandInfo{
+        "workers", "", "List the workers and what they hold.", {}, workers},
+    CommandInfo{
+        "drain", "WORKER", "Propose to give a worker no new tasks.", {}, drain},
+    CommandInfo{"undrain", "WORKER", "Propose to end a drain.", {}, undrain},
+    CommandInfo{"state", "", "Show the state dump of one instance.", {}, state},
+};
+
+} // namespace
+
+std::span<const CommandInfo> clusterCommands() { return Commands; }
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/cli/configcommands.h
@@ -0,0 +1,17 @@
+/// \file
+/// Commands for the configuration: show, diff, propose, sign, reject, history.
+#ifndef APRICOTWING_CLI_CONFIGCOMMANDS_H
+#define APRICOTWING_CLI_CONFIGCOMMANDS_H
+
+#include "cli/command.h"
+
+#include <span>
+
+namespace apricotwing {
+
+/// Rows of this group in the command table. Thread-safe.
+std::span<const CommandInfo> configCommands();
+
+} // namespace apricotwing
+
+#endif
--- a/src/cli/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder translation unit, replaced by the first real one.
--- /dev/null
+++ b/src/cli/requestcommands.h
@@ -0,0 +1,17 @@
+/// \file
+/// The command for interactive requests.
+#ifndef APRICOTWING_CLI_REQUESTCOMMANDS_H
+#define APRICOTWING_CLI_REQUESTCOMMANDS_H
+
+#include "cli/command.h"
+
+#include <span>
+
+namespace apricotwing {
+
+/// Rows of this group in the command table. Thread-safe.
+std::span<const CommandInfo> requestCommands();
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/cli/runcommands.h
@@ -0,0 +1,17 @@
+/// \file
+/// Commands for runs: submit, status, list, wait, cancel.
+#ifndef APRICOTWING_CLI_RUNCOMMANDS_H
+#define APRICOTWING_CLI_RUNCOMMANDS_H
+
+#include "cli/command.h"
+
+#include <span>
+
+namespace apricotwing {
+
+/// Rows of this group in the command table. Thread-safe.
+std::span<const CommandInfo> runCommands();
+
+} // namespace apricotwing
+
+#endif
--- /dev/null
+++ b/src/cli/teamcommands.h
@@ -0,0 +1,17 @@
+/// \file
+/// Commands for teams, shares and limits.
+#ifndef APRICOTWING_CLI_TEAMCOMMANDS_H
+#define APRICOTWING_CLI_TEAMCOMMANDS_H
+
+#include "cli/command.h"
+
+#include <span>
+
+namespace apricotwing {
+
+/// Rows of this group in the command table. Thread-safe.
+std::span<const CommandInfo> teamCommands();
+
+} // namespace apricotwing
+
+#endif
