Add the stand-ins for the platform, workers and executors

Tests of whole processes need the platform's protocols with faults that can be switched while it runs, and counts that are taken where an effect happens.

The stand-ins are a library as well, so that tests of the adapters can run them in their own process.

--- /dev/null
+++ b/tests/standins/site.cpp
@@ -0,0 +1,182 @@
+#include "standins/site.h"
+
+#include "core/error.h"
+
+#include <array>
+
+namespace apricotwing::standins {
+
+namespace {
+
+constexpr std::array<std::pair<std::string_view, bool Faults::*>, 7> Flags = {{
+    {"down", &Faults::Down},
+    {"truncate", &Faults::Truncate},
+    {"refuse", &Faults::Refuse},
+    {"leaving", &Faults::Leaving},
+    {"fail_tasks", &Faults::FailTasks},
+    {"paused", &Faults::Paused},
+    {"stale_answers", &Faults::StaleAnswers},
+}};
+
+constexpr std::array<std::pair<std::string_view, std::int64_t Faults::*>, 4>
+    Numbers = {{
+        {"hold_ms", &Faults::HoldMs},
+        {"delay_ms", &Faults::DelayMs},
+        {"lose_answers", &Faults::LoseAnswers},
+        {"list_lag_ms", &Faults::ListLagMs},
+    }};
+
+bool setSwitch(Faults &Target, const std::string &Name,
+               const nlohmann::json &Value) {
+  for (const auto &[Known, Member] : Flags)
+    if (Known == Name && Value.is_boolean()) {
+      Target.*Member = Value.get<bool>();
+      return true;
+    }
+  for (const auto &[Known, Member] : Numbers)
+    if (Known == Name && Value.is_number_unsigned()) {
+      Target.*Member = Value.get<std::int64_t>();
+      return true;
+    }
+  return false;
+}
+
+/// \p Response with the whole length announced and half of the body.
+void truncate(HttpResponse &Response) {
+  Response.Headers["Content-Length"] = std::to_string(Response.Body.size());
+  Response.Body.resize(Response.Body.size() / 2);
+}
+
+} // namespace
+
+Site::Site(Timeline &Time) : Time(Time) {}
+
+Site::~Site() = default;
+
+void Site::serve(const std::string &Host, std::uint16_t Port) {
+  HttpServerOptions Options;
+  Options.Address = Host;
+  Options.Port = Port;
+  Options.Threads = 1;
+  Options.MaxBodyBytes = std::size_t(64) << 20;
+  Server =
+      startHttpServer(Options, [this](HttpRequest Request, Responder Reply) {
+        receive(std::move(Request), std::move(Reply));
+      });
+  Address = Host + ":" + std::to_string(Server->port());
+}
+
+void Site::stop() {
+  std::vector<std::pair<HttpRequest, Responder>> Unread;
+  std::vector<Responder> Unanswered;
+  {
+    const std::lock_guard Lock(Mutex);
+    Unread.swap(Waiting);
+    Unanswered.swap(Forgotten);
+  }
+  // A responder that is dropped sends an error, so the server need not wait.
+  Unread.clear();
+  Unanswered.clear();
+  Server.reset();
+}
+
+void Site::control(const nlohmann::json &Wanted) {
+  std::vector<std::pair<HttpRequest, Responder>> Released;
+  {
+    const std::lock_guard Lock(Mutex);
+    const bool WasPaused = Switches.Paused;
+    for (const auto &[Name, Value] : Wanted.items())
+      if (Name != "target" && !setSwitch(Switches, Name, Value) &&
+          !controlOwn(Name, Value))
+        throw Error(ErrorKind::BadRequest, "bad switch '" + Name + "'",
+                    "see docs/design.md, section 8.3");
+    if (Switches.Paused != WasPaused)
+      pausedChanged(Switches.Paused);
+    if (!Switches.Paused)
+      Released.swap(Waiting);
+  }
+  for (const auto &[Request, Reply] : Released)
+    receive(Request, Reply);
+}
+
+Faults Site::faults() const {
+  const std::lock_guard Lock(Mutex);
+  return Switches;
+}
+
+void Site::handleDown(const HttpRequest &, const Responder &Reply) {
+  Reply(errorAnswer(503, "store_unavailable", "down"));
+}
+
+bool Site::controlOwn(const std::string &, const nlohmann::json &) {
+  return false;
+}
+
+void Site::forget(Responder Reply) { Forgotten.push_back(std::move(Reply)); }
+
+void Site::receive(HttpRequest Request, Responder Reply) {
+  const std::lock_guard Lock(Mutex);
+  if (Switches.Paused) {
+    Waiting.emplace_back(std::move(Request), std::move(Reply));
+    return;
+  }
+  if (Switches.HoldMs == 0) {
+    dispatch(Request, Reply);
+    return;
+  }
+  Time.after(Switches.HoldMs,
+             [this, Request = std::move(Request), Reply = std::move(Reply)] {
+               const std::lock_guard Inner(Mutex);
+               dispatch(Request, Reply);
+             });
+}
+
+void Site::dispatch(const HttpRequest &Request, const Responder &Reply) {
+  if (Switches.Down) {
+    handleDown(Request, Reply);
+    return;
+  }
+  try {
+    handle(Request, [this, Reply](HttpResponse Response) {
+      answer(Reply, std::move(Response));
+    });
+  } catch (const Error &Failure) {
+    Reply(errorAnswer(httpStatus(Failure.kind()), errorCode(Failure.kind()),
+                      Failure.what()));
+  }
+}
+
+void Site::answer(const Responder &Reply, HttpResponse Response) {
+  if (Switches.LoseAnswers > 0) {
+    --Switches.LoseAnswers;
+    forget(Reply);
+    return;
+  }
+  if (Switches.Truncate)
+    truncate(Response);
+  if (Switches.DelayMs == 0) {
+    Reply(std::move(Response));
+    return;
+  }
+  Time.after(Switches.DelayMs,
+             [Reply, Response = std::move(Response)] { Reply(Response); });
+}
+
+HttpResponse jsonResponse(int Status, std::string Body) {
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.Body = std::move(Body);
+  return Response;
+}
+
+HttpResponse errorAnswer(int Status, std::string_view Kind,
+                         std::string_view Message) {
+  const nlohmann::json Body = {{"error",
+                                {{"kind", Kind},
+                                 {"message", Message},
+                                 {"remedy", "none; this is a stand-in"},
+                                 {"outcome", "not_run"}}}};
+  return jsonResponse(Status, Body.dump());
+}
+
+} // namespace apricotwing::standins
--- /dev/null
+++ b/tests/standins/timeline.cpp
@@ -0,0 +1,57 @@
+#include "standins/timeline.h"
+
+#include <chrono>
+#include <utility>
+
+namespace apricotwing::standins {
+
+std::int64_t steadyMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Timeline::Timeline() : Thread([this] { run(); }) {}
+
+Timeline::~Timeline() { stop(); }
+
+void Timeline::stop() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  if (Thread.joinable())
+    Thread.join();
+  Due.clear();
+}
+
+void Timeline::after(std::int64_t DelayMs, std::function<void()> Action) {
+  {
+    const std::lock_guard Lock(Mutex);
+    Due.emplace(steadyMs() + DelayMs, std::move(Action));
+  }
+  Changed.notify_all();
+}
+
+void Timeline::run() {
+  std::unique_lock Lock(Mutex);
+  while (!Stopping) {
+    if (Due.empty()) {
+      Changed.wait(Lock);
+      continue;
+    }
+    const std::int64_t Wait = Due.begin()->first - steadyMs();
+    if (Wait > 0) {
+      Changed.wait_for(Lock, std::chrono::milliseconds(Wait));
+      continue;
+    }
+    const auto Action = std::move(Due.begin()->second);
+    Due.erase(Due.begin());
+    Lock.unlock();
+    Action();
+    Lock.lock();
+  }
+}
+
+} // namespace apricotwing::standins
