--- a/src/core/configledger.h
+++ b/src/core/configledger.h
@@ -12,6 +12,7 @@
 #include "core/transactionids.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,16 +75,20 @@
                                      std::uint32_t Limit = 100);
 
 private:
-  struct Signing;
+  /// A record with the version of its row.
+  template <typename Record> struct Read {
+    Record Value;
+    RowVersion Version = 0;
+  };
 
   void requireAuthority() const;
-  Row readProposal(const std::string &Proposal);
-  std::uint64_t currentVersion();
+  static void requireOpen(const ProposalRecord &Record, std::uint64_t Current);
   RowCondition requireKnownByAll();
-  bool trySign(const std::string &Proposal, const std::string &Owner,
-               std::uint64_t &Version);
+  Read<ProposalRecord> readProposal(const std::string &Proposal);
+  Read<Config> readCurrent();
+  std::optional<std::uint64_t> trySign(const std::string &Proposal,
+                                       const std::string &Owner);
   CommitResult commitExcludingPromises(const Transaction &Change,
-                                       const std::string &DecidingKey,
                                        std::uint64_t Version);
 
   TableService &Table;
--- a/src/core/grantholder.h
+++ b/src/core/grantholder.h
@@ -35,6 +35,10 @@
   std::optional<GrantUse> tryUse(const std::string &Unit,
                                  std::int64_t Amount = 1);
 
+  /// Asks for \p Amount more of \p Unit in the next round, for example for
+  /// requests that wait in a queue. Repeated calls do not add up.
+  void noteDemand(const std::string &Unit, std::int64_t Amount);
+
   /// Gives back what tryUse() returned. A use of an earlier session is
   /// ignored.
   void unuse(const GrantUse &Use);
@@ -57,12 +61,10 @@
   /// grant exceeds \p Capacity (from the last endRound()) is lowered.
   UnitAmounts beginRound(TimePoint Now);
 
-  /// The round returned \p Share.
-  void endRound(const PoolShare &Share, TimePoint Now);
-
-  /// The round failed: usable amounts stay at the smaller of the old grant
-  /// and the target, and all units are asked for again in the next round.
-  void failRound();
+  /// The round returned \p Share. If it failed instead, nothing is called:
+  /// the usable amounts stay at the smaller of the old grant and the target,
+  /// and the same units are part of the next round.
+  void endRound(const PoolShare &Share);
 
   /// The session was lost: nothing is granted any more.
   void reset();
@@ -72,15 +74,17 @@
     std::int64_t Granted = 0; ///< As last read from the row.
     std::int64_t Usable = 0;  ///< At most Granted.
     std::int64_t InUse = 0;
-    std::int64_t Unmet = 0; ///< Refused since the last round.
+    std::int64_t Unmet = 0; ///< Wanted beyond the grant.
     std::int64_t Peak = 0;  ///< Highest use since PeakSince.
     std::optional<TimePoint> PeakSince;
     std::optional<std::int64_t> Ceiling; ///< Capacity of the unit.
-    bool Uncertain = false; ///< A failed round may have changed the row.
+    bool Uncertain = false; ///< Part of a round that has not returned.
   };
 
   std::int64_t target(const UnitState &State, TimePoint Now) const;
   std::int64_t roundUp(std::int64_t Amount) const;
+  static std::int64_t amountIn(const UnitAmounts &Amounts,
+                               const std::string &Unit);
 
   std::int64_t Step;
   Duration IdleAfter;
--- /dev/null
+++ b/src/core/grantledger.cpp
@@ -0,0 +1,247 @@
+#include "core/grantledger.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace apricotwing {
+
+namespace {
+
+/// Rounds of read and write before a contended change gives up.
+constexpr int UpdateAttempts = 8;
+
+std::int64_t amountOf(const UnitAmounts &Amounts, const std::string &Unit) {
+  const auto Found = Amounts.find(Unit);
+  return Found == Amounts.end() ? 0 : Found->second;
+}
+
+std::int64_t freeOf(const PoolRecord &Record, const std::string &Unit) {
+  std::int64_t Free = amountOf(Record.Capacity, Unit);
+  for (const auto &[Holder, Amounts] : Record.Grants)
+    Free -= amountOf(Amounts, Unit);
+  return Free;
+}
+
+/// Sets one grant as far as the capacity allows; returns whether it changed.
+bool setGrant(PoolRecord &Record, const std::string &Holder,
+              const std::string &Unit, std::int64_t Target) {
+  const auto Own = Record.Grants.find(Holder);
+  const std::int64_t Old =
+      Own == Record.Grants.end() ? 0 : amountOf(Own->second, Unit);
+  std::int64_t Fresh = Target;
+  if (Target > Old) {
+    const std::int64_t Free = std::max<std::int64_t>(freeOf(Record, Unit), 0);
+    Fresh = Old + std::min(Target - Old, Free);
+  }
+  if (Fresh == Old)
+    return false;
+  UnitAmounts &Amounts = Record.Grants[Holder];
+  if (Fresh == 0)
+    Amounts.erase(Unit);
+  else
+    Amounts[Unit] = Fresh;
+  if (Amounts.empty())
+    Record.Grants.erase(Holder);
+  return true;
+}
+
+PoolShare shareOf(const PoolRecord &Record, const std::string &Holder) {
+  PoolShare Share;
+  if (const auto Own = Record.Grants.find(Holder); Own != Record.Grants.end())
+    Share.Granted = Own->second;
+  Share.Capacity = Share.Free = Record.Capacity;
+  for (const auto &[Each, Amounts] : Record.Grants)
+    for (const auto &[Unit, Amount] : Amounts)
+      Share.Free[Unit] -= Amount;
+  return Share;
+}
+
+Error openOutcome(const std::string &Pool) {
+  return {ErrorKind::StoreUnknownOutcome,
+          "a change of " + Pool + " has no definite outcome yet",
+          "none; the next round reads the grant back", Outcome::Unknown};
+}
+
+} // namespace
+
+std::optional<SessionId> parseHolder(const std::string &Holder) {
+  const std::size_t At = Holder.rfind('@');
+  if (At == std::string::npos || At == 0 || At + 1 == Holder.size())
+    return std::nullopt;
+  SessionId Id;
+  Id.Instance = Holder.substr(0, At);
+  const char *End = Holder.data() + Holder.size();
+  const auto [Rest, Status] =
+      std::from_chars(Holder.data() + At + 1, End, Id.SessionEpoch);
+  if (Status != std::errc() || Rest != End)
+    return std::nullopt;
+  return Id;
+}
+
+GrantLedger::GrantLedger(TableService &Table, const RecordCodec &Codec,
+                         TransactionIds &Ids)
+    : Table(Table), Codec(Codec), Ids(Ids) {}
+
+void GrantLedger::ensureCapacity(const std::string &Pool,
+                                 const UnitAmounts &Capacity) {
+  update(Pool, [&](PoolRecord &Record) {
+    if (Record.Capacity == Capacity)
+      return false;
+    Record.Capacity = Capacity;
+    return true;
+  });
+}
+
+PoolShare GrantLedger::adjust(const std::string &Pool,
+                              const std::string &Holder,
+                              const UnitAmounts &Targets,
+                              const std::vector<RowCondition> &Guards) {
+  const auto SetAll = [&](PoolRecord &Record) {
+    bool Changed = false;
+    for (const auto &[Unit, Target] : Targets)
+      Changed |= setGrant(Record, Holder, Unit, Target);
+    return Changed;
+  };
+  return shareOf(update(Pool, SetAll, Guards), Holder);
+}
+
+std::int64_t GrantLedger::acquire(const std::string &Pool,
+                                  const std::string &Holder,
+                                  const std::string &Unit, std::int64_t Want) {
+  std::int64_t Old = 0;
+  const PoolRecord Record = update(Pool, [&](PoolRecord &Present) {
+    Old = amountOf(shareOf(Present, Holder).Granted, Unit);
+    return setGrant(Present, Holder, Unit, Old + Want);
+  });
+  return amountOf(shareOf(Record, Holder).Granted, Unit) - Old;
+}
+
+void GrantLedger::release(const std::string &Pool, const std::string &Holder,
+                          const std::string &Unit, std::int64_t Amount) {
+  // The target is fixed by the first read, so that a repetition after an
+  // unknown outcome does not release twice.
+  std::optional<std::int64_t> Target;
+  update(Pool, [&](PoolRecord &Present) {
+    const std::int64_t Old = amountOf(shareOf(Present, Holder).Granted, Unit);
+    if (!Target)
+      Target = std::max<std::int64_t>(Old - Amount, 0);
+    return Old > *Target && setGrant(Present, Holder, Unit, *Target);
+  });
+}
+
+void GrantLedger::releaseAll(const std::string &Pool,
+                             const std::string &Holder) {
+  update(Pool,
+         [&](PoolRecord &Record) { return Record.Grants.erase(Holder) > 0; });
+}
+
+std::size_t
+GrantLedger::reclaim(const std::string &Pool,
+                     const std::function<bool(const SessionId &)> &MayReclaim) {
+  const std::optional<PoolRecord> Present = read(Pool);
+  if (!Present)
+    return 0;
+  std::vector<std::string> Ended;
+  std::vector<RowCondition> Guards;
+  for (const auto &[Holder, Amounts] : Present->Grants) {
+    const std::optional<SessionId> Id = parseHolder(Holder);
+    if (!Id || !MayReclaim(*Id))
+      continue;
+    const std::optional<RowCondition> Guard = endedSession(*Id);
+    if (!Guard)
+      continue;
+    Ended.push_back(Holder);
+    Guards.push_back(*Guard);
+  }
+  if (Ended.empty())
+    return 0;
+  std::size_t Removed = 0;
+  const auto RemoveEnded = [&](PoolRecord &Record) {
+    Removed = 0;
+    for (const std::string &Holder : Ended)
+      Removed += Record.Grants.erase(Holder);
+    return Removed > 0;
+  };
+  update(Pool, RemoveEnded, Guards);
+  return Removed;
+}
+
+std::optional<RowCondition> GrantLedger::endedSession(const SessionId &Id) {
+  const std::string Key = keys::session(Id.Instance);
+  const std::optional<Row> Present = Table.read(Key);
+  if (!Present)
+    return RowCondition{Key, 0};
+  const SessionRecord Record = Codec.decodeSession(Present->Value);
+  const bool Replaced = Record.Id.SessionEpoch > Id.SessionEpoch;
+  const bool Fenced = Record.Id == Id && Record.State == SessionState::Fenced;
+  if (!Replaced && !Fenced)
+    return std::nullopt;
+  return RowCondition{Key, Present->Version};
+}
+
+std::optional<PoolRecord> GrantLedger::read(const std::string &Pool) {
+  const std::optional<Row> Present = Table.read(Pool);
+  if (!Present)
+    return std::nullopt;
+  return Codec.decodePool(Present->Value);
+}
+
+PoolRecord GrantLedger::update(const std::string &Pool, const Change &Apply,
+                               const std::vector<RowCondition> &Guards) {
+  std::optional<RowVersion> Refused; // Version at which a write conflicted.
+  for (int Attempt = 0; Attempt < UpdateAttempts; ++Attempt) {
+    const std::optional<Row> Present = Table.read(Pool);
+    const RowVersion Base = Present ? Present->Version : 0;
+    if (Refused == Base)
+      throw Error(ErrorKind::StaleEpoch,
+                  "a condition on the change of " + Pool + " does not hold",
+                  "none; ownership has changed");
+    PoolRecord Record =
+        Present ? Codec.decodePool(Present->Value) : PoolRecord();
+    const auto Doubt = InDoubt.find(Pool);
+    const bool MayStillCommit = Doubt != InDoubt.end() && Doubt->second == Base;
+    if (Doubt != InDoubt.end() && !MayStillCommit)
+      InDoubt.erase(Doubt);
+    // A row on which an open write is conditional is written in any case:
+    // the new version ends the effect of a delayed copy.
+    if (!Apply(Record) && !MayStillCommit)
+      return Record;
+    try {
+      if (tryWrite(Pool, Base, Record, Guards))
+        return Record;
+      Refused = Base;
+    } catch (const Error &Failure) {
+      if (Failure.kind() != ErrorKind::StoreUnknownOutcome)
+        throw;
+    }
+  }
+  if (InDoubt.contains(Pool))
+    throw openOutcome(Pool);
+  throw Error(ErrorKind::StoreConflict,
+              "too many instances change " + Pool + " at the same time",
+              "none; the next round tries again");
+}
+
+bool GrantLedger::tryWrite(const std::string &Pool, RowVersion Base,
+                           const PoolRecord &Record,
+                           const std::vector<RowCondition> &Guards) {
+  Transaction Change;
+  Change.Id = Ids.next();
+  Change.Conditions = Guards;
+  Change.Conditions.push_back({Pool, Base});
+  Change.Writes = {{Pool, Codec.encode(Record)}};
+  try {
+    const bool Committed = Table.transact(Change) == CommitResult::Committed;
+    if (Committed)
+      InDoubt.erase(Pool);
+    return Committed;
+  } catch (const Error &Failure) {
+    if (Failure.kind() == ErrorKind::StoreUnknownOutcome)
+      InDoubt[Pool] = Base;
+    throw;
+  }
+}
+
+} // namespace apricotwing
--- a/src/core/grantledger.h
+++ b/src/core/grantledger.h
@@ -70,6 +70,7 @@
                const std::string &Unit, std::int64_t Amount);
 
   /// Removes all grants of \p Holder, for a graceful end. Throws as adjust().
+  /// Precondition: nothing of them is in use.
   void releaseAll(const std::string &Pool, const std::string &Holder);
 
   /// Removes the grants of sessions for which \p MayReclaim is true (see
@@ -89,9 +90,11 @@
   using Change = std::function<bool(PoolRecord &)>;
 
   PoolRecord update(const std::string &Pool, const Change &Apply,
-                    const std::function<std::vector<RowCondition>()> &Guards);
+                    const std::vector<RowCondition> &Guards = {});
   bool tryWrite(const std::string &Pool, RowVersion Base,
-                const PoolRecord &Record, std::vector<RowCondition> Guards);
+                const PoolRecord &Record,
+                const std::vector<RowCondition> &Guards);
+  std::optional<RowCondition> endedSession(const SessionId &Id);
 
   TableService &Table;
   const RecordCodec &Codec;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -9,6 +9,7 @@
 #include "core/time.h"
 #include "core/transactionids.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -68,6 +69,7 @@
   };
 
   bool knowsThis(const SessionRecord &Record) const;
+  void forgetOld(TimePoint Now);
 
   TableService &Table;
   const RecordCodec &Codec;
@@ -78,6 +80,9 @@
   RowVersion OwnVersion = 0;
   std::map<InstanceId, Observed> Rows;
   std::map<SessionId, TimePoint> GoneSince;
+  /// Observations made when mayReclaim() first asked for an unseen session.
+  std::map<SessionId, std::uint64_t> FirstAsked;
+  std::uint64_t Observations = 0;
 };
 
 } // namespace apricotwing
--- /dev/null
+++ b/src/core/promisebook.cpp
@@ -0,0 +1,52 @@
+#include "core/promisebook.h"
+
+namespace apricotwing {
+
+namespace {
+
+template <typename Value>
+void raiseTo(std::atomic<Value> &Target, Value Candidate) {
+  Value Present = Target.load();
+  while (Present < Candidate &&
+         !Target.compare_exchange_weak(Present, Candidate))
+    ;
+}
+
+} // namespace
+
+// Each side announces itself before it looks for the other, so of two that
+// race at least one sees the other. Both may be refused, never neither.
+bool PromiseBook::promise(TimePoint Now, Duration Span) {
+  raiseTo(PromisedUntilMs, (Now + Span).time_since_epoch().count());
+  // leaveInDoubt() counts the doubt before it ends the flight.
+  return InFlight.load() == 0 && Doubts.load() == SettledDoubts.load();
+}
+
+bool PromiseBook::beginTransaction(TimePoint Now) {
+  ++InFlight;
+  if (!isPromised(Now))
+    return true;
+  --InFlight;
+  return false;
+}
+
+void PromiseBook::endTransaction() { --InFlight; }
+
+void PromiseBook::leaveInDoubt() {
+  ++Doubts;
+  --InFlight;
+}
+
+void PromiseBook::settleDoubts(std::uint64_t Mark) {
+  raiseTo(SettledDoubts, Mark);
+}
+
+bool PromiseBook::isPromised(TimePoint Now) const {
+  return Now.time_since_epoch().count() < PromisedUntilMs.load();
+}
+
+void PromiseBook::noteConfigVersion(std::uint64_t Version) {
+  raiseTo(NewestConfig, Version);
+}
+
+} // namespace apricotwing
--- a/src/core/sessionmanager.h
+++ b/src/core/sessionmanager.h
@@ -134,17 +134,16 @@
   const AuthoritySettings &settings() const { return Settings; }
 
 private:
-  struct Round;
-
-  bool registerSession();
-  bool writeSession(const std::vector<SessionId> &Known);
+  void registerSession();
+  bool writeSession();
   bool adoptOwnRow();
-  RoundOutcome readRest(TimePoint Start, std::uint64_t Mark);
+  std::optional<RoundOutcome> readRest(TimePoint Start, std::uint64_t Mark);
   std::shared_ptr<const Config> readConfig();
   std::vector<MemberRow> readMembers();
   void giveUpSession(RoundReport &Report);
-  RoundReport afterFailure(RoundReport Report);
   bool collectPromises();
+  bool isPromisedBy(const SessionRecord &Member);
+  static bool isKnownEnded(const SessionView &Last, const SessionId &Id);
   void publishLease();
   void noteStoreContact();
   std::vector<SessionId> knownSessions() const;
--- a/src/core/shardownership.h
+++ b/src/core/shardownership.h
@@ -28,7 +28,9 @@
 
 enum class TickResult {
   Committed,
-  LostOwnership, ///< Somebody else owns the shard; nothing was written.
+  /// Somebody else owns the shard and recovers whatever was written. Nothing
+  /// of the tick may be acted on.
+  LostOwnership,
 };
 
 /// What one tick of a shard writes.
@@ -88,8 +90,10 @@
   std::vector<ShardId> ownedShards() const;
 
   /// A condition that holds exactly while this process still owns \p Shard
-  /// and commits nothing else to it. Precondition: owned and not pending.
-  RowCondition ownershipCondition(const ShardId &Shard) const;
+  /// and commits nothing else to it. Throws Error(StoreUnavailable),
+  /// Error(NoAuthority) if the shard is not owned, Error(Internal) if a tick
+  /// is pending.
+  RowCondition ownershipCondition(const ShardId &Shard);
 
   /// Commits one tick in one transaction, decided by the shard row. Throws
   /// Error(StoreUnavailable) or Error(StoreUnknownOutcome); the tick is then
@@ -121,15 +125,22 @@
   struct Holding {
     SessionId Session;
     ShardRecord Record;
-    RowVersion Version = 0;
+    std::string LastTransaction; ///< That wrote Record.
+    RowVersion Version = 0;      ///< Of the shard row; 0: not read yet.
     std::optional<Transaction> Pending;
     ShardRecord PendingRecord;
   };
 
-  Holding &holding(const ShardId &Shard);
   std::optional<RowCondition> endedOwner(const SessionId &Owner);
+  Holding &idleHolding(const ShardId &Shard);
+  void prepare(const ShardId &Shard, Holding &Held, const ShardRecord &Next);
+  bool learnVersion(const ShardId &Shard, Holding &Held);
   TickResult submit(const ShardId &Shard, Holding &Held);
-  void deleteCovered(const ShardId &Shard, std::uint64_t Sequence);
+  void deleteCovered(const ShardId &Shard, std::uint64_t Sequence,
+                     std::uint64_t Old);
+  [[noreturn]] static void throwNotOwned(const ShardId &Shard);
+  [[noreturn]] static void throwIncomplete(const ShardId &Shard,
+                                           const std::string &What);
 
   TableService &Table;
   ObjectStore &Objects;
--- a/src/core/timerservice.h
+++ b/src/core/timerservice.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace apricotwing {
@@ -49,10 +50,11 @@
   };
 
   TimerId add(Timer Added);
+  void reschedule(TimerId Id, TimePoint Now);
 
   TimerId LastId = 0;
   std::map<TimerId, Timer> Timers;
-  std::map<std::pair<TimePoint, TimerId>, TimerId> ByTime;
+  std::set<std::pair<TimePoint, TimerId>> ByTime;
 };
 
 } // namespace apricotwing
