Add placement, fair share and recovery of one shard

All durable state changes through ShardState::apply(), live as in replay, so a recovered owner reaches the state of the lost one by construction. RunLifecycle turns reports, cancellations and starts into events; PlacementRound picks teams by weighted dominant share, backfills, preempts for urgent runs and keeps one reservation.

Cancelling a run is one event; its tasks are stopped over several ticks. A run shows a final state only once no attempt of it can be running.

--- /dev/null
+++ b/src/core/shardscheduler.cpp
@@ -0,0 +1,555 @@
+#include "core/shardscheduler.h"
+
+#include "core/error.h"
+#include "core/placementround.h"
+#include "core/runlifecycle.h"
+#include "core/schedulerdata.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace apricotwing {
+
+namespace {
+
+/// Use above the reservation, per resource.
+Resources excessOf(const Resources &Used, const Resources &Reserved) {
+  return Resources::max(Used - Reserved, {});
+}
+
+bool isEnded(TaskState State) {
+  return isFinal(State) || State == TaskState::Lost;
+}
+
+} // namespace
+
+/// The parts of a scheduler and the steps of a tick.
+class ShardScheduler::Impl {
+public:
+  Impl(ShardId Shard, SchedulerOptions Options)
+      : Shard(std::move(Shard)), Data(Options) {}
+
+  void build(TimePoint Now);
+  void setWorkers(const std::vector<WorkerView> &Workers);
+  void setTeams(const Config &Document);
+  void setGrants(const std::map<TeamName, Resources> &Grants);
+  void admit(const RunRecord &Run);
+  void cancel(const RunId &Run);
+  void handleReport(const WorkerId &Worker,
+                    const std::vector<TaskReport> &Reports, TimePoint Now);
+  void handleStartRefused(const AttemptId &Id, TimePoint Now);
+  void handleWorkerExpired(const WorkerId &Worker, TimePoint Now);
+  Decisions tick(TimePoint Now);
+  std::map<TeamName, Resources> demand() const;
+  std::string whyPending(const RunId &Id) const;
+  ShardStats stats() const;
+
+  ShardId Shard;
+  SchedulerData Data;
+  bool IsBuilt = false;
+
+private:
+  void handleListed(WorkerIndex Worker, const TaskReport &Report,
+                    bool &HasForeign, TimePoint Now);
+  void handleUnlisted(const TaskRef &Task, TimePoint Now);
+  void takeAdmissions(TimePoint Now);
+  void takeCancellations(TimePoint Now);
+  bool takeCancellation(const RunId &Id, TimePoint Now);
+  void applyHealth(TimePoint Now);
+  void stopOnDrained(TimePoint Now);
+  void stopOverLimit(TimePoint Now);
+  void stopNewest(TeamIndex Team, const Resources &Cap, TimePoint Now);
+  void resend();
+  TeamStanding standing(TeamIndex Team) const;
+
+  RunLifecycle Lifecycle{Data};
+  PlacementRound Round{Data, Lifecycle};
+  std::deque<RunRecord> Admissions;
+  std::unordered_set<RunId> AdmissionIds;
+  std::deque<RunId> Cancellations;
+  std::unordered_set<RunId> CancellationIds;
+  std::unordered_map<RunId, TimePoint> EarlyCancels;
+  std::vector<AttemptId> Resends;
+  std::vector<WorkerIndex> Drained;
+  bool TeamsKnown = false;
+  bool GrantsKnown = false;
+  std::uint32_t ReportMark = 0;
+};
+
+void ShardScheduler::Impl::build(TimePoint Now) {
+  if (IsBuilt)
+    return;
+  IsBuilt = true;
+  Lifecycle.rebuild(Now);
+  Round.adoptSetAside();
+}
+
+void ShardScheduler::Impl::setWorkers(const std::vector<WorkerView> &Workers) {
+  if (!Data.Index.setWorkers(Workers))
+    return;
+  ++Data.Generation;
+  Data.Shares.setTotal(Data.Index.totalCapacity());
+  Data.Health.setWorkerCount(Workers.size());
+  Drained.clear();
+  for (const WorkerView &View : Workers)
+    if (View.Drained || View.Leaving)
+      Drained.push_back(Data.Index.find(View.Id));
+}
+
+void ShardScheduler::Impl::setTeams(const Config &Document) {
+  TeamsKnown = true;
+  for (const auto &[Name, Team] : Document.Teams)
+    Data.queue(Data.State.team(Name));
+  const std::vector<TeamName> &Names = Data.State.teamNames();
+  for (TeamIndex Team = 0; Team < Names.size(); ++Team) {
+    TeamQueue &Queue = Data.queue(Team);
+    const auto Found = Document.Teams.find(Names[Team]);
+    const bool Configured = Found != Document.Teams.end();
+    const Resources Limit =
+        Configured ? Found->second.Limit.Tasks : Resources{};
+    Data.Shares.setWeight(Team, Configured ? Found->second.Share : 0);
+    if (Queue.Configured == Configured && Queue.Limit == Limit)
+      continue;
+    Queue.Configured = Configured;
+    Queue.Limit = Limit;
+    ++Data.Generation;
+  }
+}
+
+void ShardScheduler::Impl::setGrants(
+    const std::map<TeamName, Resources> &Grants) {
+  GrantsKnown = true;
+  for (const auto &[Name, Amount] : Grants)
+    Data.queue(Data.State.team(Name));
+  const std::vector<TeamName> &Names = Data.State.teamNames();
+  for (TeamIndex Team = 0; Team < Names.size(); ++Team) {
+    const auto Found = Grants.find(Names[Team]);
+    Data.queue(Team).Grant =
+        Found == Grants.end() ? Resources{} : Found->second;
+  }
+}
+
+void ShardScheduler::Impl::admit(const RunRecord &Run) {
+  if (AdmissionIds.insert(Run.Id).second)
+    Admissions.push_back(Run);
+}
+
+void ShardScheduler::Impl::cancel(const RunId &Run) {
+  if (CancellationIds.insert(Run).second)
+    Cancellations.push_back(Run);
+}
+
+void ShardScheduler::Impl::handleListed(WorkerIndex Worker,
+                                        const TaskReport &Report,
+                                        bool &HasForeign, TimePoint Now) {
+  const WorkerId &Id = Data.Index.id(Worker);
+  const TaskRef Task = Data.State.findActive(Report.Id);
+  const bool IsOurs = Task.Run && Task.task().Worker == Worker;
+  if (isEnded(Report.State))
+    Data.Out.Acknowledgements[Id].push_back(Report.Id);
+  if (!IsOurs) {
+    if (isEnded(Report.State))
+      return;
+    HasForeign = true;
+    Data.Out.Stops.push_back({Id, Report.Id, StopMode::Stop});
+    return;
+  }
+  TaskEntry &Entry = Task.task();
+  Data.Estimator.recordUse(Task.Run->Work.Class, Report.Used);
+  if (!isEnded(Report.State)) {
+    Entry.Confirmed = true;
+    Entry.ReportMark = ReportMark;
+    if (Entry.State == TaskState::Starting)
+      Entry.State = TaskState::Running;
+    else if (Entry.State == TaskState::Stopping)
+      Resends.push_back(Report.Id);
+    Data.State.setExcess(Task, excessOf(Report.Used, Entry.Reserved));
+    return;
+  }
+  // A worker cancels only on demand; otherwise it cut the attempt short.
+  const bool IsCutShort = Report.State == TaskState::Cancelled &&
+                          Entry.State != TaskState::Stopping;
+  Lifecycle.end(Task, IsCutShort ? TaskState::Lost : Report.State,
+                Report.ExitCode, Now);
+}
+
+void ShardScheduler::Impl::handleUnlisted(const TaskRef &Task, TimePoint Now) {
+  const TaskEntry &Entry = Task.task();
+  // Whether an earlier owner's start reached a worker that restarted since is
+  // unknown, so a task that must not run twice is not started again.
+  const bool MayHaveRun = Entry.Inherited &&
+                          Entry.State == TaskState::Starting &&
+                          Task.Run->Record.Spec.OnLost == LostPolicy::Fail;
+  if (Entry.Confirmed || MayHaveRun)
+    return Lifecycle.end(Task, TaskState::Lost, 0, Now);
+  Resends.push_back(Task.attempt());
+}
+
+void ShardScheduler::Impl::handleReport(const WorkerId &Worker,
+                                        const std::vector<TaskReport> &Reports,
+                                        TimePoint Now) {
+  const WorkerIndex Index = Data.Index.intern(Worker);
+  ++ReportMark;
+  bool HasForeign = false;
+  for (const TaskReport &Report : Reports)
+    handleListed(Index, Report, HasForeign, Now);
+  // Attempts that should not be there still take room.
+  Data.Index.setReady(Index, !HasForeign);
+  const std::vector<TaskRef> Tasks = Data.State.tasksOn(Index);
+  for (const TaskRef &Task : Tasks)
+    if (Task.task().ReportMark != ReportMark)
+      handleUnlisted(Task, Now);
+}
+
+void ShardScheduler::Impl::handleStartRefused(const AttemptId &Id,
+                                              TimePoint Now) {
+  const TaskRef Task = Data.State.findActive(Id);
+  if (!Task.Run || Task.task().Confirmed)
+    return;
+  Data.Index.setReady(Task.task().Worker, false);
+  const bool MayHaveArrived = Task.task().Sends > 1 || Task.task().Inherited;
+  if (!MayHaveArrived)
+    return Lifecycle.end(Task, TaskState::Cancelled, 0, Now);
+  // An earlier send may still arrive; a stop makes the worker refuse it.
+  Data.StopBudget = std::max(Data.StopBudget, 1U);
+  Lifecycle.stop(Task, StopReason::Preempted, Now);
+}
+
+void ShardScheduler::Impl::handleWorkerExpired(const WorkerId &Worker,
+                                               TimePoint Now) {
+  const WorkerIndex Index = Data.Index.intern(Worker);
+  Data.Index.setReady(Index, false);
+  const std::vector<TaskRef> Tasks = Data.State.tasksOn(Index);
+  for (const TaskRef &Task : Tasks)
+    Lifecycle.end(Task, TaskState::Lost, 0, Now);
+}
+
+void ShardScheduler::Impl::takeAdmissions(TimePoint Now) {
+  for (std::uint32_t Left = Data.Options.MaxAdmissionsPerTick;
+       Left > 0 && !Admissions.empty(); --Left) {
+    const RunRecord Record = std::move(Admissions.front());
+    Admissions.pop_front();
+    AdmissionIds.erase(Record.Id);
+    Data.Out.HandledAdmissions.push_back(Record.Id);
+    if (Data.State.find(Record.Id) || Lifecycle.wasRetired(Record.Id) ||
+        isFinal(Record.State))
+      continue;
+    Lifecycle.admit(Record, Now);
+    if (EarlyCancels.erase(Record.Id) > 0)
+      Lifecycle.cancel(*Data.State.find(Record.Id), Now);
+  }
+}
+
+bool ShardScheduler::Impl::takeCancellation(const RunId &Id, TimePoint Now) {
+  if (RunEntry *Run = Data.State.find(Id)) {
+    Lifecycle.cancel(*Run, Now);
+    return true;
+  }
+  if (Lifecycle.wasRetired(Id))
+    return true;
+  // The run may still be in the inbox, or was retired by an earlier owner.
+  const auto Known = EarlyCancels.try_emplace(Id, Now).first;
+  if (Now - Known->second < Data.Options.EarlyCancelKeep)
+    return false;
+  EarlyCancels.erase(Known);
+  return true;
+}
+
+void ShardScheduler::Impl::takeCancellations(TimePoint Now) {
+  for (std::uint32_t Left = Data.Options.MaxCancellationsPerTick;
+       Left > 0 && !Cancellations.empty(); --Left) {
+    const RunId Id = std::move(Cancellations.front());
+    Cancellations.pop_front();
+    CancellationIds.erase(Id);
+    if (takeCancellation(Id, Now))
+      Data.Out.HandledCancellations.push_back(Id);
+  }
+}
+
+void ShardScheduler::Impl::applyHealth(TimePoint Now) {
+  Data.Health.advance(Now);
+  for (const HealthChange &Change : Data.Health.takeChanges())
+    Data.Index.setHealth(Change.Worker, Change.Health);
+}
+
+void ShardScheduler::Impl::stopOnDrained(TimePoint Now) {
+  for (const WorkerIndex Worker : Drained) {
+    const std::vector<TaskRef> Tasks = Data.State.tasksOn(Worker);
+    for (const TaskRef &Task : Tasks) {
+      const RunSpec &Spec = Task.Run->Record.Spec;
+      // Other tasks on a drained worker end by themselves.
+      if (Data.Index.view(Worker).Leaving || Spec.Checkpointable ||
+          Spec.Kind == RunKind::Service)
+        Lifecycle.stop(Task, StopReason::Drained, Now);
+    }
+  }
+}
+
+void ShardScheduler::Impl::stopNewest(TeamIndex Team, const Resources &Cap,
+                                      TimePoint Now) {
+  std::vector<TaskRef> Candidates;
+  Resources Stays = Data.Shares.allocated(Team);
+  for (WorkerIndex Worker = 0; Worker < Data.Index.size(); ++Worker)
+    for (const TaskRef &Task : Data.State.tasksOn(Worker)) {
+      if (Task.Run->Team != Team)
+        continue;
+      if (Task.task().State == TaskState::Stopping)
+        Stays -= Task.task().Reserved;
+      else
+        Candidates.push_back(Task);
+    }
+  std::ranges::sort(Candidates, [](const TaskRef &Left, const TaskRef &Right) {
+    return Left.task().StartOrder > Right.task().StartOrder;
+  });
+  for (const TaskRef &Task : Candidates) {
+    if (Stays.fitsIn(Cap))
+      return;
+    if (Lifecycle.stop(Task, StopReason::OverLimit, Now))
+      Stays -= Task.task().Reserved;
+  }
+}
+
+void ShardScheduler::Impl::stopOverLimit(TimePoint Now) {
+  for (TeamIndex Team = 0; Team < Data.Queues.size(); ++Team) {
+    const Resources Cap = Data.queue(Team).cap();
+    if (!Data.Shares.allocated(Team).fitsIn(Cap))
+      stopNewest(Team, Cap, Now);
+  }
+}
+
+void ShardScheduler::Impl::resend() {
+  for (const AttemptId &Id : Resends) {
+    const TaskRef Task = Data.State.findActive(Id);
+    if (!Task.Run)
+      continue;
+    TaskEntry &Entry = Task.task();
+    const WorkerId &Worker = Data.Index.id(Entry.Worker);
+    if (Entry.State == TaskState::Stopping)
+      Data.Out.Stops.push_back({Worker, Id, RunLifecycle::stopMode(*Task.Run)});
+    if (Entry.State != TaskState::Starting)
+      continue;
+    if (Entry.Sends < 255)
+      ++Entry.Sends;
+    Data.Out.Starts.push_back({Worker, Id, Entry.Reserved,
+                               Task.Run->Record.Spec.Payload,
+                               Entry.HasCheckpoint});
+  }
+  Resends.clear();
+}
+
+Decisions ShardScheduler::Impl::tick(TimePoint Now) {
+  build(Now);
+  Data.StopBudget = Data.Options.MaxStopsPerTick;
+  applyHealth(Now);
+  Lifecycle.releaseDelayed(Now);
+  takeAdmissions(Now);
+  takeCancellations(Now);
+  Lifecycle.continueStops(Now);
+  stopOnDrained(Now);
+  // Before both are known, every team would seem to be above its limit.
+  if (TeamsKnown && GrantsKnown) {
+    stopOverLimit(Now);
+    Round.run(Now);
+  }
+  Lifecycle.continueStops(Now);
+  resend();
+  Lifecycle.retire(Now);
+  Lifecycle.collectChanged();
+  return std::exchange(Data.Out, {});
+}
+
+std::map<TeamName, Resources> ShardScheduler::Impl::demand() const {
+  std::vector<Resources> Wanted(Data.Queues.size());
+  for (TeamIndex Team = 0; Team < Wanted.size(); ++Team)
+    Wanted[Team] = Data.Shares.allocated(Team) + Data.Queues[Team].pending();
+  for (const RunId &Id : Round.setAsideRuns()) {
+    const RunEntry *Run = Data.State.find(Id);
+    if (Run && Run->Record.State == RunState::Unschedulable)
+      Wanted[Run->Team] -=
+          Run->Record.Spec.PerTask *
+          std::int64_t(Run->Work.Ready.size() + Run->Work.Delayed);
+  }
+  std::map<TeamName, Resources> Result;
+  for (TeamIndex Team = 0; Team < Wanted.size(); ++Team) {
+    const Resources &Limit = Data.Queues[Team].Limit;
+    const Resources Capped{
+        std::min(Wanted[Team].CpuMillis, Limit.CpuMillis),
+        std::min(Wanted[Team].MemoryMib, Limit.MemoryMib),
+        std::min(Wanted[Team].Accelerators, Limit.Accelerators)};
+    if (Capped != Resources{})
+      Result.emplace(Data.State.teamNames()[Team], Capped);
+  }
+  return Result;
+}
+
+std::string ShardScheduler::Impl::whyPending(const RunId &Id) const {
+  const RunEntry *Run = Data.State.find(Id);
+  if (!Run || Run->isEnding())
+    return "";
+  if (Run->Record.State == RunState::Unschedulable)
+    return Run->Record.Reason;
+  if (Run->Work.Ready.empty() && Run->Work.Delayed == 0)
+    return "";
+  if (!TeamsKnown || !GrantsKnown)
+    return "this instance has not read the limits since it took the shard over";
+  if (Run->Work.Claims > 0)
+    return "tasks of lower priority are being stopped for it";
+  if (Round.reservedFor() == Id)
+    return "workers are being freed for it";
+  if (Run->Work.Ready.empty())
+    return std::string(waitReasonText(WaitReason::RetryDelay));
+  return std::string(waitReasonText(Run->Work.Why));
+}
+
+TeamStanding ShardScheduler::Impl::standing(TeamIndex Team) const {
+  TeamStanding Result;
+  Result.Allocated = Data.Shares.allocated(Team);
+  Result.Fraction = Data.Shares.fraction(Team);
+  Result.Share = Data.Shares.share(Team);
+  if (Team >= Data.Queues.size())
+    return Result;
+  Result.Pending = Data.Queues[Team].pending();
+  Result.Waiting = Data.Queues[Team].tasks();
+  // A team is short of its share only by what it asks for.
+  const double Due =
+      std::min(Result.Share, (Result.Allocated + Result.Pending)
+                                 .dominantFraction(Data.Index.totalCapacity()));
+  Result.Distance = std::max(0.0, Due - Result.Fraction);
+  return Result;
+}
+
+ShardStats ShardScheduler::Impl::stats() const {
+  ShardStats Result;
+  Result.ActiveTasks = Data.State.activeTasks();
+  Result.Runs = Data.State.runs().size();
+  Resources Allocated;
+  const std::vector<TeamName> &Names = Data.State.teamNames();
+  for (TeamIndex Team = 0; Team < Names.size(); ++Team) {
+    const TeamStanding Standing = standing(Team);
+    Allocated += Standing.Allocated;
+    Result.WaitingTasks += Standing.Waiting;
+    Result.Teams.emplace(Names[Team], Standing);
+  }
+  for (const auto &[Order, Run] : Data.State.runs()) {
+    Result.Teams[Run->Record.Team].Active += Run->Active;
+    Result.UnschedulableRuns += Run->Record.State == RunState::Unschedulable;
+  }
+  Result.Packing = Allocated.dominantFraction(Data.Index.totalCapacity());
+  for (const auto &[Class, Waits] : Data.Waits)
+    Result.Waits.emplace(Class, WaitSummary{Waits.count(), Waits.quantile(0.5),
+                                            Waits.quantile(0.99)});
+  for (const WorkerIndex Worker : Data.Health.quarantined())
+    Result.Quarantined.push_back(Data.Index.id(Worker));
+  Result.ReservedFor = Round.reservedFor();
+  return Result;
+}
+
+ShardScheduler::ShardScheduler(ShardId Shard, SchedulerOptions Options)
+    : Self(std::make_unique<Impl>(std::move(Shard), Options)) {}
+
+ShardScheduler::~ShardScheduler() = default;
+
+void ShardScheduler::restore(const ShardSnapshot &Snapshot, TimePoint Now) {
+  Self->Data.State.restore(Snapshot, Now);
+}
+
+void ShardScheduler::apply(const JournalEvent &Event, TimePoint Now) {
+  if (Self->IsBuilt)
+    throw Error(ErrorKind::Internal, "replay after the first decision",
+                "report this as a fault of the shard's owner");
+  Self->Data.State.apply(Event, Now);
+}
+
+ShardSnapshot ShardScheduler::snapshot(std::uint64_t Sequence) const {
+  return Self->Data.State.snapshot(Sequence);
+}
+
+void ShardScheduler::setWorkers(const std::vector<WorkerView> &Workers) {
+  Self->setWorkers(Workers);
+}
+
+void ShardScheduler::setTeams(const Config &Document) {
+  Self->setTeams(Document);
+}
+
+void ShardScheduler::setGrants(const std::map<TeamName, Resources> &Grants) {
+  Self->setGrants(Grants);
+}
+
+std::map<TeamName, Resources> ShardScheduler::demand() const {
+  return Self->demand();
+}
+
+std::map<TeamName, Resources> ShardScheduler::allocated() const {
+  std::map<TeamName, Resources> Result;
+  const std::vector<TeamName> &Names = Self->Data.State.teamNames();
+  for (TeamIndex Team = 0; Team < Names.size(); ++Team)
+    Result.emplace(Names[Team], Self->Data.Shares.allocated(Team));
+  return Result;
+}
+
+void ShardScheduler::admit(const RunRecord &Run) { Self->admit(Run); }
+
+void ShardScheduler::cancel(const RunId &Run) { Self->cancel(Run); }
+
+void ShardScheduler::handleReport(const WorkerId &Worker,
+                                  const std::vector<TaskReport> &Reports,
+                                  TimePoint Now) {
+  Self->build(Now);
+  Self->handleReport(Worker, Reports, Now);
+}
+
+void ShardScheduler::handleStartRefused(const AttemptId &Id, TimePoint Now) {
+  Self->build(Now);
+  Self->handleStartRefused(Id, Now);
+}
+
+void ShardScheduler::handleWorkerSilent(const WorkerId &Worker) {
+  Self->Data.Index.setReady(Self->Data.Index.intern(Worker), false);
+}
+
+void ShardScheduler::handleWorkerExpired(const WorkerId &Worker,
+                                         TimePoint Now) {
+  Self->build(Now);
+  Self->handleWorkerExpired(Worker, Now);
+}
+
+Decisions ShardScheduler::tick(TimePoint Now) { return Self->tick(Now); }
+
+std::string ShardScheduler::whyPending(const RunId &Run) const {
+  return Self->whyPending(Run);
+}
+
+std::optional<RunRecord> ShardScheduler::run(const RunId &Run) const {
+  const RunEntry *Entry = Self->Data.State.find(Run);
+  if (!Entry)
+    return std::nullopt;
+  return RunLifecycle::shown(*Entry);
+}
+
+std::vector<AttemptId>
+ShardScheduler::attemptsOn(const WorkerId &Worker) const {
+  std::vector<AttemptId> Result;
+  const WorkerIndex Index = Self->Data.Index.find(Worker);
+  if (Index != NoWorker)
+    for (const TaskRef &Task : Self->Data.State.tasksOn(Index))
+      Result.push_back(Task.attempt());
+  return Result;
+}
+
+std::vector<WorkerId> ShardScheduler::workersInUse() const {
+  std::vector<WorkerId> Result;
+  for (WorkerIndex Worker = 0; Worker < Self->Data.Index.size(); ++Worker)
+    if (!Self->Data.State.tasksOn(Worker).empty())
+      Result.push_back(Self->Data.Index.id(Worker));
+  return Result;
+}
+
+ShardStats ShardScheduler::stats() const { return Self->stats(); }
+
+const ShardId &ShardScheduler::shard() const { return Self->Shard; }
+
+} // namespace apricotwing
--- a/src/core/shardscheduler.h
+++ b/src/core/shardscheduler.h
@@ -27,8 +27,9 @@
   std::uint32_t MaxStopsPerTick = 2000;
   std::uint32_t MaxSearchesPerTick = 4000; ///< Searches for a worker.
   std::uint32_t BackfillDepth = 64;        ///< Runs looked at per team.
-  std::uint32_t MaxPreemptionsPerTick = 64;
+  std::uint32_t MaxPreemptionsPerTick = 32;
   Duration ReservationDelay{60'000}; ///< Wait before a gang gets workers.
+  Duration ReservationRetry{1'000};  ///< Between attempts to reserve.
   Duration ClaimTimeout{30'000};     ///< Life of room freed by preemption.
   Duration RetryDelay{1'000};        ///< First delay after a failure; doubles.
   Duration MaxRetryDelay{300'000};
@@ -41,7 +42,7 @@
   AttemptId Id;
   Resources Reserved;
   std::string Payload;
-  bool FromCheckpoint = false;
+  bool FromCheckpoint = false; ///< A checkpoint of the task may exist.
 };
 
 /// A stop to send once the tick is committed.
--- /dev/null
+++ b/src/core/shardstate.cpp
@@ -0,0 +1,274 @@
+#include "core/shardstate.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+
+namespace apricotwing {
+
+namespace {
+
+[[noreturn]] void reject(const std::string &Message) {
+  throw Error(ErrorKind::Internal, "the journal does not fit: " + Message,
+              "report this as a fault with the journal of the shard");
+}
+
+/// Spends one of the task's attempts; false if none is left.
+bool spendAttempt(const RunEntry &Run, TaskEntry &Task) {
+  ++Task.Failures;
+  return Run.Record.Spec.Kind == RunKind::Service ||
+         Task.Failures < Run.Record.Spec.MaxAttempts;
+}
+
+} // namespace
+
+ShardState::ShardState(PlacementIndex &Index, FairShare &Shares)
+    : Index(Index), Shares(Shares) {}
+
+TeamIndex ShardState::team(const TeamName &Name) {
+  const auto Found = Teams.find(Name);
+  if (Found != Teams.end())
+    return Found->second;
+  const TeamIndex Team = Shares.addTeam();
+  Teams.emplace(Name, Team);
+  TeamNames.push_back(Name);
+  return Team;
+}
+
+RunEntry *ShardState::find(const RunId &Run) const {
+  const auto Found = Runs.find(Run);
+  return Found == Runs.end() ? nullptr : Found->second.get();
+}
+
+RunEntry &ShardState::known(const RunId &Run) const {
+  RunEntry *Found = find(Run);
+  if (!Found)
+    reject("run " + Run + " is unknown");
+  return *Found;
+}
+
+TaskRef ShardState::findActive(const AttemptId &Id) const {
+  RunEntry *Run = find(Id.Task.Run);
+  if (!Run || Id.Task.Index >= Run->Tasks.size())
+    return {};
+  const TaskEntry &Task = Run->Tasks[Id.Task.Index];
+  if (!Task.isActive() || Task.Attempt != Id.Attempt)
+    return {};
+  return {Run, Id.Task.Index};
+}
+
+TaskRef ShardState::active(const AttemptId &Id) const {
+  const TaskRef Found = findActive(Id);
+  if (!Found.Run)
+    reject("attempt " + toString(Id) + " is not active");
+  return Found;
+}
+
+const std::vector<TaskRef> &ShardState::tasksOn(WorkerIndex Worker) const {
+  static const std::vector<TaskRef> None;
+  return Worker < ByWorker.size() ? ByWorker[Worker] : None;
+}
+
+void ShardState::occupy(const TaskRef &Task) {
+  const TaskEntry &Entry = Task.task();
+  if (Entry.Worker >= ByWorker.size())
+    ByWorker.resize(Entry.Worker + 1);
+  ByWorker[Entry.Worker].push_back(Task);
+  Index.allocate(Entry.Worker, Entry.Reserved);
+  Shares.add(Task.Run->Team, Entry.Reserved);
+  ++Task.Run->Active;
+  ++ActiveTasks;
+}
+
+void ShardState::vacate(const TaskRef &Task) {
+  TaskEntry &Entry = Task.task();
+  std::vector<TaskRef> &Others = ByWorker[Entry.Worker];
+  const auto Place = std::ranges::find(Others, Task);
+  *Place = Others.back();
+  Others.pop_back();
+  Index.release(Entry.Worker, Entry.Reserved + Entry.Excess);
+  Shares.remove(Task.Run->Team, Entry.Reserved);
+  Entry.Worker = NoWorker;
+  Entry.Reserved = {};
+  Entry.Excess = {};
+  --Task.Run->Active;
+  --ActiveTasks;
+}
+
+void ShardState::setExcess(const TaskRef &Task, const Resources &Excess) {
+  TaskEntry &Entry = Task.task();
+  if (Entry.Excess == Excess)
+    return;
+  Index.adjust(Entry.Worker, Excess - Entry.Excess);
+  Entry.Excess = Excess;
+}
+
+RunEntry &ShardState::insert(const RunRecord &Record) {
+  auto Entry = std::make_unique<RunEntry>();
+  Entry->Record = Record;
+  Entry->Team = team(Record.Team);
+  Entry->Order = NextOrder++;
+  Entry->Tasks.resize(Record.Spec.Tasks);
+  RunEntry &Result = *Entry;
+  if (!Runs.try_emplace(Record.Id, std::move(Entry)).second)
+    reject("run " + Record.Id + " is admitted twice");
+  ByOrder.emplace(Result.Order, &Result);
+  return Result;
+}
+
+void ShardState::finish(RunEntry &Run, TaskEntry &Task, TaskState Final) {
+  Task.State = Final;
+  ++Run.Ended;
+  if (Final == TaskState::Succeeded)
+    ++Run.Record.Succeeded;
+  if (Final == TaskState::Failed)
+    ++Run.Record.Failed;
+}
+
+void ShardState::settle(RunEntry &Run, TaskEntry &Task,
+                        const TaskEnded &Event) {
+  const bool WasStopping = Task.State == TaskState::Stopping;
+  const bool IsService = Run.Record.Spec.Kind == RunKind::Service;
+  if (Event.Outcome == TaskState::Succeeded && (!IsService || Run.isEnding()))
+    return finish(Run, Task, TaskState::Succeeded);
+  if (Run.isEnding())
+    return finish(Run, Task, TaskState::Cancelled);
+  Task.State = TaskState::Pending;
+  if (Event.Outcome == TaskState::Cancelled) {
+    if (WasStopping && Run.Record.Spec.Checkpointable)
+      Task.HasCheckpoint = true;
+    return;
+  }
+  const bool IsLost = Event.Outcome == TaskState::Lost;
+  if (IsLost && Run.Record.Spec.OnLost == LostPolicy::Fail)
+    return finish(Run, Task, TaskState::Failed);
+  if (IsLost && WasStopping)
+    return;
+  if (!spendAttempt(Run, Task))
+    finish(Run, Task, TaskState::Failed);
+}
+
+void ShardState::applyOne(const RunAdmitted &Event, TimePoint Now) {
+  RunEntry &Run = insert(Event.Run);
+  if (!Run.isEnding())
+    Run.Record.State = RunState::Pending;
+  Run.Record.Running = Run.Record.Succeeded = Run.Record.Failed = 0;
+  for (TaskEntry &Task : Run.Tasks)
+    Task.Since = Now;
+}
+
+void ShardState::applyOne(const TaskStarted &Event, TimePoint Now) {
+  RunEntry &Run = known(Event.Id.Task.Run);
+  if (Event.Id.Task.Index >= Run.Tasks.size())
+    reject("task " + toString(Event.Id.Task) + " does not exist");
+  TaskEntry &Task = Run.Tasks[Event.Id.Task.Index];
+  if (Task.State != TaskState::Pending || Run.isEnding() ||
+      Event.Id.Attempt != Task.Attempt + 1)
+    reject("attempt " + toString(Event.Id) + " cannot start");
+  Task.State = TaskState::Starting;
+  Task.Attempt = Event.Id.Attempt;
+  Task.Worker = Index.intern(Event.Worker);
+  Task.Reserved = Event.Reserved;
+  Task.Excess = {};
+  Task.Confirmed = Task.Inherited = false;
+  Task.Sends = 0;
+  Task.Since = Now;
+  Task.StartOrder = NextStart++;
+  occupy({&Run, Event.Id.Task.Index});
+}
+
+void ShardState::applyOne(const TaskStopping &Event, TimePoint /*Now*/) {
+  TaskEntry &Task = active(Event.Id).task();
+  // A cancellation replaces the reason of an earlier stop.
+  Task.State = TaskState::Stopping;
+  Task.Stop = Event.Reason;
+}
+
+void ShardState::applyOne(const TaskEnded &Event, TimePoint Now) {
+  const TaskRef Ref = active(Event.Id);
+  vacate(Ref);
+  settle(*Ref.Run, Ref.task(), Event);
+  Ref.task().Since = Now;
+}
+
+void ShardState::applyOne(const RunChanged &Event, TimePoint /*Now*/) {
+  RunEntry &Run = known(Event.Run);
+  if (Run.isEnding())
+    reject("run " + Event.Run + " changes after its end");
+  Run.Record.State = Event.State;
+  Run.Record.Reason = Event.Reason;
+}
+
+void ShardState::applyOne(const RunRetired &Event, TimePoint /*Now*/) {
+  const RunEntry &Run = known(Event.Run);
+  if (!Run.isEnding() || Run.Active > 0)
+    reject("run " + Event.Run + " is retired before its end");
+  ByOrder.erase(Run.Order);
+  Runs.erase(Event.Run);
+}
+
+void ShardState::apply(const JournalEvent &Event, TimePoint Now) {
+  std::visit([&](const auto &One) { applyOne(One, Now); }, Event);
+}
+
+void ShardState::restore(const ShardSnapshot &Snapshot, TimePoint Now) {
+  if (!Runs.empty())
+    reject("a snapshot is restored over existing runs");
+  for (const RunSnapshot &Saved : Snapshot.Runs) {
+    RunEntry &Run = insert(Saved.Run);
+    Run.Record.Running = Run.Record.Succeeded = Run.Record.Failed = 0;
+    Run.Tasks.resize(Saved.Tasks.size());
+    for (std::uint32_t Position = 0; Position < Saved.Tasks.size();
+         ++Position) {
+      const TaskSnapshot &From = Saved.Tasks[Position];
+      TaskEntry &Task = Run.Tasks[Position];
+      Task.Attempt = From.Attempt;
+      Task.Failures = From.Failures;
+      Task.HasCheckpoint = From.HasCheckpoint;
+      Task.Stop = From.Stop;
+      Task.Since = Now;
+      if (isFinal(From.State)) {
+        finish(Run, Task, From.State);
+        continue;
+      }
+      Task.State = From.State;
+      if (!Task.isActive())
+        continue;
+      Task.Worker = Index.intern(From.Worker);
+      Task.Reserved = From.Reserved;
+      Task.StartOrder = NextStart++;
+      occupy({&Run, Position});
+    }
+  }
+}
+
+ShardSnapshot ShardState::snapshot(std::uint64_t Sequence) const {
+  ShardSnapshot Result;
+  Result.Sequence = Sequence;
+  Result.Runs.reserve(ByOrder.size());
+  for (const auto &[Order, Run] : ByOrder) {
+    RunSnapshot Saved;
+    Saved.Run = Run->Record;
+    Saved.Run.Running = Run->Active;
+    Saved.Tasks.reserve(Run->Tasks.size());
+    for (const TaskEntry &Task : Run->Tasks) {
+      TaskSnapshot To;
+      To.State =
+          Task.State == TaskState::Running ? TaskState::Starting : Task.State;
+      To.Attempt = Task.Attempt;
+      To.Failures = Task.Failures;
+      To.HasCheckpoint = Task.HasCheckpoint;
+      if (Task.isActive()) {
+        To.Worker = Index.id(Task.Worker);
+        To.Reserved = Task.Reserved;
+      }
+      if (Task.State == TaskState::Stopping)
+        To.Stop = Task.Stop;
+      Saved.Tasks.push_back(std::move(To));
+    }
+    Result.Runs.push_back(std::move(Saved));
+  }
+  return Result;
+}
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/core/usageestimator.h
@@ -0,0 +1,53 @@
+/// \file
+/// Estimates of the size and run time of tasks.
+#ifndef APRICOTWING_CORE_USAGEESTIMATOR_H
+#define APRICOTWING_CORE_USAGEESTIMATOR_H
+
+#include "core/resources.h"
+#include "core/run.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace apricotwing {
+
+/// Learns what the tasks of a class really use, from reports that lag behind.
+/// A class is a team, a kind of run, its declared size and the first word of
+/// its payload. Estimates serve ranking and backfill; the hard reservation
+/// is the larger of declared and observed. Owned by the shard's scheduler;
+/// relearned after a change of owner; not thread-safe.
+class UsageEstimator {
+public:
+  /// Class of a run's tasks. Thread-safe.
+  static std::string classOf(const TeamName &Team, const RunSpec &Spec);
+
+  /// A running task of \p Class was seen to use \p Used.
+  void recordUse(const std::string &Class, const Resources &Used);
+
+  /// A task of \p Class succeeded after \p Elapsed.
+  void recordRunTime(const std::string &Class, Duration Elapsed);
+
+  /// Larger of \p Declared and the observed peak.
+  Resources reservation(const std::string &Class,
+                        const Resources &Declared) const;
+
+  /// Expected run time: \p Declared until enough tasks have succeeded, then a
+  /// high estimate of the observed times, so that backfill ends in time.
+  Duration runTime(const std::string &Class, Duration Declared) const;
+
+private:
+  struct Entry {
+    Resources Peak;
+    std::uint32_t Samples = 0;
+    double MeanMs = 0;
+    double DeviationMs = 0; ///< Mean absolute deviation.
+  };
+
+  std::unordered_map<std::string, Entry> Classes;
+};
+
+} // namespace apricotwing
+
+#endif
