--- a/src/cli/clustercommands.cpp
+++ b/src/cli/clustercommands.cpp
@@ -27,7 +27,7 @@
       {.Path = "/v1/instances", .Repeat = RepeatPolicy::Always});
   Report Result({"instance", "epoch", "state", "zone", "address",
                  "peer_address", "shards"});
-  for (const InstanceView &View : decodeInstances(Body))
+  for (const InstanceStatus &View : decodeInstances(Body))
     Result.add({View.Id.Instance,
                 static_cast<std::int64_t>(View.Id.SessionEpoch),
                 std::string(sessionStateName(View.State)), View.Zone,
@@ -36,7 +36,7 @@
   return ExitCode::Success;
 }
 
-std::string conditionOf(const WorkerView &View) {
+std::string conditionOf(const WorkerStatus &View) {
   if (View.Quarantined)
     return "quarantined";
   if (View.Drained)
@@ -49,7 +49,7 @@
       Call.Client.call({.Path = "/v1/workers", .Repeat = RepeatPolicy::Always});
   Report Result({"worker", "condition", "zone", "rack", "tasks", "cpu_millis",
                  "memory_mib", "accelerators", "silent_ms"});
-  for (const WorkerView &View : decodeWorkers(Body)) {
+  for (const WorkerStatus &View : decodeWorkers(Body)) {
     const Resources &Capacity = View.Worker.Capacity;
     Result.add({View.Worker.Id, conditionOf(View), View.Worker.Zone,
                 View.Worker.Rack, std::int64_t(View.Tasks),
