--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,13 +3,10 @@
 #include "daemon/settings.h"
 
 #include <boost/program_options.hpp>
-#include <easylogging++.h>
 
 #include <csignal>
 #include <iostream>
 
-// NOLINTNEXTLINE
-INITIALIZE_EASYLOGGINGPP
 
 namespace {
 
