--- a/src/cli/clustercommands.cpp
+++ b/src/cli/clustercommands.cpp
@@ -14,7 +14,7 @@
 std::string joined(const std::vector<std::string> &Words) {
   std::string Result;
   for (const std::string &Word : Words)
-    Result += (Result.empty() ? "" : ",") + Word;
+    Result.append(Result.empty() ? "" : ",").append(Word);
   return Result;
 }
 
--- a/src/cli/configcommands.cpp
+++ b/src/cli/configcommands.cpp
@@ -48,8 +48,11 @@
 std::string summaryOf(const Config &Current,
                       const std::vector<ConfigChange> &Changes) {
   std::string Result;
-  for (const ConfigChange &Change : Changes)
-    Result += (Result.empty() ? "" : "; ") + describeChange(Current, Change);
+  for (const ConfigChange &Change : Changes) {
+    if (!Result.empty())
+      Result += "; ";
+    Result += describeChange(Current, Change);
+  }
   return Result;
 }
 
