Answer 400, 408 and 413 before the server closes a connection

Cause: RESTinio closes the connection without a response when a request is malformed, too large or too slow, so a caller cannot tell why. Ruled out: a receive limit above the answered one, which keeps twice the memory and still closes without a word above it. Change: GuardedSocket sends the answer when RESTinio closes on an unanswered request, then discards the rest of the input for 3 s, because unread input would reset the connection. Tests with raw sockets. With the body limit, the read limit, the connection limit, the wait for open requests or GuardedSocket taken out, AnswersTooLarge, SlowSenders, ConnectionsAreLimited, StoppingFinishes, and AnswersTooLarge with SlowSenders fail respectively.

--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "core/httpserver.h"
 #include "httpserver/exchange.h"
+#include "httpserver/guardedsocket.h"
 
 #include <restinio/all.hpp>
 
@@ -22,6 +23,8 @@
 using namespace std::chrono_literals;
 
 struct ServerTraits : restinio::default_traits_t {
+  using stream_socket_t = GuardedSocket;                     // NOLINT
+  using logger_t = CloseReason;                              // NOLINT
   static constexpr bool use_connection_count_limiter = true; // NOLINT
 };
 
@@ -42,13 +45,6 @@
 constexpr std::size_t MaxHeaderBytes = 16384;
 constexpr std::size_t MaxHeaderFields = 100;
 
-/// RESTinio closes the connection without a response above its own limit, so
-/// that one lies above the limit that is answered with 413.
-std::uint64_t receiveLimit(std::size_t MaxBodyBytes) {
-  constexpr std::size_t Slack = std::size_t(64) << 10; // 64 KiB
-  return 2 * std::uint64_t(MaxBodyBytes) + Slack;
-}
-
 /// RESTinio stops accepting for good once accept() fails for want of file
 /// descriptors, so the server leaves most of them to other uses.
 std::size_t connectionLimit(std::size_t Wanted) {
@@ -132,13 +128,6 @@
   Builder.done([Done = std::move(Written)](const auto &) { Done(); });
 }
 
-HttpResponse tooLarge(std::size_t MaxBodyBytes) {
-  return errorResponse(Error(ErrorKind::TooLarge,
-                             "the body is larger than " +
-                                 std::to_string(MaxBodyBytes) + " bytes",
-                             "send a smaller body, or raise max_body_bytes"));
-}
-
 /// The adapter; see core/httpserver.h. The io threads are owned here, so that
 /// a slow sender costs a connection and no thread.
 class Server final : public HttpServer {
@@ -190,13 +179,12 @@
             ReadTimeout / 4, 20ms, 1000ms))
         .max_pipelined_requests(1)
         .max_parallel_connections(connectionLimit(Options.MaxConnections))
-        .incoming_http_msg_limits(
-            restinio::incoming_http_msg_limits_t{}
-                .max_url_size(MaxUrlBytes)
-                .max_field_name_size(MaxHeaderBytes)
-                .max_field_value_size(MaxHeaderBytes)
-                .max_field_count(MaxHeaderFields)
-                .max_body_size(receiveLimit(Options.MaxBodyBytes)))
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(MaxUrlBytes)
+                                      .max_field_name_size(MaxHeaderBytes)
+                                      .max_field_value_size(MaxHeaderBytes)
+                                      .max_field_count(MaxHeaderFields)
+                                      .max_body_size(Options.MaxBodyBytes))
         .socket_options_setter([](auto &Socket) {
           Socket.set_option(asio::ip::tcp::no_delay(true));
         })
@@ -212,7 +200,6 @@
   }
 
   void handle(restinio::request_handle_t Request) {
-    const bool Oversized = Request->body().size() > Options.MaxBodyBytes;
     auto Call = Open.add([this, Request](HttpResponse Response,
                                          std::function<void()> Written) {
       const bool Close = Stopping ||
@@ -220,10 +207,6 @@
                          !Request->header().should_keep_alive();
       writeResponse(Request, std::move(Response), Close, std::move(Written));
     });
-    if (Oversized) {
-      Call->respond(tooLarge(Options.MaxBodyBytes));
-      return;
-    }
     try {
       Handler(toHttpRequest(Request), [Call](HttpResponse Response) {
         Call->respond(std::move(Response));
