Decide admission, queueing and sends of interactive requests

Ruled out: one queue per team over all upstreams, since a request for a full upstream would block those for others; counting every failed send against the executor, since a caller with short deadlines could eject healthy ones.

--- /dev/null
+++ b/src/core/requestrouter.cpp
@@ -0,0 +1,801 @@
+#include "core/requestrouter.h"
+
+#include "core/executorpool.h"
+#include "core/fairqueue.h"
+#include "core/recentpeak.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace apricotwing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Sends of one request, including the first.
+constexpr std::uint32_t MaxSends = 4;
+
+/// A request that has less time left is not sent: its answer would hardly
+/// arrive, and the caller is better off with a certain "not run".
+constexpr Duration LeastSendTime = 5ms;
+
+/// A send of an idempotent request gets only half of the remaining time if an
+/// answer usually takes less than a quarter of that half, so that time is left
+/// to try another executor.
+constexpr int RetryTimeFactor = 4;
+
+/// A timeout shorter than this says nothing about the executor's health.
+constexpr Duration TellingTimeout = 1s;
+
+constexpr int FirstServerErrorStatus = 500;
+
+constexpr std::array<std::pair<NextStep, std::string_view>, 4> NextStepNames = {
+    {
+        {NextStep::Deliver, "deliver"},
+        {NextStep::Retry, "retry"},
+        {NextStep::Fail, "fail"},
+        {NextStep::Ignore, "ignore"},
+    }};
+
+Error noAuthority() {
+  return {ErrorKind::NoAuthority,
+          "this instance has no valid session in the table service",
+          "send the request again; the load balancer picks another instance"};
+}
+
+Error draining() {
+  return {ErrorKind::Draining, "this instance is shutting down",
+          "send the request again; the load balancer picks another instance"};
+}
+
+Error overloaded(const std::string &Message) {
+  return {ErrorKind::Overloaded, Message,
+          "send fewer requests at a time, or allow a later deadline"};
+}
+
+Error unknownTeam(const TeamName &Team) {
+  return {ErrorKind::Forbidden, "team '" + Team + "' does not exist",
+          "ask an operator to add the team"};
+}
+
+Error withdrawnKey() {
+  return {ErrorKind::UnknownKey, "the key was withdrawn",
+          "use a key that is in force"};
+}
+
+Error unknownUpstream(const std::string &Upstream) {
+  return {ErrorKind::NotFound, "upstream '" + Upstream + "' is not configured",
+          "check the name, or ask an operator to add the upstream"};
+}
+
+Error noTeamLimit(const TeamName &Team) {
+  return {ErrorKind::LimitReached,
+          "team '" + Team + "' may run no interactive requests",
+          "ask an operator to raise the team's limit of requests"};
+}
+
+Error limitReached(const TeamName &Team) {
+  return {ErrorKind::LimitReached,
+          "team '" + Team +
+              "' runs as many requests as its limit permits and "
+              "its queue is full",
+          "send fewer requests at a time, or ask an operator for a higher "
+          "limit"};
+}
+
+} // namespace
+
+std::string_view nextStepName(NextStep Value) {
+  for (const auto &[Known, Name] : NextStepNames)
+    if (Known == Value)
+      return Name;
+  return "ignore";
+}
+
+struct RequestRouter::State {
+  using Serial = ExecutorPool::Serial;
+
+  struct Team {
+    TeamName Name;
+    bool Configured = false;
+    std::uint32_t Share = 1;
+    std::int64_t Limit = 0;
+    std::int64_t Granted = 0;
+    std::int64_t Taken = 0;
+    std::size_t Queued = 0;
+    RecentPeak Peak;
+
+    bool hasUnit() const { return Taken < std::min(Granted, Limit); }
+  };
+
+  struct Upstream {
+    Upstream(const InstanceId &Instance, const std::string &Zone)
+        : Pool(Instance, Zone) {}
+
+    bool Configured = false;
+    ExecutorPool Pool;
+    FairQueue Queue;
+  };
+
+  enum class Phase { Queued, Sending };
+
+  struct Request {
+    RequestTicket Ticket;
+    std::uint64_t Sequence = 0;
+    Team *Owner = nullptr;
+    Upstream *Target = nullptr;
+    Phase Where = Phase::Queued;
+    std::uint32_t Sends = 0;
+    /// A send is in doubt, so "not run" can no longer be said.
+    bool MayHaveRun = false;
+    std::vector<Serial> Tried;
+    Serial Executor = 0; ///< Of the present send.
+    TimePoint Due;       ///< Its key in Dues.
+
+    Outcome outcome() const {
+      return MayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    }
+    QueueEntry entry() const { return {Ticket.Deadline, Sequence, Sends > 0}; }
+  };
+
+  /// A slot and a unit whose send is in doubt.
+  struct Hold {
+    Upstream *Target = nullptr;
+    Team *Owner = nullptr;
+    Serial Executor = 0;
+  };
+
+  explicit State(RouterOptions Options) : Options(std::move(Options)) {}
+
+  Team &team(const TeamName &Name);
+  Upstream &upstream(const std::string &Name);
+  std::optional<Error> refusalByConfig(const RequestTicket &Ticket);
+  std::optional<Error> refusal(const RequestTicket &Ticket, TimePoint Now);
+  std::optional<Error> refusalByQueue(const RequestTicket &Ticket,
+                                      TimePoint Now);
+  std::optional<Error> refusalByFullQueue(const Team &Owner);
+  bool displaceFor(const Team &Owner);
+  Duration expectedWait(const RequestTicket &Ticket);
+  void accept(const RequestTicket &Ticket, TimePoint Now);
+  void dispatchQueue(Upstream &Target, TimePoint Now,
+                     std::vector<RequestSend> &Sends);
+  bool trySend(Upstream &Target, const QueueEntry &Entry, TimePoint Now,
+               std::vector<RequestSend> &Sends);
+  Duration timeoutOf(const Request &Of, TimePoint Now) const;
+  void expire(TimePoint Now);
+  void expireOne(Request &Of, TimePoint Now);
+  void endHolds(TimePoint Now);
+  void enqueue(Request &Of);
+  void dequeue(Request &Of);
+  void reschedule(Request &Of, TimePoint Due);
+  void giveBack(const Hold &Of, TimePoint Now);
+  void noteHealth(const Request &Of, const SendReport &Report, TimePoint Now);
+  CompletionStep afterReport(Request &Of, const SendReport &Report,
+                             TimePoint Now);
+  CompletionStep afterDoubt(Request &Of, const SendReport &Report,
+                            TimePoint Now);
+  CompletionStep afterNotRun(Request &Of, const SendReport &Report,
+                             TimePoint Now);
+  CompletionStep retry(Request &Of, TimePoint Now);
+  CompletionStep fail(Request &Of, const Error &Reason);
+  Error withOutcome(const Request &Of, const Error &Reason) const;
+  void failLater(Request &Of, const Error &Reason);
+  void countFailure(Outcome Result);
+  void erase(Request &Of);
+  Request *find(const std::string &Id);
+
+  const RouterOptions Options;
+  std::map<TeamName, Team> Teams;
+  std::map<std::string, Upstream> Upstreams;
+  std::unordered_map<std::string, TeamName> KeyTeams;
+  std::unordered_map<std::uint64_t, Request> Requests;
+  std::unordered_map<std::string, std::uint64_t> ById;
+  std::set<std::pair<TimePoint, std::uint64_t>> Dues;
+  std::multimap<TimePoint, Hold> Holds;
+  std::vector<RequestFailure> Pending; ///< Failures for the next dispatch().
+  RetryBudget Budget;
+  TimePoint AuthorityUntil = TimePoint::min();
+  bool Draining = false;
+  std::uint64_t LastSequence = 0;
+  std::size_t Queued = 0;
+  RouterStats Counters;
+};
+
+RequestRouter::State::Team &RequestRouter::State::team(const TeamName &Name) {
+  Team &Result = Teams[Name];
+  Result.Name = Name;
+  return Result;
+}
+
+RequestRouter::State::Upstream &
+RequestRouter::State::upstream(const std::string &Name) {
+  return Upstreams.try_emplace(Name, Options.Instance, Options.Zone)
+      .first->second;
+}
+
+RequestRouter::State::Request *
+RequestRouter::State::find(const std::string &Id) {
+  const auto Where = ById.find(Id);
+  return Where == ById.end() ? nullptr : &Requests.at(Where->second);
+}
+
+std::optional<Error>
+RequestRouter::State::refusalByConfig(const RequestTicket &Ticket) {
+  const auto Upstream = Upstreams.find(Ticket.Upstream);
+  if (Upstream == Upstreams.end() || !Upstream->second.Configured)
+    return unknownUpstream(Ticket.Upstream);
+  const auto Owner = Teams.find(Ticket.Team);
+  if (Owner == Teams.end() || !Owner->second.Configured)
+    return unknownTeam(Ticket.Team);
+  if (!Ticket.KeySha256.empty()) {
+    const auto Key = KeyTeams.find(Ticket.KeySha256);
+    if (Key == KeyTeams.end() || Key->second != Ticket.Team)
+      return withdrawnKey();
+  }
+  if (Owner->second.Limit == 0)
+    return noTeamLimit(Ticket.Team);
+  return std::nullopt;
+}
+
+std::optional<Error> RequestRouter::State::refusal(const RequestTicket &Ticket,
+                                                   TimePoint Now) {
+  if (Draining)
+    return draining();
+  if (Now >= AuthorityUntil)
+    return noAuthority();
+  if (std::optional<Error> Reason = refusalByConfig(Ticket))
+    return Reason;
+  if (ById.contains(Ticket.Id))
+    return Error(ErrorKind::BadRequest,
+                 "request id '" + Ticket.Id + "' is in use",
+                 "choose an id of its own for each request");
+  if (Ticket.Deadline - Now > Options.MaxDeadline)
+    return Error(ErrorKind::BadRequest, "the deadline is too far away",
+                 "allow at most " +
+                     std::to_string(Options.MaxDeadline.count()) + " ms");
+  if (Ticket.Deadline - Now < LeastSendTime)
+    return Error(ErrorKind::DeadlineExceeded,
+                 "the deadline leaves no time to send the request",
+                 "allow a later deadline");
+  if (!upstream(Ticket.Upstream).Pool.hasUntried({}))
+    return Error(ErrorKind::UpstreamFailed,
+                 "no executor of upstream '" + Ticket.Upstream + "' is live",
+                 "check the upstream's executors in the instance list");
+  return refusalByQueue(Ticket, Now);
+}
+
+std::optional<Error>
+RequestRouter::State::refusalByQueue(const RequestTicket &Ticket,
+                                     TimePoint Now) {
+  const Upstream &Target = upstream(Ticket.Upstream);
+  // Without a queue the request is tried in any case: only answers keep the
+  // estimate up to date.
+  if (Target.Queue.size() > 0 && !Target.Pool.hasFreeSlot() &&
+      Now + expectedWait(Ticket) > Ticket.Deadline)
+    return overloaded("the deadline cannot be met given the requests that "
+                      "wait already");
+  return refusalByFullQueue(team(Ticket.Team));
+}
+
+std::optional<Error>
+RequestRouter::State::refusalByFullQueue(const Team &Owner) {
+  if (Owner.Queued >= std::min(Options.QueuePerTeam, Options.QueueTotal / 2))
+    return Owner.Taken >= Owner.Limit
+               ? limitReached(Owner.Name)
+               : overloaded("the queue of team '" + Owner.Name + "' is full");
+  if (Queued >= Options.QueueTotal && !displaceFor(Owner))
+    return overloaded("all queues of this instance are full");
+  return std::nullopt;
+}
+
+/// Makes room in a full queue at the cost of the team that fills it most.
+bool RequestRouter::State::displaceFor(const Team &Owner) {
+  const auto Longest = std::max_element(
+      Teams.begin(), Teams.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.Queued < Right.second.Queued;
+      });
+  if (Longest->second.Queued <= Owner.Queued + 1)
+    return false;
+  std::optional<QueueEntry> Victim;
+  for (const auto &[Name, Target] : Upstreams) {
+    const std::optional<QueueEntry> Last = Target.Queue.last(Longest->first);
+    if (Last && (!Victim || *Victim < *Last))
+      Victim = Last;
+  }
+  failLater(Requests.at(Victim->Sequence),
+            overloaded("the request gave way to one of a team with fewer "
+                       "waiting requests"));
+  return true;
+}
+
+/// Time until an answer, if the request is queued now. Zero while no answer
+/// has been seen or no slot is held.
+Duration RequestRouter::State::expectedWait(const RequestTicket &Ticket) {
+  const Upstream &Target = upstream(Ticket.Upstream);
+  const Team &Owner = team(Ticket.Team);
+  const Duration Service = Target.Pool.meanLatency();
+  const std::int64_t Slots = Target.Pool.usableSlots();
+  if (Service == Duration(0) || Slots == 0)
+    return Duration(0);
+  const double Ahead =
+      double(Target.Queue.ahead(Ticket.Team, Ticket.Deadline)) + 1;
+  const double Fraction = Target.Queue.fraction(Ticket.Team, Owner.Share);
+  double Rounds = std::min(Ahead / Fraction, double(Target.Queue.size()) + 1) /
+                  double(Slots);
+  if (const std::int64_t Units = std::min(Owner.Granted, Owner.Limit);
+      Units > 0)
+    Rounds = std::max(Rounds, Ahead / double(Units));
+  return Service + Duration(std::int64_t(Rounds * double(Service.count())));
+}
+
+void RequestRouter::State::accept(const RequestTicket &Ticket, TimePoint Now) {
+  const std::uint64_t Sequence = ++LastSequence;
+  Request &Added = Requests[Sequence];
+  Added.Ticket = Ticket;
+  Added.Sequence = Sequence;
+  Added.Owner = &team(Ticket.Team);
+  Added.Target = &upstream(Ticket.Upstream);
+  ById.emplace(Ticket.Id, Sequence);
+  enqueue(Added);
+  Budget.noteRequest(Now);
+  ++Counters.Submitted;
+}
+
+void RequestRouter::State::reschedule(Request &Of, TimePoint Due) {
+  Dues.erase({Of.Due, Of.Sequence});
+  Of.Due = Due;
+  Dues.emplace(Due, Of.Sequence);
+}
+
+void RequestRouter::State::enqueue(Request &Of) {
+  Of.Where = Phase::Queued;
+  Of.Target->Queue.push(Of.Ticket.Team, Of.Owner->Share, Of.entry());
+  ++Of.Owner->Queued;
+  ++Queued;
+  reschedule(Of, Of.Ticket.Deadline - LeastSendTime);
+}
+
+/// Books a request out that the queue no longer holds.
+void RequestRouter::State::dequeue(Request &Of) {
+  --Of.Owner->Queued;
+  --Queued;
+}
+
+void RequestRouter::State::erase(Request &Of) {
+  if (Of.Where == Phase::Queued &&
+      Of.Target->Queue.remove(Of.Ticket.Team, Of.entry()))
+    dequeue(Of);
+  Dues.erase({Of.Due, Of.Sequence});
+  ById.erase(Of.Ticket.Id);
+  Requests.erase(Of.Sequence);
+}
+
+void RequestRouter::State::giveBack(const Hold &Of, TimePoint Now) {
+  Of.Owner->Peak.note(Of.Owner->Taken, Now);
+  --Of.Owner->Taken;
+  Of.Target->Pool.release(Of.Executor, Now);
+}
+
+void RequestRouter::State::endHolds(TimePoint Now) {
+  while (!Holds.empty() && Holds.begin()->first <= Now) {
+    giveBack(Holds.begin()->second, Now);
+    Holds.erase(Holds.begin());
+  }
+}
+
+void RequestRouter::State::expire(TimePoint Now) {
+  while (!Dues.empty() && Dues.begin()->first <= Now)
+    expireOne(Requests.at(Dues.begin()->second), Now);
+}
+
+void RequestRouter::State::expireOne(Request &Of, TimePoint Now) {
+  if (Of.Where == Phase::Queued) {
+    failLater(Of, Now >= AuthorityUntil
+                      ? noAuthority()
+                      : Error(ErrorKind::DeadlineExceeded,
+                              "no slot became free before the deadline",
+                              "allow a later deadline, or try again later"));
+    return;
+  }
+  giveBack({Of.Target, Of.Owner, Of.Executor}, Now);
+  Of.MayHaveRun = true;
+  failLater(Of, Error(ErrorKind::DeadlineExceeded,
+                      "the executor did not answer before the deadline",
+                      "find out from the upstream whether the request ran"));
+}
+
+Duration RequestRouter::State::timeoutOf(const Request &Of,
+                                         TimePoint Now) const {
+  const Duration Remaining = Of.Ticket.Deadline - Now;
+  const Duration Usual = Of.Target->Pool.meanLatency();
+  if (!Of.Ticket.Idempotent || Of.Sends >= MaxSends || Usual == Duration(0) ||
+      RetryTimeFactor * Usual >= Remaining / 2)
+    return Remaining;
+  return Remaining / 2;
+}
+
+bool RequestRouter::State::trySend(Upstream &Target, const QueueEntry &Entry,
+                                   TimePoint Now,
+                                   std::vector<RequestSend> &Sends) {
+  Request &Of = Requests.at(Entry.Sequence);
+  const std::optional<ExecutorPool::Choice> Chosen =
+      Target.Pool.take(Of.Tried, Now);
+  if (!Chosen)
+    return false;
+  dequeue(Of);
+  ++Of.Owner->Taken;
+  Of.Owner->Peak.note(Of.Owner->Taken, Now);
+  ++Of.Sends;
+  Of.Where = Phase::Sending;
+  Of.Executor = Chosen->Executor;
+  reschedule(Of, Of.Ticket.Deadline);
+  Sends.push_back({Of.Ticket.Id, Of.Sends, Chosen->Id, Chosen->Address,
+                   Of.Ticket.Idempotent, timeoutOf(Of, Now),
+                   Of.Ticket.Deadline});
+  return true;
+}
+
+void RequestRouter::State::dispatchQueue(Upstream &Target, TimePoint Now,
+                                         std::vector<RequestSend> &Sends) {
+  const auto MayRun = [this](const TeamName &Name) {
+    return Teams.at(Name).hasUnit();
+  };
+  const auto Send = [&](const QueueEntry &Entry) {
+    return trySend(Target, Entry, Now, Sends);
+  };
+  while (Target.Pool.hasFreeSlot() && Target.Queue.serveOne(MayRun, Send))
+    continue;
+}
+
+Error RequestRouter::State::withOutcome(const Request &Of,
+                                        const Error &Reason) const {
+  return {Reason.kind(), Reason.what(), Reason.remedy(), Of.outcome()};
+}
+
+void RequestRouter::State::countFailure(Outcome Result) {
+  ++(Result == Outcome::NotRun ? Counters.FailedNotRun
+                               : Counters.FailedUnknown);
+}
+
+CompletionStep RequestRouter::State::fail(Request &Of, const Error &Reason) {
+  CompletionStep Result{NextStep::Fail, withOutcome(Of, Reason)};
+  countFailure(Of.outcome());
+  erase(Of);
+  return Result;
+}
+
+void RequestRouter::State::failLater(Request &Of, const Error &Reason) {
+  const std::string Id = Of.Ticket.Id;
+  Pending.push_back({Id, *fail(Of, Reason).Failure});
+}
+
+CompletionStep RequestRouter::State::retry(Request &Of, TimePoint Now) {
+  if (std::optional<Error> Reason = refusalByConfig(Of.Ticket))
+    return fail(Of, *Reason);
+  if (Of.Ticket.Deadline - Now < LeastSendTime)
+    return fail(Of, Error(ErrorKind::DeadlineExceeded,
+                          "the deadline leaves no time for another send",
+                          "allow a later deadline"));
+  enqueue(Of);
+  ++Counters.Retries;
+  return {NextStep::Retry, std::nullopt};
+}
+
+CompletionStep RequestRouter::State::afterNotRun(Request &Of,
+                                                 const SendReport &Report,
+                                                 TimePoint Now) {
+  if (Report.Withheld)
+    return retry(Of, Now);
+  Of.Tried.push_back(Of.Executor);
+  if (Of.Sends < MaxSends && Of.Target->Pool.hasUntried(Of.Tried))
+    return retry(Of, Now);
+  return fail(Of, Error(ErrorKind::UpstreamFailed,
+                        "no executor took the request: " + Report.Detail,
+                        "try again later"));
+}
+
+CompletionStep RequestRouter::State::afterDoubt(Request &Of,
+                                                const SendReport &Report,
+                                                TimePoint Now) {
+  Of.MayHaveRun = true;
+  Of.Tried.push_back(Of.Executor);
+  if (Of.Ticket.Idempotent && Of.Sends < MaxSends &&
+      Of.Ticket.Deadline - Now >= LeastSendTime &&
+      Of.Target->Pool.hasUntried(Of.Tried)) {
+    if (Budget.tryTake(Now))
+      return retry(Of, Now);
+    ++Counters.RetriesDenied;
+  }
+  const bool Late = Of.Ticket.Deadline - Now < LeastSendTime;
+  return fail(
+      Of, Error(Late ? ErrorKind::DeadlineExceeded : ErrorKind::UpstreamFailed,
+                "the executor gave no usable answer: " + Report.Detail,
+                "find out from the upstream whether the request ran"));
+}
+
+void RequestRouter::State::noteHealth(const Request &Of,
+                                      const SendReport &Report, TimePoint Now) {
+  ExecutorPool &Pool = Of.Target->Pool;
+  if (Report.Leaving) {
+    Pool.noteLeaving(Of.Executor, Now);
+    return;
+  }
+  switch (Report.Result) {
+  case SendResult::Answered:
+    if (Report.Status < FirstServerErrorStatus)
+      Pool.noteSuccess(Of.Executor, Report.Latency, Now);
+    else
+      Pool.noteFailure(Of.Executor, Now);
+    return;
+  case SendResult::NotSent:
+    if (!Report.Withheld)
+      Pool.noteFailure(Of.Executor, Now);
+    return;
+  case SendResult::Refused:
+    Pool.noteFailure(Of.Executor, Now);
+    return;
+  case SendResult::InDoubt:
+    // Otherwise a caller with a short deadline could have healthy executors
+    // ejected.
+    if (Report.Latency >= TellingTimeout || Now < Of.Ticket.Deadline)
+      Pool.noteFailure(Of.Executor, Now);
+    return;
+  }
+}
+
+CompletionStep RequestRouter::State::afterReport(Request &Of,
+                                                 const SendReport &Report,
+                                                 TimePoint Now) {
+  noteHealth(Of, Report, Now);
+  const Hold Used{Of.Target, Of.Owner, Of.Executor};
+  if (Report.Result == SendResult::InDoubt && Now < Of.Ticket.Deadline)
+    Holds.emplace(Of.Ticket.Deadline, Used);
+  else
+    giveBack(Used, Now);
+  switch (Report.Result) {
+  case SendResult::Answered:
+    ++Counters.Delivered;
+    erase(Of);
+    return {NextStep::Deliver, std::nullopt};
+  case SendResult::NotSent:
+  case SendResult::Refused:
+    return afterNotRun(Of, Report, Now);
+  case SendResult::InDoubt:
+    break;
+  }
+  return afterDoubt(Of, Report, Now);
+}
+
+RequestRouter::RequestRouter(RouterOptions Options)
+    : Self(std::make_unique<State>(std::move(Options))) {}
+
+RequestRouter::~RequestRouter() = default;
+
+void RequestRouter::setConfig(const Config &Value) {
+  for (auto &[Name, Owner] : Self->Teams) {
+    Owner.Configured = false;
+    Owner.Limit = 0;
+  }
+  for (const auto &[Name, Team] : Value.Teams) {
+    State::Team &Owner = Self->team(Name);
+    Owner.Configured = true;
+    Owner.Share = Team.Share;
+    Owner.Limit = Team.Limit.Requests;
+  }
+  Self->KeyTeams.clear();
+  for (const auto &[Id, Key] : Value.Keys)
+    Self->KeyTeams[Key.Sha256] = Key.Team;
+  for (auto &[Name, Target] : Self->Upstreams)
+    Target.Configured = Value.Upstreams.contains(Name);
+  for (const auto &[Name, Upstream] : Value.Upstreams) {
+    State::Upstream &Target = Self->upstream(Name);
+    Target.Configured = true;
+    Target.Pool.setCapacity(std::min(Upstream.Slots, Upstream.Connections));
+  }
+  std::vector<std::pair<State::Request *, Error>> Refused;
+  for (auto &[Sequence, Of] : Self->Requests)
+    if (Of.Where == State::Phase::Queued)
+      if (std::optional<Error> Reason = Self->refusalByConfig(Of.Ticket))
+        Refused.emplace_back(&Of, *Reason);
+  for (const auto &[Of, Reason] : Refused)
+    Self->failLater(*Of, Reason);
+}
+
+void RequestRouter::setExecutors(const std::vector<ListedExecutor> &List,
+                                 TimePoint Now) {
+  std::map<std::string, std::vector<const ListedExecutor *>> ByUpstream;
+  for (const ListedExecutor &Entry : List)
+    ByUpstream[Entry.Upstream].push_back(&Entry);
+  for (const auto &[Name, Entries] : ByUpstream)
+    Self->upstream(Name);
+  for (auto &[Name, Target] : Self->Upstreams)
+    Target.Pool.setList(ByUpstream[Name], Now);
+}
+
+void RequestRouter::setSlotGrants(const std::string &Upstream,
+                                  const Amounts &ByExecutor) {
+  Self->upstream(Upstream).Pool.setGrants(ByExecutor);
+}
+
+void RequestRouter::setTeamGrants(const Amounts &ByTeam) {
+  for (auto &[Name, Owner] : Self->Teams)
+    Owner.Granted = 0;
+  for (const auto &[Name, Amount] : ByTeam)
+    Self->team(Name).Granted = Amount;
+}
+
+void RequestRouter::setAuthority(TimePoint ValidUntil) {
+  Self->AuthorityUntil = ValidUntil;
+}
+
+void RequestRouter::submit(const RequestTicket &Ticket, TimePoint Now) {
+  if (std::optional<Error> Reason = Self->refusal(Ticket, Now)) {
+    ++Self->Counters.Refused[Reason->kind()];
+    throw *Reason;
+  }
+  Self->accept(Ticket, Now);
+}
+
+DispatchResult RequestRouter::dispatch(TimePoint Now) {
+  DispatchResult Result;
+  Self->endHolds(Now);
+  Self->expire(Now);
+  for (auto &[Name, Target] : Self->Upstreams) {
+    Target.Pool.advance(Now);
+    if (Now < Self->AuthorityUntil)
+      Self->dispatchQueue(Target, Now, Result.Sends);
+  }
+  Result.Failures = std::exchange(Self->Pending, {});
+  return Result;
+}
+
+bool RequestRouter::maySend(const RequestSend &Send, TimePoint Now) const {
+  const State::Request *Of = Self->find(Send.Id);
+  return Of && Of->Where == State::Phase::Sending &&
+         Of->Sends == Send.Attempt && Now < Self->AuthorityUntil &&
+         Now < Send.Deadline && Of->Target->Pool.isLive(Of->Executor) &&
+         !Self->refusalByConfig(Of->Ticket);
+}
+
+CompletionStep RequestRouter::complete(const SendReport &Report,
+                                       TimePoint Now) {
+  State::Request *Of = Self->find(Report.Id);
+  if (!Of || Of->Where != State::Phase::Sending || Of->Sends != Report.Attempt)
+    return {};
+  return Self->afterReport(*Of, Report, Now);
+}
+
+std::optional<TimePoint> RequestRouter::nextWake() const {
+  std::optional<TimePoint> Result;
+  const auto Consider = [&Result](TimePoint Candidate) {
+    if (!Result || Candidate < *Result)
+      Result = Candidate;
+  };
+  if (!Self->Dues.empty())
+    Consider(Self->Dues.begin()->first);
+  if (!Self->Holds.empty())
+    Consider(Self->Holds.begin()->first);
+  for (const auto &[Name, Target] : Self->Upstreams)
+    if (const std::optional<TimePoint> Wake = Target.Pool.nextWake())
+      Consider(*Wake);
+  return Result;
+}
+
+RequestRouter::Amounts RequestRouter::wantedSlots(const std::string &Upstream,
+                                                  TimePoint Now) const {
+  const auto Where = Self->Upstreams.find(Upstream);
+  if (Where == Self->Upstreams.end())
+    return {};
+  const State::Upstream &Target = Where->second;
+  const std::size_t Waiting = Target.Queue.size();
+  if (!Target.Configured || (Self->Draining && Waiting == 0))
+    return Target.Pool.taken();
+  return Target.Pool.wanted(Waiting, Now);
+}
+
+RequestRouter::Amounts RequestRouter::wantedRequests(TimePoint Now) const {
+  Amounts Result;
+  for (const auto &[Name, Owner] : Self->Teams) {
+    const std::int64_t Recent = std::max(Owner.Taken, Owner.Peak.peak(Now));
+    const bool Active = Recent > 0 || Owner.Queued > 0;
+    // A reserve of one unit and a quarter spares an active team a wait for
+    // the next grant.
+    const std::int64_t Reserve = Active && !Self->Draining ? 1 + Recent / 4 : 0;
+    const std::int64_t Wish =
+        std::min(Recent + std::int64_t(Owner.Queued) + Reserve, Owner.Limit);
+    if (const std::int64_t Amount = std::max(Wish, Owner.Taken); Amount > 0)
+      Result[Name] = Amount;
+  }
+  return Result;
+}
+
+RequestRouter::Amounts
+RequestRouter::usedSlots(const std::string &Upstream) const {
+  const auto Where = Self->Upstreams.find(Upstream);
+  return Where == Self->Upstreams.end() ? Amounts()
+                                        : Where->second.Pool.taken();
+}
+
+RequestRouter::Amounts RequestRouter::usedRequests() const {
+  Amounts Result;
+  for (const auto &[Name, Owner] : Self->Teams)
+    if (Owner.Taken > 0)
+      Result[Name] = Owner.Taken;
+  return Result;
+}
+
+namespace {
+
+RequestRouter::Amounts surplus(const RequestRouter::Amounts &Held,
+                               const RequestRouter::Amounts &Wanted) {
+  RequestRouter::Amounts Result;
+  for (const auto &[Unit, Amount] : Held) {
+    const auto Where = Wanted.find(Unit);
+    const std::int64_t Rest =
+        Amount - (Where == Wanted.end() ? 0 : Where->second);
+    if (Rest > 0)
+      Result[Unit] = Rest;
+  }
+  return Result;
+}
+
+} // namespace
+
+RequestRouter::Amounts
+RequestRouter::releasableSlots(const std::string &Upstream,
+                               TimePoint Now) const {
+  const auto Where = Self->Upstreams.find(Upstream);
+  if (Where == Self->Upstreams.end())
+    return {};
+  return surplus(Where->second.Pool.granted(), wantedSlots(Upstream, Now));
+}
+
+RequestRouter::Amounts RequestRouter::releasableRequests(TimePoint Now) const {
+  Amounts Held;
+  for (const auto &[Name, Owner] : Self->Teams)
+    if (Owner.Granted > 0)
+      Held[Name] = Owner.Granted;
+  return surplus(Held, wantedRequests(Now));
+}
+
+void RequestRouter::drain() { Self->Draining = true; }
+
+std::vector<RequestFailure> RequestRouter::refuseQueued(TimePoint) {
+  std::vector<State::Request *> Waiting;
+  for (auto &[Sequence, Of] : Self->Requests)
+    if (Of.Where == State::Phase::Queued)
+      Waiting.push_back(&Of);
+  for (State::Request *Of : Waiting)
+    Self->failLater(*Of, draining());
+  return std::exchange(Self->Pending, {});
+}
+
+std::size_t RequestRouter::open() const { return Self->Requests.size(); }
+
+std::size_t RequestRouter::inFlight() const {
+  return Self->Requests.size() - Self->Queued;
+}
+
+RouterStats RequestRouter::stats() const {
+  RouterStats Result = Self->Counters;
+  Result.Queued = Self->Queued;
+  Result.InFlight = inFlight();
+  for (const auto &[Name, Target] : Self->Upstreams) {
+    Result.Ejections += Target.Pool.ejections();
+    Result.SlotsTaken += std::size_t(Target.Pool.takenSlots());
+    Result.SlotsGranted += std::size_t(Target.Pool.usableSlots());
+  }
+  for (const auto &[Name, Owner] : Self->Teams) {
+    if (Owner.Queued > 0)
+      Result.QueuedByTeam[Name] = Owner.Queued;
+    if (Owner.Taken > 0)
+      Result.TakenByTeam[Name] = std::size_t(Owner.Taken);
+  }
+  return Result;
+}
+
+} // namespace apricotwing
--- a/src/core/requestrouter.h
+++ b/src/core/requestrouter.h
@@ -25,6 +25,9 @@
   std::size_t QueuePerTeam = 64;
   /// Requests waiting in all queues; one team has at most half of it.
   std::size_t QueueTotal = 1024;
+  /// Longest time from submission to the deadline. Slots of an instance that
+  /// has died are reclaimed only after this time.
+  Duration MaxDeadline = std::chrono::seconds(10);
 };
 
 /// What the router has to know of an interactive request; the daemon keeps
@@ -58,8 +61,10 @@
   SendResult Result = SendResult::InDoubt;
   int Status = 0;       ///< HTTP status of an answer.
   bool Leaving = false; ///< The executor said that it is leaving.
-  Duration Latency{0};  ///< From the start of the send to its end.
-  std::string Detail;   ///< Why there is no answer.
+  /// maySend() was false, so nothing was sent and the executor is not at fault.
+  bool Withheld = false;
+  Duration Latency{0}; ///< From the start of the send to its end.
+  std::string Detail;  ///< Why there is no answer.
 };
 
 /// The final result of a request that was not answered.
@@ -94,7 +99,7 @@
   std::uint64_t FailedNotRun = 0;  ///< After they were queued.
   std::uint64_t FailedUnknown = 0; ///< After they were queued.
   std::uint64_t Retries = 0;
-  std::uint64_t RetriesDenied = 0; ///< For want of retry budget.
+  std::uint64_t RetriesDenied = 0; ///< The retry budget was used up.
   std::uint64_t Ejections = 0;
   std::map<ErrorKind, std::uint64_t> Refused; ///< Never queued.
   std::size_t Queued = 0;
@@ -147,7 +152,7 @@
   /// Draining, NotFound (upstream), Forbidden (team), UnknownKey (withdrawn),
   /// LimitReached, UpstreamFailed (no live executor), Overloaded (full queue,
   /// or the deadline cannot be met given the queue), DeadlineExceeded, or
-  /// BadRequest if the id is already known.
+  /// BadRequest (the id is already known, or the deadline is too far away).
   void submit(const RequestTicket &Ticket, TimePoint Now);
 
   /// Decides what to send now and which requests have failed: expired,
@@ -157,8 +162,9 @@
   DispatchResult dispatch(TimePoint Now);
 
   /// True if the send may still begin: authority, deadline and the executor's
-  /// state are as they have to be. To be asked right before the first byte;
-  /// if it is false, report SendResult::NotSent.
+  /// state are as they have to be, and the key is still in force. To be asked
+  /// right before the first byte; if it is false, report SendResult::NotSent
+  /// with Withheld.
   bool maySend(const RequestSend &Send, TimePoint Now) const;
 
   /// Takes the end of a send and says what follows. Exactly one report is due
