Test the request router, its queue, the retry budget and the key check

The first run of the tests found two faults: the expected wait left out requests with the same deadline, so nothing was refused early, and an executor was never probed after its ejection, since its single slot ranked below others. Change: the wait counts requests with equal deadlines, a probe ranks first, and SendReport::Withheld stands last, so that positional initialisers go on working.

--- a/src/core/executorpool.cpp
+++ b/src/core/executorpool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace apricotwing {
@@ -84,8 +85,11 @@
   const std::int64_t FreeSlots = Of.Usable - Of.Taken;
   if (FreeSlots <= 0)
     return;
+  // The one request of a probe goes first; with a single slot an executor
+  // would otherwise never be chosen again.
   Of.Ranked =
-      Rank{-FreeSlots, latencyClass(Of.Latency), !Of.SameZone, Of.Number};
+      Rank{Of.Probing ? std::numeric_limits<std::int64_t>::min() : -FreeSlots,
+           latencyClass(Of.Latency), !Of.SameZone, Of.Number};
   Free.insert(*Of.Ranked);
 }
 
--- a/src/core/fairqueue.cpp
+++ b/src/core/fairqueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace apricotwing {
 
@@ -81,7 +82,9 @@
     return 0;
   const auto &Entries = Where->second.Entries;
   return std::size_t(std::distance(
-      Entries.begin(), Entries.lower_bound(QueueEntry{Deadline, 0, false})));
+      Entries.begin(),
+      Entries.upper_bound(QueueEntry{
+          Deadline, std::numeric_limits<std::uint64_t>::max(), false})));
 }
 
 double FairQueue::fraction(const TeamName &Team, std::uint32_t Share) const {
--- a/src/core/fairqueue.h
+++ b/src/core/fairqueue.h
@@ -52,7 +52,7 @@
   /// The request of \p Team that is due last; empty if there is none.
   std::optional<QueueEntry> last(const TeamName &Team) const;
 
-  /// Requests of \p Team that go before one with \p Deadline.
+  /// Requests of \p Team that go before a new one with \p Deadline.
   std::size_t ahead(const TeamName &Team, TimePoint Deadline) const;
 
   /// Requests of all teams.
--- a/src/core/requestrouter.h
+++ b/src/core/requestrouter.h
@@ -61,10 +61,10 @@
   SendResult Result = SendResult::InDoubt;
   int Status = 0;       ///< HTTP status of an answer.
   bool Leaving = false; ///< The executor said that it is leaving.
+  Duration Latency{0};  ///< From the start of the send to its end.
+  std::string Detail;   ///< Why there is no answer.
   /// maySend() was false, so nothing was sent and the executor is not at fault.
   bool Withheld = false;
-  Duration Latency{0}; ///< From the start of the send to its end.
-  std::string Detail;  ///< Why there is no answer.
 };
 
 /// The final result of a request that was not answered.
--- /dev/null
+++ b/tests/core/requestrouter_test.cpp
@@ -0,0 +1,390 @@
+#include "core/error.h"
+#include "core/fairqueue.h"
+#include "core/keyauthenticator.h"
+#include "core/requestrouter.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace apricotwing {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Epoch0{100s};
+
+ListedExecutor executor(const std::string &Id, const std::string &Zone = "a",
+                        ListedState State = ListedState::Live) {
+  return {Id, "u", "127.0.0.1:" + Id, Zone, State};
+}
+
+/// A router with team "t" (limit 100), upstream "u" with 8 slots, and the
+/// given executors of 8 held slots each.
+struct Bench {
+  explicit Bench(const std::vector<ListedExecutor> &List,
+                 std::size_t QueueTotal = 1024)
+      : Router({"i1", "a", 64, QueueTotal}) {
+    Settings.Teams["t"].Limit.Requests = 100;
+    Settings.Upstreams["u"] = {};
+    Router.setConfig(Settings);
+    Router.setExecutors(List, Now);
+    Router.setAuthority(Now + 1h);
+    RequestRouter::Amounts Slots;
+    for (const ListedExecutor &Entry : List)
+      Slots[Entry.Id] = 8;
+    Router.setSlotGrants("u", Slots);
+    Router.setTeamGrants({{"t", 100}});
+  }
+
+  void addTeam(const TeamName &Team, std::uint32_t Share, std::int64_t Grant) {
+    Settings.Teams[Team] = {Share, {{}, 100}};
+    Router.setConfig(Settings);
+    Grants[Team] = Grant;
+    Router.setTeamGrants(Grants);
+  }
+
+  RequestTicket ticket(const TeamName &Team = "t", bool Idempotent = false,
+                       Duration Time = 2s) {
+    return {"r" + std::to_string(++Ids), Team, "", "u", Idempotent, Now + Time};
+  }
+
+  /// Kind of the refusal; empty if accepted.
+  std::optional<ErrorKind> submit(const RequestTicket &Ticket) {
+    try {
+      Router.submit(Ticket, Now);
+    } catch (const Error &Refusal) {
+      EXPECT_EQ(Refusal.outcome(), Outcome::NotRun);
+      return Refusal.kind();
+    }
+    return std::nullopt;
+  }
+
+  RequestSend sendOne(const RequestTicket &Ticket) {
+    EXPECT_EQ(submit(Ticket), std::nullopt);
+    const DispatchResult Result = Router.dispatch(Now);
+    EXPECT_EQ(Result.Sends.size(), 1U);
+    return Result.Sends.empty() ? RequestSend{} : Result.Sends.front();
+  }
+
+  CompletionStep report(const RequestSend &Send, SendResult Result,
+                        Duration Latency = 10ms, bool Leaving = false) {
+    return Router.complete(
+        {Send.Id, Send.Attempt, Result, 200, Leaving, Latency, "test"}, Now);
+  }
+
+  TimePoint Now = Epoch0;
+  Config Settings;
+  RequestRouter::Amounts Grants = {{"t", 100}};
+  RequestRouter Router;
+  int Ids = 0;
+};
+
+// Guards against a second execution of a non-idempotent request, and against
+// "not run" for one that may have run.
+TEST(RequestRouterTest, SecondSendsFollowTheResultOfTheFirst) {
+  struct Row {
+    bool Idempotent;
+    SendResult First;
+    NextStep Next;
+  };
+  for (const Row &Case : {
+           Row{false, SendResult::Answered, NextStep::Deliver},
+           Row{false, SendResult::NotSent, NextStep::Retry},
+           Row{false, SendResult::Refused, NextStep::Retry},
+           Row{false, SendResult::InDoubt, NextStep::Fail},
+           Row{true, SendResult::InDoubt, NextStep::Retry},
+       }) {
+    Bench World({executor("1"), executor("2")});
+    const RequestSend First = World.sendOne(World.ticket("t", Case.Idempotent));
+    const CompletionStep Step = World.report(First, Case.First);
+    EXPECT_EQ(Step.Next, Case.Next) << int(Case.First);
+    if (Step.Next == NextStep::Fail) {
+      EXPECT_EQ(Step.Failure->outcome(), Outcome::Unknown);
+    }
+    EXPECT_EQ(World.report(First, SendResult::Answered).Next, NextStep::Ignore);
+    const DispatchResult Again = World.Router.dispatch(World.Now);
+    if (Case.Next != NextStep::Retry) {
+      EXPECT_TRUE(Again.Sends.empty());
+      continue;
+    }
+    ASSERT_EQ(Again.Sends.size(), 1U);
+    EXPECT_NE(Again.Sends[0].Executor, First.Executor);
+    const CompletionStep Last =
+        World.report(Again.Sends[0], SendResult::Refused);
+    ASSERT_EQ(Last.Next, NextStep::Fail);
+    EXPECT_EQ(Last.Failure->outcome(), Case.First == SendResult::InDoubt
+                                           ? Outcome::Unknown
+                                           : Outcome::NotRun);
+  }
+}
+
+// Guards against an executor above its slots after an answer was lost.
+TEST(RequestRouterTest, ASlotInDoubtStaysTakenUntilTheDeadline) {
+  Bench World({executor("1")});
+  World.Router.setSlotGrants("u", {{"1", 1}});
+  const RequestSend Lost = World.sendOne(World.ticket());
+  World.Now += 100ms;
+  World.report(Lost, SendResult::InDoubt);
+  ASSERT_EQ(World.submit(World.ticket("t", false, 5s)), std::nullopt);
+  World.Now = Lost.Deadline - 1ms;
+  EXPECT_TRUE(World.Router.dispatch(World.Now).Sends.empty());
+  EXPECT_EQ(World.Router.usedSlots("u"), (RequestRouter::Amounts{{"1", 1}}));
+  EXPECT_EQ(World.Router.nextWake(), Lost.Deadline);
+  World.Now = Lost.Deadline;
+  EXPECT_EQ(World.Router.dispatch(World.Now).Sends.size(), 1U);
+}
+
+// Guards against requests that are accepted although they cannot or must not
+// run, and against a refusal without the right reason.
+TEST(RequestRouterTest, RefusesWhatCannotRun) {
+  Bench World({executor("1")});
+  RequestTicket Other = World.ticket();
+  Other.Upstream = "nowhere";
+  EXPECT_EQ(World.submit(Other), ErrorKind::NotFound);
+  EXPECT_EQ(World.submit(World.ticket("stranger")), ErrorKind::Forbidden);
+  EXPECT_EQ(World.submit(World.ticket("t", false, 11s)), ErrorKind::BadRequest);
+  EXPECT_EQ(World.submit(World.ticket("t", false, 1ms)),
+            ErrorKind::DeadlineExceeded);
+  World.Settings.Teams["none"];
+  World.Settings.Keys["k"] = {"t", "hash"};
+  World.Router.setConfig(World.Settings);
+  EXPECT_EQ(World.submit(World.ticket("none")), ErrorKind::LimitReached);
+  World.Router.setSlotGrants("u", {});
+  RequestTicket Keyed = World.ticket();
+  Keyed.KeySha256 = "hash";
+  EXPECT_EQ(World.submit(Keyed), std::nullopt);
+  World.Settings.Keys.clear();
+  World.Router.setConfig(World.Settings);
+  EXPECT_EQ(World.submit(Keyed), ErrorKind::UnknownKey);
+  const DispatchResult Result = World.Router.dispatch(World.Now);
+  ASSERT_EQ(Result.Failures.size(), 1U);
+  EXPECT_EQ(Result.Failures[0].Reason.kind(), ErrorKind::UnknownKey);
+  for (int I = 0; I < 64; ++I)
+    EXPECT_EQ(World.submit(World.ticket()), std::nullopt);
+  EXPECT_EQ(World.submit(World.ticket()), ErrorKind::Overloaded);
+  World.Router.setAuthority(World.Now);
+  EXPECT_EQ(World.submit(World.ticket()), ErrorKind::NoAuthority);
+  World.Router.drain();
+  EXPECT_EQ(World.submit(World.ticket()), ErrorKind::Draining);
+  EXPECT_EQ(World.Router.refuseQueued(World.Now).size(), 64U);
+  World.Router.setExecutors({}, World.Now);
+  EXPECT_EQ(World.Router.open(), 0U);
+}
+
+// Guards against requests that wait in a queue only to fail at their deadline,
+// and against refusing when nothing waits.
+TEST(RequestRouterTest, RefusesEarlyWhatTheQueueMakesTooLate) {
+  Bench World({executor("1")});
+  World.Router.setSlotGrants("u", {{"1", 1}});
+  RequestSend Running = World.sendOne(World.ticket());
+  World.Now += 500ms;
+  World.report(Running, SendResult::Answered, 500ms);
+  Running = World.sendOne(World.ticket("t", false, 10s));
+  int Accepted = 0;
+  while (World.submit(World.ticket("t", false, 2s)) == std::nullopt)
+    ++Accepted;
+  // Each takes 500 ms, so about three can be answered within 2 s.
+  EXPECT_GE(Accepted, 2);
+  EXPECT_LE(Accepted, 4);
+  EXPECT_EQ(World.submit(World.ticket("t", false, 10s)), std::nullopt);
+}
+
+// Guards against a large client account that starves small ones: shares are
+// kept under a standing backlog, and a full queue gives way to a small team.
+TEST(RequestRouterTest, ALargeTeamDoesNotStarveSmallOnes) {
+  Bench World({executor("1")}, 100);
+  World.Router.setSlotGrants("u", {{"1", 4}});
+  World.addTeam("large", 3, 100);
+  World.addTeam("small", 1, 100);
+  for (const char *Team : {"large", "t"})
+    for (int I = 0; I < 50; ++I)
+      ASSERT_EQ(World.submit(World.ticket(Team, false, 9s)), std::nullopt);
+  for (int I = 0; I < 20; ++I)
+    ASSERT_EQ(World.submit(World.ticket("small", false, 9s)), std::nullopt);
+  EXPECT_EQ(World.Router.stats().Queued, 100U);
+  std::map<char, int> Served;
+  std::size_t Displaced = 0;
+  for (int Round = 0; Round < 10; ++Round) {
+    const DispatchResult Result = World.Router.dispatch(World.Now);
+    Displaced += Result.Failures.size();
+    for (const RequestSend &Send : Result.Sends) {
+      const int Number = std::stoi(Send.Id.substr(1));
+      ++Served[Number <= 50 ? 'l' : Number <= 100 ? 't' : 's'];
+      World.report(Send, SendResult::Answered);
+    }
+  }
+  EXPECT_EQ(Displaced, 20U);
+  // 40 sends in the proportion 3 : 1 : 1.
+  EXPECT_NEAR(Served['l'], 24, 1);
+  EXPECT_NEAR(Served['t'], 8, 1);
+  EXPECT_NEAR(Served['s'], 8, 1);
+}
+
+// Guards against a team that was held back by its limit and then makes up for
+// it at the cost of the others.
+TEST(FairQueueTest, ABlockedTeamDoesNotCatchUp) {
+  FairQueue Queue;
+  std::uint64_t Sequence = 0;
+  for (const char *Team : {"held", "free"})
+    for (int I = 0; I < 100; ++I)
+      Queue.push(Team, 1, {Epoch0, ++Sequence});
+  const auto Take = [](const QueueEntry &) { return true; };
+  for (int I = 0; I < 50; ++I)
+    Queue.serveOne([](const TeamName &Team) { return Team == "free"; }, Take);
+  int Held = 0;
+  for (int I = 0; I < 20; ++I)
+    Queue.serveOne([](const TeamName &) { return true; },
+                   [&Held](const QueueEntry &Entry) {
+                     Held += Entry.Sequence <= 100;
+                     return true;
+                   });
+  EXPECT_NEAR(Held, 10, 1);
+  EXPECT_EQ(Queue.size(), 130U);
+}
+
+// Guards against a team above its limit, and a deadline order that lets an
+// urgent request of the same team expire.
+TEST(RequestRouterTest, KeepsTeamLimitsAndDeadlineOrder) {
+  Bench World({executor("1")});
+  World.addTeam("few", 1, 2);
+  RequestTicket Late = World.ticket("few", false, 5s);
+  RequestTicket Soon = World.ticket("few", false, 1s);
+  RequestTicket Middle = World.ticket("few", false, 3s);
+  for (const RequestTicket *Ticket : {&Late, &Soon, &Middle})
+    ASSERT_EQ(World.submit(*Ticket), std::nullopt);
+  const DispatchResult Result = World.Router.dispatch(World.Now);
+  ASSERT_EQ(Result.Sends.size(), 2U);
+  EXPECT_EQ(Result.Sends[0].Id, Soon.Id);
+  EXPECT_EQ(Result.Sends[1].Id, Middle.Id);
+}
+
+// Guards against a choice that piles requests on a busy, slow or distant
+// executor.
+TEST(RequestRouterTest, PrefersFreeSlotsThenLatencyThenZone) {
+  Bench World({executor("1", "b"), executor("2", "a"), executor("3", "b")});
+  const RequestSend InZone = World.sendOne(World.ticket());
+  EXPECT_EQ(InZone.Executor, "2");
+  World.report(InZone, SendResult::Answered, 400ms);
+  const RequestSend Fast = World.sendOne(World.ticket());
+  EXPECT_EQ(Fast.Executor, "1");
+  EXPECT_EQ(World.sendOne(World.ticket()).Executor, "3");
+  EXPECT_EQ(World.sendOne(World.ticket()).Executor, "2");
+}
+
+// Guards against requests that are wasted on an executor that keeps failing,
+// and against ejecting so many that none is left.
+TEST(RequestRouterTest, EjectsFailingExecutorsWithBackoff) {
+  Bench World({executor("1"), executor("2")});
+  int Bad = 0;
+  const auto Drive = [&World, &Bad](Duration Time) {
+    for (const TimePoint End = World.Now + Time; World.Now < End;
+         World.Now += 100ms) {
+      EXPECT_EQ(World.submit(World.ticket()), std::nullopt);
+      for (DispatchResult Result = World.Router.dispatch(World.Now);
+           !Result.Sends.empty(); Result = World.Router.dispatch(World.Now)) {
+        const RequestSend &Send = Result.Sends.front();
+        Bad += Send.Executor == "1";
+        World.report(Send, Send.Executor == "1" ? SendResult::NotSent
+                                                : SendResult::Answered);
+      }
+    }
+  };
+  Drive(500ms);
+  EXPECT_EQ(Bad, 3);
+  // Ejected at 0.2 s for 1, 2, 4, 8 and 16 s, with one probe after each; the
+  // last one ends at 31.2 s.
+  Drive(30s);
+  EXPECT_EQ(Bad, 7);
+  EXPECT_EQ(World.Router.stats().Ejections, 5U);
+  EXPECT_EQ(World.Router.stats().FailedNotRun, 0U);
+}
+
+// Guards against new requests for an executor that said that it leaves while
+// the lagging list still shows it as live.
+TEST(RequestRouterTest, ALeavingExecutorGetsNothingNew) {
+  Bench World({executor("1"), executor("2", "b")});
+  RequestSend Send = World.sendOne(World.ticket());
+  ASSERT_EQ(Send.Executor, "1");
+  EXPECT_TRUE(World.Router.maySend(Send, World.Now));
+  World.report(Send, SendResult::Refused, 1ms, true);
+  World.Router.setExecutors({executor("1"), executor("2", "b")}, World.Now);
+  for (int I = 0; I < 7; ++I)
+    World.submit(World.ticket());
+  for (const RequestSend &Next : World.Router.dispatch(World.Now).Sends) {
+    EXPECT_EQ(Next.Executor, "2");
+    Send = Next;
+  }
+  World.Router.setExecutors({executor("2", "b", ListedState::Leaving)},
+                            World.Now);
+  EXPECT_FALSE(World.Router.maySend(Send, World.Now));
+  EXPECT_EQ(World.submit(World.ticket()), ErrorKind::UpstreamFailed);
+  World.Router.setExecutors({executor("1")}, World.Now);
+  EXPECT_EQ(World.sendOne(World.ticket()).Executor, "1");
+}
+
+// Guards against giving back slots that are in use, against keeping idle ones,
+// and against requests that wait while nobody asks for slots.
+TEST(RequestRouterTest, WishesFollowTheUse) {
+  Bench World({executor("1"), executor("2")});
+  const RequestSend Send = World.sendOne(World.ticket());
+  RequestRouter::Amounts Spare = World.Router.releasableSlots("u", World.Now);
+  EXPECT_EQ(Spare["1"] + Spare["2"], 16 - 1 - 2);
+  EXPECT_EQ(World.Router.wantedRequests(World.Now),
+            (RequestRouter::Amounts{{"t", 2}}));
+  World.report(Send, SendResult::InDoubt);
+  World.Now += 1s;
+  EXPECT_EQ(World.Router.usedSlots("u").size(), 1U);
+  World.Now += 20s;
+  World.Router.dispatch(World.Now);
+  World.Now += 20s;
+  EXPECT_EQ(World.Router.releasableRequests(World.Now)["t"], 100);
+  World.Router.setSlotGrants("u", {});
+  for (int I = 0; I < 6; ++I)
+    ASSERT_EQ(World.submit(World.ticket()), std::nullopt);
+  RequestRouter::Amounts Wanted = World.Router.wantedSlots("u", World.Now);
+  EXPECT_EQ(Wanted["1"], 4);
+  EXPECT_EQ(Wanted["2"], 4);
+}
+
+// Guards against retries that multiply the load of a failing upstream.
+TEST(RetryBudgetTest, AllowsATenthAndThreePerSecond) {
+  RetryBudget Budget;
+  TimePoint Now = Epoch0;
+  int Taken = 0;
+  for (int I = 0; I < 10; ++I)
+    Taken += Budget.tryTake(Now);
+  EXPECT_EQ(Taken, 3);
+  for (int Second = 0; Second < 30; ++Second, Now += 1s) {
+    for (int I = 0; I < 200; ++I)
+      Budget.noteRequest(Now);
+    Taken = 0;
+    for (int I = 0; I < 200; ++I)
+      Taken += Budget.tryTake(Now);
+    EXPECT_LE(Taken, 20);
+    EXPECT_GE(Taken, 17);
+  }
+}
+
+// Guards against keys that work without being in force, and against a team's
+// key that opens the operators' calls.
+TEST(KeyAuthenticatorTest, OnlyKeysInForceAuthenticate) {
+  Config Settings;
+  Settings.Keys["k1"] = {"t", "#secret"};
+  const KeyAuthenticator Check(
+      Settings, {{"first", "#owner"}},
+      [](std::string_view Key) { return "#" + std::string(Key); });
+  EXPECT_EQ(Check.authenticateTeam("Bearer secret").Name, "t");
+  EXPECT_EQ(Check.authenticateOwner("Bearer owner").Name, "first");
+  EXPECT_THROW(Check.authenticateOwner("Bearer secret"), Error);
+  EXPECT_THROW(Check.authenticateTeam("Bearer owner"), Error);
+  for (const char *Header :
+       {"", "Bearer ", "Bearer x", "secret", "Basic secret", "Bearer #secret"})
+    EXPECT_THROW(Check.authenticate(Header), Error) << Header;
+}
+
+} // namespace
+} // namespace apricotwing
