Fuzz sessions, shards, grants and configuration in virtual time

Up to four instances with clocks of different rates run rounds, ticks and pool rounds on one simulated store, with outages, partitions, pauses inside calls, crashes, lost answers, late writes and operators that race.

Two faults that it found are fixed here: - An instance that signed a configuration right before an outage extended its authority with the old one: only the peers' versions were compared. - A shard counted as owned while its release was on its way.

--- a/src/core/promisebook.cpp
+++ b/src/core/promisebook.cpp
@@ -18,6 +18,10 @@
 // race at least one sees the other. Both may be refused, never neither.
 bool PromiseBook::promise(TimePoint Now, Duration Span) {
   raiseTo(PromisedUntilMs, (Now + Span).time_since_epoch().count());
+  return isSettled();
+}
+
+bool PromiseBook::isSettled() const {
   // leaveInDoubt() counts the doubt before it ends the flight.
   return InFlight.load() == 0 && Doubts.load() == SettledDoubts.load();
 }
--- a/src/core/promisebook.h
+++ b/src/core/promisebook.h
@@ -43,6 +43,9 @@
   /// Called after the whole round succeeded. Thread-safe.
   void settleDoubts(std::uint64_t Mark);
 
+  /// True if no announced transaction is in flight or in doubt. Thread-safe.
+  bool isSettled() const;
+
   /// True while a promise is outstanding. Thread-safe.
   bool isPromised(TimePoint Now) const;
 
--- a/src/core/sessionmanager.cpp
+++ b/src/core/sessionmanager.cpp
@@ -210,6 +210,10 @@
   const std::shared_ptr<const SessionView> Last = View.load();
   if (!Last || !Lease.isValid(Time.now()))
     return false;
+  // A configuration that this process has signed, or may have signed, since
+  // its last round would otherwise stay out of force here.
+  if (!Book.isSettled() || Book.configVersion() > Newest.load()->Version)
+    return false;
   const TimePoint AskedAt = Time.now();
   for (const MemberRow &Member : Last->Members) {
     if (Member.Record.Id == Last->Own ||
--- a/src/core/shardownership.cpp
+++ b/src/core/shardownership.cpp
@@ -90,7 +90,7 @@
     return;
   Holding &Held = Found->second;
   if (Held.Pending) {
-    const bool Releasing = Held.PendingRecord.Owner.Instance.empty();
+    const bool Releasing = isReleasing(Held);
     if (submit(Shard, Held) == TickResult::LostOwnership || Releasing)
       return;
   }
@@ -102,7 +102,12 @@
 
 bool ShardOwnership::isOwner(const ShardId &Shard, TimePoint Now) const {
   const auto Found = Owned.find(Shard);
-  return Found != Owned.end() && Session.isValidFor(Found->second.Session, Now);
+  return Found != Owned.end() && !isReleasing(Found->second) &&
+         Session.isValidFor(Found->second.Session, Now);
+}
+
+bool ShardOwnership::isReleasing(const Holding &Held) {
+  return Held.Pending && Held.PendingRecord.Owner.Instance.empty();
 }
 
 std::optional<ShardRecord> ShardOwnership::owned(const ShardId &Shard) const {
--- a/src/core/shardownership.h
+++ b/src/core/shardownership.h
@@ -80,7 +80,8 @@
   void forgetAll() { Owned.clear(); }
 
   /// True if this process owns \p Shard and its session is valid at \p Now.
-  /// Nothing may be started otherwise.
+  /// Nothing may be started otherwise. False from the moment release() sends
+  /// its write.
   bool isOwner(const ShardId &Shard, TimePoint Now) const;
 
   /// The shard row as this owner last wrote it; empty if not owned.
@@ -133,6 +134,7 @@
 
   std::optional<RowCondition> endedOwner(const SessionId &Owner);
   Holding &idleHolding(const ShardId &Shard);
+  static bool isReleasing(const Holding &Held);
   void prepare(const ShardId &Shard, Holding &Held, const ShardRecord &Next);
   bool learnVersion(const ShardId &Shard, Holding &Held);
   TickResult submit(const ShardId &Shard, Holding &Held);
--- /dev/null
+++ b/tests/core/simcell.h
@@ -0,0 +1,177 @@
+/// \file
+/// Several instances on one simulated store, in virtual time, with an oracle
+/// that is written from the design page.
+#ifndef APRICOTWING_TESTS_SIMCELL_H
+#define APRICOTWING_TESTS_SIMCELL_H
+
+#include "simcodec.h"
+#include "simtable.h"
+
+#include "core/configledger.h"
+#include "core/grantholder.h"
+#include "core/membership.h"
+#include "core/sessionmanager.h"
+#include "core/shardownership.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotwing::simulation {
+
+class Cell;
+
+/// A clock that runs at its own rate.
+class SimClock : public Clock {
+public:
+  SimClock(const Cell &World, double Rate, std::int64_t OffsetMs)
+      : World(World), Rate(Rate), OffsetMs(OffsetMs) {}
+  TimePoint now() const override;
+
+  const Cell &World;
+  const double Rate;
+  const std::int64_t OffsetMs;
+};
+
+class SimPeers : public PeerClient {
+public:
+  SimPeers(Cell &World, std::string Caller)
+      : World(World), Caller(std::move(Caller)) {}
+  std::optional<PeerPromise> askPromise(const std::string &Address,
+                                        const InstanceId &From,
+                                        Epoch SessionEpoch) override;
+  void notify(const std::string &, const ShardId &) override {}
+
+private:
+  Cell &World;
+  const std::string Caller;
+};
+
+/// A request on its way: it occupies a slot until its deadline.
+struct Flight {
+  std::string Unit;
+  SessionId Session;
+  std::int64_t EndsMs = 0; ///< In true time.
+  std::optional<GrantUse> Use;
+};
+
+/// One start of an instance.
+class Process {
+public:
+  Process(Cell &World, const std::string &Name, int Start, double Rate);
+
+  /// Does what is due. Called for processes that run.
+  void step();
+
+  bool tickShard(const ShardId &Shard);
+
+  Cell &World;
+  const std::string Name;
+  SimClock Time;
+  SimPort Table;
+  SimPeers Peers;
+  TransactionIds Ids;
+  SessionManager Session;
+  Membership Members;
+  ShardOwnership Shards;
+  GrantLedger Grants;
+  GrantHolder Holder;
+  ConfigLedger Ledger;
+  bool Busy = false; ///< Inside a call; cannot start another step.
+  bool Leaving = false;
+  bool Removed = false;
+  std::uint64_t NewestSeen = 0; ///< Highest configuration version served.
+  SessionId GrantSession;       ///< That the grants in Holder belong to.
+
+private:
+  void round();
+  void poolRound();
+  void tick();
+  void finish();
+  void sendRequests();
+  void recover(const ShardId &Shard);
+  void learn(const ShardId &Shard, TickResult Result);
+
+  TimePoint NextRound = TimePoint::min();
+  TimePoint NextTick = TimePoint::min();
+  std::map<ShardId, std::vector<std::string>> Replayed; ///< Owned shards.
+  std::map<ShardId, std::string> PendingEvent;
+  int Events = 0;
+};
+
+/// The cell and its oracle.
+class Cell {
+public:
+  explicit Cell(std::uint32_t Seed = 1);
+
+  /// Starts the instance unless its process exists.
+  Process *start(const std::string &Name);
+  void crash(const std::string &Name);
+
+  /// Lets true time pass in steps and checks the oracle after each.
+  void run(Duration Span);
+
+  /// Called by the ports around each effect.
+  void disturb(const std::string &Caller);
+
+  /// First violation of a promise; empty if there is none.
+  const std::string &fault() const { return Fault; }
+  void report(const std::string &What);
+
+  Process *find(const std::string &Name);
+  bool isRunning(const std::string &Name) const;
+  int random(int Limit) { return int(Source() % std::uint32_t(Limit)); }
+
+  std::int64_t TrueMs = 0;
+  AuthoritySettings Settings; ///< For processes started from now on.
+  SimStore Store;
+  SimObjects Objects;
+  SimCodec Codec;
+  std::map<std::string, std::unique_ptr<Process>> Processes;
+  std::set<std::string> Paused;
+  std::set<std::pair<std::string, std::string>> CutLinks;
+  std::map<std::string, int> StallMs; ///< Pause inside the next call.
+  bool Interleave = false; ///< Others act while an instance is in a call.
+  std::deque<Flight> Flights;
+  /// Events whose commit was reported to their shard's owner.
+  std::map<ShardId, std::set<std::string>> Acknowledged;
+
+  static inline const std::string Pool = keys::executorPool("fit");
+  static inline const UnitAmounts Capacity = {{"e1", 4}, {"e2", 3}};
+  static inline const std::vector<ShardId> ShardNames = {"s0", "s1"};
+
+private:
+  void stepAll();
+  void checkCommit(const Transaction &Change);
+  void checkConfig(const Row &Written, const Transaction &Change);
+  void checkOracle();
+  void checkServedConfig(Process &Each);
+  void checkGrants();
+  void checkOwners();
+  std::optional<Row> rowIn(const Transaction &Change, const std::string &Key);
+
+  std::mt19937 Source;
+  std::string Fault;
+  int Depth = 0;
+  int Starts = 0;
+  std::map<std::uint64_t, std::int64_t> AcceptedMs; ///< By version.
+  std::map<std::uint64_t, std::int64_t> RevokedMs;  ///< By version.
+  std::map<ShardId, ShardRecord> LastShard;
+  std::map<ShardId, std::uint64_t> LastSequence;
+};
+
+/// The configuration that instances write if there is none.
+Config initialConfig();
+
+/// SHA-256 of the key that the simulation adds and withdraws.
+inline const std::string KeyHash(64, 'a');
+
+} // namespace apricotwing::simulation
+
+#endif
