Let a busy holder make room, tell a lost shard from a damaged one

An instance that found a pool used up got nothing as long as the others stayed busy. It now leaves a grant of 0 behind; holders with more than an equal part let their use fall to it. A holder whose idle time was over was not due for a round, so it never gave anything back when the daemon asked needsRound() first; fixed.

--- a/src/core/grantholder.cpp
+++ b/src/core/grantholder.cpp
@@ -50,53 +50,69 @@
   return (Amount + Step - 1) / Step * Step;
 }
 
-std::int64_t GrantHolder::target(const UnitState &State, TimePoint Now) const {
-  const bool WindowOver =
-      State.PeakSince && Now - *State.PeakSince >= IdleAfter;
-  const std::int64_t Keep = WindowOver ? State.Peak : State.Granted;
-  const std::int64_t Needed = roundUp(State.InUse + State.Unmet);
-  std::int64_t Target = std::max(Needed, WindowOver ? roundUp(Keep) : Keep);
-  if (State.Ceiling)
-    Target = std::min(Target, *State.Ceiling);
-  return std::max(Target, State.InUse);
+bool GrantHolder::isWindowOver(const UnitState &State, TimePoint Now) const {
+  return State.PeakSince && Now - *State.PeakSince >= IdleAfter;
+}
+
+std::int64_t GrantHolder::limit(const UnitState &State, TimePoint Now) const {
+  const std::int64_t Keep =
+      isWindowOver(State, Now) ? roundUp(State.Peak) : State.Granted;
+  const std::int64_t Wanted =
+      std::max(Keep, roundUp(State.InUse + State.Unmet));
+  return State.Ceiling ? std::min(Wanted, *State.Ceiling) : Wanted;
 }
 
 bool GrantHolder::needsRound(TimePoint Now) const {
   return std::any_of(Units.begin(), Units.end(), [&](const auto &Entry) {
     const UnitState &State = Entry.second;
-    return State.Uncertain || target(State, Now) != State.Granted;
+    const std::int64_t Target = std::max(limit(State, Now), State.InUse);
+    const bool MayBeIdle = State.Granted > 0 && isWindowOver(State, Now);
+    return MayBeIdle || State.Uncertain || Target != State.Granted ||
+           (State.Waiting && Target == 0);
   });
 }
 
 UnitAmounts GrantHolder::beginRound(TimePoint Now) {
   UnitAmounts Targets;
   for (auto &[Unit, State] : Units) {
-    const std::int64_t Target = target(State, Now);
-    if (Target != State.Granted || State.Uncertain)
+    const std::int64_t Limit = limit(State, Now);
+    const std::int64_t Target = std::max(Limit, State.InUse);
+    State.Uncertain |=
+        Target != State.Granted || (State.Waiting && Target == 0);
+    if (State.Uncertain)
       Targets[Unit] = Target;
-    State.Usable = std::min(State.Usable, Target);
+    // Below what is in use, so that the use falls while it is above the limit.
+    State.Usable = std::min(State.Usable, Limit);
     State.Unmet = 0;
-    if (State.PeakSince && Now - *State.PeakSince < IdleAfter)
+    if (State.PeakSince && !isWindowOver(State, Now))
       continue;
     State.PeakSince = Now;
     State.Peak = State.InUse;
   }
-  for (const auto &[Unit, Target] : Targets)
-    Units[Unit].Uncertain = true;
   return Targets;
 }
 
 void GrantHolder::endRound(const PoolShare &Share) {
   for (const auto &[Unit, Amount] : Share.Granted)
-    Units[Unit].Granted = Amount;
+    Units.try_emplace(Unit);
   for (auto &[Unit, State] : Units) {
-    State.Granted = State.Usable = amountIn(Share.Granted, Unit);
+    State.Granted = amountIn(Share.Granted, Unit);
+    State.Waiting = State.Granted == 0 && Share.Granted.contains(Unit);
     State.Uncertain = false;
     const std::int64_t Free = amountIn(Share.Free, Unit);
-    // After a reduction of the capacity the holders give back the excess.
-    State.Ceiling = Free < 0 ? std::max<std::int64_t>(State.Granted + Free, 0)
-                             : amountIn(Share.Capacity, Unit);
+    std::int64_t Ceiling = amountIn(Share.Capacity, Unit);
+    if (Free < 0) // The capacity was lowered.
+      Ceiling = std::max<std::int64_t>(State.Granted + Free, 0);
+    if (const auto Fair = Share.Fair.find(Unit); Fair != Share.Fair.end())
+      Ceiling = std::min(Ceiling, Fair->second);
+    State.Ceiling = Ceiling;
+    State.Usable = std::min(State.Granted, Ceiling);
   }
+  std::erase_if(Units, [&](const auto &Entry) {
+    const UnitState &State = Entry.second;
+    return !Share.Capacity.contains(Entry.first) && State.Granted == 0 &&
+           State.InUse == 0 && !State.Waiting;
+  });
 }
 
 std::int64_t GrantHolder::amountIn(const UnitAmounts &Amounts,
--- a/src/core/grantholder.h
+++ b/src/core/grantholder.h
@@ -52,13 +52,14 @@
   /// Amount of \p Unit that may be used at most.
   std::int64_t usable(const std::string &Unit) const;
 
-  /// True if beginRound() would change something.
+  /// True if beginRound() is due.
   bool needsRound(TimePoint Now) const;
 
-  /// Starts a round: decides the targets, lowers the usable amounts to them
-  /// at once, and returns the targets that differ from the grant for
-  /// GrantLedger::adjust(). Never goes below what is in use. A unit whose
-  /// grant exceeds \p Capacity (from the last endRound()) is lowered.
+  /// Starts a round: lowers what may be used to the limit of each unit at
+  /// once, and returns the targets that differ from the grants, for
+  /// GrantLedger::adjust(). A target is never below what is in use. The limit
+  /// follows demand, use within the idle time, capacity and the fair part. If
+  /// there are no targets, call adjust() without any every few seconds.
   UnitAmounts beginRound(TimePoint Now);
 
   /// The round returned \p Share. If it failed instead, nothing is called:
@@ -72,16 +73,18 @@
 private:
   struct UnitState {
     std::int64_t Granted = 0; ///< As last read from the row.
-    std::int64_t Usable = 0;  ///< At most Granted.
+    std::int64_t Usable = 0;  ///< At most Granted; may be below InUse.
     std::int64_t InUse = 0;
     std::int64_t Unmet = 0; ///< Wanted beyond the grant.
     std::int64_t Peak = 0;  ///< Highest use since PeakSince.
     std::optional<TimePoint> PeakSince;
-    std::optional<std::int64_t> Ceiling; ///< Capacity of the unit.
+    std::optional<std::int64_t> Ceiling; ///< Most that may be held.
+    bool Waiting = false;                ///< The row holds a grant of 0.
     bool Uncertain = false; ///< Part of a round that has not returned.
   };
 
-  std::int64_t target(const UnitState &State, TimePoint Now) const;
+  bool isWindowOver(const UnitState &State, TimePoint Now) const;
+  std::int64_t limit(const UnitState &State, TimePoint Now) const;
   std::int64_t roundUp(std::int64_t Amount) const;
   static std::int64_t amountIn(const UnitAmounts &Amounts,
                                const std::string &Unit);
--- a/src/core/grantledger.cpp
+++ b/src/core/grantledger.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 
 namespace apricotwing {
 
@@ -25,23 +26,25 @@
 }
 
 /// Sets one grant as far as the capacity allows; returns whether it changed.
+/// A holder that gets nothing of what it wants leaves a grant of 0 behind.
 bool setGrant(PoolRecord &Record, const std::string &Holder,
               const std::string &Unit, std::int64_t Target) {
   const auto Own = Record.Grants.find(Holder);
-  const std::int64_t Old =
-      Own == Record.Grants.end() ? 0 : amountOf(Own->second, Unit);
+  const bool Entered = Own != Record.Grants.end() && Own->second.contains(Unit);
+  const std::int64_t Old = Entered ? Own->second.at(Unit) : 0;
   std::int64_t Fresh = Target;
   if (Target > Old) {
     const std::int64_t Free = std::max<std::int64_t>(freeOf(Record, Unit), 0);
     Fresh = Old + std::min(Target - Old, Free);
   }
-  if (Fresh == Old)
+  const bool Enter = Target > 0;
+  if (Fresh == Old && Enter == Entered)
     return false;
   UnitAmounts &Amounts = Record.Grants[Holder];
-  if (Fresh == 0)
-    Amounts.erase(Unit);
-  else
+  if (Enter)
     Amounts[Unit] = Fresh;
+  else
+    Amounts.erase(Unit);
   if (Amounts.empty())
     Record.Grants.erase(Holder);
   return true;
@@ -52,9 +55,18 @@
   if (const auto Own = Record.Grants.find(Holder); Own != Record.Grants.end())
     Share.Granted = Own->second;
   Share.Capacity = Share.Free = Record.Capacity;
+  std::map<std::string, std::int64_t> Holders;
+  std::set<std::string> Contended;
   for (const auto &[Each, Amounts] : Record.Grants)
-    for (const auto &[Unit, Amount] : Amounts)
+    for (const auto &[Unit, Amount] : Amounts) {
       Share.Free[Unit] -= Amount;
+      ++Holders[Unit];
+      if (Amount == 0 && Each != Holder)
+        Contended.insert(Unit);
+    }
+  for (const std::string &Unit : Contended)
+    Share.Fair[Unit] = std::max<std::int64_t>(
+        amountOf(Record.Capacity, Unit) / Holders[Unit], 1);
   return Share;
 }
 
--- a/src/core/grantledger.h
+++ b/src/core/grantledger.h
@@ -24,6 +24,9 @@
   UnitAmounts Granted;  ///< The own grant, as it stands in the row.
   UnitAmounts Capacity; ///< Of the whole pool.
   UnitAmounts Free;     ///< Granted to nobody; negative after a reduction.
+  /// Equal parts of the units of which another holder wants some and has
+  /// nothing; whoever holds more gives the excess back as its uses end.
+  UnitAmounts Fair;
 };
 
 /// The session in a holder name "<instance>@<epoch>"; empty for a shard.
@@ -31,8 +34,8 @@
 std::optional<SessionId> parseHolder(const std::string &Holder);
 
 /// Reads and changes pool rows. The sum of the grants of a unit never grows
-/// beyond its capacity. Owned by the daemon, one per thread that uses pools.
-/// Not thread-safe.
+/// beyond its capacity. A grant of 0 stands for a holder that waits. Owned by
+/// the daemon, one per thread that uses pools. Not thread-safe.
 class GrantLedger {
 public:
   /// The references must outlive this object.
@@ -48,10 +51,11 @@
   /// One round of \p Holder: sets its grants of the units in \p Targets, each
   /// to at most what is free, and leaves its other units as they are. Costs
   /// one read and at most one write without contention. Before the call the
-  /// holder has lowered its own use to the targets. \p Guards are further
-  /// conditions, for a shard ShardOwnership::ownershipCondition(). Throws
-  /// Error(StoreUnavailable) or Error(StoreUnknownOutcome); the holder then
-  /// uses the smaller of its old grant and the target until a later round
+  /// holder has lowered its own use to the targets. Without targets it only
+  /// reads, to learn of a changed capacity or of waiting holders. \p Guards are
+  /// further conditions, for a shard ShardOwnership::ownershipCondition().
+  /// Throws Error(StoreUnavailable) or Error(StoreUnknownOutcome); the holder
+  /// then uses the smaller of its old grant and the target until a later round
   /// returns. Throws Error(StaleEpoch) if a guard does not hold and
   /// Error(StoreConflict) after too many conflicts. Precondition: targets are
   /// not negative.
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -63,7 +63,7 @@
 struct PoolRecord {
   std::map<std::string, std::int64_t> Capacity; ///< By unit.
   /// Amounts by holder, then by unit. A holder is "<instance>@<epoch>" or a
-  /// shard id.
+  /// shard id. A holder that waits for a unit has the amount 0.
   std::map<std::string, std::map<std::string, std::int64_t>> Grants;
 };
 
--- a/src/core/shardownership.cpp
+++ b/src/core/shardownership.cpp
@@ -295,6 +295,13 @@
 
 void ShardOwnership::throwIncomplete(const ShardId &Shard,
                                      const std::string &What) {
+  // A later owner deletes what its own snapshot covers.
+  Holding &Held = Owned.at(Shard);
+  Held.Version = 0;
+  if (!learnVersion(Shard, Held)) {
+    Owned.erase(Shard);
+    throwNotOwned(Shard);
+  }
   throw Error(ErrorKind::Internal, "cannot recover " + Shard + ": " + What,
               "restore the row or object from a backup of the store");
 }
--- a/src/core/shardownership.h
+++ b/src/core/shardownership.h
@@ -118,7 +118,7 @@
   TickResult saveSnapshot(const ShardId &Shard, ShardSnapshot Snapshot);
 
   /// Reads snapshot and journal of an owned shard. Throws
-  /// Error(StoreUnavailable), Error(NoAuthority) if not owned, and
+  /// Error(StoreUnavailable), Error(NoAuthority) if not owned any more, and
   /// Error(Internal) if journal rows are missing.
   ShardRecovery recover(const ShardId &Shard);
 
@@ -141,8 +141,8 @@
   void deleteCovered(const ShardId &Shard, std::uint64_t Sequence,
                      std::uint64_t Old);
   [[noreturn]] static void throwNotOwned(const ShardId &Shard);
-  [[noreturn]] static void throwIncomplete(const ShardId &Shard,
-                                           const std::string &What);
+  [[noreturn]] void throwIncomplete(const ShardId &Shard,
+                                    const std::string &What);
 
   TableService &Table;
   ObjectStore &Objects;
