--- a/src/core/records.h
+++ b/src/core/records.h
@@ -21,6 +21,8 @@
   InstanceId Instance;
   Epoch SessionEpoch = 0;
 
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   friend auto operator<=>(const SessionId &, const SessionId &) = default;
 };
 
@@ -61,7 +63,7 @@
 struct PoolRecord {
   std::map<std::string, std::int64_t> Capacity; ///< By unit.
   /// Amounts by holder, then by unit. A holder is "<instance>@<epoch>" or a
-  /// shard id.
+  /// shard id. A holder that waits for a unit has the amount 0.
   std::map<std::string, std::map<std::string, std::int64_t>> Grants;
 };
 
--- a/src/core/shardownership.h
+++ b/src/core/shardownership.h
@@ -80,7 +80,8 @@
   void forgetAll() { Owned.clear(); }
 
   /// True if this process owns \p Shard and its session is valid at \p Now.
-  /// Nothing may be started otherwise.
+  /// Nothing may be started otherwise. False from the moment release() sends
+  /// its write.
   bool isOwner(const ShardId &Shard, TimePoint Now) const;
 
   /// The shard row as this owner last wrote it; empty if not owned.
@@ -117,7 +118,7 @@
   TickResult saveSnapshot(const ShardId &Shard, ShardSnapshot Snapshot);
 
   /// Reads snapshot and journal of an owned shard. Throws
-  /// Error(StoreUnavailable), Error(NoAuthority) if not owned, and
+  /// Error(StoreUnavailable), Error(NoAuthority) if not owned any more, and
   /// Error(Internal) if journal rows are missing.
   ShardRecovery recover(const ShardId &Shard);
 
@@ -133,14 +134,15 @@
 
   std::optional<RowCondition> endedOwner(const SessionId &Owner);
   Holding &idleHolding(const ShardId &Shard);
+  static bool isReleasing(const Holding &Held);
   void prepare(const ShardId &Shard, Holding &Held, const ShardRecord &Next);
   bool learnVersion(const ShardId &Shard, Holding &Held);
   TickResult submit(const ShardId &Shard, Holding &Held);
   void deleteCovered(const ShardId &Shard, std::uint64_t Sequence,
                      std::uint64_t Old);
   [[noreturn]] static void throwNotOwned(const ShardId &Shard);
-  [[noreturn]] static void throwIncomplete(const ShardId &Shard,
-                                           const std::string &What);
+  [[noreturn]] void throwIncomplete(const ShardId &Shard,
+                                    const std::string &What);
 
   TableService &Table;
   ObjectStore &Objects;
