--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -76,7 +76,12 @@
   std::transform(
       Name.begin(), Name.end(), Name.begin(),
       [](unsigned char Letter) { return char(std::tolower(Letter)); });
-  Result.Headers[Name] = trimmed(Line.substr(Colon + 1));
+  // A repeated header becomes a list, so that two different lengths or ids
+  // match neither.
+  std::string &Value = Result.Headers[Name];
+  if (!Value.empty())
+    Value += ", ";
+  Value += trimmed(Line.substr(Colon + 1));
   return Size;
 }
 
