Fuzz a shard against a fake fleet that holds the truth

The fuzz found a deadlock: a gang that needs a quarantined worker never starts, because a gang cannot probe and nothing else is waiting. A probe now ends after 60 s without an outcome; a single failure before the next success quarantines the worker again.

--- a/src/core/healthtracker.cpp
+++ b/src/core/healthtracker.cpp
@@ -65,10 +65,11 @@
   WorkerEntry &Known = Workers[Worker];
   Known.LastSuccess = Now;
   Known.Failures.clear();
-  if (Known.Health != WorkerHealth::Probing)
+  if (Known.Health == WorkerHealth::Quarantined)
     return;
   Known.Backoff = Duration{0};
-  change(Worker, WorkerHealth::Healthy);
+  if (Known.Health == WorkerHealth::Probing)
+    change(Worker, WorkerHealth::Healthy);
 }
 
 void HealthTracker::recordFailure(WorkerIndex Worker, const RunId &Run,
@@ -82,25 +83,26 @@
   Entry.FailedOn.insert(Worker);
   if (isTrusted(Worker, Now))
     Entry.FailedOnTrusted.insert(Worker);
-  if (Known.Health == WorkerHealth::Probing) {
-    if (speaksAgainst(Worker, Run))
-      quarantine(Worker, Now);
+  if (Known.Health == WorkerHealth::Quarantined)
     return;
-  }
-  if (Known.Health == WorkerHealth::Healthy && mayQuarantine() &&
-      runsAgainst(Worker, Now) >= Options.RunsForQuarantine)
+  const bool IsOnProbation = Known.Backoff.count() > 0;
+  const std::uint32_t Enough = IsOnProbation ? 1 : Options.RunsForQuarantine;
+  if ((Known.Health == WorkerHealth::Probing || mayQuarantine()) &&
+      speaksAgainst(Worker, Run) && runsAgainst(Worker, Now) >= Enough)
     quarantine(Worker, Now);
 }
 
 void HealthTracker::advance(TimePoint Now) {
   std::vector<WorkerIndex> Over;
   for (const WorkerIndex Worker : Closed) {
-    const WorkerEntry &Known = Workers[Worker];
-    if (Known.Health == WorkerHealth::Quarantined && Now >= Known.Until)
+    if (Now >= Workers[Worker].Until)
       Over.push_back(Worker);
   }
-  for (const WorkerIndex Worker : Over)
-    change(Worker, WorkerHealth::Probing);
+  for (const WorkerIndex Worker : Over) {
+    const bool WasProbing = Workers[Worker].Health == WorkerHealth::Probing;
+    Workers[Worker].Until = Now + Options.ProbeTime;
+    change(Worker, WasProbing ? WorkerHealth::Healthy : WorkerHealth::Probing);
+  }
 }
 
 std::vector<HealthChange> HealthTracker::takeChanges() {
--- a/src/core/healthtracker.h
+++ b/src/core/healthtracker.h
@@ -23,6 +23,10 @@
   Duration Window{600'000};            ///< Age of failures that count.
   Duration FirstBackoff{30'000};
   Duration MaxBackoff{3'600'000};
+  /// After this long the limit of one task is lifted, because the only waiting
+  /// work may be a gang, which cannot probe. Until the first success a single
+  /// failure quarantines the worker again.
+  Duration ProbeTime{60'000};
   /// A quarantine that would close more than this part of the workers is not
   /// imposed: so many bad workers at once point to a common cause.
   std::uint32_t MaxQuarantinedPercent = 25;
@@ -53,7 +57,8 @@
   /// say nothing about health and are not recorded.
   void recordFailure(WorkerIndex Worker, const RunId &Run, TimePoint Now);
 
-  /// Ends quarantines that are over; the worker is then probed.
+  /// Ends quarantines that are over, so that the worker is probed, and probes
+  /// that took too long.
   void advance(TimePoint Now);
 
   /// Changes since the last call.
@@ -83,8 +88,8 @@
     std::deque<Failure> Failures;
     std::optional<TimePoint> LastSuccess;
     WorkerHealth Health = WorkerHealth::Healthy;
-    TimePoint Until;
-    Duration Backoff{0};
+    TimePoint Until;     ///< End of the quarantine or of the probe.
+    Duration Backoff{0}; ///< Not 0 until a success after a quarantine.
   };
   struct RunEntry {
     std::set<WorkerIndex> FailedOn;
--- /dev/null
+++ b/tests/core/shardfuzz_test.cpp
@@ -0,0 +1,129 @@
+#include "core/shardworld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+
+#include <ostream>
+
+namespace apricotwing {
+namespace {
+
+enum class StepKind {
+  Submit,
+  Cancel,
+  Advance,
+  Unreachable,
+  Reachable,
+  LoseZone,
+  Bad,
+  Good,
+  Drain,
+  Undrain,
+  Crash,
+  Limit,
+  Refuse,
+  Network,
+};
+constexpr int StepKinds = int(StepKind::Network) + 1;
+
+struct Model {};
+
+RunSpec specFrom(std::uint32_t Choice) {
+  RunSpec Spec;
+  const std::uint32_t Kind = Choice % 8;
+  Spec.Kind = Kind < 5   ? RunKind::Batch
+              : Kind < 7 ? RunKind::Gang
+                         : RunKind::Service;
+  Spec.Tasks = 1 + (Choice / 8) % (Spec.Kind == RunKind::Gang ? 10 : 6);
+  Spec.PerTask = {500 + std::int64_t((Choice / 64) % 8) * 500,
+                  256 + std::int64_t((Choice / 512) % 8) * 512, 0};
+  Spec.Urgency = (Choice / 4096) % 4 == 0 ? Priority::Urgent : Priority::Normal;
+  Spec.OnLost =
+      (Choice / 16384) % 4 == 0 ? LostPolicy::Fail : LostPolicy::Restart;
+  Spec.Checkpointable = (Choice / 65536) % 2 == 0;
+  if ((Choice / 131072) % 4 == 0)
+    Spec.Selector = {{"zone", "z1"}};
+  Spec.MaxAttempts = 100;
+  Spec.EstimateSeconds = 1 + (Choice / 524288) % 60;
+  Spec.IdempotencyKey = "key";
+  return Spec;
+}
+
+struct Step : rc::state::Command<Model, ShardWorld> {
+  StepKind Kind = *rc::gen::map(
+      rc::gen::weightedOneOf<int>({{6, rc::gen::just(int(StepKind::Submit))},
+                                   {8, rc::gen::just(int(StepKind::Advance))},
+                                   {10, rc::gen::inRange(0, StepKinds)}}),
+      [](int Value) { return StepKind(Value); });
+  std::uint32_t First = *rc::gen::inRange<std::uint32_t>(0, 1U << 26);
+  std::uint32_t Second = *rc::gen::inRange<std::uint32_t>(0, 1U << 16);
+
+  void apply(Model & /*State*/) const override {}
+
+  void run(const Model & /*State*/, ShardWorld &World) const override {
+    const std::size_t Worker = First % 12;
+    static const char *const Teams[] = {"blue", "green", "red"};
+    switch (Kind) {
+    case StepKind::Submit:
+      World.submit(Teams[Second % 3], specFrom(First),
+                   specFrom(First).Kind == RunKind::Service
+                       ? Duration{100'000}
+                       : Duration(100 + std::int64_t(Second % 20'000)));
+      break;
+    case StepKind::Cancel:
+      if (World.submitted() > 0)
+        World.cancelRun(World.runAt(First % World.submitted()));
+      break;
+    case StepKind::Advance:
+      World.advance(Duration(100 + std::int64_t(Second % 10'000)));
+      break;
+    case StepKind::Unreachable:
+    case StepKind::Reachable:
+      World.setReachable(Worker, Kind == StepKind::Reachable);
+      break;
+    case StepKind::LoseZone:
+      World.loseZone("z" + std::to_string(First % 3));
+      break;
+    case StepKind::Bad:
+    case StepKind::Good:
+      World.setBad(Worker, Kind == StepKind::Bad);
+      break;
+    case StepKind::Drain:
+    case StepKind::Undrain:
+      World.setDrained(Worker, Kind == StepKind::Drain);
+      break;
+    case StepKind::Crash:
+      World.crash(CrashPoint(First % 4));
+      break;
+    case StepKind::Limit:
+      World.setLimit(Teams[Second % 3],
+                     Resources{1000, 2048, 0} * std::int64_t(First % 48));
+      break;
+    case StepKind::Refuse:
+      World.refuseStarts(First % 6);
+      break;
+    case StepKind::Network:
+      World.setNetwork(First % 60, Second % 60);
+      break;
+    }
+  }
+
+  void show(std::ostream &Out) const override {
+    Out << "step " << int(Kind) << " " << First << " " << Second;
+  }
+};
+
+// Guards against a broken promise of a shard under any mix of faults: capacity
+// of workers, one attempt of a task at a time, limits of teams, whole gangs,
+// one end per task, equal state after replay, no run lost.
+RC_GTEST_PROP(ShardFuzz, KeepsItsPromises, ()) {
+  const auto Seed = *rc::gen::arbitrary<std::uint32_t>();
+  ShardWorld World(Seed);
+  rc::state::check(Model{}, World, rc::state::gen::execOneOfWithArgs<Step>());
+  World.settle();
+}
+
+} // namespace
+} // namespace apricotwing
--- /dev/null
+++ b/tests/core/shardworld.cpp
@@ -0,0 +1,452 @@
+#include "core/shardworld.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace apricotwing {
+
+namespace {
+
+constexpr Duration Ttl{15'000};
+constexpr Duration Margin{1'150};
+constexpr Duration PollPeriod{3'000};
+
+/// Time for the stops of a lowered limit to take effect: an unreachable
+/// worker stops its tasks when its lease runs out.
+constexpr Duration LimitGrace{30'000};
+
+void require(bool Holds, const std::string &Promise) {
+  if (!Holds)
+    throw std::logic_error(Promise);
+}
+
+} // namespace
+
+void JournalOracle::take(const JournalEvent &Event) {
+  if (const auto *Admitted = std::get_if<RunAdmitted>(&Event)) {
+    require(!Runs.contains(Admitted->Run.Id), "a run is admitted twice");
+    Runs.emplace(Admitted->Run.Id, Admitted->Run);
+  } else if (const auto *Started = std::get_if<TaskStarted>(&Event)) {
+    Task &Known = Tasks[Started->Id.Task];
+    require(Runs.contains(Started->Id.Task.Run), "an unknown run starts");
+    require(!Final.contains(Started->Id.Task.Run), "an ended run starts");
+    require(!Known.Active, "a second attempt starts beside the first");
+    require(!Known.Done, "a finished task starts again");
+    require(Started->Id.Attempt == Known.Attempt + 1, "attempt out of order");
+    Known.Attempt = Started->Id.Attempt;
+    Known.Active = true;
+  } else if (const auto *Ended = std::get_if<TaskEnded>(&Event)) {
+    Task &Known = Tasks[Ended->Id.Task];
+    require(Known.Active && Known.Attempt == Ended->Id.Attempt,
+            "an attempt ends twice");
+    Known.Active = false;
+    Known.Done = Ended->Outcome == TaskState::Succeeded &&
+                 Runs.at(Ended->Id.Task.Run).Spec.Kind != RunKind::Service;
+  } else if (const auto *Changed = std::get_if<RunChanged>(&Event)) {
+    require(!Final.contains(Changed->Run), "a run ends twice");
+    if (!isFinal(Changed->State))
+      return;
+    Final.emplace(Changed->Run, Changed->State);
+    require(Changed->State != RunState::Succeeded ||
+                openTasks(Changed->Run) == 0,
+            "a run succeeds with unfinished tasks");
+  } else if (const auto *Over = std::get_if<RunRetired>(&Event)) {
+    require(Final.contains(Over->Run), "a run is retired before its end");
+    Retired.insert(Over->Run);
+  }
+}
+
+bool JournalOracle::isActive(const AttemptId &Id) const {
+  const auto Found = Tasks.find(Id.Task);
+  return Found != Tasks.end() && Found->second.Active &&
+         Found->second.Attempt == Id.Attempt;
+}
+
+std::uint32_t JournalOracle::openTasks(const RunId &Run) const {
+  std::uint32_t Open = 0;
+  for (std::uint32_t Index = 0; Index < Runs.at(Run).Spec.Tasks; ++Index) {
+    const auto Found = Tasks.find({Run, Index});
+    Open += Found == Tasks.end() || !Found->second.Done;
+  }
+  return Open;
+}
+
+bool isSame(const ShardSnapshot &Left, const ShardSnapshot &Right) {
+  const auto SameTask = [](const TaskSnapshot &A, const TaskSnapshot &B) {
+    return A.State == B.State && A.Attempt == B.Attempt &&
+           A.Failures == B.Failures && A.Worker == B.Worker &&
+           A.Reserved == B.Reserved && A.HasCheckpoint == B.HasCheckpoint &&
+           A.Stop == B.Stop;
+  };
+  const auto SameRun = [&](const RunSnapshot &A, const RunSnapshot &B) {
+    return A.Run.Id == B.Run.Id && A.Run.State == B.Run.State &&
+           A.Run.Reason == B.Run.Reason && A.Run.Running == B.Run.Running &&
+           A.Run.Succeeded == B.Run.Succeeded && A.Run.Failed == B.Run.Failed &&
+           A.Run.Spec == B.Run.Spec &&
+           std::ranges::equal(A.Tasks, B.Tasks, SameTask);
+  };
+  return std::ranges::equal(Left.Runs, Right.Runs, SameRun);
+}
+
+ShardWorld::ShardWorld(std::uint32_t Seed, SchedulerOptions Options)
+    : Chance(Seed), Options(Options) {
+  for (int Zone = 0; Zone < 3; ++Zone)
+    for (int Place = 0; Place < 4; ++Place) {
+      Worker Next;
+      Next.View.Id = "w" + std::to_string(Zone) + std::to_string(Place);
+      Next.View.Zone = "z" + std::to_string(Zone);
+      Next.View.Rack = "r" + std::to_string(Place / 2);
+      Next.View.Capacity = {8000, 16384, Place == 0 ? 2 : 0};
+      Next.View.AllLabels = {{"zone", Next.View.Zone}};
+      Names.push_back(Next.View.Id);
+      Workers.emplace(Next.View.Id, Next);
+    }
+  for (const char *Team : {"blue", "green", "red"})
+    Limits[Team] = {48'000, 98'304, 6};
+  recover();
+}
+
+void ShardWorld::configure() {
+  std::vector<WorkerView> Views;
+  for (const auto &[Id, Known] : Workers)
+    Views.push_back(Known.View);
+  Owner->setWorkers(Views);
+  Config Document;
+  std::uint32_t Share = 1;
+  for (const auto &[Team, Limit] : Limits)
+    Document.Teams[Team] = {Share++, {Limit, 0}};
+  Owner->setTeams(Document);
+  Owner->setGrants(Limits);
+}
+
+void ShardWorld::recover() {
+  ++OwnerEpoch;
+  Owner = std::make_unique<ShardScheduler>("s", Options);
+  Owner->restore(Saved, Now);
+  for (const JournalEvent &Event : Journal)
+    Owner->apply(Event, Now);
+  configure();
+  for (auto &[Id, Known] : Workers) {
+    Known.NextPoll = Now;
+    Known.OwnerDeadline = Now + Ttl;
+    Known.ToldExpired = false;
+  }
+}
+
+RunId ShardWorld::submit(const std::string &Team, const RunSpec &Spec,
+                         Duration Length) {
+  RunRecord Record;
+  Record.Id = "run" + std::to_string(Order.size());
+  Record.Team = Team;
+  Record.Shard = "s";
+  Record.Spec = Spec;
+  Order.push_back(Record.Id);
+  Inbox.emplace(Record.Id, Record);
+  Submissions[Record.Id] = {Record, Length};
+  return Record.Id;
+}
+
+void ShardWorld::cancelRun(const RunId &Run) {
+  Submissions.at(Run).Cancelled = true;
+  CancelRows.insert(Run);
+}
+
+void ShardWorld::setLimit(const std::string &Team, const Resources &Limit) {
+  OldLimits[Team].emplace_back(Now, Limits[Team]);
+  Limits[Team] = Limit;
+  configure();
+}
+
+void ShardWorld::setReachable(std::size_t Worker, bool Value) {
+  Workers.at(Names[Worker]).Reachable = Value;
+}
+
+void ShardWorld::loseZone(const std::string &Zone) {
+  for (auto &[Id, Known] : Workers)
+    if (Known.View.Zone == Zone)
+      Known.Reachable = false;
+}
+
+void ShardWorld::setBad(std::size_t Worker, bool Value) {
+  Workers.at(Names[Worker]).Bad = Value;
+}
+
+void ShardWorld::setDrained(std::size_t Worker, bool Value) {
+  Workers.at(Names[Worker]).View.Drained = Value;
+  configure();
+}
+
+void ShardWorld::setNetwork(std::uint32_t Loss, std::uint32_t Duplicates) {
+  LossPercent = Loss;
+  DuplicatePercent = Duplicates;
+}
+
+void ShardWorld::progressWorkers() {
+  for (auto &[Id, Known] : Workers)
+    for (auto &[AttemptName, Running] : Known.Attempts) {
+      if (Running.State != TaskState::Running)
+        continue;
+      if (Now >= Known.Deadline)
+        Running.State = TaskState::Lost;
+      else if (Now >= Running.EndsAt)
+        Running.State = Known.Bad ? TaskState::Failed : TaskState::Succeeded;
+      if (Running.State == TaskState::Failed)
+        Submissions.at(AttemptName.Task.Run).SawFailure = true;
+      if (Running.State != TaskState::Running)
+        Truth[AttemptName] = Running.State;
+    }
+}
+
+void ShardWorld::deliverTo(Worker &To, const Message &Next) {
+  if (!To.Reachable || Next.Sender < To.Seen)
+    return;
+  const auto Found = To.Attempts.find(Next.Id);
+  if (!Next.IsStart) {
+    // A stop of an unknown attempt makes the worker refuse its start.
+    if (Found == To.Attempts.end() && !To.Forgotten.contains(Next.Id))
+      To.Attempts[Next.Id] = {{}, Now, TaskState::Cancelled};
+    else if (Found != To.Attempts.end() &&
+             Found->second.State == TaskState::Running) {
+      Found->second.State = TaskState::Cancelled;
+      Truth[Next.Id] = TaskState::Cancelled;
+    }
+    return;
+  }
+  if (Found != To.Attempts.end() || To.Forgotten.contains(Next.Id) ||
+      Now >= To.Deadline)
+    return;
+  if (Refusals > 0) {
+    --Refusals;
+    std::erase_if(Wire, [&](const Message &Other) {
+      return Other.IsStart && Other.Id == Next.Id;
+    });
+    if (Next.Sender == OwnerEpoch)
+      Owner->handleStartRefused(Next.Id, Now);
+    return;
+  }
+  const Submission &Run = Submissions.at(Next.Id.Task.Run);
+  if (Run.Record.Spec.OnLost == LostPolicy::Fail)
+    for (std::uint32_t Earlier = 1; Earlier < Next.Id.Attempt; ++Earlier) {
+      const auto Ended = Truth.find({Next.Id.Task, Earlier});
+      require(Ended == Truth.end() || Ended->second != TaskState::Succeeded ||
+                  Run.Record.Spec.Kind == RunKind::Service,
+              "a task that must not run twice has succeeded before");
+    }
+  const Duration Length = To.Bad ? Duration{200} : Run.Length;
+  To.Attempts[Next.Id] = {Next.Size, Now + Length, TaskState::Running};
+}
+
+void ShardWorld::deliver() {
+  const std::size_t Pending = Wire.size();
+  for (std::size_t Position = 0; Position < Pending && !Wire.empty();
+       ++Position) {
+    const Message Next = Wire.front();
+    Wire.pop_front();
+    if (Next.Due > Now)
+      Wire.push_back(Next);
+    else
+      deliverTo(Workers.at(Next.To), Next);
+  }
+}
+
+void ShardWorld::poll() {
+  for (auto &[Id, Known] : Workers) {
+    if (Now < Known.NextPoll)
+      continue;
+    Known.NextPoll = Now + PollPeriod;
+    if (!Known.Reachable) {
+      Owner->handleWorkerSilent(Id);
+      if (Now >= Known.OwnerDeadline + Margin && !Known.ToldExpired) {
+        Known.ToldExpired = true;
+        Owner->handleWorkerExpired(Id, Now);
+      }
+      continue;
+    }
+    Known.Seen = OwnerEpoch;
+    Known.Deadline = Known.OwnerDeadline = Now + Ttl;
+    Known.ToldExpired = false;
+    std::vector<TaskReport> Reports;
+    for (const auto &[Name, Running] : Known.Attempts)
+      Reports.push_back({Name, Running.State, 0, Running.Size});
+    Owner->handleReport(Id, Reports, Now);
+  }
+}
+
+Decisions ShardWorld::decide() {
+  for (const auto &[Id, Record] : Inbox)
+    Owner->admit(Record);
+  for (const RunId &Id : CancelRows)
+    Owner->cancel(Id);
+  Decisions Made = Owner->tick(Now);
+  checkDecisions(Made);
+  return Made;
+}
+
+void ShardWorld::checkDecisions(const Decisions &Made) const {
+  std::set<TeamName> Teams;
+  for (const JournalEvent &Event : Made.Events)
+    if (const auto *One = std::get_if<TaskStarted>(&Event))
+      Teams.insert(Submissions.at(One->Id.Task.Run).Record.Team);
+  const std::map<TeamName, Resources> Allocated = Owner->allocated();
+  for (const TeamName &Team : Teams)
+    require(Allocated.at(Team).fitsIn(Limits.at(Team)),
+            "a start takes a team above its limit");
+}
+
+void ShardWorld::commit(const Decisions &Made) {
+  std::map<RunId, std::uint32_t> Started;
+  for (const JournalEvent &Event : Made.Events) {
+    Oracle.take(Event);
+    Journal.push_back(Event);
+    if (const auto *One = std::get_if<TaskStarted>(&Event))
+      ++Started[One->Id.Task.Run];
+    const auto *Ended = std::get_if<TaskEnded>(&Event);
+    if (Ended && Ended->Outcome == TaskState::Succeeded)
+      require(Truth.contains(Ended->Id) &&
+                  Truth.at(Ended->Id) == TaskState::Succeeded,
+              "a success is recorded that did not happen");
+  }
+  for (const auto &[Run, Count] : Started)
+    require(Oracle.Runs.at(Run).Spec.Kind != RunKind::Gang ||
+                Count == Oracle.openTasks(Run),
+            "a gang starts in part");
+  for (const RunId &Id : Made.HandledAdmissions)
+    Inbox.erase(Id);
+  for (const RunId &Id : Made.HandledCancellations)
+    CancelRows.erase(Id);
+  if (!Made.needsCommit() || ++Commits % 16 != 0)
+    return;
+  const ShardSnapshot Live = Owner->snapshot(Commits);
+  ShardScheduler Replayed("s", Options);
+  Replayed.restore(Saved, Now);
+  for (const JournalEvent &Event : Journal)
+    Replayed.apply(Event, Now);
+  require(isSame(Live, Replayed.snapshot(Commits)),
+          "replay differs from the live state");
+  Saved = Live;
+  Journal.clear();
+}
+
+void ShardWorld::enqueue(Message Next) {
+  if (Chance() % 100 < LossPercent)
+    return;
+  Next.Due = Now + Duration(Chance() % 1500);
+  Next.Sender = OwnerEpoch;
+  Wire.push_back(Next);
+  if (Chance() % 100 >= DuplicatePercent)
+    return;
+  Next.Due = Now + Duration(Chance() % 4000);
+  Wire.push_back(Next);
+}
+
+void ShardWorld::send(const Decisions &Made) {
+  for (const StartCommand &Start : Made.Starts)
+    enqueue({Now, 0, true, Start.Worker, Start.Id, Start.Reserved});
+  for (const StopCommand &Stop : Made.Stops)
+    enqueue({Now, 0, false, Stop.Worker, Stop.Id, {}});
+  for (const auto &[Id, Ended] : Made.Acknowledgements)
+    for (const AttemptId &Name : Ended) {
+      require(!Oracle.isActive(Name), "an attempt is acknowledged too early");
+      if (!Workers.at(Id).Reachable || Chance() % 100 < LossPercent)
+        continue;
+      Workers.at(Id).Attempts.erase(Name);
+      Workers.at(Id).Forgotten.insert(Name);
+    }
+}
+
+void ShardWorld::checkTruth() const {
+  std::map<TaskId, std::uint32_t> Running;
+  std::map<TeamName, Resources> Used;
+  for (const auto &[Id, Known] : Workers) {
+    Resources Sum;
+    for (const auto &[Name, One] : Known.Attempts) {
+      if (One.State != TaskState::Running)
+        continue;
+      Sum += One.Size;
+      Used[Submissions.at(Name.Task.Run).Record.Team] += One.Size;
+      require(++Running[Name.Task] == 1, "two attempts of a task run at once");
+    }
+    require(Sum.fitsIn(Known.View.Capacity), "a worker is over its capacity");
+  }
+  for (const auto &[Team, Amount] : Used) {
+    Resources Bound = Limits.at(Team);
+    const auto Old = OldLimits.find(Team);
+    if (Old != OldLimits.end())
+      for (const auto &[Until, Limit] : Old->second)
+        if (Now - Until <= LimitGrace)
+          Bound = Resources::max(Bound, Limit);
+    require(Amount.fitsIn(Bound), "a team runs more than its limit");
+  }
+}
+
+void ShardWorld::step(Duration Span) {
+  Now += Span;
+  progressWorkers();
+  deliver();
+  poll();
+  const Decisions Made = decide();
+  commit(Made);
+  send(Made);
+  checkTruth();
+}
+
+void ShardWorld::advance(Duration Span) {
+  constexpr Duration Tick{100};
+  for (const TimePoint End = Now + Span; Now < End;)
+    step(Tick);
+}
+
+void ShardWorld::crash(CrashPoint Point) {
+  if (Point != CrashPoint::Idle) {
+    const Decisions Made = decide();
+    if (Point != CrashPoint::BeforeCommit)
+      commit(Made);
+    if (Point == CrashPoint::AfterSends)
+      send(Made);
+  }
+  recover();
+}
+
+bool ShardWorld::canEverRun(const RunSpec &Spec) const {
+  std::uint64_t Slots = 0;
+  for (const auto &[Id, Known] : Workers) {
+    const auto Zone = Spec.Selector.find("zone");
+    if (Zone != Spec.Selector.end() && Zone->second != Known.View.Zone)
+      continue;
+    Resources Rest = Known.View.Capacity;
+    for (; Spec.PerTask.fitsIn(Rest); ++Slots)
+      Rest -= Spec.PerTask;
+  }
+  return Slots >= (Spec.Kind == RunKind::Gang ? Spec.Tasks : 1);
+}
+
+void ShardWorld::settle() {
+  setNetwork(0, 0);
+  Refusals = 0;
+  for (auto &[Id, Known] : Workers) {
+    Known.Reachable = true;
+    Known.Bad = false;
+    Known.View.Drained = false;
+  }
+  for (auto &[Team, Limit] : Limits)
+    Limit = {96'000, 196'608, 6};
+  configure();
+  for (const auto &[Id, Run] : Submissions)
+    if (Run.Record.Spec.Kind == RunKind::Service ||
+        !canEverRun(Run.Record.Spec))
+      cancelRun(Id);
+  const auto IsLeft = [this](const RunId &Id) { return !isOver(Id); };
+  constexpr Duration Limit{3 * 3'600'000};
+  for (const TimePoint End = Now + Limit;
+       Now < End && std::ranges::any_of(Order, IsLeft);)
+    step(Duration{500});
+  for (const auto &[Id, Run] : Submissions) {
+    require(isOver(Id), "run " + Id + " never ends: " + Owner->whyPending(Id));
+    const bool MustSucceed = !Run.Cancelled && !Run.SawFailure &&
+                             Run.Record.Spec.OnLost == LostPolicy::Restart;
+    require(!MustSucceed || Oracle.Final.at(Id) == RunState::Succeeded,
+            "run " + Id + " is lost");
+  }
+}
+
+} // namespace apricotwing
