--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -108,9 +108,14 @@
   // Without this, libcurl waits up to 1 s for "100 Continue" before it sends
   // a large body.
   curl_slist *List = curl_slist_append(nullptr, "Expect:");
-  for (const auto &[Name, Value] : Call.Headers)
-    List = curl_slist_append(
-        List, (Value.empty() ? Name + ";" : Name + ": " + Value).c_str());
+  for (const auto &[Name, Value] : Call.Headers) {
+    std::string Line = Name;
+    // libcurl drops a header that ends in a colon; a semicolon stands for an
+    // empty value.
+    Line += Value.empty() ? ";" : ": ";
+    Line += Value;
+    List = curl_slist_append(List, Line.c_str());
+  }
   return {List, curl_slist_free_all};
 }
 
--- a/tests/platform/upstreamclient_test.cpp
+++ b/tests/platform/upstreamclient_test.cpp
@@ -229,6 +229,7 @@
     return Results;
   };
   std::vector<std::future<std::vector<Sent>>> Senders;
+  Senders.reserve(12);
   for (int Thread = 0; Thread < 12; ++Thread)
     Senders.push_back(std::async(std::launch::async, SendMany, Thread));
   for (const char *Switch :
