Keep idle connections out of calls on fresh connections

A call on a fresh connection took an idle libcurl handle and discarded it with its open connection, so a mix of idempotent and non-idempotent requests to one executor kept opening connections. Such a call now has a handle of its own, and idle ones are left to the calls that may use them.

--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -221,7 +221,9 @@
     return Result;
   }
   const std::string Address = addressOf(Call.Url);
-  HandlePointer Handle(takeHandle(Address), curl_easy_cleanup);
+  const bool MayReuse = Call.Connections == ConnectionUse::Reused;
+  HandlePointer Handle(MayReuse ? takeHandle(Address) : curl_easy_init(),
+                       curl_easy_cleanup);
   if (!Handle) {
     Result.Detail = "libcurl is out of memory";
     return Result;
@@ -231,8 +233,7 @@
   setUp(Handle.get(), Call, State, Headers);
   conclude(State, curl_easy_perform(Handle.get()), Handle.get());
   countTraffic(Handle.get());
-  const bool Keep = Result.State == TransferState::Complete &&
-                    Call.Connections == ConnectionUse::Reused &&
+  const bool Keep = MayReuse && Result.State == TransferState::Complete &&
                     (!Call.KeepConnection || Call.KeepConnection(Result));
   if (Keep)
     returnHandle(Address, Handle.release());
