--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -108,9 +108,14 @@
   // Without this, libcurl waits up to 1 s for "100 Continue" before it sends
   // a large body.
   curl_slist *List = curl_slist_append(nullptr, "Expect:");
-  for (const auto &[Name, Value] : Call.Headers)
-    List = curl_slist_append(
-        List, (Value.empty() ? Name + ";" : Name + ": " + Value).c_str());
+  for (const auto &[Name, Value] : Call.Headers) {
+    std::string Line = Name;
+    // libcurl drops a header that ends in a colon; a semicolon stands for an
+    // empty value.
+    Line += Value.empty() ? ";" : ": ";
+    Line += Value;
+    List = curl_slist_append(List, Line.c_str());
+  }
   return {List, curl_slist_free_all};
 }
 
@@ -216,7 +221,9 @@
     return Result;
   }
   const std::string Address = addressOf(Call.Url);
-  HandlePointer Handle(takeHandle(Address), curl_easy_cleanup);
+  const bool MayReuse = Call.Connections == ConnectionUse::Reused;
+  HandlePointer Handle(MayReuse ? takeHandle(Address) : curl_easy_init(),
+                       curl_easy_cleanup);
   if (!Handle) {
     Result.Detail = "libcurl is out of memory";
     return Result;
@@ -226,8 +233,7 @@
   setUp(Handle.get(), Call, State, Headers);
   conclude(State, curl_easy_perform(Handle.get()), Handle.get());
   countTraffic(Handle.get());
-  const bool Keep = Result.State == TransferState::Complete &&
-                    Call.Connections == ConnectionUse::Reused &&
+  const bool Keep = MayReuse && Result.State == TransferState::Complete &&
                     (!Call.KeepConnection || Call.KeepConnection(Result));
   if (Keep)
     returnHandle(Address, Handle.release());
