Fuzz several request routers against shared fake executors

Change: RequestWorld drives three routers that share executors without any protection of their own and a ledger of grants; the oracle counts executions after every action. Mutations, each of which made the named promise fail in the fuzz test: a slot in doubt freed at once, or slot grants ignored (executor above its slots); team units unchecked, or units in use left out of the wish (team above its limit); a second send of a non-idempotent request in doubt (runs twice); MayHaveRun not kept, or an overdue send called not run (not run did run); no expiry (final result by the deadline); reports not compared with the attempt (second report ignored); leaving ignored in the list, in the answer or in maySend (nothing new for a leaving executor); authority unchecked in dispatch or maySend; a slot not given back after a refusal (slot left taken); no charge in FairQueue (starved). Not caught by the fuzz test but by the single cases: the smaller of slots and connections ignored (KeepsTeamLimitsAndDeadlineOrder), an unbounded queue (RefusesWhatCannotRun), and use left out of the releasable slots (WishesFollowTheUse).

--- a/tests/core/requestrouter_test.cpp
+++ b/tests/core/requestrouter_test.cpp
@@ -246,8 +246,9 @@
   EXPECT_EQ(Queue.size(), 130U);
 }
 
-// Guards against a team above its limit, and a deadline order that lets an
-// urgent request of the same team expire.
+// Guards against a team above its limit, an executor above slots that were
+// lowered, and a deadline order that lets an urgent request of the same team
+// expire.
 TEST(RequestRouterTest, KeepsTeamLimitsAndDeadlineOrder) {
   Bench World({executor("1")});
   World.addTeam("few", 1, 2);
@@ -260,6 +261,11 @@
   ASSERT_EQ(Result.Sends.size(), 2U);
   EXPECT_EQ(Result.Sends[0].Id, Soon.Id);
   EXPECT_EQ(Result.Sends[1].Id, Middle.Id);
+  for (int I = 0; I < 10; ++I)
+    ASSERT_EQ(World.submit(World.ticket()), std::nullopt);
+  World.Settings.Upstreams["u"].Connections = 3;
+  World.Router.setConfig(World.Settings);
+  EXPECT_EQ(World.Router.dispatch(World.Now).Sends.size(), 1U);
 }
 
 // Guards against a choice that piles requests on a busy, slow or distant
--- /dev/null
+++ b/tests/core/requestworld.h
@@ -0,0 +1,145 @@
+/// \file
+/// Several request routers that share fake executors and fake grants, with an
+/// oracle that counts at the executors.
+#ifndef APRICOTWING_TESTS_CORE_REQUESTWORLD_H
+#define APRICOTWING_TESTS_CORE_REQUESTWORLD_H
+
+#include "core/requestrouter.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace apricotwing {
+
+enum class WorldAction {
+  Submit,
+  Tick,
+  Pause,
+  Authority,
+  Begin,
+  Answer,
+  Lose,
+  Repeat,
+  Fault,
+  Leave,
+  ReadList,
+  Grant,
+  Reclaim,
+  Limit,
+  ReadConfig,
+};
+
+/// Virtual time, three routers, two upstreams, three teams. Executors have no
+/// protection of their own, so that every mistake of a router shows in their
+/// counts. Throws Violation from any method when a promise is broken.
+class RequestWorld {
+public:
+  struct Violation : std::runtime_error {
+    using std::runtime_error::runtime_error;
+  };
+
+  RequestWorld();
+
+  /// Performs one action; the numbers choose its subject and manner.
+  void perform(WorldAction What, unsigned A, unsigned B, unsigned C);
+
+  /// Ends all faults, lets everything finish, and checks that nothing leaked.
+  void finish();
+
+private:
+  enum class Fault { None, Down, Refusing };
+
+  struct Executor {
+    std::string Upstream;
+    Fault State = Fault::None;
+    bool Leaving = false;
+    bool Absent = false;
+  };
+
+  struct Execution {
+    std::string Executor;
+    TeamName Team;
+    TimePoint Until; ///< Runs at most until the request's deadline.
+  };
+
+  struct Flight {
+    std::size_t Router = 0;
+    RequestSend Send;
+    bool Running = false; ///< Its first byte has been sent.
+    TimePoint Expires;    ///< When the client gives up.
+    std::size_t ExecutionAt = 0;
+  };
+
+  struct Call {
+    RequestTicket Ticket;
+    std::size_t Router = 0;
+    bool Fresh = true; ///< Never dispatched.
+    int Executions = 0;
+    std::optional<Outcome> Final;
+  };
+
+  struct Process {
+    std::unique_ptr<RequestRouter> Router;
+    bool Paused = false;
+    TimePoint AuthorityUntil;
+    bool Reclaimed = false;
+    std::size_t ListVersion = 0;
+    std::set<std::string> KnownLeaving;
+    RequestRouter::Amounts TeamGrants;
+    Config Known;
+    std::map<std::pair<std::string, TeamName>, int> Skipped;
+  };
+
+  using Ledger = std::map<std::string, std::map<std::size_t, std::int64_t>>;
+
+  void submit(std::size_t At, unsigned B, unsigned C);
+  void tick(Duration Step);
+  void pause(std::size_t At);
+  void renew(std::size_t At, Duration Valid);
+  void begin(unsigned Choice, unsigned Manner);
+  void answer(unsigned Choice, unsigned Manner);
+  void lose(unsigned Choice);
+  void repeat(unsigned Choice, unsigned Manner);
+  void fault(unsigned Choice, unsigned Manner);
+  void leave(unsigned Choice);
+  void readList(std::size_t At, unsigned Manner);
+  void grant(std::size_t At, unsigned Manner);
+  void grantSlots(std::size_t At, const std::string &Upstream, unsigned Manner);
+  void grantTeams(std::size_t At, unsigned Manner);
+  void reclaim(std::size_t At);
+
+  void pump(std::size_t At);
+  void checkFairness(std::size_t At, const DispatchResult &Result,
+                     const std::map<std::pair<std::string, TeamName>, int> &);
+  std::map<std::pair<std::string, TeamName>, int> eligible(std::size_t At);
+  void execute(Flight &Of);
+  void report(std::size_t FlightAt, SendReport Report);
+  void conclude(const std::string &Id, Outcome Result);
+  void publish();
+  void check();
+  std::optional<std::size_t> choose(unsigned Choice, bool Running);
+  static std::int64_t sum(const std::map<std::size_t, std::int64_t> &Of);
+  static void require(bool Holds, const std::string &Promise);
+
+  TimePoint Now{std::chrono::hours(1)};
+  Config Settings;
+  std::vector<Process> Processes;
+  std::map<std::string, Executor> Executors;
+  std::vector<std::vector<ListedExecutor>> Lists;
+  std::vector<Flight> Flights;
+  std::vector<SendReport> Reported;
+  std::vector<std::size_t> ReportedBy;
+  std::map<std::size_t, Execution> Running;
+  std::size_t Executions = 0;
+  std::map<std::string, Call> Calls;
+  Ledger Slots;
+  Ledger Units;
+};
+
+} // namespace apricotwing
+
+#endif
