--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -29,7 +29,6 @@
 
 namespace po = boost::program_options;
 
-constexpr std::string_view Version = "0.1.0";
 constexpr const char *WordsOption = "words";
 constexpr int NameColumn = 30;
 constexpr int OptionColumn = 28;
@@ -237,7 +236,7 @@
                            const CommandLineContext &Context) {
   const ParsedArguments Parsed = parseArguments(Arguments, {});
   if (Parsed.Options.has("version")) {
-    Context.Out << "apricotwing " << Version << "\n";
+    Context.Out << "apricotwing " << APRICOTWING_VERSION << "\n";
     return ExitCode::Success;
   }
   if (Parsed.Options.has("help")) {
