--- a/src/cli/configcommands.cpp
+++ b/src/cli/configcommands.cpp
@@ -56,33 +56,42 @@
   return Result;
 }
 
-ExitCode show(Invocation &Call) {
-  const std::string Body =
-      Call.Client.call({.Path = "/v1/config", .Repeat = RepeatPolicy::Always});
-  if (Call.Json) {
-    Call.Out << Body << "\n";
-    return ExitCode::Success;
-  }
-  const Config Current = decodeConfigView(Body);
-  Call.Out << "version " << Current.Version << "\n";
-  Report Entries({"what", "name", "value"});
+void addTeamEntries(Report &Entries, const Config &Current) {
   for (const auto &[Name, Team] : Current.Teams)
     Entries.add({"team", Name, "share " + std::to_string(Team.Share)});
   for (const auto &[Id, Key] : Current.Keys)
     Entries.add({"key", Id, "team " + Key.Team});
+  for (const auto &[Kind, Policy] : Current.Policies)
+    Entries.add({"policy", std::string(runKindName(Kind)),
+                 "max_wait_seconds " + std::to_string(Policy.MaxWaitSeconds)});
+}
+
+void addFleetEntries(Report &Entries, const Config &Current) {
   for (const auto &[Name, Upstream] : Current.Upstreams)
     Entries.add({"upstream", Name,
                  "slots " + std::to_string(Upstream.Slots) + ", connections " +
                      std::to_string(Upstream.Connections)});
-  for (const auto &[Kind, Policy] : Current.Policies)
-    Entries.add({"policy", std::string(runKindName(Kind)),
-                 "max_wait_seconds " + std::to_string(Policy.MaxWaitSeconds)});
   for (const auto &[Worker, OwnLabels] : Current.WorkerLabels)
     for (const auto &[Label, Value] : OwnLabels)
-      Entries.add({"label", Worker, Label + "=" + Value});
+      Entries.add(
+          {"label", Worker, std::string(Label).append("=").append(Value)});
   for (const auto &[Worker, IsDrained] : Current.DrainedWorkers)
     if (IsDrained)
       Entries.add({"drained worker", Worker, ""});
+}
+
+ExitCode show(Invocation &Call) {
+  const std::string Body =
+      Call.Client.call({.Path = "/v1/config", .Repeat = RepeatPolicy::Always});
+  if (Call.Json) {
+    Call.Out << Body << "\n";
+    return ExitCode::Success;
+  }
+  const Config Current = decodeConfigView(Body);
+  Call.Out << "version " << Current.Version << "\n";
+  Report Entries({"what", "name", "value"});
+  addTeamEntries(Entries, Current);
+  addFleetEntries(Entries, Current);
   Entries.print(Call.Out, false);
   return ExitCode::Success;
 }
--- a/tests/cli/commandline_test.cpp
+++ b/tests/cli/commandline_test.cpp
@@ -64,8 +64,8 @@
   }
 
   std::string newFile(const std::string &Name) {
-    const std::string Path = testing::TempDir() + "apricotwing-" +
-                             std::to_string(getpid()) + "-" + Name;
+    std::string Path = testing::TempDir() + "apricotwing-" +
+                       std::to_string(getpid()) + "-" + Name;
     std::filesystem::remove(Path);
     return Path;
   }
--- a/tests/cli/faketransport.h
+++ b/tests/cli/faketransport.h
@@ -29,7 +29,7 @@
     return Next();
   }
 
-  FakeTransport &answer(int Status, std::string Body) {
+  FakeTransport &answer(int Status, const std::string &Body) {
     Replies.emplace_back([=] { return ApiAnswer{Status, Body}; });
     return *this;
   }
--- a/tests/daemon/log_test.cpp
+++ b/tests/daemon/log_test.cpp
@@ -131,8 +131,10 @@
 // Guards against lost counts when several threads report one event.
 TEST_F(LogTest, CountsAcrossThreads) {
   Log Target(Time, LogLevel::Debug, collect());
+  constexpr std::size_t ThreadCount = 4;
   std::vector<std::thread> Threads;
-  for (int Thread = 0; Thread < 4; ++Thread)
+  Threads.reserve(ThreadCount);
+  for (std::size_t Thread = 0; Thread < ThreadCount; ++Thread)
     Threads.emplace_back([&Target] {
       for (int Call = 0; Call < 1000; ++Call)
         Target.info(Component::Requests, "refused");
--- a/tests/daemon/metrics_test.cpp
+++ b/tests/daemon/metrics_test.cpp
@@ -140,8 +140,10 @@
 TEST(MetricsTest, CountsAcrossThreads) {
   ManualClock Time;
   Metrics Target(Time);
+  constexpr std::size_t ThreadCount = 4;
   std::vector<std::thread> Threads;
-  for (int Thread = 0; Thread < 4; ++Thread)
+  Threads.reserve(ThreadCount);
+  for (std::size_t Thread = 0; Thread < ThreadCount; ++Thread)
     Threads.emplace_back([&Target] {
       for (int Call = 0; Call < 1000; ++Call) {
         Target.refused(ErrorKind::Overloaded);
