Tighten the oracle of the shard fuzz

The fake fleet called a refused start lost when its worker restarted; it now only does so for attempts that ran.

--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -116,15 +116,16 @@
 // Guards against urgent work that waits behind a full shard, and against
 // victims from the wrong team or in the wrong order.
 TEST_F(ShardSchedulerTest, UrgentRunDisplacesTeamAboveItsShareFirst) {
-  Scheduler->admit(runOf("small", "b", 3, {1000, 100, 0}));
-  tick();
-  RunRecord Greedy = runOf("greedy", "a", 11, {1000, 100, 0});
-  Scheduler->admit(Greedy);
-  tick();
-  RunRecord Saved = runOf("saved", "a", 2, {1000, 100, 0});
-  Saved.Spec.Checkpointable = true;
-  Scheduler->admit(Saved);
-  tick();
+  const auto Occupy = [&](const RunId &Id, const TeamName &Team,
+                          std::uint32_t Tasks, bool Checkpointable) {
+    RunRecord Run = runOf(Id, Team, Tasks, {1000, 100, 0});
+    Run.Spec.Checkpointable = Checkpointable;
+    Scheduler->admit(Run);
+    tick();
+  };
+  Occupy("saved", "a", 2, true);
+  Occupy("greedy", "a", 11, false);
+  Occupy("small", "b", 3, true);
   RunRecord Urgent = runOf("urgent", "b", 1, {1000, 100, 0});
   Urgent.Spec.Urgency = Priority::Urgent;
   Scheduler->admit(Urgent);
@@ -266,6 +267,42 @@
   EXPECT_EQ(After.Starts[0].Reserved.CpuMillis, 2500);
 }
 
+// Guards against an owner that forgets how often a task has failed.
+TEST_F(ShardSchedulerTest, KeepsTheCountOfFailuresAcrossASnapshot) {
+  RunRecord Run = runOf("r", "a", 1, {1000, 100, 0});
+  Run.Spec.MaxAttempts = 2;
+  Scheduler->admit(Run);
+  endAttempt(tick().Starts.at(0).Id, TaskState::Failed);
+  tick();
+  const ShardSnapshot Saved = Scheduler->snapshot(7);
+  Scheduler = std::make_unique<ShardScheduler>("s");
+  Scheduler->restore(Saved, Now);
+  setTeams({{"a", 1}}, {1'000'000, 1'000'000, 100});
+  setWorkers(4);
+  const Decisions Made = tick();
+  ASSERT_EQ(Made.Starts.size(), 1U);
+  EXPECT_EQ(Made.Starts[0].Id.Attempt, 2U);
+  endAttempt(Made.Starts[0].Id, TaskState::Failed);
+  EXPECT_EQ(tick().ChangedRuns.at(0).State, RunState::Failed);
+}
+
+// Guards against tasks that start beside attempts which nobody knows and which
+// still take the worker's room.
+TEST_F(ShardSchedulerTest, StopsUnknownAttemptsBeforeItUsesTheWorker) {
+  setWorkers(1);
+  const AttemptId Unknown{{"gone", 0}, 1};
+  Scheduler->handleReport("w0", {{Unknown, TaskState::Running, 0, {}}}, Now);
+  Scheduler->admit(runOf("r", "a", 1, {1000, 100, 0}));
+  const Decisions Made = tick();
+  EXPECT_THAT(Made.Starts, IsEmpty());
+  ASSERT_EQ(Made.Stops.size(), 1U);
+  EXPECT_EQ(Made.Stops[0].Id, Unknown);
+  Scheduler->handleReport("w0", {{Unknown, TaskState::Cancelled, 0, {}}}, Now);
+  const Decisions After = tick();
+  EXPECT_EQ(After.Starts.size(), 1U);
+  EXPECT_EQ(After.Acknowledgements.at("w0").at(0), Unknown);
+}
+
 // Guards against a crash-looping service that starts in every tick.
 TEST_F(ShardSchedulerTest, RestartsAServiceWithGrowingDelay) {
   RunRecord Service = runOf("service", "a", 1, {1000, 100, 0});
--- a/tests/core/shardworld.cpp
+++ b/tests/core/shardworld.cpp
@@ -35,6 +35,10 @@
     require(Started->Id.Attempt == Known.Attempt + 1, "attempt out of order");
     Known.Attempt = Started->Id.Attempt;
     Known.Active = true;
+    Known.Stopping = false;
+  } else if (const auto *Stopping = std::get_if<TaskStopping>(&Event)) {
+    require(isActive(Stopping->Id), "a stop of an attempt that is over");
+    Tasks[Stopping->Id.Task].Stopping = true;
   } else if (const auto *Ended = std::get_if<TaskEnded>(&Event)) {
     Task &Known = Tasks[Ended->Id.Task];
     require(Known.Active && Known.Attempt == Ended->Id.Attempt,
@@ -71,6 +75,21 @@
   return Open;
 }
 
+bool JournalOracle::isPartlyRunning(const RunId &Run) const {
+  bool HasGap = false;
+  bool HasRunning = false;
+  for (std::uint32_t Index = 0; Index < Runs.at(Run).Spec.Tasks; ++Index) {
+    const auto Found = Tasks.find({Run, Index});
+    if (Found != Tasks.end() && Found->second.Done)
+      continue;
+    const bool Runs =
+        Found != Tasks.end() && Found->second.Active && !Found->second.Stopping;
+    HasRunning |= Runs;
+    HasGap |= !Runs;
+  }
+  return HasGap && HasRunning;
+}
+
 bool isSame(const ShardSnapshot &Left, const ShardSnapshot &Right) {
   const auto SameTask = [](const TaskSnapshot &A, const TaskSnapshot &B) {
     return A.State == B.State && A.Attempt == B.Attempt &&
@@ -175,7 +194,8 @@
   const WorkerId &Id = Names[Worker];
   std::map<AttemptId, Attempt> &Attempts = Workers.at(Id).Attempts;
   for (const auto &[Name, Running] : Attempts)
-    Truth.try_emplace(Name, TaskState::Lost);
+    if (Running.State == TaskState::Running)
+      Truth[Name] = TaskState::Lost;
   Attempts.clear();
   Workers.at(Id).Forgotten.clear();
   Workers.at(Id).Deadline = Now;
@@ -230,9 +250,9 @@
     return;
   if (Refusals > 0) {
     --Refusals;
-    std::erase_if(Wire, [&](const Message &Other) {
-      return Other.IsStart && Other.Id == Next.Id;
-    });
+    // The copies of this send are refused like it; other sends may arrive.
+    std::erase_if(
+        Wire, [&](const Message &Other) { return Other.Send == Next.Send; });
     if (Next.Sender == OwnerEpoch)
       Owner->handleStartRefused(Next.Id, Now);
     return;
@@ -324,6 +344,9 @@
     require(Oracle.Runs.at(Run).Spec.Kind != RunKind::Gang ||
                 Count == Oracle.openTasks(Run),
             "a gang starts in part");
+  for (const auto &[Id, Run] : Oracle.Runs)
+    require(Run.Spec.Kind != RunKind::Gang || !Oracle.isPartlyRunning(Id),
+            "a part of a gang goes on");
   for (const RunId &Id : Made.HandledAdmissions)
     Inbox.erase(Id);
   for (const RunId &Id : Made.HandledCancellations)
@@ -346,6 +369,7 @@
     return;
   Next.Due = Now + Duration(Chance() % 1500);
   Next.Sender = OwnerEpoch;
+  Next.Send = ++Sends;
   Wire.push_back(Next);
   if (Chance() % 100 >= DuplicatePercent)
     return;
@@ -355,9 +379,9 @@
 
 void ShardWorld::send(const Decisions &Made) {
   for (const StartCommand &Start : Made.Starts)
-    enqueue({Now, 0, true, Start.Worker, Start.Id, Start.Reserved});
+    enqueue({Now, 0, 0, true, Start.Worker, Start.Id, Start.Reserved});
   for (const StopCommand &Stop : Made.Stops)
-    enqueue({Now, 0, false, Stop.Worker, Stop.Id, {}});
+    enqueue({Now, 0, 0, false, Stop.Worker, Stop.Id, {}});
   for (const auto &[Id, Ended] : Made.Acknowledgements)
     for (const AttemptId &Name : Ended) {
       require(!Oracle.isActive(Name), "an attempt is acknowledged too early");
--- a/tests/core/shardworld.h
+++ b/tests/core/shardworld.h
@@ -27,6 +27,8 @@
   bool isActive(const AttemptId &Id) const;
   /// Tasks of a run that have not reached a final state.
   std::uint32_t openTasks(const RunId &Run) const;
+  /// True if some open tasks run on while others do not.
+  bool isPartlyRunning(const RunId &Run) const;
 
   std::map<RunId, RunRecord> Runs;
   std::map<RunId, RunState> Final;
@@ -36,6 +38,7 @@
   struct Task {
     std::uint32_t Attempt = 0;
     bool Active = false;
+    bool Stopping = false;
     bool Done = false;
   };
   std::map<TaskId, Task> Tasks;
@@ -94,6 +97,7 @@
   struct Message {
     TimePoint Due;
     Epoch Sender = 0;
+    std::uint64_t Send = 0; ///< The same for copies that the network made.
     bool IsStart = false;
     WorkerId To;
     AttemptId Id;
@@ -141,6 +145,7 @@
   std::uint64_t Commits = 0;
   JournalOracle Oracle;
   std::map<AttemptId, TaskState> Truth; ///< How attempts really ended.
+  std::uint64_t Sends = 0;
   std::uint32_t Refusals = 0;
   std::uint32_t LossPercent = 0;
   std::uint32_t DuplicatePercent = 0;
