--- /dev/null
+++ b/bench/policysimulation.h
@@ -0,0 +1,204 @@
+/// \file
+/// A fixed list of work on a simulated cluster, for comparing policies.
+#ifndef APRICOTWING_BENCH_POLICYSIMULATION_H
+#define APRICOTWING_BENCH_POLICYSIMULATION_H
+
+#include "syntheticcluster.h"
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace apricotwing::bench {
+
+/// One run of the list with what really happens to it.
+struct Job {
+  TimePoint Arrival;
+  RunRecord Run;
+  Duration Length; ///< Of each task.
+};
+
+struct Placement {
+  AttemptId Id;
+  WorkerId Worker;
+};
+
+/// What a policy decided in one tick.
+struct PolicyDecision {
+  std::vector<Placement> Starts;
+  std::vector<AttemptId> Stops;
+};
+
+/// A way to schedule. Not thread-safe.
+class Policy {
+public:
+  virtual ~Policy() = default;
+  virtual const char *name() const = 0;
+  virtual void submit(const RunRecord &Run, TimePoint Now) = 0;
+  /// The attempt ended on its own, or because of a stop.
+  virtual void ended(const AttemptId &Id, bool WasStopped, TimePoint Now) = 0;
+  virtual PolicyDecision tick(TimePoint Now) = 0;
+};
+
+struct PolicyResult {
+  std::map<std::string, std::vector<double>> WaitsSeconds; ///< By class.
+  double Packing = 0;  ///< Mean dominant fraction while work waits.
+  double Distance = 0; ///< Mean sum of the teams' shortfalls from their share.
+  std::size_t Preemptions = 0;
+};
+
+/// Runs \p Jobs under \p Chosen until \p End and measures at the workers.
+class PolicySimulation {
+public:
+  PolicySimulation(const ClusterSize &Size, const std::vector<Job> &Jobs,
+                   const std::map<TeamName, std::uint32_t> &Shares)
+      : Jobs(Jobs), Shares(Shares) {
+    for (const WorkerView &View : workersOf(Size))
+      Total += View.Capacity;
+    for (std::size_t Position = 0; Position < Jobs.size(); ++Position)
+      ById[Jobs[Position].Run.Id] = Position;
+  }
+
+  PolicyResult run(Policy &Chosen, TimePoint Begin, TimePoint End) {
+    std::size_t Next = 0;
+    for (TimePoint Now = Begin; Now < End; Now += Tick) {
+      for (; Next < Jobs.size() && Jobs[Next].Arrival <= Now; ++Next)
+        arrive(Chosen, Jobs[Next], Now);
+      endTasks(Chosen, Now);
+      apply(Chosen, Chosen.tick(Now), Now);
+      sample();
+    }
+    for (const auto &[Id, Since] : WaitingSince)
+      record(Id, End - Since);
+    Result.Packing /= std::max(1.0, Samples);
+    Result.Distance /= std::max(1.0, Samples);
+    return Result;
+  }
+
+private:
+  struct Active {
+    TimePoint Started;
+    TimePoint EndsAt;
+  };
+  struct End {
+    TimePoint At;
+    AttemptId Id;
+    friend bool operator>(const End &Left, const End &Right) {
+      return Left.At > Right.At;
+    }
+  };
+
+  static constexpr Duration Tick{1'000};
+
+  const Job &jobOf(const TaskId &Id) const { return Jobs[ById.at(Id.Run)]; }
+
+  void arrive(Policy &Chosen, const Job &New, TimePoint Now) {
+    for (std::uint32_t Index = 0; Index < New.Run.Spec.Tasks; ++Index)
+      WaitingSince[{New.Run.Id, Index}] = New.Arrival;
+    Waiting[New.Run.Team] += New.Run.Spec.PerTask * New.Run.Spec.Tasks;
+    Chosen.submit(New.Run, Now);
+  }
+
+  void record(const TaskId &Id, Duration Waited) {
+    const RunSpec &Spec = jobOf(Id).Run.Spec;
+    Result
+        .WaitsSeconds[std::string(Spec.Urgency == Priority::Urgent
+                                      ? priorityName(Spec.Urgency)
+                                      : runKindName(Spec.Kind))]
+        .push_back(double(Waited.count()) / 1000);
+  }
+
+  void leave(const AttemptId &Id) {
+    const Job &Known = jobOf(Id.Task);
+    Used[Known.Run.Team] -= Known.Run.Spec.PerTask;
+    Running.erase(Id);
+  }
+
+  void endTasks(Policy &Chosen, TimePoint Now) {
+    while (!Ends.empty() && Ends.top().At <= Now) {
+      const End Next = Ends.top();
+      Ends.pop();
+      const auto Found = Running.find(Next.Id);
+      if (Found == Running.end() || Found->second.EndsAt != Next.At)
+        continue;
+      leave(Next.Id);
+      Chosen.ended(Next.Id, false, Now);
+    }
+  }
+
+  void apply(Policy &Chosen, const PolicyDecision &Made, TimePoint Now) {
+    for (const AttemptId &Id : Made.Stops)
+      stop(Chosen, Id, Now);
+    for (const Placement &One : Made.Starts)
+      start(One.Id, Now);
+  }
+
+  void start(const AttemptId &Id, TimePoint Now) {
+    const Job &Known = jobOf(Id.Task);
+    record(Id.Task, Now - WaitingSince.at(Id.Task));
+    WaitingSince.erase(Id.Task);
+    Waiting[Known.Run.Team] -= Known.Run.Spec.PerTask;
+    Used[Known.Run.Team] += Known.Run.Spec.PerTask;
+    const auto Done = Progress.find(Id.Task);
+    const Duration Left =
+        Known.Length - (Done == Progress.end() ? Duration{0} : Done->second);
+    Running[Id] = {Now, Now + Left};
+    Ends.push({Now + Left, Id});
+  }
+
+  /// A stopped task waits again; only a checkpoint keeps its progress.
+  void stop(Policy &Chosen, const AttemptId &Id, TimePoint Now) {
+    const auto Found = Running.find(Id);
+    if (Found == Running.end())
+      return;
+    const Job &Known = jobOf(Id.Task);
+    if (Known.Run.Spec.Checkpointable)
+      Progress[Id.Task] += Now - Found->second.Started;
+    leave(Id);
+    ++Result.Preemptions;
+    WaitingSince[Id.Task] = Now;
+    Waiting[Known.Run.Team] += Known.Run.Spec.PerTask;
+    Chosen.ended(Id, true, Now);
+  }
+
+  void sample() {
+    if (WaitingSince.empty())
+      return;
+    Samples += 1;
+    Resources All;
+    double Weight = 0;
+    for (const auto &[Team, Share] : Shares) {
+      All += Used[Team];
+      if (Used[Team] + Waiting[Team] != Resources{})
+        Weight += Share;
+    }
+    Result.Packing += All.dominantFraction(Total);
+    for (const auto &[Team, Share] : Shares) {
+      const double Due =
+          std::min(Share / std::max(Weight, 1.0),
+                   (Used[Team] + Waiting[Team]).dominantFraction(Total));
+      Result.Distance +=
+          std::max(0.0, Due - Used[Team].dominantFraction(Total));
+    }
+  }
+
+  const std::vector<Job> &Jobs;
+  std::map<TeamName, std::uint32_t> Shares;
+  std::map<RunId, std::size_t> ById;
+  Resources Total;
+  std::map<TaskId, TimePoint> WaitingSince;
+  std::map<TaskId, Duration> Progress;
+  std::map<AttemptId, Active> Running;
+  std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
+  std::map<TeamName, Resources> Used;
+  std::map<TeamName, Resources> Waiting;
+  PolicyResult Result;
+  double Samples = 0;
+};
+
+} // namespace apricotwing::bench
+
+#endif
