Reserve resources instead of whole workers for a waiting run

A gang of half-worker tasks kept the other half of its reserved workers idle. The reservation now holds exactly what the gang needs, slot by slot in the order in which tasks are expected to end; a task that outlived its estimate is expected to run as long again.

--- a/bench/policysimulation.h
+++ b/bench/policysimulation.h
@@ -69,7 +69,8 @@
         arrive(Chosen, Jobs[Next], Now);
       endTasks(Chosen, Now);
       apply(Chosen, Chosen.tick(Now), Now);
-      sample();
+      if (Now < Begin + Sampled)
+        sample();
     }
     for (const auto &[Id, Since] : WaitingSince)
       record(Id, End - Since);
@@ -92,6 +93,8 @@
   };
 
   static constexpr Duration Tick{1'000};
+  /// Work keeps arriving for this long; later the cluster drains.
+  static constexpr Duration Sampled{2 * 3'600'000};
 
   const Job &jobOf(const TaskId &Id) const { return Jobs[ById.at(Id.Run)]; }
 
--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -64,7 +64,8 @@
 void PlacementRound::refreshGrown() {
   LargestGrown = {-1, -1, -1};
   for (const WorkerIndex Worker : Data.Index.grown())
-    LargestGrown = Resources::max(LargestGrown, Data.Index.room(Worker));
+    LargestGrown = Resources::max(LargestGrown, Data.Index.room(Worker) +
+                                                    Reserved.heldOn(Worker));
   StartsSinceGrown = 0;
 }
 
@@ -188,13 +189,6 @@
          Now + Run.Work.Expected <= Reserved.start();
 }
 
-WorkerMask PlacementRound::candidates(const RunEntry &Run, bool WithReserved) {
-  WorkerMask Result = Data.Index.matching(Run.Record.Spec.Selector);
-  if (!WithReserved)
-    Result.subtract(Reserved.workers());
-  return Result;
-}
-
 PlacementRound::Attempt
 PlacementRound::tryGang(RunEntry &Run, const Resources &Need, TimePoint Now) {
   const auto Count = std::uint32_t(Run.Work.Ready.size());
@@ -203,20 +197,22 @@
   if (exceedsCap(Run, Need * Count))
     return Attempt::Blocked;
   --SearchesLeft;
-  const bool WithReserved = mayUseReserved(Run, Now);
-  const WorkerMask Mask = candidates(Run, WithReserved);
+  const bool IsHolder = Reserved.run() == Run.Record.Id;
+  if (IsHolder)
+    Reserved.suspend();
   PlacementRequest Request;
   Request.Need = Need;
   Request.Count = Count;
-  Request.Candidates = &Mask;
+  Request.Candidates = &Data.Index.matching(Run.Record.Spec.Selector);
   const std::vector<WorkerIndex> Workers =
       GangPlacer().place(Data.Index, Request);
+  Reserved.resume();
   if (Workers.empty())
-    return blockForRoom(Run, WithReserved);
+    return blockForRoom(Run, IsHolder || !Reserved.isActive());
+  releaseReservation(Run);
   for (const WorkerIndex Worker : Workers)
     Lifecycle.start(Run, Worker, Need, Now);
   StartsLeft -= std::min(StartsLeft, Count);
-  releaseReservation(Run);
   return Attempt::Started;
 }
 
@@ -224,17 +220,22 @@
 PlacementRound::tryTask(RunEntry &Run, const Resources &Need, TimePoint Now) {
   if (exceedsCap(Run, Need))
     return Attempt::Blocked;
-  const bool WithReserved = mayUseReserved(Run, Now);
+  const bool IsHolder = Reserved.run() == Run.Record.Id;
+  if (IsHolder)
+    Reserved.suspend();
   WorkerIndex Worker = takeClaim(Run, Need);
   if (Worker == NoWorker)
-    Worker = search(Run, Need, WithReserved);
+    Worker = search(Run, Need);
+  Reserved.resume();
+  if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
+    Worker = backfill(Run, Need);
   if (Worker == NoWorker)
-    return blockForRoom(Run, WithReserved);
+    return blockForRoom(Run, IsHolder || !Reserved.isActive());
+  releaseReservation(Run);
   if (Run.Record.Spec.Kind == RunKind::Service)
     spreadOf(Run).add(Data.Index, Worker);
   Lifecycle.start(Run, Worker, Need, Now);
   --StartsLeft;
-  releaseReservation(Run);
   return Attempt::Started;
 }
 
@@ -246,14 +247,22 @@
 }
 
 bool PlacementRound::isKnownMiss(const Resources &Need,
-                                 const WorkerMask *Matching,
-                                 bool WithReserved) const {
+                                 const WorkerMask *Matching) const {
   return std::ranges::any_of(Misses, [&](const Miss &Known) {
-    return Known.Matching == Matching && Known.Need.fitsIn(Need) &&
-           (Known.WithReserved || !WithReserved);
+    return Known.Matching == Matching && Known.Need.fitsIn(Need);
   });
 }
 
+WorkerIndex PlacementRound::backfill(const RunEntry &Run,
+                                     const Resources &Need) {
+  const WorkerMask &Matching = Data.Index.matching(Run.Record.Spec.Selector);
+  for (const auto &[Worker, Amount] : Reserved.held())
+    if (Matching.test(Worker) && Data.Index.isOpen(Worker) &&
+        Need.fitsIn(Data.Index.unused(Worker) + Amount))
+      return Worker;
+  return NoWorker;
+}
+
 SpreadCounts &PlacementRound::spreadOf(const RunEntry &Run) {
   const auto [Found, Inserted] = Spreads.try_emplace(&Run);
   if (Inserted)
@@ -263,13 +272,14 @@
   return Found->second;
 }
 
-WorkerIndex PlacementRound::search(RunEntry &Run, const Resources &Need,
-                                   bool WithReserved) {
+WorkerIndex PlacementRound::search(RunEntry &Run, const Resources &Need) {
   const WorkerMask *Matching = &Data.Index.matching(Run.Record.Spec.Selector);
-  if (SearchesLeft == 0 || isKnownMiss(Need, Matching, WithReserved))
+  // The holder sees more room than others, so their misses say nothing.
+  const bool IsHolder = Reserved.run() == Run.Record.Id;
+  if (SearchesLeft == 0 || (!IsHolder && isKnownMiss(Need, Matching)))
     return NoWorker;
   --SearchesLeft;
-  WorkerMask Mask = candidates(Run, WithReserved);
+  const WorkerMask &Mask = *Matching;
   // A worker on which the run has failed is the last choice.
   const std::set<WorkerIndex> *Failed = Data.Health.failedOn(Run.Record.Id);
   WorkerMask Preferred = Mask;
@@ -295,7 +305,7 @@
     Worker = Place();
   }
   if (Worker == NoWorker && Misses.size() < MaxMisses)
-    Misses.push_back({Need, Matching, WithReserved});
+    Misses.push_back({Need, Matching});
   return Worker;
 }
 
@@ -357,8 +367,8 @@
                           Need * (std::int64_t(Run.Work.Claims) + 1);
   if (!After.fitsIn(Data.queue(Run).cap()))
     return;
-  const std::optional<PreemptionPlan> Plan =
-      Planner.plan(Run, Need, candidates(Run, mayUseReserved(Run, Now)), Now);
+  const std::optional<PreemptionPlan> Plan = Planner.plan(
+      Run, Need, Data.Index.matching(Run.Record.Spec.Selector), Now);
   if (!Plan || Plan->Victims.size() > Data.StopBudget)
     return;
   for (const TaskRef &Victim : Plan->Victims)
@@ -379,31 +389,25 @@
                      Data.Index.matching(Spec.Selector), Preempting, Now))
     return false;
   if (Preempting)
-    preemptOnReserved(Run, Need, Now);
+    preemptOnReserved(Run, Now);
   return true;
 }
 
-void PlacementRound::preemptOnReserved(const RunEntry &Run,
-                                       const Resources &Need, TimePoint Now) {
-  std::uint64_t Missing = Run.Work.Ready.size();
-  Reserved.workers().forEach([&](WorkerIndex Worker) {
-    Resources Room = Data.Index.unused(Worker);
+void PlacementRound::preemptOnReserved(const RunEntry &Run, TimePoint Now) {
+  for (const auto &[Worker, Amount] : Reserved.held()) {
+    Resources Room = Data.Index.unused(Worker) + Amount;
     const std::vector<TaskRef> Tasks = Data.State.tasksOn(Worker);
     for (const TaskRef &Task : Tasks)
       if (Task.task().State == TaskState::Stopping)
         Room += Task.task().Reserved + Task.task().Excess;
-    const std::uint64_t Wanted =
-        std::min(Missing, slotsIn(Data.Index.view(Worker).Capacity, Need));
     for (const TaskRef &Task : Tasks) {
-      if (slotsIn(Room, Need) >= Wanted)
+      if (Amount.fitsIn(Room))
         break;
-      if (!Planner.isVictim(Task, Run, Now) ||
-          !Lifecycle.stop(Task, StopReason::Preempted, Now))
-        continue;
-      Room += Task.task().Reserved + Task.task().Excess;
+      if (Planner.isVictim(Task, Run, Now) &&
+          Lifecycle.stop(Task, StopReason::Preempted, Now))
+        Room += Task.task().Reserved + Task.task().Excess;
     }
-    Missing -= std::min(Missing, slotsIn(Room, Need));
-  });
+  }
 }
 
 bool PlacementRound::renewReservation(TimePoint Now) {
--- a/src/core/placementround.h
+++ b/src/core/placementround.h
@@ -77,7 +77,6 @@
   struct Miss {
     Resources Need;
     const WorkerMask *Matching = nullptr;
-    bool WithReserved = false;
   };
 
   void placeByTurns(TimePoint Now);
@@ -95,10 +94,9 @@
   bool checkFeasible(RunEntry &Run, TimePoint Now);
   bool exceedsCap(RunEntry &Run, const Resources &Needed);
   bool mayUseReserved(const RunEntry &Run, TimePoint Now) const;
-  WorkerMask candidates(const RunEntry &Run, bool WithReserved);
-  WorkerIndex search(RunEntry &Run, const Resources &Need, bool WithReserved);
-  bool isKnownMiss(const Resources &Need, const WorkerMask *Matching,
-                   bool WithReserved) const;
+  WorkerIndex search(RunEntry &Run, const Resources &Need);
+  WorkerIndex backfill(const RunEntry &Run, const Resources &Need);
+  bool isKnownMiss(const Resources &Need, const WorkerMask *Matching) const;
   WorkerIndex takeClaim(RunEntry &Run, const Resources &Need);
   void dropClaims(TimePoint Now);
   void preempt(TimePoint Now);
@@ -108,15 +106,14 @@
   bool renewReservation(TimePoint Now);
   void releaseReservation(const RunEntry &Run);
   bool reserveFor(RunEntry &Run, TimePoint Now);
-  void preemptOnReserved(const RunEntry &Run, const Resources &Need,
-                         TimePoint Now);
+  void preemptOnReserved(const RunEntry &Run, TimePoint Now);
   SpreadCounts &spreadOf(const RunEntry &Run);
 
   SchedulerData &Data;
   RunLifecycle &Lifecycle;
   Feasibility Possible;
   PreemptionPlanner Planner;
-  Reservation Reserved;
+  Reservation Reserved{Data.Index};
   TimePoint NextReservation; ///< Earliest new attempt to reserve.
   std::vector<Claim> Claims;
   std::deque<RunId> SetAside;
--- a/src/core/reservation.h
+++ b/src/core/reservation.h
@@ -1,22 +1,32 @@
 /// \file
-/// Workers that are kept free for a run that has waited long.
+/// Resources that are kept free for a run that has waited long.
 #ifndef APRICOTWING_CORE_RESERVATION_H
 #define APRICOTWING_CORE_RESERVATION_H
 
 #include "core/schedulerdata.h"
 
+#include <map>
 #include <vector>
 
 namespace apricotwing {
 
-/// The one reservation of a shard: workers that other runs may use only for
-/// tasks that are expected to end before the reservation starts. Owned by the
-/// shard's scheduler; not thread-safe.
+/// The one reservation of a shard: resources held on some workers, which other
+/// runs may use only for tasks that are expected to end before the reservation
+/// starts. Holding resources instead of whole workers leaves the rest of each
+/// worker to the others. Owned by the shard's scheduler; not thread-safe.
 class Reservation {
 public:
+  /// \p Index must outlive this object.
+  explicit Reservation(PlacementIndex &Index) : Index(Index) {}
+
   bool isActive() const { return !Run.empty(); }
   const RunId &run() const { return Run; }
-  const WorkerMask &workers() const { return Workers; }
+
+  /// Resources held, by worker.
+  const std::map<WorkerIndex, Resources> &held() const { return Held; }
+
+  /// What is held on one worker.
+  Resources heldOn(WorkerIndex Worker) const;
 
   /// When the run is expected to find all its room.
   TimePoint start() const { return Start; }
@@ -25,29 +35,38 @@
     return Now - PlannedAt > Age;
   }
 
-  /// Picks the workers that are expected to have room for \p Count tasks of
-  /// \p Entry first, among \p Candidates. With \p Preempting, tasks of normal
-  /// priority do not count as in the way. Returns false and releases the
-  /// reservation if the workers cannot hold the tasks.
+  /// Holds room for \p Count tasks of \p Entry where it is expected first,
+  /// among \p Candidates. With \p Preempting, tasks of normal priority do not
+  /// count as in the way. Replaces an earlier plan; returns false and holds
+  /// nothing if the workers cannot take the tasks.
   bool plan(const SchedulerData &Data, const RunEntry &Entry,
             const Resources &Need, std::uint32_t Count,
             const WorkerMask &Candidates, bool Preempting, TimePoint Now);
 
+  /// Makes the held resources free for a search of the run itself.
+  void suspend();
+
+  /// Undoes suspend().
+  void resume();
+
   void release();
 
 private:
-  struct Offer {
+  /// Room for one task on a worker from a moment on.
+  struct Slot {
     TimePoint Free;
-    std::uint64_t Slots = 0;
     WorkerIndex Worker = NoWorker;
   };
 
-  static Offer offer(const SchedulerData &Data, WorkerIndex Worker,
-                     const Resources &Need, std::uint32_t Count,
-                     bool Preempting, TimePoint Now);
+  static void addSlots(const SchedulerData &Data, WorkerIndex Worker,
+                       const Resources &Need, std::uint32_t Count,
+                       bool Preempting, TimePoint Now,
+                       std::vector<Slot> &Slots);
 
+  PlacementIndex &Index;
   RunId Run;
-  WorkerMask Workers;
+  std::map<WorkerIndex, Resources> Held;
+  bool IsSuspended = false;
   TimePoint Start;
   TimePoint PlannedAt;
 };
