Keep the plan of a reservation and try its holder first

Two causes: planning anew every 5 s moved to other workers and gave up room that had accumulated, and the holder's turn never came behind the other runs of its team. The plan now stays until a worker closes or the expected start is well past, and the holder is tried first. Small batch tasks of a team above its share also took reservations; now only gangs and large tasks do, those of teams within their share first.

--- a/src/core/placementindex.cpp
+++ b/src/core/placementindex.cpp
@@ -102,10 +102,12 @@
   if (!Changed)
     return false;
   Matches.clear();
-  Total = {};
+  Total = Largest = {};
   for (WorkerIndex Worker = 0; Worker < Entries.size(); ++Worker) {
-    if (isServing(Worker))
+    if (isServing(Worker)) {
       Total += Entries[Worker].View.Capacity;
+      Largest = Resources::max(Largest, Entries[Worker].View.Capacity);
+    }
     refresh(Worker);
   }
   return true;
--- a/src/core/placementindex.h
+++ b/src/core/placementindex.h
@@ -160,6 +160,9 @@
   /// Sum of the capacities of the serving workers.
   const Resources &totalCapacity() const { return Total; }
 
+  /// Component-wise largest capacity of the serving workers.
+  const Resources &largestCapacity() const { return Largest; }
+
 private:
   struct Entry {
     WorkerView View;
@@ -184,6 +187,7 @@
   std::map<std::string, std::uint32_t> Places; ///< Numbers of zones, racks.
   std::map<Labels, WorkerMask> Matches;
   Resources Total;
+  Resources Largest;
 };
 
 /// How many tasks of size \p Need fit into \p Space.
--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -15,15 +15,14 @@
 
 constexpr std::size_t MaxMisses = 64;
 constexpr std::size_t MaxRunsWithoutRoom = 256;
+/// A task is large if fewer than this many fit on the largest worker.
+constexpr std::int64_t LargeTasksPerWorker = 2;
+
 /// A search for victims that fails has looked at every worker, so a tick
 /// affords only a few.
 constexpr std::uint32_t MaxFailedPreemptions = 4;
 constexpr std::size_t ReconsideredPerTick = 1000;
 
-/// A reservation is planned anew this often, because tasks end earlier or
-/// later than expected and workers come and go.
-constexpr Duration ReservationPeriod{5'000};
-
 } // namespace
 
 void PlacementRound::run(TimePoint Now) {
@@ -44,6 +43,7 @@
   for (TeamIndex Team = 0; Team < Data.Queues.size(); ++Team)
     if (const auto &Runs = Data.queue(Team).runs(); !Runs.empty())
       Turns.push({Data.Shares.rank(Team), Team, Runs.begin()->first, 0});
+  tryHolder(Now);
   refreshGrown();
   Stalls.resize(Data.Queues.size());
   while (!Turns.empty() && StartsLeft > 0 && SearchesLeft > 0) {
@@ -61,6 +61,13 @@
     Data.Index.clearGrown();
 }
 
+void PlacementRound::tryHolder(TimePoint Now) {
+  // Its turn may never come behind the other runs of its team.
+  RunEntry *Holder = Data.State.find(Reserved.run());
+  if (Holder && Holder->Work.Queued)
+    tryRun(*Holder, Now);
+}
+
 void PlacementRound::refreshGrown() {
   LargestGrown = {-1, -1, -1};
   for (const WorkerIndex Worker : Data.Index.grown())
@@ -418,7 +425,7 @@
     Reserved.release();
     return false;
   }
-  if (!Reserved.isOlderThan(ReservationPeriod, Now))
+  if (!Reserved.isOutdated(Now))
     return true;
   return reserveFor(*Run, Now);
 }
@@ -431,21 +438,30 @@
     ++RoomVersion;
 }
 
+bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
+  const RunSpec &Spec = Run.Record.Spec;
+  const bool IsGang = Spec.Kind == RunKind::Gang;
+  if (IsGang && Spec.Urgency == Priority::Urgent)
+    return true;
+  if (Now - Run.Work.ReadySince < Data.Options.ReservationDelay)
+    return false;
+  // Small tasks find room as soon as it is their team's turn.
+  return IsGang || (Spec.PerTask * LargeTasksPerWorker)
+                           .dominantFraction(Data.Index.largestCapacity()) > 1;
+}
+
 void PlacementRound::chooseReservation(TimePoint Now) {
   const bool IsHeld = renewReservation(Now);
   RunEntry *Holder = IsHeld ? Data.State.find(Reserved.run()) : nullptr;
   RunEntry *Best = nullptr;
+  const auto Urgency = [this](const RunEntry &Entry) {
+    return std::tuple(Entry.Record.Spec.Urgency == Priority::Normal,
+                      Data.Shares.isAboveShare(Entry.Team),
+                      Entry.Work.ReadySince);
+  };
   for (RunEntry *Run : WithoutRoom) {
-    const RunSpec &Spec = Run->Record.Spec;
-    const bool IsUrgentGang =
-        Spec.Kind == RunKind::Gang && Spec.Urgency == Priority::Urgent;
-    if (Run == Holder || (!IsUrgentGang && Now - Run->Work.ReadySince <
-                                               Data.Options.ReservationDelay))
+    if (Run == Holder || !mayReserve(*Run, Now))
       continue;
-    const auto Urgency = [](const RunEntry &Entry) {
-      return std::tuple(Entry.Record.Spec.Urgency == Priority::Normal,
-                        Entry.Work.ReadySince);
-    };
     if (!Best || Urgency(*Run) < Urgency(*Best))
       Best = Run;
   }
--- a/src/core/placementround.h
+++ b/src/core/placementround.h
@@ -85,6 +85,8 @@
   void finishStall(TeamIndex Team);
   void noteBlocked(RunEntry &Run, const Resources &Need);
   void refreshGrown();
+  void tryHolder(TimePoint Now);
+  bool mayReserve(const RunEntry &Run, TimePoint Now) const;
   bool takeTurn(Turn &Current, TimePoint Now);
   Attempt tryRun(RunEntry &Run, TimePoint Now);
   Attempt tryGang(RunEntry &Run, const Resources &Need, TimePoint Now);
--- a/src/core/reservation.cpp
+++ b/src/core/reservation.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t ComparedWorkers = 128;
 constexpr std::size_t OfferedFactor = 4;
 
+constexpr Duration PlanTolerance{30'000};
+
 /// Expected end of a task. One that has outlived its estimate is expected to
 /// run as long again.
 TimePoint expectedEnd(const TaskRef &Task, TimePoint Now) {
@@ -30,6 +32,13 @@
   return Found == Held.end() ? Resources{} : Found->second;
 }
 
+bool Reservation::isOutdated(TimePoint Now) const {
+  if (Now > Start + (Start - PlannedAt) / 2 + PlanTolerance)
+    return true;
+  return std::ranges::any_of(
+      Held, [this](const auto &One) { return !Index.isOpen(One.first); });
+}
+
 void Reservation::suspend() {
   if (IsSuspended)
     return;
--- a/src/core/reservation.h
+++ b/src/core/reservation.h
@@ -31,9 +31,10 @@
   /// When the run is expected to find all its room.
   TimePoint start() const { return Start; }
 
-  bool isOlderThan(Duration Age, TimePoint Now) const {
-    return Now - PlannedAt > Age;
-  }
+  /// True if a worker of the plan is closed, or the plan is well behind its
+  /// expected start. Planning more often would give up room on workers where
+  /// it has already accumulated.
+  bool isOutdated(TimePoint Now) const;
 
   /// Holds room for \p Count tasks of \p Entry where it is expected first,
   /// among \p Candidates. With \p Preempting, tasks of normal priority do not
