--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -23,6 +23,11 @@
 constexpr std::uint32_t MaxFailedPreemptions = 4;
 constexpr std::size_t ReconsideredPerTick = 1000;
 
+bool isUrgentGang(const RunEntry &Run) {
+  return Run.Record.Spec.Kind == RunKind::Gang &&
+         Run.Record.Spec.Urgency == Priority::Urgent;
+}
+
 } // namespace
 
 void PlacementRound::run(TimePoint Now) {
@@ -389,7 +394,7 @@
 bool PlacementRound::reserveFor(RunEntry &Run, TimePoint Now) {
   const RunSpec &Spec = Run.Record.Spec;
   const bool IsGang = Spec.Kind == RunKind::Gang;
-  const bool Preempting = IsGang && Spec.Urgency == Priority::Urgent;
+  const bool Preempting = isUrgentGang(Run);
   const Resources Need = Possible.reservation(Run);
   if (!Reserved.plan(Data, Run, Need,
                      IsGang ? std::uint32_t(Run.Work.Ready.size()) : 1,
@@ -425,9 +430,12 @@
     Reserved.release();
     return false;
   }
-  if (!Reserved.isOutdated(Now))
-    return true;
-  return reserveFor(*Run, Now);
+  if (Reserved.isOutdated(Now))
+    return reserveFor(*Run, Now);
+  // Stops that exceeded an earlier tick's budget are made up for.
+  if (isUrgentGang(*Run))
+    preemptOnReserved(*Run, Now);
+  return true;
 }
 
 void PlacementRound::updateReservation(TimePoint Now) {
@@ -441,7 +449,7 @@
 bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
   const RunSpec &Spec = Run.Record.Spec;
   const bool IsGang = Spec.Kind == RunKind::Gang;
-  if (IsGang && Spec.Urgency == Priority::Urgent)
+  if (isUrgentGang(Run))
     return true;
   if (Now - Run.Work.ReadySince < Data.Options.ReservationDelay)
     return false;
--- a/src/core/run.h
+++ b/src/core/run.h
@@ -113,6 +113,8 @@
   RunId Run;
   std::uint32_t Index = 0;
 
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   friend auto operator<=>(const TaskId &, const TaskId &) = default;
 };
 
@@ -121,6 +123,8 @@
   TaskId Task;
   std::uint32_t Attempt = 0;
 
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   friend auto operator<=>(const AttemptId &, const AttemptId &) = default;
 };
 
--- a/src/core/runwork.h
+++ b/src/core/runwork.h
@@ -35,6 +35,8 @@
   std::int64_t RankMs = 0;
   std::uint64_t Order = 0;
 
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
 };
 
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -50,6 +50,7 @@
 
   void setWorkers(int Count, const Labels &AllLabels = {}) {
     std::vector<WorkerView> Views;
+    Views.reserve(std::size_t(Count));
     for (int Place = 0; Place < Count; ++Place)
       Views.push_back({"w" + std::to_string(Place),
                        "z" + std::to_string(Place % 2),
