--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -5,6 +5,7 @@
 #include "policysimulation.h"
 
 #include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <iterator>
 #include <list>
@@ -29,7 +30,8 @@
 /// and urgent runs, and two waves of one team that alone fill the cluster.
 class JobList {
 public:
-  explicit JobList(const ClusterSize &Size) : Size(Size) {
+  JobList(const ClusterSize &Size, std::uint32_t Seed)
+      : Size(Size), Chance(Seed) {
     for (std::uint32_t Team = 0; Team < Size.Teams; ++Team)
       add(Duration{0}, Team, RunKind::Service, 10, {2'000, 4'096, 0},
           Arrivals * 4);
@@ -82,6 +84,7 @@
     New.Run.Spec.Tasks = Tasks;
     New.Run.Spec.PerTask = Need;
     New.Run.Spec.Urgency = Urgency;
+    New.IsWave = Team == 0 && Kind == RunKind::Batch;
     New.Run.Spec.Checkpointable = Chance() % 2 == 0;
     // Declared run times are off by a factor of up to three.
     New.Run.Spec.EstimateSeconds = std::uint32_t(std::max<std::int64_t>(
@@ -90,7 +93,7 @@
   }
 
   ClusterSize Size;
-  std::mt19937 Chance{7};
+  std::mt19937 Chance;
   std::vector<Job> Jobs;
 };
 
@@ -366,8 +369,8 @@
               Result.Packing, Result.Distance, Result.Preemptions);
 }
 
-void compare() {
-  const JobList List(Today);
+void compare(std::uint32_t Seed) {
+  const JobList List(Today, Seed);
   ShardPolicy Ours(Today);
   FifoFirstFit Fifo(Today);
   PlainFairShare Fair(Today);
@@ -380,7 +383,11 @@
 } // namespace
 } // namespace apricotwing::bench
 
-int main() {
-  apricotwing::bench::compare();
+/// Takes the seed of the list of work as an optional argument.
+int main(int Count, char **Arguments) {
+  constexpr std::uint32_t DefaultSeed = 7;
+  apricotwing::bench::compare(
+      Count > 1 ? std::uint32_t(std::strtoul(Arguments[1], nullptr, 10))
+                : DefaultSeed);
   return 0;
 }
--- a/bench/policysimulation.h
+++ b/bench/policysimulation.h
@@ -18,7 +18,8 @@
 struct Job {
   TimePoint Arrival;
   RunRecord Run;
-  Duration Length; ///< Of each task.
+  Duration Length;     ///< Of each task.
+  bool IsWave = false; ///< Part of a burst of one team.
 };
 
 struct Placement {
@@ -105,13 +106,18 @@
     Chosen.submit(New.Run, Now);
   }
 
+  static std::string classOf(const Job &Known) {
+    if (Known.IsWave)
+      return "wave";
+    const RunSpec &Spec = Known.Run.Spec;
+    return std::string(Spec.Urgency == Priority::Urgent
+                           ? priorityName(Spec.Urgency)
+                           : runKindName(Spec.Kind));
+  }
+
   void record(const TaskId &Id, Duration Waited) {
-    const RunSpec &Spec = jobOf(Id).Run.Spec;
-    Result
-        .WaitsSeconds[std::string(Spec.Urgency == Priority::Urgent
-                                      ? priorityName(Spec.Urgency)
-                                      : runKindName(Spec.Kind))]
-        .push_back(double(Waited.count()) / 1000);
+    Result.WaitsSeconds[classOf(jobOf(Id))].push_back(double(Waited.count()) /
+                                                      1000);
   }
 
   void leave(const AttemptId &Id) {
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -140,6 +140,24 @@
   EXPECT_EQ(After.Starts[0].Id.Task.Run, "urgent");
 }
 
+// Guards against an urgent gang that waits for tasks to end by themselves, and
+// against victims beyond what it needs.
+TEST_F(ShardSchedulerTest, UrgentGangDisplacesJustEnoughTasks) {
+  Scheduler->admit(runOf("greedy", "a", 16, {1000, 100, 0}));
+  tick();
+  RunRecord Gang = runOf("gang", "b", 2, {4000, 100, 0});
+  Gang.Spec.Kind = RunKind::Gang;
+  Gang.Spec.Urgency = Priority::Urgent;
+  Scheduler->admit(Gang);
+  const Decisions Made = tick();
+  EXPECT_EQ(Made.Stops.size(), 8U);
+  for (const StopCommand &One : Made.Stops)
+    endAttempt(One.Id, TaskState::Cancelled);
+  const Decisions After = tick();
+  ASSERT_EQ(After.Starts.size(), 2U);
+  EXPECT_EQ(After.Starts[0].Id.Task.Run, "gang");
+}
+
 // Guards against a gang that starves behind small tasks, and against backfill
 // that delays it.
 TEST_F(ShardSchedulerTest, ReservesForAGangAndBackfillsShortTasksOnly) {
@@ -171,6 +189,31 @@
             4);
 }
 
+// Guards against a reservation that is never used because other runs of the
+// team come first and are blocked.
+TEST_F(ShardSchedulerTest, StartsTheHolderOfTheReservationOutOfTurn) {
+  SchedulerOptions Options;
+  Options.BackfillDepth = 1;
+  setUp(Options);
+  Scheduler->admit(runOf("old", "a", 16, {1000, 100, 0}));
+  tick();
+  RunRecord Gang = runOf("gang", "b", 4, {4000, 100, 0});
+  Gang.Spec.Kind = RunKind::Gang;
+  Scheduler->admit(Gang);
+  tick();
+  tick(Duration{61'000});
+  ASSERT_EQ(Scheduler->stats().ReservedFor, "gang");
+  RunRecord Ahead = runOf("ahead", "b", 1, {4000, 100, 0});
+  Ahead.Spec.Kind = RunKind::Service;
+  Ahead.Spec.EstimateSeconds = 1;
+  Scheduler->admit(Ahead);
+  tick();
+  for (const WorkerId &Worker : Scheduler->workersInUse())
+    for (const AttemptId &Id : Scheduler->attemptsOn(Worker))
+      endAttempt(Id, TaskState::Succeeded);
+  EXPECT_EQ(tick().Starts.size(), 4U);
+}
+
 // Guards against an impossible run that blocks its team, a reason that does
 // not help, and a run that stays aside after its obstacle is gone.
 TEST_F(ShardSchedulerTest, SetsImpossibleRunsAsideUntilWorkersChange) {
