--- a/src/core/placementindex.cpp
+++ b/src/core/placementindex.cpp
@@ -102,10 +102,12 @@
   if (!Changed)
     return false;
   Matches.clear();
-  Total = {};
+  Total = Largest = {};
   for (WorkerIndex Worker = 0; Worker < Entries.size(); ++Worker) {
-    if (isServing(Worker))
+    if (isServing(Worker)) {
       Total += Entries[Worker].View.Capacity;
+      Largest = Resources::max(Largest, Entries[Worker].View.Capacity);
+    }
     refresh(Worker);
   }
   return true;
@@ -164,7 +166,18 @@
 }
 
 void PlacementIndex::refresh(WorkerIndex Worker) {
+  const Resources Before = Rooms[Worker];
   Rooms[Worker] = isOpen(Worker) ? unused(Worker) : Resources{-1, -1, -1};
+  if (Entries[Worker].Grown || Rooms[Worker].fitsIn(Before))
+    return;
+  Entries[Worker].Grown = true;
+  Grown.push_back(Worker);
+}
+
+void PlacementIndex::clearGrown() {
+  for (const WorkerIndex Worker : Grown)
+    Entries[Worker].Grown = false;
+  Grown.clear();
 }
 
 const WorkerMask &PlacementIndex::matching(const Labels &Selector) {
--- a/src/core/placementindex.h
+++ b/src/core/placementindex.h
@@ -133,6 +133,10 @@
   /// Capacity less use and holds, whatever the worker's condition.
   Resources unused(WorkerIndex Worker) const;
 
+  /// Workers whose room has grown since clearGrown().
+  const std::vector<WorkerIndex> &grown() const { return Grown; }
+  void clearGrown();
+
   /// Tasks counted on the worker.
   std::uint32_t tasks(WorkerIndex Worker) const {
     return Entries[Worker].Tasks;
@@ -156,6 +160,9 @@
   /// Sum of the capacities of the serving workers.
   const Resources &totalCapacity() const { return Total; }
 
+  /// Component-wise largest capacity of the serving workers.
+  const Resources &largestCapacity() const { return Largest; }
+
 private:
   struct Entry {
     WorkerView View;
@@ -166,6 +173,7 @@
     std::uint32_t Rack = 0;
     bool Listed = false;
     bool Ready = false;
+    bool Grown = false;
     WorkerHealth Health = WorkerHealth::Healthy;
   };
 
@@ -174,10 +182,12 @@
 
   std::vector<Entry> Entries;
   std::vector<Resources> Rooms;
+  std::vector<WorkerIndex> Grown;
   std::unordered_map<WorkerId, WorkerIndex> Indexes;
   std::map<std::string, std::uint32_t> Places; ///< Numbers of zones, racks.
   std::map<Labels, WorkerMask> Matches;
   Resources Total;
+  Resources Largest;
 };
 
 /// How many tasks of size \p Need fit into \p Space.
--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -15,14 +15,18 @@
 
 constexpr std::size_t MaxMisses = 64;
 constexpr std::size_t MaxRunsWithoutRoom = 256;
+/// A task is large if fewer than this many fit on the largest worker.
+constexpr std::int64_t LargeTasksPerWorker = 2;
+
 /// A search for victims that fails has looked at every worker, so a tick
 /// affords only a few.
 constexpr std::uint32_t MaxFailedPreemptions = 4;
 constexpr std::size_t ReconsideredPerTick = 1000;
 
-/// A reservation is planned anew this often, because tasks end earlier or
-/// later than expected and workers come and go.
-constexpr Duration ReservationPeriod{5'000};
+bool isUrgentGang(const RunEntry &Run) {
+  return Run.Record.Spec.Kind == RunKind::Gang &&
+         Run.Record.Spec.Urgency == Priority::Urgent;
+}
 
 } // namespace
 
@@ -44,12 +48,85 @@
   for (TeamIndex Team = 0; Team < Data.Queues.size(); ++Team)
     if (const auto &Runs = Data.queue(Team).runs(); !Runs.empty())
       Turns.push({Data.Shares.rank(Team), Team, Runs.begin()->first, 0});
+  tryHolder(Now);
+  refreshGrown();
+  Stalls.resize(Data.Queues.size());
   while (!Turns.empty() && StartsLeft > 0 && SearchesLeft > 0) {
     Turn Current = Turns.top();
     Turns.pop();
+    if (Current.Tried == 0 && isStalled(Current.Team))
+      continue;
     if (takeTurn(Current, Now))
       Turns.push(Current);
+    else
+      finishStall(Current.Team);
+  }
+  // Teams that were not reached have not seen the workers that grew.
+  if (Turns.empty())
+    Data.Index.clearGrown();
+}
+
+void PlacementRound::tryHolder(TimePoint Now) {
+  // Its turn may never come behind the other runs of its team.
+  RunEntry *Holder = Data.State.find(Reserved.run());
+  if (Holder && Holder->Work.Queued)
+    tryRun(*Holder, Now);
+}
+
+void PlacementRound::refreshGrown() {
+  LargestGrown = {-1, -1, -1};
+  for (const WorkerIndex Worker : Data.Index.grown())
+    LargestGrown = Resources::max(LargestGrown, Data.Index.room(Worker) +
+                                                    Reserved.heldOn(Worker));
+  StartsSinceGrown = 0;
+}
+
+bool PlacementRound::isStalled(TeamIndex Team) {
+  const Stall &Known = Stalls[Team];
+  TeamQueue &Queue = Data.queue(Team);
+  // An old bound is too large at worst; a new one costs a look at each worker.
+  if (StartsSinceGrown > Data.Index.grown().size() / 8)
+    refreshGrown();
+  const bool Holds =
+      Known.Version == Queue.version() && !Known.IsOpen &&
+      Known.Generation == Data.Generation && Known.RoomVersion == RoomVersion &&
+      Known.Allocated == Data.Shares.allocated(Team) &&
+      Known.Cap == Queue.cap() && !Known.LeastNeed.fitsIn(LargestGrown);
+  if (!Holds) {
+    beginStall(Team);
+    return false;
   }
+  if (Known.Longest)
+    WithoutRoom.push_back(Known.Longest);
+  return true;
+}
+
+void PlacementRound::beginStall(TeamIndex Team) {
+  Stalls[Team] = {};
+  Stalls[Team].LeastNeed = {MaxCpuMillisPerTask, MaxMemoryMibPerTask,
+                            MaxAcceleratorsPerTask};
+}
+
+void PlacementRound::finishStall(TeamIndex Team) {
+  Stall &Known = Stalls[Team];
+  Known.Version = Data.queue(Team).version();
+  Known.Generation = Data.Generation;
+  Known.RoomVersion = RoomVersion;
+  Known.Allocated = Data.Shares.allocated(Team);
+  Known.Cap = Data.queue(Team).cap();
+}
+
+void PlacementRound::noteBlocked(RunEntry &Run, const Resources &Need) {
+  Stall &Known = Stalls[Run.Team];
+  Known.LeastNeed = {std::min(Known.LeastNeed.CpuMillis, Need.CpuMillis),
+                     std::min(Known.LeastNeed.MemoryMib, Need.MemoryMib),
+                     std::min(Known.LeastNeed.Accelerators, Need.Accelerators)};
+  // Preemption and claims go on while no worker has room.
+  Known.IsOpen |=
+      Run.Work.Claims > 0 || Run.Record.Spec.Urgency == Priority::Urgent;
+  if (Run.Work.Why == WaitReason::NoRoom &&
+      (!Known.Longest || Run.Work.ReadySince < Known.Longest->Work.ReadySince))
+    Known.Longest = &Run;
 }
 
 bool PlacementRound::takeTurn(Turn &Current, TimePoint Now) {
@@ -60,6 +137,7 @@
   Current.Next = Next->first;
   const Attempt Result = tryRun(*Next->second, Now);
   if (Result == Attempt::Started) {
+    ++StartsSinceGrown;
     Current.Rank = Data.Shares.rank(Current.Team);
     return true;
   }
@@ -108,22 +186,19 @@
   if (!checkFeasible(Run, Now))
     return Attempt::Left;
   const Resources Need = Possible.reservation(Run);
-  return Run.Record.Spec.Kind == RunKind::Gang ? tryGang(Run, Need, Now)
-                                               : tryTask(Run, Need, Now);
+  const Attempt Result = Run.Record.Spec.Kind == RunKind::Gang
+                             ? tryGang(Run, Need, Now)
+                             : tryTask(Run, Need, Now);
+  if (Result == Attempt::Blocked)
+    noteBlocked(Run, Need);
+  return Result;
 }
 
 bool PlacementRound::mayUseReserved(const RunEntry &Run, TimePoint Now) const {
   if (!Reserved.isActive() || Reserved.run() == Run.Record.Id)
     return true;
   return Run.Record.Spec.Kind != RunKind::Service &&
-         Now + Data.runTime(Run) <= Reserved.start();
-}
-
-WorkerMask PlacementRound::candidates(const RunEntry &Run, bool WithReserved) {
-  WorkerMask Result = Data.Index.matching(Run.Record.Spec.Selector);
-  if (!WithReserved)
-    Result.subtract(Reserved.workers());
-  return Result;
+         Now + Run.Work.Expected <= Reserved.start();
 }
 
 PlacementRound::Attempt
@@ -134,21 +209,22 @@
   if (exceedsCap(Run, Need * Count))
     return Attempt::Blocked;
   --SearchesLeft;
-  const bool WithReserved = mayUseReserved(Run, Now);
-  const WorkerMask Mask = candidates(Run, WithReserved);
+  const bool IsHolder = Reserved.run() == Run.Record.Id;
+  if (IsHolder)
+    Reserved.suspend();
   PlacementRequest Request;
   Request.Need = Need;
   Request.Count = Count;
-  Request.Candidates = &Mask;
+  Request.Candidates = &Data.Index.matching(Run.Record.Spec.Selector);
   const std::vector<WorkerIndex> Workers =
       GangPlacer().place(Data.Index, Request);
+  Reserved.resume();
   if (Workers.empty())
-    return blockForRoom(Run, WithReserved);
+    return blockForRoom(Run, IsHolder || !Reserved.isActive());
+  releaseReservation(Run);
   for (const WorkerIndex Worker : Workers)
     Lifecycle.start(Run, Worker, Need, Now);
   StartsLeft -= std::min(StartsLeft, Count);
-  if (Reserved.run() == Run.Record.Id)
-    Reserved.release();
   return Attempt::Started;
 }
 
@@ -156,30 +232,49 @@
 PlacementRound::tryTask(RunEntry &Run, const Resources &Need, TimePoint Now) {
   if (exceedsCap(Run, Need))
     return Attempt::Blocked;
-  const bool WithReserved = mayUseReserved(Run, Now);
+  const bool IsHolder = Reserved.run() == Run.Record.Id;
+  if (IsHolder)
+    Reserved.suspend();
   WorkerIndex Worker = takeClaim(Run, Need);
   if (Worker == NoWorker)
-    Worker = search(Run, Need, WithReserved);
+    Worker = search(Run, Need);
+  Reserved.resume();
+  if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
+    Worker = backfill(Run, Need);
   if (Worker == NoWorker)
-    return blockForRoom(Run, WithReserved);
+    return blockForRoom(Run, IsHolder || !Reserved.isActive());
+  releaseReservation(Run);
   if (Run.Record.Spec.Kind == RunKind::Service)
     spreadOf(Run).add(Data.Index, Worker);
   Lifecycle.start(Run, Worker, Need, Now);
   --StartsLeft;
-  if (Reserved.run() == Run.Record.Id)
-    Reserved.release();
   return Attempt::Started;
 }
 
+void PlacementRound::releaseReservation(const RunEntry &Run) {
+  if (Reserved.run() != Run.Record.Id)
+    return;
+  Reserved.release();
+  ++RoomVersion;
+}
+
 bool PlacementRound::isKnownMiss(const Resources &Need,
-                                 const WorkerMask *Matching,
-                                 bool WithReserved) const {
+                                 const WorkerMask *Matching) const {
   return std::ranges::any_of(Misses, [&](const Miss &Known) {
-    return Known.Matching == Matching && Known.Need.fitsIn(Need) &&
-           (Known.WithReserved || !WithReserved);
+    return Known.Matching == Matching && Known.Need.fitsIn(Need);
   });
 }
 
+WorkerIndex PlacementRound::backfill(const RunEntry &Run,
+                                     const Resources &Need) {
+  const WorkerMask &Matching = Data.Index.matching(Run.Record.Spec.Selector);
+  for (const auto &[Worker, Amount] : Reserved.held())
+    if (Matching.test(Worker) && Data.Index.isOpen(Worker) &&
+        Need.fitsIn(Data.Index.unused(Worker) + Amount))
+      return Worker;
+  return NoWorker;
+}
+
 SpreadCounts &PlacementRound::spreadOf(const RunEntry &Run) {
   const auto [Found, Inserted] = Spreads.try_emplace(&Run);
   if (Inserted)
@@ -189,13 +284,14 @@
   return Found->second;
 }
 
-WorkerIndex PlacementRound::search(RunEntry &Run, const Resources &Need,
-                                   bool WithReserved) {
+WorkerIndex PlacementRound::search(RunEntry &Run, const Resources &Need) {
   const WorkerMask *Matching = &Data.Index.matching(Run.Record.Spec.Selector);
-  if (SearchesLeft == 0 || isKnownMiss(Need, Matching, WithReserved))
+  // The holder sees more room than others, so their misses say nothing.
+  const bool IsHolder = Reserved.run() == Run.Record.Id;
+  if (SearchesLeft == 0 || (!IsHolder && isKnownMiss(Need, Matching)))
     return NoWorker;
   --SearchesLeft;
-  WorkerMask Mask = candidates(Run, WithReserved);
+  const WorkerMask &Mask = *Matching;
   // A worker on which the run has failed is the last choice.
   const std::set<WorkerIndex> *Failed = Data.Health.failedOn(Run.Record.Id);
   WorkerMask Preferred = Mask;
@@ -221,7 +317,7 @@
     Worker = Place();
   }
   if (Worker == NoWorker && Misses.size() < MaxMisses)
-    Misses.push_back({Need, Matching, WithReserved});
+    Misses.push_back({Need, Matching});
   return Worker;
 }
 
@@ -283,8 +379,8 @@
                           Need * (std::int64_t(Run.Work.Claims) + 1);
   if (!After.fitsIn(Data.queue(Run).cap()))
     return;
-  const std::optional<PreemptionPlan> Plan =
-      Planner.plan(Run, Need, candidates(Run, mayUseReserved(Run, Now)), Now);
+  const std::optional<PreemptionPlan> Plan = Planner.plan(
+      Run, Need, Data.Index.matching(Run.Record.Spec.Selector), Now);
   if (!Plan || Plan->Victims.size() > Data.StopBudget)
     return;
   for (const TaskRef &Victim : Plan->Victims)
@@ -298,38 +394,32 @@
 bool PlacementRound::reserveFor(RunEntry &Run, TimePoint Now) {
   const RunSpec &Spec = Run.Record.Spec;
   const bool IsGang = Spec.Kind == RunKind::Gang;
-  const bool Preempting = IsGang && Spec.Urgency == Priority::Urgent;
+  const bool Preempting = isUrgentGang(Run);
   const Resources Need = Possible.reservation(Run);
   if (!Reserved.plan(Data, Run, Need,
                      IsGang ? std::uint32_t(Run.Work.Ready.size()) : 1,
                      Data.Index.matching(Spec.Selector), Preempting, Now))
     return false;
   if (Preempting)
-    preemptOnReserved(Run, Need, Now);
+    preemptOnReserved(Run, Now);
   return true;
 }
 
-void PlacementRound::preemptOnReserved(const RunEntry &Run,
-                                       const Resources &Need, TimePoint Now) {
-  std::uint64_t Missing = Run.Work.Ready.size();
-  Reserved.workers().forEach([&](WorkerIndex Worker) {
-    Resources Room = Data.Index.unused(Worker);
+void PlacementRound::preemptOnReserved(const RunEntry &Run, TimePoint Now) {
+  for (const auto &[Worker, Amount] : Reserved.held()) {
+    Resources Room = Data.Index.unused(Worker) + Amount;
     const std::vector<TaskRef> Tasks = Data.State.tasksOn(Worker);
     for (const TaskRef &Task : Tasks)
       if (Task.task().State == TaskState::Stopping)
         Room += Task.task().Reserved + Task.task().Excess;
-    const std::uint64_t Wanted =
-        std::min(Missing, slotsIn(Data.Index.view(Worker).Capacity, Need));
     for (const TaskRef &Task : Tasks) {
-      if (slotsIn(Room, Need) >= Wanted)
+      if (Amount.fitsIn(Room))
         break;
-      if (!Planner.isVictim(Task, Run, Now) ||
-          !Lifecycle.stop(Task, StopReason::Preempted, Now))
-        continue;
-      Room += Task.task().Reserved + Task.task().Excess;
+      if (Planner.isVictim(Task, Run, Now) &&
+          Lifecycle.stop(Task, StopReason::Preempted, Now))
+        Room += Task.task().Reserved + Task.task().Excess;
     }
-    Missing -= std::min(Missing, slotsIn(Room, Need));
-  });
+  }
 }
 
 bool PlacementRound::renewReservation(TimePoint Now) {
@@ -340,26 +430,46 @@
     Reserved.release();
     return false;
   }
-  if (!Reserved.isOlderThan(ReservationPeriod, Now))
-    return true;
-  return reserveFor(*Run, Now);
+  if (Reserved.isOutdated(Now))
+    return reserveFor(*Run, Now);
+  // Stops that exceeded an earlier tick's budget are made up for.
+  if (isUrgentGang(*Run))
+    preemptOnReserved(*Run, Now);
+  return true;
 }
 
 void PlacementRound::updateReservation(TimePoint Now) {
+  const RunId Before = Reserved.run();
+  const TimePoint StartBefore = Reserved.start();
+  chooseReservation(Now);
+  if (Reserved.run() != Before || Reserved.start() != StartBefore)
+    ++RoomVersion;
+}
+
+bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
+  const RunSpec &Spec = Run.Record.Spec;
+  const bool IsGang = Spec.Kind == RunKind::Gang;
+  if (isUrgentGang(Run))
+    return true;
+  if (Now - Run.Work.ReadySince < Data.Options.ReservationDelay)
+    return false;
+  // Small tasks find room as soon as it is their team's turn.
+  return IsGang || (Spec.PerTask * LargeTasksPerWorker)
+                           .dominantFraction(Data.Index.largestCapacity()) > 1;
+}
+
+void PlacementRound::chooseReservation(TimePoint Now) {
   const bool IsHeld = renewReservation(Now);
   RunEntry *Holder = IsHeld ? Data.State.find(Reserved.run()) : nullptr;
   RunEntry *Best = nullptr;
+  const auto Urgency = [this](const RunEntry &Entry) {
+    return std::tuple(Entry.Record.Spec.Urgency == Priority::Normal,
+                      Data.Shares.isAboveShare(Entry.Team),
+                      Entry.Work.ReadySince);
+  };
   for (RunEntry *Run : WithoutRoom) {
-    const RunSpec &Spec = Run->Record.Spec;
-    const bool IsUrgentGang =
-        Spec.Kind == RunKind::Gang && Spec.Urgency == Priority::Urgent;
-    if (Run == Holder || (!IsUrgentGang && Now - Run->Work.ReadySince <
-                                               Data.Options.ReservationDelay))
+    if (Run == Holder || !mayReserve(*Run, Now))
       continue;
-    const auto Urgency = [](const RunEntry &Entry) {
-      return std::tuple(Entry.Record.Spec.Urgency == Priority::Normal,
-                        Entry.Work.ReadySince);
-    };
     if (!Best || Urgency(*Run) < Urgency(*Best))
       Best = Run;
   }
--- a/src/core/runwork.h
+++ b/src/core/runwork.h
@@ -35,6 +35,8 @@
   std::int64_t RankMs = 0;
   std::uint64_t Order = 0;
 
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
 };
 
@@ -48,8 +50,9 @@
   bool Changed = false;     ///< May differ from its row.
   WaitReason Why = WaitReason::NotTried;
   QueueKey Key;
-  std::uint64_t CheckedGeneration = 0;      ///< Feasibility was checked then.
-  std::string Class;                        ///< Of the UsageEstimator.
+  std::uint64_t CheckedGeneration = 0; ///< Feasibility was checked then.
+  Duration Expected{0}; ///< Run time of a task, as estimated at its start.
+  std::string Class;    ///< Of the UsageEstimator.
   RunState ShownState = RunState::Accepted; ///< As its row reads.
   std::string ShownReason;
   TimePoint ReadySince; ///< When its waiting tasks became ready.
--- a/tests/core/shardworld.h
+++ b/tests/core/shardworld.h
@@ -27,6 +27,8 @@
   bool isActive(const AttemptId &Id) const;
   /// Tasks of a run that have not reached a final state.
   std::uint32_t openTasks(const RunId &Run) const;
+  /// True if some open tasks run on while others do not.
+  bool isPartlyRunning(const RunId &Run) const;
 
   std::map<RunId, RunRecord> Runs;
   std::map<RunId, RunState> Final;
@@ -36,6 +38,7 @@
   struct Task {
     std::uint32_t Attempt = 0;
     bool Active = false;
+    bool Stopping = false;
     bool Done = false;
   };
   std::map<TaskId, Task> Tasks;
@@ -55,6 +58,9 @@
   void setReachable(std::size_t Worker, bool Value);
   void loseZone(const std::string &Zone);
   void setBad(std::size_t Worker, bool Value);
+  /// The worker loses all tasks and its memory. The owner notices by the
+  /// worker's clock, unless it takes the shard over just then.
+  void restartWorker(std::size_t Worker, bool IsNoticed);
   void setDrained(std::size_t Worker, bool Value);
   void refuseStarts(std::uint32_t Count) { Refusals = Count; }
   void setNetwork(std::uint32_t Loss, std::uint32_t Duplicates);
@@ -91,6 +97,7 @@
   struct Message {
     TimePoint Due;
     Epoch Sender = 0;
+    std::uint64_t Send = 0; ///< The same for copies that the network made.
     bool IsStart = false;
     WorkerId To;
     AttemptId Id;
@@ -138,6 +145,7 @@
   std::uint64_t Commits = 0;
   JournalOracle Oracle;
   std::map<AttemptId, TaskState> Truth; ///< How attempts really ended.
+  std::uint64_t Sends = 0;
   std::uint32_t Refusals = 0;
   std::uint32_t LossPercent = 0;
   std::uint32_t DuplicatePercent = 0;
