Give a starved instance its fair part of executor slots

Cause: an instance that came back under full load got no slots, because busy holders never gave any back (PausedInstanceDoesNotOverfillExecutors timed out after 60 s waiting for an answer). Starts right after a takeover were refused, because the first call to a worker reads its clock and sets no lease. Ruled out: the takeover of the session, which had finished (state dump). Change: holders lower their use to the fair part that the ledger reports; only a renewal that set a lease makes a worker eligible; unmet demand is retried every 500 ms and idle pools are not read. The list of instances names the owner of each shard.

--- a/src/daemon/api.cpp
+++ b/src/daemon/api.cpp
@@ -1,5 +1,6 @@
 #include "daemon/api.h"
 
+#include "core/shardmap.h"
 #include "platform/crypto.h"
 #include "wire/configcodec.h"
 #include "wire/errorcodec.h"
@@ -334,13 +335,18 @@
     throwNoSuchPath(Request);
   owner(Request);
   if (Path[1] == "instances")
-    return Respond(answer(200, encodeInstanceList()));
+    return runLater([this] { return answer(200, encodeInstanceList()); },
+                    Respond);
   if (Path[1] == "workers")
     return Respond(answer(200, encodeWorkerList()));
   throwNoSuchPath(Request);
 }
 
 std::string Api::encodeInstanceList() const {
+  std::map<SessionId, std::vector<ShardId>> Owned;
+  for (const ShardId &Shard : shardIds(Context.Values.Scheduler.ShardsPerCell))
+    if (const std::optional<Row> Found = Context.Table.read(keys::shard(Shard)))
+      Owned[Context.Codec.decodeShard(Found->Value).Owner].push_back(Shard);
   std::vector<InstanceStatus> Result;
   for (const MemberRow &Member : Context.Session.members()) {
     InstanceStatus Entry;
@@ -349,9 +355,7 @@
     Entry.PeerAddress = Member.Record.PeerAddress;
     Entry.Zone = Member.Record.Zone;
     Entry.State = Member.Record.State;
-    if (Entry.Id == Context.Session.sessionId())
-      for (const ShardStatus &Shard : Parts.Shards.status())
-        Entry.Shards.push_back(Shard.Shard);
+    Entry.Shards = Owned[Entry.Id];
     Result.push_back(std::move(Entry));
   }
   return encodeInstances(Result);
@@ -370,8 +374,11 @@
       ById[Worker.Worker.Id] = Worker;
   std::vector<WorkerStatus> Result;
   Result.reserve(ById.size());
-  for (const auto &[Id, Entry] : ById)
+  const std::shared_ptr<const Config> Document = Context.Session.config();
+  for (auto &[Id, Entry] : ById) {
+    Entry.Drained = Document && Document->DrainedWorkers.contains(Id);
     Result.push_back(Entry);
+  }
   return encodeWorkers(Result);
 }
 
--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -14,7 +14,11 @@
 
 /// A pool is looked at this often even without a change of demand, so that a
 /// lower capacity and freed units are noticed.
-constexpr Duration RefreshPeriod{3000};
+constexpr Duration RefreshPeriod{2000};
+
+/// A pool that gave less than was wanted is asked again after this time, so
+/// that a saturated cell does not use up the reads of the table service.
+constexpr Duration RetryPeriod{500};
 
 /// The unit of the pools of concurrent requests.
 const std::string RequestUnit = "requests";
@@ -57,6 +61,8 @@
     HolderInUse = Holder;
     LastRound.clear();
     Overdraft.clear();
+    FairParts.clear();
+    LastWanted.clear();
     const std::lock_guard Lock(Mutex);
     Held.clear();
   }
@@ -110,32 +116,55 @@
 bool GrantService::needsRound(const std::string &Pool,
                               const UnitAmounts &Wanted) const {
   const auto Last = LastRound.find(Pool);
-  if (Last == LastRound.end() ||
-      Context.Time.now() - Last->second >= RefreshPeriod)
+  if (Last == LastRound.end())
     return true;
+  const Duration Since = Context.Time.now() - Last->second;
   const std::lock_guard Lock(Mutex);
   const auto Found = Held.find(Pool);
-  for (const auto &[Unit, Amount] : Wanted) {
-    std::int64_t Present = 0;
-    if (Found != Held.end()) {
-      const auto Entry = Found->second.find(Unit);
-      Present = Entry == Found->second.end() ? 0 : Entry->second;
-    }
-    if (Present < Amount)
-      return true;
+  const UnitAmounts Present =
+      Found == Held.end() ? UnitAmounts() : Found->second;
+  const auto IsMore = [&](const auto &Entry, const UnitAmounts &Than) {
+    const auto Other = Than.find(Entry.first);
+    return Entry.second > (Other == Than.end() ? 0 : Other->second);
+  };
+  const auto Before = LastWanted.find(Pool);
+  bool IsUnmet = false;
+  bool IsNewDemand = false;
+  for (const auto &Entry : Wanted) {
+    if (!IsMore(Entry, Present))
+      continue;
+    IsUnmet = true;
+    IsNewDemand |= Before == LastWanted.end() || IsMore(Entry, Before->second);
   }
-  return false;
+  if (IsNewDemand || (IsUnmet && Since >= RetryPeriod))
+    return true;
+  const bool IsUsed =
+      std::any_of(Present.begin(), Present.end(),
+                  [](const auto &Entry) { return Entry.second > 0; });
+  return IsUsed && Since >= RefreshPeriod;
+}
+
+void GrantService::limitToFairPart(const std::string &Pool,
+                                   UnitAmounts &Wanted) const {
+  const auto Parts = FairParts.find(Pool);
+  if (Parts == FairParts.end())
+    return;
+  for (auto &[Unit, Amount] : Wanted)
+    if (const auto Part = Parts->second.find(Unit); Part != Parts->second.end())
+      Amount = std::min(Amount, Part->second);
 }
 
 UnitAmounts GrantService::adjusted(const std::string &Pool,
                                    const std::string &Holder,
                                    const UnitAmounts &Targets) {
   LastRound[Pool] = Context.Time.now();
+  LastWanted[Pool] = Targets;
   const PoolShare Share = Ledger.adjust(Pool, Holder, Targets);
   std::int64_t Excess = 0;
   for (const auto &[Unit, Free] : Share.Free)
     Excess = std::max(Excess, -Free);
   Overdraft[Pool] = Excess;
+  FairParts[Pool] = Share.Fair;
   return Share.Granted;
 }
 
@@ -147,6 +176,7 @@
   Requests.withRouter([&](RequestRouter &Router) {
     Wanted = Router.wantedSlots(Upstream, Context.Time.now());
   });
+  limitToFairPart(Pool, Wanted);
   if (!needsRound(Pool, Wanted))
     return;
   {
@@ -187,7 +217,9 @@
     const std::lock_guard Lock(Mutex);
     Present = Held[Pool][RequestUnit];
   }
-  std::int64_t Target = Wanted;
+  UnitAmounts Limited = {{RequestUnit, Wanted}};
+  limitToFairPart(Pool, Limited);
+  std::int64_t Target = Limited[RequestUnit];
   // After a reduction of the limit every holder gives back what exceeds it.
   if (Overdraft[Pool] > 0)
     Target =
--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -42,6 +42,7 @@
   UnitAmounts adjusted(const std::string &Pool, const std::string &Holder,
                        const UnitAmounts &Targets);
   bool needsRound(const std::string &Pool, const UnitAmounts &Wanted) const;
+  void limitToFairPart(const std::string &Pool, UnitAmounts &Wanted) const;
   void logFailure(const std::string &Pool, const Error &Failure);
 
   DaemonContext &Context;
@@ -52,6 +53,9 @@
   std::uint64_t CapacityVersion = 0;
   std::map<std::string, UnitAmounts> Capacities; ///< As last ensured.
   std::map<std::string, std::int64_t> Overdraft; ///< By pool, to give back.
+  /// Equal parts of units that another holder waits for, by pool.
+  std::map<std::string, UnitAmounts> FairParts;
+  std::map<std::string, UnitAmounts> LastWanted; ///< In the last round.
   std::map<std::string, TimePoint> LastRound;
   mutable std::mutex Mutex; ///< Guards Held.
   std::map<std::string, UnitAmounts> Held;
--- a/src/daemon/workerfleet.cpp
+++ b/src/daemon/workerfleet.cpp
@@ -74,8 +74,8 @@
       LeaseAnswer Answer = Self->Context.Workers.renew(Address, Renewal);
       const TimePoint ReceivedAt = Self->Context.Time.now();
       Self->Post([Self, Worker, SentAt, ReceivedAt, Answer = std::move(Answer),
-                  Acknowledged = Renewal.Acknowledged] {
-        Self->handleAnswer(Worker, SentAt, ReceivedAt, Answer, Acknowledged);
+                  Renewal] {
+        Self->handleAnswer(Worker, SentAt, ReceivedAt, Answer, Renewal);
       });
     } catch (const Error &Failure) {
       Self->Post([Self, Worker, Failure] {
@@ -88,12 +88,12 @@
 
 void WorkerFleet::handleAnswer(const WorkerId &Worker, TimePoint SentAt,
                                TimePoint ReceivedAt, const LeaseAnswer &Answer,
-                               const std::vector<AttemptId> &Acknowledged) {
+                               const LeaseRenewal &Renewal) {
   if (Scheduler == nullptr)
     return;
   Entry &Target = entry(Worker);
   Target.RenewalUnderWay = false;
-  for (const AttemptId &Id : Acknowledged)
+  for (const AttemptId &Id : Renewal.Acknowledged)
     Target.Acknowledgements.erase(Id);
   if (std::exchange(Target.SilentNoted, false))
     Context.Events.info(Component::Workers, "worker answers again", Worker);
@@ -102,7 +102,11 @@
                            "worker restarted, its tasks are lost", Worker);
     Scheduler->handleWorkerExpired(Worker, ReceivedAt);
   }
-  Scheduler->handleReport(Worker, Answer.Tasks, ReceivedAt);
+  if (Renewal.DeadlineMs > 0)
+    return Scheduler->handleReport(Worker, Answer.Tasks, ReceivedAt);
+  // The call only read the worker's clock. A worker without a lease refuses
+  // starts, so its report counts once a lease is in force.
+  Target.LastCall.reset();
 }
 
 void WorkerFleet::handleRenewalFailure(const WorkerId &Worker,
--- a/src/daemon/workerfleet.h
+++ b/src/daemon/workerfleet.h
@@ -69,7 +69,7 @@
   void renew(const WorkerId &Worker, Entry &Target, TimePoint Now);
   void handleAnswer(const WorkerId &Worker, TimePoint SentAt,
                     TimePoint ReceivedAt, const LeaseAnswer &Answer,
-                    const std::vector<AttemptId> &Acknowledged);
+                    const LeaseRenewal &Renewal);
   void handleRenewalFailure(const WorkerId &Worker, const Error &Failure);
   void sendStart(const StartCommand &Command);
   void sendStop(const StopCommand &Command);
