--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -192,14 +192,14 @@
           ListenSocket = Acceptor.native_handle();
           BoundPort = Acceptor.local_endpoint().port();
         })
-        .request_handler([this](auto Request) {
-          handle(std::move(Request));
+        .request_handler([this](const auto &Request) {
+          handle(Request);
           return restinio::request_accepted();
         });
     return Result;
   }
 
-  void handle(restinio::request_handle_t Request) {
+  void handle(const restinio::request_handle_t &Request) {
     auto Call = Open.add([this, Request](HttpResponse Response,
                                          std::function<void()> Written) {
       const bool Close = Stopping ||
--- a/tests/core/requestworld.cpp
+++ b/tests/core/requestworld.cpp
@@ -321,7 +321,7 @@
                "reset"});
 }
 
-void RequestWorld::report(std::size_t FlightAt, SendReport Report) {
+void RequestWorld::report(std::size_t FlightAt, const SendReport &Report) {
   const Flight Of = Flights[FlightAt];
   Flights.erase(Flights.begin() + std::ptrdiff_t(FlightAt));
   const Call &Sent = Calls.at(Report.Id);
--- a/tests/core/requestworld.h
+++ b/tests/core/requestworld.h
@@ -117,7 +117,7 @@
                      const std::map<std::pair<std::string, TeamName>, int> &);
   std::map<std::pair<std::string, TeamName>, int> eligible(std::size_t At);
   void execute(Flight &Of);
-  void report(std::size_t FlightAt, SendReport Report);
+  void report(std::size_t FlightAt, const SendReport &Report);
   void conclude(const std::string &Id, Outcome Result);
   void publish();
   void check();
--- a/tests/platform/httpserver_test.cpp
+++ b/tests/platform/httpserver_test.cpp
@@ -102,8 +102,8 @@
 // when it is sent later and from a thread that is not the server's.
 TEST(HttpServerTest, RespondsFromAnyThreadOverOneConnection) {
   std::vector<std::future<void>> Later;
-  const auto Server =
-      startHttpServer(smallServer(), [&Later](HttpRequest R, Responder Send) {
+  const auto Server = startHttpServer(
+      smallServer(), [&Later](const HttpRequest &R, const Responder &Send) {
         Later.push_back(std::async(std::launch::async, [R, Send] {
           std::this_thread::sleep_for(5ms);
           echo(R, Send);
@@ -122,8 +122,8 @@
 // Guards against a caller that waits for ever because a handler lost track of
 // its request, and against calling such a request "not run".
 TEST(HttpServerTest, ADroppedResponderAnswersUnknown) {
-  const auto Server =
-      startHttpServer(smallServer(), [](HttpRequest R, const Responder &) {
+  const auto Server = startHttpServer(
+      smallServer(), [](const HttpRequest &R, const Responder &) {
         if (R.Path == "/throw")
           throw Error(ErrorKind::NotFound, "no \"x\"", "look");
       });
@@ -194,8 +194,8 @@
 // handler.
 TEST(HttpServerTest, MalformedInputIsRefused) {
   std::atomic<int> Handled = 0;
-  const auto Server =
-      startHttpServer(smallServer(), [&Handled](HttpRequest R, Responder Send) {
+  const auto Server = startHttpServer(
+      smallServer(), [&Handled](HttpRequest R, const Responder &Send) {
         ++Handled;
         echo(std::move(R), Send);
       });
@@ -247,9 +247,9 @@
 // Guards against a planned stop that interrupts a request or takes new ones.
 TEST(HttpServerTest, StoppingFinishesOpenRequests) {
   std::promise<Responder> Arrived;
-  auto Server = startHttpServer(smallServer(), [&](HttpRequest, Responder R) {
-    Arrived.set_value(std::move(R));
-  });
+  auto Server = startHttpServer(
+      smallServer(),
+      [&](const HttpRequest &, const Responder &R) { Arrived.set_value(R); });
   const std::uint16_t Port = Server->port();
   RawClient Client(Port);
   Client.send(post("x"));
