--- a/bench/syntheticcluster.h
+++ b/bench/syntheticcluster.h
@@ -74,11 +74,13 @@
 
   /// Admits a run of \p Tasks tasks of a random team and size.
   RunId submit(std::uint32_t Tasks, RunKind Kind = RunKind::Batch,
-               std::int64_t CpuMillis = 0) {
+               std::int64_t CpuMillis = 0,
+               Priority Urgency = Priority::Normal) {
     RunRecord Run;
     Run.Id = "run-" + std::to_string(++LastRun);
     Run.Team = teamAt(std::uint32_t(Chance()) % Size.Teams);
     Run.Spec.Kind = Kind;
+    Run.Spec.Urgency = Urgency;
     Run.Spec.Tasks = Tasks;
     Run.Spec.PerTask = {CpuMillis > 0 ? CpuMillis
                                       : 500 * (1 + std::int64_t(Chance() % 6)),
@@ -112,20 +114,47 @@
 
   /// Ends a random running batch task by a report of its worker.
   void endOne() {
-    const std::size_t Position = Chance() % Running.size();
-    const AttemptId Id = Running[Position];
-    Running[Position] = Running.back();
-    Running.pop_back();
-    const WorkerId Worker = Places.at(Id);
-    Places.erase(Id);
+    for (bool Ended = false; !Ended;) {
+      const std::size_t Position = Chance() % Running.size();
+      const AttemptId Id = Running[Position];
+      Running[Position] = Running.back();
+      Running.pop_back();
+      Ended = end(Id, TaskState::Succeeded);
+    }
+  }
+
+  /// Ends an attempt by a report of its worker; false if it is over already.
+  bool end(const AttemptId &Id, TaskState State) {
+    const auto Place = Places.find(Id);
+    if (Place == Places.end())
+      return false;
+    const WorkerId Worker = Place->second;
+    Places.erase(Place);
     std::vector<TaskReport> Reports;
     for (const AttemptId &Other : Scheduler.attemptsOn(Worker))
       Reports.push_back(
-          {Other,
-           Other == Id ? TaskState::Succeeded : TaskState::Running,
-           0,
-           {}});
+          {Other, Other == Id ? State : TaskState::Running, 0, {}});
     Scheduler.handleReport(Worker, Reports, Now);
+    return true;
+  }
+
+  /// Reports of all workers, as each renewal of the leases brings them.
+  /// Returns the time that taking them took.
+  std::chrono::nanoseconds reportAll() {
+    std::map<WorkerId, std::vector<TaskReport>> Reports;
+    for (const WorkerView &View : Views)
+      for (const AttemptId &Id : Scheduler.attemptsOn(View.Id))
+        Reports[View.Id].push_back({Id, TaskState::Running, 0, {400, 400, 0}});
+    const auto Begin = std::chrono::steady_clock::now();
+    for (const auto &[Worker, Tasks] : Reports)
+      Scheduler.handleReport(Worker, Tasks, Now);
+    return std::chrono::steady_clock::now() - Begin;
+  }
+
+  /// Frees this object's own lists, so that the heap shows the scheduler's.
+  void dropRecords() {
+    Running = {};
+    Places = {};
   }
 
   /// Time that the last tick took.
