--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -50,7 +50,6 @@
   const ListService &List;
   GrantLedger Ledger;
   std::string HolderInUse;
-  std::uint64_t CapacityVersion = 0;
   std::map<std::string, UnitAmounts> Capacities; ///< As last ensured.
   std::map<std::string, std::int64_t> Overdraft; ///< By pool, to give back.
   /// Equal parts of units that another holder waits for, by pool.
--- a/src/daemon/workerfleet.cpp
+++ b/src/daemon/workerfleet.cpp
@@ -25,8 +25,8 @@
   const auto Found = Workers.find(Worker);
   if (Found != Workers.end())
     return Found->second;
-  WorkerLease Lease(LeaseSettings, TakeoverAt, MayHaveTasks);
-  return Workers.emplace(Worker, Entry(std::move(Lease))).first->second;
+  const WorkerLease Lease(LeaseSettings, TakeoverAt, MayHaveTasks);
+  return Workers.emplace(Worker, Entry(Lease)).first->second;
 }
 
 void WorkerFleet::setWorkers(const std::vector<ListedWorker> &Listed) {
--- a/src/daemon/workerfleet.h
+++ b/src/daemon/workerfleet.h
@@ -54,7 +54,7 @@
 
 private:
   struct Entry {
-    explicit Entry(WorkerLease Lease) : Lease(std::move(Lease)) {}
+    explicit Entry(const WorkerLease &Lease) : Lease(Lease) {}
 
     std::string Address;
     WorkerLease Lease;
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -46,6 +46,7 @@
 
 pid_t spawn(const std::vector<std::string> &Command, const std::string &Log) {
   std::vector<char *> Arguments;
+  Arguments.reserve(Command.size() + 1);
   for (const std::string &Part : Command)
     Arguments.push_back(const_cast<char *>(Part.c_str()));
   Arguments.push_back(nullptr);
@@ -142,7 +143,7 @@
 // a test does not wait for long.
 std::string Cluster::writeSettings(const DaemonProcess &Daemon,
                                    const std::string &Peer) const {
-  const std::string File = Folder + "/" + Daemon.Name + ".ini";
+  std::string File = Folder + "/" + Daemon.Name + ".ini";
   std::ofstream Out(File);
   Out << "[instance]\nid = " << Daemon.Name << "\nzone = zone-1\n[http]\n"
       << "listen = " << Daemon.Address << "\npeer_listen = " << Peer
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -15,7 +15,7 @@
 /// Callers that send requests without a pause and keep their results.
 class Load {
 public:
-  Load(const Cluster &Target, std::vector<std::size_t> Daemons,
+  Load(const Cluster &Target, const std::vector<std::size_t> &Daemons,
        std::size_t Callers, int WorkMs)
       : Target(Target) {
     for (std::size_t Index = 0; Index < Callers; ++Index)
--- a/tests/process/runs_test.cpp
+++ b/tests/process/runs_test.cpp
@@ -65,6 +65,7 @@
   Cluster Target(3);
   Target.addTeam();
   std::vector<RunId> Runs;
+  Runs.reserve(6);
   for (int Index = 0; Index < 6; ++Index)
     Runs.push_back(
         Target.submit(0, runSpec("k" + std::to_string(Index), 8, 400)));
@@ -90,6 +91,7 @@
   const std::size_t Owner = Target.shardOwner();
   const std::size_t Other = Owner == 0 ? 1 : 0;
   std::vector<RunId> Runs;
+  Runs.reserve(4);
   for (int Index = 0; Index < 4; ++Index)
     Runs.push_back(
         Target.submit(Other, runSpec("p" + std::to_string(Index), 8, 200)));
