Prune old proposals and settle an open release before acquiring

Those more than 100 versions behind can no longer be signed and are deleted on request. tryAcquire() reported a shard as acquired while its release was still open; recovery then failed with an internal error. It settles the release first.

--- a/src/core/configledger.cpp
+++ b/src/core/configledger.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::uint32_t ScanPage = 500;
 
+/// Proposals deleted in one transaction.
+constexpr std::size_t MaxPruned = 200;
+
 template <typename Visitor>
 void scanAll(TableService &Table, const std::string &Prefix, Visitor Visit) {
   std::string After;
@@ -200,6 +203,24 @@
   return Open;
 }
 
+std::size_t ConfigLedger::pruneProposals() {
+  const std::uint64_t Current = readCurrent().Value.Version;
+  Transaction Change;
+  scanAll(Table, keys::ProposalPrefix, [&](const Row &Each) {
+    const ProposalRecord Record = Codec.decodeProposal(Each.Value);
+    if (Record.BaseVersion + RetainedVersions >= Current ||
+        Change.Writes.size() == MaxPruned)
+      return;
+    Change.Conditions.push_back({Each.Key, Each.Version});
+    Change.Writes.push_back({Each.Key, std::nullopt});
+  });
+  if (Change.Writes.empty())
+    return 0;
+  Change.Id = Ids.next();
+  const bool Committed = Table.transact(Change) == CommitResult::Committed;
+  return Committed ? Change.Writes.size() : 0;
+}
+
 std::vector<HistoryRecord> ConfigLedger::history(std::uint64_t After,
                                                  std::uint32_t Limit) {
   std::vector<HistoryRecord> Result;
--- a/src/core/configledger.h
+++ b/src/core/configledger.h
@@ -11,6 +11,7 @@
 #include "core/time.h"
 #include "core/transactionids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -69,6 +70,15 @@
   /// Open proposals. Thread-safe.
   std::vector<ProposalRecord> proposals();
 
+  /// Deletes proposals, decided or not, whose base is more than
+  /// RetainedVersions behind the version in force; none of them can be signed
+  /// any more, and the history keeps what was signed. Returns how many. Meant
+  /// to run now and then on one instance. Thread-safe.
+  std::size_t pruneProposals();
+
+  /// See pruneProposals().
+  static constexpr std::uint64_t RetainedVersions = 100;
+
   /// At most \p Limit accepted versions above \p After, in order.
   /// Thread-safe.
   std::vector<HistoryRecord> history(std::uint64_t After = 0,
--- a/src/core/shardownership.cpp
+++ b/src/core/shardownership.cpp
@@ -36,9 +36,12 @@
   if (!Session.isValidFor(Me, Now))
     return AcquireResult::NoAuthority;
   if (const auto Found = Owned.find(Shard); Found != Owned.end()) {
-    if (Found->second.Session == Me)
+    Holding &Held = Found->second;
+    if (Held.Session == Me && !isReleasing(Held))
       return AcquireResult::Acquired;
-    Owned.erase(Found);
+    if (Held.Session == Me)
+      submit(Shard, Held); // Ends an open release.
+    Owned.erase(Shard);
   }
 
   const std::optional<Row> Present = Table.read(keys::shard(Shard));
--- a/src/core/workerclock.h
+++ b/src/core/workerclock.h
@@ -18,8 +18,8 @@
 public:
   /// The worker answered with \p WorkerNowMs to a message sent at \p SentAt;
   /// the answer arrived at \p ReceivedAt. Returns false if this contradicts
-  /// earlier exchanges, that is, the worker's clock was set back by a restart
-  /// of the worker; the bounds then start anew from this exchange.
+  /// earlier exchanges, that is, the worker's clock has jumped, by a restart or
+  /// because it stood still; the bounds then start anew from this exchange.
   bool observe(TimePoint SentAt, TimePoint ReceivedAt,
                std::int64_t WorkerNowMs);
 
--- a/src/core/workerlease.h
+++ b/src/core/workerlease.h
@@ -40,7 +40,8 @@
   std::int64_t nextDeadlineMs(TimePoint Now);
 
   /// The worker answered a renewal; see WorkerClock::observe(). Returns false
-  /// if the worker has restarted its clock since the last answer.
+  /// if the worker's clock has jumped since the last answer. Tasks may run on
+  /// then; only those that the answer leaves out have ended.
   bool answered(TimePoint SentAt, TimePoint ReceivedAt,
                 std::int64_t WorkerNowMs);
 
--- a/tests/core/coordination_test.cpp
+++ b/tests/core/coordination_test.cpp
@@ -183,6 +183,20 @@
   EXPECT_TRUE(at("a").Session.config()->teamOfKeyHash(KeyHash));
 }
 
+// Guards against a list of proposals that grows with every change.
+TEST_F(CellTest, OldProposalsArePruned) {
+  startAll({"a"});
+  ConfigLedger &Ledger = at("a").Ledger;
+  const std::uint64_t Last = ConfigLedger::RetainedVersions + 10;
+  for (std::uint64_t Base = 1; Base < Last; ++Base)
+    Ledger.sign(
+        Ledger.propose("koksne", Base, {SetTeam{"t", {unsigned(Base), {}}}}).Id,
+        "bureau");
+  EXPECT_EQ(Ledger.pruneProposals(), 9U);
+  EXPECT_EQ(Ledger.pruneProposals(), 0U);
+  EXPECT_EQ(Ledger.history(0, 1000).size(), Last);
+}
+
 // Guards against a configuration that is committed while a peer serves on
 // the promise that it is not.
 TEST_F(CellTest, SigningIsRefusedWhileAPromiseIsOutstanding) {
@@ -292,6 +306,16 @@
   EXPECT_EQ(Owner.Shards.settleTick("s0"), TickResult::Committed);
   EXPECT_EQ(Owner.Shards.owned("s0")->NextSequence, Before + 1);
 
+  // A release of unknown outcome is settled before the next acquisition.
+  const Epoch Released = Owner.Shards.owned("s0")->ShardEpoch;
+  World.Store.LoseAnswers = 3;
+  EXPECT_THROW(Owner.Shards.release("s0"), Error);
+  World.Store.LoseAnswers = 0;
+  EXPECT_FALSE(Owner.Shards.isOwner("s0", Owner.Time.now()));
+  EXPECT_EQ(Owner.Shards.tryAcquire("s0", Owner.Time.now()),
+            AcquireResult::Acquired);
+  EXPECT_EQ(Owner.Shards.owned("s0")->ShardEpoch, Released + 1);
+
   World.run(Duration(60000));
   std::size_t JournalRows = 0;
   for (const auto &[Key, Row] : World.Store.Rows)
