Free nothing that a queue or a stopping server still uses

Cause: the address sanitizer found that FairQueue::serveOne went on using a map node that it had removed. With four io threads the thread sanitizer found that a stopping server freed RESTinio's acceptor while a connection, held by a sender on another thread or by a pending read, still counted itself there. Ruled out: destroying the io_context before the acceptor, whose socket needs the io_context. Change: serveOne copies the iterator. A request counts as open until its sender has let go of the connection as well. On a stop the server ends the remaining connections and runs their handlers before the acceptor goes.

--- a/src/core/fairqueue.cpp
+++ b/src/core/fairqueue.cpp
@@ -33,7 +33,9 @@
 }
 
 bool FairQueue::serveOne(const TeamCheck &MayRun, const TrySend &Send) {
-  for (const auto &[Unused, Where] : Active) {
+  for (const auto &Candidate : Active) {
+    // A copy: serving the team removes the candidate's node.
+    const auto Where = Candidate.second;
     if (!MayRun(Where->first))
       continue;
     TeamQueue &Queue = Where->second;
--- a/src/httpserver/exchange.cpp
+++ b/src/httpserver/exchange.cpp
@@ -69,22 +69,25 @@
   // Held while sending, so that abandon() returns only when no sender uses
   // the connection any more.
   const std::lock_guard Lock(Mutex);
-  const ResponseWriter Send = std::exchange(Writer, nullptr);
-  if (!Send)
+  if (!Writer)
     return;
   try {
-    Send(std::move(Response), [&From = Registry, Id = Id] { From.remove(Id); });
+    Writer(std::move(Response),
+           [&From = Registry, Id = Id] { From.finishPart(Id); });
   } catch (const std::exception &) {
     // The connection is gone; nobody waits for the response.
-    Registry.remove(Id);
+    Registry.finishPart(Id);
   }
+  // The writer holds the connection, which must not outlive the server.
+  Writer = nullptr;
+  Registry.finishPart(Id);
 }
 
 std::shared_ptr<Exchange> OpenExchanges::add(ResponseWriter Writer) {
   const std::lock_guard Lock(Mutex);
   const std::uint64_t Id = NextId++;
   auto Result = std::make_shared<Exchange>(*this, Id, std::move(Writer));
-  Open.emplace(Id, Result);
+  Open.emplace(Id, Entry{Result});
   return Result;
 }
 
@@ -97,8 +100,8 @@
   std::vector<std::shared_ptr<Exchange>> Remaining;
   {
     const std::lock_guard Lock(Mutex);
-    for (auto &[Id, Weak] : Open)
-      if (auto Call = Weak.lock())
+    for (auto &[Id, Of] : Open)
+      if (auto Call = Of.Call.lock())
         Remaining.push_back(std::move(Call));
     Open.clear();
   }
@@ -106,9 +109,12 @@
     Call->abandon();
 }
 
-void OpenExchanges::remove(std::uint64_t Id) {
+void OpenExchanges::finishPart(std::uint64_t Id) {
   const std::lock_guard Lock(Mutex);
-  Open.erase(Id);
+  const auto Where = Open.find(Id);
+  if (Where == Open.end() || --Where->second.PartsLeft > 0)
+    return;
+  Open.erase(Where);
   Changed.notify_all();
 }
 
--- a/src/httpserver/exchange.h
+++ b/src/httpserver/exchange.h
@@ -68,12 +68,19 @@
 private:
   friend class Exchange;
 
-  void remove(std::uint64_t Id);
+  struct Entry {
+    std::weak_ptr<Exchange> Call;
+    /// The response has to be written, and its sender has to let go of the
+    /// connection; the two happen on different threads in either order.
+    int PartsLeft = 2;
+  };
+
+  void finishPart(std::uint64_t Id);
 
   std::mutex Mutex;
   std::condition_variable Changed;
   std::uint64_t NextId = 1;
-  std::map<std::uint64_t, std::weak_ptr<Exchange>> Open;
+  std::map<std::uint64_t, Entry> Open;
 };
 
 } // namespace apricotwing
--- a/src/httpserver/guardedsocket.cpp
+++ b/src/httpserver/guardedsocket.cpp
@@ -106,6 +106,48 @@
   return std::exchange(LastReason, std::nullopt);
 }
 
+asio::execution_context::id OpenSockets::id;
+
+OpenSockets::OpenSockets(asio::execution_context &Owner)
+    : asio::execution_context::service(Owner) {}
+
+void OpenSockets::add(GuardedSocket &Socket) {
+  const std::lock_guard Lock(Mutex);
+  Sockets.insert(&Socket);
+}
+
+void OpenSockets::remove(GuardedSocket &Socket) {
+  const std::lock_guard Lock(Mutex);
+  Sockets.erase(&Socket);
+}
+
+void OpenSockets::shutdownAll() {
+  const std::lock_guard Lock(Mutex);
+  for (GuardedSocket *Socket : Sockets)
+    ::shutdown(Socket->native_handle(), SHUT_RDWR);
+}
+
+bool OpenSockets::empty() const {
+  const std::lock_guard Lock(Mutex);
+  return Sockets.empty();
+}
+
+GuardedSocket::~GuardedSocket() { withdraw(); }
+
+void GuardedSocket::enroll() {
+  if (Registry)
+    return;
+  Registry = &asio::use_service<OpenSockets>(
+      asio::query(get_executor(), asio::execution::context));
+  Registry->add(*this);
+}
+
+void GuardedSocket::withdraw() {
+  if (Registry)
+    Registry->remove(*this);
+  Registry = nullptr;
+}
+
 std::optional<ErrorKind> GuardedSocket::owedAnswer() const {
   const std::optional<ErrorKind> Reason = CloseReason::take();
   if (Reason == ErrorKind::Internal)
--- a/src/httpserver/guardedsocket.h
+++ b/src/httpserver/guardedsocket.h
@@ -9,7 +9,9 @@
 #include <asio.hpp>
 
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <utility>
 
@@ -35,6 +37,33 @@
   static void note(std::string_view Message);
 };
 
+class GuardedSocket;
+
+/// The sockets of an io_context on which reading has begun. When the server
+/// stops it ends them, because RESTinio's connections must be gone before the
+/// acceptor that counts them. Thread-safe.
+class OpenSockets : public asio::execution_context::service {
+public:
+  static asio::execution_context::id id; // NOLINT: asio looks for this name
+
+  explicit OpenSockets(asio::execution_context &Owner);
+
+  void add(GuardedSocket &Socket);
+  void remove(GuardedSocket &Socket);
+
+  /// Ends all connections; their pending reads complete with an error.
+  void shutdownAll();
+
+  /// True if no connection is left.
+  bool empty() const;
+
+private:
+  void shutdown() noexcept override {}
+
+  mutable std::mutex Mutex;
+  std::set<GuardedSocket *> Sockets;
+};
+
 /// RESTinio closes the connection without a word when a request is malformed,
 /// above the limit of the body or too slow. This socket then sends 400, 413
 /// or 408 first, and discards the rest of the request for a few seconds, since
@@ -44,10 +73,14 @@
 public:
   using Base = asio::ip::tcp::socket;
   using Base::basic_stream_socket;
+  GuardedSocket(GuardedSocket &&) = default;
+  GuardedSocket &operator=(GuardedSocket &&) = default;
+  ~GuardedSocket();
 
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers &Into, Handler &&Done) { // NOLINT
     ReadPending = true;
+    enroll();
     auto Executor = asio::get_associated_executor(Done, get_executor());
     Base::async_read_some(
         Into, asio::bind_executor(Executor,
@@ -75,9 +108,13 @@
   void close();
 
 private:
+  void enroll();
+  void withdraw();
+
   /// The answer owed to the caller; empty if it can expect none.
   std::optional<ErrorKind> owedAnswer() const;
 
+  OpenSockets *Registry = nullptr; ///< Set once reading has begun.
   bool ReadPending = false;
   bool Received = false; ///< Input since the last response.
   bool Rejected = false;
--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -41,6 +41,10 @@
 /// Longest wait of the destructor for open requests.
 constexpr auto StopTimeout = 15s;
 
+/// Time for the connections to end, once nothing is awaited from them.
+constexpr auto EndStep = 10ms;
+constexpr int MaxEndSteps = 200;
+
 constexpr std::size_t MaxUrlBytes = 8192;
 constexpr std::size_t MaxHeaderBytes = 16384;
 constexpr std::size_t MaxHeaderFields = 100;
@@ -154,6 +158,7 @@
     for (std::thread &Thread : Threads)
       Thread.join();
     Open.abandonAll();
+    endConnections();
     Adapter.close_sync();
   }
 
@@ -167,6 +172,15 @@
   }
 
 private:
+  /// Runs what the connections need to end; no other thread is left.
+  void endConnections() {
+    auto &Sockets = asio::use_service<OpenSockets>(Context);
+    Sockets.shutdownAll();
+    Context.restart();
+    for (int Step = 0; !Sockets.empty() && Step < MaxEndSteps; ++Step)
+      Context.run_for(EndStep);
+  }
+
   RestinioSettings settings() {
     const auto ReadTimeout = std::chrono::milliseconds(Options.ReadTimeoutMs);
     RestinioSettings Result;
