Let the use of slots fall before grants are given back

Cause: under full load every granted slot is in use, so a holder that had to make room kept its target at its use, got the same grant again and gave the router all of it back. PausedInstanceDoesNotOverfillExecutors, five copies at once: 2 of 5 timed out after 60 s with 0 slots at the returning instance. Ruled out: a lost session (the state dump showed 2.8 s of authority and a grant of 0 next to 9 queued requests). Change: one round for slots and team limits alike; the router keeps the limit until the use has fallen to it. Grants of removed teams are released.

--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -23,6 +23,16 @@
 /// The unit of the pools of concurrent requests.
 const std::string RequestUnit = "requests";
 
+/// The smaller amount of each unit; a unit without a limit is left out.
+UnitAmounts smaller(const UnitAmounts &Amounts, const UnitAmounts &Limits) {
+  UnitAmounts Result;
+  for (const auto &[Unit, Limit] : Limits) {
+    const auto Found = Amounts.find(Unit);
+    Result[Unit] = std::min(Found == Amounts.end() ? 0 : Found->second, Limit);
+  }
+  return Result;
+}
+
 std::vector<InstanceId> liveInstances(const SessionManager &Session) {
   std::vector<InstanceId> Result;
   for (const MemberRow &Member : Session.members())
@@ -63,6 +73,7 @@
     Overdraft.clear();
     FairParts.clear();
     LastWanted.clear();
+    TeamUsable.clear();
     const std::lock_guard Lock(Mutex);
     Held.clear();
   }
@@ -75,14 +86,28 @@
   const auto Wanted = Requests.withRouter([&](RequestRouter &Router) {
     return Router.wantedRequests(Context.Time.now());
   });
-  for (const auto &[Team, Unused] : Document->Teams) {
+  // Teams that were removed are included, so that their grants are released.
+  std::set<TeamName> Teams;
+  for (const auto &[Team, Unused] : Document->Teams)
+    Teams.insert(Team);
+  for (const auto &[Team, Unused] : TeamUsable)
+    Teams.insert(Team);
+  for (const TeamName &Team : Teams) {
     const auto Found = Wanted.find(Team);
     adjustTeam(Team, Found == Wanted.end() ? 0 : Found->second, Holder);
+    if (!Document->Teams.contains(Team) &&
+        heldOf(keys::requestPool(Team))[RequestUnit] == 0)
+      TeamUsable.erase(Team);
   }
-  publishTeams();
   Requests.dispatch();
 }
 
+UnitAmounts GrantService::heldOf(const std::string &Pool) const {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Held.find(Pool);
+  return Found == Held.end() ? UnitAmounts() : Found->second;
+}
+
 void GrantService::setCapacities(const Config &Document) {
   const ListService::Snapshot Listed = List.latest();
   if (!Listed)
@@ -106,7 +131,7 @@
     UnitAmounts Slots;
     for (const ListedExecutor &Executor : Listed->Executors)
       if (Executor.Upstream == Upstream)
-        Slots[Executor.Id] = Value.Slots;
+        Slots[Executor.Id] = std::min(Value.Slots, Value.Connections);
     Ensure(keys::executorPool(Upstream), Slots);
   }
   for (const auto &[Team, Value] : Document.Teams)
@@ -119,10 +144,7 @@
   if (Last == LastRound.end())
     return true;
   const Duration Since = Context.Time.now() - Last->second;
-  const std::lock_guard Lock(Mutex);
-  const auto Found = Held.find(Pool);
-  const UnitAmounts Present =
-      Found == Held.end() ? UnitAmounts() : Found->second;
+  const UnitAmounts Present = heldOf(Pool);
   const auto IsMore = [&](const auto &Entry, const UnitAmounts &Than) {
     const auto Other = Than.find(Entry.first);
     return Entry.second > (Other == Than.end() ? 0 : Other->second);
@@ -168,94 +190,63 @@
   return Share.Granted;
 }
 
-void GrantService::adjustSlots(const std::string &Upstream,
-                               const std::string &Holder) {
-  const std::string Pool = keys::executorPool(Upstream);
-  UnitAmounts Wanted;
-  UnitAmounts Lowered;
-  Requests.withRouter([&](RequestRouter &Router) {
-    Wanted = Router.wantedSlots(Upstream, Context.Time.now());
-  });
-  limitToFairPart(Pool, Wanted);
-  if (!needsRound(Pool, Wanted))
+void GrantService::adjustPool(const std::string &Pool,
+                              const std::string &Holder, UnitAmounts Limits,
+                              const Publisher &Publish) {
+  UnitAmounts Granted = heldOf(Pool);
+  for (const auto &[Unit, Unused] : Granted)
+    Limits.try_emplace(Unit, 0);
+  limitToFairPart(Pool, Limits);
+  // After a reduction of the capacity every holder gives back what exceeds it.
+  if (const std::int64_t Excess = Overdraft[Pool]; Excess > 0)
+    for (auto &[Unit, Limit] : Limits)
+      Limit = std::clamp<std::int64_t>(Granted[Unit] - Excess, 0, Limit);
+  else if (!needsRound(Pool, Limits))
     return;
-  {
-    const std::lock_guard Lock(Mutex);
-    Lowered = Held[Pool];
-  }
-  for (auto &[Executor, Amount] : Lowered) {
-    const auto Found = Wanted.find(Executor);
-    const std::int64_t Target = Found == Wanted.end() ? 0 : Found->second;
-    Wanted[Executor] = Target;
-    Amount = std::min(Amount, Target);
-  }
-  // Between the two calls on the router nothing may use what is given back.
-  Requests.withRouter([&](RequestRouter &Router) {
-    Router.setSlotGrants(Upstream, Lowered);
-    for (const auto &[Executor, Used] : Router.usedSlots(Upstream))
-      Wanted[Executor] = std::max(Wanted[Executor], Used);
-  });
+  // Nothing may use what is given back, so the use is limited first.
+  UnitAmounts Targets = Limits;
+  for (const auto &[Unit, Used] : Publish(smaller(Granted, Limits)))
+    Targets[Unit] = std::max(Targets[Unit], Used);
   try {
-    const UnitAmounts Granted = adjusted(Pool, Holder, Wanted);
-    const std::lock_guard Lock(Mutex);
-    Held[Pool] = Granted;
-    Lowered = Granted;
+    Granted = adjusted(Pool, Holder, Targets);
   } catch (const Error &Failure) {
     logFailure(Pool, Failure);
-    const std::lock_guard Lock(Mutex);
-    Held[Pool] = Lowered;
+    Granted = smaller(Granted, Targets);
   }
-  Requests.withRouter(
-      [&](RequestRouter &Router) { Router.setSlotGrants(Upstream, Lowered); });
+  // Where more is granted than the limit, the use has to fall to the limit
+  // before the rest can be given back.
+  Publish(smaller(Granted, Limits));
+  const std::lock_guard Lock(Mutex);
+  Held[Pool] = std::move(Granted);
 }
 
-void GrantService::adjustTeam(const TeamName &Team, std::int64_t Wanted,
-                              const std::string &Holder) {
-  const std::string Pool = keys::requestPool(Team);
-  std::int64_t Present = 0;
-  {
-    const std::lock_guard Lock(Mutex);
-    Present = Held[Pool][RequestUnit];
-  }
-  UnitAmounts Limited = {{RequestUnit, Wanted}};
-  limitToFairPart(Pool, Limited);
-  std::int64_t Target = Limited[RequestUnit];
-  // After a reduction of the limit every holder gives back what exceeds it.
-  if (Overdraft[Pool] > 0)
-    Target =
-        std::max<std::int64_t>(0, std::min(Target, Present - Overdraft[Pool]));
-  if (!needsRound(Pool, {{RequestUnit, Target}}) && Overdraft[Pool] == 0)
-    return;
-  {
-    const std::lock_guard Lock(Mutex);
-    Held[Pool][RequestUnit] = std::min(Present, Target);
-  }
-  publishTeams();
-  const auto Used = Requests.withRouter(
-      [](RequestRouter &Router) { return Router.usedRequests(); });
-  const auto InUse = Used.find(Team);
-  if (InUse != Used.end())
-    Target = std::max(Target, InUse->second);
-  try {
-    const UnitAmounts Granted = adjusted(Pool, Holder, {{RequestUnit, Target}});
-    const std::lock_guard Lock(Mutex);
-    const auto Found = Granted.find(RequestUnit);
-    Held[Pool][RequestUnit] = Found == Granted.end() ? 0 : Found->second;
-  } catch (const Error &Failure) {
-    logFailure(Pool, Failure);
-  }
+void GrantService::adjustSlots(const std::string &Upstream,
+                               const std::string &Holder) {
+  const auto Wanted = Requests.withRouter([&](RequestRouter &Router) {
+    return Router.wantedSlots(Upstream, Context.Time.now());
+  });
+  adjustPool(keys::executorPool(Upstream), Holder, Wanted,
+             [&](const UnitAmounts &Usable) {
+               return Requests.withRouter([&](RequestRouter &Router) {
+                 Router.setSlotGrants(Upstream, Usable);
+                 return Router.usedSlots(Upstream);
+               });
+             });
 }
 
-void GrantService::publishTeams() {
-  const std::shared_ptr<const Config> Document = Context.Session.config();
-  RequestRouter::Amounts ByTeam;
-  {
-    const std::lock_guard Lock(Mutex);
-    for (const auto &[Team, Unused] : Document->Teams)
-      ByTeam[Team] = Held[keys::requestPool(Team)][RequestUnit];
-  }
-  Requests.withRouter(
-      [&](RequestRouter &Router) { Router.setTeamGrants(ByTeam); });
+void GrantService::adjustTeam(const TeamName &Team, std::int64_t Wanted,
+                              const std::string &Holder) {
+  adjustPool(keys::requestPool(Team), Holder, {{RequestUnit, Wanted}},
+             [&](const UnitAmounts &Usable) {
+               TeamUsable[Team] = Usable.at(RequestUnit);
+               return Requests.withRouter([&](RequestRouter &Router) {
+                 Router.setTeamGrants(TeamUsable);
+                 const auto Used = Router.usedRequests();
+                 const auto Found = Used.find(Team);
+                 return UnitAmounts{
+                     {RequestUnit, Found == Used.end() ? 0 : Found->second}};
+               });
+             });
 }
 
 void GrantService::finish() {
--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -9,6 +9,7 @@
 #include "daemon/periodicthread.h"
 #include "daemon/requestservice.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -35,10 +36,15 @@
 private:
   void round();
   void setCapacities(const Config &Document);
+  /// Gives the router what it may use and returns what it has in use.
+  using Publisher = std::function<UnitAmounts(const UnitAmounts &Usable)>;
+
+  void adjustPool(const std::string &Pool, const std::string &Holder,
+                  UnitAmounts Limits, const Publisher &Publish);
   void adjustSlots(const std::string &Upstream, const std::string &Holder);
   void adjustTeam(const TeamName &Team, std::int64_t Wanted,
                   const std::string &Holder);
-  void publishTeams();
+  UnitAmounts heldOf(const std::string &Pool) const;
   UnitAmounts adjusted(const std::string &Pool, const std::string &Holder,
                        const UnitAmounts &Targets);
   bool needsRound(const std::string &Pool, const UnitAmounts &Wanted) const;
@@ -55,6 +61,7 @@
   /// Equal parts of units that another holder waits for, by pool.
   std::map<std::string, UnitAmounts> FairParts;
   std::map<std::string, UnitAmounts> LastWanted; ///< In the last round.
+  RequestRouter::Amounts TeamUsable; ///< What the router may use, by team.
   std::map<std::string, TimePoint> LastRound;
   mutable std::mutex Mutex; ///< Guards Held.
   std::map<std::string, UnitAmounts> Held;
