Refuse starts and sends that are older than their authority

Cause: a start delayed past the expiry of the worker's lease could run after the lease was renewed, while the attempt had been restarted elsewhere. A send that was withheld counted as a failure of the executor, and deadline and key were not checked again right before the first byte. Ruled out: epochs alone, because the owner is the same in both cases. Change: a start carries the last lease deadline and the worker refuses it afterwards; each request brings its own check of authority, deadline, executor and key, asked once the connection is open; a worker's clock that was set back is no proof that its tasks ended. The grant service exists before the servers start.

--- a/src/core/platform.h
+++ b/src/core/platform.h
@@ -8,6 +8,7 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -96,6 +97,9 @@
   Resources Reserved;
   std::string Payload;
   bool FromCheckpoint = false;
+  /// On the worker's own clock. A worker refuses a start that it reads later:
+  /// by then the attempt may count as ended and run elsewhere.
+  std::int64_t DeadlineMs = 0;
 };
 
 enum class StopMode { Stop, Checkpoint, Throttle };
@@ -151,6 +155,9 @@
   std::string ContentType;
   bool Idempotent = false;
   Duration Timeout{0};
+  /// Asked once the connection is open, right before the first byte is
+  /// written; false ends the send as NotSent. Must not block; may be empty.
+  std::function<bool()> MaySend;
 };
 
 /// How one send to an executor ended.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -52,18 +52,18 @@
       Workers(Client, WorkerTimeout), Peers(Client, PeerTimeout),
       Session(Table, Peers, Codec, Time, Ids, identity(Values),
               authoritySettings(Values)),
-      Upstreams(Client, [this] { return Session.isValid(Time.now()); }),
-      Context{Values,  Time, Events,  Counts,    Codec, Ids,    Table,
-              Objects, List, Workers, Upstreams, Peers, Session},
+      Upstreams(Client), Context{Values,    Time,  Events,  Counts, Codec,
+                                 Ids,       Table, Objects, List,   Workers,
+                                 Upstreams, Peers, Session},
       Ledger(Table, Codec, Time, Ids, Session) {
-  Requests = std::make_unique<RequestService>(Context, [this] {
-    if (Grants)
-      Grants->wake();
-  });
+  // No request comes in before the servers start, when all parts exist.
+  Requests =
+      std::make_unique<RequestService>(Context, [this] { Grants->wake(); });
   Listing =
       std::make_unique<ListService>(Context, [this](const auto &Snapshot) {
         Requests->setExecutors(Snapshot.Executors);
       });
+  Grants = std::make_unique<GrantService>(Context, *Requests, *Listing);
   Shards = std::make_unique<ShardRunner>(Context, *Listing);
   Runs = std::make_unique<RunService>(
       Context, *Shards,
@@ -94,7 +94,6 @@
                       [this](HttpRequest Request, const Responder &Respond) {
                         Interface->handle(std::move(Request), Respond);
                       });
-  Grants = std::make_unique<GrantService>(Context, *Requests, *Listing);
   Authority->start();
   Housekeeping = std::make_unique<PeriodicThread>(
       HousekeepingPeriod,
--- a/src/daemon/requestservice.cpp
+++ b/src/daemon/requestservice.cpp
@@ -162,23 +162,21 @@
 void RequestService::perform(const RequestSend &Send,
                              const UpstreamRequest &Request) {
   const TimePoint Start = Context.Time.now();
-  const bool MaySend = withRouter([&](RequestRouter &Decisions) {
-    Decisions.setAuthority(authorityEnd());
-    return Decisions.maySend(Send, Start);
-  });
-  UpstreamAnswer Answer;
-  if (MaySend) {
-    UpstreamRequest Timed = Request;
-    // The job may have waited for a thread; the deadline has not moved.
-    Timed.Timeout = std::min(Request.Timeout, Send.Deadline - Start);
-    Answer = Context.Upstreams.send(Timed);
-  } else {
-    Answer.Result = SendResult::NotSent;
-    Answer.Detail = "authority, deadline or executor ended before the send";
-  }
   SendReport Report;
   Report.Id = Send.Id;
   Report.Attempt = Send.Attempt;
+  UpstreamRequest Checked = Request;
+  // The job may have waited for a thread; the deadline has not moved.
+  Checked.Timeout = std::min(Request.Timeout, Send.Deadline - Start);
+  Checked.MaySend = [this, &Send, &Report] {
+    const bool MaySend = withRouter([&](RequestRouter &Decisions) {
+      Decisions.setAuthority(authorityEnd());
+      return Decisions.maySend(Send, Context.Time.now());
+    });
+    Report.Withheld = !MaySend;
+    return MaySend;
+  };
+  const UpstreamAnswer Answer = Context.Upstreams.send(Checked);
   Report.Result = Answer.Result;
   Report.Status = Answer.Status;
   Report.Leaving = Answer.Leaving;
--- a/src/daemon/workerfleet.cpp
+++ b/src/daemon/workerfleet.cpp
@@ -61,10 +61,7 @@
   LeaseRenewal Renewal;
   Renewal.Shard = Shard;
   Renewal.ShardEpoch = ShardEpoch;
-  // A silent worker may still process every renewal that was ever sent to it.
-  // Without this its lease would never count as expired.
-  Renewal.DeadlineMs =
-      Target.SilentNoted ? 0 : Target.Lease.nextDeadlineMs(Now);
+  Renewal.DeadlineMs = Target.Lease.nextDeadlineMs(Now);
   Renewal.Acknowledged.assign(Target.Acknowledgements.begin(),
                               Target.Acknowledgements.end());
   const auto Call = [Self = shared_from_this(), Worker, Renewal,
@@ -97,11 +94,10 @@
     Target.Acknowledgements.erase(Id);
   if (std::exchange(Target.SilentNoted, false))
     Context.Events.info(Component::Workers, "worker answers again", Worker);
-  if (!Target.Lease.answered(SentAt, ReceivedAt, Answer.NowMs)) {
-    Context.Events.warning(Component::Workers,
-                           "worker restarted, its tasks are lost", Worker);
-    Scheduler->handleWorkerExpired(Worker, ReceivedAt);
-  }
+  // A clock that was set back says nothing about the tasks; the report does.
+  if (!Target.Lease.answered(SentAt, ReceivedAt, Answer.NowMs))
+    Context.Events.warning(Component::Workers, "worker has set its clock back",
+                           Worker);
   if (Renewal.DeadlineMs > 0)
     return Scheduler->handleReport(Worker, Answer.Tasks, ReceivedAt);
   // The call only read the worker's clock. A worker without a lease refuses
@@ -131,9 +127,13 @@
 }
 
 void WorkerFleet::sendStart(const StartCommand &Command) {
-  TaskStart Start{Shard,           ShardEpoch,
-                  Command.Id,      Command.Reserved,
-                  Command.Payload, Command.FromCheckpoint};
+  TaskStart Start{Shard,
+                  ShardEpoch,
+                  Command.Id,
+                  Command.Reserved,
+                  Command.Payload,
+                  Command.FromCheckpoint,
+                  entry(Command.Worker).Lease.lastDeadlineMs()};
   const auto Call = [Self = shared_from_this(), Start, Worker = Command.Worker,
                      Address = entry(Command.Worker).Address] {
     try {
--- a/src/platform/httpupstreamclient.cpp
+++ b/src/platform/httpupstreamclient.cpp
@@ -32,9 +32,7 @@
 
 } // namespace
 
-HttpUpstreamClient::HttpUpstreamClient(HttpClient &Client,
-                                       std::function<bool()> MaySend)
-    : Client(Client), MaySend(std::move(MaySend)) {}
+HttpUpstreamClient::HttpUpstreamClient(HttpClient &Client) : Client(Client) {}
 
 UpstreamAnswer HttpUpstreamClient::send(const UpstreamRequest &Request) {
   UpstreamAnswer Answer;
@@ -53,7 +51,7 @@
   Call.Connections =
       Request.Idempotent ? ConnectionUse::Reused : ConnectionUse::Fresh;
   Call.MaxAnswerBytes = MaxAnswerBytes;
-  Call.MaySend = MaySend;
+  Call.MaySend = Request.MaySend;
   Call.KeepConnection = [&](const HttpResult &Result) {
     return defectOf(Result, Request.RequestId).empty();
   };
--- a/src/platform/httpupstreamclient.h
+++ b/src/platform/httpupstreamclient.h
@@ -17,12 +17,8 @@
 /// Owned by the daemon; thread-safe.
 class HttpUpstreamClient final : public UpstreamClient {
 public:
-  /// \p MaySend is asked by the sending thread once the connection is open,
-  /// right before the first byte is written; false ends the call as NotSent.
-  /// It must be thread-safe and must not block; it may be empty. \p Client
-  /// must outlive this object.
-  explicit HttpUpstreamClient(HttpClient &Client,
-                              std::function<bool()> MaySend = {});
+  /// \p Client must outlive this object.
+  explicit HttpUpstreamClient(HttpClient &Client);
 
   /// See UpstreamClient. Answered needs a Content-Length that matches the
   /// body and the request's id in Apricotwing-Request-Id; Refused needs a 503
@@ -32,7 +28,6 @@
 
 private:
   HttpClient &Client;
-  std::function<bool()> MaySend;
 };
 
 } // namespace apricotwing
--- a/src/wire/platformcodec.cpp
+++ b/src/wire/platformcodec.cpp
@@ -187,17 +187,21 @@
                  {"epoch", Start.ShardEpoch},
                  {"resources", toJson(Start.Reserved)},
                  {"payload", Start.Payload},
-                 {"checkpoint", Start.FromCheckpoint}};
+                 {"checkpoint", Start.FromCheckpoint},
+                 {"deadline_ms", Start.DeadlineMs}};
   addAttemptId(Result, Start.Id);
   return dumpJson(Result);
 }
 
 TaskStart decodeTaskStart(const std::string &Text) {
   return decodeBody(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
-    return TaskStart{
-        Reader.text("shard"),   Reader.number<Epoch>("epoch"),
-        readAttemptId(Reader),  readResources(Reader.object("resources")),
-        Reader.text("payload"), Reader.flagOr("checkpoint", false)};
+    return TaskStart{Reader.text("shard"),
+                     Reader.number<Epoch>("epoch"),
+                     readAttemptId(Reader),
+                     readResources(Reader.object("resources")),
+                     Reader.text("payload"),
+                     Reader.flagOr("checkpoint", false),
+                     Reader.number<std::int64_t>("deadline_ms")};
   });
 }
 
--- a/tests/platform/adapters_test.cpp
+++ b/tests/platform/adapters_test.cpp
@@ -241,7 +241,8 @@
 
 TaskStart startOf(const std::string &Run, Epoch ShardEpoch,
                   const std::string &Payload, std::int64_t CpuMillis = 20000) {
-  return {"s", ShardEpoch, {{Run, 0}, 1}, {CpuMillis, 1, 0}, Payload, false};
+  return {"s",     ShardEpoch, {{Run, 0}, 1}, {CpuMillis, 1, 0},
+          Payload, false,      INT64_MAX};
 }
 
 // Guards against a refusal by a worker that is taken for doubt, and doubt that
@@ -257,6 +258,10 @@
   EXPECT_EQ(NoLease.outcome(), Outcome::NotRun);
   const std::int64_t Now = Workers.renew(Address, {"s", 2, 0, {}}).NowMs;
   (void)Workers.renew(Address, {"s", 2, Now + 600000, {}});
+  TaskStart Late = startOf("late", 2, "");
+  Late.DeadlineMs = Now;
+  EXPECT_EQ(errorOf(Start(Late)).outcome(), Outcome::NotRun)
+      << "the lease is renewed, but the start is older than that";
   Workers.start(Address, startOf("r", 2, R"({"run_ms":-1})"));
   Workers.start(Address, startOf("r", 2, R"({"run_ms":-1})"));
   EXPECT_EQ(counts()["attempts"]["r/0#1"], 1);
--- a/tests/platform/upstreamclient_test.cpp
+++ b/tests/platform/upstreamclient_test.cpp
@@ -18,7 +18,7 @@
 
 UpstreamRequest request(const std::string &Address, const std::string &Id,
                         bool Idempotent, Duration Timeout = Generous) {
-  return {Address, Id, "body of " + Id, "text/plain", Idempotent, Timeout};
+  return {Address, Id, "body of " + Id, "text/plain", Idempotent, Timeout, {}};
 }
 
 /// Answers the first request of each connection and closes the connection on
@@ -86,19 +86,20 @@
 
   RawServer Server(closeOnSecondRequest);
   bool MaySend = false;
-  HttpUpstreamClient Guarded(Client, [&] { return MaySend; });
-  EXPECT_EQ(Guarded.send(request(Server.address(), "b", false)).Result,
+  const auto Guarded = [&](UpstreamRequest Request) {
+    Request.MaySend = [&] { return MaySend; };
+    return Upstream.send(Request);
+  };
+  EXPECT_EQ(Guarded(request(Server.address(), "b", false)).Result,
+            SendResult::NotSent);
+  EXPECT_EQ(Guarded(request(Server.address(), "c", true)).Result,
+            SendResult::NotSent);
+  EXPECT_EQ(Guarded(request(Server.address(), "x\r\nEvil: 1", false)).Result,
             SendResult::NotSent);
-  EXPECT_EQ(Guarded.send(request(Server.address(), "c", true)).Result,
+  EXPECT_EQ(Guarded(request(Server.address(), "d", false, Duration(0))).Result,
             SendResult::NotSent);
-  EXPECT_EQ(
-      Guarded.send(request(Server.address(), "x\r\nEvil: 1", false)).Result,
-      SendResult::NotSent);
-  EXPECT_EQ(
-      Guarded.send(request(Server.address(), "d", false, Duration(0))).Result,
-      SendResult::NotSent);
   MaySend = true;
-  EXPECT_EQ(Guarded.send(request(Server.address(), "e", false)).Result,
+  EXPECT_EQ(Guarded(request(Server.address(), "e", false)).Result,
             SendResult::Answered);
   for (const char *Id : {"b", "c", "d", "x"})
     EXPECT_EQ(Server.executions(Id), 0) << Id;
--- a/tests/standins/workerstandin.cpp
+++ b/tests/standins/workerstandin.cpp
@@ -153,7 +153,7 @@
   admitEpoch(Start.Shard, Start.ShardEpoch);
   if (Known.contains(Start.Id))
     return jsonResponse(200, "{}");
-  if (Leases[Start.Shard].DeadlineMs <= nowMs())
+  if (std::min(Leases[Start.Shard].DeadlineMs, Start.DeadlineMs) <= nowMs())
     return errorAnswer(409, "no_lease", "the worker holds no valid lease");
   if (Switches.Refuse || !hasRoomFor(Start.Reserved)) {
     Seen.capacityRefused();
