Wake the renewal thread only once it runs

Cause: ThreadSanitizer reported a race between the creation of the renewal thread and wake(); the first round of a new cell could use a null pointer. Change: wake() goes through an atomic that is set after the start. Proposals that can no longer be signed are pruned by one instance every 10 min.

--- a/src/daemon/authorityservice.cpp
+++ b/src/daemon/authorityservice.cpp
@@ -1,5 +1,7 @@
 #include "daemon/authorityservice.h"
 
+#include "core/shardmap.h"
+
 #include <algorithm>
 #include <set>
 
@@ -9,6 +11,7 @@
 
 /// Reading all pools costs one scan; their stale holders are rare.
 constexpr Duration ReclaimPeriod{5000};
+constexpr Duration PrunePeriod{600000};
 constexpr std::string_view PoolPrefix = "pool/";
 constexpr std::uint32_t MaxPools = 10000;
 constexpr int RemoveAttempts = 5;
@@ -30,11 +33,12 @@
         Context.Events.failure(Component::Authority, "renewal round failed",
                                Failure);
       });
+  Running = Thread.get();
 }
 
 void AuthorityService::wake() {
-  if (Thread)
-    Thread->wake();
+  if (PeriodicThread *Started = Running)
+    Started->wake();
 }
 
 void AuthorityService::leave() {
@@ -70,8 +74,10 @@
     Callbacks.OnConfig(Newest);
   }
   Callbacks.OnRound(Report);
-  if (Report.Outcome == RoundOutcome::NoConfig)
-    return bootstrapConfig();
+  if (Report.Outcome == RoundOutcome::NoConfig) {
+    Ledger.bootstrap(Config{});
+    return wake();
+  }
   if (Report.Outcome == RoundOutcome::Extended) {
     Context.Counts.authorityExtended();
     Context.Events.warning(Component::Authority,
@@ -86,11 +92,20 @@
   Members.observe(*Context.Session.view());
   fenceEnded();
   reclaimGrants();
+  pruneProposals();
 }
 
-void AuthorityService::bootstrapConfig() {
-  Ledger.bootstrap(Config{});
-  Thread->wake();
+void AuthorityService::pruneProposals() {
+  const TimePoint Now = Context.Time.now();
+  if (LastPrune != TimePoint::min() && Now - LastPrune < PrunePeriod)
+    return;
+  LastPrune = Now;
+  std::vector<InstanceId> Live;
+  for (const MemberRow &Member : Context.Session.members())
+    if (Member.Record.State == SessionState::Live)
+      Live.push_back(Member.Record.Id.Instance);
+  if (rendezvousOwner(keys::ProposalPrefix, Live) == Context.Values.Instance.Id)
+    Ledger.pruneProposals();
 }
 
 void AuthorityService::fenceEnded() {
--- a/src/daemon/authorityservice.h
+++ b/src/daemon/authorityservice.h
@@ -45,9 +45,9 @@
 
 private:
   void round();
-  void bootstrapConfig();
   void fenceEnded();
   void reclaimGrants();
+  void pruneProposals();
 
   DaemonContext &Context;
   const Listeners Callbacks;
@@ -59,7 +59,10 @@
   std::atomic<bool> Leaving{false};
   bool LeaveNoted = false;
   bool WasValid = false;
+  TimePoint LastPrune = TimePoint::min();
   std::unique_ptr<PeriodicThread> Thread;
+  /// Set once the thread runs, because others may call wake() before.
+  std::atomic<PeriodicThread *> Running{nullptr};
 };
 
 } // namespace apricotwing
