Build the error answers of the daemon in one place

Cause: the interface and the request service each built the same response. Change: apiErrorResponse() serves both. The server adapter keeps its own, as it may not depend on src/wire.

--- a/src/daemon/api.cpp
+++ b/src/daemon/api.cpp
@@ -1,9 +1,9 @@
 #include "daemon/api.h"
 
 #include "core/shardmap.h"
+#include "daemon/errorresponse.h"
 #include "platform/crypto.h"
 #include "wire/configcodec.h"
-#include "wire/errorcodec.h"
 #include "wire/instancecodec.h"
 #include "wire/peercodec.h"
 #include "wire/runcodec.h"
@@ -117,13 +117,7 @@
 
 HttpResponse Api::errorAnswer(const Error &Reason) {
   Context.Counts.refused(Reason.kind());
-  HttpResponse Response = answer(httpStatus(Reason.kind()), "");
-  Response.Headers["Apricotwing-Outcome"] = outcomeName(Reason.outcome());
-  const auto *Conflict = dynamic_cast<const ConfigConflictError *>(&Reason);
-  Response.Body = Conflict == nullptr
-                      ? encodeError(Reason)
-                      : encodeError(Reason, Conflict->currentVersion());
-  return Response;
+  return apiErrorResponse(Reason);
 }
 
 void Api::requireWork() const {
--- a/src/daemon/requestservice.cpp
+++ b/src/daemon/requestservice.cpp
@@ -1,6 +1,6 @@
 #include "daemon/requestservice.h"
 
-#include "wire/errorcodec.h"
+#include "daemon/errorresponse.h"
 
 #include <utility>
 
@@ -13,14 +13,6 @@
 
 constexpr std::size_t MaxWaitingSends = 4096;
 
-HttpResponse errorResponse(const Error &Reason) {
-  HttpResponse Response;
-  Response.Status = httpStatus(Reason.kind());
-  Response.Headers["Apricotwing-Outcome"] = outcomeName(Reason.outcome());
-  Response.Body = encodeError(Reason);
-  return Response;
-}
-
 } // namespace
 
 RequestService::RequestService(DaemonContext &Context,
@@ -61,7 +53,7 @@
       Context.Counts.refused(Reason.kind());
       After.push_back(
           [Respond = std::move(Request.Respond),
-           Response = errorResponse(Reason)] { Respond(Response); });
+           Response = apiErrorResponse(Reason)] { Respond(Response); });
     }
   }
   run(After);
@@ -225,7 +217,7 @@
                                  Reason.outcome(),
                                  Context.Time.now() - Found->second.Arrived);
   After.push_back([Respond = std::move(Found->second.Request.Respond),
-                   Response = errorResponse(Reason)] { Respond(Response); });
+                   Response = apiErrorResponse(Reason)] { Respond(Response); });
   Open.erase(Found);
 }
 
