Repeat a cancellation while its row exists

Cause: a cancellation that was read before its run was passed on only once, and the scheduler keeps an unknown one for 60 s only, so it could be lost. Ruled out: keeping it for ever in the scheduler, which would grow without bound. Change: every scan passes all cancel rows on; a repeated call has no effect. Measured: RunsOfAllKindsFinishOnce passes.

--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -247,9 +247,9 @@
   }
   for (const Row &Entry :
        Context.Table.scan(keys::cancelPrefix(Shard), {}, MaxRowsPerScan)) {
-    const RunId Run = runOfKey(Entry.Key);
-    if (Held.Cancelled.insert(Run).second)
-      Held.Scheduler->cancel(Run);
+    // Repeated while the row exists, because the scheduler forgets the
+    // cancellation of a run that it does not know after a while.
+    Held.Scheduler->cancel(runOfKey(Entry.Key));
   }
 }
 
@@ -289,8 +289,6 @@
   Held.Uncommitted.reset();
   for (const RunId &Run : Committed.HandledAdmissions)
     Held.Admitted.erase(Run);
-  for (const RunId &Run : Committed.HandledCancellations)
-    Held.Cancelled.erase(Run);
   ++Held.EntriesSinceSnapshot;
   noteDecisions(Committed);
   // The commit may have taken longer than the authority lasted. The commands
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -69,8 +69,7 @@
     std::shared_ptr<WorkerFleet> Fleet;
     std::unique_ptr<TaskGrants> Grants;
     std::optional<Decisions> Uncommitted;
-    std::set<RunId> Admitted;  ///< Inbox rows that were read.
-    std::set<RunId> Cancelled; ///< Cancel rows that were read.
+    std::set<RunId> Admitted; ///< Inbox rows that were read.
     std::uint64_t EntriesSinceSnapshot = 0;
     std::uint64_t SeenConfig = 0;
     std::shared_ptr<const InstanceSnapshot> SeenList;
