Count the bytes of an instance's calls in its metrics

apricotwing_network_bytes_total stayed at 0: nothing passed the sums of HttpClient to the metrics, so the network cost of control could not be read. Counting in each call was ruled out, because the client must not depend on the daemon's metrics; the difference since the last reading is added whenever /metrics is served.

Before: 0 bytes/s on each daemon.

--- a/src/daemon/api.cpp
+++ b/src/daemon/api.cpp
@@ -200,7 +200,7 @@
   if (Request.Path == "/statez")
     return Respond(answer(200, encodeStateDump(Parts.Dump())));
   if (Request.Path == "/metrics")
-    return Respond(answer(200, Context.Counts.serialize(), PrometheusText));
+    return Respond(answer(200, Parts.MetricsText(), PrometheusText));
   throwNoSuchPath(Request);
 }
 
--- a/src/daemon/api.h
+++ b/src/daemon/api.h
@@ -34,6 +34,7 @@
     ListService &List;
     ConfigLedger &Ledger;
     std::function<StateDump()> Dump;
+    std::function<std::string()> MetricsText;
     std::function<void()> OnConfigChanged;
   };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,7 +83,8 @@
   Interface = std::make_unique<Api>(
       Context,
       Api::Services{*Requests, *Runs, *Shards, *Listing, Ledger,
-                    [this] { return dump(); }, [this] { Authority->wake(); }});
+                    [this] { return dump(); }, [this] { return metricsText(); },
+                    [this] { Authority->wake(); }});
   PeerServer = startHttpServer(
       serverOptions(Values, Values.Http.PeerListen),
       [this](const HttpRequest &Request, const Responder &Respond) {
@@ -121,6 +122,19 @@
   Grants->wake();
 }
 
+std::string Daemon::metricsText() {
+  {
+    const std::lock_guard Lock(TrafficMutex);
+    const HttpTraffic Total = Client.traffic();
+    Counts.addBytes(ByteDirection::Sent,
+                    Total.BytesSent - CountedTraffic.BytesSent);
+    Counts.addBytes(ByteDirection::Received,
+                    Total.BytesReceived - CountedTraffic.BytesReceived);
+    CountedTraffic = Total;
+  }
+  return Counts.serialize();
+}
+
 StateDump Daemon::dump() const {
   const TimePoint Now = Time.now();
   const auto Since = [Now](TimePoint Last) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -24,6 +24,8 @@
 #include "wire/jsonrecordcodec.h"
 
 #include <memory>
+#include <mutex>
+#include <string>
 
 namespace apricotwing {
 
@@ -44,6 +46,7 @@
 
 private:
   StateDump dump() const;
+  std::string metricsText();
   void handleConfig(const Config &Document);
   void handleLost();
   void waitForOpenRequests();
@@ -55,6 +58,8 @@
   JsonRecordCodec Codec;
   TransactionIds Ids;
   HttpClient Client;
+  std::mutex TrafficMutex;
+  HttpTraffic CountedTraffic; ///< What the metrics contain already.
   HttpTableService PlainTable;
   MeteredTableService Table;
   HttpObjectStore PlainObjects;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -97,7 +97,7 @@
     {"apricotwing_cpu_seconds_total", C, "", "CPU time of this process."},
     {"apricotwing_resident_bytes", G, "", "Resident memory of this process."},
     {"apricotwing_network_bytes_total", C, "direction",
-     "Bytes of bodies sent and received."},
+     "Bytes of the calls that this instance made, with HTTP headers."},
     {"apricotwing_leases_held", G, "kind",
      "Leases and grants that this instance holds."},
     {"apricotwing_authority_seconds", G, "",
