Tick a shard at most once per period, however often it is woken

Each notification of a submission and each query for a run woke the scheduler thread, and each wake was a whole round: two scans, the reads of the inbox and a transaction. A pause after a wake was ruled out, because queries for runs need their answer at once; a wake now only drains the mailbox, and a notification makes the next tick read the inbox.

--- a/src/daemon/periodicthread.cpp
+++ b/src/daemon/periodicthread.cpp
@@ -39,7 +39,7 @@
     Changed.wait_for(Lock, Period, [this] { return Woken || Stopping; });
     if (Stopping)
       return;
-    StartedByWake = std::exchange(Woken, false);
+    Woken = false;
   }
 }
 
--- a/src/daemon/periodicthread.h
+++ b/src/daemon/periodicthread.h
@@ -34,9 +34,6 @@
   /// Runs the duty soon, without waiting for the period. Thread-safe.
   void wake();
 
-  /// True if the present round was started by wake(). Only for the duty.
-  bool wasWoken() const { return StartedByWake; }
-
   /// Ends after the present round and joins. Idempotent; not to be called by
   /// the duty itself.
   void stop();
@@ -51,7 +48,6 @@
   std::condition_variable Changed;
   bool Woken = false;
   bool Stopping = false;
-  bool StartedByWake = false; ///< Duty's thread only.
   std::thread Thread;
 };
 
--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -53,7 +53,7 @@
 
 ShardRunner::~ShardRunner() { Thread.stop(); }
 
-void ShardRunner::notify() { Thread.wake(); }
+void ShardRunner::notify() { InboxHint = true; }
 
 void ShardRunner::handleSessionLost() {
   SessionLost = true;
@@ -101,8 +101,14 @@
   }
   drainMailbox();
   const TimePoint Now = Context.Time.now();
+  // A wake only asks for the mailbox: each tick may cost a transaction.
+  if (LastTick != TimePoint::min() &&
+      Now - LastTick < Context.Values.Scheduler.Tick)
+    return;
+  LastTick = Now;
   if (Context.Session.isValid(Now))
     acquireShards(Now);
+  HasInboxHint = InboxHint.exchange(false);
   std::vector<ShardId> Held;
   for (const auto &[Shard, Unused] : Shards)
     Held.push_back(Shard);
@@ -230,7 +236,7 @@
 void ShardRunner::readInbox(const ShardId &Shard, HeldShard &Held,
                             TimePoint Now) {
   if (Held.LastScan != TimePoint::min() && Now - Held.LastScan < ScanPeriod &&
-      !Thread.wasWoken())
+      !HasInboxHint)
     return;
   Held.LastScan = Now;
   for (const Row &Entry :
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -46,7 +46,7 @@
   ShardRunner(DaemonContext &Context, const ListService &List);
   ~ShardRunner();
 
-  /// New rows wait in an inbox: tick soon.
+  /// New rows wait in an inbox: the next tick reads it.
   void notify();
 
   /// The session was lost: gives up all shards before anything else is done.
@@ -107,6 +107,9 @@
   ThreadPool Calls;
   BoundedRing<std::function<void()>> Mailbox;
   std::atomic<bool> SessionLost{false};
+  std::atomic<bool> InboxHint{false};
+  bool HasInboxHint = false; ///< Of the present tick.
+  TimePoint LastTick = TimePoint::min();
   std::map<ShardId, HeldShard> Shards;
   std::map<ShardId, TimePoint> FreeSince;
   TimePoint LastStatus = TimePoint::min();
