Look at a shard that another instance holds every 500 ms, not each tick

The instance that the hint prefers read the shard row and its owner's session row in every tick for as long as another one held the shard, which is the normal case after the first instance has started alone. Its session view was ruled out as a replacement: it does not show a released shard.

--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -17,6 +17,10 @@
 /// to take over a free shard.
 constexpr Duration TakeoverDelay{2000};
 
+/// The preferred instance looks at the row of a shard that another one holds
+/// at most this often; fencing its owner takes longer by far.
+constexpr Duration AcquireRetry{500};
+
 /// Notifications make the inbox be read at once; this is the fallback.
 constexpr Duration ScanPeriod{1000};
 constexpr std::uint32_t MaxRowsPerScan = 1000;
@@ -124,16 +128,20 @@
   publishStatus(Now);
 }
 
+bool ShardRunner::mayTry(const ShardId &Shard, TimePoint Now) {
+  const auto [Last, IsNew] = LastTry.try_emplace(Shard, Now);
+  if (Ownership.isPreferred(Shard))
+    return IsNew || Now - Last->second >= AcquireRetry;
+  return Now - Last->second >= TakeoverDelay;
+}
+
 void ShardRunner::acquireShards(TimePoint Now) {
   for (const ShardId &Shard : AllShards) {
-    if (Shards.contains(Shard))
-      continue;
-    const TimePoint Since = FreeSince.try_emplace(Shard, Now).first->second;
-    if (!Ownership.isPreferred(Shard) && Now - Since < TakeoverDelay)
+    if (Shards.contains(Shard) || !mayTry(Shard, Now))
       continue;
+    LastTry[Shard] = Now;
     try {
       const AcquireResult Result = Ownership.tryAcquire(Shard, Now);
-      FreeSince[Shard] = Now;
       if (Result == AcquireResult::Acquired)
         takeOver(Shard, Now);
     } catch (const Error &Failure) {
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -84,6 +84,7 @@
 
   void round();
   void drainMailbox();
+  bool mayTry(const ShardId &Shard, TimePoint Now);
   void acquireShards(TimePoint Now);
   void takeOver(const ShardId &Shard, TimePoint Now);
   void drop(const ShardId &Shard, const std::string &Why);
@@ -111,7 +112,7 @@
   bool HasInboxHint = false; ///< Of the present tick.
   TimePoint LastTick = TimePoint::min();
   std::map<ShardId, HeldShard> Shards;
-  std::map<ShardId, TimePoint> FreeSince;
+  std::map<ShardId, TimePoint> LastTry; ///< To acquire a shard.
   TimePoint LastStatus = TimePoint::min();
   mutable std::mutex StatusMutex; ///< Guards Status.
   std::vector<ShardStatus> Status;
