Let idle pool threads wait without a periodic timeout

Each of the 88 pool threads of a daemon waited at most 100 ms for a job, so that it would notice the end of the pool, and the queue's semaphore spins before it sleeps. An idle daemon spent most of its CPU time there. Fewer threads were ruled out, because calls block. Closing the ring now adds one empty item per thread, which wakes it, and the wait is 60 s.

--- a/src/daemon/boundedring.h
+++ b/src/daemon/boundedring.h
@@ -43,9 +43,15 @@
     return true;
   }
 
-  /// Refuses new items from now on; waiting items can still be taken.
+  /// Refuses new items from now on; waiting items can still be taken. Adds
+  /// \p Wakes empty items, so that consumers which wait notice the end.
   /// Thread-safe.
-  void close() { Closed.store(true, std::memory_order_release); }
+  void close(std::size_t Wakes = 0) {
+    Closed.store(true, std::memory_order_release);
+    Size.fetch_add(Wakes, std::memory_order_acq_rel);
+    for (std::size_t Index = 0; Index < Wakes; ++Index)
+      Queue.enqueue(Item());
+  }
 
   /// True after close(). Thread-safe.
   bool isClosed() const { return Closed.load(std::memory_order_acquire); }
--- a/src/daemon/threadpool.cpp
+++ b/src/daemon/threadpool.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-/// Bound on the time that a stopping pool needs to notice the end.
-constexpr std::chrono::milliseconds PopTimeout{100};
+/// A thread that waits spins before it sleeps, so a short wait would cost
+/// CPU time all the time in each idle thread. close() wakes them.
+constexpr std::chrono::milliseconds IdleWait{60'000};
 
 } // namespace
 
@@ -16,7 +17,7 @@
 }
 
 ThreadPool::~ThreadPool() {
-  Ring.close();
+  Ring.close(Threads.size());
   for (std::thread &Thread : Threads)
     Thread.join();
 }
@@ -26,10 +27,14 @@
 void ThreadPool::runThread() {
   Job Work;
   while (true) {
-    if (Ring.pop(Work, PopTimeout))
-      Work();
-    else if (Ring.isClosed())
+    const bool IsEnding = Ring.isClosed();
+    const bool HasItem =
+        Ring.pop(Work, IsEnding ? std::chrono::milliseconds(0) : IdleWait);
+    if (!HasItem && IsEnding)
       return;
+    // An empty job only wakes a thread.
+    if (HasItem && Work)
+      Work();
   }
 }
 
