--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -46,7 +46,7 @@
   ShardRunner(DaemonContext &Context, const ListService &List);
   ~ShardRunner();
 
-  /// New rows wait in an inbox: tick soon.
+  /// New rows wait in an inbox: the next tick reads it.
   void notify();
 
   /// The session was lost: gives up all shards before anything else is done.
@@ -83,6 +83,7 @@
 
   void round();
   void drainMailbox();
+  bool mayTry(const ShardId &Shard, TimePoint Now);
   void acquireShards(TimePoint Now);
   void takeOver(const ShardId &Shard, TimePoint Now);
   void drop(const ShardId &Shard, const std::string &Why);
@@ -106,8 +107,11 @@
   ThreadPool Calls;
   BoundedRing<std::function<void()>> Mailbox;
   std::atomic<bool> SessionLost{false};
+  std::atomic<bool> InboxHint{false};
+  bool HasInboxHint = false; ///< Of the present tick.
+  TimePoint LastTick = TimePoint::min();
   std::map<ShardId, HeldShard> Shards;
-  std::map<ShardId, TimePoint> FreeSince;
+  std::map<ShardId, TimePoint> LastTry; ///< To acquire a shard.
   TimePoint LastStatus = TimePoint::min();
   mutable std::mutex StatusMutex; ///< Guards Status.
   std::vector<ShardStatus> Status;
