Count where policy_bench loses processor time

The simulation now keeps the free room of each worker and divides what is unused while work waits: room where a waiting single task fits, with and without a reservation in place, room where none fits, and work thrown away by preemption.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -142,6 +142,10 @@
     return Result;
   }
 
+  bool isReserving() const override {
+    return !Scheduler.stats().ReservedFor.empty();
+  }
+
 private:
   ShardScheduler Scheduler;
   std::map<AttemptId, WorkerId> Places;
@@ -367,6 +371,10 @@
               Sum / double(All.size()));
   std::printf("  packing %.3f, distance from share %.4f, preemptions %zu\n",
               Result.Packing, Result.Distance, Result.Preemptions);
+  std::printf("  lost processor time: beside a reservation %.4f, without one "
+              "%.4f, unfitting %.4f, thrown away %.4f\n",
+              Result.Lost.Reserved, Result.Lost.Usable, Result.Lost.Unfitting,
+              Result.Lost.ThrownAway);
 }
 
 void compare(std::uint32_t Seed) {
--- a/bench/policysimulation.h
+++ b/bench/policysimulation.h
@@ -10,6 +10,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace apricotwing::bench {
@@ -42,6 +43,17 @@
   /// The attempt ended on its own, or because of a stop.
   virtual void ended(const AttemptId &Id, bool WasStopped, TimePoint Now) = 0;
   virtual PolicyDecision tick(TimePoint Now) = 0;
+  /// Whether room is kept free for one run.
+  virtual bool isReserving() const { return false; }
+};
+
+/// Processor time of the cluster that no task used while work waited, and
+/// what was spent in vain; each as a fraction of the whole.
+struct LostTime {
+  double Reserved = 0;   ///< A waiting task fits, but room is kept for a run.
+  double Usable = 0;     ///< A waiting task fits, and nothing is reserved.
+  double Unfitting = 0;  ///< Left over on workers where no waiting task fits.
+  double ThrownAway = 0; ///< Done by tasks that were stopped and start anew.
 };
 
 struct PolicyResult {
@@ -49,21 +61,25 @@
   double Packing = 0;  ///< Mean dominant fraction while work waits.
   double Distance = 0; ///< Mean sum of the teams' shortfalls from their share.
   std::size_t Preemptions = 0;
+  LostTime Lost;
 };
 
 /// Runs \p Jobs under \p Chosen until \p End and measures at the workers.
 class PolicySimulation {
 public:
-  PolicySimulation(const ClusterSize &Size, const std::vector<Job> &Jobs,
+  PolicySimulation(const ClusterSize &Cluster, const std::vector<Job> &Jobs,
                    const std::map<TeamName, std::uint32_t> &Shares)
       : Jobs(Jobs), Shares(Shares) {
-    for (const WorkerView &View : workersOf(Size))
+    for (const WorkerView &View : workersOf(Cluster)) {
       Total += View.Capacity;
+      Free[View.Id] = View.Capacity;
+    }
     for (std::size_t Position = 0; Position < Jobs.size(); ++Position)
       ById[Jobs[Position].Run.Id] = Position;
   }
 
-  PolicyResult run(Policy &Chosen, TimePoint Begin, TimePoint End) {
+  PolicyResult run(Policy &Chosen, TimePoint From, TimePoint End) {
+    Begin = From;
     std::size_t Next = 0;
     for (TimePoint Now = Begin; Now < End; Now += Tick) {
       for (; Next < Jobs.size() && Jobs[Next].Arrival <= Now; ++Next)
@@ -71,12 +87,15 @@
       endTasks(Chosen, Now);
       apply(Chosen, Chosen.tick(Now), Now);
       if (Now < Begin + Sampled)
-        sample();
+        sample(Chosen.isReserving());
     }
     for (const auto &[Id, Since] : WaitingSince)
       record(Id, End - Since);
     Result.Packing /= std::max(1.0, Samples);
     Result.Distance /= std::max(1.0, Samples);
+    for (double *Part : {&Result.Lost.Reserved, &Result.Lost.Usable,
+                         &Result.Lost.Unfitting, &Result.Lost.ThrownAway})
+      *Part /= std::max(1.0, Samples) * double(Total.CpuMillis);
     return Result;
   }
 
@@ -84,7 +103,9 @@
   struct Active {
     TimePoint Started;
     TimePoint EndsAt;
+    WorkerId Worker;
   };
+  using Size = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
   struct End {
     TimePoint At;
     AttemptId Id;
@@ -103,6 +124,7 @@
     for (std::uint32_t Index = 0; Index < New.Run.Spec.Tasks; ++Index)
       WaitingSince[{New.Run.Id, Index}] = New.Arrival;
     Waiting[New.Run.Team] += New.Run.Spec.PerTask * New.Run.Spec.Tasks;
+    countWaiting(New.Run.Spec, New.Run.Spec.Tasks);
     Chosen.submit(New.Run, Now);
   }
 
@@ -120,9 +142,18 @@
                                                       1000);
   }
 
+  /// Counts single tasks that wait by their size; gangs are left out.
+  void countWaiting(const RunSpec &Spec, std::int64_t Tasks) {
+    const Resources &Need = Spec.PerTask;
+    if (Spec.Kind != RunKind::Gang)
+      WaitingSizes[{Need.CpuMillis, Need.MemoryMib, Need.Accelerators}] +=
+          Tasks;
+  }
+
   void leave(const AttemptId &Id) {
     const Job &Known = jobOf(Id.Task);
     Used[Known.Run.Team] -= Known.Run.Spec.PerTask;
+    Free[Running.at(Id).Worker] += Known.Run.Spec.PerTask;
     Running.erase(Id);
   }
 
@@ -142,19 +173,22 @@
     for (const AttemptId &Id : Made.Stops)
       stop(Chosen, Id, Now);
     for (const Placement &One : Made.Starts)
-      start(One.Id, Now);
+      start(One, Now);
   }
 
-  void start(const AttemptId &Id, TimePoint Now) {
+  void start(const Placement &Made, TimePoint Now) {
+    const AttemptId &Id = Made.Id;
     const Job &Known = jobOf(Id.Task);
     record(Id.Task, Now - WaitingSince.at(Id.Task));
     WaitingSince.erase(Id.Task);
     Waiting[Known.Run.Team] -= Known.Run.Spec.PerTask;
+    countWaiting(Known.Run.Spec, -1);
     Used[Known.Run.Team] += Known.Run.Spec.PerTask;
+    Free[Made.Worker] -= Known.Run.Spec.PerTask;
     const auto Done = Progress.find(Id.Task);
     const Duration Left =
         Known.Length - (Done == Progress.end() ? Duration{0} : Done->second);
-    Running[Id] = {Now, Now + Left};
+    Running[Id] = {Now, Now + Left, Made.Worker};
     Ends.push({Now + Left, Id});
   }
 
@@ -166,17 +200,39 @@
     const Job &Known = jobOf(Id.Task);
     if (Known.Run.Spec.Checkpointable)
       Progress[Id.Task] += Now - Found->second.Started;
+    else if (Now < Begin + Sampled)
+      Result.Lost.ThrownAway += double(Known.Run.Spec.PerTask.CpuMillis) *
+                                double((Now - Found->second.Started) / Tick);
     leave(Id);
     ++Result.Preemptions;
     WaitingSince[Id.Task] = Now;
     Waiting[Known.Run.Team] += Known.Run.Spec.PerTask;
+    countWaiting(Known.Run.Spec, 1);
     Chosen.ended(Id, true, Now);
   }
 
-  void sample() {
+  bool fitsWaiting(const Resources &Room) const {
+    return std::ranges::any_of(WaitingSizes, [&Room](const auto &One) {
+      const auto &[Cpu, Memory, Accelerators] = One.first;
+      return One.second > 0 &&
+             Resources{Cpu, Memory, Accelerators}.fitsIn(Room);
+    });
+  }
+
+  void sampleLost(bool IsReserving) {
+    for (const auto &[Worker, Room] : Free) {
+      double &Part = !fitsWaiting(Room) ? Result.Lost.Unfitting
+                     : IsReserving      ? Result.Lost.Reserved
+                                        : Result.Lost.Usable;
+      Part += double(Room.CpuMillis);
+    }
+  }
+
+  void sample(bool IsReserving) {
     if (WaitingSince.empty())
       return;
     Samples += 1;
+    sampleLost(IsReserving);
     Resources All;
     double Weight = 0;
     for (const auto &[Team, Share] : Shares) {
@@ -195,6 +251,7 @@
   }
 
   const std::vector<Job> &Jobs;
+  TimePoint Begin;
   std::map<TeamName, std::uint32_t> Shares;
   std::map<RunId, std::size_t> ById;
   Resources Total;
@@ -204,6 +261,8 @@
   std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
   std::map<TeamName, Resources> Used;
   std::map<TeamName, Resources> Waiting;
+  std::map<Size, std::int64_t> WaitingSizes;
+  std::map<WorkerId, Resources> Free;
   PolicyResult Result;
   double Samples = 0;
 };
