Plan reservations where least room is idle until they start

All the room lost while work waits is room held for reservations. A plan took the slots that come free first, so a worker drained task by task was held as readily as one whose tasks end together.

Ruled out before: a depth of 64 in the backfill, quarantine, shares and preemption (no usable room is left without a reservation).

The plan now compares starts up to twice as far away as the earliest and holds the slots with the least idle time up to the start.

--- a/src/core/reservation.cpp
+++ b/src/core/reservation.cpp
@@ -13,6 +13,11 @@
 constexpr std::uint32_t ComparedWorkers = 128;
 constexpr std::size_t OfferedFactor = 4;
 
+/// A later start is chosen if less room is idle until then, up to this many
+/// times the shortest wait.
+constexpr std::int64_t LatestStartFactor = 2;
+constexpr std::size_t ComparedStarts = 32;
+
 constexpr Duration PlanTolerance{30'000};
 
 /// Expected end of a task. One that has outlived its estimate is expected to
@@ -62,10 +67,11 @@
   Held.clear();
 }
 
-void Reservation::addSlots(const SchedulerData &Data, WorkerIndex Worker,
-                           const Resources &Need, std::uint32_t Count,
-                           bool Preempting, TimePoint Now,
-                           std::vector<Slot> &Slots) {
+Reservation::Offer Reservation::offerOf(const SchedulerData &Data,
+                                        WorkerIndex Worker,
+                                        const Resources &Need,
+                                        std::uint32_t Count, bool Preempting,
+                                        TimePoint Now) {
   std::vector<std::pair<TimePoint, Resources>> Ends;
   for (const TaskRef &Task : Data.State.tasksOn(Worker)) {
     const RunSpec &Spec = Task.Run->Record.Spec;
@@ -76,46 +82,126 @@
       Ends.emplace_back(expectedEnd(Task, Now), Size);
   }
   std::ranges::sort(Ends, {}, &std::pair<TimePoint, Resources>::first);
+  Offer Result{Worker, {}};
   Resources Room = Data.Index.unused(Worker);
-  std::uint64_t Found = 0;
+  double Amount =
+      Resources::max(Room, {}).dominantFraction(Data.Index.totalCapacity());
+  double AmountByMs = 0;
   const auto AddUpTo = [&](std::uint64_t Fitting, TimePoint From) {
-    for (; Found < std::min<std::uint64_t>(Fitting, Count); ++Found)
-      Slots.push_back({From, Worker});
+    const std::uint64_t Wanted = std::min<std::uint64_t>(Fitting, Count);
+    if (Result.Slots.size() >= Wanted)
+      return;
+    const auto New = double(Wanted - Result.Slots.size());
+    Result.Slots.resize(Wanted, {From, Amount / New, AmountByMs / New});
+    Amount = AmountByMs = 0;
   };
   AddUpTo(slotsIn(Room, Need), Now);
   for (const auto &[End, Size] : Ends) {
     Room += Size;
+    const double Part = Size.dominantFraction(Data.Index.totalCapacity());
+    Amount += Part;
+    AmountByMs += Part * double((End - Now).count());
     AddUpTo(slotsIn(Room, Need), End);
   }
+  return Result;
 }
 
-bool Reservation::plan(const SchedulerData &Data, const RunEntry &Entry,
-                       const Resources &Need, std::uint32_t Count,
-                       const WorkerMask &Candidates, bool Preempting,
-                       TimePoint Now) {
-  release();
-  std::vector<Slot> Slots;
-  std::uint32_t Compared = 0;
+Reservation::Choice Reservation::choose(const std::vector<Offer> &Offers,
+                                        std::uint32_t Count, TimePoint Start,
+                                        TimePoint Now) {
+  struct Candidate {
+    double Idle = 0; ///< Per slot.
+    std::uint32_t Slots = 0;
+    WorkerIndex Worker = NoWorker;
+  };
+  std::vector<Candidate> Candidates;
+  for (const Offer &One : Offers) {
+    Candidate New{0, 0, One.Worker};
+    for (const Slot &Each : One.Slots) {
+      if (Each.Free > Start)
+        break;
+      New.Idle += Each.Amount * double((Start - Now).count()) - Each.AmountByMs;
+      ++New.Slots;
+    }
+    if (New.Slots == 0)
+      continue;
+    New.Idle /= New.Slots;
+    Candidates.push_back(New);
+  }
+  std::ranges::sort(Candidates,
+                    [](const Candidate &Left, const Candidate &Right) {
+                      return std::tie(Left.Idle, Left.Worker) <
+                             std::tie(Right.Idle, Right.Worker);
+                    });
+  Choice Result;
+  Result.Start = Start;
+  std::uint32_t Left = Count;
+  for (const Candidate &One : Candidates) {
+    const std::uint32_t Taken = std::min(Left, One.Slots);
+    if (Taken == 0)
+      break;
+    Left -= Taken;
+    Result.Idle += One.Idle * Taken;
+    Result.Tasks.emplace_back(One.Worker, Taken);
+  }
+  return Result;
+}
+
+std::vector<Reservation::Offer>
+Reservation::collectOffers(const SchedulerData &Data, const Resources &Need,
+                           std::uint32_t Count, const WorkerMask &Candidates,
+                           bool Preempting, TimePoint Now) {
+  std::vector<Offer> Offers;
+  std::size_t Slots = 0;
   Candidates.forEach([&](WorkerIndex Worker) {
     const bool IsEnough =
-        Compared >= ComparedWorkers && Slots.size() >= OfferedFactor * Count;
+        Offers.size() >= ComparedWorkers && Slots >= OfferedFactor * Count;
     if (IsEnough || !Data.Index.isOpen(Worker) || Data.Index.isProbing(Worker))
       return;
-    ++Compared;
-    addSlots(Data, Worker, Need, Count, Preempting, Now, Slots);
+    Offers.push_back(offerOf(Data, Worker, Need, Count, Preempting, Now));
+    Slots += Offers.back().Slots.size();
   });
-  if (Slots.size() < Count)
+  return Offers;
+}
+
+std::optional<Reservation::Choice>
+Reservation::chooseStart(const std::vector<Offer> &Offers, std::uint32_t Count,
+                         TimePoint Now) {
+  std::vector<TimePoint> Starts;
+  for (const Offer &One : Offers)
+    for (const Slot &Each : One.Slots)
+      Starts.push_back(Each.Free);
+  if (Starts.size() < Count)
+    return std::nullopt;
+  std::ranges::sort(Starts);
+  const TimePoint Earliest = Starts[Count - 1];
+  const TimePoint Latest = Now + (Earliest - Now) * LatestStartFactor;
+  Choice Best = choose(Offers, Count, Earliest, Now);
+  const std::size_t Step = 1 + (Starts.size() - Count) / ComparedStarts;
+  for (std::size_t Next = Count - 1 + Step;
+       Next < Starts.size() && Starts[Next] <= Latest; Next += Step) {
+    Choice Other = choose(Offers, Count, Starts[Next], Now);
+    if (Other.Idle < Best.Idle)
+      Best = std::move(Other);
+  }
+  return Best;
+}
+
+bool Reservation::plan(const SchedulerData &Data, const RunEntry &Entry,
+                       const Resources &Need, std::uint32_t Count,
+                       const WorkerMask &Candidates, bool Preempting,
+                       TimePoint Now) {
+  release();
+  const std::optional<Choice> Best =
+      chooseStart(collectOffers(Data, Need, Count, Candidates, Preempting, Now),
+                  Count, Now);
+  if (!Best)
     return false;
-  std::ranges::sort(Slots, [](const Slot &Left, const Slot &Right) {
-    return std::tie(Left.Free, Left.Worker) <
-           std::tie(Right.Free, Right.Worker);
-  });
-  Slots.resize(Count);
-  for (const Slot &Chosen : Slots)
-    Held[Chosen.Worker] += Need;
+  for (const auto &[Worker, Tasks] : Best->Tasks)
+    Held[Worker] = Need * Tasks;
   for (const auto &[Worker, Amount] : Held)
     Index.hold(Worker, Amount);
-  Start = Slots.back().Free;
+  Start = Best->Start;
   Run = Entry.Record.Id;
   PlannedAt = Now;
   return true;
--- a/src/core/reservation.h
+++ b/src/core/reservation.h
@@ -6,6 +6,8 @@
 #include "core/schedulerdata.h"
 
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace apricotwing {
@@ -36,10 +38,11 @@
   /// it has already accumulated.
   bool isOutdated(TimePoint Now) const;
 
-  /// Holds room for \p Count tasks of \p Entry where it is expected first,
-  /// among \p Candidates. With \p Preempting, tasks of normal priority do not
-  /// count as in the way. Replaces an earlier plan; returns false and holds
-  /// nothing if the workers cannot take the tasks.
+  /// Holds room for \p Count tasks of \p Entry among \p Candidates, where
+  /// least of it is idle until all is free; the start is at most twice as far
+  /// away as the earliest possible one. With \p Preempting, tasks of normal
+  /// priority do not count as in the way. Replaces an earlier plan; returns
+  /// false and holds nothing if the workers cannot take the tasks.
   bool plan(const SchedulerData &Data, const RunEntry &Entry,
             const Resources &Need, std::uint32_t Count,
             const WorkerMask &Candidates, bool Preempting, TimePoint Now);
@@ -53,16 +56,37 @@
   void release();
 
 private:
-  /// Room for one task on a worker from a moment on.
+  /// Room for one task on a worker from a moment on. From the end of each
+  /// task that leaves the room until the reservation starts, its part is idle.
   struct Slot {
     TimePoint Free;
+    double Amount = 0;     ///< Dominant fraction of the shard.
+    double AmountByMs = 0; ///< Sum of amount times end, counted from now.
+  };
+  /// The slots of one worker, the earliest first.
+  struct Offer {
     WorkerIndex Worker = NoWorker;
+    std::vector<Slot> Slots;
+  };
+  /// Which slots to hold for one start of the reservation.
+  struct Choice {
+    TimePoint Start;
+    double Idle = 0; ///< Fraction of the shard times milliseconds.
+    std::vector<std::pair<WorkerIndex, std::uint32_t>> Tasks;
   };
 
-  static void addSlots(const SchedulerData &Data, WorkerIndex Worker,
+  static Offer offerOf(const SchedulerData &Data, WorkerIndex Worker,
                        const Resources &Need, std::uint32_t Count,
-                       bool Preempting, TimePoint Now,
-                       std::vector<Slot> &Slots);
+                       bool Preempting, TimePoint Now);
+  static std::vector<Offer> collectOffers(const SchedulerData &Data,
+                                          const Resources &Need,
+                                          std::uint32_t Count,
+                                          const WorkerMask &Candidates,
+                                          bool Preempting, TimePoint Now);
+  static Choice choose(const std::vector<Offer> &Offers, std::uint32_t Count,
+                       TimePoint Start, TimePoint Now);
+  static std::optional<Choice> chooseStart(const std::vector<Offer> &Offers,
+                                           std::uint32_t Count, TimePoint Now);
 
   PlacementIndex &Index;
   RunId Run;
