Reserve for gangs behind small runs while nothing ends

A team that is stalled passes only its longest-waiting run without room on to the choice of a reservation. If that was a small run, which never gets a reservation, a gang behind it was not considered until a task ended. The stall now keeps the longest-waiting run that may be reserved for. placement_bench gets a measurement of the tick that plans a reservation; it showed the fault: "the gang got no reservation" at all three sizes with the code before. Ruled out as its cause: the plan, which failed likewise in its earlier form; the selector of the gang (gangs of the benchmark now have none) and room to start at once (the shard is filled up).

The new test fails with the condition in noteBlocked() removed.

--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -28,6 +28,7 @@
   double PlacementsPerSecond = 0;
   double BytesPerTask = 0;
   double ReportRoundMs = 0;
+  double ReservationWorstUs = 0;
   double CancelTotalMs = 0;
   double CancelWorstTickMs = 0;
 };
@@ -94,6 +95,38 @@
                   Result.UrgentP99Us);
 }
 
+/// The longest tick until a gang that finds no room has its reservation: it
+/// plans over many workers.
+void reservation(benchmark::State &State) {
+  constexpr int TicksToReserve = 650;
+  SyntheticCluster Cluster(Sizes[State.range(0)]);
+  Cluster.fill();
+  for (std::size_t Seen = 0; Seen != Cluster.running();) {
+    Seen = Cluster.running();
+    for (int Run = 0; Run < 50; ++Run)
+      Cluster.submit(8);
+    Cluster.tick();
+  }
+  double WorstUs = 0;
+  for (auto _ : State) {
+    const RunId Gang = Cluster.submit(64, RunKind::Gang, 16'000);
+    double LongestUs = 0;
+    bool IsReserved = false;
+    for (int Tick = 0; Tick < TicksToReserve; ++Tick) {
+      Cluster.tick();
+      LongestUs = std::max(LongestUs, tickUs(Cluster));
+      IsReserved |= Cluster.Scheduler.stats().ReservedFor == Gang;
+    }
+    if (!IsReserved)
+      State.SkipWithError("the gang got no reservation");
+    State.SetIterationTime(LongestUs / 1e6);
+    WorstUs = std::max(WorstUs, LongestUs);
+    Cluster.Scheduler.cancel(Gang);
+    Cluster.tick();
+  }
+  Summaries[State.range(0)].ReservationWorstUs = WorstUs;
+}
+
 /// Placements per second while an empty shard takes all its tasks.
 void fillUp(benchmark::State &State) {
   const ClusterSize &Size = Sizes[State.range(0)];
@@ -186,6 +219,8 @@
     std::printf("  urgent decision when full: p50 %.1f us, p99 %.1f us (%s)\n",
                 Known.UrgentP50Us, Known.UrgentP99Us,
                 verdict(Known.UrgentP99Us < TargetDecisionP99Us));
+    std::printf("  tick that plans a reservation for 64 tasks: worst %.1f us\n",
+                Known.ReservationWorstUs);
     std::printf("  placements: %.0f per s (target above %.0f: %s)\n",
                 Known.PlacementsPerSecond, TargetPlacementsPerSecond,
                 verdict(Known.PlacementsPerSecond > TargetPlacementsPerSecond));
@@ -212,6 +247,11 @@
     ->Iterations(1'000)
     ->UseManualTime()
     ->Unit(benchmark::kMicrosecond);
+BENCHMARK(reservation)
+    ->DenseRange(0, 2)
+    ->Iterations(5)
+    ->UseManualTime()
+    ->Unit(benchmark::kMicrosecond);
 BENCHMARK(fillUp)->DenseRange(0, 2)->Iterations(3)->UseManualTime()->Unit(
     benchmark::kMillisecond);
 BENCHMARK(reportRound)
--- a/bench/syntheticcluster.h
+++ b/bench/syntheticcluster.h
@@ -72,7 +72,8 @@
       Scheduler.handleReport(View.Id, {}, Now);
   }
 
-  /// Admits a run of \p Tasks tasks of a random team and size.
+  /// Admits a run of \p Tasks tasks of a random team and size. One in eight
+  /// runs other than gangs asks for a label.
   RunId submit(std::uint32_t Tasks, RunKind Kind = RunKind::Batch,
                std::int64_t CpuMillis = 0,
                Priority Urgency = Priority::Normal) {
@@ -87,7 +88,7 @@
                         512 * (1 + std::int64_t(Chance() % 8)), 0};
     Run.Spec.EstimateSeconds = 60 + Chance() % 3600;
     Run.Spec.Payload = R"({"run_ms":1000})";
-    if (Chance() % 8 == 0)
+    if (Kind != RunKind::Gang && Chance() % 8 == 0)
       Run.Spec.Selector = {{"kind", "large"}};
     Scheduler.admit(Run);
     return Run.Id;
--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -124,7 +124,7 @@
   // Preemption and claims go on while no worker has room.
   Known.IsOpen |=
       Run.Work.Claims > 0 || Run.Record.Spec.Urgency == Priority::Urgent;
-  if (Run.Work.Why == WaitReason::NoRoom &&
+  if (Run.Work.Why == WaitReason::NoRoom && isReservable(Run) &&
       (!Known.Longest || Run.Work.ReadySince < Known.Longest->Work.ReadySince))
     Known.Longest = &Run;
 }
@@ -446,16 +446,19 @@
     ++RoomVersion;
 }
 
-bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
+bool PlacementRound::isReservable(const RunEntry &Run) const {
   const RunSpec &Spec = Run.Record.Spec;
-  const bool IsGang = Spec.Kind == RunKind::Gang;
+  // Small tasks find room as soon as it is their team's turn.
+  return Spec.Kind == RunKind::Gang ||
+         (Spec.PerTask * LargeTasksPerWorker)
+                 .dominantFraction(Data.Index.largestCapacity()) > 1;
+}
+
+bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
   if (isUrgentGang(Run))
     return true;
-  if (Now - Run.Work.ReadySince < Data.Options.ReservationDelay)
-    return false;
-  // Small tasks find room as soon as it is their team's turn.
-  return IsGang || (Spec.PerTask * LargeTasksPerWorker)
-                           .dominantFraction(Data.Index.largestCapacity()) > 1;
+  return Now - Run.Work.ReadySince >= Data.Options.ReservationDelay &&
+         isReservable(Run);
 }
 
 void PlacementRound::chooseReservation(TimePoint Now) {
--- a/src/core/placementround.h
+++ b/src/core/placementround.h
@@ -53,7 +53,7 @@
     Resources Allocated;
     Resources Cap;
     Resources LeastNeed;         ///< Component-wise least of all runs tried.
-    RunEntry *Longest = nullptr; ///< Run without room that waits longest.
+    RunEntry *Longest = nullptr; ///< Reservable run that waits longest.
     bool IsOpen = false;         ///< Must be looked at in every round.
   };
   struct Turn {
@@ -86,6 +86,7 @@
   void noteBlocked(RunEntry &Run, const Resources &Need);
   void refreshGrown();
   void tryHolder(TimePoint Now);
+  bool isReservable(const RunEntry &Run) const;
   bool mayReserve(const RunEntry &Run, TimePoint Now) const;
   bool takeTurn(Turn &Current, TimePoint Now);
   Attempt tryRun(RunEntry &Run, TimePoint Now);
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -189,6 +189,21 @@
             4);
 }
 
+// Guards against a gang that gets no reservation while nothing ends, because a
+// small run of its team has waited longer.
+TEST_F(ShardSchedulerTest, ReservesForAGangBehindASmallRunInAQuietShard) {
+  Scheduler->admit(runOf("old", "a", 16, {1000, 100, 0}));
+  tick();
+  Scheduler->admit(runOf("small", "b", 1, {1000, 100, 0}));
+  tick();
+  RunRecord Gang = runOf("gang", "b", 4, {4000, 100, 0});
+  Gang.Spec.Kind = RunKind::Gang;
+  Scheduler->admit(Gang);
+  tick();
+  tick(Duration{61'000});
+  EXPECT_EQ(Scheduler->stats().ReservedFor, "gang");
+}
+
 // Guards against a reservation that is never used because other runs of the
 // team come first and are blocked.
 TEST_F(ShardSchedulerTest, StartsTheHolderOfTheReservationOutOfTurn) {
