Place backfill in reserved room before open room

A task that ends before the reservation starts took open room first, and the room held for the reservation stayed idle: only such tasks may use it, while a longer task that waits could have had the open room. They now look at the reserved workers first, except those on which their run has failed; such a worker is the last choice elsewhere, too.

--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -236,11 +236,12 @@
   if (IsHolder)
     Reserved.suspend();
   WorkerIndex Worker = takeClaim(Run, Need);
+  // Few runs may use reserved room, so they leave the rest to the others.
+  if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
+    Worker = backfill(Run, Need);
   if (Worker == NoWorker)
     Worker = search(Run, Need);
   Reserved.resume();
-  if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
-    Worker = backfill(Run, Need);
   if (Worker == NoWorker)
     return blockForRoom(Run, IsHolder || !Reserved.isActive());
   releaseReservation(Run);
@@ -268,8 +269,10 @@
 WorkerIndex PlacementRound::backfill(const RunEntry &Run,
                                      const Resources &Need) {
   const WorkerMask &Matching = Data.Index.matching(Run.Record.Spec.Selector);
+  const std::set<WorkerIndex> *Failed = Data.Health.failedOn(Run.Record.Id);
   for (const auto &[Worker, Amount] : Reserved.held())
     if (Matching.test(Worker) && Data.Index.isOpen(Worker) &&
+        !(Failed && Failed->contains(Worker)) &&
         Need.fitsIn(Data.Index.unused(Worker) + Amount))
       return Worker;
   return NoWorker;
