--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -270,20 +270,12 @@
                                      const Resources &Need) {
   const WorkerMask &Matching = Data.Index.matching(Run.Record.Spec.Selector);
   const std::set<WorkerIndex> *Failed = Data.Health.failedOn(Run.Record.Id);
-  WorkerIndex Best = NoWorker;
-  double BestRoom = 0;
-  for (const auto &[Worker, Amount] : Reserved.held()) {
-    const Resources Room = Data.Index.unused(Worker) + Amount;
-    if (!Matching.test(Worker) || !Data.Index.isOpen(Worker) ||
-        (Failed && Failed->contains(Worker)) || !Need.fitsIn(Room))
-      continue;
-    const double Fraction = Room.dominantFraction(Data.Index.totalCapacity());
-    if (Best != NoWorker && Fraction >= BestRoom)
-      continue;
-    Best = Worker;
-    BestRoom = Fraction;
-  }
-  return Best;
+  for (const auto &[Worker, Amount] : Reserved.held())
+    if (Matching.test(Worker) && Data.Index.isOpen(Worker) &&
+        !(Failed && Failed->contains(Worker)) &&
+        Need.fitsIn(Data.Index.unused(Worker) + Amount))
+      return Worker;
+  return NoWorker;
 }
 
 SpreadCounts &PlacementRound::spreadOf(const RunEntry &Run) {
