Learn run times relative to the declared ones

The estimator replaced the declared run time by one figure per class, the mean and three mean deviations of all runs that share team, kind, size and first word of the payload. Where runs of a class differ in length (20 to 1,800 s here), that says less than the declared time, even though that is off by a factor of up to three. Both the start of reservations and the choice of backfill depend on it. The estimator now learns the ratio of run time to declared time and scales the declared one. For a class with one declared time the estimate is what it was. It is capped at MaxEstimateSeconds, as a ratio can be large.

Ruled out: that the estimate is only too high.

recordRunTime() takes the declared time as well; the call in UsageEstimatorTest.LearnsRunTimes passes it, its bounds are unchanged. The new test fails without the cap and with one figure per class.

--- a/src/core/runlifecycle.cpp
+++ b/src/core/runlifecycle.cpp
@@ -201,7 +201,8 @@
     return;
   Data.Health.recordSuccess(Entry.Worker, Run.Record.Id, Now);
   if (!Entry.Inherited)
-    Data.Estimator.recordRunTime(Run.Work.Class, Now - Entry.Since);
+    Data.Estimator.recordRunTime(
+        Run.Work.Class, declaredRunTime(Run.Record.Spec), Now - Entry.Since);
 }
 
 Duration RunLifecycle::retryDelay(const TaskRef &Task, TaskState Outcome,
--- a/src/core/schedulerdata.h
+++ b/src/core/schedulerdata.h
@@ -17,6 +17,11 @@
 
 namespace apricotwing {
 
+/// Run time of a task as its submitter declared it.
+inline Duration declaredRunTime(const RunSpec &Spec) {
+  return Duration(std::int64_t(Spec.EstimateSeconds) * 1000);
+}
+
 /// State of one shard's scheduler. Owned by it; not thread-safe.
 struct SchedulerData {
   explicit SchedulerData(SchedulerOptions Options) : Options(Options) {}
@@ -31,9 +36,7 @@
 
   /// Expected run time of a task of \p Run.
   Duration runTime(const RunEntry &Run) const {
-    return Estimator.runTime(
-        Run.Work.Class,
-        Duration(std::int64_t(Run.Record.Spec.EstimateSeconds) * 1000));
+    return Estimator.runTime(Run.Work.Class, declaredRunTime(Run.Record.Spec));
   }
 
   SchedulerOptions Options;
--- a/src/core/usageestimator.cpp
+++ b/src/core/usageestimator.cpp
@@ -1,5 +1,6 @@
 #include "core/usageestimator.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace apricotwing {
@@ -13,6 +14,10 @@
 /// Weight of a new sample in the moving means.
 constexpr double SampleWeight = 0.125;
 
+/// A declared run time may be zero.
+constexpr Duration ShortestRun{1'000};
+constexpr Duration LongestRun{std::int64_t(MaxEstimateSeconds) * 1000};
+
 /// The estimate is the mean plus this many mean deviations.
 constexpr double DeviationFactor = 3;
 
@@ -28,29 +33,34 @@
          Spec.Payload.substr(0, End);
 }
 
+UsageEstimator::Entry &UsageEstimator::entry(const std::string &Class) {
+  // Estimates only speed things up, so a full table may start again.
+  if (Classes.size() >= MaxClasses && !Classes.contains(Class))
+    Classes.clear();
+  return Classes[Class];
+}
+
 void UsageEstimator::recordUse(const std::string &Class,
                                const Resources &Used) {
   if (Used == Resources{})
     return;
-  // Estimates only speed things up, so a full table may start again.
-  if (Classes.size() >= MaxClasses && !Classes.contains(Class))
-    Classes.clear();
-  Entry &Known = Classes[Class];
+  Entry &Known = entry(Class);
   Known.Peak = Resources::max(Known.Peak, Used);
 }
 
-void UsageEstimator::recordRunTime(const std::string &Class, Duration Elapsed) {
-  if (Classes.size() >= MaxClasses && !Classes.contains(Class))
-    Classes.clear();
-  Entry &Known = Classes[Class];
-  const auto Sample = double(Elapsed.count());
+void UsageEstimator::recordRunTime(const std::string &Class, Duration Declared,
+                                   Duration Elapsed) {
+  Entry &Known = entry(Class);
+  const double Sample =
+      double(Elapsed.count()) / double(std::max(Declared, ShortestRun).count());
   if (++Known.Samples == 1) {
-    Known.MeanMs = Sample;
+    Known.MeanRatio = Sample;
     return;
   }
-  const double Error = Sample - Known.MeanMs;
-  Known.MeanMs += SampleWeight * Error;
-  Known.DeviationMs += SampleWeight * (std::abs(Error) - Known.DeviationMs);
+  const double Error = Sample - Known.MeanRatio;
+  Known.MeanRatio += SampleWeight * Error;
+  Known.RatioDeviation +=
+      SampleWeight * (std::abs(Error) - Known.RatioDeviation);
 }
 
 Resources UsageEstimator::reservation(const std::string &Class,
@@ -66,8 +76,10 @@
   if (Found == Classes.end() || Found->second.Samples < SamplesForRunTime)
     return Declared;
   const Entry &Known = Found->second;
-  return Duration(
-      std::llround(Known.MeanMs + DeviationFactor * Known.DeviationMs));
+  const double Ratio = Known.MeanRatio + DeviationFactor * Known.RatioDeviation;
+  const double ScaledMs =
+      double(std::max(Declared, ShortestRun).count()) * Ratio;
+  return Duration(std::llround(std::min(ScaledMs, double(LongestRun.count()))));
 }
 
 } // namespace apricotwing
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -445,10 +445,25 @@
   UsageEstimator Estimator;
   const Duration Declared{60'000};
   for (int Sample = 0; Sample < 10; ++Sample)
-    Estimator.recordRunTime("class", Duration{600'000});
+    Estimator.recordRunTime("class", Declared, Duration{600'000});
   EXPECT_GE(Estimator.runTime("class", Declared), Duration{600'000});
   EXPECT_EQ(Estimator.runTime("unknown", Declared), Declared);
 }
 
+// Guards against one estimate for all lengths of runs that share a class, and
+// against an overflow for a declared run time of no length.
+TEST(UsageEstimatorTest, ScalesTheDeclaredRunTime) {
+  UsageEstimator Estimator;
+  for (int Sample = 0; Sample < 10; ++Sample) {
+    Estimator.recordRunTime("class", Duration{60'000}, Duration{120'000});
+    Estimator.recordRunTime("class", Duration{600'000}, Duration{1'200'000});
+    Estimator.recordRunTime("zero", Duration{0}, Duration{3'600'000});
+  }
+  EXPECT_EQ(Estimator.runTime("class", Duration{30'000}), Duration{60'000});
+  const Duration Longest{std::int64_t(MaxEstimateSeconds) * 1000};
+  EXPECT_GE(Estimator.runTime("zero", Duration{0}), Duration{3'600'000});
+  EXPECT_EQ(Estimator.runTime("zero", Longest), Longest);
+}
+
 } // namespace
 } // namespace apricotwing
