Let shorter runs overtake long ones for up to half an hour

A run ranks by its arrival plus its expected run time, capped at ten minutes. Where a team has more work than its share, most of its runs reach the cap and are in order of arrival, so the short ones wait for the long ones.

--- a/src/core/runlifecycle.cpp
+++ b/src/core/runlifecycle.cpp
@@ -15,7 +15,7 @@
 
 /// Cap on the expected run time in the rank of a run, so that a long run is
 /// overtaken only by shorter ones that were submitted at most this much later.
-constexpr Duration MaxRankBonus{600'000};
+constexpr Duration MaxRankBonus{1'800'000};
 
 /// Doublings after which a delay has passed any sensible bound.
 constexpr std::uint32_t MaxDoublings = 20;
