--- a/src/core/preemptionplanner.cpp
+++ b/src/core/preemptionplanner.cpp
@@ -54,7 +54,7 @@
   for (const auto &[Class, Task] : Choices) {
     if (Need.fitsIn(Room))
       break;
-    Room += Task.task().Reserved + Task.task().Excess;
+    Room += Task.task().occupied();
     Plan.Victims.push_back(Task);
     Price.WorstClass = std::max(Price.WorstClass, Class);
     Price.Oldest = std::min(Price.Oldest, Task.task().StartOrder);
--- a/src/core/reservation.cpp
+++ b/src/core/reservation.cpp
@@ -75,7 +75,7 @@
   std::vector<std::pair<TimePoint, Resources>> Ends;
   for (const TaskRef &Task : Data.State.tasksOn(Worker)) {
     const RunSpec &Spec = Task.Run->Record.Spec;
-    const Resources Size = Task.task().Reserved + Task.task().Excess;
+    const Resources Size = Task.task().occupied();
     if (Preempting && Spec.Urgency == Priority::Normal)
       Ends.emplace_back(Now, Size);
     else if (Spec.Kind != RunKind::Service)
--- a/src/core/resources.h
+++ b/src/core/resources.h
@@ -55,6 +55,13 @@
     return CpuMillis >= 0 && MemoryMib >= 0 && Accelerators >= 0;
   }
 
+  /// Component-wise smaller of both.
+  static Resources min(const Resources &Left, const Resources &Right) {
+    return {std::min(Left.CpuMillis, Right.CpuMillis),
+            std::min(Left.MemoryMib, Right.MemoryMib),
+            std::min(Left.Accelerators, Right.Accelerators)};
+  }
+
   /// Component-wise larger of both.
   static Resources max(const Resources &Left, const Resources &Right) {
     return {std::max(Left.CpuMillis, Right.CpuMillis),
--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -373,11 +373,8 @@
   }
   std::map<TeamName, Resources> Result;
   for (TeamIndex Team = 0; Team < Wanted.size(); ++Team) {
-    const Resources &Limit = Data.Queues[Team].Limit;
-    const Resources Capped{
-        std::min(Wanted[Team].CpuMillis, Limit.CpuMillis),
-        std::min(Wanted[Team].MemoryMib, Limit.MemoryMib),
-        std::min(Wanted[Team].Accelerators, Limit.Accelerators)};
+    const Resources Capped =
+        Resources::min(Wanted[Team], Data.Queues[Team].Limit);
     if (Capped != Resources{})
       Result.emplace(Data.State.teamNames()[Team], Capped);
   }
--- a/src/core/shardstate.cpp
+++ b/src/core/shardstate.cpp
@@ -86,7 +86,7 @@
   const auto Place = std::ranges::find(Others, Task);
   *Place = Others.back();
   Others.pop_back();
-  Index.release(Entry.Worker, Entry.Reserved + Entry.Excess);
+  Index.release(Entry.Worker, Entry.occupied());
   Shares.remove(Task.Run->Team, Entry.Reserved);
   Entry.Worker = NoWorker;
   Entry.Reserved = {};
--- a/src/core/shardstate.h
+++ b/src/core/shardstate.h
@@ -36,6 +36,9 @@
   TimePoint Since;              ///< When it became ready or was started.
   std::uint64_t StartOrder = 0; ///< Grows with each start in the shard.
 
+  /// Room that the attempt takes on its worker.
+  Resources occupied() const { return Reserved + Excess; }
+
   /// True if an attempt may be running.
   bool isActive() const {
     return State == TaskState::Starting || State == TaskState::Running ||
--- a/src/core/teamqueue.cpp
+++ b/src/core/teamqueue.cpp
@@ -54,10 +54,6 @@
   Run.Work.Delayed = 0;
 }
 
-Resources TeamQueue::cap() const {
-  return {std::min(Limit.CpuMillis, Grant.CpuMillis),
-          std::min(Limit.MemoryMib, Grant.MemoryMib),
-          std::min(Limit.Accelerators, Grant.Accelerators)};
-}
+Resources TeamQueue::cap() const { return Resources::min(Limit, Grant); }
 
 } // namespace apricotwing
