Move the claims of a preemption out of the placement round

The room that victims leave to an urgent run is now kept by PreemptionClaims, which alone changes RunWork::Claims and the matching holds.

--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -36,7 +36,7 @@
   WithoutRoom.clear();
   Misses.clear();
   Spreads.clear();
-  dropClaims(Now);
+  Claims.dropStale(Now);
   reconsiderSetAside(Now);
   placeByTurns(Now);
   updateReservation(Now);
@@ -118,9 +118,7 @@
 
 void PlacementRound::noteBlocked(RunEntry &Run, const Resources &Need) {
   Stall &Known = Stalls[Run.Team];
-  Known.LeastNeed = {std::min(Known.LeastNeed.CpuMillis, Need.CpuMillis),
-                     std::min(Known.LeastNeed.MemoryMib, Need.MemoryMib),
-                     std::min(Known.LeastNeed.Accelerators, Need.Accelerators)};
+  Known.LeastNeed = Resources::min(Known.LeastNeed, Need);
   // Preemption and claims go on while no worker has room.
   Known.IsOpen |=
       Run.Work.Claims > 0 || Run.Record.Spec.Urgency == Priority::Urgent;
@@ -235,7 +233,7 @@
   const bool IsHolder = Reserved.run() == Run.Record.Id;
   if (IsHolder)
     Reserved.suspend();
-  WorkerIndex Worker = takeClaim(Run, Need);
+  WorkerIndex Worker = Claims.take(Run, Need);
   // Few runs may use reserved room, so they leave the rest to the others.
   if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
     Worker = backfill(Run, Need);
@@ -324,36 +322,6 @@
   return Worker;
 }
 
-WorkerIndex PlacementRound::takeClaim(RunEntry &Run, const Resources &Need) {
-  if (Run.Work.Claims == 0)
-    return NoWorker;
-  const auto Found = std::ranges::find_if(Claims, [&](const Claim &Known) {
-    return Known.Run == Run.Record.Id && Data.Index.isOpen(Known.Worker) &&
-           Need.fitsIn(Data.Index.unused(Known.Worker) + Known.Need);
-  });
-  if (Found == Claims.end())
-    return NoWorker;
-  const WorkerIndex Worker = Found->Worker;
-  Data.Index.hold(Worker, Resources{} - Found->Need);
-  --Run.Work.Claims;
-  Claims.erase(Found);
-  return Worker;
-}
-
-void PlacementRound::dropClaims(TimePoint Now) {
-  std::erase_if(Claims, [&](const Claim &Known) {
-    RunEntry *Run = Data.State.find(Known.Run);
-    const bool Keep = Run && !Run->Work.Ready.empty() && Known.Expires > Now &&
-                      Data.Index.isServing(Known.Worker);
-    if (Keep)
-      return false;
-    Data.Index.hold(Known.Worker, Resources{} - Known.Need);
-    if (Run)
-      --Run->Work.Claims;
-    return true;
-  });
-}
-
 void PlacementRound::preempt(TimePoint Now) {
   std::uint32_t Left = Data.Options.MaxPreemptionsPerTick;
   std::uint32_t FailuresLeft = MaxFailedPreemptions;
@@ -388,10 +356,7 @@
     return;
   for (const TaskRef &Victim : Plan->Victims)
     Lifecycle.stop(Victim, StopReason::Preempted, Now);
-  Data.Index.hold(Plan->Worker, Need);
-  Claims.push_back(
-      {Run.Record.Id, Plan->Worker, Need, Now + Data.Options.ClaimTimeout});
-  ++Run.Work.Claims;
+  Claims.add(Run, Plan->Worker, Need, Now);
 }
 
 bool PlacementRound::reserveFor(RunEntry &Run, TimePoint Now) {
@@ -414,13 +379,13 @@
     const std::vector<TaskRef> Tasks = Data.State.tasksOn(Worker);
     for (const TaskRef &Task : Tasks)
       if (Task.task().State == TaskState::Stopping)
-        Room += Task.task().Reserved + Task.task().Excess;
+        Room += Task.task().occupied();
     for (const TaskRef &Task : Tasks) {
       if (Amount.fitsIn(Room))
         break;
       if (Planner.isVictim(Task, Run, Now) &&
           Lifecycle.stop(Task, StopReason::Preempted, Now))
-        Room += Task.task().Reserved + Task.task().Excess;
+        Room += Task.task().occupied();
     }
   }
 }
--- a/src/core/placementround.h
+++ b/src/core/placementround.h
@@ -5,6 +5,7 @@
 
 #include "core/feasibility.h"
 #include "core/placer.h"
+#include "core/preemptionclaims.h"
 #include "core/preemptionplanner.h"
 #include "core/reservation.h"
 #include "core/runlifecycle.h"
@@ -66,13 +67,6 @@
       return std::tie(Left.Rank, Left.Team) > std::tie(Right.Rank, Right.Team);
     }
   };
-  /// Room on a worker that victims of a preemption leave to a run.
-  struct Claim {
-    RunId Run;
-    WorkerIndex Worker = NoWorker;
-    Resources Need;
-    TimePoint Expires;
-  };
   /// A search that found nothing; room only shrinks within a round.
   struct Miss {
     Resources Need;
@@ -100,8 +94,6 @@
   WorkerIndex search(RunEntry &Run, const Resources &Need);
   WorkerIndex backfill(const RunEntry &Run, const Resources &Need);
   bool isKnownMiss(const Resources &Need, const WorkerMask *Matching) const;
-  WorkerIndex takeClaim(RunEntry &Run, const Resources &Need);
-  void dropClaims(TimePoint Now);
   void preempt(TimePoint Now);
   void preemptFor(RunEntry &Run, TimePoint Now);
   void updateReservation(TimePoint Now);
@@ -118,7 +110,7 @@
   PreemptionPlanner Planner;
   Reservation Reserved{Data.Index};
   TimePoint NextReservation; ///< Earliest new attempt to reserve.
-  std::vector<Claim> Claims;
+  PreemptionClaims Claims{Data};
   std::deque<RunId> SetAside;
   std::size_t ToReconsider = 0;
   std::uint64_t ReconsideredGeneration = 0;
