Move the skipping of stalled teams out of the placement round

What must change before a blocked team is looked at again was spread over five methods and three members of PlacementRound.

--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -49,17 +49,19 @@
     if (const auto &Runs = Data.queue(Team).runs(); !Runs.empty())
       Turns.push({Data.Shares.rank(Team), Team, Runs.begin()->first, 0});
   tryHolder(Now);
-  refreshGrown();
-  Stalls.resize(Data.Queues.size());
+  Stalls.beginRound();
   while (!Turns.empty() && StartsLeft > 0 && SearchesLeft > 0) {
     Turn Current = Turns.top();
     Turns.pop();
-    if (Current.Tried == 0 && isStalled(Current.Team))
+    if (Current.Tried == 0 && Stalls.isStalled(Current.Team)) {
+      if (RunEntry *Run = Stalls.longestBlocked(Current.Team))
+        WithoutRoom.push_back(Run);
       continue;
+    }
     if (takeTurn(Current, Now))
       Turns.push(Current);
     else
-      finishStall(Current.Team);
+      Stalls.finish(Current.Team);
   }
   // Teams that were not reached have not seen the workers that grew.
   if (Turns.empty())
@@ -73,60 +75,6 @@
     tryRun(*Holder, Now);
 }
 
-void PlacementRound::refreshGrown() {
-  LargestGrown = {-1, -1, -1};
-  for (const WorkerIndex Worker : Data.Index.grown())
-    LargestGrown = Resources::max(LargestGrown, Data.Index.room(Worker) +
-                                                    Reserved.heldOn(Worker));
-  StartsSinceGrown = 0;
-}
-
-bool PlacementRound::isStalled(TeamIndex Team) {
-  const Stall &Known = Stalls[Team];
-  TeamQueue &Queue = Data.queue(Team);
-  // An old bound is too large at worst; a new one costs a look at each worker.
-  if (StartsSinceGrown > Data.Index.grown().size() / 8)
-    refreshGrown();
-  const bool Holds =
-      Known.Version == Queue.version() && !Known.IsOpen &&
-      Known.Generation == Data.Generation && Known.RoomVersion == RoomVersion &&
-      Known.Allocated == Data.Shares.allocated(Team) &&
-      Known.Cap == Queue.cap() && !Known.LeastNeed.fitsIn(LargestGrown);
-  if (!Holds) {
-    beginStall(Team);
-    return false;
-  }
-  if (Known.Longest)
-    WithoutRoom.push_back(Known.Longest);
-  return true;
-}
-
-void PlacementRound::beginStall(TeamIndex Team) {
-  Stalls[Team] = {};
-  Stalls[Team].LeastNeed = {MaxCpuMillisPerTask, MaxMemoryMibPerTask,
-                            MaxAcceleratorsPerTask};
-}
-
-void PlacementRound::finishStall(TeamIndex Team) {
-  Stall &Known = Stalls[Team];
-  Known.Version = Data.queue(Team).version();
-  Known.Generation = Data.Generation;
-  Known.RoomVersion = RoomVersion;
-  Known.Allocated = Data.Shares.allocated(Team);
-  Known.Cap = Data.queue(Team).cap();
-}
-
-void PlacementRound::noteBlocked(RunEntry &Run, const Resources &Need) {
-  Stall &Known = Stalls[Run.Team];
-  Known.LeastNeed = Resources::min(Known.LeastNeed, Need);
-  // Preemption and claims go on while no worker has room.
-  Known.IsOpen |=
-      Run.Work.Claims > 0 || Run.Record.Spec.Urgency == Priority::Urgent;
-  if (Run.Work.Why == WaitReason::NoRoom && isReservable(Run) &&
-      (!Known.Longest || Run.Work.ReadySince < Known.Longest->Work.ReadySince))
-    Known.Longest = &Run;
-}
-
 bool PlacementRound::takeTurn(Turn &Current, TimePoint Now) {
   const TeamQueue::Runs &Runs = Data.queue(Current.Team).runs();
   const auto Next = Runs.lower_bound(Current.Next);
@@ -135,7 +83,7 @@
   Current.Next = Next->first;
   const Attempt Result = tryRun(*Next->second, Now);
   if (Result == Attempt::Started) {
-    ++StartsSinceGrown;
+    Stalls.noteStart();
     Current.Rank = Data.Shares.rank(Current.Team);
     return true;
   }
@@ -188,7 +136,7 @@
                              ? tryGang(Run, Need, Now)
                              : tryTask(Run, Need, Now);
   if (Result == Attempt::Blocked)
-    noteBlocked(Run, Need);
+    Stalls.noteBlocked(Run, Need, isReservable(Run));
   return Result;
 }
 
@@ -254,7 +202,7 @@
   if (Reserved.run() != Run.Record.Id)
     return;
   Reserved.release();
-  ++RoomVersion;
+  Stalls.noteReservationChange();
 }
 
 bool PlacementRound::isKnownMiss(const Resources &Need,
@@ -411,7 +359,7 @@
   const TimePoint StartBefore = Reserved.start();
   chooseReservation(Now);
   if (Reserved.run() != Before || Reserved.start() != StartBefore)
-    ++RoomVersion;
+    Stalls.noteReservationChange();
 }
 
 bool PlacementRound::isReservable(const RunEntry &Run) const {
--- a/src/core/placementround.h
+++ b/src/core/placementround.h
@@ -9,6 +9,7 @@
 #include "core/preemptionplanner.h"
 #include "core/reservation.h"
 #include "core/runlifecycle.h"
+#include "core/teamstalls.h"
 
 #include <deque>
 #include <map>
@@ -45,18 +46,6 @@
 private:
   enum class Attempt { Started, Blocked, Left };
 
-  /// What the last look at a team's runs found, so that the team is skipped
-  /// until something changes that could let one of them start.
-  struct Stall {
-    std::uint64_t Version = 0; ///< Of the queue; 0: not stalled.
-    std::uint64_t Generation = 0;
-    std::uint64_t RoomVersion = 0;
-    Resources Allocated;
-    Resources Cap;
-    Resources LeastNeed;         ///< Component-wise least of all runs tried.
-    RunEntry *Longest = nullptr; ///< Reservable run that waits longest.
-    bool IsOpen = false;         ///< Must be looked at in every round.
-  };
   struct Turn {
     double Rank = 0;
     TeamIndex Team = 0;
@@ -74,11 +63,6 @@
   };
 
   void placeByTurns(TimePoint Now);
-  bool isStalled(TeamIndex Team);
-  void beginStall(TeamIndex Team);
-  void finishStall(TeamIndex Team);
-  void noteBlocked(RunEntry &Run, const Resources &Need);
-  void refreshGrown();
   void tryHolder(TimePoint Now);
   bool isReservable(const RunEntry &Run) const;
   bool mayReserve(const RunEntry &Run, TimePoint Now) const;
@@ -109,18 +93,14 @@
   Feasibility Possible;
   PreemptionPlanner Planner;
   Reservation Reserved{Data.Index};
+  TeamStalls Stalls{Data, Reserved};
   TimePoint NextReservation; ///< Earliest new attempt to reserve.
   PreemptionClaims Claims{Data};
   std::deque<RunId> SetAside;
   std::size_t ToReconsider = 0;
   std::uint64_t ReconsideredGeneration = 0;
 
-  std::vector<Stall> Stalls;
-  std::uint64_t RoomVersion = 1; ///< Grows when reserved workers change.
-
   // Within one round.
-  Resources LargestGrown; ///< At least the room of each worker that grew.
-  std::size_t StartsSinceGrown = 0;
   std::uint32_t StartsLeft = 0;
   std::uint32_t SearchesLeft = 0;
   std::vector<RunEntry *> WithoutRoom;
