--- /dev/null
+++ b/src/core/runintake.cpp
@@ -0,0 +1,59 @@
+#include "core/runintake.h"
+
+#include <utility>
+
+namespace apricotwing {
+
+void RunIntake::admit(const RunRecord &Run) {
+  if (AdmissionIds.insert(Run.Id).second)
+    Admissions.push_back(Run);
+}
+
+void RunIntake::cancel(const RunId &Run) {
+  if (CancellationIds.insert(Run).second)
+    Cancellations.push_back(Run);
+}
+
+void RunIntake::takeAdmissions(TimePoint Now) {
+  for (std::uint32_t Left = Data.Options.MaxAdmissionsPerTick;
+       Left > 0 && !Admissions.empty(); --Left) {
+    const RunRecord Record = std::move(Admissions.front());
+    Admissions.pop_front();
+    AdmissionIds.erase(Record.Id);
+    Data.Out.HandledAdmissions.push_back(Record.Id);
+    if (Data.State.find(Record.Id) || Lifecycle.wasRetired(Record.Id) ||
+        isFinal(Record.State))
+      continue;
+    Lifecycle.admit(Record, Now);
+    if (EarlyCancels.erase(Record.Id) > 0)
+      Lifecycle.cancel(*Data.State.find(Record.Id), Now);
+  }
+}
+
+bool RunIntake::takeCancellation(const RunId &Id, TimePoint Now) {
+  if (RunEntry *Run = Data.State.find(Id)) {
+    Lifecycle.cancel(*Run, Now);
+    return true;
+  }
+  if (Lifecycle.wasRetired(Id))
+    return true;
+  // The run may still be in the inbox, or was retired by an earlier owner.
+  const auto Known = EarlyCancels.try_emplace(Id, Now).first;
+  if (Now - Known->second < Data.Options.EarlyCancelKeep)
+    return false;
+  EarlyCancels.erase(Known);
+  return true;
+}
+
+void RunIntake::takeCancellations(TimePoint Now) {
+  for (std::uint32_t Left = Data.Options.MaxCancellationsPerTick;
+       Left > 0 && !Cancellations.empty(); --Left) {
+    const RunId Id = std::move(Cancellations.front());
+    Cancellations.pop_front();
+    CancellationIds.erase(Id);
+    if (takeCancellation(Id, Now))
+      Data.Out.HandledCancellations.push_back(Id);
+  }
+}
+
+} // namespace apricotwing
--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -2,13 +2,11 @@
 
 #include "core/error.h"
 #include "core/placementround.h"
+#include "core/runintake.h"
 #include "core/runlifecycle.h"
 #include "core/schedulerdata.h"
 
 #include <algorithm>
-#include <deque>
-#include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
 namespace apricotwing {
@@ -36,8 +34,6 @@
   void setWorkers(const std::vector<WorkerView> &Workers);
   void setTeams(const Config &Document);
   void setGrants(const std::map<TeamName, Resources> &Grants);
-  void admit(const RunRecord &Run);
-  void cancel(const RunId &Run);
   void handleReport(const WorkerId &Worker,
                     const std::vector<TaskReport> &Reports, TimePoint Now);
   void handleStartRefused(const AttemptId &Id, TimePoint Now);
@@ -49,15 +45,14 @@
 
   ShardId Shard;
   SchedulerData Data;
+  RunLifecycle Lifecycle{Data};
+  RunIntake Intake{Data, Lifecycle};
   bool IsBuilt = false;
 
 private:
   void handleListed(WorkerIndex Worker, const TaskReport &Report,
                     bool &HasForeign, TimePoint Now);
   void handleUnlisted(const TaskRef &Task, TimePoint Now);
-  void takeAdmissions(TimePoint Now);
-  void takeCancellations(TimePoint Now);
-  bool takeCancellation(const RunId &Id, TimePoint Now);
   void applyHealth(TimePoint Now);
   void stopOnDrained(TimePoint Now);
   void stopOverLimit(TimePoint Now);
@@ -65,13 +60,7 @@
   void resend();
   TeamStanding standing(TeamIndex Team) const;
 
-  RunLifecycle Lifecycle{Data};
   PlacementRound Round{Data, Lifecycle};
-  std::deque<RunRecord> Admissions;
-  std::unordered_set<RunId> AdmissionIds;
-  std::deque<RunId> Cancellations;
-  std::unordered_set<RunId> CancellationIds;
-  std::unordered_map<RunId, TimePoint> EarlyCancels;
   std::vector<AttemptId> Resends;
   std::vector<WorkerIndex> Drained;
   bool TeamsKnown = false;
@@ -132,16 +121,6 @@
   }
 }
 
-void ShardScheduler::Impl::admit(const RunRecord &Run) {
-  if (AdmissionIds.insert(Run.Id).second)
-    Admissions.push_back(Run);
-}
-
-void ShardScheduler::Impl::cancel(const RunId &Run) {
-  if (CancellationIds.insert(Run).second)
-    Cancellations.push_back(Run);
-}
-
 void ShardScheduler::Impl::handleListed(WorkerIndex Worker,
                                         const TaskReport &Report,
                                         bool &HasForeign, TimePoint Now) {
@@ -226,48 +205,6 @@
     Lifecycle.end(Task, TaskState::Lost, 0, Now);
 }
 
-void ShardScheduler::Impl::takeAdmissions(TimePoint Now) {
-  for (std::uint32_t Left = Data.Options.MaxAdmissionsPerTick;
-       Left > 0 && !Admissions.empty(); --Left) {
-    const RunRecord Record = std::move(Admissions.front());
-    Admissions.pop_front();
-    AdmissionIds.erase(Record.Id);
-    Data.Out.HandledAdmissions.push_back(Record.Id);
-    if (Data.State.find(Record.Id) || Lifecycle.wasRetired(Record.Id) ||
-        isFinal(Record.State))
-      continue;
-    Lifecycle.admit(Record, Now);
-    if (EarlyCancels.erase(Record.Id) > 0)
-      Lifecycle.cancel(*Data.State.find(Record.Id), Now);
-  }
-}
-
-bool ShardScheduler::Impl::takeCancellation(const RunId &Id, TimePoint Now) {
-  if (RunEntry *Run = Data.State.find(Id)) {
-    Lifecycle.cancel(*Run, Now);
-    return true;
-  }
-  if (Lifecycle.wasRetired(Id))
-    return true;
-  // The run may still be in the inbox, or was retired by an earlier owner.
-  const auto Known = EarlyCancels.try_emplace(Id, Now).first;
-  if (Now - Known->second < Data.Options.EarlyCancelKeep)
-    return false;
-  EarlyCancels.erase(Known);
-  return true;
-}
-
-void ShardScheduler::Impl::takeCancellations(TimePoint Now) {
-  for (std::uint32_t Left = Data.Options.MaxCancellationsPerTick;
-       Left > 0 && !Cancellations.empty(); --Left) {
-    const RunId Id = std::move(Cancellations.front());
-    Cancellations.pop_front();
-    CancellationIds.erase(Id);
-    if (takeCancellation(Id, Now))
-      Data.Out.HandledCancellations.push_back(Id);
-  }
-}
-
 void ShardScheduler::Impl::applyHealth(TimePoint Now) {
   Data.Health.advance(Now);
   for (const HealthChange &Change : Data.Health.takeChanges())
@@ -344,8 +281,8 @@
   Data.StopBudget = Data.Options.MaxStopsPerTick;
   applyHealth(Now);
   Lifecycle.releaseDelayed(Now);
-  takeAdmissions(Now);
-  takeCancellations(Now);
+  Intake.takeAdmissions(Now);
+  Intake.takeCancellations(Now);
   Lifecycle.continueStops(Now);
   stopOnDrained(Now);
   // Before both are known, every team would seem to be above its limit.
@@ -487,9 +424,9 @@
   return Result;
 }
 
-void ShardScheduler::admit(const RunRecord &Run) { Self->admit(Run); }
+void ShardScheduler::admit(const RunRecord &Run) { Self->Intake.admit(Run); }
 
-void ShardScheduler::cancel(const RunId &Run) { Self->cancel(Run); }
+void ShardScheduler::cancel(const RunId &Run) { Self->Intake.cancel(Run); }
 
 void ShardScheduler::handleReport(const WorkerId &Worker,
                                   const std::vector<TaskReport> &Reports,
