--- a/src/core/placementround.cpp
+++ b/src/core/placementround.cpp
@@ -36,7 +36,7 @@
   WithoutRoom.clear();
   Misses.clear();
   Spreads.clear();
-  dropClaims(Now);
+  Claims.dropStale(Now);
   reconsiderSetAside(Now);
   placeByTurns(Now);
   updateReservation(Now);
@@ -49,17 +49,19 @@
     if (const auto &Runs = Data.queue(Team).runs(); !Runs.empty())
       Turns.push({Data.Shares.rank(Team), Team, Runs.begin()->first, 0});
   tryHolder(Now);
-  refreshGrown();
-  Stalls.resize(Data.Queues.size());
+  Stalls.beginRound();
   while (!Turns.empty() && StartsLeft > 0 && SearchesLeft > 0) {
     Turn Current = Turns.top();
     Turns.pop();
-    if (Current.Tried == 0 && isStalled(Current.Team))
+    if (Current.Tried == 0 && Stalls.isStalled(Current.Team)) {
+      if (RunEntry *Run = Stalls.longestBlocked(Current.Team))
+        WithoutRoom.push_back(Run);
       continue;
+    }
     if (takeTurn(Current, Now))
       Turns.push(Current);
     else
-      finishStall(Current.Team);
+      Stalls.finish(Current.Team);
   }
   // Teams that were not reached have not seen the workers that grew.
   if (Turns.empty())
@@ -73,62 +75,6 @@
     tryRun(*Holder, Now);
 }
 
-void PlacementRound::refreshGrown() {
-  LargestGrown = {-1, -1, -1};
-  for (const WorkerIndex Worker : Data.Index.grown())
-    LargestGrown = Resources::max(LargestGrown, Data.Index.room(Worker) +
-                                                    Reserved.heldOn(Worker));
-  StartsSinceGrown = 0;
-}
-
-bool PlacementRound::isStalled(TeamIndex Team) {
-  const Stall &Known = Stalls[Team];
-  TeamQueue &Queue = Data.queue(Team);
-  // An old bound is too large at worst; a new one costs a look at each worker.
-  if (StartsSinceGrown > Data.Index.grown().size() / 8)
-    refreshGrown();
-  const bool Holds =
-      Known.Version == Queue.version() && !Known.IsOpen &&
-      Known.Generation == Data.Generation && Known.RoomVersion == RoomVersion &&
-      Known.Allocated == Data.Shares.allocated(Team) &&
-      Known.Cap == Queue.cap() && !Known.LeastNeed.fitsIn(LargestGrown);
-  if (!Holds) {
-    beginStall(Team);
-    return false;
-  }
-  if (Known.Longest)
-    WithoutRoom.push_back(Known.Longest);
-  return true;
-}
-
-void PlacementRound::beginStall(TeamIndex Team) {
-  Stalls[Team] = {};
-  Stalls[Team].LeastNeed = {MaxCpuMillisPerTask, MaxMemoryMibPerTask,
-                            MaxAcceleratorsPerTask};
-}
-
-void PlacementRound::finishStall(TeamIndex Team) {
-  Stall &Known = Stalls[Team];
-  Known.Version = Data.queue(Team).version();
-  Known.Generation = Data.Generation;
-  Known.RoomVersion = RoomVersion;
-  Known.Allocated = Data.Shares.allocated(Team);
-  Known.Cap = Data.queue(Team).cap();
-}
-
-void PlacementRound::noteBlocked(RunEntry &Run, const Resources &Need) {
-  Stall &Known = Stalls[Run.Team];
-  Known.LeastNeed = {std::min(Known.LeastNeed.CpuMillis, Need.CpuMillis),
-                     std::min(Known.LeastNeed.MemoryMib, Need.MemoryMib),
-                     std::min(Known.LeastNeed.Accelerators, Need.Accelerators)};
-  // Preemption and claims go on while no worker has room.
-  Known.IsOpen |=
-      Run.Work.Claims > 0 || Run.Record.Spec.Urgency == Priority::Urgent;
-  if (Run.Work.Why == WaitReason::NoRoom &&
-      (!Known.Longest || Run.Work.ReadySince < Known.Longest->Work.ReadySince))
-    Known.Longest = &Run;
-}
-
 bool PlacementRound::takeTurn(Turn &Current, TimePoint Now) {
   const TeamQueue::Runs &Runs = Data.queue(Current.Team).runs();
   const auto Next = Runs.lower_bound(Current.Next);
@@ -137,7 +83,7 @@
   Current.Next = Next->first;
   const Attempt Result = tryRun(*Next->second, Now);
   if (Result == Attempt::Started) {
-    ++StartsSinceGrown;
+    Stalls.noteStart();
     Current.Rank = Data.Shares.rank(Current.Team);
     return true;
   }
@@ -190,7 +136,7 @@
                              ? tryGang(Run, Need, Now)
                              : tryTask(Run, Need, Now);
   if (Result == Attempt::Blocked)
-    noteBlocked(Run, Need);
+    Stalls.noteBlocked(Run, Need, isReservable(Run));
   return Result;
 }
 
@@ -235,12 +181,13 @@
   const bool IsHolder = Reserved.run() == Run.Record.Id;
   if (IsHolder)
     Reserved.suspend();
-  WorkerIndex Worker = takeClaim(Run, Need);
+  WorkerIndex Worker = Claims.take(Run, Need);
+  // Few runs may use reserved room, so they leave the rest to the others.
+  if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
+    Worker = backfill(Run, Need);
   if (Worker == NoWorker)
     Worker = search(Run, Need);
   Reserved.resume();
-  if (Worker == NoWorker && !IsHolder && mayUseReserved(Run, Now))
-    Worker = backfill(Run, Need);
   if (Worker == NoWorker)
     return blockForRoom(Run, IsHolder || !Reserved.isActive());
   releaseReservation(Run);
@@ -255,7 +202,7 @@
   if (Reserved.run() != Run.Record.Id)
     return;
   Reserved.release();
-  ++RoomVersion;
+  Stalls.noteReservationChange();
 }
 
 bool PlacementRound::isKnownMiss(const Resources &Need,
@@ -268,8 +215,10 @@
 WorkerIndex PlacementRound::backfill(const RunEntry &Run,
                                      const Resources &Need) {
   const WorkerMask &Matching = Data.Index.matching(Run.Record.Spec.Selector);
+  const std::set<WorkerIndex> *Failed = Data.Health.failedOn(Run.Record.Id);
   for (const auto &[Worker, Amount] : Reserved.held())
     if (Matching.test(Worker) && Data.Index.isOpen(Worker) &&
+        !(Failed && Failed->contains(Worker)) &&
         Need.fitsIn(Data.Index.unused(Worker) + Amount))
       return Worker;
   return NoWorker;
@@ -321,36 +270,6 @@
   return Worker;
 }
 
-WorkerIndex PlacementRound::takeClaim(RunEntry &Run, const Resources &Need) {
-  if (Run.Work.Claims == 0)
-    return NoWorker;
-  const auto Found = std::ranges::find_if(Claims, [&](const Claim &Known) {
-    return Known.Run == Run.Record.Id && Data.Index.isOpen(Known.Worker) &&
-           Need.fitsIn(Data.Index.unused(Known.Worker) + Known.Need);
-  });
-  if (Found == Claims.end())
-    return NoWorker;
-  const WorkerIndex Worker = Found->Worker;
-  Data.Index.hold(Worker, Resources{} - Found->Need);
-  --Run.Work.Claims;
-  Claims.erase(Found);
-  return Worker;
-}
-
-void PlacementRound::dropClaims(TimePoint Now) {
-  std::erase_if(Claims, [&](const Claim &Known) {
-    RunEntry *Run = Data.State.find(Known.Run);
-    const bool Keep = Run && !Run->Work.Ready.empty() && Known.Expires > Now &&
-                      Data.Index.isServing(Known.Worker);
-    if (Keep)
-      return false;
-    Data.Index.hold(Known.Worker, Resources{} - Known.Need);
-    if (Run)
-      --Run->Work.Claims;
-    return true;
-  });
-}
-
 void PlacementRound::preempt(TimePoint Now) {
   std::uint32_t Left = Data.Options.MaxPreemptionsPerTick;
   std::uint32_t FailuresLeft = MaxFailedPreemptions;
@@ -385,10 +304,7 @@
     return;
   for (const TaskRef &Victim : Plan->Victims)
     Lifecycle.stop(Victim, StopReason::Preempted, Now);
-  Data.Index.hold(Plan->Worker, Need);
-  Claims.push_back(
-      {Run.Record.Id, Plan->Worker, Need, Now + Data.Options.ClaimTimeout});
-  ++Run.Work.Claims;
+  Claims.add(Run, Plan->Worker, Need, Now);
 }
 
 bool PlacementRound::reserveFor(RunEntry &Run, TimePoint Now) {
@@ -411,13 +327,13 @@
     const std::vector<TaskRef> Tasks = Data.State.tasksOn(Worker);
     for (const TaskRef &Task : Tasks)
       if (Task.task().State == TaskState::Stopping)
-        Room += Task.task().Reserved + Task.task().Excess;
+        Room += Task.task().occupied();
     for (const TaskRef &Task : Tasks) {
       if (Amount.fitsIn(Room))
         break;
       if (Planner.isVictim(Task, Run, Now) &&
           Lifecycle.stop(Task, StopReason::Preempted, Now))
-        Room += Task.task().Reserved + Task.task().Excess;
+        Room += Task.task().occupied();
     }
   }
 }
@@ -443,19 +359,22 @@
   const TimePoint StartBefore = Reserved.start();
   chooseReservation(Now);
   if (Reserved.run() != Before || Reserved.start() != StartBefore)
-    ++RoomVersion;
+    Stalls.noteReservationChange();
 }
 
-bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
+bool PlacementRound::isReservable(const RunEntry &Run) const {
   const RunSpec &Spec = Run.Record.Spec;
-  const bool IsGang = Spec.Kind == RunKind::Gang;
+  // Small tasks find room as soon as it is their team's turn.
+  return Spec.Kind == RunKind::Gang ||
+         (Spec.PerTask * LargeTasksPerWorker)
+                 .dominantFraction(Data.Index.largestCapacity()) > 1;
+}
+
+bool PlacementRound::mayReserve(const RunEntry &Run, TimePoint Now) const {
   if (isUrgentGang(Run))
     return true;
-  if (Now - Run.Work.ReadySince < Data.Options.ReservationDelay)
-    return false;
-  // Small tasks find room as soon as it is their team's turn.
-  return IsGang || (Spec.PerTask * LargeTasksPerWorker)
-                           .dominantFraction(Data.Index.largestCapacity()) > 1;
+  return Now - Run.Work.ReadySince >= Data.Options.ReservationDelay &&
+         isReservable(Run);
 }
 
 void PlacementRound::chooseReservation(TimePoint Now) {
