--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -24,6 +24,10 @@
 /// Bounds the journal that a new owner has to read.
 constexpr std::uint64_t EntriesPerSnapshot = 500;
 
+/// Each failed attempt may hold up the tick for the object store's timeout, so
+/// the next one waits for so many journal entries.
+constexpr std::uint64_t EntriesPerSnapshotRetry = 50;
+
 constexpr Duration StatusPeriod{1000};
 
 /// Text after the last slash of a key.
@@ -145,6 +149,7 @@
     const ShardRecovery Recovery = Ownership.recover(Shard);
     if (Recovery.Snapshot)
       Held.Scheduler->restore(*Recovery.Snapshot, Now);
+    Held.EntriesSinceSnapshot = Recovery.Tail.size();
     for (const JournalRecord &Entry : Recovery.Tail)
       for (const JournalEvent &Event : Entry.Events)
         Held.Scheduler->apply(Event, Now);
@@ -319,11 +324,12 @@
 void ShardRunner::saveSnapshotIfDue(const ShardId &Shard, HeldShard &Held) {
   if (Held.EntriesSinceSnapshot < EntriesPerSnapshot)
     return;
-  Held.EntriesSinceSnapshot = 0;
+  Held.EntriesSinceSnapshot = EntriesPerSnapshot - EntriesPerSnapshotRetry;
   const std::uint64_t Last = Ownership.owned(Shard)->NextSequence - 1;
   if (Ownership.saveSnapshot(Shard, Held.Scheduler->snapshot(Last)) ==
       TickResult::LostOwnership)
-    drop(Shard, "another instance owns it");
+    return drop(Shard, "another instance owns it");
+  Held.EntriesSinceSnapshot = 0;
 }
 
 std::vector<WorkerStatus> ShardRunner::workerStatus(const ShardId &Shard,
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "platform/crypto.h"
 #include "wire/configcodec.h"
+#include "wire/platformcodec.h"
 
 #include <gtest/gtest.h>
 
@@ -76,6 +77,27 @@
   }
 }
 
+Executions executionsOf(const Cluster &Target, const RunId &Run) {
+  return executionsOf(Target.counts(), Run);
+}
+
+Executions executionsOf(const nlohmann::json &Counts, const RunId &Run) {
+  Executions Result;
+  for (const auto &[Attempt, Count] : Counts["attempts"].items()) {
+    if (Attempt.rfind(Run + "/", 0) != 0)
+      continue;
+    ++Result.Attempts;
+    Result.MostPerAttempt =
+        std::max(Result.MostPerAttempt, Count.get<std::uint64_t>());
+  }
+  return Result;
+}
+
+void expectNoOverlap(const Cluster &Target) {
+  EXPECT_EQ(Target.counts()["overlaps"], 0);
+  EXPECT_LE(Target.counts()["worst_fill"].get<double>(), 1.0);
+}
+
 RunSpec runSpec(const std::string &Key, std::uint32_t Tasks, int RunMs) {
   RunSpec Spec;
   Spec.Tasks = Tasks;
@@ -115,10 +137,8 @@
 }
 
 Cluster::~Cluster() {
-  for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
-    signalDaemon(Index, SIGKILL);
-    waitForExit(Index);
-  }
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+    killDaemon(Index);
   if (testing::Test::HasFailure() || std::uncaught_exceptions() > 0) {
     std::cerr << "logs of the daemons are in " << Folder << "\n";
     return;
@@ -145,7 +165,8 @@
                                    const std::string &Peer) const {
   std::string File = Folder + "/" + Daemon.Name + ".ini";
   std::ofstream Out(File);
-  Out << "[instance]\nid = " << Daemon.Name << "\nzone = zone-1\n[http]\n"
+  Out << "[instance]\nid = " << Daemon.Name << "\nzone = z"
+      << Daemons.size() % 3 + 1 << "\n[http]\n"
       << "listen = " << Daemon.Address << "\npeer_listen = " << Peer
       << "\nheader_timeout_ms = 1000\n[table]\nurl = http://"
       << Daemon.Store->address()
@@ -177,6 +198,11 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
 }
 
+void Cluster::killDaemon(std::size_t Daemon) {
+  signalDaemon(Daemon, SIGKILL);
+  waitForExit(Daemon);
+}
+
 std::size_t Cluster::shardOwner() {
   std::optional<std::size_t> Owner;
   awaitCondition("a shard owner", [&] {
@@ -240,14 +266,11 @@
                    [&] { return configVersion(Index) >= Version; });
 }
 
-void Cluster::addTeam() {
+void Cluster::addTeam(const TeamLimit &Limit) {
   std::vector<std::size_t> All;
   for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
     All.push_back(Index);
-  TeamConfig Team;
-  Team.Limit.Tasks = {1'000'000, 1'000'000, 0};
-  Team.Limit.Requests = 100;
-  change({SetTeam{"koksne", Team},
+  change({SetTeam{"koksne", TeamConfig{1, Limit}},
           AddKey{"koksne-1", {"koksne", sha256Hex(teamKey())}},
           SetUpstream{"planning", UpstreamConfig{}}},
          All);
@@ -311,6 +334,16 @@
   return nlohmann::json::parse(Cell->counts());
 }
 
+nlohmann::json Cluster::row(const std::string &Key) const {
+  HttpCall Call;
+  Call.Method = "POST";
+  Call.Url = "http://" + Cell->tableAddress() + "/v1/read";
+  Call.Body = nlohmann::json{{"keys", {Key}}}.dump();
+  const RowPage Page = decodeRowPage(Client.perform(Call).Body);
+  return Page.Rows.empty() ? nlohmann::json()
+                           : nlohmann::json::parse(Page.Rows.front().Value);
+}
+
 nlohmann::json Cluster::state(std::size_t Daemon) const {
   const HttpResult Result = call(Daemon, "GET", "/statez", "", "");
   if (Result.Status != 200)
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -46,6 +46,8 @@
   void signalDaemon(std::size_t Daemon, int Signal) const;
   /// Waits for the end and returns the exit code, or minus the signal.
   int waitForExit(std::size_t Daemon);
+  /// Ends the daemon with SIGKILL and waits for its end.
+  void killDaemon(std::size_t Daemon);
   /// Index of the daemon that schedules the only shard.
   std::size_t shardOwner();
 
@@ -63,7 +65,7 @@
   std::uint64_t configVersion(std::size_t Daemon) const;
 
   /// Sets up team "koksne" with the key teamKey() and the upstream.
-  void addTeam();
+  void addTeam(const TeamLimit &Limit = {{1'000'000, 1'000'000, 0}, 100});
 
   RequestResult request(std::size_t Daemon, const std::string &Body,
                         bool Idempotent = false, int DeadlineMs = 1500) const;
@@ -77,6 +79,8 @@
   /// Sets fault switches of a stand-in.
   void fault(const nlohmann::json &Switches);
   nlohmann::json counts() const;
+  /// Value of a row of the table service; null if there is no such row.
+  nlohmann::json row(const std::string &Key) const;
   nlohmann::json state(std::size_t Daemon) const;
 
   static const std::string &teamKey();
@@ -104,6 +108,17 @@
 void awaitCondition(const std::string &What,
                     const std::function<bool()> &Condition);
 
+/// Attempts that workers executed of a run, and the highest count of one.
+struct Executions {
+  std::size_t Attempts = 0;
+  std::uint64_t MostPerAttempt = 0;
+};
+Executions executionsOf(const nlohmann::json &Counts, const RunId &Run);
+Executions executionsOf(const Cluster &Target, const RunId &Run);
+
+/// Expects that no task ran in two places and no worker was overfilled.
+void expectNoOverlap(const Cluster &Target);
+
 /// A run of \p Tasks tasks that each take \p RunMs.
 RunSpec runSpec(const std::string &Key, std::uint32_t Tasks, int RunMs);
 
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -1,80 +1,12 @@
-#include "process/cluster.h"
+#include "process/load.h"
 
 #include <gtest/gtest.h>
 
 #include <signal.h>
 
-#include <atomic>
-#include <map>
-#include <mutex>
-#include <thread>
-
 namespace apricotwing::process {
 namespace {
 
-/// Callers that send requests without a pause and keep their results.
-class Load {
-public:
-  Load(const Cluster &Target, const std::vector<std::size_t> &Daemons,
-       std::size_t Callers, int WorkMs)
-      : Target(Target) {
-    for (std::size_t Index = 0; Index < Callers; ++Index)
-      Threads.emplace_back([this, Index, Daemons, WorkMs] {
-        for (int Number = 0; !Stopping; ++Number)
-          sendOne(Daemons[Index % Daemons.size()], Index, Number, WorkMs);
-      });
-  }
-  ~Load() { stop(); }
-
-  std::map<std::string, RequestResult> stop() {
-    Stopping = true;
-    for (std::thread &Thread : Threads)
-      Thread.join();
-    Threads.clear();
-    return Results;
-  }
-
-private:
-  void sendOne(std::size_t Daemon, std::size_t Caller, int Number, int WorkMs) {
-    const std::string Body = "{\"work_ms\":" + std::to_string(WorkMs) +
-                             ",\"caller\":" + std::to_string(Caller) +
-                             ",\"number\":" + std::to_string(Number) + "}";
-    const RequestResult Result = Target.request(Daemon, Body);
-    const std::lock_guard Lock(Mutex);
-    Results[Body] = Result;
-    if (Result.Status == 0)
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-
-  const Cluster &Target;
-  std::atomic<bool> Stopping{false};
-  std::mutex Mutex;
-  std::map<std::string, RequestResult> Results;
-  std::vector<std::thread> Threads;
-};
-
-/// Compares what callers saw with what the executors counted. Returns how
-/// many requests were answered.
-int expectHonest(const std::map<std::string, RequestResult> &Results,
-                 const nlohmann::json &Counts) {
-  int Answered = 0;
-  for (const auto &[Body, Result] : Results) {
-    const std::uint64_t Executions = Counts["bodies"].value(Body, 0U);
-    EXPECT_LE(Executions, 1U) << Body;
-    if (Result.Outcome == "not_run") {
-      EXPECT_EQ(Executions, 0U) << Body;
-    }
-    if (Result.Outcome != "done")
-      continue;
-    ++Answered;
-    EXPECT_EQ(Executions, 1U) << Body;
-    const auto Answer = nlohmann::json::parse(Result.Body, nullptr, false);
-    EXPECT_TRUE(Answer.is_object() && Answer["echo"] == Body) << Result.Body;
-  }
-  EXPECT_LE(Counts["worst_slots"].get<int>(), 8);
-  return Answered;
-}
-
 // Guards against requests that run twice, are answered with another's answer,
 // or run although refused, while an instance dies under load.
 TEST(RequestsProcessTest, KilledInstanceNeitherRepeatsNorMisreports) {
@@ -83,8 +15,7 @@
   Load Callers(Target, {0, 1, 2}, 9, 20);
   awaitCondition("load",
                  [&] { return Target.counts()["requests"].size() > 100; });
-  Target.signalDaemon(1, SIGKILL);
-  Target.waitForExit(1);
+  Target.killDaemon(1);
   const std::size_t Before = Target.counts()["requests"].size();
   awaitCondition("load after the kill", [&] {
     return Target.counts()["requests"].size() > Before + 200;
@@ -147,12 +78,14 @@
 // Guards against passing on an answer that is cut short or belongs to
 // another request, and against sending a non-idempotent request again.
 TEST(RequestsProcessTest, DamagedAnswersAreNeverPassedOn) {
-  standins::CellOptions Options;
-  Options.Executors = 1;
-  Cluster Target(1, Options);
+  Cluster Target(1);
   Target.addTeam();
   for (const char *Fault : {"truncate", "stale_answers", "refuse"}) {
-    Target.fault({{"target", "executor:e0"}, {Fault, true}});
+    const auto Set = [&](bool On) {
+      for (const char *Executor : {"executor:e0", "executor:e1"})
+        Target.fault({{"target", Executor}, {Fault, On}});
+    };
+    Set(true);
     const std::string Body = std::string("{\"fault\":\"") + Fault + "\"}";
     const RequestResult Result = Target.request(0, Body);
     EXPECT_NE(Result.Outcome, "done") << Fault << ": " << Result.Body;
@@ -160,7 +93,7 @@
     if (Result.Outcome == "not_run") {
       EXPECT_EQ(Target.counts()["bodies"].value(Body, 0U), 0U) << Fault;
     }
-    Target.fault({{"target", "executor:e0"}, {Fault, false}});
+    Set(false);
   }
   awaitCondition("service after the faults",
                  [&] { return Target.request(0, "after").Outcome == "done"; });
@@ -172,7 +105,8 @@
   Cluster Target(2);
   Target.addTeam();
   Target.fault({{"target", "list"}, {"list_lag_ms", 3000}});
-  Load Callers(Target, {0, 1}, 4, 10);
+  constexpr std::size_t Callers = 4;
+  Load Sender(Target, {0, 1}, Callers, 10);
   awaitCondition("load",
                  [&] { return Target.counts()["requests"].size() > 50; });
   Target.fault({{"target", "executor:e0"}, {"leaving", true}});
@@ -180,13 +114,63 @@
   awaitCondition("load on the other executor", [&] {
     return Target.counts()["requests"].size() > Before + 100;
   });
-  const auto Results = Callers.stop();
-  expectHonest(Results, Target.counts());
+  const auto Results = Sender.stop();
+  const nlohmann::json Counts = Target.counts();
+  expectHonest(Results, Counts);
   int Failed = 0;
   for (const auto &[Body, Result] : Results)
     Failed += Result.Outcome == "done" ? 0 : 1;
+  EXPECT_LE(Counts["leaving_refusals"], Callers) << "sent after a refusal";
   EXPECT_EQ(Failed, 0) << "a refusal by a leaving executor is tried elsewhere";
 }
 
+// Guards against idempotent requests that fail, and other ones that run
+// twice or are misreported, while the list shows as live an executor that is
+// mute and later one that has died.
+TEST(RequestsProcessTest, DeadExecutorShownAsLiveFailsNoIdempotentRequest) {
+  Cluster Target(2);
+  Target.addTeam();
+  Target.fault({{"target", "list"}, {"list_lag_ms", 60000}});
+  Load Repeatable(Target, {0, 1}, 2, 10, true);
+  Load Single(Target, {0, 1}, 4, 10);
+  const auto MakeProgress = [&] {
+    const std::size_t Before = Repeatable.size();
+    awaitCondition("load", [&] { return Repeatable.size() > Before + 100; });
+  };
+  MakeProgress();
+  Target.fault({{"target", "executor:e0"}, {"down", true}});
+  MakeProgress();
+  Target.fault({{"target", "executor:e0"}, {"down", false}});
+  MakeProgress();
+  Target.cell().killExecutor(0);
+  MakeProgress();
+  const auto Results = Single.stop();
+  EXPECT_GT(expectHonest(Results, Target.counts()), 100);
+  for (const auto &[Body, Result] : Repeatable.stop())
+    EXPECT_EQ(Result.Outcome, "done") << Body << " " << Result.Body;
+}
+
+// Guards against a request that is cut off because the key that came with it
+// is withdrawn before its answer, and against a later one with that key.
+TEST(RequestsProcessTest, RequestInFlightOutlivesItsKey) {
+  Cluster Target(3);
+  Target.addTeam();
+  RequestResult InFlight;
+  std::thread Caller(
+      [&] { InFlight = Target.request(0, "{\"work_ms\":2800}", false, 3000); });
+  awaitCondition("the request runs", [&] {
+    return Target.counts()["bodies"].contains("{\"work_ms\":2800}");
+  });
+  Target.change({RevokeKey{"koksne-1"}}, {0, 1, 2});
+  const RequestResult Late = Target.request(0, "late");
+  const bool WasInFlight = Target.counts()["live_requests"] == 1;
+  Caller.join();
+  EXPECT_TRUE(WasInFlight) << "the key was withdrawn too late for this test";
+  EXPECT_EQ(InFlight.Outcome, "done") << InFlight.Body;
+  EXPECT_EQ(Late.Status, 401);
+  EXPECT_EQ(Late.Outcome, "not_run");
+  EXPECT_FALSE(Target.counts()["bodies"].contains("late"));
+}
+
 } // namespace
 } // namespace apricotwing::process
--- a/tests/process/runs_test.cpp
+++ b/tests/process/runs_test.cpp
@@ -7,30 +7,6 @@
 namespace apricotwing::process {
 namespace {
 
-/// Attempts that workers executed of \p Run, and the highest count of one.
-struct Executions {
-  std::size_t Attempts = 0;
-  std::uint64_t MostPerAttempt = 0;
-};
-
-Executions executionsOf(const Cluster &Target, const RunId &Run) {
-  Executions Result;
-  const nlohmann::json Counts = Target.counts();
-  for (const auto &[Attempt, Count] : Counts["attempts"].items()) {
-    if (Attempt.rfind(Run + "/", 0) != 0)
-      continue;
-    ++Result.Attempts;
-    Result.MostPerAttempt =
-        std::max(Result.MostPerAttempt, Count.get<std::uint64_t>());
-  }
-  return Result;
-}
-
-void expectNoOverlap(const Cluster &Target) {
-  EXPECT_EQ(Target.counts()["overlaps"], 0);
-  EXPECT_LE(Target.counts()["worst_fill"].get<double>(), 1.0);
-}
-
 // Guards against a broken path from submission to the end of a run, for each
 // kind of run, and against a second run for the same idempotency key.
 TEST(RunsProcessTest, RunsOfAllKindsFinishOnce) {
@@ -72,8 +48,7 @@
   awaitCondition("tasks run",
                  [&] { return Target.counts()["attempts"].size() >= 8; });
   const std::size_t Owner = Target.shardOwner();
-  Target.signalDaemon(Owner, SIGKILL);
-  Target.waitForExit(Owner);
+  Target.killDaemon(Owner);
   const std::size_t Other = Owner == 0 ? 1 : 0;
   for (const RunId &Run : Runs) {
     Target.awaitRun(Other, Run, RunState::Succeeded);
--- a/tests/standins/cell.h
+++ b/tests/standins/cell.h
@@ -73,6 +73,12 @@
   /// See Counts::toJson(). Thread-safe.
   std::string counts() const { return Seen.toJson(); }
 
+  /// Ends an executor for good; the list goes on to show it as live.
+  void killExecutor(std::size_t Index) { Executors.at(Index)->stop(); }
+
+  /// See Counts::forgetPeaks(). Thread-safe.
+  void forgetPeaks() { Seen.forgetPeaks(); }
+
   const std::string &tableAddress() const { return Table.address(); }
   const std::string &objectsAddress() const { return Objects.address(); }
   const std::string &listAddress() const { return List->address(); }
--- a/tests/standins/counts.cpp
+++ b/tests/standins/counts.cpp
@@ -31,6 +31,12 @@
   ++Requests[RequestId];
   ++Bodies[bodyKey(Body)];
   WorstSlots = std::max(WorstSlots, Busy);
+  PeakRequests = std::max(PeakRequests, ++LiveRequests);
+}
+
+void Counts::requestEnded() {
+  const std::lock_guard Lock(Mutex);
+  --LiveRequests;
 }
 
 void Counts::slotRefused() {
@@ -38,6 +44,11 @@
   ++SlotRefusals;
 }
 
+void Counts::leavingRefused() {
+  const std::lock_guard Lock(Mutex);
+  ++LeavingRefusals;
+}
+
 void Counts::attemptStarted(const AttemptId &Id) {
   const std::lock_guard Lock(Mutex);
   ++Attempts[toString(Id)];
@@ -65,6 +76,7 @@
   if (!Live.empty())
     ++Overlaps;
   ++Live[Id.Attempt];
+  PeakAttempts = std::max(PeakAttempts, ++LiveAttempts);
 }
 
 void Counts::leave(const AttemptId &Id) {
@@ -74,6 +86,7 @@
   const auto Live = Task->second.find(Id.Attempt);
   if (Live == Task->second.end())
     return;
+  --LiveAttempts;
   if (--Live->second == 0)
     Task->second.erase(Live);
   if (Task->second.empty())
@@ -105,6 +118,12 @@
   ++(Committed ? Commits : Conflicts);
 }
 
+void Counts::forgetPeaks() {
+  const std::lock_guard Lock(Mutex);
+  PeakRequests = LiveRequests;
+  PeakAttempts = LiveAttempts;
+}
+
 std::string Counts::toJson() const {
   const std::lock_guard Lock(Mutex);
   const nlohmann::json Result = {{"requests", Requests},
@@ -117,7 +136,12 @@
                                  {"ended", Ended},
                                  {"worst_slots", WorstSlots},
                                  {"worst_fill", WorstFill},
+                                 {"live_requests", LiveRequests},
+                                 {"peak_requests", PeakRequests},
+                                 {"live_attempts", LiveAttempts},
+                                 {"peak_attempts", PeakAttempts},
                                  {"slot_refusals", SlotRefusals},
+                                 {"leaving_refusals", LeavingRefusals},
                                  {"capacity_refusals", CapacityRefusals},
                                  {"table",
                                   {{"reads", Reads},
--- a/tests/standins/counts.h
+++ b/tests/standins/counts.h
@@ -19,9 +19,15 @@
   void requestExecuted(const std::string &RequestId, const std::string &Body,
                        std::uint32_t Busy);
 
+  /// An executor ended a request.
+  void requestEnded();
+
   /// An executor refused a request because all its slots were in use.
   void slotRefused();
 
+  /// An executor refused a request because it is leaving.
+  void leavingRefused();
+
   /// A worker began to execute an attempt.
   void attemptStarted(const AttemptId &Id);
 
@@ -43,6 +49,9 @@
   void tableScanned();
   void tableTransaction(bool Committed);
 
+  /// Starts the peaks of what runs at once again from what runs now.
+  void forgetPeaks();
+
   /// All counts as JSON text.
   std::string toJson() const;
 
@@ -54,9 +63,14 @@
   std::map<TaskId, std::map<std::uint32_t, std::uint32_t>> Running;
   std::map<std::string, std::uint64_t> Ended; ///< By state.
   std::uint64_t Overlaps = 0;
+  std::uint64_t LiveRequests = 0; ///< On all executors.
+  std::uint64_t PeakRequests = 0;
+  std::uint64_t LiveAttempts = 0; ///< On all workers, paused ones left out.
+  std::uint64_t PeakAttempts = 0;
   std::uint32_t WorstSlots = 0;
   double WorstFill = 0;
   std::uint64_t SlotRefusals = 0;
+  std::uint64_t LeavingRefusals = 0;
   std::uint64_t CapacityRefusals = 0;
   std::uint64_t Reads = 0;
   std::uint64_t Scans = 0;
--- a/tests/standins/executorstandin.cpp
+++ b/tests/standins/executorstandin.cpp
@@ -32,6 +32,8 @@
       Header == Request.Headers.end() ? "" : Header->second;
   if (Busy >= Slots)
     Seen.slotRefused();
+  else if (Switches.Leaving)
+    Seen.leavingRefused();
   if (Busy >= Slots || Switches.Leaving || Switches.Refuse) {
     Reply(refusal(RequestId));
     return;
@@ -60,6 +62,7 @@
 void ExecutorStandin::finish(const std::string &RequestId,
                              const std::string &Body, const Responder &Reply) {
   --Busy;
+  Seen.requestEnded();
   const nlohmann::json Echo = {{"request", RequestId}, {"echo", Body}};
   HttpResponse Response = jsonResponse(
       200, Echo.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
