Let busy instances make room for one that waits

Cause: a holder lowered its use only while it wrote the pool row. When all its slots were in use at that moment it wrote the same grant back and used it in full until the next round, so under steady load an instance that came later, or back after a pause, never got a slot. The same held for requests of a team above a lowered limit. Ruled out: lost authority (it was valid) and grants that were not reclaimed (they had been). Change: while others wait, or a lowered limit is exceeded, the router may use only the fair part or what the limit leaves of the grant; the use falls and the next round gives the rest back.

--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -200,6 +200,8 @@
     const std::lock_guard Lock(Mutex);
     Held[Pool] = Granted;
     Lowered = Granted;
+    // All of it may be in use in every round, so the use has to fall first.
+    limitToFairPart(Pool, Lowered);
   } catch (const Error &Failure) {
     logFailure(Pool, Failure);
     const std::lock_guard Lock(Mutex);
@@ -246,13 +248,19 @@
   }
 }
 
+std::int64_t GrantService::usableRequests(const std::string &Pool) {
+  UnitAmounts Usable = {{RequestUnit, Held[Pool][RequestUnit]}};
+  limitToFairPart(Pool, Usable);
+  return std::max<std::int64_t>(Usable[RequestUnit] - Overdraft[Pool], 0);
+}
+
 void GrantService::publishTeams() {
   const std::shared_ptr<const Config> Document = Context.Session.config();
   RequestRouter::Amounts ByTeam;
   {
     const std::lock_guard Lock(Mutex);
     for (const auto &[Team, Unused] : Document->Teams)
-      ByTeam[Team] = Held[keys::requestPool(Team)][RequestUnit];
+      ByTeam[Team] = usableRequests(keys::requestPool(Team));
   }
   Requests.withRouter(
       [&](RequestRouter &Router) { Router.setTeamGrants(ByTeam); });
--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -38,6 +38,10 @@
   void adjustSlots(const std::string &Upstream, const std::string &Holder);
   void adjustTeam(const TeamName &Team, std::int64_t Wanted,
                   const std::string &Holder);
+  /// What the router may use of the grant of requests: less than the row says
+  /// while others wait or a lowered limit is exceeded, so that the use falls
+  /// and the next round can give the rest back. Under the lock.
+  std::int64_t usableRequests(const std::string &Pool);
   void publishTeams();
   UnitAmounts adjusted(const std::string &Pool, const std::string &Holder,
                        const UnitAmounts &Targets);
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -75,6 +75,24 @@
   EXPECT_EQ(Target.counts()["slot_refusals"], 0);
 }
 
+// Guards against busy instances that never give a slot to another one: every
+// slot is in use whenever they look.
+TEST(RequestsProcessTest, BusyInstancesMakeRoomForANewOne) {
+  standins::CellOptions Options;
+  Options.Executors = 1;
+  Cluster Target(2, Options);
+  Target.addTeam();
+  Load Callers(Target, {0, 1}, 32, 50);
+  awaitCondition("load",
+                 [&] { return Target.counts()["requests"].size() > 100; });
+  const std::size_t Fresh = Target.startDaemon();
+  awaitCondition("a slot for the new instance", [&] {
+    return Target.request(Fresh, "room").Outcome == "done";
+  });
+  const auto Results = Callers.stop();
+  expectHonest(Results, Target.counts());
+}
+
 // Guards against passing on an answer that is cut short or belongs to
 // another request, and against sending a non-idempotent request again.
 TEST(RequestsProcessTest, DamagedAnswersAreNeverPassedOn) {
