Keep a slot in doubt beyond the caller's deadline

Cause: a send in doubt gave its slot and its team's unit back at the caller's deadline, while the executor could still work on it. Ruled out: the grant ledger, whose sums are checked in every write and in the coordination fuzz. Change: slot and unit stay taken for the longest deadline after the wait has ended, as reclaiming already assumes. A request that has waited for half of its time and has less left than the mean latency is refused as not run. The fake executors of the fuzz no longer know the deadline of the caller.

--- a/src/core/requestrouter.cpp
+++ b/src/core/requestrouter.cpp
@@ -134,6 +134,7 @@
     bool MayHaveRun = false;
     std::vector<Serial> Tried;
     Serial Executor = 0; ///< Of the present send.
+    TimePoint Accepted;  ///< When it was submitted.
     TimePoint Due;       ///< Its key in Dues.
 
     Outcome outcome() const {
@@ -168,6 +169,7 @@
   Duration timeoutOf(const Request &Of, TimePoint Now) const;
   void expire(TimePoint Now);
   void expireOne(Request &Of, TimePoint Now);
+  void hold(const Request &Of, TimePoint Now);
   void endHolds(TimePoint Now);
   void enqueue(Request &Of);
   void dequeue(Request &Of);
@@ -339,6 +341,7 @@
   Added.Sequence = Sequence;
   Added.Owner = &team(Ticket.Team);
   Added.Target = &upstream(Ticket.Upstream);
+  Added.Accepted = Now;
   ById.emplace(Ticket.Id, Sequence);
   enqueue(Added);
   Budget.noteRequest(Now);
@@ -356,7 +359,12 @@
   Of.Target->Queue.push(Of.Ticket.Team, Of.Owner->Share, Of.entry());
   ++Of.Owner->Queued;
   ++Queued;
-  reschedule(Of, Of.Ticket.Deadline - LeastSendTime);
+  // A send that is not expected to be answered in time would only take a slot
+  // from others. A request that has not waited long is tried in any case, or
+  // the estimate of the latency would never be corrected.
+  const Duration Useful = std::min(Of.Target->Pool.meanLatency(),
+                                   (Of.Ticket.Deadline - Of.Accepted) / 2);
+  reschedule(Of, Of.Ticket.Deadline - std::max(LeastSendTime, Useful));
 }
 
 /// Books a request out that the queue no longer holds.
@@ -380,6 +388,13 @@
   Of.Target->Pool.release(Of.Executor, Now);
 }
 
+/// Keeps slot and unit of a send in doubt: the executor may work on it for
+/// longer than its caller waited, but not for longer than MaxDeadline.
+void RequestRouter::State::hold(const Request &Of, TimePoint Now) {
+  Holds.emplace(Now + Options.MaxDeadline,
+                Hold{Of.Target, Of.Owner, Of.Executor});
+}
+
 void RequestRouter::State::endHolds(TimePoint Now) {
   while (!Holds.empty() && Holds.begin()->first <= Now) {
     giveBack(Holds.begin()->second, Now);
@@ -401,7 +416,7 @@
                               "allow a later deadline, or try again later"));
     return;
   }
-  giveBack({Of.Target, Of.Owner, Of.Executor}, Now);
+  hold(Of, Now);
   Of.MayHaveRun = true;
   failLater(Of, Error(ErrorKind::DeadlineExceeded,
                       "the executor did not answer before the deadline",
@@ -551,11 +566,10 @@
                                                  const SendReport &Report,
                                                  TimePoint Now) {
   noteHealth(Of, Report, Now);
-  const Hold Used{Of.Target, Of.Owner, Of.Executor};
-  if (Report.Result == SendResult::InDoubt && Now < Of.Ticket.Deadline)
-    Holds.emplace(Of.Ticket.Deadline, Used);
+  if (Report.Result == SendResult::InDoubt)
+    hold(Of, Now);
   else
-    giveBack(Used, Now);
+    giveBack({Of.Target, Of.Owner, Of.Executor}, Now);
   switch (Report.Result) {
   case SendResult::Answered:
     ++Counters.Delivered;
--- a/src/core/requestrouter.h
+++ b/src/core/requestrouter.h
@@ -113,8 +113,9 @@
 /// The state machine for interactive requests of one entry instance. It is
 /// owned by the daemon, which drives it under one mutex and performs the sends
 /// that dispatch() returns. A request holds one slot of its executor and one
-/// unit of its team's grant from dispatch() until its answer arrives, or until
-/// its deadline if the outcome of the send is in doubt.
+/// unit of its team's grant from dispatch() until its answer arrives, or, if
+/// the outcome of the send is in doubt, until MaxDeadline after the wait for it
+/// has ended.
 ///
 /// No method is thread-safe. Times passed in must not go backwards.
 class RequestRouter {
--- a/src/daemon/requestservice.cpp
+++ b/src/daemon/requestservice.cpp
@@ -13,14 +13,21 @@
 
 constexpr std::size_t MaxWaitingSends = 4096;
 
+RouterOptions routerOptions(const Settings &Values) {
+  RouterOptions Options;
+  Options.Instance = Values.Instance.Id;
+  Options.Zone = Values.Instance.Zone;
+  Options.QueuePerTeam = Values.Requests.QueuePerTeam;
+  Options.MaxDeadline = Values.Requests.MaxDeadline;
+  return Options;
+}
+
 } // namespace
 
 RequestService::RequestService(DaemonContext &Context,
                                std::function<void()> OnDemand)
     : Context(Context), OnDemand(std::move(OnDemand)),
-      Router(RouterOptions{Context.Values.Instance.Id,
-                           Context.Values.Instance.Zone,
-                           Context.Values.Requests.QueuePerTeam}),
+      Router(routerOptions(Context.Values)),
       Senders(Context.Values.Requests.Threads, MaxWaitingSends),
       Ticker(
           TickPeriod, [this] { dispatch(); },
--- a/tests/core/requestrouter_test.cpp
+++ b/tests/core/requestrouter_test.cpp
@@ -122,19 +122,22 @@
   }
 }
 
-// Guards against an executor above its slots after an answer was lost.
-TEST(RequestRouterTest, ASlotInDoubtStaysTakenUntilTheDeadline) {
+// Guards against an executor above its slots after an answer was lost: it may
+// work on the request after the caller's deadline.
+TEST(RequestRouterTest, ASlotInDoubtStaysTakenForTheLongestDeadline) {
   Bench World({executor("1")});
   World.Router.setSlotGrants("u", {{"1", 1}});
   const RequestSend Lost = World.sendOne(World.ticket());
   World.Now += 100ms;
   World.report(Lost, SendResult::InDoubt);
+  const TimePoint Until = World.Now + RouterOptions().MaxDeadline;
+  World.Now = Until - 1s;
   ASSERT_EQ(World.submit(World.ticket("t", false, 5s)), std::nullopt);
-  World.Now = Lost.Deadline - 1ms;
+  World.Now = Until - 1ms;
   EXPECT_TRUE(World.Router.dispatch(World.Now).Sends.empty());
   EXPECT_EQ(World.Router.usedSlots("u"), (RequestRouter::Amounts{{"1", 1}}));
-  EXPECT_EQ(World.Router.nextWake(), Lost.Deadline);
-  World.Now = Lost.Deadline;
+  EXPECT_EQ(World.Router.nextWake(), Until);
+  World.Now = Until;
   EXPECT_EQ(World.Router.dispatch(World.Now).Sends.size(), 1U);
 }
 
--- a/tests/core/requestworld.cpp
+++ b/tests/core/requestworld.cpp
@@ -298,8 +298,9 @@
   Of.Running = true;
   Of.Expires = std::min(Now + Of.Send.Timeout, Of.Send.Deadline);
   Of.ExecutionAt = ++Executions;
+  // The executor knows nothing of the caller's deadline.
   Running[Of.ExecutionAt] = {Of.Send.Executor, Sent.Ticket.Team,
-                             Sent.Ticket.Deadline};
+                             Now + LongestDeadline};
 }
 
 void RequestWorld::answer(unsigned Choice, unsigned Manner) {
