Write a changed capacity from every instance that sees it

Cause: only the preferred instance wrote a pool's capacity; if it had just died, a lowered limit took hold only after it was fenced. Ruled out: waiting for the fencing, up to 10 s with the default settings on top of the 8 s until the configuration is in force. Change: a changed capacity is written by every instance, the first one by the preferred instance.

--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -115,14 +115,21 @@
   const std::vector<InstanceId> Live = liveInstances(Context.Session);
   const auto Ensure = [&](const std::string &Pool,
                           const UnitAmounts &Capacity) {
-    if (rendezvousOwner(Pool, Live) != Context.Values.Instance.Id)
-      return;
-    const auto Known = Capacities.find(Pool);
-    if (Known != Capacities.end() && Known->second == Capacity)
+    CapacityState &Known = Capacities[Pool];
+    // One instance sets up a pool. A change is written by every instance that
+    // sees it, because the preferred one may be dead and not yet fenced, and a
+    // lower limit must take hold within seconds.
+    const bool IsPreferred =
+        rendezvousOwner(Pool, Live) == Context.Values.Instance.Id;
+    Known.IsDue |= Known.Seen && *Known.Seen != Capacity;
+    Known.IsDue |= IsPreferred && !Known.WasWritten;
+    Known.Seen = Capacity;
+    if (!Known.IsDue)
       return;
     try {
       Ledger.ensureCapacity(Pool, Capacity);
-      Capacities[Pool] = Capacity;
+      Known.IsDue = false;
+      Known.WasWritten = true;
     } catch (const Error &Failure) {
       logFailure(Pool, Failure);
     }
--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace apricotwing {
@@ -34,6 +35,13 @@
   std::map<std::string, UnitAmounts> held() const;
 
 private:
+  /// What this instance knows of the capacity of a pool.
+  struct CapacityState {
+    std::optional<UnitAmounts> Seen; ///< Computed in the last round.
+    bool IsDue = false;              ///< It has to be written.
+    bool WasWritten = false;         ///< By this instance, at least once.
+  };
+
   void round();
   void setCapacities(const Config &Document);
   /// Gives the router what it may use and returns what it has in use.
@@ -56,8 +64,8 @@
   const ListService &List;
   GrantLedger Ledger;
   std::string HolderInUse;
-  std::map<std::string, UnitAmounts> Capacities; ///< As last ensured.
-  std::map<std::string, std::int64_t> Overdraft; ///< By pool, to give back.
+  std::map<std::string, CapacityState> Capacities; ///< By pool.
+  std::map<std::string, std::int64_t> Overdraft;   ///< By pool, to give back.
   /// Equal parts of units that another holder waits for, by pool.
   std::map<std::string, UnitAmounts> FairParts;
   std::map<std::string, UnitAmounts> LastWanted; ///< In the last round.
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -177,7 +177,7 @@
       << "\nsecond_name = bram\nsecond_key_sha256 = "
       << sha256Hex(secondOwnerKey())
       << "\n[authority]\nrenew_ms = 300\nvalid_ms = 3000\nfence_ms = 5000\n"
-      << "promise_ms = 2000\n[scheduler]\ntick_ms = 50\n"
+      << "promise_ms = 2000\n[scheduler]\ntick_ms = 10\n"
       << "worker_lease_ms = 3000\nworker_renew_ms = 300\n"
       << "keepalive_ms = 60000\n[requests]\nmax_deadline_ms = 3000\n";
   return File;
