Give each test process its own loopback address

Cause: two process tests that ran at the same time could pick the same port, and a cluster that failed to start left its daemons behind. Change: the daemons of a test listen on an address made from the process id; a failed start ends what it started. PausedInstanceDoesNotOverfillExecutors now also slows the table service down while the paused instance wakes.

--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -17,6 +17,7 @@
 #include <exception>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -29,12 +30,26 @@
 constexpr auto ConditionTimeout = std::chrono::seconds(60);
 constexpr auto PollPeriod = std::chrono::milliseconds(20);
 
-/// A port that was free a moment ago.
-std::uint16_t freePort() {
-  asio::io_context Context;
-  asio::ip::tcp::acceptor Probe(Context,
-                                {asio::ip::make_address("127.0.0.1"), 0});
-  return Probe.local_endpoint().port();
+/// A loopback address of this process alone, so that tests that run at the
+/// same time cannot take each other's ports.
+std::string ownIp() {
+  const auto Pid = unsigned(getpid());
+  return "127." + std::to_string(64 + ((Pid >> 14U) & 63U)) + "." +
+         std::to_string((Pid >> 7U) & 127U) + "." +
+         std::to_string(1 + (Pid & 127U));
+}
+
+/// An address that no other daemon of this process has been given.
+std::string freeAddress() {
+  static std::set<std::uint16_t> Given;
+  while (true) {
+    asio::io_context Context;
+    asio::ip::tcp::acceptor Probe(Context,
+                                  {asio::ip::make_address(ownIp()), 0});
+    const std::uint16_t Port = Probe.local_endpoint().port();
+    if (Given.insert(Port).second)
+      return ownIp() + ":" + std::to_string(Port);
+  }
 }
 
 std::string binary(const std::string &Name) {
@@ -126,6 +141,15 @@
     : Cell(std::make_unique<standins::Cell>(Options)) {
   std::string Template = "/tmp/apricotwing-test-XXXXXX";
   Folder = mkdtemp(Template.data());
+  try {
+    start(Count);
+  } catch (...) {
+    killAll();
+    throw;
+  }
+}
+
+void Cluster::start(std::size_t Count) {
   for (std::size_t Index = 0; Index < Count; ++Index)
     startDaemon();
   for (std::size_t Index = 0; Index < Count; ++Index)
@@ -136,9 +160,13 @@
     });
 }
 
-Cluster::~Cluster() {
+void Cluster::killAll() {
   for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
     killDaemon(Index);
+}
+
+Cluster::~Cluster() {
+  killAll();
   if (testing::Test::HasFailure() || std::uncaught_exceptions() > 0) {
     std::cerr << "logs of the daemons are in " << Folder << "\n";
     return;
@@ -149,9 +177,9 @@
 std::size_t Cluster::startDaemon() {
   DaemonProcess Fresh;
   Fresh.Name = "d" + std::to_string(Daemons.size());
-  Fresh.Address = "127.0.0.1:" + std::to_string(freePort());
+  Fresh.Address = freeAddress();
   Fresh.Store = std::make_unique<Relay>(Cell->tableAddress());
-  const std::string Peer = "127.0.0.1:" + std::to_string(freePort());
+  const std::string Peer = freeAddress();
   Fresh.Pid =
       spawn({binary("apricotwingd"), "--settings", writeSettings(Fresh, Peer)},
             Folder + "/" + Fresh.Name + ".log");
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -95,6 +95,8 @@
     std::unique_ptr<Relay> Store;
   };
 
+  void start(std::size_t Count);
+  void killAll();
   std::string writeSettings(const DaemonProcess &Daemon,
                             const std::string &PeerAddress) const;
 
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -66,7 +66,13 @@
   awaitCondition("others use the slots", [&] {
     return Target.counts()["requests"].size() > Before + 400;
   });
+  // A slow table service lengthens the time in which the instance has neither
+  // its old session nor a new one.
+  Target.fault({{"target", "table"}, {"delay_ms", 400}});
   Target.signalDaemon(2, SIGCONT);
+  awaitCondition("the woken instance answers",
+                 [&] { return !Target.request(2, "woken").Outcome.empty(); });
+  Target.fault({{"target", "table"}, {"delay_ms", 0}});
   awaitCondition("a new session", [&] {
     return Target.request(2, "after-pause").Outcome == "done";
   });
