Share one table of names among the enumerators of the core

Change: core/nametable.h; an unknown name of a session, proposal or stop is now a bad request like all others, which the codec of rows turns into an internal error as before.

--- /dev/null
+++ b/src/core/nametable.h
@@ -0,0 +1,49 @@
+/// \file
+/// Tables of the names of enumerators.
+#ifndef APRICOTWING_CORE_NAMETABLE_H
+#define APRICOTWING_CORE_NAMETABLE_H
+
+#include "core/error.h"
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace apricotwing {
+
+/// One row for each enumerator.
+template <typename Enum, std::size_t Count>
+using NameTable = std::array<std::pair<Enum, std::string_view>, Count>;
+
+/// The name of \p Value; "invalid" if the table has none. Thread-safe.
+template <typename Enum, std::size_t Count>
+std::string_view nameIn(const NameTable<Enum, Count> &Table, Enum Value) {
+  for (const auto &[Known, Name] : Table)
+    if (Known == Value)
+      return Name;
+  return "invalid";
+}
+
+/// The enumerator called \p Name. Throws Error(BadRequest) that names \p Field
+/// and the choices. Thread-safe.
+template <typename Enum, std::size_t Count>
+Enum parseIn(const NameTable<Enum, Count> &Table, std::string_view Field,
+             std::string_view Name) {
+  std::string Choices;
+  for (const auto &[Known, KnownName] : Table) {
+    if (KnownName == Name)
+      return Known;
+    Choices += Choices.empty() ? "" : ", ";
+    Choices += KnownName;
+  }
+  throw Error(ErrorKind::BadRequest,
+              std::string(Field) + " has the unknown value '" +
+                  std::string(Name) + "'",
+              "use one of: " + Choices);
+}
+
+} // namespace apricotwing
+
+#endif
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -1,48 +1,26 @@
 #include "core/records.h"
 
-#include "core/error.h"
-
-#include <array>
-#include <utility>
+#include "core/nametable.h"
 
 namespace apricotwing {
 
 namespace {
 
-constexpr std::array<std::pair<SessionState, std::string_view>, 3>
-    SessionStateNames = {{{SessionState::Live, "live"},
-                          {SessionState::Leaving, "leaving"},
-                          {SessionState::Fenced, "fenced"}}};
-
-constexpr std::array<std::pair<ProposalState, std::string_view>, 3>
-    ProposalStateNames = {{{ProposalState::Open, "open"},
-                           {ProposalState::Signed, "signed"},
-                           {ProposalState::Rejected, "rejected"}}};
-
-constexpr std::array<std::pair<StopReason, std::string_view>, 4>
-    StopReasonNames = {{{StopReason::Cancelled, "cancelled"},
-                        {StopReason::Preempted, "preempted"},
-                        {StopReason::Drained, "drained"},
-                        {StopReason::OverLimit, "over_limit"}}};
-
-template <typename Table, typename Enum>
-std::string_view nameIn(const Table &Rows, Enum Value) {
-  for (const auto &[Known, Name] : Rows)
-    if (Known == Value)
-      return Name;
-  return "invalid";
-}
-
-template <typename Table>
-auto parseIn(const Table &Rows, std::string_view What, std::string_view Name) {
-  for (const auto &[Known, KnownName] : Rows)
-    if (KnownName == Name)
-      return Known;
-  throw Error(ErrorKind::Internal,
-              std::string(What) + " has the unknown value '" +
-                  std::string(Name) + "'",
-              "check that all instances run the same version");
-}
+constexpr NameTable<SessionState, 3> SessionStateNames = {
+    {{SessionState::Live, "live"},
+     {SessionState::Leaving, "leaving"},
+     {SessionState::Fenced, "fenced"}}};
+
+constexpr NameTable<ProposalState, 3> ProposalStateNames = {
+    {{ProposalState::Open, "open"},
+     {ProposalState::Signed, "signed"},
+     {ProposalState::Rejected, "rejected"}}};
+
+constexpr NameTable<StopReason, 4> StopReasonNames = {
+    {{StopReason::Cancelled, "cancelled"},
+     {StopReason::Preempted, "preempted"},
+     {StopReason::Drained, "drained"},
+     {StopReason::OverLimit, "over_limit"}}};
 
 /// Width of a number in a key, so that keys sort like numbers.
 constexpr std::size_t SequenceDigits = 12;
--- a/src/core/run.cpp
+++ b/src/core/run.cpp
@@ -1,34 +1,30 @@
 #include "core/run.h"
 
-#include "core/error.h"
+#include "core/nametable.h"
 
-#include <array>
 #include <charconv>
-#include <utility>
 
 namespace apricotwing {
 
 namespace {
 
-template <typename Enum> using NameRow = std::pair<Enum, std::string_view>;
-
-constexpr std::array<NameRow<RunKind>, 3> RunKindNames = {{
+constexpr NameTable<RunKind, 3> RunKindNames = {{
     {RunKind::Batch, "batch"},
     {RunKind::Gang, "gang"},
     {RunKind::Service, "service"},
 }};
 
-constexpr std::array<NameRow<Priority>, 2> PriorityNames = {{
+constexpr NameTable<Priority, 2> PriorityNames = {{
     {Priority::Normal, "normal"},
     {Priority::Urgent, "urgent"},
 }};
 
-constexpr std::array<NameRow<LostPolicy>, 2> LostPolicyNames = {{
+constexpr NameTable<LostPolicy, 2> LostPolicyNames = {{
     {LostPolicy::Restart, "restart"},
     {LostPolicy::Fail, "fail"},
 }};
 
-constexpr std::array<NameRow<RunState>, 7> RunStateNames = {{
+constexpr NameTable<RunState, 7> RunStateNames = {{
     {RunState::Accepted, "accepted"},
     {RunState::Pending, "pending"},
     {RunState::Running, "running"},
@@ -38,7 +34,7 @@
     {RunState::Unschedulable, "unschedulable"},
 }};
 
-constexpr std::array<NameRow<TaskState>, 8> TaskStateNames = {{
+constexpr NameTable<TaskState, 8> TaskStateNames = {{
     {TaskState::Pending, "pending"},
     {TaskState::Starting, "starting"},
     {TaskState::Running, "running"},
@@ -49,29 +45,6 @@
     {TaskState::Lost, "lost"},
 }};
 
-template <typename Table, typename Enum>
-std::string_view nameIn(const Table &Rows, Enum Value) {
-  for (const auto &[Known, Name] : Rows)
-    if (Known == Value)
-      return Name;
-  return "invalid";
-}
-
-template <typename Table>
-auto parseIn(const Table &Rows, std::string_view What, std::string_view Name) {
-  std::string Choices;
-  for (const auto &[Known, KnownName] : Rows) {
-    if (KnownName == Name)
-      return Known;
-    Choices += Choices.empty() ? "" : ", ";
-    Choices += KnownName;
-  }
-  throw Error(ErrorKind::BadRequest,
-              std::string(What) + " has the unknown value '" +
-                  std::string(Name) + "'",
-              "use one of: " + Choices);
-}
-
 void checkRange(std::string_view Field, std::int64_t Value, std::int64_t Least,
                 std::int64_t Most) {
   if (Value >= Least && Value <= Most)
