Stop no task for a grant that has not been read

Cause: after a takeover the scheduler was told a grant of 0 for every team whose pool had not been adjusted yet. If the store failed between the capacity and the grant of a pool, the next tick stopped that team's running tasks as above their limit. Ruled out: the retry period alone, because any failure in the loop over the teams leaves later teams unknown. Change: the scheduler learns of the grants once those of all teams were read; TaskGrants moves to the core, as it decides and only calls ports.

--- a/src/daemon/taskgrants.cpp
+++ b/src/core/taskgrants.cpp
@@ -1,4 +1,4 @@
-#include "daemon/taskgrants.h"
+#include "core/taskgrants.h"
 
 #include <algorithm>
 
@@ -44,13 +44,13 @@
 
 } // namespace
 
-TaskGrants::TaskGrants(DaemonContext &Context, ShardOwnership &Ownership,
-                       ShardScheduler &Scheduler)
-    : Context(Context), Ownership(Ownership), Scheduler(Scheduler),
-      Ledger(Context.Table, Context.Codec, Context.Ids) {}
+TaskGrants::TaskGrants(TableService &Table, const RecordCodec &Codec,
+                       TransactionIds &Ids, ShardOwnership &Ownership,
+                       ShardScheduler &Scheduler, bool IsOnlyShard)
+    : Ownership(Ownership), Scheduler(Scheduler), IsOnlyShard(IsOnlyShard),
+      Ledger(Table, Codec, Ids) {}
 
 void TaskGrants::advance(const Config &Document, TimePoint Now) {
-  const bool SingleShard = Context.Values.Scheduler.ShardsPerCell == 1;
   const auto Demand = Scheduler.demand();
   const auto Allocated = Scheduler.allocated();
   for (const auto &[Team, Value] : Document.Teams) {
@@ -59,18 +59,22 @@
     // A single shard holds the whole limit, which spares a round per change
     // of demand.
     const Resources Wanted =
-        SingleShard ? Limit : smaller(Limit, InUse + amountFor(Demand, Team));
+        IsOnlyShard ? Limit : smaller(Limit, InUse + amountFor(Demand, Team));
     const Resources Target = Resources::max(Wanted, InUse);
     const auto Last = LastRound.find(Team);
     const bool IsRecent =
         Last != LastRound.end() && Now - Last->second < RetryPeriod;
-    const bool IsSettled = Held.contains(Team) && Held[Team] == Target &&
+    const bool IsSettled = Adjusted.contains(Team) && Held[Team] == Target &&
                            EnsuredLimits[Team] == Limit;
     if (IsSettled || (IsRecent && EnsuredLimits[Team] == Limit))
       continue;
     adjust(Team, Limit, Target, Now);
   }
-  Scheduler.setGrants(Held);
+  IsComplete |= std::all_of(
+      Document.Teams.begin(), Document.Teams.end(),
+      [this](const auto &Team) { return Adjusted.contains(Team.first); });
+  if (IsComplete)
+    Scheduler.setGrants(Held);
 }
 
 void TaskGrants::adjust(const TeamName &Team, const Resources &Limit,
@@ -78,7 +82,8 @@
   const std::string Pool = keys::taskPool(Team);
   LastRound[Team] = Now;
   Held[Team] = smaller(Held[Team], Target);
-  Scheduler.setGrants(Held);
+  if (IsComplete)
+    Scheduler.setGrants(Held);
   if (EnsuredLimits[Team] != Limit || !EnsuredLimits.contains(Team)) {
     Ledger.ensureCapacity(Pool, toUnits(Limit));
     EnsuredLimits[Team] = Limit;
@@ -87,6 +92,7 @@
   const PoolShare Share =
       Ledger.adjust(Pool, Scheduler.shard(), toUnits(Target), {Guard});
   Held[Team] = toResources(Share.Granted);
+  Adjusted.insert(Team);
 }
 
 } // namespace apricotwing
--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -177,8 +177,9 @@
   Held.Fleet =
       std::make_shared<WorkerFleet>(Context, Calls, Post, *Held.Scheduler,
                                     Record.ShardEpoch, Record.ShardEpoch > 1);
-  Held.Grants =
-      std::make_unique<TaskGrants>(Context, Ownership, *Held.Scheduler);
+  Held.Grants = std::make_unique<TaskGrants>(
+      Context.Table, Context.Codec, Context.Ids, Ownership, *Held.Scheduler,
+      Context.Values.Scheduler.ShardsPerCell == 1);
   Shards.emplace(Shard, std::move(Held));
   Context.Counts.shardTakenOver();
   Context.Events.info(Component::Scheduler, "shard taken over",
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -5,11 +5,11 @@
 
 #include "core/shardownership.h"
 #include "core/shardscheduler.h"
+#include "core/taskgrants.h"
 #include "daemon/boundedring.h"
 #include "daemon/context.h"
 #include "daemon/listservice.h"
 #include "daemon/periodicthread.h"
-#include "daemon/taskgrants.h"
 #include "daemon/threadpool.h"
 #include "daemon/workerfleet.h"
 #include "wire/instancecodec.h"
