Destroy the worker calls of the scheduler before its mailbox

Cause: the pool of worker calls was declared before the mailbox, so at shutdown its last calls could post to a mailbox that was already destroyed. Change: the order of the two members.

--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -51,7 +51,7 @@
       AllShards(shardIds(Context.Values.Scheduler.ShardsPerCell)),
       Ownership(Context.Table, Context.Objects, Context.Codec, Context.Ids,
                 Context.Session),
-      Calls(WorkerCallThreads, MaxWaitingCalls), Mailbox(MailboxCapacity),
+      Mailbox(MailboxCapacity), Calls(WorkerCallThreads, MaxWaitingCalls),
       Thread(
           Context.Values.Scheduler.Tick, [this] { round(); },
           [&Context](const std::exception &Failure) {
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -104,8 +104,8 @@
   const ListService &List;
   const std::vector<ShardId> AllShards;
   ShardOwnership Ownership;
-  ThreadPool Calls;
   BoundedRing<std::function<void()>> Mailbox;
+  ThreadPool Calls; ///< After Mailbox, to which its last calls still post.
   std::atomic<bool> SessionLost{false};
   std::atomic<bool> InboxHint{false};
   bool HasInboxHint = false; ///< Of the present tick.
