Name the live instances once and drop repeated statistics

Cause: the closing read found three copies of the list of live instances, a full set of router statistics built for each request only to see whether anything waits, shard statistics built twice per status, a rendezvous hash per pool and round after the pool had been written, and an unused accessor. Change: SessionManager::liveInstances() and RequestRouter::queued(); the status passes on what it has. No change of behaviour, no test changed.

--- a/src/core/requestrouter.cpp
+++ b/src/core/requestrouter.cpp
@@ -790,6 +790,8 @@
 
 std::size_t RequestRouter::open() const { return Self->Requests.size(); }
 
+std::size_t RequestRouter::queued() const { return Self->Queued; }
+
 std::size_t RequestRouter::inFlight() const {
   return Self->Requests.size() - Self->Queued;
 }
--- a/src/core/requestrouter.h
+++ b/src/core/requestrouter.h
@@ -209,6 +209,9 @@
   /// Requests that have no final result yet.
   std::size_t open() const;
 
+  /// Requests that wait in a queue.
+  std::size_t queued() const;
+
   /// Sends that have not been completed.
   std::size_t inFlight() const;
 
--- a/src/core/sessionmanager.cpp
+++ b/src/core/sessionmanager.cpp
@@ -312,6 +312,14 @@
   return {Self.Instance, OwnEpoch};
 }
 
+std::vector<InstanceId> SessionManager::liveInstances() const {
+  std::vector<InstanceId> Live;
+  for (const MemberRow &Member : members())
+    if (Member.Record.State == SessionState::Live)
+      Live.push_back(Member.Record.Id.Instance);
+  return Live;
+}
+
 std::vector<MemberRow> SessionManager::members() const {
   const std::shared_ptr<const SessionView> Last = View.load();
   return Last ? Last->Members : std::vector<MemberRow>();
--- a/src/core/sessionmanager.h
+++ b/src/core/sessionmanager.h
@@ -123,6 +123,10 @@
   /// Thread-safe.
   std::vector<MemberRow> members() const;
 
+  /// Instances of the live sessions of the last successful round, among which
+  /// rendezvous hashing chooses. Thread-safe.
+  std::vector<InstanceId> liveInstances() const;
+
   /// When a call to the store last succeeded; TimePoint::min() if never.
   /// Thread-safe.
   TimePoint lastStoreContact() const;
--- a/src/core/shardownership.cpp
+++ b/src/core/shardownership.cpp
@@ -24,11 +24,8 @@
 }
 
 bool ShardOwnership::isPreferred(const ShardId &Shard) const {
-  std::vector<InstanceId> Live;
-  for (const MemberRow &Member : Session.members())
-    if (Member.Record.State == SessionState::Live)
-      Live.push_back(Member.Record.Id.Instance);
-  return rendezvousOwner(Shard, Live) == Session.sessionId().Instance;
+  return rendezvousOwner(Shard, Session.liveInstances()) ==
+         Session.sessionId().Instance;
 }
 
 AcquireResult ShardOwnership::tryAcquire(const ShardId &Shard, TimePoint Now) {
--- a/src/daemon/authorityservice.cpp
+++ b/src/daemon/authorityservice.cpp
@@ -100,11 +100,8 @@
   if (LastPrune != TimePoint::min() && Now - LastPrune < PrunePeriod)
     return;
   LastPrune = Now;
-  std::vector<InstanceId> Live;
-  for (const MemberRow &Member : Context.Session.members())
-    if (Member.Record.State == SessionState::Live)
-      Live.push_back(Member.Record.Id.Instance);
-  if (rendezvousOwner(keys::ProposalPrefix, Live) == Context.Values.Instance.Id)
+  if (rendezvousOwner(keys::ProposalPrefix, Context.Session.liveInstances()) ==
+      Context.Values.Instance.Id)
     Ledger.pruneProposals();
 }
 
--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -33,14 +33,6 @@
   return Result;
 }
 
-std::vector<InstanceId> liveInstances(const SessionManager &Session) {
-  std::vector<InstanceId> Result;
-  for (const MemberRow &Member : Session.members())
-    if (Member.Record.State == SessionState::Live)
-      Result.push_back(Member.Record.Id.Instance);
-  return Result;
-}
-
 } // namespace
 
 GrantService::GrantService(DaemonContext &Context, RequestService &Requests,
@@ -112,17 +104,18 @@
   const ListService::Snapshot Listed = List.latest();
   if (!Listed)
     return;
-  const std::vector<InstanceId> Live = liveInstances(Context.Session);
+  const std::vector<InstanceId> Live = Context.Session.liveInstances();
   const auto Ensure = [&](const std::string &Pool,
                           const UnitAmounts &Capacity) {
     CapacityState &Known = Capacities[Pool];
     // One instance sets up a pool. A change is written by every instance that
     // sees it, because the preferred one may be dead and not yet fenced, and a
     // lower limit must take hold within seconds.
-    const bool IsPreferred =
-        rendezvousOwner(Pool, Live) == Context.Values.Instance.Id;
-    Known.IsDue |= Known.Seen && *Known.Seen != Capacity;
-    Known.IsDue |= IsPreferred && !Known.WasWritten;
+    if (Known.Seen && *Known.Seen != Capacity)
+      Known.IsDue = true;
+    if (!Known.WasWritten &&
+        rendezvousOwner(Pool, Live) == Context.Values.Instance.Id)
+      Known.IsDue = true;
     Known.Seen = Capacity;
     if (!Known.IsDue)
       return;
--- a/src/daemon/requestservice.cpp
+++ b/src/daemon/requestservice.cpp
@@ -55,7 +55,7 @@
       const std::string Id = Request.Ticket.Id;
       Open.emplace(Id, Waiting{std::move(Request), Now});
       dispatchLocked(After);
-      Waits = Router.stats().Queued > 0;
+      Waits = Router.queued() > 0;
     } catch (const Error &Reason) {
       Context.Counts.refused(Reason.kind());
       After.push_back(
--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -345,16 +345,16 @@
   Held.EntriesSinceSnapshot = 0;
 }
 
-std::vector<WorkerStatus> ShardRunner::workerStatus(const ShardId &Shard,
-                                                    const HeldShard &Held,
-                                                    TimePoint Now) const {
+std::vector<WorkerStatus>
+ShardRunner::workerStatus(const ShardId &Shard, const HeldShard &Held,
+                          const std::vector<WorkerId> &Quarantined,
+                          TimePoint Now) const {
   std::vector<WorkerStatus> Result;
   if (!Held.SeenList)
     return Result;
   const auto Assigned = assignWorkers(Held.SeenList->Workers,
                                       Context.Values.Scheduler.ShardsPerCell);
   const std::shared_ptr<const Config> Document = Context.Session.config();
-  const std::vector<WorkerId> Quarantined = Held.Scheduler->stats().Quarantined;
   for (const ListedWorker &Worker : Held.SeenList->Workers) {
     if (Assigned.at(Worker.Id) != Shard)
       continue;
@@ -387,7 +387,7 @@
     Entry.CommitPending = Ownership.isPending(Shard);
     Entry.Stats = Held.Scheduler->stats();
     Entry.Grants = Held.Grants->held();
-    Entry.Workers = workerStatus(Shard, Held, Now);
+    Entry.Workers = workerStatus(Shard, Held, Entry.Stats.Quarantined, Now);
     Silent += Held.Fleet->silentWorkers(Now);
     for (const auto &[Team, Standing] : Entry.Stats.Teams)
       Context.Counts.setShareDistance(Team, Standing.Fraction - Standing.Share);
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -96,9 +96,9 @@
   void noteDecisions(const Decisions &Committed);
   void saveSnapshotIfDue(const ShardId &Shard, HeldShard &Held);
   void publishStatus(TimePoint Now);
-  std::vector<WorkerStatus> workerStatus(const ShardId &Shard,
-                                         const HeldShard &Held,
-                                         TimePoint Now) const;
+  std::vector<WorkerStatus>
+  workerStatus(const ShardId &Shard, const HeldShard &Held,
+               const std::vector<WorkerId> &Quarantined, TimePoint Now) const;
 
   DaemonContext &Context;
   const ListService &List;
--- a/src/daemon/threadpool.h
+++ b/src/daemon/threadpool.h
@@ -32,9 +32,6 @@
   /// Thread-safe.
   bool submit(Job Work);
 
-  /// Jobs that wait, a moment ago. Thread-safe.
-  std::size_t waiting() const { return Ring.size(); }
-
 private:
   void runThread();
 
