--- /dev/null
+++ b/src/cell/codec.cpp
@@ -0,0 +1,458 @@
+#include "cell/codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <type_traits>
+#include <utility>
+
+using nlohmann::json;
+
+// Members that have their default value are left out, as most fields of most
+// messages do.
+
+namespace apricotwing {
+
+namespace {
+
+template <typename Value>
+void put(json &To, const char *Name, const Value &Field,
+         const Value &Default = Value()) {
+  if (!(Field == Default))
+    To[Name] = Field;
+}
+
+/// For lists of types without a comparison.
+template <typename Value>
+void putList(json &To, const char *Name, const std::vector<Value> &Field) {
+  if (!Field.empty())
+    To[Name] = Field;
+}
+
+template <typename Value>
+void take(const json &From, const char *Name, Value &Field) {
+  const auto Found = From.find(Name);
+  if (Found != From.end())
+    Found->get_to(Field);
+}
+
+template <typename Enum>
+void takeEnum(const json &From, const char *Name, Enum &Field) {
+  int Number = int(Field);
+  take(From, Name, Number);
+  Field = Enum(Number);
+}
+
+template <typename Value> std::string toText(const Value &Content) {
+  // Texts of callers need not be valid UTF-8.
+  return json(Content).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+template <typename Value>
+std::optional<Value> fromText(const std::string &Text) {
+  try {
+    return json::parse(Text).get<Value>();
+  } catch (const json::exception &) {
+    return std::nullopt; // Callers log it with what they know of the sender.
+  }
+}
+
+} // namespace
+
+static void to_json(json &To, const Resources &Value) { // NOLINT
+  To = json::array({Value.CpuMillis, Value.MemoryMib, Value.Accelerators});
+}
+static void from_json(const json &From, Resources &Value) { // NOLINT
+  From.at(0).get_to(Value.CpuMillis);
+  From.at(1).get_to(Value.MemoryMib);
+  From.at(2).get_to(Value.Accelerators);
+}
+
+namespace jobs {
+
+// NOLINTBEGIN(readability-identifier-naming): names that nlohmann-json finds
+static void to_json(json &To, const WorkerLife &Value) {
+  To = json::array({Value.Id, Value.Born});
+}
+static void from_json(const json &From, WorkerLife &Value) {
+  From.at(0).get_to(Value.Id);
+  From.at(1).get_to(Value.Born);
+}
+
+static void to_json(json &To, const StepSpec &Value) {
+  To = json::object();
+  To["n"] = Value.Count;
+  To["res"] = Value.Request;
+  put(To, "est", std::int64_t(Value.Estimate.count()));
+  putList(To, "after", Value.After);
+  put(To, "gang", Value.Gang);
+  put(To, "rack", Value.SameRack);
+  put(To, "save", Value.Checkpointing);
+  put(To, "spec", Value.Speculative);
+  put(To, "long", Value.LongRunning);
+  put(To, "fill", Value.Filling);
+  put(To, "label", Value.RequiredLabel);
+  put(To, "near", Value.PreferredRack);
+  put(To, "per", Value.MaxPerWorker);
+  put(To, "image", Value.Image);
+  put(To, "tail", Value.TailTargetMs);
+  put(To, "miss", Value.MissTolerance);
+}
+static void from_json(const json &From, StepSpec &Value) {
+  std::int64_t Estimate = 0;
+  take(From, "n", Value.Count);
+  take(From, "res", Value.Request);
+  take(From, "est", Estimate);
+  Value.Estimate = Duration(Estimate);
+  take(From, "after", Value.After);
+  take(From, "gang", Value.Gang);
+  take(From, "rack", Value.SameRack);
+  take(From, "save", Value.Checkpointing);
+  take(From, "spec", Value.Speculative);
+  take(From, "long", Value.LongRunning);
+  take(From, "fill", Value.Filling);
+  take(From, "label", Value.RequiredLabel);
+  take(From, "near", Value.PreferredRack);
+  take(From, "per", Value.MaxPerWorker);
+  take(From, "image", Value.Image);
+  take(From, "tail", Value.TailTargetMs);
+  take(From, "miss", Value.MissTolerance);
+}
+
+static void to_json(json &To, const JobSpec &Value) {
+  To = json::object();
+  To["id"] = Value.Id;
+  put(To, "queue", Value.Queue);
+  put(To, "account", Value.Account);
+  put(To, "payload", Value.Payload);
+  To["steps"] = Value.Steps;
+  put(To, "at", Value.AcceptedUnixMs);
+}
+static void from_json(const json &From, JobSpec &Value) {
+  From.at("id").get_to(Value.Id);
+  take(From, "queue", Value.Queue);
+  take(From, "account", Value.Account);
+  take(From, "payload", Value.Payload);
+  From.at("steps").get_to(Value.Steps);
+  take(From, "at", Value.AcceptedUnixMs);
+}
+
+static void to_json(json &To, const StepProgress &Value) {
+  To = json::object();
+  putList(To, "done", Value.Done);
+  put(To, "failed", Value.Failures);
+  put(To, "gang_failed", Value.GangFailures);
+  put(To, "saved", Value.Checkpoints);
+}
+static void from_json(const json &From, StepProgress &Value) {
+  take(From, "done", Value.Done);
+  take(From, "failed", Value.Failures);
+  take(From, "gang_failed", Value.GangFailures);
+  take(From, "saved", Value.Checkpoints);
+}
+
+static void to_json(json &To, const JobProgress &Value) {
+  To = json::object();
+  To["phase"] = int(Value.Phase);
+  put(To, "queue", Value.Queue);
+  putList(To, "steps", Value.Steps);
+}
+static void from_json(const json &From, JobProgress &Value) {
+  takeEnum(From, "phase", Value.Phase);
+  take(From, "queue", Value.Queue);
+  take(From, "steps", Value.Steps);
+}
+
+static void to_json(json &To, const ActiveRun &Value) {
+  To = json::array({Value.Task, Value.Run, Value.Checkpoint, Value.Percent});
+}
+static void from_json(const json &From, ActiveRun &Value) {
+  From.at(0).get_to(Value.Task);
+  From.at(1).get_to(Value.Run);
+  From.at(2).get_to(Value.Checkpoint);
+  From.at(3).get_to(Value.Percent);
+}
+
+static void to_json(json &To, const EndedRun &Value) {
+  To = json::array({Value.Number, Value.Task, Value.Run, int(Value.Kind),
+                    Value.Checkpoint});
+}
+static void from_json(const json &From, EndedRun &Value) {
+  From.at(0).get_to(Value.Number);
+  From.at(1).get_to(Value.Task);
+  From.at(2).get_to(Value.Run);
+  Value.Kind = EndKind(From.at(3).get<int>());
+  From.at(4).get_to(Value.Checkpoint);
+}
+
+static void to_json(json &To, const StartOrder &Value) {
+  To = json::object();
+  To["worker"] = Value.Worker;
+  To["task"] = Value.Task;
+  To["run"] = Value.Run;
+  put(To, "payload", Value.Payload);
+  put(To, "ticket", Value.Ticket);
+  put(To, "saved", Value.Checkpoint);
+}
+static void from_json(const json &From, StartOrder &Value) {
+  From.at("worker").get_to(Value.Worker);
+  From.at("task").get_to(Value.Task);
+  From.at("run").get_to(Value.Run);
+  take(From, "payload", Value.Payload);
+  take(From, "ticket", Value.Ticket);
+  take(From, "saved", Value.Checkpoint);
+}
+
+static void to_json(json &To, const StopOrder &Value) {
+  To = json::array({Value.Worker, Value.Task, Value.Run});
+}
+static void from_json(const json &From, StopOrder &Value) {
+  From.at(0).get_to(Value.Worker);
+  From.at(1).get_to(Value.Task);
+  From.at(2).get_to(Value.Run);
+}
+
+static void to_json(json &To, const AdviceRequest &Value) {
+  To = json::array({Value.Step, Value.Workers, Value.CostMs});
+}
+static void from_json(const json &From, AdviceRequest &Value) {
+  From.at(0).get_to(Value.Step);
+  From.at(1).get_to(Value.Workers);
+  From.at(2).get_to(Value.CostMs);
+}
+
+static void to_json(json &To, const Approval &Value) {
+  To = json::array({Value.Worker, Value.Ticket});
+}
+static void from_json(const json &From, Approval &Value) {
+  From.at(0).get_to(Value.Worker);
+  From.at(1).get_to(Value.Ticket);
+}
+
+} // namespace jobs
+
+namespace cell {
+
+static void to_json(json &To, const InstanceInfo &Value) {
+  To = json::array({Value.Name, Value.Address, Value.Zone, Value.CpuShare});
+}
+static void from_json(const json &From, InstanceInfo &Value) {
+  From.at(0).get_to(Value.Name);
+  From.at(1).get_to(Value.Address);
+  From.at(2).get_to(Value.Zone);
+  From.at(3).get_to(Value.CpuShare);
+}
+
+static void to_json(json &To, const LeaderRecord &Value) {
+  To = {{"term", Value.Term},
+        {"sequence", Value.Sequence},
+        {"process", Value.Process},
+        {"instance", Value.Instance}};
+}
+static void from_json(const json &From, LeaderRecord &Value) {
+  From.at("term").get_to(Value.Term);
+  From.at("sequence").get_to(Value.Sequence);
+  From.at("process").get_to(Value.Process);
+  From.at("instance").get_to(Value.Instance);
+}
+
+static void to_json(json &To, const RosterEntry &Value) {
+  To = json::array({Value.Life, Value.Address, Value.Zone});
+}
+static void from_json(const json &From, RosterEntry &Value) {
+  From.at(0).get_to(Value.Life);
+  From.at(1).get_to(Value.Address);
+  From.at(2).get_to(Value.Zone);
+}
+
+static void to_json(json &To, const Submission &Value) {
+  To = json::array({Value.Tag, Value.Job});
+}
+static void from_json(const json &From, Submission &Value) {
+  From.at(0).get_to(Value.Tag);
+  From.at(1).get_to(Value.Job);
+}
+
+static void to_json(json &To, const SubmitAnswer &Value) {
+  To = json::array({Value.Tag, int(Value.Result), Value.RetryAfterMs});
+}
+static void from_json(const json &From, SubmitAnswer &Value) {
+  From.at(0).get_to(Value.Tag);
+  Value.Result = SubmitResult(From.at(1).get<int>());
+  From.at(2).get_to(Value.RetryAfterMs);
+}
+
+static void to_json(json &To, const Query &Value) {
+  To = json::array({Value.Tag, int(Value.Kind), Value.Subject});
+}
+static void from_json(const json &From, Query &Value) {
+  From.at(0).get_to(Value.Tag);
+  Value.Kind = QueryKind(From.at(1).get<int>());
+  From.at(2).get_to(Value.Subject);
+}
+
+static void to_json(json &To, const QueryAnswer &Value) {
+  To = json::array({Value.Tag, int(Value.View), Value.Count});
+}
+static void from_json(const json &From, QueryAnswer &Value) {
+  From.at(0).get_to(Value.Tag);
+  Value.View = jobs::JobView(From.at(1).get<int>());
+  From.at(2).get_to(Value.Count);
+}
+
+static void to_json(json &To, const WorkerReport &Value) {
+  To = json::object();
+  To["event"] = int(Value.Event);
+  To["worker"] = Value.Life;
+  To["token"] = Value.Token;
+  putList(To, "running", Value.Running);
+  putList(To, "ended", Value.Ended);
+}
+static void from_json(const json &From, WorkerReport &Value) {
+  takeEnum(From, "event", Value.Event);
+  From.at("worker").get_to(Value.Life);
+  From.at("token").get_to(Value.Token);
+  take(From, "running", Value.Running);
+  take(From, "ended", Value.Ended);
+}
+
+static void to_json(json &To, const RefusedStart &Value) {
+  To = json::array({Value.Life, Value.Task, Value.Run, int(Value.Reason)});
+}
+static void from_json(const json &From, RefusedStart &Value) {
+  From.at(0).get_to(Value.Life);
+  From.at(1).get_to(Value.Task);
+  From.at(2).get_to(Value.Run);
+  Value.Reason = jobs::StartRefusal(From.at(3).get<int>());
+}
+
+static void to_json(json &To, const AdviceAnswer &Value) {
+  To = json::array({Value.Step, Value.Asked, Value.Answered, Value.Approved});
+}
+static void from_json(const json &From, AdviceAnswer &Value) {
+  From.at(0).get_to(Value.Step);
+  From.at(1).get_to(Value.Asked);
+  From.at(2).get_to(Value.Answered);
+  From.at(3).get_to(Value.Approved);
+}
+
+static void to_json(json &To, const MemberMail &Value) {
+  To = json::object();
+  putList(To, "submissions", Value.Submissions);
+  putList(To, "queries", Value.Queries);
+  putList(To, "workers", Value.Workers);
+  putList(To, "refused", Value.Refused);
+  putList(To, "advice", Value.Advice);
+  put(To, "leaving", Value.Leaving);
+}
+static void from_json(const json &From, MemberMail &Value) {
+  take(From, "submissions", Value.Submissions);
+  take(From, "queries", Value.Queries);
+  take(From, "workers", Value.Workers);
+  take(From, "refused", Value.Refused);
+  take(From, "advice", Value.Advice);
+  take(From, "leaving", Value.Leaving);
+}
+
+static void to_json(json &To, const Assignment &Value) {
+  To = json::array(
+      {Value.Life, Value.Address, Value.Token, Value.AssumedLeaseMs});
+}
+static void from_json(const json &From, Assignment &Value) {
+  From.at(0).get_to(Value.Life);
+  From.at(1).get_to(Value.Address);
+  From.at(2).get_to(Value.Token);
+  From.at(3).get_to(Value.AssumedLeaseMs);
+}
+
+static void to_json(json &To, const EndAck &Value) {
+  To = json::array({Value.Life, Value.UpTo});
+}
+static void from_json(const json &From, EndAck &Value) {
+  From.at(0).get_to(Value.Life);
+  From.at(1).get_to(Value.UpTo);
+}
+
+static void to_json(json &To, const LeaderMail &Value) {
+  To = json::object();
+  putList(To, "submitted", Value.Submitted);
+  putList(To, "answers", Value.Answers);
+  putList(To, "assigned", Value.Assigned);
+  putList(To, "dismissed", Value.Dismissed);
+  putList(To, "starts", Value.Starts);
+  putList(To, "stops", Value.Stops);
+  putList(To, "acks", Value.Acks);
+  putList(To, "advice", Value.Advice);
+}
+static void from_json(const json &From, LeaderMail &Value) {
+  take(From, "submitted", Value.Submitted);
+  take(From, "answers", Value.Answers);
+  take(From, "assigned", Value.Assigned);
+  take(From, "dismissed", Value.Dismissed);
+  take(From, "starts", Value.Starts);
+  take(From, "stops", Value.Stops);
+  take(From, "acks", Value.Acks);
+  take(From, "advice", Value.Advice);
+}
+
+static void to_json(json &To, const Envelope &Value) {
+  To = {{"session", Value.Session},
+        {"sequence", Value.Sequence},
+        {"term", Value.Term},
+        {"from_leader", Value.FromLeader},
+        {"from", Value.From}};
+  if (Value.ToLeader)
+    To["to_leader"] = *Value.ToLeader;
+  if (Value.ToMember)
+    To["to_member"] = *Value.ToMember;
+}
+static void from_json(const json &From, Envelope &Value) {
+  From.at("session").get_to(Value.Session);
+  From.at("sequence").get_to(Value.Sequence);
+  From.at("term").get_to(Value.Term);
+  From.at("from_leader").get_to(Value.FromLeader);
+  From.at("from").get_to(Value.From);
+  if (From.contains("to_leader"))
+    Value.ToLeader = From.at("to_leader").get<MemberMail>();
+  if (From.contains("to_member"))
+    Value.ToMember = From.at("to_member").get<LeaderMail>();
+}
+
+static void to_json(json &To, const Receipt &Value) {
+  To = {{"accepted", Value.Accepted}};
+}
+static void from_json(const json &From, Receipt &Value) {
+  From.at("accepted").get_to(Value.Accepted);
+}
+// NOLINTEND(readability-identifier-naming)
+
+std::string encode(const LeaderRecord &Value) { return toText(Value); }
+std::string encode(const jobs::JobSpec &Value) { return toText(Value); }
+std::string encode(const jobs::JobProgress &Value) { return toText(Value); }
+std::string encode(const std::vector<RosterEntry> &Value) {
+  return toText(Value);
+}
+std::string encode(const Envelope &Value) { return toText(Value); }
+std::string encode(const Receipt &Value) { return toText(Value); }
+
+std::optional<LeaderRecord> decodeLeaderRecord(const std::string &Text) {
+  return fromText<LeaderRecord>(Text);
+}
+std::optional<jobs::JobSpec> decodeJobSpec(const std::string &Text) {
+  return fromText<jobs::JobSpec>(Text);
+}
+std::optional<jobs::JobProgress> decodeProgress(const std::string &Text) {
+  return fromText<jobs::JobProgress>(Text);
+}
+std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &Text) {
+  return fromText<std::vector<RosterEntry>>(Text);
+}
+std::optional<Envelope> decodeEnvelope(const std::string &Text) {
+  return fromText<Envelope>(Text);
+}
+std::optional<Receipt> decodeReceipt(const std::string &Text) {
+  return fromText<Receipt>(Text);
+}
+
+} // namespace cell
+
+} // namespace apricotwing
--- /dev/null
+++ b/src/cell/journal.cpp
@@ -0,0 +1,173 @@
+#include "cell/journal.h"
+
+#include "cell/codec.h"
+
+#include <algorithm>
+
+namespace apricotwing::cell {
+
+namespace {
+
+/// The store takes 100 entries a transaction; one is the leader record and
+/// one its condition.
+constexpr std::size_t MaxRows = 98;
+
+/// The store takes 1 MB a transaction, of values in base64.
+constexpr std::size_t MaxBytes = 600'000;
+
+/// Pause after a refusal by the store, which counts refused calls as well.
+constexpr Duration RetryPause{60};
+
+} // namespace
+
+Journal::Journal(MetadataStore &Store, const Clock &Time, const Timing &Times,
+                 LeaderRecord Own, std::int64_t Version, TimePoint SentAt)
+    : Store(Store), Time(Time), Times(Times), Own(std::move(Own)),
+      Version(Version), LeaseStart(SentAt), LastSent(SentAt) {}
+
+Journal::Batch &Journal::openBatch(std::size_t Bytes) {
+  const bool FirstIsTaken = InFlight || Verifying || Failing;
+  const bool NeedsNew =
+      Batches.empty() || (Batches.size() == 1 && FirstIsTaken) ||
+      Batches.back().Rows.size() >= MaxRows ||
+      (Batches.back().Bytes > 0 && Batches.back().Bytes + Bytes > MaxBytes);
+  if (NeedsNew)
+    Batches.emplace_back();
+  return Batches.back();
+}
+
+void Journal::add(const std::string &Table, const std::string &Key,
+                  std::optional<std::string> Value) {
+  const std::size_t Bytes = Key.size() + (Value ? Value->size() : 0);
+  Batch &Open = openBatch(Bytes);
+  Open.Rows[{Table, Key}] = std::move(Value);
+  Open.Bytes += Bytes;
+}
+
+void Journal::put(const std::string &Table, const std::string &Key,
+                  std::string Value) {
+  add(Table, Key, std::move(Value));
+}
+
+void Journal::remove(const std::string &Table, const std::string &Key) {
+  add(Table, Key, std::nullopt);
+}
+
+void Journal::whenStored(std::function<void()> Then) {
+  if (Batches.empty()) {
+    Then();
+    return;
+  }
+  Batches.back().Stored.push_back(std::move(Then));
+}
+
+void Journal::stepDown() {
+  SteppingDown = true;
+  pump();
+}
+
+bool Journal::isLeaseValid() const {
+  return !Deposed && !SteppingDown &&
+         Time.now() < LeaseStart + Times.LeaderLease;
+}
+
+void Journal::pump() {
+  if (InFlight || Verifying || Deposed)
+    return;
+  const TimePoint Now = Time.now();
+  if (Now < RetryAt)
+    return;
+  const bool HasChanges = !Batches.empty();
+  if (HasChanges || SteppingDown || Now - LastSent >= Times.LeaderRenewal)
+    commit(Now);
+}
+
+void Journal::commit(TimePoint Now) {
+  if (Batches.empty())
+    Batches.emplace_back();
+  LeaderRecord Next = Own;
+  Next.Sequence = Own.Sequence + 1;
+  if (SteppingDown && Batches.size() == 1)
+    Next.Instance = InstanceInfo{};
+  Transaction Changes;
+  Changes.Part = CellPart;
+  Changes.Conditions.push_back({LeaderTable, LeaderKey, Version});
+  Changes.Changes.push_back({LeaderTable, LeaderKey, encode(Next)});
+  for (const auto &[Name, Value] : Batches.front().Rows)
+    Changes.Changes.push_back({Name.first, Name.second, Value});
+  InFlight = true;
+  LastSent = Now;
+  Store.transact(Changes, Life.guard([this](const TransactionResult &Result) {
+    InFlight = false;
+    committed(Result);
+  }));
+}
+
+void Journal::committed(const TransactionResult &Result) {
+  switch (Result.Outcome) {
+  case StoreOutcome::Done:
+    applied(Result.Version);
+    return;
+  case StoreOutcome::Conflict:
+  case StoreOutcome::Unknown:
+    Failing = true;
+    verify();
+    return;
+  case StoreOutcome::Refused:
+  case StoreOutcome::HistoryLost:
+    Failing = true;
+    RetryAt = Time.now() + RetryPause;
+    return;
+  }
+}
+
+void Journal::applied(std::int64_t NewVersion) {
+  Version = NewVersion;
+  ++Own.Sequence;
+  LeaseStart = LastSent;
+  Failing = false;
+  ++Commits;
+  RowsWritten += Batches.front().Rows.size() + 1;
+  // The record without an instance goes out with the last batch.
+  if (SteppingDown && Batches.size() == 1)
+    Deposed = true;
+  const std::vector<std::function<void()>> Stored =
+      std::move(Batches.front().Stored);
+  Batches.pop_front();
+  for (const auto &Then : Stored)
+    Then();
+  pump();
+}
+
+// Finds out whether the commit under way took effect. Only this process
+// writes the record in this term, and a sequence number stands for one batch.
+void Journal::verify() {
+  Verifying = true;
+  Store.read(
+      LeaderTable, CellPart, LeaderKey,
+      Life.guard([this](const ReadResult &Result) {
+        Verifying = false;
+        if (Result.Outcome != StoreOutcome::Done || Result.Rows.empty()) {
+          RetryAt = Time.now() + RetryPause;
+          return;
+        }
+        const StoredRow &Row = Result.Rows.front();
+        const auto Present = decodeLeaderRecord(Row.Value);
+        if (!Present || Present->Term != Own.Term ||
+            Present->Process != Own.Process) {
+          Deposed = true;
+          return;
+        }
+        if (Present->Sequence == Own.Sequence + 1) {
+          applied(Row.Version);
+          return;
+        }
+        // Not applied yet. It is sent again under the condition of the
+        // version just read, so that it takes effect at most once.
+        Version = Row.Version;
+        RetryAt = Time.now() + RetryPause;
+        pump();
+      }));
+}
+
+} // namespace apricotwing::cell
--- /dev/null
+++ b/src/cell/leader.cpp
@@ -0,0 +1,808 @@
+#include "cell/leader.h"
+
+#include "cell/codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotwing::cell {
+
+namespace {
+
+/// Least time between two calls for the workers' registry, of which each
+/// answer holds the rows of all that wrote since.
+constexpr Duration RegistryGap{250};
+constexpr Duration RegistryWait{2000};
+
+/// An entry that was missing for this long is not coming back by itself.
+constexpr Duration UnlistedGrace{2500};
+
+/// A member that was silent for this long loses its workers to others.
+constexpr Duration MemberSilence{1000};
+
+/// Least time between two rounds of decisions, so that events that come
+/// together are decided on together.
+constexpr Duration DecisionGap{4};
+
+/// Rounds are held at least this often, as tickets and pauses run out.
+constexpr Duration DecisionPeriod{100};
+
+/// Advice calls of at least this cost go to separate members, so that short
+/// calls never wait behind them.
+constexpr double SlowAdviceMs = 200;
+
+/// Advice calls under way at one member.
+constexpr std::size_t MaxAdvicePerMember = 6;
+
+/// Patience with an advice call beyond what its cost explains.
+constexpr Duration AdvicePatience{2500};
+
+/// Weight of the leader's own instance in the sharing out of workers; it has
+/// other work.
+constexpr double OwnShareOfWorkers = 0.5;
+
+/// Tokens that one term may give out.
+constexpr std::int64_t TokensPerTerm = 1'000'000;
+
+} // namespace
+
+Leader::Leader(const Ports &Use, const LeaderRecord &Own, std::int64_t Version,
+               TimePoint SentAt)
+    : Use(Use), Own(Own),
+      Writer(Use.Store, Use.Time, Use.Times, Own, Version, SentAt),
+      Scheduler(Own.Term),
+      Registry(Use.Store, Use.Time, Use.Records.workerTable(), RegistryGap,
+               RegistryWait,
+               {[this](const std::vector<StoredRow> &Rows) {
+                  registryReplaced(Rows);
+                },
+                [this](const std::vector<StoredRow> &Rows) {
+                  registryChanged(Rows);
+                }}),
+      LastToken(Own.Term * TokensPerTerm), TookOfficeAt(Use.Time.now()),
+      TablesToLoad{RosterTable, ProgressTable, JobTable} {
+  Use.Log.event("leading", Own.Instance.Name,
+                {{"term", std::to_string(Own.Term)},
+                 {"version", std::to_string(Version)}});
+}
+
+void Leader::setPolicy(const jobs::ClusterPolicy &Next) {
+  Scheduler.setPolicy(Next);
+  Dirty = true;
+}
+
+// Takeover.
+
+void Leader::load(const std::string &Table, const std::string &From) {
+  Loading = true;
+  Use.Store.read(Table, CellPart, From,
+                 Life.guard([this, Table](const ReadResult &Page) {
+                   Loading = false;
+                   loaded(Table, Page);
+                 }));
+}
+
+void Leader::loaded(const std::string &Table, const ReadResult &Page) {
+  if (Page.Outcome != StoreOutcome::Done) {
+    NextLoad = Use.Time.now() + Duration{100};
+    return;
+  }
+  for (const StoredRow &Row : Page.Rows) {
+    bool Readable = true;
+    if (Table == JobTable) {
+      auto Spec = decodeJobSpec(Row.Value);
+      Readable = bool(Spec);
+      if (Spec)
+        LoadedJobs[Row.Key] = std::move(*Spec);
+    } else if (Table == ProgressTable) {
+      auto Progress = decodeProgress(Row.Value);
+      Readable = bool(Progress);
+      if (Progress)
+        LoadedProgress[Row.Key] = std::move(*Progress);
+    } else {
+      auto Roster = decodeRoster(Row.Value);
+      Readable = bool(Roster);
+      if (Roster)
+        LoadedRoster.insert(LoadedRoster.end(), Roster->begin(), Roster->end());
+    }
+    if (!Readable)
+      Use.Log.event("stored row unreadable", Row.Key, {{"table", Table}});
+  }
+  if (Page.HasMore && !Page.Rows.empty()) {
+    LoadFrom = Page.Rows.back().Key + '\x01';
+    return;
+  }
+  LoadFrom.clear();
+  TablesToLoad.pop_back();
+  if (TablesToLoad.empty())
+    restoreJobs();
+}
+
+void Leader::restoreJobs() {
+  const TimePoint Now = Use.Time.now();
+  const std::int64_t Today = Use.Calendar.unixMs();
+  for (const auto &[Id, Spec] : LoadedJobs) {
+    const auto Progress = LoadedProgress.find(Id);
+    const Duration Age(
+        std::max<std::int64_t>(Today - Spec.AcceptedUnixMs, 0));
+    Scheduler.restore(Spec,
+                      Progress == LoadedProgress.end() ? jobs::JobProgress{}
+                                                       : Progress->second,
+                      Age, Now);
+  }
+  for (const auto &[Id, Progress] : LoadedProgress) {
+    if (LoadedJobs.contains(Id))
+      continue;
+    // Only the end of the job is kept.
+    jobs::JobSpec Ended;
+    Ended.Id = Id;
+    Ended.Queue = Progress.Queue;
+    Scheduler.restore(Ended, Progress, Duration{0}, Now);
+  }
+  for (const RosterEntry &Entry : LoadedRoster) {
+    Care &Known = Cares[Entry.Life.Id];
+    if (Known.Info.Life.Born > Entry.Life.Born)
+      continue; // The registry names a later life.
+    const bool Listed = Known.Listed && Known.Info.Life == Entry.Life;
+    if (!Listed) {
+      Known.Info = jobs::WorkerInfo{};
+      Known.Info.Life = Entry.Life;
+      Known.Info.Address = Entry.Address;
+      Known.Info.Zone = Entry.Zone;
+      Known.Info.Draining = true;
+      Known.UnlistedSince = Now;
+      Scheduler.updateWorker(Known.Info, Now);
+    }
+    Known.InRoster = true;
+  }
+  // A member of the last leader may have extended leases for as long as its
+  // own lasted, and that was granted before the last leader's office ended.
+  for (auto &[Id, Entry] : Cares)
+    Entry.LeaseBound = TookOfficeAt + Use.Times.MemberLease +
+                       Use.Times.WorkerLease + Use.Times.LeaderMargin;
+  Use.Log.event("state loaded", Own.Instance.Name,
+                {{"term", std::to_string(Own.Term)},
+                 {"jobs", std::to_string(LoadedJobs.size())},
+                 {"ended", std::to_string(LoadedProgress.size())},
+                 {"roster", std::to_string(LoadedRoster.size())},
+                 {"after_ms", std::to_string((Now - TookOfficeAt).count())}});
+  LoadedJobs.clear();
+  LoadedProgress.clear();
+  LoadedRoster.clear();
+  Loaded = true;
+  Dirty = true;
+}
+
+// The registry of workers.
+
+void Leader::registryReplaced(const std::vector<StoredRow> &Rows) {
+  std::set<std::string> Named;
+  for (const StoredRow &Row : Rows) {
+    registryRow(Row);
+    Named.insert(Row.Key);
+  }
+  for (auto &[Id, Entry] : Cares)
+    if (Entry.Listed && !Named.contains(Id))
+      unlist(Entry);
+  RegistryRead = true;
+  Dirty = true;
+}
+
+void Leader::registryChanged(const std::vector<StoredRow> &Rows) {
+  for (const StoredRow &Row : Rows)
+    registryRow(Row);
+}
+
+void Leader::registryRow(const StoredRow &Row) {
+  const auto Found = Cares.find(Row.Key);
+  if (Row.Deleted) {
+    if (Found != Cares.end() && Found->second.Listed)
+      unlist(Found->second);
+    return;
+  }
+  const auto Info = Use.Records.workerIn(Row);
+  if (!Info)
+    return; // Another writer's entry names no worker to use.
+  if (Found != Cares.end() && Found->second.Listed &&
+      Found->second.Info == *Info)
+    return;
+  const TimePoint Now = Use.Time.now();
+  if (Found != Cares.end() && Found->second.Info.Life.Born > Info->Life.Born)
+    return; // An old entry of an earlier life.
+  if (Found != Cares.end() && Found->second.Info.Life != Info->Life) {
+    Use.Log.event("worker restarted", Row.Key,
+                  {{"born", std::to_string(Info->Life.Born)}});
+    forgetWorker(Row.Key);
+  }
+  Care &Entry = Cares[Row.Key];
+  if (Entry.Info.Draining != Info->Draining)
+    Use.Log.event("worker drain state", Row.Key,
+                  {{"draining", Info->Draining ? "1" : "0"}});
+  Entry.Info = *Info;
+  Entry.Listed = true;
+  Scheduler.updateWorker(*Info, Now);
+  Dirty = true;
+}
+
+void Leader::unlist(Care &Entry) {
+  Entry.Listed = false;
+  Entry.UnlistedSince = Use.Time.now();
+  Use.Log.event("worker left the registry", Entry.Info.Life.Id, {});
+}
+
+void Leader::expireUnlisted() {
+  const TimePoint Now = Use.Time.now();
+  std::vector<std::string> Gone;
+  for (auto &[Id, Entry] : Cares) {
+    if (Entry.Listed || Now - Entry.UnlistedSince < UnlistedGrace)
+      continue;
+    if (!Entry.Info.Draining) {
+      Entry.Info.Draining = true;
+      Scheduler.updateWorker(Entry.Info, Now);
+    }
+    const jobs::Worker *Known = Scheduler.worker(Id);
+    const bool Empty = Entry.Settled && (!Known || Known->runs().empty());
+    if (Empty && (!Known || !Known->isSynced() || !Known->isReachable()))
+      Gone.push_back(Id);
+  }
+  for (const std::string &Id : Gone) {
+    Use.Log.event("worker gone", Id, {});
+    forgetWorker(Id);
+  }
+}
+
+void Leader::forgetWorker(const std::string &Id) {
+  const auto Found = Cares.find(Id);
+  if (Found == Cares.end())
+    return;
+  releaseFromMember(Id);
+  Scheduler.removeWorker(Found->second.Info.Life, Use.Time.now());
+  if (Found->second.InRoster || Found->second.RosterPending)
+    Writer.remove(RosterTable, Id);
+  Cares.erase(Found);
+  Dirty = true;
+}
+
+void Leader::releaseFromMember(const std::string &Id) {
+  Care &Entry = Cares.at(Id);
+  const auto Member = Members.find(Entry.Member);
+  if (Member != Members.end()) {
+    Member->second.Workers.erase(Id);
+    Member->second.Outgoing.Dismissed.push_back(Entry.Info.Life);
+  }
+  Entry.Member.clear();
+}
+
+// Mail.
+
+std::optional<Receipt> Leader::receive(const Envelope &Mail) {
+  if (Writer.isDeposed() || Mail.Term != Own.Term)
+    return Receipt{false};
+  // Without authority nothing is promised; the member sends the mail again.
+  if (!Writer.isLeaseValid())
+    return std::nullopt;
+  const TimePoint Now = Use.Time.now();
+  auto Found = Members.find(Mail.From.Name);
+  const bool IsOpen =
+      Found != Members.end() && Found->second.Session == Mail.Session;
+  if (!IsOpen) {
+    if (Mail.Sequence != 1)
+      return Receipt{false};
+    if (Found != Members.end())
+      closeMember(Mail.From.Name);
+    MemberState &Fresh = Members[Mail.From.Name];
+    Fresh.Info = Mail.From;
+    Fresh.Session = Mail.Session;
+    Fresh.Sender = std::make_unique<MailSender>(
+        Use.Peers, Use.Time, Use.Times, Mail.From.Address,
+        MailSender::Source{[&Fresh] { return !Fresh.Outgoing.isEmpty(); },
+                           [this, &Fresh](std::int64_t Sequence) {
+                             return compose(Fresh, Sequence);
+                           }});
+    Found = Members.find(Mail.From.Name);
+    Use.Log.event("member joined", Mail.From.Name,
+                  {{"session", Mail.Session},
+                   {"zone", Mail.From.Zone}});
+  }
+  MemberState &From = Found->second;
+  From.LastHeard = Now;
+  switch (From.Receiver.judge(Mail.Sequence)) {
+  case MailReceiver::Verdict::OutOfOrder:
+    return Receipt{false};
+  case MailReceiver::Verdict::Repeated:
+    return Receipt{true};
+  case MailReceiver::Verdict::New:
+    break;
+  }
+  if (!Mail.ToLeader)
+    return Receipt{true};
+  const MemberMail &Content = *Mail.ToLeader;
+  for (const Submission &Handed : Content.Submissions)
+    submit(From, Handed);
+  for (const WorkerReport &Report : Content.Workers)
+    workerReported(From, Report);
+  for (const RefusedStart &Refused : Content.Refused) {
+    Scheduler.startRefused(Refused.Life, Refused.Task, Refused.Run,
+                           Refused.Reason, Now);
+    Dirty = true;
+  }
+  for (const AdviceAnswer &Answer : Content.Advice)
+    adviceAnswered(From, Answer);
+  for (const Query &Asked : Content.Queries)
+    query(From, Asked);
+  if (Content.Leaving && !From.Leaving) {
+    From.Leaving = true;
+    Use.Log.event("member leaving", From.Info.Name, {});
+    const std::set<std::string> Workers = From.Workers;
+    for (const std::string &Id : Workers) {
+      Cares.at(Id).LeaseBound = Now + Use.Times.WorkerLease;
+      Scheduler.unsyncWorker(Cares.at(Id).Info.Life);
+      releaseFromMember(Id);
+    }
+  }
+  storeChanges();
+  return Receipt{true};
+}
+
+std::string Leader::compose(MemberState &To, std::int64_t Sequence) {
+  Envelope Mail;
+  Mail.Session = To.Session;
+  Mail.Sequence = Sequence;
+  Mail.Term = Own.Term;
+  Mail.FromLeader = true;
+  Mail.From = Own.Instance;
+  Mail.ToMember = std::exchange(To.Outgoing, LeaderMail{});
+  return encode(Mail);
+}
+
+// Callers' calls.
+
+void Leader::submit(MemberState &From, const Submission &Handed) {
+  const std::string &Id = Handed.Job.Id;
+  const std::string Member = From.Info.Name;
+  const std::string Session = From.Session;
+  const std::uint64_t Tag = Handed.Tag;
+  const auto Answer = [this, Member, Session, Tag] {
+    submitted(Member, Session, Tag, SubmitResult::Accepted);
+  };
+  if (!Loaded) {
+    // The job may be known already; that is clear once the state is loaded.
+    From.Outgoing.Submitted.push_back(
+        {Tag, SubmitResult::Busy, std::int64_t(1000)});
+    return;
+  }
+  if (Scheduler.find(Id)) {
+    Answer();
+    return;
+  }
+  if (const auto Waiting = Storing.find(Id); Waiting != Storing.end()) {
+    Waiting->second.push_back(Answer);
+    return;
+  }
+  if (const auto Problem = jobs::problemOf(Handed.Job)) {
+    Use.Log.event("job malformed", Id, {{"problem", *Problem}});
+    From.Outgoing.Submitted.push_back({Tag, SubmitResult::Malformed, 0});
+    return;
+  }
+  Storing[Id].push_back(Answer);
+  Writer.put(JobTable, Id, encode(Handed.Job));
+  Writer.whenStored(Life.guard([this, Job = Handed.Job] {
+    Scheduler.add(Job, Use.Time.now());
+    Use.Log.event("job accepted", Job.Id,
+                  {{"queue", Job.Queue},
+                   {"account", Job.Account},
+                   {"steps", std::to_string(Job.Steps.size())},
+                   {"tasks", std::to_string(Job.Steps.front().Count)}});
+    Dirty = true;
+    const auto Waiting = Storing.extract(Job.Id);
+    if (!Waiting.empty())
+      for (const auto &Then : Waiting.mapped())
+        Then();
+  }));
+}
+
+void Leader::submitted(const std::string &Member, const std::string &Session,
+                       std::uint64_t Tag, SubmitResult Result) {
+  const auto Found = Members.find(Member);
+  if (Found != Members.end() && Found->second.Session == Session)
+    Found->second.Outgoing.Submitted.push_back({Tag, Result, 0});
+}
+
+void Leader::query(MemberState &From, const Query &Asked) {
+  if (!Loaded)
+    return; // The member gives up at the caller's deadline.
+  const std::string Member = From.Info.Name;
+  const std::string Session = From.Session;
+  if (Asked.Kind == QueryKind::Cancel && Scheduler.find(Asked.Subject)) {
+    Scheduler.cancel(Asked.Subject, Use.Time.now());
+    Use.Log.event("job cancelled", Asked.Subject, {});
+    Dirty = true;
+    storeChanges();
+    Writer.whenStored(Life.guard([this, Member, Session, Asked] {
+      answerQuery(Member, Session, Asked);
+    }));
+    return;
+  }
+  // A job that is being stored is about to be known.
+  if (Storing.contains(Asked.Subject)) {
+    Storing[Asked.Subject].push_back([this, Member, Session, Asked] {
+      if (Asked.Kind == QueryKind::Cancel) {
+        const auto Found = Members.find(Member);
+        if (Found != Members.end() && Found->second.Session == Session)
+          query(Found->second, Asked);
+        return;
+      }
+      answerQuery(Member, Session, Asked);
+    });
+    return;
+  }
+  answerQuery(Member, Session, Asked);
+}
+
+void Leader::answerQuery(const std::string &Member, const std::string &Session,
+                         const Query &Asked) {
+  const auto Found = Members.find(Member);
+  if (Found == Members.end() || Found->second.Session != Session)
+    return;
+  QueryAnswer Answer{Asked.Tag, jobs::JobView::Unknown, 0};
+  if (Asked.Kind == QueryKind::Pending)
+    Answer.Count = Scheduler.pending(Asked.Subject);
+  else
+    Answer.View = Scheduler.view(Asked.Subject);
+  Found->second.Outgoing.Answers.push_back(Answer);
+}
+
+// Workers.
+
+void Leader::workerReported(MemberState &From, const WorkerReport &Report) {
+  const auto Found = Cares.find(Report.Life.Id);
+  if (Found == Cares.end() || Found->second.Info.Life != Report.Life ||
+      Found->second.Token != Report.Token ||
+      Found->second.Member != From.Info.Name)
+    return; // A report by an earlier holder.
+  Care &Entry = Found->second;
+  const TimePoint Now = Use.Time.now();
+  Dirty = true;
+  switch (Report.Event) {
+  case WorkerEvent::Synced:
+    Entry.Settled = true;
+    Scheduler.syncWorker(Report.Life, Report.Running, Report.Ended, Now);
+    Use.Log.event("worker synced", Report.Life.Id,
+                  {{"member", From.Info.Name},
+                   {"token", std::to_string(Report.Token)},
+                   {"running", std::to_string(Report.Running.size())},
+                   {"ended", std::to_string(Report.Ended.size())}});
+    synced(Report, Entry);
+    acknowledge(Report);
+    return;
+  case WorkerEvent::Ended:
+    for (const jobs::ActiveRun &Run : Report.Running)
+      Scheduler.runProgressed(Report.Life, Run);
+    for (const jobs::EndedRun &End : Report.Ended) {
+      Scheduler.runEnded(Report.Life, End, Now);
+      Use.Log.event("run ended", End.Task,
+                    {{"run", std::to_string(End.Run)},
+                     {"worker", Report.Life.Id},
+                     {"how", std::string(
+                                 nameIn(jobs::EndKindNames, End.Kind))}});
+    }
+    acknowledge(Report);
+    return;
+  case WorkerEvent::Reachable:
+    Scheduler.setReachable(Report.Life, true);
+    return;
+  case WorkerEvent::Unreachable:
+    Scheduler.setReachable(Report.Life, false);
+    return;
+  case WorkerEvent::Lapsed:
+    Entry.Settled = true;
+    Scheduler.lapseWorker(Report.Life, Now);
+    Scheduler.setReachable(Report.Life, false);
+    return;
+  case WorkerEvent::Fenced:
+    // Only an order of a later term can be the cause, unless a message of an
+    // earlier holder of this term came late; a new token settles both.
+    Scheduler.unsyncWorker(Report.Life);
+    From.Workers.erase(Report.Life.Id);
+    Entry.Member.clear();
+    return;
+  case WorkerEvent::OtherLife:
+    // Whatever ran in this life has ended with it. The registry names the
+    // next life when it has reported.
+    Entry.Settled = true;
+    Scheduler.lapseWorker(Report.Life, Now);
+    Scheduler.setReachable(Report.Life, false);
+    return;
+  }
+}
+
+void Leader::synced(const WorkerReport &Report, Care &Entry) {
+  if (Entry.InRoster)
+    return;
+  // Not used before the roster names it, as a next leader must know of it.
+  Scheduler.setReachable(Report.Life, false);
+  if (Entry.RosterPending)
+    return;
+  Entry.RosterPending = true;
+  Writer.put(RosterTable, Report.Life.Id,
+             encode(std::vector<RosterEntry>{
+                 {Report.Life, Entry.Info.Address, Entry.Info.Zone}}));
+  Writer.whenStored(Life.guard([this, Of = Report.Life] {
+    const auto Found = Cares.find(Of.Id);
+    if (Found == Cares.end() || Found->second.Info.Life != Of)
+      return;
+    Found->second.InRoster = true;
+    Found->second.RosterPending = false;
+    Scheduler.setReachable(Of, true);
+    Dirty = true;
+  }));
+}
+
+void Leader::acknowledge(const WorkerReport &Report) {
+  if (Report.Ended.empty())
+    return;
+  std::int64_t UpTo = 0;
+  for (const jobs::EndedRun &End : Report.Ended)
+    UpTo = std::max(UpTo, End.Number);
+  storeChanges();
+  Writer.whenStored(Life.guard([this, Of = Report.Life, Token = Report.Token,
+                                UpTo] {
+    const auto Found = Cares.find(Of.Id);
+    if (Found == Cares.end() || Found->second.Token != Token)
+      return;
+    if (MemberState *To = memberInCharge(Of))
+      To->Outgoing.Acks.push_back({Of, UpTo});
+  }));
+}
+
+void Leader::storeChanges() {
+  const std::set<std::string> Changed = Scheduler.takeChanged();
+  for (const std::string &Id : Changed) {
+    const jobs::Job *Entry = Scheduler.find(Id);
+    if (!Entry)
+      continue;
+    const jobs::JobProgress Progress = Entry->progress();
+    if (Progress.Phase != jobs::JobPhase::Active) {
+      Writer.remove(JobTable, Id);
+      Use.Log.event("job ended", Id,
+                    {{"phase", std::string(nameIn(jobs::JobPhaseNames,
+                                                  Progress.Phase))},
+                     {"after_ms",
+                      std::to_string((Use.Time.now() - Entry->AcceptedAt)
+                                         .count())},
+                     {"allowed_ms",
+                      std::to_string(
+                          (Entry->Due - Entry->AcceptedAt).count())}});
+    }
+    Writer.put(ProgressTable, Id, encode(Progress));
+    if (Progress.Phase != jobs::JobPhase::Active)
+      Writer.whenStored(
+          Life.guard([this, Id] { Scheduler.phaseStored(Id); }));
+  }
+}
+
+// Members.
+
+void Leader::checkMembers() {
+  const TimePoint Now = Use.Time.now();
+  std::vector<std::string> Silent;
+  for (const auto &[Name, Entry] : Members)
+    if (Now - Entry.LastHeard > MemberSilence || Entry.Sender->isBroken())
+      Silent.push_back(Name);
+  for (const std::string &Name : Silent)
+    closeMember(Name);
+}
+
+void Leader::closeMember(const std::string &Name) {
+  const auto Found = Members.find(Name);
+  const TimePoint Heard = Found->second.LastHeard;
+  Use.Log.event("member lost", Name,
+                {{"silent_ms",
+                  std::to_string((Use.Time.now() - Heard).count())},
+                 {"workers", std::to_string(Found->second.Workers.size())}});
+  for (const std::string &Id : Found->second.Workers) {
+    Care &Entry = Cares.at(Id);
+    Entry.Member.clear();
+    Entry.LeaseBound = std::max(
+        Entry.LeaseBound, Heard + Use.Times.MemberLease +
+                              Use.Times.WorkerLease + Use.Times.LeaderMargin);
+    Scheduler.unsyncWorker(Entry.Info.Life);
+  }
+  for (const auto &[Step, Due] : Found->second.AdviceDue)
+    Scheduler.adviceFailed(Step);
+  Members.erase(Found);
+  Dirty = true;
+}
+
+Leader::MemberState *Leader::memberFor(const Care &Entry) {
+  MemberState *Best = nullptr;
+  double BestLoad = 0;
+  for (auto &[Name, Candidate] : Members) {
+    if (Candidate.Leaving || !Candidate.Sender->isConfirmed())
+      continue;
+    double Share = Candidate.Info.CpuShare;
+    if (Name == Own.Instance.Name)
+      Share *= OwnShareOfWorkers;
+    double Load = double(Candidate.Workers.size() + 1) / std::max(Share, 0.01);
+    // Bytes between zones cost time and money, so another zone's member is
+    // taken only if it has far less to do.
+    if (Candidate.Info.Zone != Entry.Info.Zone)
+      Load *= 4;
+    if (!Best || Load < BestLoad) {
+      Best = &Candidate;
+      BestLoad = Load;
+    }
+  }
+  return Best;
+}
+
+void Leader::assignWorkers() {
+  const TimePoint Now = Use.Time.now();
+  for (auto &[Id, Entry] : Cares) {
+    if (!Entry.Member.empty())
+      continue;
+    MemberState *To = memberFor(Entry);
+    if (!To)
+      return;
+    Entry.Member = To->Info.Name;
+    Entry.Token = ++LastToken;
+    To->Workers.insert(Id);
+    const Duration Assumed = std::max(Entry.LeaseBound - Now, Duration{0});
+    To->Outgoing.Assigned.push_back({Entry.Info.Life, Entry.Info.Address,
+                                     Entry.Token,
+                                     std::int64_t(Assumed.count())});
+  }
+}
+
+Leader::MemberState *Leader::memberInCharge(const jobs::WorkerLife &Life) {
+  const auto Found = Cares.find(Life.Id);
+  if (Found == Cares.end() || Found->second.Info.Life != Life)
+    return nullptr;
+  const auto Member = Members.find(Found->second.Member);
+  return Member == Members.end() ? nullptr : &Member->second;
+}
+
+// Decisions.
+
+void Leader::settle() {
+  if (!Scheduler.hasUnknown() || !Loaded || !RegistryRead)
+    return;
+  const bool AllSettled =
+      std::all_of(Cares.begin(), Cares.end(), [](const auto &Entry) {
+        return Entry.second.Settled || !Entry.second.InRoster;
+      });
+  if (!AllSettled)
+    return;
+  Use.Log.event("all workers read", Own.Instance.Name,
+                {{"after_ms", std::to_string(
+                                  (Use.Time.now() - TookOfficeAt).count())}});
+  Scheduler.resolveUnknown(Use.Time.now());
+  Dirty = true;
+}
+
+int Leader::adviceSlots() {
+  int Slots = 0;
+  for (const auto &[Name, Entry] : Members)
+    if (!Entry.Leaving)
+      Slots += int(MaxAdvicePerMember) -
+               int(std::min(Entry.AdviceDue.size(), MaxAdvicePerMember));
+  return Slots;
+}
+
+void Leader::decide() {
+  const TimePoint Now = Use.Time.now();
+  const Duration Since = Now - LastDecision;
+  if (Since < DecisionGap || (!Dirty && Since < DecisionPeriod))
+    return;
+  LastDecision = Now;
+  Dirty = false;
+  dispatch(Scheduler.decide(Now, adviceSlots()));
+}
+
+void Leader::dispatch(const jobs::Decisions &Made) {
+  for (const jobs::StopOrder &Order : Made.Stops)
+    if (MemberState *To = memberInCharge(Order.Worker))
+      To->Outgoing.Stops.push_back(Order);
+  for (const jobs::StartOrder &Order : Made.Starts)
+    if (MemberState *To = memberInCharge(Order.Worker))
+      To->Outgoing.Starts.push_back(Order);
+  for (const jobs::AdviceRequest &Request : Made.Advice)
+    dispatchAdvice(Request);
+}
+
+void Leader::dispatchAdvice(const jobs::AdviceRequest &Request) {
+  const TimePoint Now = Use.Time.now();
+  const bool Slow = Request.CostMs >= SlowAdviceMs;
+  std::vector<MemberState *> Able;
+  for (auto &[Name, Entry] : Members)
+    if (!Entry.Leaving)
+      Able.push_back(&Entry);
+  if (Able.empty()) {
+    Scheduler.adviceFailed(Request.Step);
+    return;
+  }
+  // The first half takes slow calls, the rest fast ones.
+  const std::size_t Half = (Able.size() + 1) / 2;
+  auto First = Able.begin();
+  auto Last = Able.end();
+  if (Able.size() > 1 && Slow)
+    Last = Able.begin() + std::ptrdiff_t(Half);
+  else if (Able.size() > 1)
+    First = Able.begin() + std::ptrdiff_t(Half);
+  MemberState *Best =
+      *std::min_element(First, Last, [](const auto *Left, const auto *Right) {
+        return Left->AdviceBusyUntil < Right->AdviceBusyUntil;
+      });
+  const TimePoint Start = std::max(Best->AdviceBusyUntil, Now);
+  Best->AdviceBusyUntil = Start + Duration(Duration::rep(Request.CostMs) + 1);
+  Best->AdviceDue[Request.Step] = Best->AdviceBusyUntil + AdvicePatience;
+  Best->Outgoing.Advice.push_back(Request);
+}
+
+void Leader::adviceAnswered(MemberState &From, const AdviceAnswer &Answer) {
+  From.AdviceDue.erase(Answer.Step);
+  if (From.AdviceDue.empty())
+    From.AdviceBusyUntil = Use.Time.now();
+  Dirty = true;
+  if (!Answer.Answered) {
+    Use.Log.event("advice missing", Answer.Step, {{"member", From.Info.Name}});
+    Scheduler.adviceFailed(Answer.Step);
+    return;
+  }
+  Scheduler.adviceArrived(Answer.Step, Answer.Asked, Answer.Approved,
+                          Use.Time.now());
+}
+
+void Leader::expireAdvice() {
+  const TimePoint Now = Use.Time.now();
+  for (auto &[Name, Entry] : Members) {
+    std::vector<std::string> Over;
+    for (const auto &[Step, Due] : Entry.AdviceDue)
+      if (Now >= Due)
+        Over.push_back(Step);
+    for (const std::string &Step : Over) {
+      Entry.AdviceDue.erase(Step);
+      Scheduler.adviceFailed(Step);
+    }
+  }
+}
+
+void Leader::forgetOldJobs() {
+  const TimePoint Now = Use.Time.now();
+  for (const std::string &Id :
+       Scheduler.endedBefore(Now - Use.Times.StatusRetention)) {
+    Scheduler.forget(Id);
+    Writer.remove(ProgressTable, Id);
+  }
+}
+
+void Leader::pump() {
+  if (Writer.isDeposed())
+    return;
+  const TimePoint Now = Use.Time.now();
+  if (!Loaded && !Loading && Now >= NextLoad)
+    load(TablesToLoad.back(), LoadFrom);
+  Registry.pump();
+  // Without a valid lease nothing is ordered or told; the journal goes on
+  // trying to renew it.
+  if (Writer.isLeaseValid()) {
+    checkMembers();
+    if (Loaded && RegistryRead) {
+      if (Now >= NextSweep) {
+        NextSweep = Now + Duration{100};
+        expireUnlisted();
+        expireAdvice();
+        forgetOldJobs();
+      }
+      assignWorkers();
+      settle();
+      decide();
+      storeChanges();
+    }
+    for (auto &[Name, Entry] : Members)
+      Entry.Sender->pump();
+  }
+  Writer.pump();
+}
+
+} // namespace apricotwing::cell
--- a/src/cli/httptransport.h
+++ b/src/cli/httptransport.h
@@ -4,7 +4,7 @@
 #define APRICOTWING_CLI_HTTPTRANSPORT_H
 
 #include "cli/transport.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 
 namespace apricotwing {
 
--- a/src/cli/keycommands.cpp
+++ b/src/cli/keycommands.cpp
@@ -3,7 +3,7 @@
 #include "cli/keyfile.h"
 #include "cli/proposal.h"
 #include "cli/report.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 
 #include <unistd.h>
 
--- a/src/cli/keyfile.cpp
+++ b/src/cli/keyfile.cpp
@@ -2,7 +2,7 @@
 
 #include "cli/command.h"
 #include "core/secret.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 
 #include <fcntl.h>
 #include <sys/stat.h>
--- a/src/cli/runcommands.cpp
+++ b/src/cli/runcommands.cpp
@@ -1,7 +1,7 @@
 #include "cli/runcommands.h"
 
 #include "cli/report.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 #include "wire/runcodec.h"
 
 #include <array>
--- a/src/daemon/api.cpp
+++ b/src/daemon/api.cpp
@@ -2,7 +2,7 @@
 
 #include "core/shardmap.h"
 #include "daemon/errorresponse.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 #include "wire/configcodec.h"
 #include "wire/instancecodec.h"
 #include "wire/peercodec.h"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,6 @@
 #include "daemon/daemon.h"
 
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 
 #include <thread>
 #include <utility>
--- a/src/daemon/runservice.cpp
+++ b/src/daemon/runservice.cpp
@@ -1,7 +1,7 @@
 #include "daemon/runservice.h"
 
 #include "core/shardmap.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 
 #include <chrono>
 #include <future>
--- /dev/null
+++ b/src/entry/httppeers.cpp
@@ -0,0 +1,28 @@
+#include "entry/httppeers.h"
+
+#include <utility>
+
+namespace apricotwing::entry {
+
+void HttpPeers::post(const std::string &Address, std::string Body,
+                     Duration Timeout,
+                     std::function<void(std::optional<std::string>)> Then) {
+  HttpCall Call;
+  Call.Method = "POST";
+  Call.Url = "http://" + Address + MailPath;
+  Call.Headers["Content-Type"] = "application/json";
+  Call.Body = std::move(Body);
+  Call.ConnectTimeout = Timeout;
+  Call.Timeout = Timeout;
+  // The receiver tells repeated mail by its number.
+  Call.MayResend = true;
+  Client.start(std::move(Call), [this, Then = std::move(Then)](
+                                    HttpResult Result) {
+    std::optional<std::string> Reply;
+    if (Result.State == TransferState::Complete && Result.Status == 200)
+      Reply = std::move(Result.Body);
+    Control.post([Then, Reply = std::move(Reply)] { Then(Reply); });
+  });
+}
+
+} // namespace apricotwing::entry
--- /dev/null
+++ b/src/entry/httppeers.h
@@ -0,0 +1,32 @@
+/// \file
+/// Mail between entry instances over HTTP.
+#ifndef APRICOTWING_ENTRY_HTTPPEERS_H
+#define APRICOTWING_ENTRY_HTTPPEERS_H
+
+#include "cell/ports.h"
+#include "entry/controlloop.h"
+#include "httpclient/multiclient.h"
+
+namespace apricotwing::entry {
+
+/// Path of the mail between instances.
+inline constexpr const char *MailPath = "/cell/v1/mail";
+
+/// Posts mail with a MultiClient. Owned by the process; thread-safe.
+class HttpPeers final : public cell::PeerTransport {
+public:
+  HttpPeers(MultiClient &Client, ControlLoop &Control)
+      : Client(Client), Control(Control) {}
+
+  /// See PeerTransport; \p Then runs on the control thread.
+  void post(const std::string &Address, std::string Body, Duration Timeout,
+            std::function<void(std::optional<std::string>)> Then) override;
+
+private:
+  MultiClient &Client;
+  ControlLoop &Control;
+};
+
+} // namespace apricotwing::entry
+
+#endif
--- a/src/platform/crypto.cpp
+++ b/src/httpclient/crypto.cpp
@@ -1,4 +1,4 @@
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 
 #include "core/error.h"
 
--- a/src/platform/crypto.h
+++ b/src/httpclient/crypto.h
@@ -1,7 +1,7 @@
 /// \file
 /// Digests and random identifiers.
-#ifndef APRICOTWING_PLATFORM_CRYPTO_H
-#define APRICOTWING_PLATFORM_CRYPTO_H
+#ifndef APRICOTWING_HTTPCLIENT_CRYPTO_H
+#define APRICOTWING_HTTPCLIENT_CRYPTO_H
 
 #include <string>
 #include <string_view>
--- a/src/platform/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -1,7 +1,7 @@
 /// \file
 /// Blocking HTTP calls on libcurl.
-#ifndef APRICOTWING_PLATFORM_HTTPCLIENT_H
-#define APRICOTWING_PLATFORM_HTTPCLIENT_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPCLIENT_H
+#define APRICOTWING_HTTPCLIENT_HTTPCLIENT_H
 
 #include "core/time.h"
 
--- a/src/platform/httpinstancelist.cpp
+++ b/src/httpclient/httpinstancelist.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpinstancelist.h"
+#include "httpclient/httpinstancelist.h"
 
 #include "core/error.h"
 #include "wire/platformcodec.h"
--- a/src/platform/httpinstancelist.h
+++ b/src/httpclient/httpinstancelist.h
@@ -1,10 +1,10 @@
 /// \file
 /// The platform's list of instances over HTTP.
-#ifndef APRICOTWING_PLATFORM_HTTPINSTANCELIST_H
-#define APRICOTWING_PLATFORM_HTTPINSTANCELIST_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPINSTANCELIST_H
+#define APRICOTWING_HTTPCLIENT_HTTPINSTANCELIST_H
 
 #include "core/platform.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 
 #include <string>
 
--- a/src/platform/httpobjectstore.cpp
+++ b/src/httpclient/httpobjectstore.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpobjectstore.h"
+#include "httpclient/httpobjectstore.h"
 
 #include "core/error.h"
 
--- a/src/platform/httpobjectstore.h
+++ b/src/httpclient/httpobjectstore.h
@@ -1,10 +1,10 @@
 /// \file
 /// The platform's object store over HTTP.
-#ifndef APRICOTWING_PLATFORM_HTTPOBJECTSTORE_H
-#define APRICOTWING_PLATFORM_HTTPOBJECTSTORE_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPOBJECTSTORE_H
+#define APRICOTWING_HTTPCLIENT_HTTPOBJECTSTORE_H
 
 #include "core/platform.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 
 #include <string>
 
--- a/src/platform/httppeerclient.cpp
+++ b/src/httpclient/httppeerclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/httppeerclient.h"
+#include "httpclient/httppeerclient.h"
 
 #include "core/error.h"
 #include "wire/peercodec.h"
--- a/src/platform/httppeerclient.h
+++ b/src/httpclient/httppeerclient.h
@@ -1,10 +1,10 @@
 /// \file
 /// Calls to other entry instances over HTTP.
-#ifndef APRICOTWING_PLATFORM_HTTPPEERCLIENT_H
-#define APRICOTWING_PLATFORM_HTTPPEERCLIENT_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPPEERCLIENT_H
+#define APRICOTWING_HTTPCLIENT_HTTPPEERCLIENT_H
 
 #include "core/platform.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 #include "wire/runcodec.h"
 
 #include <optional>
--- a/src/platform/httptableservice.cpp
+++ b/src/httpclient/httptableservice.cpp
@@ -1,4 +1,4 @@
-#include "platform/httptableservice.h"
+#include "httpclient/httptableservice.h"
 
 #include "core/error.h"
 #include "wire/errorcodec.h"
--- a/src/platform/httptableservice.h
+++ b/src/httpclient/httptableservice.h
@@ -1,10 +1,10 @@
 /// \file
 /// The platform's table service over HTTP.
-#ifndef APRICOTWING_PLATFORM_HTTPTABLESERVICE_H
-#define APRICOTWING_PLATFORM_HTTPTABLESERVICE_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPTABLESERVICE_H
+#define APRICOTWING_HTTPCLIENT_HTTPTABLESERVICE_H
 
 #include "core/tableservice.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 
 #include <string>
 
--- a/src/platform/httpupstreamclient.cpp
+++ b/src/httpclient/httpupstreamclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpupstreamclient.h"
+#include "httpclient/httpupstreamclient.h"
 
 namespace apricotwing {
 
--- a/src/platform/httpupstreamclient.h
+++ b/src/httpclient/httpupstreamclient.h
@@ -1,10 +1,10 @@
 /// \file
 /// Sends interactive requests to executors over HTTP.
-#ifndef APRICOTWING_PLATFORM_HTTPUPSTREAMCLIENT_H
-#define APRICOTWING_PLATFORM_HTTPUPSTREAMCLIENT_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPUPSTREAMCLIENT_H
+#define APRICOTWING_HTTPCLIENT_HTTPUPSTREAMCLIENT_H
 
 #include "core/platform.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 
 #include <functional>
 
--- a/src/platform/httpworkerclient.cpp
+++ b/src/httpclient/httpworkerclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/httpworkerclient.h"
+#include "httpclient/httpworkerclient.h"
 
 #include "core/error.h"
 #include "wire/errorcodec.h"
--- a/src/platform/httpworkerclient.h
+++ b/src/httpclient/httpworkerclient.h
@@ -1,10 +1,10 @@
 /// \file
 /// Calls to workers over HTTP.
-#ifndef APRICOTWING_PLATFORM_HTTPWORKERCLIENT_H
-#define APRICOTWING_PLATFORM_HTTPWORKERCLIENT_H
+#ifndef APRICOTWING_HTTPCLIENT_HTTPWORKERCLIENT_H
+#define APRICOTWING_HTTPCLIENT_HTTPWORKERCLIENT_H
 
 #include "core/platform.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 
 #include <string>
 
--- /dev/null
+++ b/src/httpclient/multiclient.h
@@ -0,0 +1,50 @@
+/// \file
+/// HTTP calls on libcurl that do not block their caller.
+#ifndef APRICOTWING_HTTPCLIENT_MULTICLIENT_H
+#define APRICOTWING_HTTPCLIENT_MULTICLIENT_H
+
+#include "httpclient/httpclient.h"
+
+#include <concurrentqueue/concurrentqueue.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace apricotwing {
+
+/// Performs any number of HTTP calls at a time in one thread of its own.
+/// Connections are kept and shared by all calls to an address. Owned by the
+/// process of an entry instance.
+class MultiClient {
+public:
+  /// Runs on the client's thread; must not block.
+  using Callback = std::function<void(HttpResult)>;
+
+  /// Starts the thread.
+  MultiClient();
+
+  /// Ends the thread. Calls under way are dropped without a callback.
+  ~MultiClient();
+  MultiClient(const MultiClient &) = delete;
+  MultiClient &operator=(const MultiClient &) = delete;
+
+  /// Starts \p Call and passes its result to \p Then. Its MaySend and
+  /// KeepConnection are not used. Thread-safe.
+  void start(HttpCall Call, Callback Then);
+
+private:
+  struct Job;
+  struct State;
+
+  void run();
+
+  std::unique_ptr<State> Shared;
+  std::atomic<bool> Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace apricotwing
+
+#endif
--- a/src/platform/steadyclock.cpp
+++ b/src/httpclient/steadyclock.cpp
@@ -1,4 +1,4 @@
-#include "platform/steadyclock.h"
+#include "httpclient/steadyclock.h"
 
 #include <ctime>
 
--- a/src/platform/steadyclock.h
+++ b/src/httpclient/steadyclock.h
@@ -1,7 +1,7 @@
 /// \file
 /// The monotonic clock of this process.
-#ifndef APRICOTWING_PLATFORM_STEADYCLOCK_H
-#define APRICOTWING_PLATFORM_STEADYCLOCK_H
+#ifndef APRICOTWING_HTTPCLIENT_STEADYCLOCK_H
+#define APRICOTWING_HTTPCLIENT_STEADYCLOCK_H
 
 #include "core/time.h"
 
--- a/src/platform/httpclient.cpp
+++ b/src/httpclient/transfer.cpp
@@ -1,6 +1,4 @@
-#include "platform/httpclient.h"
-
-#include <curl/curl.h>
+#include "httpclient/transfer.h"
 
 #include <algorithm>
 #include <cctype>
@@ -9,25 +7,11 @@
 
 namespace {
 
-/// Idle handles kept over all addresses; each costs up to one socket.
-constexpr std::size_t MaxIdleHandles = 512;
 
 /// Idle connections older than this are not used again, because a peer or a
 /// load balancer may be about to close them.
 constexpr long MaxIdleSeconds = 30;
 
-using HandlePointer = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
-using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
-
-/// State of one call that the callbacks of libcurl work on.
-struct Transfer {
-  const HttpCall &Call;
-  HttpResult &Result;
-  int Sends = 0;
-  bool Vetoed = false;
-  bool Overflowed = false;
-};
-
 int onReadyToSend(void *Context, char *, char *, int, int) {
   auto &State = *static_cast<Transfer *>(Context);
   if (State.Sends > 0 && !State.Call.MayResend)
@@ -89,36 +73,6 @@
   return Text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
 }
 
-bool isWellFormed(const HttpCall &Call) {
-  return !hasLineBreak(Call.Url) &&
-         std::none_of(
-             Call.Headers.begin(), Call.Headers.end(), [](const auto &Header) {
-               return hasLineBreak(Header.first) || hasLineBreak(Header.second);
-             });
-}
-
-/// "host:port" of an absolute URL.
-std::string addressOf(const std::string &Url) {
-  const std::size_t Scheme = Url.find("://");
-  const std::size_t Start = Scheme == std::string::npos ? 0 : Scheme + 3;
-  return Url.substr(Start, Url.find('/', Start) - Start);
-}
-
-HeaderList headerList(const HttpCall &Call) {
-  // Without this, libcurl waits up to 1 s for "100 Continue" before it sends
-  // a large body.
-  curl_slist *List = curl_slist_append(nullptr, "Expect:");
-  for (const auto &[Name, Value] : Call.Headers) {
-    std::string Line = Name;
-    // libcurl drops a header that ends in a colon; a semicolon stands for an
-    // empty value.
-    Line += Value.empty() ? ";" : ": ";
-    Line += Value;
-    List = curl_slist_append(List, Line.c_str());
-  }
-  return {List, curl_slist_free_all};
-}
-
 void setMethod(CURL *Handle, const HttpCall &Call) {
   if (Call.Method == "GET") {
     curl_easy_setopt(Handle, CURLOPT_HTTPGET, 1L);
@@ -158,6 +112,37 @@
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &State);
 }
 
+} // namespace
+
+bool isWellFormed(const HttpCall &Call) {
+  return !hasLineBreak(Call.Url) &&
+         std::none_of(
+             Call.Headers.begin(), Call.Headers.end(), [](const auto &Header) {
+               return hasLineBreak(Header.first) || hasLineBreak(Header.second);
+             });
+}
+
+std::string addressOf(const std::string &Url) {
+  const std::size_t Scheme = Url.find("://");
+  const std::size_t Start = Scheme == std::string::npos ? 0 : Scheme + 3;
+  return Url.substr(Start, Url.find('/', Start) - Start);
+}
+
+HeaderList headerList(const HttpCall &Call) {
+  // Without this, libcurl waits up to 1 s for "100 Continue" before it sends
+  // a large body.
+  curl_slist *List = curl_slist_append(nullptr, "Expect:");
+  for (const auto &[Name, Value] : Call.Headers) {
+    std::string Line = Name;
+    // libcurl drops a header that ends in a colon; a semicolon stands for an
+    // empty value.
+    Line += Value.empty() ? ";" : ": ";
+    Line += Value;
+    List = curl_slist_append(List, Line.c_str());
+  }
+  return {List, curl_slist_free_all};
+}
+
 void setUp(CURL *Handle, const HttpCall &Call, Transfer &State,
            const HeaderList &Headers) {
   curl_easy_reset(Handle);
@@ -174,7 +159,6 @@
   setCallbacks(Handle, State);
 }
 
-/// Fills in the outcome of a transfer that ended with \p Code.
 void conclude(const Transfer &State, CURLcode Code, CURL *Handle) {
   HttpResult &Result = State.Result;
   long Status = 0;
@@ -196,112 +180,4 @@
     Result.Detail = curl_easy_strerror(Code);
 }
 
-} // namespace
-
-std::string_view HttpResult::header(const std::string &Name) const {
-  const auto Found = Headers.find(Name);
-  return Found == Headers.end() ? std::string_view() : Found->second;
-}
-
-HttpClient::HttpClient() {
-  static std::once_flag Initialised;
-  std::call_once(Initialised, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
-}
-
-HttpClient::~HttpClient() {
-  for (const IdleHandle &Entry : Idle)
-    curl_easy_cleanup(Entry.Handle);
-}
-
-HttpResult HttpClient::perform(const HttpCall &Call) {
-  HttpResult Result;
-  Result.State = TransferState::NotSent;
-  if (!isWellFormed(Call)) {
-    Result.Detail = "the URL or a header contains a line break";
-    return Result;
-  }
-  const std::string Address = addressOf(Call.Url);
-  const bool MayReuse = Call.Connections == ConnectionUse::Reused;
-  HandlePointer Handle(MayReuse ? takeHandle(Address) : curl_easy_init(),
-                       curl_easy_cleanup);
-  if (!Handle) {
-    Result.Detail = "libcurl is out of memory";
-    return Result;
-  }
-  const HeaderList Headers = headerList(Call);
-  Transfer State{Call, Result};
-  setUp(Handle.get(), Call, State, Headers);
-  conclude(State, curl_easy_perform(Handle.get()), Handle.get());
-  countTraffic(Handle.get());
-  const bool Keep = MayReuse && Result.State == TransferState::Complete &&
-                    (!Call.KeepConnection || Call.KeepConnection(Result));
-  if (Keep)
-    returnHandle(Address, Handle.release());
-  return Result;
-}
-
-HttpTraffic HttpClient::traffic() const {
-  return {BytesSent.load(), BytesReceived.load(), Calls.load()};
-}
-
-void *HttpClient::takeHandle(const std::string &Address) {
-  {
-    const std::lock_guard Lock(Mutex);
-    const auto Found =
-        std::find_if(Idle.begin(), Idle.end(), [&](const IdleHandle &Entry) {
-          return Entry.Address == Address;
-        });
-    if (Found != Idle.end()) {
-      void *Handle = Found->Handle;
-      Idle.erase(Found);
-      return Handle;
-    }
-  }
-  return curl_easy_init();
-}
-
-void HttpClient::returnHandle(const std::string &Address, void *Handle) {
-  void *Surplus = nullptr;
-  {
-    const std::lock_guard Lock(Mutex);
-    Idle.push_front({Address, Handle});
-    if (Idle.size() > MaxIdleHandles) {
-      Surplus = Idle.back().Handle;
-      Idle.pop_back();
-    }
-  }
-  if (Surplus)
-    curl_easy_cleanup(Surplus);
-}
-
-void HttpClient::countTraffic(void *Handle) {
-  long RequestBytes = 0;
-  long HeaderBytes = 0;
-  curl_off_t Uploaded = 0;
-  curl_off_t Downloaded = 0;
-  curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &RequestBytes);
-  curl_easy_getinfo(Handle, CURLINFO_HEADER_SIZE, &HeaderBytes);
-  curl_easy_getinfo(Handle, CURLINFO_SIZE_UPLOAD_T, &Uploaded);
-  curl_easy_getinfo(Handle, CURLINFO_SIZE_DOWNLOAD_T, &Downloaded);
-  BytesSent += std::uint64_t(RequestBytes) + std::uint64_t(Uploaded);
-  BytesReceived += std::uint64_t(HeaderBytes) + std::uint64_t(Downloaded);
-  ++Calls;
-}
-
-std::string escapePath(const std::string &Text) {
-  static constexpr std::string_view Digits = "0123456789ABCDEF";
-  std::string Result;
-  for (const unsigned char Byte : Text) {
-    if (std::isalnum(Byte) != 0 ||
-        std::string_view("-._~/").find(char(Byte)) != std::string_view::npos) {
-      Result += char(Byte);
-      continue;
-    }
-    Result += '%';
-    Result += Digits[Byte >> 4U];
-    Result += Digits[Byte & 15U];
-  }
-  return Result;
-}
-
 } // namespace apricotwing
--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -99,6 +99,7 @@
     StatusRow{405, "Method Not Allowed"},
     StatusRow{408, "Request Timeout"},
     StatusRow{409, "Conflict"},
+    StatusRow{410, "Gone"},
     StatusRow{413, "Payload Too Large"},
     StatusRow{429, "Too Many Requests"},
     StatusRow{500, "Internal Server Error"},
--- /dev/null
+++ b/src/jobs/job.cpp
@@ -0,0 +1,101 @@
+#include "jobs/job.h"
+
+#include <algorithm>
+
+namespace apricotwing::jobs {
+
+bool Job::isStepDone(int Step) const {
+  const StepState &State = Steps[std::size_t(Step)];
+  return std::size_t(State.DoneCount) == State.Tasks.size();
+}
+
+bool Job::isUnblocked(int Step) const {
+  const std::vector<int> &After = Spec.Steps[std::size_t(Step)].After;
+  return std::all_of(After.begin(), After.end(),
+                     [this](int Earlier) { return isStepDone(Earlier); });
+}
+
+bool Job::isDone() const {
+  for (std::size_t Step = 0; Step < Steps.size(); ++Step)
+    if (!isStepDone(int(Step)))
+      return false;
+  return true;
+}
+
+Duration Job::remainingEstimate() const {
+  std::vector<Duration> EndOf;
+  Duration Longest{0};
+  for (std::size_t Step = 0; Step < Steps.size(); ++Step) {
+    Duration Start{0};
+    for (const int Earlier : Spec.Steps[Step].After)
+      Start = std::max(Start, EndOf[std::size_t(Earlier)]);
+    const Duration Left =
+        isStepDone(int(Step)) ? Duration{0} : Spec.Steps[Step].Estimate;
+    EndOf.push_back(Start + Left);
+    Longest = std::max(Longest, EndOf.back());
+  }
+  return Longest;
+}
+
+JobProgress Job::progress() const {
+  JobProgress Result;
+  Result.Phase = Phase;
+  Result.Queue = Spec.Queue;
+  if (Phase != JobPhase::Active)
+    return Result;
+  for (const StepState &Step : Steps) {
+    StepProgress Stored;
+    Stored.GangFailures = Step.GangFailures;
+    for (std::size_t Index = 0; Index < Step.Tasks.size(); ++Index) {
+      const TaskState &Task = Step.Tasks[Index];
+      if (Task.Phase == TaskPhase::Done) {
+        Stored.Done.push_back(int(Index));
+        continue;
+      }
+      if (Task.Failures > 0)
+        Stored.Failures[int(Index)] = Task.Failures;
+      if (!Task.Checkpoint.empty())
+        Stored.Checkpoints[int(Index)] = Task.Checkpoint;
+    }
+    Result.Steps.push_back(std::move(Stored));
+  }
+  return Result;
+}
+
+void Job::restore(const JobProgress &Stored, TaskPhase Initial) {
+  Phase = Stored.Phase;
+  StoredPhase = Stored.Phase;
+  Steps.clear();
+  for (std::size_t Number = 0; Number < Spec.Steps.size(); ++Number) {
+    StepState Step;
+    Step.Tasks.resize(std::size_t(Spec.Steps[Number].Count));
+    for (TaskState &Task : Step.Tasks)
+      Task.Phase = Initial;
+    if (Number < Stored.Steps.size()) {
+      const StepProgress &Known = Stored.Steps[Number];
+      Step.GangFailures = Known.GangFailures;
+      const auto TaskAt = [&Step](int Index) -> TaskState * {
+        const bool Exists = Index >= 0 && std::size_t(Index) < Step.Tasks.size();
+        return Exists ? &Step.Tasks[std::size_t(Index)] : nullptr;
+      };
+      for (const int Index : Known.Done)
+        if (TaskState *Task = TaskAt(Index); Task && Task->Phase != TaskPhase::Done) {
+          Task->Phase = TaskPhase::Done;
+          ++Step.DoneCount;
+        }
+      for (const auto &[Index, Count] : Known.Failures)
+        if (TaskState *Task = TaskAt(Index))
+          Task->Failures = Count;
+      for (const auto &[Index, Checkpoint] : Known.Checkpoints)
+        if (TaskState *Task = TaskAt(Index))
+          Task->Checkpoint = Checkpoint;
+    }
+    Step.ReadyCount = int(std::count_if(
+        Step.Tasks.begin(), Step.Tasks.end(), [](const TaskState &Task) {
+          return Task.Phase == TaskPhase::Ready;
+        }));
+    Steps.push_back(std::move(Step));
+  }
+}
+
+} // namespace apricotwing::jobs
--- /dev/null
+++ b/src/jobs/jobscheduler.cpp
@@ -0,0 +1,596 @@
+#include "jobs/jobscheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotwing::jobs {
+
+namespace {
+
+/// Completion later than this multiple of the allowed time is worth nothing
+/// to callers.
+constexpr int UselessFactor = 3;
+
+/// Used for a job whose queue has been dropped since its acceptance and is
+/// not known any more.
+const Queue UnknownQueue;
+
+/// Weight of the newest answer in the learned share of approvals.
+constexpr double ApprovalLearningRate = 0.1;
+
+/// Assumed share of approvals before the first answer.
+constexpr double InitialApprovalRate = 0.5;
+
+/// Pause before a worker that refused a start is used again.
+constexpr Duration RefusalPause{500};
+
+} // namespace
+
+JobScheduler::JobScheduler(std::int64_t Term) : Term(Term) {}
+
+void JobScheduler::setPolicy(const ClusterPolicy &Next) {
+  for (const Queue &Entry : Next.Queues)
+    Queues[Entry.Name] = Entry;
+  for (const ClientAccount &Entry : Next.Accounts)
+    Accounts[Entry.Name] = Entry;
+  for (const Upstream &Entry : Next.Upstreams)
+    Upstreams[Entry.Name] = Entry;
+}
+
+const Queue &JobScheduler::queueOf(const Job &Entry) const {
+  const auto Found = Queues.find(Entry.Spec.Queue);
+  return Found == Queues.end() ? UnknownQueue : Found->second;
+}
+
+Job *JobScheduler::findJob(const std::string &Id) {
+  const auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : Found->second.get();
+}
+
+const Job *JobScheduler::find(const std::string &Id) const {
+  const auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : Found->second.get();
+}
+
+TaskState *JobScheduler::findTask(const TaskId &Id, Job *&Owner) {
+  Owner = findJob(Id.Job);
+  if (!Owner || std::size_t(Id.Step) >= Owner->Steps.size())
+    return nullptr;
+  StepState &Step = Owner->Steps[std::size_t(Id.Step)];
+  if (std::size_t(Id.Index) >= Step.Tasks.size())
+    return nullptr;
+  return &Step.Tasks[std::size_t(Id.Index)];
+}
+
+Worker *JobScheduler::findWorker(const WorkerLife &Life) {
+  const auto Found = Workers.find(Life.Id);
+  if (Found == Workers.end() || Found->second.info().Life != Life)
+    return nullptr;
+  return &Found->second;
+}
+
+const Worker *JobScheduler::worker(const std::string &Id) const {
+  const auto Found = Workers.find(Id);
+  return Found == Workers.end() ? nullptr : &Found->second;
+}
+
+std::int64_t JobScheduler::nextRun(std::int64_t Last) const {
+  return std::max(Last, (Term - 1) * RunsPerTerm) + 1;
+}
+
+// Jobs.
+
+bool JobScheduler::add(const JobSpec &Spec, TimePoint Now) {
+  if (Jobs.contains(Spec.Id))
+    return false;
+  auto Entry = std::make_unique<Job>();
+  Entry->Spec = Spec;
+  Entry->AcceptedAt = Now;
+  Entry->restore(JobProgress{}, TaskPhase::Ready);
+  Changed.insert(Spec.Id);
+  addJob(std::move(Entry));
+  return true;
+}
+
+void JobScheduler::restore(const JobSpec &Spec, const JobProgress &Stored,
+                           Duration Age, TimePoint Now) {
+  if (Jobs.contains(Spec.Id))
+    return;
+  auto Entry = std::make_unique<Job>();
+  Entry->Spec = Spec;
+  Entry->AcceptedAt = Now - Age;
+  Entry->EndedAt = Now;
+  Entry->restore(Stored, TaskPhase::Unknown);
+  if (Entry->Phase == JobPhase::Active)
+    for (const StepState &Step : Entry->Steps)
+      UnknownTasks += Step.Tasks.size() - std::size_t(Step.DoneCount);
+  addJob(std::move(Entry));
+}
+
+void JobScheduler::addJob(std::unique_ptr<Job> Entry) {
+  Job &Added = *Entry;
+  Added.Sequence = ++LastSequence;
+  const Queue &Terms = queueOf(Added);
+  const Duration Allowed =
+      Terms.LatencyTarget +
+      Duration(Duration::rep(double(longestChain(Added.Spec).count()) *
+                             Terms.SlackFactor));
+  Added.Due = Added.AcceptedAt + Allowed;
+  Added.Useless = Added.AcceptedAt + UselessFactor * Allowed;
+  Jobs.emplace(Added.Spec.Id, std::move(Entry));
+  if (Added.Phase != JobPhase::Active)
+    return;
+  ++Active;
+  ++PendingJobs[Added.Spec.Queue];
+  requeueSteps(Added);
+}
+
+bool JobScheduler::cancel(const std::string &Id, TimePoint Now) {
+  Job *Entry = findJob(Id);
+  if (!Entry)
+    return false;
+  if (Entry->Phase == JobPhase::Active)
+    finishJob(*Entry, JobPhase::Cancelled, Now);
+  return true;
+}
+
+void JobScheduler::forget(const std::string &Id) {
+  const Job *Entry = find(Id);
+  if (Entry && Entry->Phase != JobPhase::Active)
+    Jobs.erase(Id);
+}
+
+std::vector<std::string> JobScheduler::endedBefore(TimePoint Limit) const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Entry] : Jobs)
+    if (Entry->Phase != JobPhase::Active && Entry->EndedAt < Limit)
+      Result.push_back(Id);
+  return Result;
+}
+
+JobView JobScheduler::view(const std::string &Id) const {
+  const Job *Entry = find(Id);
+  if (!Entry)
+    return JobView::Unknown;
+  switch (Entry->StoredPhase) {
+  case JobPhase::Completed:
+    return JobView::Completed;
+  case JobPhase::Failed:
+    return JobView::Failed;
+  case JobPhase::Cancelled:
+    return JobView::Cancelled;
+  case JobPhase::Active:
+    break;
+  }
+  return Entry->Started ? JobView::InProgress : JobView::Queued;
+}
+
+int JobScheduler::pending(const std::string &Queue) const {
+  const auto Found = PendingJobs.find(Queue);
+  return Found == PendingJobs.end() ? 0 : Found->second;
+}
+
+void JobScheduler::phaseStored(const std::string &Id) {
+  if (Job *Entry = findJob(Id))
+    Entry->StoredPhase = Entry->Phase;
+}
+
+void JobScheduler::finishJob(Job &Entry, JobPhase Phase, TimePoint Now) {
+  Entry.Phase = Phase;
+  Entry.EndedAt = Now;
+  --Active;
+  if (!Entry.Started)
+    --PendingJobs[Entry.Spec.Queue];
+  Changed.insert(Entry.Spec.Id);
+  for (std::size_t Step = 0; Step < Entry.Steps.size(); ++Step) {
+    dequeue(Entry, int(Step));
+    StepState &State = Entry.Steps[Step];
+    clearReservation(stepName(Entry.Spec.Id, int(Step)), State);
+    for (const TaskState &Task : State.Tasks)
+      if (Task.Phase == TaskPhase::Unknown)
+        --UnknownTasks;
+    if (Phase != JobPhase::Completed)
+      stopPlaced(Entry, int(Step));
+  }
+}
+
+// Waiting steps.
+
+int JobScheduler::tierOf(const Job &Entry, TimePoint Now) const {
+  if (Now >= Entry.Useless)
+    return 2;
+  return Now + Entry.remainingEstimate() > Entry.Due ? 1 : 0;
+}
+
+void JobScheduler::enqueue(Job &Entry, int Step) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  if (State.Rank || State.ReadyCount == 0 || Entry.Phase != JobPhase::Active ||
+      !Entry.isUnblocked(Step))
+    return;
+  State.Rank = WaitRank{0, queueOf(Entry).Priority, Entry.Due, Entry.Sequence,
+                        Step};
+  Waiting.emplace(*State.Rank, StepRef{&Entry, Step});
+}
+
+void JobScheduler::dequeue(Job &Entry, int Step) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  if (!State.Rank)
+    return;
+  Waiting.erase(*State.Rank);
+  State.Rank.reset();
+}
+
+void JobScheduler::requeueSteps(Job &Entry) {
+  for (std::size_t Step = 0; Step < Entry.Steps.size(); ++Step)
+    enqueue(Entry, int(Step));
+}
+
+void JobScheduler::rankAgain(Job &Entry, TimePoint Now) {
+  const int Tier = tierOf(Entry, Now);
+  for (std::size_t Step = 0; Step < Entry.Steps.size(); ++Step) {
+    StepState &State = Entry.Steps[Step];
+    if (!State.Rank || State.Rank->Tier == Tier)
+      continue;
+    Waiting.erase(*State.Rank);
+    State.Rank->Tier = Tier;
+    Waiting.emplace(*State.Rank, StepRef{&Entry, int(Step)});
+  }
+}
+
+// Workers.
+
+void JobScheduler::updateWorker(const WorkerInfo &Info, TimePoint Now) {
+  const auto Found = Workers.find(Info.Life.Id);
+  if (Found != Workers.end() && Found->second.info().Life == Info.Life) {
+    Found->second.setInfo(Info);
+    return;
+  }
+  if (Found != Workers.end())
+    removeWorker(Found->second.info().Life, Now);
+  Workers.emplace(Info.Life.Id, Worker(Info));
+}
+
+void JobScheduler::removeWorker(const WorkerLife &Life, TimePoint Now) {
+  Worker *Host = findWorker(Life);
+  if (!Host)
+    return;
+  releaseAll(*Host, Now);
+  Workers.erase(Life.Id);
+}
+
+void JobScheduler::lapseWorker(const WorkerLife &Life, TimePoint Now) {
+  Worker *Host = findWorker(Life);
+  if (!Host)
+    return;
+  Host->setSynced(false);
+  releaseAll(*Host, Now);
+}
+
+void JobScheduler::setReachable(const WorkerLife &Life, bool Reachable) {
+  if (Worker *Host = findWorker(Life))
+    Host->setReachable(Reachable);
+}
+
+void JobScheduler::unsyncWorker(const WorkerLife &Life) {
+  if (Worker *Host = findWorker(Life))
+    Host->setSynced(false);
+}
+
+void JobScheduler::releaseAll(Worker &Host, TimePoint Now) {
+  const auto Held = Host.runs();
+  for (const auto &[Name, Run] : Held) {
+    release(Host, Name, Run.Run);
+    const auto Id = TaskId::parse(Name);
+    Job *Owner = nullptr;
+    TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+    if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run.Run &&
+        Task->Worker == Host.info().Life)
+      makeReady(*Owner, Id->Step, *Task);
+  }
+  (void)Now;
+}
+
+void JobScheduler::release(Worker &Host, const std::string &Task,
+                           std::int64_t Run) {
+  const auto Found = Host.runs().find(Task);
+  if (Found == Host.runs().end() || Found->second.Run != Run)
+    return;
+  Running[Found->second.Account] -= Found->second.Request;
+  Host.release(Task, Run);
+}
+
+void JobScheduler::syncWorker(const WorkerLife &Life,
+                              const std::vector<ActiveRun> &RunList,
+                              const std::vector<EndedRun> &Ended,
+                              TimePoint Now) {
+  Worker *Host = findWorker(Life);
+  if (!Host)
+    return;
+  for (const EndedRun &End : Ended)
+    runEnded(Life, End, Now);
+  std::map<std::string, std::int64_t> Listed;
+  for (const ActiveRun &Run : RunList)
+    Listed[Run.Task] = Run.Run;
+  const auto Held = Host->runs();
+  for (const auto &[Name, Run] : Held) {
+    const auto Found = Listed.find(Name);
+    if (Found != Listed.end() && Found->second == Run.Run)
+      continue;
+    release(*Host, Name, Run.Run);
+    const auto Id = TaskId::parse(Name);
+    Job *Owner = nullptr;
+    TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+    if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run.Run &&
+        Task->Worker == Life)
+      makeReady(*Owner, Id->Step, *Task);
+  }
+  for (const ActiveRun &Run : RunList)
+    adopt(*Host, Run, Now);
+  Host->setSynced(true);
+  Host->setReachable(true);
+}
+
+void JobScheduler::adopt(Worker &Host, const ActiveRun &Run, TimePoint Now) {
+  const auto Held = Host.runs().find(Run.Task);
+  if (Held != Host.runs().end() && Held->second.Run == Run.Run)
+    return;
+  const auto Id = TaskId::parse(Run.Task);
+  Job *Owner = nullptr;
+  TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  HeldRun Taken{Run.Run, {}, false, {}, false, Now};
+  const StepSpec *Spec = nullptr;
+  if (Task) {
+    Spec = &Owner->Spec.Steps[std::size_t(Id->Step)];
+    Taken.Request = Spec->Request;
+    Taken.Filling = Spec->Filling;
+    Taken.Account = Owner->Spec.Account;
+  }
+  Running[Taken.Account] += Taken.Request;
+  Host.hold(Run.Task, Taken);
+  if (!Task || Owner->Phase != JobPhase::Active ||
+      Task->Phase != TaskPhase::Unknown || Run.Run < Task->Run) {
+    stopRun(Host, Run.Task, Run.Run);
+    return;
+  }
+  --UnknownTasks;
+  Task->Phase = TaskPhase::Placed;
+  Task->Worker = Host.info().Life;
+  Task->Run = Run.Run;
+  Task->PlacedAt = Now;
+  Task->Checkpoint = Run.Checkpoint;
+  if (!Owner->Started) {
+    Owner->Started = true;
+    --PendingJobs[Owner->Spec.Queue];
+  }
+}
+
+void JobScheduler::runProgressed(const WorkerLife &Life, const ActiveRun &Run) {
+  const auto Id = TaskId::parse(Run.Task);
+  Job *Owner = nullptr;
+  TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run.Run &&
+      Task->Worker == Life && !Run.Checkpoint.empty())
+    Task->Checkpoint = Run.Checkpoint;
+}
+
+// Runs.
+
+void JobScheduler::stopRun(Worker &Host, const std::string &Task,
+                           std::int64_t Run) {
+  const auto Held = Host.runs().find(Task);
+  if (Held == Host.runs().end() || Held->second.Run != Run ||
+      Held->second.Stopping)
+    return;
+  Held->second.Stopping = true;
+  Stops.push_back({Host.info().Life, Task, Run});
+}
+
+void JobScheduler::stopPlaced(Job &Entry, int Step) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  for (std::size_t Index = 0; Index < State.Tasks.size(); ++Index) {
+    const TaskState &Task = State.Tasks[Index];
+    if (Task.Phase != TaskPhase::Placed)
+      continue;
+    if (Worker *Host = findWorker(Task.Worker))
+      stopRun(*Host, TaskId{Entry.Spec.Id, 0, Step, int(Index)}.text(),
+              Task.Run);
+  }
+}
+
+void JobScheduler::makeReady(Job &Entry, int Step, TaskState &Task) {
+  if (Entry.Phase != JobPhase::Active || Task.Phase == TaskPhase::Done ||
+      Task.Phase == TaskPhase::Ready)
+    return;
+  if (Task.Phase == TaskPhase::Unknown)
+    --UnknownTasks;
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  Task.Phase = TaskPhase::Ready;
+  Task.Worker = {};
+  ++State.ReadyCount;
+  // The rest of a broken gang waits in vain and would take room.
+  if (Entry.Spec.Steps[std::size_t(Step)].Gang)
+    stopPlaced(Entry, Step);
+  enqueue(Entry, Step);
+}
+
+void JobScheduler::finishTask(Job &Entry, int Step, TaskState &Task,
+                              TimePoint Now) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const auto Finish = [&](TaskState &Ended) {
+    if (Ended.Phase == TaskPhase::Done)
+      return;
+    if (Ended.Phase == TaskPhase::Ready)
+      --State.ReadyCount;
+    if (Ended.Phase == TaskPhase::Unknown)
+      --UnknownTasks;
+    Ended.Phase = TaskPhase::Done;
+    Ended.Checkpoint.clear();
+    ++State.DoneCount;
+  };
+  Finish(Task);
+  // The members of a gang end together; one end stands for all.
+  if (Entry.Spec.Steps[std::size_t(Step)].Gang)
+    for (TaskState &Member : State.Tasks)
+      Finish(Member);
+  Changed.insert(Entry.Spec.Id);
+  if (State.ReadyCount == 0)
+    dequeue(Entry, Step);
+  if (!Entry.isStepDone(Step))
+    return;
+  if (Entry.isDone())
+    finishJob(Entry, JobPhase::Completed, Now);
+  else
+    requeueSteps(Entry);
+}
+
+void JobScheduler::noteFailure(Job &Entry, int Step, TaskState &Task,
+                               std::int64_t Run, TimePoint Now) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const bool Gang = Entry.Spec.Steps[std::size_t(Step)].Gang;
+  Changed.insert(Entry.Spec.Id);
+  if (Gang && State.LastFailedRun == Run)
+    return;
+  State.LastFailedRun = Run;
+  const int Failures = Gang ? ++State.GangFailures : ++Task.Failures;
+  if (Failures >= queueOf(Entry).MaxAttempts)
+    finishJob(Entry, JobPhase::Failed, Now);
+}
+
+void JobScheduler::runEnded(const WorkerLife &Life, const EndedRun &End,
+                            TimePoint Now) {
+  Worker *Host = findWorker(Life);
+  if (!Host)
+    return;
+  release(*Host, End.Task, End.Run);
+  const auto Id = TaskId::parse(End.Task);
+  Job *Owner = nullptr;
+  TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (End.Kind == EndKind::Done)
+    Host->noteEnd(true, Now);
+  if (!Task || Owner->Phase != JobPhase::Active ||
+      Task->Phase == TaskPhase::Done)
+    return;
+  const bool Current = Task->Phase == TaskPhase::Placed &&
+                       Task->Worker == Life && Task->Run == End.Run;
+  // An end of a task of unknown whereabouts is its newest, unless a later run
+  // has been seen.
+  const bool Unseen =
+      Task->Phase == TaskPhase::Unknown && End.Run >= Task->Run;
+  if (!Current && !Unseen)
+    return;
+  Task->Run = End.Run;
+  const StepSpec &Spec = Owner->Spec.Steps[std::size_t(Id->Step)];
+  if (!End.Checkpoint.empty())
+    Task->Checkpoint = End.Checkpoint;
+  if (!Owner->Started) {
+    Owner->Started = true;
+    --PendingJobs[Owner->Spec.Queue];
+  }
+  if (End.Kind == EndKind::Done && !Spec.LongRunning) {
+    finishTask(*Owner, Id->Step, *Task, Now);
+    return;
+  }
+  if (End.Kind == EndKind::Failed) {
+    Host->noteEnd(false, Now);
+    Task->FailedOn.insert(Life.Id);
+    if (!Spec.LongRunning)
+      noteFailure(*Owner, Id->Step, *Task, End.Run, Now);
+  }
+  // After a takeover the task may still run elsewhere with a later number;
+  // resolveUnknown() decides.
+  if (Current)
+    makeReady(*Owner, Id->Step, *Task);
+}
+
+void JobScheduler::startRefused(const WorkerLife &Life,
+                                const std::string &Name, std::int64_t Run,
+                                StartRefusal Reason, TimePoint Now) {
+  Worker *Host = findWorker(Life);
+  if (!Host)
+    return;
+  release(*Host, Name, Run);
+  if (Reason == StartRefusal::NoRoom || Reason == StartRefusal::Unhealthy)
+    Host->avoidUntil(Now + RefusalPause);
+  const auto Id = TaskId::parse(Name);
+  Job *Owner = nullptr;
+  TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (!Task || Task->Phase != TaskPhase::Placed || Task->Worker != Life ||
+      Task->Run != Run)
+    return;
+  if (Reason == StartRefusal::NoTicket) {
+    auto &Advice = Owner->Steps[std::size_t(Id->Step)].Advice;
+    if (const auto Found = Advice.find(Life.Id); Found != Advice.end())
+      Found->second.Expires = Now;
+  }
+  makeReady(*Owner, Id->Step, *Task);
+}
+
+void JobScheduler::resolveUnknown(TimePoint Now) {
+  if (UnknownTasks == 0)
+    return;
+  for (auto &[Id, Entry] : Jobs) {
+    if (Entry->Phase != JobPhase::Active)
+      continue;
+    for (std::size_t Step = 0; Step < Entry->Steps.size(); ++Step)
+      for (TaskState &Task : Entry->Steps[Step].Tasks)
+        if (Task.Phase == TaskPhase::Unknown)
+          makeReady(*Entry, int(Step), Task);
+  }
+  (void)Now;
+}
+
+// Advice.
+
+void JobScheduler::adviceArrived(const std::string &Step,
+                                 const std::vector<std::string> &Asked,
+                                 const std::vector<Approval> &Approved,
+                                 TimePoint Now) {
+  // A step is named like a task without its index.
+  const auto Id = TaskId::parse(Step + ".0");
+  Job *Owner = Id ? findJob(Id->Job) : nullptr;
+  if (!Owner || std::size_t(Id->Step) >= Owner->Steps.size())
+    return;
+  StepState &State = Owner->Steps[std::size_t(Id->Step)];
+  State.AdviceInFlight = false;
+  const Queue &Terms = queueOf(*Owner);
+  if (!Terms.Advice)
+    return;
+  std::size_t Fresh = 0;
+  std::size_t FreshApproved = 0;
+  for (const std::string &Name : Asked) {
+    const Worker *Host = worker(Name);
+    if (!Host)
+      continue;
+    AdviceEntry &Known = State.Advice[Name];
+    const bool IsFresh = Known.Worker != Host->info().Life;
+    Known.Worker = Host->info().Life;
+    Known.Approved = false;
+    for (const Approval &Row : Approved) {
+      if (Row.Worker != Name)
+        continue;
+      Known.Approved = true;
+      Known.Ticket = Row.Ticket;
+      Known.Expires = Now + Terms.Advice->Validity;
+    }
+    Fresh += IsFresh ? 1 : 0;
+    FreshApproved += IsFresh && Known.Approved ? 1 : 0;
+  }
+  if (Fresh == 0)
+    return;
+  double &Rate =
+      ApprovalRate.try_emplace(Terms.Name, InitialApprovalRate).first->second;
+  Rate += ApprovalLearningRate * (double(FreshApproved) / double(Fresh) - Rate);
+}
+
+void JobScheduler::adviceFailed(const std::string &Step) {
+  const auto Id = TaskId::parse(Step + ".0");
+  Job *Owner = Id ? findJob(Id->Job) : nullptr;
+  if (Owner && std::size_t(Id->Step) < Owner->Steps.size())
+    Owner->Steps[std::size_t(Id->Step)].AdviceInFlight = false;
+}
+
+std::set<std::string> JobScheduler::takeChanged() {
+  return std::exchange(Changed, {});
+}
+
+} // namespace apricotwing::jobs
--- /dev/null
+++ b/src/jobs/jobscheduler.h
@@ -0,0 +1,237 @@
+/// \file
+/// Decides which task runs on which worker, and when.
+#ifndef APRICOTWING_JOBS_JOBSCHEDULER_H
+#define APRICOTWING_JOBS_JOBSCHEDULER_H
+
+#include "core/time.h"
+#include "jobs/clusterpolicy.h"
+#include "jobs/job.h"
+#include "jobs/run.h"
+#include "jobs/worker.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace apricotwing::jobs {
+
+/// What a round of decisions asks for.
+struct Decisions {
+  std::vector<StartOrder> Starts;
+  std::vector<StopOrder> Stops;
+  std::vector<AdviceRequest> Advice;
+};
+
+/// Why a start did not happen.
+enum class StartRefusal {
+  NoRoom,    ///< The worker has no room for it.
+  NoTicket,  ///< Its ticket is missing or has expired.
+  Unhealthy, ///< The worker refuses all work at present.
+  Expired,   ///< It arrived after its deadline, or an older run is known there.
+  Malformed, ///< The worker cannot read it.
+};
+
+/// What callers see of a job.
+enum class JobView { Unknown, Queued, InProgress, Completed, Failed, Cancelled };
+
+/// The one place where tasks are assigned to workers: keeps every accepted
+/// job, the room of every worker and what each client account has running.
+/// Serves waiting steps by tier (can still end in time, late, of no use),
+/// then priority, then due time, so that under overload work goes to jobs
+/// whose callers still gain from it. Gangs are placed whole; a gang that does
+/// not fit reserves workers. Owned by the leader and used on its thread only;
+/// reads no clock and does no input or output.
+class JobScheduler {
+public:
+  /// Number of runs that a leadership term may give one task. Runs of a later
+  /// term are higher than all of an earlier one, whose starts may be unknown.
+  static constexpr std::int64_t RunsPerTerm = 1000;
+
+  /// \p Term is the leadership term, counted from 1.
+  explicit JobScheduler(std::int64_t Term);
+
+  /// Puts a newer policy in force. Queues and accounts that it no longer
+  /// names keep their last settings for the jobs that refer to them.
+  void setPolicy(const ClusterPolicy &Next);
+
+  /// Adds an accepted job; false if the id is known. Precondition: the
+  /// specification is well-formed.
+  bool add(const JobSpec &Spec, TimePoint Now);
+
+  /// Adds a job from storage, whose unfinished tasks may be running.
+  /// \p Age is the time since its acceptance.
+  void restore(const JobSpec &Spec, const JobProgress &Stored, Duration Age,
+               TimePoint Now);
+
+  /// Cancels a job; false if it is unknown. A job that has ended stays so.
+  bool cancel(const std::string &Id, TimePoint Now);
+
+  /// Forgets a job that has ended and whose runs have all ended.
+  void forget(const std::string &Id);
+
+  /// Ids of jobs that ended before \p Limit.
+  std::vector<std::string> endedBefore(TimePoint Limit) const;
+
+  /// The job with \p Id; null if unknown.
+  const Job *find(const std::string &Id) const;
+
+  /// What callers may be told of a job.
+  JobView view(const std::string &Id) const;
+
+  /// Number of accepted jobs of \p Queue of which no task was started.
+  int pending(const std::string &Queue) const;
+
+  /// Notes that the present phase of a job is stored.
+  void phaseStored(const std::string &Id);
+
+  /// Adds a worker or updates what is known of it. A new life of a known id
+  /// ends all runs of the old one.
+  void updateWorker(const WorkerInfo &Info, TimePoint Now);
+
+  /// Ends all runs of a worker that is gone for certain, and forgets it.
+  void removeWorker(const WorkerLife &Life, TimePoint Now);
+
+  /// Takes over the complete lists of a worker. What was ordered there and is
+  /// in neither list has not run and never will. Precondition: no older order
+  /// can take effect there any more.
+  void syncWorker(const WorkerLife &Life, const std::vector<ActiveRun> &Running,
+                  const std::vector<EndedRun> &Ended, TimePoint Now);
+
+  /// Ends all runs of a worker whose lease has run out for certain.
+  void lapseWorker(const WorkerLife &Life, TimePoint Now);
+
+  /// Notes whether a worker answers at present.
+  void setReachable(const WorkerLife &Life, bool Reachable);
+
+  /// Notes that a worker's lists must be read again before it is used.
+  void unsyncWorker(const WorkerLife &Life);
+
+  /// The worker with the id; null if unknown.
+  const Worker *worker(const std::string &Id) const;
+
+  /// All workers by id.
+  const std::map<std::string, Worker> &workers() const { return Workers; }
+
+  /// Notes the end of a run.
+  void runEnded(const WorkerLife &Life, const EndedRun &End, TimePoint Now);
+
+  /// Notes the last checkpoint of a run that goes on.
+  void runProgressed(const WorkerLife &Life, const ActiveRun &Run);
+
+  /// Notes that a run was not started and never will be.
+  void startRefused(const WorkerLife &Life, const std::string &Task,
+                    std::int64_t Run, StartRefusal Reason, TimePoint Now);
+
+  /// Takes the answer to an AdviceRequest. \p Asked are the workers named in
+  /// it. Tickets count from \p Now on.
+  void adviceArrived(const std::string &Step,
+                     const std::vector<std::string> &Asked,
+                     const std::vector<Approval> &Approved, TimePoint Now);
+
+  /// Notes that an AdviceRequest got no answer.
+  void adviceFailed(const std::string &Step);
+
+  /// Makes all tasks of unknown whereabouts ready. Precondition: every worker
+  /// that may run one has been synced or has lapsed.
+  void resolveUnknown(TimePoint Now);
+
+  /// True if some task's whereabouts are unknown.
+  bool hasUnknown() const { return UnknownTasks > 0; }
+
+  /// Decides what to start, stop and ask. \p AdviceSlots is the number of
+  /// requests that may be made now.
+  Decisions decide(TimePoint Now, int AdviceSlots);
+
+  /// Ids of jobs whose stored part has changed since the last call.
+  std::set<std::string> takeChanged();
+
+  /// Number of jobs that have not ended.
+  std::size_t activeJobs() const { return Active; }
+
+private:
+  struct StepRef {
+    Job *Owner = nullptr;
+    int Step = 0;
+  };
+  struct Candidate {
+    Worker *Host = nullptr;
+    int Slots = 0;
+    const AdviceEntry *Advice = nullptr; ///< Null: not asked yet.
+  };
+  /// How the workers of a service stand to a waiting step.
+  struct Candidates {
+    std::vector<Candidate> Valid;   ///< May be used now.
+    std::vector<Candidate> Expired; ///< Approved, but need a new ticket.
+    std::vector<Candidate> Unasked;
+  };
+  /// State of one round.
+  struct Round {
+    TimePoint Now;
+    int AdviceSlots = 0;
+    std::int64_t FreeCpuMillis = 0; ///< Not yet expected to be taken.
+    std::int64_t ReservedCpuMillis = 0;
+    Decisions Result;
+  };
+
+  Job *findJob(const std::string &Id);
+  TaskState *findTask(const TaskId &Id, Job *&Owner);
+  Worker *findWorker(const WorkerLife &Life);
+  const Queue &queueOf(const Job &Entry) const;
+
+  void addJob(std::unique_ptr<Job> Entry);
+  void enqueue(Job &Entry, int Step);
+  void dequeue(Job &Entry, int Step);
+  void requeueSteps(Job &Entry);
+  void rankAgain(Job &Entry, TimePoint Now);
+  int tierOf(const Job &Entry, TimePoint Now) const;
+
+  void release(Worker &Host, const std::string &Task, std::int64_t Run);
+  void releaseAll(Worker &Host, TimePoint Now);
+  void makeReady(Job &Entry, int Step, TaskState &Task);
+  void finishTask(Job &Entry, int Step, TaskState &Task, TimePoint Now);
+  void finishJob(Job &Entry, JobPhase Phase, TimePoint Now);
+  void noteFailure(Job &Entry, int Step, TaskState &Task, std::int64_t Run,
+                   TimePoint Now);
+  void stopRun(Worker &Host, const std::string &Task, std::int64_t Run);
+  void stopPlaced(Job &Entry, int Step);
+  void adopt(Worker &Host, const ActiveRun &Run, TimePoint Now);
+  void clearReservation(const std::string &Step, StepState &State);
+
+  Candidates candidatesFor(Round &Now, Job &Entry, int Step);
+  int allowedByCap(const Job &Entry, const StepSpec &Spec) const;
+  void serve(Round &Now, Job &Entry, int Step);
+  void serveTasks(Round &Now, Job &Entry, int Step, Candidates Found);
+  void serveGang(Round &Now, Job &Entry, int Step, Candidates Found);
+  int place(Round &Now, Job &Entry, int Step, std::vector<Candidate> &Hosts,
+            int Wanted, std::int64_t GangRun);
+  void startOn(Round &Now, Job &Entry, int Step, int Index, const Candidate &At,
+               std::int64_t Run);
+  void ask(Round &Now, Job &Entry, int Step, std::vector<std::string> Workers);
+  void reserve(Round &Now, Job &Entry, int Step, const Candidates &Found,
+               int Wanted);
+  std::int64_t nextRun(std::int64_t Last) const;
+
+  const std::int64_t Term;
+  std::map<std::string, Queue> Queues;
+  std::map<std::string, ClientAccount> Accounts;
+  std::map<std::string, Upstream> Upstreams;
+  std::map<std::string, double> ApprovalRate; ///< By queue, learned.
+  std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
+  std::map<std::string, Worker> Workers;
+  std::map<std::string, Resources> Running; ///< By client account.
+  std::map<std::string, int> PendingJobs;   ///< By queue.
+  std::map<WaitRank, StepRef> Waiting;
+  std::vector<StopOrder> Stops; ///< Decided outside of a round.
+  std::set<std::string> Changed;
+  std::uint64_t LastSequence = 0;
+  std::size_t Active = 0;
+  std::size_t UnknownTasks = 0;
+};
+
+} // namespace apricotwing::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/placement.cpp
@@ -0,0 +1,402 @@
+/// \file
+/// The part of JobScheduler that assigns waiting steps to workers.
+#include "jobs/jobscheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace apricotwing::jobs {
+
+namespace {
+
+/// Steps looked at in one round. Keeps a round short when a backlog of
+/// thousands of steps cannot be placed anyway.
+constexpr std::size_t MaxStepsPerRound = 256;
+
+/// Largest number of workers that the advice service takes in one call.
+constexpr std::size_t MaxWorkersPerAdvice = 100;
+
+/// Workers named for a step of separate tasks. More would cost time that the
+/// step spends waiting, and its tasks rarely need more hosts.
+constexpr std::size_t MaxWorkersForTasks = 30;
+
+/// Least number of workers named for a gang, whose call is dominated by its
+/// fixed cost.
+constexpr std::size_t MinWorkersForGang = 8;
+
+/// Room asked for as a multiple of what is needed, as some of it is taken
+/// before the answer comes.
+constexpr double RoomMargin = 1.5;
+
+/// Room that the approved workers of a gang should have when empty, as a
+/// multiple of what it needs; fewer leave it waiting for particular workers.
+constexpr int GangChoice = 3;
+
+/// Largest share of all processors kept free for waiting gangs.
+constexpr double MaxReservedShare = 0.4;
+
+/// A ticket that expires sooner is not used, as the start takes time.
+constexpr Duration TicketMargin{150};
+
+template <typename List> int totalSlots(const List &Entries) {
+  int Sum = 0;
+  for (const auto &Entry : Entries)
+    Sum += Entry.Slots;
+  return Sum;
+}
+
+} // namespace
+
+Decisions JobScheduler::decide(TimePoint Now, int AdviceSlots) {
+  Round Present;
+  Present.Now = Now;
+  Present.AdviceSlots = AdviceSlots;
+  std::int64_t TotalCpuMillis = 0;
+  for (auto &[Id, Host] : Workers) {
+    TotalCpuMillis += Host.info().Capacity.CpuMillis;
+    if (Host.isUsable(Now))
+      Present.FreeCpuMillis += Host.room().CpuMillis;
+    if (!Host.reservedFor().empty())
+      Present.ReservedCpuMillis += Host.info().Capacity.CpuMillis;
+  }
+  Present.ReservedCpuMillis -=
+      std::int64_t(double(TotalCpuMillis) * MaxReservedShare);
+  std::vector<std::pair<WaitRank, StepRef>> Order;
+  for (const auto &Entry : Waiting) {
+    if (Order.size() == MaxStepsPerRound)
+      break;
+    Order.push_back(Entry);
+  }
+  for (const auto &[Rank, Ref] : Order) {
+    if (tierOf(*Ref.Owner, Now) != Rank.Tier) {
+      rankAgain(*Ref.Owner, Now);
+      continue;
+    }
+    serve(Present, *Ref.Owner, Ref.Step);
+  }
+  Present.Result.Stops = std::move(Stops);
+  Stops.clear();
+  return std::move(Present.Result);
+}
+
+int JobScheduler::allowedByCap(const Job &Entry, const StepSpec &Spec) const {
+  const auto Account = Accounts.find(Entry.Spec.Account);
+  if (Account == Accounts.end())
+    return Spec.Count;
+  const auto Found = Running.find(Entry.Spec.Account);
+  const Resources Taken = Found == Running.end() ? Resources{} : Found->second;
+  int Allowed = Spec.Count;
+  const auto Limit = [&Allowed](std::int64_t Cap, std::int64_t Used,
+                                std::int64_t Wanted) {
+    if (Cap > 0 && Wanted > 0)
+      Allowed = std::min<int>(
+          Allowed, int(std::max<std::int64_t>(Cap - Used, 0) / Wanted));
+  };
+  const Resources &Cap = Account->second.Cap;
+  Limit(Cap.CpuMillis, Taken.CpuMillis, Spec.Request.CpuMillis);
+  Limit(Cap.MemoryMib, Taken.MemoryMib, Spec.Request.MemoryMib);
+  Limit(Cap.Accelerators, Taken.Accelerators, Spec.Request.Accelerators);
+  return Allowed;
+}
+
+JobScheduler::Candidates JobScheduler::candidatesFor(Round &Now, Job &Entry,
+                                                     int Step) {
+  Candidates Result;
+  const Queue &Terms = queueOf(Entry);
+  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const std::string Name = stepName(Entry.Spec.Id, Step);
+  std::map<std::string, int> OnWorker;
+  if (Spec.MaxPerWorker > 0)
+    for (const TaskState &Task : State.Tasks)
+      if (Task.Phase == TaskPhase::Placed)
+        ++OnWorker[Task.Worker.Id];
+  for (auto &[Id, Host] : Workers) {
+    if (Host.info().Upstream != Terms.Upstream || !Host.isUsable(Now.Now) ||
+        !Host.satisfies(Spec) || Host.slotsIfEmpty(Spec) == 0)
+      continue;
+    const bool ForOther =
+        !Host.reservedFor().empty() && Host.reservedFor() != Name;
+    if (ForOther && (Terms.Priority > 0 || Spec.Gang))
+      continue;
+    int Slots = Host.slotsFor(Spec);
+    if (Spec.MaxPerWorker > 0)
+      Slots = std::min(Slots, Spec.MaxPerWorker - OnWorker[Id]);
+    Slots = std::max(Slots, 0);
+    // A gang plans with workers that are full at present.
+    if (Slots == 0 && !Spec.Gang)
+      continue;
+    if (!Terms.Advice) {
+      Result.Valid.push_back({&Host, Slots, nullptr});
+      continue;
+    }
+    const auto Known = State.Advice.find(Id);
+    if (Known == State.Advice.end() ||
+        Known->second.Worker != Host.info().Life)
+      Result.Unasked.push_back({&Host, Slots, nullptr});
+    else if (Known->second.Approved &&
+             Known->second.Expires > Now.Now + TicketMargin)
+      Result.Valid.push_back({&Host, Slots, &Known->second});
+    else if (Known->second.Approved)
+      Result.Expired.push_back({&Host, Slots, &Known->second});
+  }
+  // Best fit keeps large rooms for large tasks; a filling task looks for
+  // processors that nobody uses.
+  const auto Cost = [&](const Candidate &At) {
+    const Worker &Host = *At.Host;
+    const bool Foreign =
+        !Host.reservedFor().empty() && Host.reservedFor() != Name;
+    const auto &Labels = Host.info().Labels;
+    const bool Far =
+        !Spec.PreferredRack.empty() &&
+        std::find(Labels.begin(), Labels.end(), Spec.PreferredRack) ==
+            Labels.end();
+    const std::int64_t Fit =
+        Spec.Filling ? -Host.unusedCpuMillis() : Host.room().CpuMillis;
+    return std::tuple(Foreign, Far, Fit);
+  };
+  const auto Better = [&](const Candidate &Left, const Candidate &Right) {
+    return Cost(Left) < Cost(Right);
+  };
+  for (auto *Part : {&Result.Valid, &Result.Expired, &Result.Unasked})
+    std::stable_sort(Part->begin(), Part->end(), Better);
+  return Result;
+}
+
+void JobScheduler::serve(Round &Now, Job &Entry, int Step) {
+  Candidates Found = candidatesFor(Now, Entry, Step);
+  if (Entry.Spec.Steps[std::size_t(Step)].Gang)
+    serveGang(Now, Entry, Step, std::move(Found));
+  else
+    serveTasks(Now, Entry, Step, std::move(Found));
+}
+
+void JobScheduler::serveTasks(Round &Now, Job &Entry, int Step,
+                              Candidates Found) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  const int Wanted = std::min(State.ReadyCount, allowedByCap(Entry, Spec));
+  if (Wanted == 0)
+    return;
+  const int Left = Wanted - place(Now, Entry, Step, Found.Valid, Wanted, 0);
+  if (Left == 0)
+    return;
+  // Room that is free now goes to the steps in their order, so no more steps
+  // ask for advice than can use it.
+  const std::int64_t Demand =
+      Spec.Filling ? 0 : Spec.Request.CpuMillis * Left;
+  const bool Expected = Now.FreeCpuMillis > 0;
+  Now.FreeCpuMillis -= Demand;
+  if (State.AdviceInFlight || !Expected || Now.AdviceSlots <= 0)
+    return;
+  std::vector<std::string> Names;
+  double Slots = 0;
+  const double Enough = RoomMargin * Left;
+  const auto Take = [&](const std::vector<Candidate> &Part, double Chance) {
+    for (const Candidate &At : Part) {
+      if (Slots >= Enough || Names.size() >= MaxWorkersForTasks)
+        return;
+      Names.push_back(At.Host->info().Life.Id);
+      Slots += At.Slots * Chance;
+    }
+  };
+  Take(Found.Expired, 1);
+  const auto Rate = ApprovalRate.find(queueOf(Entry).Name);
+  Take(Found.Unasked, Rate == ApprovalRate.end() ? 0.5 : Rate->second);
+  if (!Names.empty())
+    ask(Now, Entry, Step, std::move(Names));
+}
+
+void JobScheduler::serveGang(Round &Now, Job &Entry, int Step,
+                             Candidates Found) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  // Members of the last run that are being stopped are still placed.
+  if (State.ReadyCount != Spec.Count || allowedByCap(Entry, Spec) < Spec.Count)
+    return;
+  const std::string Name = stepName(Entry.Spec.Id, Step);
+  Now.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
+  if (totalSlots(Found.Valid) >= Spec.Count) {
+    std::int64_t Last = 0;
+    for (const TaskState &Task : State.Tasks)
+      Last = std::max(Last, Task.Run);
+    const auto MoreSlots = [](const Candidate &Left, const Candidate &Right) {
+      return Left.Slots > Right.Slots;
+    };
+    std::stable_sort(Found.Valid.begin(), Found.Valid.end(), MoreSlots);
+    place(Now, Entry, Step, Found.Valid, Spec.Count, nextRun(Last));
+    clearReservation(Name, State);
+    return;
+  }
+  if (State.AdviceInFlight)
+    return;
+  std::vector<Candidate> Approved = Found.Valid;
+  Approved.insert(Approved.end(), Found.Expired.begin(), Found.Expired.end());
+  const auto Preferred = [&](const Candidate &Left, const Candidate &Right) {
+    const bool LeftMine = Left.Host->reservedFor() == Name;
+    const bool RightMine = Right.Host->reservedFor() == Name;
+    return std::tuple(!LeftMine, -Left.Slots, -Left.Host->room().CpuMillis) <
+           std::tuple(!RightMine, -Right.Slots, -Right.Host->room().CpuMillis);
+  };
+  std::stable_sort(Approved.begin(), Approved.end(), Preferred);
+  if (totalSlots(Approved) >= Spec.Count) {
+    std::vector<std::string> Names;
+    int Slots = 0;
+    for (const Candidate &At : Approved) {
+      if (Slots >= Spec.Count)
+        break;
+      if (At.Slots == 0)
+        continue;
+      Slots += At.Slots;
+      Names.push_back(At.Host->info().Life.Id);
+    }
+    if (Now.AdviceSlots <= 0 || Names.size() > MaxWorkersPerAdvice)
+      return;
+    clearReservation(Name, State);
+    for (const std::string &Id : Names) {
+      Workers.at(Id).setReservedFor(Name);
+      State.Reserved.insert(Id);
+    }
+    ask(Now, Entry, Step, std::move(Names));
+    return;
+  }
+  int Potential = 0;
+  for (const Candidate &At : Approved)
+    Potential += At.Host->slotsIfEmpty(Spec);
+  if (Potential < GangChoice * Spec.Count && !Found.Unasked.empty()) {
+    if (Now.AdviceSlots <= 0)
+      return;
+    std::stable_sort(Found.Unasked.begin(), Found.Unasked.end(), Preferred);
+    const auto Rate = ApprovalRate.find(queueOf(Entry).Name);
+    const double Chance =
+        std::max(Rate == ApprovalRate.end() ? 0.5 : Rate->second, 0.05);
+    double Missing = GangChoice * Spec.Count - Potential;
+    std::vector<std::string> Names;
+    for (const Candidate &At : Found.Unasked) {
+      if (Names.size() >= MaxWorkersPerAdvice ||
+          (Missing <= 0 && Names.size() >= MinWorkersForGang))
+        break;
+      Missing -= At.Host->slotsIfEmpty(Spec) * Chance;
+      Names.push_back(At.Host->info().Life.Id);
+    }
+    ask(Now, Entry, Step, std::move(Names));
+    return;
+  }
+  Candidates Ordered;
+  Ordered.Valid = std::move(Approved);
+  reserve(Now, Entry, Step, Ordered, Spec.Count);
+}
+
+void JobScheduler::reserve(Round &Now, Job &Entry, int Step,
+                           const Candidates &Found, int Wanted) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  const std::string Name = stepName(Entry.Spec.Id, Step);
+  int Slots = 0;
+  for (const std::string &Id : State.Reserved)
+    if (const auto Host = Workers.find(Id); Host != Workers.end())
+      Slots += Host->second.slotsIfEmpty(Spec);
+  for (const Candidate &At : Found.Valid) {
+    if (Slots >= Wanted || Now.ReservedCpuMillis >= 0)
+      return;
+    Worker &Host = *At.Host;
+    if (!Host.reservedFor().empty())
+      continue;
+    Host.setReservedFor(Name);
+    State.Reserved.insert(Host.info().Life.Id);
+    Now.ReservedCpuMillis += Host.info().Capacity.CpuMillis;
+    Slots += Host.slotsIfEmpty(Spec);
+  }
+}
+
+void JobScheduler::clearReservation(const std::string &Step,
+                                    StepState &State) {
+  for (const std::string &Id : State.Reserved) {
+    const auto Host = Workers.find(Id);
+    if (Host != Workers.end() && Host->second.reservedFor() == Step)
+      Host->second.setReservedFor({});
+  }
+  State.Reserved.clear();
+}
+
+int JobScheduler::place(Round &Now, Job &Entry, int Step,
+                        std::vector<Candidate> &Hosts, int Wanted,
+                        std::int64_t GangRun) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  int Placed = 0;
+  for (std::size_t Index = 0; Index < State.Tasks.size() && Placed < Wanted;
+       ++Index) {
+    TaskState &Task = State.Tasks[Index];
+    if (Task.Phase != TaskPhase::Ready)
+      continue;
+    Candidate *Chosen = nullptr;
+    for (Candidate &At : Hosts) {
+      if (At.Slots <= 0)
+        continue;
+      const bool FailedThere = Task.FailedOn.contains(At.Host->info().Life.Id);
+      if (!Chosen || !FailedThere)
+        Chosen = &At;
+      if (!FailedThere)
+        break;
+    }
+    if (!Chosen)
+      return Placed;
+    startOn(Now, Entry, Step, int(Index), *Chosen,
+            GangRun > 0 ? GangRun : nextRun(Task.Run));
+    --Chosen->Slots;
+    ++Placed;
+  }
+  return Placed;
+}
+
+void JobScheduler::startOn(Round &Now, Job &Entry, int Step, int Index,
+                           const Candidate &At, std::int64_t Run) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  TaskState &Task = State.Tasks[std::size_t(Index)];
+  Worker &Host = *At.Host;
+  const std::string Name = TaskId{Entry.Spec.Id, 0, Step, Index}.text();
+  std::string Checkpoint = Task.Checkpoint;
+  // The members of a gang resume from one checkpoint, that of any of them.
+  if (Spec.Gang) {
+    for (TaskState &Member : State.Tasks)
+      if (!Member.Checkpoint.empty() && Checkpoint.empty())
+        Checkpoint = Member.Checkpoint;
+    for (TaskState &Member : State.Tasks)
+      Member.Checkpoint = Checkpoint;
+  }
+  Task.Phase = TaskPhase::Placed;
+  Task.Worker = Host.info().Life;
+  Task.Run = Run;
+  Task.PlacedAt = Now.Now;
+  Host.hold(Name, {Run, Spec.Request, Spec.Filling, Entry.Spec.Account, false,
+                   Now.Now});
+  Running[Entry.Spec.Account] += Spec.Request;
+  if (!Spec.Filling)
+    Now.FreeCpuMillis -= Spec.Request.CpuMillis;
+  if (!Entry.Started) {
+    Entry.Started = true;
+    --PendingJobs[Entry.Spec.Queue];
+  }
+  if (--State.ReadyCount == 0)
+    dequeue(Entry, Step);
+  Now.Result.Starts.push_back({Host.info().Life, Name, Run, Entry.Spec.Payload,
+                               At.Advice ? At.Advice->Ticket : std::string(),
+                               Checkpoint});
+}
+
+void JobScheduler::ask(Round &Now, Job &Entry, int Step,
+                       std::vector<std::string> Names) {
+  StepState &State = Entry.Steps[std::size_t(Step)];
+  const AdviceTerms &Terms = *queueOf(Entry).Advice;
+  State.AdviceInFlight = true;
+  State.AdviceAskedAt = Now.Now;
+  --Now.AdviceSlots;
+  const double Cost =
+      Terms.BaseMs + Terms.PerWorkerMs * double(Names.size());
+  Now.Result.Advice.push_back(
+      {stepName(Entry.Spec.Id, Step), std::move(Names), Cost});
+}
+
+} // namespace apricotwing::jobs
--- /dev/null
+++ b/src/jobs/worker.h
@@ -0,0 +1,116 @@
+/// \file
+/// The scheduler's view of one worker: its room and the runs that take it.
+#ifndef APRICOTWING_JOBS_WORKER_H
+#define APRICOTWING_JOBS_WORKER_H
+
+#include "core/resources.h"
+#include "core/time.h"
+#include "jobs/jobspec.h"
+#include "jobs/run.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace apricotwing::jobs {
+
+/// A run that may take room on a worker, from its order until its end is
+/// listed or it is certain that it never started.
+struct HeldRun {
+  std::int64_t Run = 0;
+  Resources Request;
+  bool Filling = false;
+  std::string Account;
+  bool Stopping = false;
+  TimePoint Since;
+};
+
+/// One life of a worker. Owned by a JobScheduler and used on its thread only.
+class Worker {
+public:
+  explicit Worker(WorkerInfo Known) : Info(std::move(Known)) {}
+
+  /// What the registry says of it.
+  const WorkerInfo &info() const { return Info; }
+
+  /// Replaces what is known. Precondition: it is the same life.
+  void setInfo(WorkerInfo Known) { Info = std::move(Known); }
+
+  /// True once its list of runs has been read by the present owner.
+  bool isSynced() const { return Synced; }
+  void setSynced(bool Value) { Synced = Value; }
+
+  /// False while its agent has no contact to it.
+  bool isReachable() const { return Reachable; }
+  void setReachable(bool Value) { Reachable = Value; }
+
+  /// True if new runs may be ordered at \p Now.
+  bool isUsable(TimePoint Now) const {
+    return Synced && Reachable && !Info.Draining && Now >= AvoidedUntil;
+  }
+
+  /// Keeps new runs away until \p Until.
+  void avoidUntil(TimePoint Until) {
+    AvoidedUntil = std::max(AvoidedUntil, Until);
+  }
+
+  /// Notes how a run ended, for the detection of workers that fail whatever
+  /// they start: after FailuresToAvoid failures in a row it is avoided for
+  /// AvoidTime, then tried again.
+  void noteEnd(bool Success, TimePoint Now);
+
+  /// Adds a run that takes room.
+  void hold(const std::string &Task, HeldRun Run);
+
+  /// Removes a run; true if \p Task was held with that run.
+  bool release(const std::string &Task, std::int64_t Run);
+
+  /// The runs that take room, by task.
+  std::map<std::string, HeldRun> &runs() { return Runs; }
+  const std::map<std::string, HeldRun> &runs() const { return Runs; }
+
+  /// What is not taken. Filling runs take memory only.
+  Resources room() const { return Info.Capacity - Used; }
+
+  /// Processors that neither counted nor filling runs take.
+  std::int64_t unusedCpuMillis() const {
+    return Info.Capacity.CpuMillis - Used.CpuMillis - FillingCpuMillis;
+  }
+
+  /// How many tasks of \p Step fit into the present room.
+  int slotsFor(const StepSpec &Step) const;
+
+  /// How many tasks of \p Step the worker could run if it were empty.
+  int slotsIfEmpty(const StepSpec &Step) const;
+
+  /// True if it carries the label that \p Step requires.
+  bool satisfies(const StepSpec &Step) const;
+
+  /// Name of the step for whose gang it is kept free; empty: none.
+  const std::string &reservedFor() const { return ReservedFor; }
+  void setReservedFor(std::string Step) { ReservedFor = std::move(Step); }
+
+  /// Failures in a row that make a worker suspect. Jobs that can never
+  /// succeed are a few percent, so four in a row point to the worker.
+  static constexpr int FailuresToAvoid = 4;
+
+  /// Pause before a suspect worker is tried again.
+  static constexpr Duration AvoidTime{3000};
+
+private:
+  int slotsIn(const Resources &Room, const StepSpec &Step) const;
+
+  WorkerInfo Info;
+  bool Synced = false;
+  bool Reachable = false;
+  TimePoint AvoidedUntil;
+  int FailuresInRow = 0;
+  Resources Used;
+  std::int64_t FillingCpuMillis = 0;
+  std::map<std::string, HeldRun> Runs;
+  std::string ReservedFor;
+};
+
+} // namespace apricotwing::jobs
+
+#endif
--- a/tests/cli/commandline_test.cpp
+++ b/tests/cli/commandline_test.cpp
@@ -2,7 +2,7 @@
 #include "cli/faketransport.h"
 #include "cli/keyfile.h"
 #include "core/secret.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 #include "wire/configcodec.h"
 #include "wire/runcodec.h"
 
--- a/tests/platform/rawserver.cpp
+++ b/tests/httpclient/rawserver.cpp
@@ -1,4 +1,4 @@
-#include "platform/rawserver.h"
+#include "httpclient/rawserver.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/platform/rawserver.h
+++ b/tests/httpclient/rawserver.h
@@ -1,8 +1,8 @@
 /// \file
 /// A scripted server on a plain socket, for answers that no correct server
 /// gives.
-#ifndef APRICOTWING_PLATFORM_RAWSERVER_H
-#define APRICOTWING_PLATFORM_RAWSERVER_H
+#ifndef APRICOTWING_HTTPCLIENT_RAWSERVER_H
+#define APRICOTWING_HTTPCLIENT_RAWSERVER_H
 
 #include <atomic>
 #include <functional>
--- a/tests/platform/upstreamclient_test.cpp
+++ b/tests/httpclient/upstreamclient_test.cpp
@@ -1,5 +1,5 @@
-#include "platform/httpupstreamclient.h"
-#include "platform/rawserver.h"
+#include "httpclient/httpupstreamclient.h"
+#include "httpclient/rawserver.h"
 #include "standins/cell.h"
 
 #include <gtest/gtest.h>
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -1,7 +1,7 @@
 #include "process/cluster.h"
 
 #include "core/error.h"
-#include "platform/crypto.h"
+#include "httpclient/crypto.h"
 #include "wire/configcodec.h"
 #include "wire/platformcodec.h"
 
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -4,7 +4,7 @@
 #define APRICOTWING_PROCESS_CLUSTER_H
 
 #include "core/config.h"
-#include "platform/httpclient.h"
+#include "httpclient/httpclient.h"
 #include "process/relay.h"
 #include "standins/cell.h"
 #include "wire/runcodec.h"
