--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -26,6 +26,7 @@
 inline constexpr const char *LeaderKey = "leader";
 inline constexpr const char *JobTable = "jobs";
 inline constexpr const char *ProgressTable = "progress";
+inline constexpr const char *EndedTable = "ended";
 inline constexpr const char *RosterTable = "roster";
 
 /// Commits changes in groups, one transaction after another. Each transaction
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -45,6 +45,9 @@
 /// other work.
 constexpr double OwnShareOfWorkers = 0.5;
 
+/// How the end of a job is stored, by JobPhase; an active one has none.
+constexpr std::string_view EndLetters = "acfx";
+
 /// Tokens that one term may give out.
 constexpr std::int64_t TokensPerTerm = 1'000'000;
 
@@ -64,7 +67,7 @@
                   registryChanged(Rows);
                 }}),
       LastToken(Own.Term * TokensPerTerm), TookOfficeAt(Use.Time.now()),
-      TablesToLoad{RosterTable, ProgressTable, JobTable} {
+      TablesToLoad{EndedTable, RosterTable, ProgressTable, JobTable} {
   Use.Log.event("leading", Own.Instance.Name,
                 {{"term", std::to_string(Own.Term)},
                  {"version", std::to_string(Version)}});
@@ -94,7 +97,9 @@
   }
   for (const StoredRow &Row : Page.Rows) {
     bool Readable = true;
-    if (Table == JobTable) {
+    if (Table == EndedTable) {
+      restoreEnded(Row);
+    } else if (Table == JobTable) {
       auto Spec = decodeJobSpec(Row.Value);
       Readable = bool(Spec);
       if (Spec)
@@ -119,8 +124,10 @@
   }
   LoadFrom.clear();
   TablesToLoad.pop_back();
-  if (TablesToLoad.empty())
+  if (Table == RosterTable)
     restoreJobs();
+  if (TablesToLoad.empty())
+    serveDeferred();
 }
 
 void Leader::restoreJobs() {
@@ -155,19 +162,9 @@
                                                        : Progress->second,
                       Age, Now);
   }
-  for (const auto &[Id, Progress] : LoadedProgress) {
-    if (LoadedJobs.contains(Id))
-      continue;
-    // Only the end of the job is kept.
-    jobs::JobSpec Ended;
-    Ended.Id = Id;
-    Ended.Queue = Progress.Queue;
-    Scheduler.restore(Ended, Progress, Duration{0}, Now);
-  }
   Use.Log.event("state loaded", Own.Instance.Name,
                 {{"term", std::to_string(Own.Term)},
                  {"jobs", std::to_string(LoadedJobs.size())},
-                 {"ended", std::to_string(LoadedProgress.size())},
                  {"roster", std::to_string(LoadedRoster.size())},
                  {"after_ms", std::to_string((Now - TookOfficeAt).count())}});
   LoadedJobs.clear();
@@ -175,6 +172,29 @@
   LoadedRoster.clear();
   Loaded = true;
   Dirty = true;
+}
+
+// Jobs that have ended are read last: no decision needs them, only callers
+// who ask for one or hand one in again.
+void Leader::restoreEnded(const StoredRow &Row) {
+  jobs::JobSpec Ended;
+  Ended.Id = Row.Key;
+  jobs::JobProgress Progress;
+  const std::size_t Letter =
+      Row.Value.empty() ? std::string_view::npos : EndLetters.find(Row.Value[0]);
+  if (Letter == std::string_view::npos) {
+    Use.Log.event("stored row unreadable", Row.Key, {{"table", EndedTable}});
+    return;
+  }
+  Progress.Phase = jobs::JobPhase(Letter);
+  Scheduler.restore(Ended, Progress, Duration{0}, Use.Time.now());
+}
+
+void Leader::serveDeferred() {
+  Use.Log.event("ended jobs loaded", Own.Instance.Name,
+                {{"term", std::to_string(Own.Term)},
+                 {"after_ms", std::to_string(
+                                  (Use.Time.now() - TookOfficeAt).count())}});
   for (const auto &Call : std::exchange(Deferred, {}))
     Call();
 }
@@ -380,7 +400,7 @@
   const auto Answer = [this, Member, Session, Tag] {
     submitted(Member, Session, Tag, SubmitResult::Accepted);
   };
-  if (!Loaded) {
+  if (!TablesToLoad.empty()) {
     // Whether the job is known is clear only once the state is loaded.
     Deferred.push_back([this, Member, Session, Handed] {
       const auto Found = Members.find(Member);
@@ -389,23 +409,25 @@
     });
     return;
   }
-  if (Scheduler.find(Id)) {
-    Answer();
-    return;
-  }
   if (const auto Waiting = Storing.find(Id); Waiting != Storing.end()) {
     Waiting->second.push_back(Answer);
     return;
   }
+  if (Scheduler.find(Id)) {
+    Answer();
+    return;
+  }
   if (const auto Problem = jobs::problemOf(Handed.Job)) {
     Use.Log.event("job malformed", Id, {{"problem", *Problem}});
     From.Outgoing.Submitted.push_back({Tag, SubmitResult::Malformed, 0});
     return;
   }
   Storing[Id].push_back(Answer);
+  Scheduler.add(Handed.Job, Use.Time.now());
+  Dirty = true;
   Writer.put(JobTable, Id, encode(Handed.Job));
   Writer.whenStored(Life.guard([this, Job = Handed.Job] {
-    Scheduler.add(Job, Use.Time.now());
+    Scheduler.accept(Job.Id);
     Use.Log.event("job accepted", Job.Id,
                   {{"queue", Job.Queue},
                    {"account", Job.Account},
@@ -434,10 +456,16 @@
     if (Found != Members.end() && Found->second.Session == Session)
       query(Found->second, Asked);
   };
-  if (!Loaded) {
+  // A job that has not ended is known before all others.
+  if (!Loaded || (!TablesToLoad.empty() && !Scheduler.find(Asked.Subject))) {
     Deferred.push_back(AskAgain);
     return;
   }
+  // A job that is being stored is about to be known.
+  if (Storing.contains(Asked.Subject)) {
+    Storing[Asked.Subject].push_back(AskAgain);
+    return;
+  }
   if (Asked.Kind == QueryKind::Cancel && Scheduler.find(Asked.Subject)) {
     Scheduler.cancel(Asked.Subject, Use.Time.now());
     Use.Log.event("job cancelled", Asked.Subject, {});
@@ -448,11 +476,6 @@
     }));
     return;
   }
-  // A job that is being stored is about to be known.
-  if (Storing.contains(Asked.Subject)) {
-    Storing[Asked.Subject].push_back(AskAgain);
-    return;
-  }
   answerQuery(Member, Session, Asked);
 }
 
@@ -584,6 +607,8 @@
     const jobs::JobProgress Progress = Entry->progress();
     if (Progress.Phase != jobs::JobPhase::Active) {
       Writer.remove(JobTable, Id);
+      Writer.remove(ProgressTable, Id);
+      Writer.put(EndedTable, Id, std::string(1, EndLetters[int(Progress.Phase)]));
       Use.Log.event("job ended", Id,
                     {{"phase", std::string(nameIn(jobs::JobPhaseNames,
                                                   Progress.Phase))},
@@ -594,10 +619,11 @@
                       std::to_string(
                           (Entry->Due - Entry->AcceptedAt).count())}});
     }
-    Writer.put(ProgressTable, Id, encode(Progress));
     if (Progress.Phase != jobs::JobPhase::Active)
       Writer.whenStored(
           Life.guard([this, Id] { Scheduler.phaseStored(Id); }));
+    else
+      Writer.put(ProgressTable, Id, encode(Progress));
   }
 }
 
@@ -746,20 +772,23 @@
     Scheduler.adviceFailed(Request.Step);
     return;
   }
-  // The first half takes slow calls, the rest fast ones.
-  const std::size_t Half = (Able.size() + 1) / 2;
-  auto First = Able.begin();
-  auto Last = Able.end();
-  if (Able.size() > 1 && Slow)
-    Last = Able.begin() + std::ptrdiff_t(Half);
-  else if (Able.size() > 1)
-    First = Able.begin() + std::ptrdiff_t(Half);
-  MemberState *Best =
-      *std::min_element(First, Last, [](const auto *Left, const auto *Right) {
+  // The last members take fast calls only, the others those that are shorter
+  // than what they have to do.
+  const std::size_t FastOnly =
+      std::min(Able.size() - 1, (Able.size() + 2) / 3);
+  const auto Last =
+      Slow ? Able.end() - std::ptrdiff_t(FastOnly) : Able.end();
+  MemberState *Best = *std::min_element(
+      Able.begin(), Last, [](const auto *Left, const auto *Right) {
         return Left->AdviceBusyUntil < Right->AdviceBusyUntil;
       });
   const TimePoint Start = std::max(Best->AdviceBusyUntil, Now);
   Best->AdviceBusyUntil = Start + Duration(Duration::rep(Request.CostMs) + 1);
+  Use.Log.event("advice asked", Request.Step,
+                {{"workers", std::to_string(Request.Workers.size())},
+                 {"cost_ms", std::to_string(int(Request.CostMs))},
+                 {"queued_ms", std::to_string((Start - Now).count())},
+                 {"member", Best->Info.Name}});
   Best->AdviceDue[Request.Step] = Best->AdviceBusyUntil + AdvicePatience;
   Best->Outgoing.Advice.push_back(Request);
 }
@@ -797,7 +826,7 @@
   for (const std::string &Id :
        Scheduler.endedBefore(Now - Use.Times.StatusRetention)) {
     Scheduler.forget(Id);
-    Writer.remove(ProgressTable, Id);
+    Writer.remove(EndedTable, Id);
   }
 }
 
@@ -806,7 +835,7 @@
     return;
   const TimePoint Now = Use.Time.now();
   // Restored jobs need the terms of their queues.
-  if (!Loaded && !Loading && PolicyKnown && Now >= NextLoad)
+  if (!TablesToLoad.empty() && !Loading && PolicyKnown && Now >= NextLoad)
     load(TablesToLoad.back(), LoadFrom);
   Registry.pump();
   // Without a valid lease nothing is ordered or told; the journal goes on
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -101,6 +101,8 @@
   void load(const std::string &Table, const std::string &From);
   void loaded(const std::string &Table, const ReadResult &Page);
   void restoreJobs();
+  void restoreEnded(const StoredRow &Row);
+  void serveDeferred();
 
   void registryReplaced(const std::vector<StoredRow> &Rows);
   void registryChanged(const std::vector<StoredRow> &Rows);
--- a/src/cell/maillink.cpp
+++ b/src/cell/maillink.cpp
@@ -33,7 +33,7 @@
       post();
     return;
   }
-  if (!From.HasMail() && Now - SentAt < Times.KeepAlive)
+  if (Now - SentAt < (From.HasMail() ? Times.MailGap : Times.KeepAlive))
     return;
   Body = From.Compose(++Sequence);
   post();
--- a/src/cell/node.h
+++ b/src/cell/node.h
@@ -37,7 +37,7 @@
   };
 
   /// Longest time between two calls of pump().
-  static constexpr Duration PumpPeriod{10};
+  static constexpr Duration PumpPeriod{20};
 
   /// \p Process names this process among all that the instance ever runs.
   Node(const Ports &Use, const Timing &Times, InstanceInfo Own,
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -30,6 +30,11 @@
   /// Longest silence of a link; mail is sent at least this often.
   Duration KeepAlive{250};
 
+  /// Least time between two mails of one direction of a link. Each costs some
+  /// 0.3 ms of processor time at both ends, so that without it a busy leader
+  /// would spend its whole share on them.
+  Duration MailGap{10};
+
   /// A link without an acknowledged mail for this long is broken. Shorter
   /// would break links to slowed instances, longer would delay a takeover.
   Duration LinkTimeout{900};
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -115,7 +115,8 @@
   JobSpec Spec;
   JobPhase Phase = JobPhase::Active;
   JobPhase StoredPhase = JobPhase::Active; ///< What callers may be told.
-  bool Started = false; ///< Some task has been ordered.
+  bool IsStored = false; ///< Until then only advice is asked for it.
+  bool Started = false;  ///< Some task has been ordered.
   Duration RemainingEstimate{0}; ///< Time that the unfinished part takes.
   TimePoint AcceptedAt;
   TimePoint Due;      ///< Later completion is late.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -87,11 +87,15 @@
   Entry->Spec = Spec;
   Entry->AcceptedAt = Now;
   Entry->restore(JobProgress{});
-  Changed.insert(Spec.Id);
   addJob(std::move(Entry));
   return true;
 }
 
+void JobScheduler::accept(const std::string &Id) {
+  if (Job *Entry = findJob(Id))
+    Entry->IsStored = true;
+}
+
 void JobScheduler::restore(const JobSpec &Spec, const JobProgress &Stored,
                            Duration Age, TimePoint Now) {
   if (Jobs.contains(Spec.Id))
@@ -100,6 +104,7 @@
   Entry->Spec = Spec;
   Entry->AcceptedAt = Now - Age;
   Entry->EndedAt = Now;
+  Entry->IsStored = true;
   Entry->restore(Stored);
   Job &Added = *Entry;
   addJob(std::move(Entry));
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -58,10 +58,15 @@
   /// names keep their last settings for the jobs that refer to them.
   void setPolicy(const ClusterPolicy &Next);
 
-  /// Adds an accepted job; false if the id is known. Precondition: the
-  /// specification is well-formed.
+  /// Adds a job that is about to be stored; false if the id is known. Until
+  /// accept(), placement advice is asked for it, which takes as long as the
+  /// storing, but nothing is placed. Precondition: the specification is
+  /// well-formed.
   bool add(const JobSpec &Spec, TimePoint Now);
 
+  /// Notes that a job is stored, so that its tasks may be placed.
+  void accept(const std::string &Id);
+
   /// Adds a job from storage. Its placed tasks take room on their workers
   /// until those have been synced or have lapsed; a task whose worker is not
   /// known runs nowhere. \p Age is the time since its acceptance.
@@ -205,6 +210,8 @@
   void adopt(Worker &Host, const ActiveRun &Run, TimePoint Now);
   void clearReservation(const std::string &Step, StepState &State);
 
+  std::optional<WaitRank> serveFrom(Round &Now, const WaitRank &First,
+                                    std::size_t Limit);
   Candidates candidatesFor(Round &Now, Job &Entry, int Step);
   int allowedByCap(const Job &Entry, const StepSpec &Spec) const;
   void serve(Round &Now, Job &Entry, int Step);
@@ -229,6 +236,7 @@
   std::map<std::string, Resources> Running; ///< By client account.
   std::map<std::string, int> PendingJobs;   ///< By queue.
   std::map<WaitRank, StepRef> Waiting;
+  WaitRank ResumeAt; ///< Where the next round goes on behind the front.
   std::vector<StopOrder> Stops; ///< Decided outside of a round.
   std::set<std::string> Changed;
   std::uint64_t LastSequence = 0;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -10,11 +10,15 @@
 
 namespace {
 
-/// Waiting steps considered in one round, and those of them that are compared
-/// with every worker. Keep a round short when a backlog of thousands of steps
-/// cannot be placed anyway.
-constexpr std::size_t MaxStepsPerRound = 256;
-constexpr int MaxComparisonsPerRound = 40;
+/// Waiting steps considered in one round from the front, and then from where
+/// the last round ended, so that none is passed over for good behind others
+/// that cannot be placed. Keep a round short when thousands are waiting.
+constexpr std::size_t FrontStepsPerRound = 96;
+constexpr std::size_t FurtherStepsPerRound = 96;
+
+/// Those of them that are compared with every worker, from the front and
+/// further on.
+constexpr int MaxComparisonsPerRound = 24;
 
 /// Gangs among them, which are compared even if there is no room for them.
 constexpr int MaxGangsPerRound = 12;
@@ -71,26 +75,43 @@
   }
   Present.ReservedCpuMillis -=
       std::int64_t(double(TotalCpuMillis) * MaxReservedShare);
-  std::vector<std::pair<WaitRank, StepRef>> Order;
-  for (const auto &Entry : Waiting) {
-    if (Order.size() == MaxStepsPerRound)
-      break;
-    Order.push_back(Entry);
-  }
-  for (const auto &[Rank, Ref] : Order) {
-    if (tierOf(*Ref.Owner, Now) != Rank.Tier) {
-      rankAgain(*Ref.Owner, Now);
-      continue;
-    }
-    if (Present.StepsLeft <= 0)
-      break;
-    serve(Present, *Ref.Owner, Ref.Step);
+  const std::optional<WaitRank> FrontEnd =
+      serveFrom(Present, WaitRank{}, FrontStepsPerRound);
+  if (FrontEnd) {
+    Present.StepsLeft = MaxComparisonsPerRound;
+    Present.GangsLeft = MaxGangsPerRound;
+    ResumeAt = serveFrom(Present, std::max(*FrontEnd, ResumeAt),
+                         FurtherStepsPerRound)
+                   .value_or(WaitRank{});
   }
   Present.Result.Stops = std::move(Stops);
   Stops.clear();
   return std::move(Present.Result);
 }
 
+// Serves up to Limit waiting steps from First on. Returns where to go on; empty
+// at the end of the order.
+std::optional<WaitRank> JobScheduler::serveFrom(Round &Now,
+                                                const WaitRank &First,
+                                                std::size_t Limit) {
+  std::vector<std::pair<WaitRank, StepRef>> Order;
+  auto Next = Waiting.lower_bound(First);
+  for (; Next != Waiting.end() && Order.size() < Limit; ++Next)
+    Order.push_back(*Next);
+  std::optional<WaitRank> End;
+  if (Next != Waiting.end())
+    End = Next->first;
+  for (const auto &[Rank, Ref] : Order) {
+    if (Now.StepsLeft <= 0)
+      return Rank;
+    if (tierOf(*Ref.Owner, Now.Now) != Rank.Tier)
+      rankAgain(*Ref.Owner, Now.Now);
+    else
+      serve(Now, *Ref.Owner, Ref.Step);
+  }
+  return End;
+}
+
 int JobScheduler::allowedByCap(const Job &Entry, const StepSpec &Spec) const {
   const auto Account = Accounts.find(Entry.Spec.Account);
   if (Account == Accounts.end())
@@ -181,6 +202,8 @@
   // also while there is no room.
   if (!Spec.Gang && !Spec.Request.fitsIn(Now.LargestRoom))
     return;
+  if (allowedByCap(Entry, Spec) == 0)
+    return;
   if (Spec.Gang && Now.GangsLeft-- <= 0)
     return;
   --Now.StepsLeft;
@@ -198,7 +221,10 @@
   const int Wanted = std::min(State.ReadyCount, allowedByCap(Entry, Spec));
   if (Wanted == 0)
     return;
-  const int Left = Wanted - place(Now, Entry, Step, Found.Valid, Wanted, 0);
+  const int Placed = Entry.IsStored
+                         ? place(Now, Entry, Step, Found.Valid, Wanted, 0)
+                         : std::min(Wanted, totalSlots(Found.Valid));
+  const int Left = Wanted - Placed;
   if (Left == 0)
     return;
   // Room that is free now goes to the steps in their order, so no more steps
@@ -237,6 +263,8 @@
   const std::string Name = stepName(Entry.Spec.Id, Step);
   Now.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
   if (totalSlots(Found.Valid) >= Spec.Count) {
+    if (!Entry.IsStored)
+      return;
     std::int64_t Last = 0;
     for (const TaskState &Task : State.Tasks)
       Last = std::max(Last, Task.Run);
