--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -29,32 +29,35 @@
     : Store(Store), Time(Time), Times(Times), Own(std::move(Own)),
       Version(Version), LeaseStart(SentAt), LastSent(SentAt) {}
 
-Journal::Batch &Journal::openBatch(std::size_t Bytes) {
-  const bool FirstIsTaken = InFlight || Verifying || Failing;
+Journal::Batch &Journal::openBatch(std::size_t Rows, std::size_t Bytes) {
+  // A batch that was sent may be applied as it was, so it is not changed.
+  const bool FirstWasSent = InFlight || Failing;
   const bool NeedsNew =
-      Batches.empty() || (Batches.size() == 1 && FirstIsTaken) ||
-      Batches.back().Rows.size() >= MaxRows ||
+      Batches.empty() || (Batches.size() == 1 && FirstWasSent) ||
+      Batches.back().Rows.size() + Rows > MaxRows ||
       (Batches.back().Bytes > 0 && Batches.back().Bytes + Bytes > MaxBytes);
   if (NeedsNew)
     Batches.emplace_back();
   return Batches.back();
 }
 
-void Journal::add(const std::string &Table, const std::string &Key,
-                  std::optional<std::string> Value) {
-  const std::size_t Bytes = Key.size() + (Value ? Value->size() : 0);
-  Batch &Open = openBatch(Bytes);
-  Open.Rows[{Table, Key}] = std::move(Value);
+void Journal::change(const std::vector<RowChange> &Together) {
+  std::size_t Bytes = 0;
+  for (const RowChange &Row : Together)
+    Bytes += Row.Key.size() + (Row.Value ? Row.Value->size() : 0);
+  Batch &Open = openBatch(Together.size(), Bytes);
+  for (const RowChange &Row : Together)
+    Open.Rows[{Row.Table, Row.Key}] = Row.Value;
   Open.Bytes += Bytes;
 }
 
 void Journal::put(const std::string &Table, const std::string &Key,
                   std::string Value) {
-  add(Table, Key, std::move(Value));
+  change({{Table, Key, std::move(Value)}});
 }
 
 void Journal::remove(const std::string &Table, const std::string &Key) {
-  add(Table, Key, std::nullopt);
+  change({{Table, Key, std::nullopt}});
 }
 
 void Journal::whenStored(std::function<void()> Then) {
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -40,6 +40,9 @@
   Journal(MetadataStore &Store, const Clock &Time, const Timing &Times,
           LeaderRecord Own, std::int64_t Version, TimePoint SentAt);
 
+  /// Applies changes with one and the same commit.
+  void change(const std::vector<RowChange> &Together);
+
   /// Writes or replaces a row with the next commit.
   void put(const std::string &Table, const std::string &Key,
            std::string Value);
@@ -81,9 +84,7 @@
     std::vector<std::function<void()>> Stored;
   };
 
-  Batch &openBatch(std::size_t Bytes);
-  void add(const std::string &Table, const std::string &Key,
-           std::optional<std::string> Value);
+  Batch &openBatch(std::size_t Rows, std::size_t Bytes);
   void commit(TimePoint Now);
   void committed(const TransactionResult &Result);
   void applied(std::int64_t NewVersion);
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -606,9 +606,10 @@
       continue;
     const jobs::JobProgress Progress = Entry->progress();
     if (Progress.Phase != jobs::JobPhase::Active) {
-      Writer.remove(JobTable, Id);
-      Writer.remove(ProgressTable, Id);
-      Writer.put(EndedTable, Id, std::string(1, EndLetters[int(Progress.Phase)]));
+      Writer.change({{JobTable, Id, std::nullopt},
+                     {ProgressTable, Id, std::nullopt},
+                     {EndedTable, Id,
+                      std::string(1, EndLetters[std::size_t(Progress.Phase)])}});
       Use.Log.event("job ended", Id,
                     {{"phase", std::string(nameIn(jobs::JobPhaseNames,
                                                   Progress.Phase))},
--- /dev/null
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -0,0 +1,305 @@
+#include "emulator/emulatedcell.h"
+#include "support/fixedseeds.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace apricotwing::emulator {
+namespace {
+
+using namespace std::chrono_literals;
+
+enum class ActionKind {
+  SubmitTasks,
+  SubmitGang,
+  SubmitFailing,
+  SubmitAgain,
+  Cancel,
+  Wait,
+  KillLeader,
+  KillInstance,
+  KillAll,
+  StartAll,
+  FreezeLeader,
+  FreezeInstance,
+  ThawAll,
+  CutInstance,
+  HealInstances,
+  StopLeader,
+  StoreDown,
+  StoreTurnsLeaderAway,
+  StoreCutsInstance,
+  StoreLosesAnswers,
+  StoreAppliesLate,
+  StoreSlow,
+  StoreWell,
+  CompactStore,
+  CutWorker,
+  CutWorkerFromInstance,
+  CrashWorker,
+  RestartWorker,
+  WorkersApplyLate,
+  WorkersLoseAnswers,
+  WorkersWell,
+};
+constexpr int ActionKinds = int(ActionKind::WorkersWell) + 1;
+
+struct Action {
+  ActionKind Kind = ActionKind::Wait;
+  int Choice = 0;
+};
+
+std::ostream &operator<<(std::ostream &To, const Action &Value) {
+  return To << "{" << int(Value.Kind) << "," << Value.Choice << "}";
+}
+
+rc::Gen<Action> anyAction() {
+  const auto Kind = rc::gen::weightedOneOf<int>(
+      {{8, rc::gen::inRange(0, int(ActionKind::Wait))},
+       {8, rc::gen::just(int(ActionKind::Wait))},
+       {10, rc::gen::inRange(0, ActionKinds)}});
+  return rc::gen::apply(
+      [](int KindNumber, int Choice) {
+        return Action{ActionKind(KindNumber), Choice};
+      },
+      Kind, rc::gen::inRange(0, 1000));
+}
+
+/// Plays actions on a cell and checks, once all faults are over, what callers
+/// were promised.
+class Walk {
+public:
+  explicit Walk(std::uint64_t Seed) : Cell(Seed) { Cell.run(2s); }
+
+  void play(const Action &Step) {
+    const std::vector<std::string> Names = Cell.names();
+    const std::string Any = Names[std::size_t(Step.Choice) % Names.size()];
+    const std::vector<std::string> Workers = Cell.workers().ids();
+    const std::string Worker =
+        Workers[std::size_t(Step.Choice) % Workers.size()];
+    const std::string Leader = Cell.leader().empty() ? Any : Cell.leader();
+    const Duration Work(100 + Step.Choice * 4);
+    const std::string Queue = Step.Choice % 3 == 0 ? "/quick/" : "/batch/";
+    switch (Step.Kind) {
+    case ActionKind::SubmitTasks:
+      submitted(Cell.submit(Any, stepOf(1 + Step.Choice % 7, Work), Queue));
+      break;
+    case ActionKind::SubmitGang:
+      submitted(
+          Cell.submit(Any, stepOf(2 + Step.Choice % 9, Work, true), Queue));
+      break;
+    case ActionKind::SubmitFailing:
+      submitted(Cell.submit(Any, stepOf(1, Work), Queue, "fails"));
+      break;
+    case ActionKind::SubmitAgain:
+      if (!Ids.empty())
+        Cell.submitAgain(Any, Ids[std::size_t(Step.Choice) % Ids.size()]);
+      break;
+    case ActionKind::Cancel:
+      if (!Ids.empty())
+        Cell.cancel(Any, Ids[std::size_t(Step.Choice) % Ids.size()]);
+      break;
+    case ActionKind::Wait:
+      Cell.run(Duration(Step.Choice * 3));
+      break;
+    case ActionKind::KillLeader:
+      Cell.kill(Leader);
+      break;
+    case ActionKind::KillInstance:
+      Cell.kill(Any);
+      break;
+    case ActionKind::KillAll:
+      for (const std::string &Name : Names)
+        Cell.kill(Name);
+      break;
+    case ActionKind::StartAll:
+      startAll();
+      break;
+    case ActionKind::FreezeLeader:
+      Cell.freeze(Leader);
+      break;
+    case ActionKind::FreezeInstance:
+      Cell.freeze(Any);
+      break;
+    case ActionKind::ThawAll:
+      for (const std::string &Name : Names)
+        Cell.thaw(Name);
+      break;
+    case ActionKind::CutInstance:
+      Cell.cut(Any);
+      break;
+    case ActionKind::HealInstances:
+      for (const std::string &Name : Names)
+        Cell.heal(Name);
+      break;
+    case ActionKind::StopLeader:
+      if (Cell.isRunning(Leader))
+        Cell.node(Leader).leave();
+      Cell.run(1s);
+      Cell.kill(Leader);
+      break;
+    case ActionKind::StoreDown:
+      Cell.store().Down = true;
+      break;
+    case ActionKind::StoreTurnsLeaderAway:
+      Cell.store().TurnedAway.insert(Leader);
+      break;
+    case ActionKind::StoreCutsInstance:
+      Cell.store().Cut.insert(Any);
+      break;
+    case ActionKind::StoreLosesAnswers:
+      Cell.store().LostAnswers = 0.4;
+      break;
+    case ActionKind::StoreAppliesLate:
+      Cell.store().LateEffects = 0.3;
+      break;
+    case ActionKind::StoreSlow:
+      Cell.store().Latency = 400ms;
+      break;
+    case ActionKind::StoreWell:
+      healStore();
+      break;
+    case ActionKind::CompactStore:
+      Cell.store().compact();
+      break;
+    case ActionKind::CutWorker:
+      Cell.workers().Cut.insert(Worker);
+      break;
+    case ActionKind::CutWorkerFromInstance:
+      Cell.workers().CutPairs.insert({Any, Worker});
+      break;
+    case ActionKind::CrashWorker:
+      Cell.workers().crash(Worker);
+      break;
+    case ActionKind::RestartWorker:
+      if (!Cell.workers().info(Worker))
+        Cell.workers().restart(Worker);
+      break;
+    case ActionKind::WorkersApplyLate:
+      Cell.workers().LateOrders = 0.2;
+      break;
+    case ActionKind::WorkersLoseAnswers:
+      Cell.workers().LostAnswers = 0.3;
+      break;
+    case ActionKind::WorkersWell:
+      healWorkers();
+      break;
+    }
+  }
+
+  /// Ends all faults, lets the work finish and checks the promises.
+  void check() {
+    healStore();
+    healWorkers();
+    for (const std::string &Id : Cell.workers().ids())
+      if (!Cell.workers().info(Id))
+        Cell.workers().restart(Id);
+    for (const std::string &Name : Cell.names()) {
+      Cell.heal(Name);
+      Cell.thaw(Name);
+    }
+    startAll();
+    Cell.run(90s);
+    for (const std::string &Id : Ids)
+      Cell.read("n0", Id);
+    Cell.run(2s);
+    std::string Wrong;
+    for (const std::string &Text : Cell.workers().broken())
+      Wrong += Text + "\n";
+    for (const std::string &Id : Ids)
+      Wrong += problemOf(Cell.jobs().at(Id));
+    if (Cell.workers().activeRuns() > 0)
+      Wrong += "runs are active at the end\n";
+    if (!Wrong.empty())
+      RC_FAIL(Wrong);
+  }
+
+private:
+  void submitted(std::string Id) { Ids.push_back(std::move(Id)); }
+
+  void startAll() {
+    for (const std::string &Name : Cell.names())
+      Cell.start(Name);
+  }
+
+  void healStore() {
+    EmulatedStore &Store = Cell.store();
+    Store.Down = false;
+    Store.TurnedAway.clear();
+    Store.Cut.clear();
+    Store.LostAnswers = 0;
+    Store.LateEffects = 0;
+    Store.Latency = 5ms;
+  }
+
+  void healWorkers() {
+    EmulatedWorkers &Workers = Cell.workers();
+    Workers.Cut.clear();
+    Workers.CutPairs.clear();
+    Workers.LateOrders = 0;
+    Workers.LostAnswers = 0;
+  }
+
+  std::string problemOf(const JobRecord &Job) {
+    const std::string &Id = Job.Spec.Id;
+    const jobs::StepSpec &Step = Job.Spec.Steps.front();
+    int Done = 0;
+    int Failed = 0;
+    for (int Index = 0; Index < Step.Count; ++Index) {
+      const std::string Task = jobs::TaskId{Id, 0, 0, Index}.text();
+      Done += Cell.workers().isDone(Task) ? 1 : 0;
+      Failed += Cell.workers().failures(Task);
+    }
+    using jobs::JobView;
+    if (!Job.Accepted && !Job.Unresolved && Done + Failed > 0)
+      return Id + " was refused and ran\n";
+    if (!Job.Accepted)
+      return {};
+    if (Job.Cancelled) {
+      // A cancellation may come after the end.
+      return Job.View == JobView::Cancelled || Job.View == JobView::Completed ||
+                     Job.View == JobView::Failed
+                 ? ""
+                 : Id + " was cancelled and is not\n";
+    }
+    if (Job.View == JobView::Cancelled)
+      return {}; // A cancellation without an answer.
+    if (Job.Spec.Payload == "fails")
+      return Job.View == JobView::Failed && Failed == 3
+                 ? ""
+                 : Id + " must fail after 3 runs, had " +
+                       std::to_string(Failed) + ", is " +
+                       std::to_string(int(Job.View)) + "\n";
+    return Job.View == JobView::Completed
+               ? ""
+               : Id + " was accepted and is not completed: " +
+                     std::to_string(int(Job.View)) + ", done " +
+                     std::to_string(Done) + "\n";
+  }
+
+  EmulatedCell Cell;
+  std::vector<std::string> Ids;
+};
+
+// Random faults of instances, store and workers, alone and together. With
+// RC_PARAMS="seed=S max_success=N" it runs longer.
+TEST(CellFuzzTest, KeepsItsPromisesUnderRandomFaults) {
+  checkWithFixedSeeds(
+      [] {
+        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const auto Steps = *rc::gen::container<std::vector<Action>>(anyAction());
+        Walk Day(Seed);
+        for (const Action &Step : Steps)
+          Day.play(Step);
+        Day.check();
+      },
+      60);
+}
+
+} // namespace
+} // namespace apricotwing::emulator
--- /dev/null
+++ b/tests/cell/cell_test.cpp
@@ -0,0 +1,227 @@
+#include "emulator/emulatedcell.h"
+
+#include <gtest/gtest.h>
+
+namespace apricotwing::emulator {
+namespace {
+
+using namespace std::chrono_literals;
+using jobs::JobView;
+
+/// Asks for a job's state and returns the answer.
+JobView viewOf(EmulatedCell &Cell, const std::string &Instance,
+               const std::string &Id) {
+  Cell.read(Instance, Id);
+  Cell.run(200ms);
+  return Cell.jobs().at(Id).View;
+}
+
+class CellTest : public testing::Test {
+protected:
+  CellTest() : Cell(1) { Cell.run(2s); }
+  ~CellTest() override {
+    for (const std::string &Broken : Cell.workers().broken())
+      ADD_FAILURE() << Broken;
+  }
+
+  EmulatedCell Cell;
+};
+
+TEST_F(CellTest, CompletesAJobAndTellsItAtEachInstance) {
+  const std::string Id = Cell.submit("n0", stepOf(5, 500ms));
+  Cell.run(200ms);
+  EXPECT_TRUE(Cell.jobs().at(Id).Accepted);
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::InProgress);
+  Cell.run(1s);
+  for (const std::string &Name : Cell.names())
+    EXPECT_EQ(viewOf(Cell, Name, Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 5);
+}
+
+TEST_F(CellTest, RunsAGangWholeAndOnce) {
+  const std::string Id = Cell.submit("n1", stepOf(12, 400ms, true), "/quick/");
+  Cell.run(3s);
+  EXPECT_EQ(viewOf(Cell, "n0", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 12);
+}
+
+// Guards against a repeated submission that becomes a second job.
+TEST_F(CellTest, TakesARepeatedSubmissionForTheSameJob) {
+  const std::string Id = Cell.submit("n0", stepOf(2, 300ms));
+  Cell.submitAgain("n1", Id);
+  Cell.run(100ms);
+  Cell.submitAgain("n2", Id);
+  Cell.run(2s);
+  EXPECT_EQ(Cell.workers().doneRuns(), 2);
+  EXPECT_EQ(Cell.answers().at(cell::ClientStatus::Accepted), 3);
+}
+
+TEST_F(CellTest, StopsTheTasksOfACancelledJob) {
+  const std::string Id = Cell.submit("n0", stepOf(4, 20s));
+  Cell.run(500ms);
+  EXPECT_EQ(Cell.workers().activeRuns(), 4);
+  Cell.cancel("n2", Id);
+  Cell.run(500ms);
+  EXPECT_TRUE(Cell.jobs().at(Id).Cancelled);
+  EXPECT_EQ(Cell.workers().activeRuns(), 0);
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Cancelled);
+}
+
+// Guards against a failed end that is counted twice, or not at all, when the
+// leader changes: the job must fail after exactly three failed runs.
+TEST_F(CellTest, CountsFailedRunsOnceAcrossLeaders) {
+  jobs::StepSpec Step = stepOf(1, 900ms);
+  const std::string Id = Cell.submit("n0", Step, "/batch/", "fails");
+  Cell.run(1s); // The first end is listed about now.
+  const std::string Old = Cell.leader();
+  Cell.kill(Old);
+  Cell.run(10s);
+  const std::string Other = Old == "n0" ? "n1" : "n0";
+  EXPECT_EQ(viewOf(Cell, Other, Id), JobView::Failed);
+  EXPECT_EQ(Cell.workers().failures(Id + ".0.0.0"), 3);
+}
+
+// Guards against losing an accepted job, or running it twice, when the leader
+// dies while its tasks run.
+TEST_F(CellTest, GoesOnAfterTheLeaderDied) {
+  std::vector<std::string> Ids;
+  for (int Number = 0; Number < 6; ++Number)
+    Ids.push_back(Cell.submit("n" + std::to_string(Number % 3),
+                              stepOf(4, 3s)));
+  Cell.run(500ms);
+  Cell.kill(Cell.leader());
+  Cell.run(3s);
+  EXPECT_NE(Cell.leader(), "");
+  Cell.run(6s);
+  const std::string Name = Cell.leader();
+  for (const std::string &Id : Ids)
+    EXPECT_EQ(viewOf(Cell, Name, Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 24);
+}
+
+// Guards against a refusal of a submission that an earlier leader has stored:
+// the caller would take the job for never run.
+TEST_F(CellTest, NeverRefusesASubmissionThatMayBeStored) {
+  const std::string Old = Cell.leader();
+  const std::string Member = Old == "n0" ? "n1" : "n0";
+  std::vector<std::string> Ids;
+  for (int Number = 0; Number < 20; ++Number) {
+    Ids.push_back(Cell.submit(Member, stepOf(1, 100ms)));
+    Cell.run(2ms);
+  }
+  Cell.kill(Old);
+  Cell.run(6s);
+  for (const std::string &Id : Ids) {
+    const JobRecord &Job = Cell.jobs().at(Id);
+    const bool Ran = Cell.workers().isDone(Id + ".0.0.0");
+    EXPECT_TRUE(!Ran || Job.Accepted || Job.Unresolved) << Id;
+  }
+}
+
+// Guards against a wait for the leader's lease when it alone has lost the
+// store: it resigns, and another instance leads well before that.
+TEST_F(CellTest, ResignsWhenOnlyTheLeaderLosesTheStore) {
+  const std::string Old = Cell.leader();
+  Cell.store().TurnedAway.insert(Old);
+  Cell.run(1100ms);
+  EXPECT_NE(Cell.leader(), Old);
+  EXPECT_NE(Cell.leader(), "");
+}
+
+TEST_F(CellTest, KeepsItsLeaderThroughAnOutageOfTheStore) {
+  const std::string Old = Cell.leader();
+  const std::string Id = Cell.submit("n0", stepOf(4, 2s));
+  Cell.run(200ms);
+  Cell.store().Down = true;
+  Cell.run(4500ms);
+  Cell.store().Down = false;
+  Cell.run(1500ms);
+  EXPECT_EQ(Cell.leader(), Old);
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 4);
+}
+
+// Guards against an order of a leader that was frozen while another took over.
+TEST_F(CellTest, OrdersOfAFrozenLeaderHaveNoEffect) {
+  const std::string Old = Cell.leader();
+  const std::string Member = Old == "n0" ? "n1" : "n0";
+  std::vector<std::string> Ids;
+  for (int Number = 0; Number < 8; ++Number)
+    Ids.push_back(Cell.submit(Member, stepOf(3, 2s)));
+  Cell.run(15ms);
+  Cell.freeze(Old);
+  Cell.run(4s);
+  Cell.thaw(Old);
+  Cell.run(10s);
+  int Accepted = 0;
+  for (const std::string &Id : Ids)
+    if (viewOf(Cell, Member, Id) == JobView::Completed)
+      ++Accepted;
+  EXPECT_EQ(Cell.workers().doneRuns(), Accepted * 3);
+}
+
+// Guards against a task that waits for the lease of a worker whose process is
+// known to have ended.
+TEST_F(CellTest, RepeatsTheWorkOfACrashedWorkerAtOnce) {
+  const std::string Id = Cell.submit("n0", stepOf(6, 2s));
+  Cell.run(500ms);
+  Cell.workers().crash("w0");
+  Cell.workers().crash("w1");
+  Cell.run(4500ms);
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
+}
+
+// Guards against a second run while a worker that is cut off runs on.
+TEST_F(CellTest, WaitsForTheLeaseOfAWorkerThatIsCutOff) {
+  const std::string Id = Cell.submit("n0", stepOf(6, 30s));
+  Cell.run(500ms);
+  Cell.workers().Cut = {"w0", "w1", "w2"};
+  Cell.run(12s);
+  Cell.workers().Cut.clear();
+  Cell.run(45s);
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
+}
+
+// Guards against an order that is carried out seconds after it was given up.
+TEST_F(CellTest, SettlesOrdersThatAreCarriedOutLate) {
+  Cell.workers().LateOrders = 0.3;
+  std::vector<std::string> Ids;
+  for (int Number = 0; Number < 10; ++Number)
+    Ids.push_back(Cell.submit("n0", stepOf(3, 1s)));
+  Cell.run(25s);
+  for (const std::string &Id : Ids)
+    EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
+}
+
+// Guards against a commit whose lost answer blocks the leader for the time-out
+// of the call, or is applied twice.
+TEST_F(CellTest, GoesOnWhenAnswersOfTheStoreAreLost) {
+  Cell.store().LostAnswers = 0.4;
+  std::vector<std::string> Ids;
+  for (int Number = 0; Number < 20; ++Number) {
+    Ids.push_back(Cell.submit("n1", stepOf(1, 200ms)));
+    Cell.run(200ms);
+  }
+  Cell.run(4s);
+  Cell.store().LostAnswers = 0;
+  Cell.run(2s);
+  for (const std::string &Id : Ids)
+    EXPECT_EQ(viewOf(Cell, "n0", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 20);
+}
+
+// Guards against steps behind many that cannot be placed: they must be served
+// although the first ones take no part in it.
+TEST_F(CellTest, ServesStepsBehindManyThatCannotBePlaced) {
+  jobs::StepSpec Huge = stepOf(1, 100ms);
+  Huge.Request = {33'000, 1024, 0}; // More than any worker has.
+  for (int Number = 0; Number < 400; ++Number)
+    Cell.submit("n0", Huge, "/quick/");
+  Cell.run(1s);
+  const std::string Id = Cell.submit("n1", stepOf(2, 100ms));
+  Cell.run(2s);
+  EXPECT_EQ(viewOf(Cell, "n0", Id), JobView::Completed);
+}
+
+} // namespace
+} // namespace apricotwing::emulator
--- /dev/null
+++ b/tests/emulator/emulatedcell.cpp
@@ -0,0 +1,307 @@
+#include "emulatedcell.h"
+
+#include "cell/codec.h"
+
+#include <cstdio>
+#include <utility>
+
+namespace apricotwing::emulator {
+
+namespace {
+
+constexpr Duration PeerLatency{2};
+constexpr Duration PumpStep{10};
+constexpr Duration HeartbeatPeriod{1500};
+constexpr const char *Host = "cell.example";
+constexpr const char *Key = "key";
+
+/// Codec of the emulated platform's own rows.
+class EmulatedRecords final : public cell::PlatformRecords {
+public:
+  explicit EmulatedRecords(EmulatedWorkers &Workers) : Workers(Workers) {}
+
+  std::string policyTable() const override { return "policy"; }
+
+  std::optional<jobs::ClusterPolicy>
+  policyIn(const cell::StoredRow &Row) const override {
+    jobs::ClusterPolicy Result;
+    Result.Version = std::stoll(Row.Value);
+    jobs::Queue Batch;
+    Batch.Name = "batch";
+    Batch.Host = Host;
+    Batch.PathPrefix = "/batch/";
+    Batch.Upstream = "service";
+    Batch.Priority = 1;
+    Batch.MaxAttempts = 3;
+    Batch.SlackFactor = 4;
+    Batch.LatencyTarget = Duration{1000};
+    jobs::Queue Quick = Batch;
+    Quick.Name = "quick";
+    Quick.PathPrefix = "/quick/";
+    Quick.Priority = 0;
+    Quick.Advice = jobs::AdviceTerms{10, 1, Duration{2000}};
+    Result.Queues = {Batch, Quick};
+    jobs::ClientAccount Account;
+    Account.Name = "account";
+    Account.Keys = {Key};
+    Result.Accounts = {Account};
+    jobs::Upstream Service;
+    Service.Name = "service";
+    Result.Upstreams = {Service};
+    return Result;
+  }
+
+  std::string workerTable() const override { return "workers"; }
+
+  std::optional<jobs::WorkerInfo>
+  workerIn(const cell::StoredRow &Row) const override {
+    const auto Info = Workers.info(Row.Key);
+    const bool Current = Info && std::to_string(Info->Life.Born) == Row.Value;
+    return Current ? Info : std::nullopt;
+  }
+
+private:
+  EmulatedWorkers &Workers;
+};
+
+class VirtualCalendar final : public cell::WallClock {
+public:
+  explicit VirtualCalendar(const VirtualTime &Time) : Time(Time) {}
+  std::int64_t unixMs() const override {
+    return Time.now().time_since_epoch().count();
+  }
+
+private:
+  const VirtualTime &Time;
+};
+
+} // namespace
+
+/// Drops all lines, or prints them if APRICOTWING_TRACE is set.
+class EmulatedCell::Quiet final : public cell::EventLog {
+public:
+  explicit Quiet(const VirtualTime &Time) : Time(Time) {}
+  void event(std::string_view Name, std::string_view Subject,
+             std::initializer_list<Field> Fields) override {
+    if (!Trace)
+      return;
+    std::printf("%lld %.*s %.*s", (long long)Time.now().time_since_epoch().count(),
+                int(Name.size()), Name.data(), int(Subject.size()),
+                Subject.data());
+    for (const auto &[Key, Value] : Fields)
+      std::printf(" %.*s=%s", int(Key.size()), Key.data(), Value.c_str());
+    std::printf("\n");
+  }
+
+private:
+  const VirtualTime &Time;
+  const bool Trace = std::getenv("APRICOTWING_TRACE") != nullptr;
+};
+
+/// Mail between instances; lost if either end is cut, frozen or not running.
+class EmulatedCell::Network final : public cell::PeerTransport {
+public:
+  Network(EmulatedCell &Cell, std::string Name)
+      : Cell(Cell), Name(std::move(Name)) {}
+
+  void post(const std::string &Address, std::string Body, Duration Timeout,
+            std::function<void(std::optional<std::string>)> Then) override {
+    EmulatedCell &World = Cell;
+    const auto Cut = [&World, From = Name, To = Address] {
+      return World.CutInstances.contains(From) ||
+             World.CutInstances.contains(To);
+    };
+    if (Cut()) {
+      World.Time.after(Timeout, [Then] { Then(std::nullopt); });
+      return;
+    }
+    World.Time.after(PeerLatency, [&World, Address, Body, Then, Cut, Timeout] {
+      Instance &To = World.Instances.at(Address);
+      if (!To.Node || To.Frozen || Cut()) {
+        World.Time.after(Timeout, [Then] { Then(std::nullopt); });
+        return;
+      }
+      const auto Reply = To.Node->receive(Body);
+      World.Time.after(PeerLatency, [Then, Reply] { Then(Reply); });
+    });
+  }
+
+private:
+  EmulatedCell &Cell;
+  const std::string Name;
+};
+
+EmulatedCell::EmulatedCell(std::uint64_t Seed, int InstanceCount,
+                           int WorkerCount)
+    : Store(Time, Seed), Workers(Time, Seed + 1),
+      RowCodec(std::make_unique<EmulatedRecords>(Workers)),
+      Calendar(std::make_unique<VirtualCalendar>(Time)),
+      Log(std::make_unique<Quiet>(Time)) {
+  Workers.TraitsOf = [this](const jobs::TaskId &Id) {
+    TaskTraits Traits;
+    const auto Found = Records.find(Id.Job);
+    if (Found == Records.end())
+      return Traits;
+    const jobs::StepSpec &Step = Found->second.Spec.Steps.at(Id.Step);
+    Traits.Request = Step.Request;
+    Traits.Work = Step.Estimate;
+    Traits.Fails = Found->second.Spec.Payload == "fails";
+    Traits.Gang = Step.Gang;
+    Traits.GangSize = Step.Count;
+    return Traits;
+  };
+  for (int Number = 0; Number < WorkerCount; ++Number)
+    Workers.add("w" + std::to_string(Number), "zone", {32'000, 65'536, 0});
+  putPolicy(1);
+  publishWorkers();
+  for (int Number = 0; Number < InstanceCount; ++Number)
+    start("n" + std::to_string(Number));
+}
+
+EmulatedCell::~EmulatedCell() = default;
+
+void EmulatedCell::publishWorkers() {
+  for (const std::string &Id : Workers.ids()) {
+    const auto Info = Workers.info(Id);
+    if (Info && !Workers.Cut.contains(Id))
+      Store.put("workers", "", Id, std::to_string(Info->Life.Born));
+    else
+      Store.remove("workers", "", Id);
+  }
+  Time.after(HeartbeatPeriod, [this] { publishWorkers(); });
+}
+
+void EmulatedCell::putPolicy(std::int64_t Version) {
+  Store.put("policy", "", "policy", std::to_string(Version));
+}
+
+void EmulatedCell::start(const std::string &Name) {
+  Instance &Entry = Instances[Name];
+  if (Entry.Node)
+    return;
+  ++Entry.Starts;
+  Entry.Frozen = false;
+  Entry.Store = std::make_unique<EmulatedStore::Handle>(Store, Name);
+  Entry.Workers = std::make_unique<EmulatedWorkers::Handle>(Workers, Name);
+  Entry.Advice = std::make_unique<EmulatedAdvice>(Time);
+  Entry.Peers = std::make_unique<Network>(*this, Name);
+  Entry.Node = std::make_unique<cell::Node>(
+      cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
+                        *Entry.Peers, Time, *Calendar, *Log},
+      cell::Timing{}, cell::InstanceInfo{Name, Name, "zone", 1.0},
+      Name + "#" + std::to_string(Entry.Starts));
+  pump(Name, Entry.Starts);
+}
+
+void EmulatedCell::pump(const std::string &Name, int Start) {
+  Instance &Entry = Instances.at(Name);
+  if (!Entry.Node || Entry.Starts != Start)
+    return;
+  if (!Entry.Frozen)
+    Entry.Node->pump();
+  Time.after(PumpStep, [this, Name, Start] { pump(Name, Start); });
+}
+
+void EmulatedCell::kill(const std::string &Name) {
+  Instances.at(Name).Node.reset();
+}
+
+void EmulatedCell::freeze(const std::string &Name) {
+  Instances.at(Name).Frozen = true;
+}
+
+void EmulatedCell::thaw(const std::string &Name) {
+  Instances.at(Name).Frozen = false;
+}
+
+void EmulatedCell::run(Duration Length) { Time.advanceTo(Time.now() + Length); }
+
+std::vector<std::string> EmulatedCell::names() const {
+  std::vector<std::string> Result;
+  for (const auto &[Name, Entry] : Instances)
+    Result.push_back(Name);
+  return Result;
+}
+
+std::string EmulatedCell::leader() const {
+  std::string Result;
+  for (const auto &[Name, Entry] : Instances) {
+    if (!Entry.Node || !Entry.Node->leader())
+      continue;
+    if (!Result.empty())
+      return {};
+    Result = Name;
+  }
+  return Result;
+}
+
+std::string EmulatedCell::submit(const std::string &Instance,
+                                 jobs::StepSpec Step,
+                                 const std::string &Queue,
+                                 const std::string &Payload) {
+  char Id[32];
+  std::snprintf(Id, sizeof Id, "%016llx", (unsigned long long)++LastId);
+  JobRecord &Record = Records[Id];
+  Record.Spec.Id = Id;
+  Record.Spec.Payload = Payload;
+  Record.Spec.Steps = {std::move(Step)};
+  QueueOf[Id] = Queue;
+  submitAgain(Instance, Id);
+  return Id;
+}
+
+void EmulatedCell::submitAgain(const std::string &Instance,
+                               const std::string &Id) {
+  call(Instance, Id, cell::ClientVerb::Submit);
+}
+
+void EmulatedCell::read(const std::string &Instance, const std::string &Id) {
+  call(Instance, Id, cell::ClientVerb::Read);
+}
+
+void EmulatedCell::cancel(const std::string &Instance, const std::string &Id) {
+  call(Instance, Id, cell::ClientVerb::Cancel);
+}
+
+void EmulatedCell::call(const std::string &Name, const std::string &Id,
+                        cell::ClientVerb Verb) {
+  Instance &Entry = Instances.at(Name);
+  if (!Entry.Node || Entry.Frozen)
+    return;
+  cell::ClientCall Call;
+  Call.Verb = Verb;
+  Call.Host = Host;
+  Call.Path = QueueOf.at(Id) + Id;
+  Call.Key = Key;
+  Call.Job = Records.at(Id).Spec;
+  if (Verb == cell::ClientVerb::Submit)
+    Records.at(Id).Unresolved = true; // Until an answer says otherwise.
+  Entry.Node->serve(Call, [this, Id, Verb](const cell::ClientAnswer &Answer) {
+    ++Answers[Answer.Status];
+    JobRecord &Record = Records.at(Id);
+    if (Verb == cell::ClientVerb::Submit) {
+      Record.Unresolved = Answer.Status == cell::ClientStatus::Unresolved;
+      Record.Accepted =
+          Record.Accepted || Answer.Status == cell::ClientStatus::Accepted;
+    }
+    if (Answer.Status == cell::ClientStatus::State)
+      Record.View = Answer.View;
+    if (Verb == cell::ClientVerb::Read &&
+        Answer.Status == cell::ClientStatus::NoSuchJob)
+      Record.View = jobs::JobView::Unknown;
+    if (Verb == cell::ClientVerb::Cancel &&
+        Answer.Status == cell::ClientStatus::Accepted)
+      Record.Cancelled = true;
+  });
+}
+
+jobs::StepSpec stepOf(int Count, Duration Work, bool Gang) {
+  jobs::StepSpec Step;
+  Step.Count = Count;
+  Step.Request = {4000, 4096, 0};
+  Step.Estimate = Work;
+  Step.Gang = Gang;
+  return Step;
+}
+
+} // namespace apricotwing::emulator
--- /dev/null
+++ b/tests/emulator/emulatedworkers.cpp
@@ -0,0 +1,418 @@
+#include "emulatedworkers.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace apricotwing::emulator {
+
+namespace {
+
+constexpr Duration Latency{3};
+constexpr Duration HoldStep{10};
+
+/// A caller gives up an order without an answer after this time.
+constexpr Duration OrderTimeout{500};
+
+constexpr std::int64_t MaxHoldMs = 10'000;
+
+/// A gang member waits this long for the others.
+constexpr Duration GangTimeout{3000};
+
+} // namespace
+
+bool EmulatedWorkers::chance(double Share) {
+  return Share > 0 && std::uniform_real_distribution<>(0, 1)(Random) < Share;
+}
+
+bool EmulatedWorkers::isCut(const std::string &Instance,
+                            const std::string &Id) const {
+  return Cut.contains(Id) || CutPairs.contains({Instance, Id});
+}
+
+std::int64_t EmulatedWorkers::clockOf(const Process &Entry) const {
+  return (Time.now() - Entry.Started).count();
+}
+
+jobs::WorkerInfo EmulatedWorkers::add(const std::string &Id,
+                                      const std::string &Zone,
+                                      Resources Capacity) {
+  Process &Entry = Processes[Id];
+  Entry.Info.Life = {Id, Time.now().time_since_epoch().count()};
+  Entry.Info.Address = Id;
+  Entry.Info.Zone = Zone;
+  Entry.Info.Upstream = "service";
+  Entry.Info.Capacity = Capacity;
+  Entry.Started = Time.now();
+  return Entry.Info;
+}
+
+void EmulatedWorkers::crash(const std::string &Id) {
+  Process &Entry = Processes.at(Id);
+  Entry.Up = false;
+  Entry.Runs.clear();
+}
+
+jobs::WorkerInfo EmulatedWorkers::restart(const std::string &Id) {
+  const jobs::WorkerInfo Old = Processes.at(Id).Info;
+  Processes.erase(Id);
+  return add(Id, Old.Zone, Old.Capacity);
+}
+
+std::optional<jobs::WorkerInfo>
+EmulatedWorkers::info(const std::string &Id) const {
+  const auto Found = Processes.find(Id);
+  if (Found == Processes.end() || !Found->second.Up)
+    return std::nullopt;
+  return Found->second.Info;
+}
+
+std::vector<std::string> EmulatedWorkers::ids() const {
+  std::vector<std::string> Result;
+  for (const auto &[Id, Entry] : Processes)
+    Result.push_back(Id);
+  return Result;
+}
+
+int EmulatedWorkers::activeRuns() const {
+  int Sum = 0;
+  for (const auto &[Id, Entry] : Processes)
+    Sum += int(Entry.Runs.size());
+  return Sum;
+}
+
+int EmulatedWorkers::failures(const std::string &Task) const {
+  const auto Found = Failures.find(Task);
+  return Found == Failures.end() ? 0 : Found->second;
+}
+
+void EmulatedWorkers::end(Process &Entry, const std::string &Task,
+                          jobs::EndKind Kind) {
+  const auto Found = Entry.Runs.find(Task);
+  if (Found == Entry.Runs.end())
+    return;
+  const Active Run = Found->second;
+  Entry.Runs.erase(Found);
+  std::int64_t &Highest = Entry.HighestEnded[Task];
+  Highest = std::max(Highest, Run.Run);
+  Entry.Ended.push_back({++Entry.LastEnd, Task, Run.Run, Kind, ""});
+  if (Kind == jobs::EndKind::Done)
+    ++DoneRuns;
+}
+
+// When a lease lapses, all that runs is killed, and ends that were not
+// acknowledged before do not count any more.
+void EmulatedWorkers::checkLease(Process &Entry) {
+  if (!Entry.Up || Entry.DeadlineMs == 0 ||
+      clockOf(Entry) <= Entry.DeadlineMs)
+    return;
+  Entry.DeadlineMs = 0;
+  for (const jobs::EndedRun &End : Entry.Ended)
+    if (End.Number > Entry.Acked && End.Kind == jobs::EndKind::Done)
+      Done.erase(End.Task);
+  std::vector<std::string> Tasks;
+  for (const auto &[Task, Run] : Entry.Runs)
+    Tasks.push_back(Task);
+  for (const std::string &Task : Tasks)
+    end(Entry, Task, jobs::EndKind::Lapsed);
+}
+
+void EmulatedWorkers::scheduleLapse(const std::string &Id) {
+  const Process &Entry = Processes.at(Id);
+  const Duration Left(Entry.DeadlineMs - clockOf(Entry) + 1);
+  Time.after(std::max(Left, Duration{1}), [this, Id, Life = Entry.Info.Life] {
+    const auto Found = Processes.find(Id);
+    if (Found != Processes.end() && Found->second.Info.Life == Life)
+      checkLease(Found->second);
+  });
+}
+
+cell::WorkerAnswer EmulatedWorkers::carryOutStart(
+    const jobs::WorkerLife &Life, const jobs::StartOrder &Order,
+    std::int64_t Token, std::int64_t DeadlineMs) {
+  cell::WorkerAnswer Answer;
+  const auto Found = Processes.find(Life.Id);
+  if (Found == Processes.end() || !Found->second.Up)
+    return Answer;
+  Process &Entry = Found->second;
+  checkLease(Entry);
+  if (Entry.Info.Life != Life) {
+    Answer.Outcome = cell::WorkerOutcome::OtherLife;
+    return Answer;
+  }
+  Answer.ClockMs = clockOf(Entry);
+  if (Token < Entry.Token) {
+    Answer.Outcome = cell::WorkerOutcome::Fenced;
+    return Answer;
+  }
+  Entry.Token = Token;
+  if (DeadlineMs < clockOf(Entry)) {
+    Answer.Outcome = cell::WorkerOutcome::Expired;
+    return Answer;
+  }
+  Entry.DeadlineMs = std::max(
+      Entry.DeadlineMs, std::min(DeadlineMs, clockOf(Entry) + MaxHoldMs));
+  scheduleLapse(Life.Id);
+  const auto Present = Entry.Runs.find(Order.Task);
+  if (Present != Entry.Runs.end() && Present->second.Run == Order.Run) {
+    Answer.Outcome = cell::WorkerOutcome::Done;
+    return Answer;
+  }
+  const auto Highest = Entry.HighestEnded.find(Order.Task);
+  if (Present != Entry.Runs.end() ||
+      (Highest != Entry.HighestEnded.end() && Order.Run <= Highest->second)) {
+    Answer.Outcome = cell::WorkerOutcome::Expired;
+    return Answer;
+  }
+  begin(Entry, Order, TraitsOf(*jobs::TaskId::parse(Order.Task)));
+  Answer.Outcome = cell::WorkerOutcome::Done;
+  return Answer;
+}
+
+void EmulatedWorkers::begin(Process &Entry, const jobs::StartOrder &Order,
+                            const TaskTraits &Traits) {
+  const std::string &Id = Entry.Info.Life.Id;
+  for (auto &[Other, Process] : Processes)
+    checkLease(Process);
+  for (const auto &[Other, Process] : Processes)
+    if (Process.Up && Process.Runs.contains(Order.Task))
+      fail("twice: " + Order.Task + " on " + Other + " and " + Id);
+  if (Done.contains(Order.Task))
+    fail("twice: " + Order.Task + " started on " + Id + " after its end");
+  Resources Used = Traits.Request;
+  for (const auto &[Task, Run] : Entry.Runs)
+    Used += Run.Traits.Request;
+  if (!Used.fitsIn(Entry.Info.Capacity))
+    fail("limit: " + Order.Task + " on " + Id);
+  const std::uint64_t Serial = ++LastSerial;
+  Entry.Runs[Order.Task] = {Order.Run, Traits, Serial};
+  if (Traits.Gang)
+    startGangIfComplete(*jobs::TaskId::parse(Order.Task), Order.Run);
+  else
+    finishAfter(Id, Order.Task, Serial, Traits);
+  if (Traits.Gang)
+    Time.after(GangTimeout, [this, Id, Task = Order.Task, Serial,
+                             Gang = *jobs::TaskId::parse(Order.Task),
+                             Run = Order.Run, Size = Traits.GangSize] {
+      int Present = 0;
+      for (const auto &[Other, Process] : Processes)
+        for (const auto &[Name, Active] : Process.Runs) {
+          const auto Member = jobs::TaskId::parse(Name);
+          Present += Active.Run == Run && Member->Job == Gang.Job &&
+                             Member->Step == Gang.Step
+                         ? 1
+                         : 0;
+        }
+      const auto Host = Processes.find(Id);
+      if (Host == Processes.end())
+        return;
+      const auto Waiting = Host->second.Runs.find(Task);
+      if (Waiting != Host->second.Runs.end() &&
+          Waiting->second.Serial == Serial && Present < Size)
+        end(Host->second, Task, jobs::EndKind::Alone);
+    });
+}
+
+void EmulatedWorkers::startGangIfComplete(const jobs::TaskId &Id,
+                                          std::int64_t Run) {
+  std::vector<std::pair<std::string, std::string>> Members;
+  TaskTraits Traits;
+  for (const auto &[Host, Process] : Processes)
+    for (const auto &[Name, Active] : Process.Runs) {
+      const auto Member = jobs::TaskId::parse(Name);
+      if (Active.Run != Run || Member->Job != Id.Job ||
+          Member->Step != Id.Step)
+        continue;
+      Members.emplace_back(Host, Name);
+      Traits = Active.Traits;
+    }
+  if (int(Members.size()) < Traits.GangSize)
+    return;
+  for (const auto &[Host, Name] : Members)
+    finishAfter(Host, Name, Processes.at(Host).Runs.at(Name).Serial, Traits);
+}
+
+void EmulatedWorkers::finishAfter(const std::string &Id,
+                                  const std::string &Task,
+                                  std::uint64_t Serial,
+                                  const TaskTraits &Traits) {
+  Time.after(Traits.Work, [this, Id, Task, Serial, Fails = Traits.Fails] {
+    const auto Host = Processes.find(Id);
+    if (Host == Processes.end() || !Host->second.Up)
+      return;
+    checkLease(Host->second);
+    const auto Found = Host->second.Runs.find(Task);
+    if (Found == Host->second.Runs.end() || Found->second.Serial != Serial)
+      return;
+    end(Host->second, Task,
+        Fails ? jobs::EndKind::Failed : jobs::EndKind::Done);
+  });
+}
+
+cell::WorkerAnswer
+EmulatedWorkers::carryOutStop(const jobs::WorkerLife &Life,
+                              const jobs::StopOrder &Order,
+                              std::int64_t Token) {
+  cell::WorkerAnswer Answer;
+  const auto Found = Processes.find(Life.Id);
+  if (Found == Processes.end() || !Found->second.Up)
+    return Answer;
+  Process &Entry = Found->second;
+  checkLease(Entry);
+  if (Entry.Info.Life != Life) {
+    Answer.Outcome = cell::WorkerOutcome::OtherLife;
+    return Answer;
+  }
+  Answer.ClockMs = clockOf(Entry);
+  if (Token < Entry.Token) {
+    Answer.Outcome = cell::WorkerOutcome::Fenced;
+    return Answer;
+  }
+  const auto Present = Entry.Runs.find(Order.Task);
+  if (Present != Entry.Runs.end() && Present->second.Run == Order.Run)
+    end(Entry, Order.Task, jobs::EndKind::Stopped);
+  std::int64_t &Highest = Entry.HighestEnded[Order.Task];
+  Highest = std::max(Highest, Order.Run);
+  Answer.Outcome = cell::WorkerOutcome::Done;
+  return Answer;
+}
+
+void EmulatedWorkers::order(const std::string &Instance,
+                            const cell::WorkerAddress &To,
+                            std::function<cell::WorkerAnswer()> CarryOut,
+                            std::function<void(cell::WorkerAnswer)> Then) {
+  const std::string &Id = To.Life.Id;
+  if (isCut(Instance, Id)) {
+    Time.after(OrderTimeout, [Then] { Then({}); });
+    return;
+  }
+  const auto Found = Processes.find(Id);
+  if (Found == Processes.end() || !Found->second.Up) {
+    Time.after(Latency, [Then] {
+      Then({cell::WorkerOutcome::NoProcess, std::nullopt});
+    });
+    return;
+  }
+  if (chance(LateOrders)) {
+    const Duration Late(
+        std::uniform_int_distribution<int>(2000, 12'000)(Random));
+    Time.after(Late, [CarryOut] { CarryOut(); });
+    Time.after(OrderTimeout, [Then] { Then({}); });
+    return;
+  }
+  const bool Lost = chance(LostAnswers);
+  Time.after(Latency, [this, CarryOut, Then, Lost] {
+    const cell::WorkerAnswer Answer = CarryOut();
+    if (!Lost)
+      Time.after(Latency, [Then, Answer] { Then(Answer); });
+  });
+  if (Lost)
+    Time.after(OrderTimeout, [Then] { Then({}); });
+}
+
+void EmulatedWorkers::Handle::start(
+    const cell::WorkerAddress &To, const jobs::StartOrder &Order,
+    std::int64_t DeadlineMs, std::function<void(cell::WorkerAnswer)> Then) {
+  Workers.order(
+      Name, To,
+      [To, Order, DeadlineMs, &Target = Workers] {
+        return Target.carryOutStart(To.Life, Order, To.Token, DeadlineMs);
+      },
+      std::move(Then));
+}
+
+void EmulatedWorkers::Handle::stop(
+    const cell::WorkerAddress &To, const jobs::StopOrder &Order,
+    std::function<void(cell::WorkerAnswer)> Then) {
+  Workers.order(
+      Name, To,
+      [To, Order, &Target = Workers] {
+        return Target.carryOutStop(To.Life, Order, To.Token);
+      },
+      std::move(Then));
+}
+
+void EmulatedWorkers::Handle::hold(
+    const cell::WorkerAddress &To, const cell::HoldRequest &Request,
+    std::function<void(cell::HoldResult)> Then) {
+  EmulatedWorkers &Target = Workers;
+  if (Target.isCut(Name, To.Life.Id)) {
+    Target.Time.after(Request.Wait + OrderTimeout, [Then] { Then({}); });
+    return;
+  }
+  Target.Time.after(Latency, [&Target, To, Request, Then] {
+    Target.pollHold(To, Request, Target.Time.now() + Request.Wait, Then);
+  });
+}
+
+void EmulatedWorkers::pollHold(const cell::WorkerAddress &To,
+                               const cell::HoldRequest &Request,
+                               TimePoint Until,
+                               std::function<void(cell::HoldResult)> Then) {
+  cell::HoldResult Result;
+  const auto Found = Processes.find(To.Life.Id);
+  const auto Answer = [&] {
+    Time.after(Latency, [Then, Result] { Then(Result); });
+  };
+  if (Found == Processes.end() || !Found->second.Up) {
+    Result.Outcome = cell::WorkerOutcome::NoProcess;
+    Answer();
+    return;
+  }
+  Process &Entry = Found->second;
+  checkLease(Entry);
+  if (Entry.Info.Life != To.Life || To.Token < Entry.Token) {
+    Result.Outcome = Entry.Info.Life != To.Life
+                         ? cell::WorkerOutcome::OtherLife
+                         : cell::WorkerOutcome::Fenced;
+    Answer();
+    return;
+  }
+  Entry.Token = To.Token;
+  for (const jobs::EndedRun &End : Entry.Ended) {
+    if (End.Number > Request.AckCursor || End.Number <= Entry.Acked)
+      continue;
+    if (End.Kind == jobs::EndKind::Done)
+      Done.insert(End.Task);
+    if (End.Kind == jobs::EndKind::Failed)
+      ++Failures[End.Task];
+  }
+  Entry.Acked = std::max(Entry.Acked, Request.AckCursor);
+  std::erase_if(Entry.Ended, [&](const jobs::EndedRun &End) {
+    return End.Number <= Entry.Acked;
+  });
+  if (Request.DeadlineMs) {
+    Entry.DeadlineMs =
+        std::max(Entry.DeadlineMs,
+                 std::min(*Request.DeadlineMs, clockOf(Entry) + MaxHoldMs));
+    scheduleLapse(To.Life.Id);
+  }
+  if (Entry.Ended.empty() && Time.now() < Until) {
+    cell::HoldRequest Waiting = Request;
+    Waiting.DeadlineMs.reset();
+    Time.after(HoldStep, [this, To, Waiting, Until, Then] {
+      pollHold(To, Waiting, Until, Then);
+    });
+    return;
+  }
+  Result.Outcome = cell::WorkerOutcome::Done;
+  Result.ClockMs = clockOf(Entry);
+  for (const auto &[Task, Run] : Entry.Runs)
+    Result.Running.push_back({Task, Run.Run, "", 0});
+  Result.Ended = Entry.Ended;
+  Answer();
+}
+
+void EmulatedAdvice::ask(
+    const jobs::AdviceRequest &Request,
+    std::function<void(std::optional<std::vector<jobs::Approval>>)> Then) {
+  BusyUntil = std::max(BusyUntil, Time.now()) +
+              Duration(Duration::rep(Request.CostMs));
+  std::vector<jobs::Approval> Approved;
+  for (const std::string &Id : Request.Workers)
+    if (std::hash<std::string>()(Request.Step + Id) % 2 == 0)
+      Approved.push_back({Id, "ticket"});
+  Time.after(BusyUntil - Time.now(), [Then, Approved] { Then(Approved); });
+}
+
+} // namespace apricotwing::emulator
--- /dev/null
+++ b/tests/emulator/virtualtime.h
@@ -0,0 +1,44 @@
+/// \file
+/// Time of the emulated platform.
+#ifndef APRICOTWING_TESTS_EMULATOR_VIRTUALTIME_H
+#define APRICOTWING_TESTS_EMULATOR_VIRTUALTIME_H
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace apricotwing::emulator {
+
+/// A clock that stands still but for advance(), which runs what is due. Not
+/// thread-safe.
+class VirtualTime final : public Clock {
+public:
+  TimePoint now() const override { return Present; }
+
+  /// Runs \p Event after \p Delay.
+  void after(Duration Delay, std::function<void()> Event) {
+    Events.emplace(std::pair(Present + Delay, ++LastNumber), std::move(Event));
+  }
+
+  /// Runs all events up to \p Until in their order.
+  void advanceTo(TimePoint Until) {
+    while (!Events.empty() && Events.begin()->first.first <= Until) {
+      auto First = Events.extract(Events.begin());
+      Present = std::max(Present, First.key().first);
+      First.mapped()();
+    }
+    Present = Until;
+  }
+
+private:
+  TimePoint Present{Duration{1'000'000}};
+  std::uint64_t LastNumber = 0;
+  std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> Events;
+};
+
+} // namespace apricotwing::emulator
+
+#endif
