--- a/src/httpclient/multiclient.h
+++ b/src/httpclient/multiclient.h
@@ -39,6 +39,7 @@
   struct State;
 
   void run();
+  void wake();
 
   std::unique_ptr<State> Shared;
   std::atomic<bool> Stopping = false;
