Refuse jobs beyond an account's share while work waits, and hopeless ones

Longer lists of waiting steps per round and a longer mail interval were tried before and did not help.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -422,8 +422,26 @@
     From.Outgoing.Submitted.push_back({Tag, SubmitResult::Malformed, 0});
     return;
   }
+  const jobs::Queue *Terms = Scheduler.queue(Handed.Job.Queue);
+  const jobs::AdmissionResult Judged =
+      Terms ? Gate.judge(Handed.Job, *Terms,
+                         Scheduler.account(Handed.Job.Account),
+                         Scheduler.waitFor(Terms->Priority), Use.Time.now())
+            : jobs::AdmissionResult{};
+  if (Judged.RetryAfter) {
+    Use.Log.event("job refused", Id,
+                  {{"queue", Handed.Job.Queue},
+                   {"account", Handed.Job.Account},
+                   {"beyond_share", Judged.BeyondShare ? "1" : "0"},
+                   {"wait_ms",
+                    std::to_string(
+                        Scheduler.waitFor(Terms->Priority).count())}});
+    From.Outgoing.Submitted.push_back(
+        {Tag, SubmitResult::Busy, Judged.RetryAfter->count()});
+    return;
+  }
   Storing[Id].push_back(Answer);
-  Scheduler.add(Handed.Job, Use.Time.now());
+  Scheduler.add(Handed.Job, Judged.BeyondShare, Use.Time.now());
   Dirty = true;
   Writer.put(JobTable, Id, encode(Handed.Job));
   Writer.whenStored(Life.guard([this, Job = Handed.Job] {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -10,6 +10,7 @@
 #include "cell/ports.h"
 #include "cell/tablefollower.h"
 #include "cell/timing.h"
+#include "jobs/admission.h"
 #include "jobs/clusterpolicy.h"
 #include "jobs/jobscheduler.h"
 
@@ -142,6 +143,7 @@
   const LeaderRecord Own;
   Journal Writer;
   jobs::JobScheduler Scheduler;
+  jobs::Admission Gate;
   TableFollower Registry;
   std::map<std::string, MemberState> Members; ///< By instance name.
   std::map<std::string, Care> Cares;          ///< By worker id.
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -117,6 +117,7 @@
   JobPhase StoredPhase = JobPhase::Active; ///< What callers may be told.
   bool IsStored = false; ///< Until then only advice is asked for it.
   bool Started = false;  ///< Some task has been ordered.
+  bool BeyondShare = false; ///< Served after those within their share.
   Duration RemainingEstimate{0}; ///< Time that the unfinished part takes.
   TimePoint AcceptedAt;
   TimePoint Due;      ///< Later completion is late.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -21,6 +21,10 @@
 /// Assumed share of approvals before the first answer.
 constexpr double InitialApprovalRate = 0.5;
 
+/// Part of the processors that waiting work can use: rooms do not fit tasks
+/// exactly, and not every worker is approved for every step.
+constexpr double UsablePart = 0.8;
+
 /// Pause before a worker that refused a start is used again.
 constexpr Duration RefusalPause{500};
 
@@ -80,12 +84,42 @@
 
 // Jobs.
 
-bool JobScheduler::add(const JobSpec &Spec, TimePoint Now) {
+const Queue *JobScheduler::queue(const std::string &Name) const {
+  const auto Found = Queues.find(Name);
+  return Found == Queues.end() ? nullptr : &Found->second;
+}
+
+const ClientAccount *JobScheduler::account(const std::string &Name) const {
+  const auto Found = Accounts.find(Name);
+  return Found == Accounts.end() ? nullptr : &Found->second;
+}
+
+void JobScheduler::countWaiting(const Job &Entry, int Step, int Tasks) {
+  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  if (!Spec.Filling && !Spec.LongRunning)
+    WaitingWork[queueOf(Entry).Priority] +=
+        double(Tasks) * double(Spec.Request.CpuMillis) *
+        double(Spec.Estimate.count());
+}
+
+Duration JobScheduler::waitFor(int Priority) const {
+  double Work = 0;
+  for (const auto &[Level, Waiting] : WaitingWork)
+    if (Level <= Priority)
+      Work += Waiting;
+  if (UsableCpuMillis <= 0)
+    return Duration{0}; // Nothing is known of the workers yet.
+  return Duration(Duration::rep(std::max(Work, 0.0) /
+                                (double(UsableCpuMillis) * UsablePart)));
+}
+
+bool JobScheduler::add(const JobSpec &Spec, bool BeyondShare, TimePoint Now) {
   if (Jobs.contains(Spec.Id))
     return false;
   auto Entry = std::make_unique<Job>();
   Entry->Spec = Spec;
   Entry->AcceptedAt = Now;
+  Entry->BeyondShare = BeyondShare;
   Entry->restore(JobProgress{});
   addJob(std::move(Entry));
   return true;
@@ -143,6 +177,8 @@
   if (Added.Phase != JobPhase::Active)
     return;
   ++Active;
+  for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step)
+    countWaiting(Added, int(Step), Added.Steps[Step].ReadyCount);
   if (!Added.Started)
     ++PendingJobs[Added.Spec.Queue];
   requeueSteps(Added);
@@ -208,6 +244,7 @@
   for (std::size_t Step = 0; Step < Entry.Steps.size(); ++Step) {
     dequeue(Entry, int(Step));
     StepState &State = Entry.Steps[Step];
+    countWaiting(Entry, int(Step), -State.ReadyCount);
     clearReservation(stepName(Entry.Spec.Id, int(Step)), State);
     if (Phase != JobPhase::Completed)
       stopPlaced(Entry, int(Step));
@@ -219,7 +256,8 @@
 int JobScheduler::tierOf(const Job &Entry, TimePoint Now) {
   if (Now >= Entry.Useless)
     return 2;
-  return Now + Entry.RemainingEstimate > Entry.Due ? 1 : 0;
+  const bool Late = Now + Entry.RemainingEstimate > Entry.Due;
+  return Late || Entry.BeyondShare ? 1 : 0;
 }
 
 void JobScheduler::enqueue(Job &Entry, int Step) {
@@ -414,6 +452,7 @@
   Task.Phase = TaskPhase::Ready;
   Task.Worker = {};
   ++State.ReadyCount;
+  countWaiting(Entry, Step, 1);
   // The rest of a broken gang waits in vain and would take room.
   if (Entry.Spec.Steps[std::size_t(Step)].Gang)
     stopPlaced(Entry, Step);
@@ -426,8 +465,10 @@
   const auto Finish = [&](TaskState &Ended) {
     if (Ended.Phase == TaskPhase::Done)
       return;
-    if (Ended.Phase == TaskPhase::Ready)
+    if (Ended.Phase == TaskPhase::Ready) {
       --State.ReadyCount;
+      countWaiting(Entry, Step, -1);
+    }
     Ended.Phase = TaskPhase::Done;
     Ended.Checkpoint.clear();
     ++State.DoneCount;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -62,7 +62,19 @@
   /// accept(), placement advice is asked for it, which takes as long as the
   /// storing, but nothing is placed. Precondition: the specification is
   /// well-formed.
-  bool add(const JobSpec &Spec, TimePoint Now);
+  /// A job \p BeyondShare of its account is served after all others that can
+  /// end in time.
+  bool add(const JobSpec &Spec, bool BeyondShare, TimePoint Now);
+
+  /// The queue with the name; null if no policy has named it.
+  const Queue *queue(const std::string &Name) const;
+
+  /// The client account with the name; null if no policy has named it.
+  const ClientAccount *account(const std::string &Name) const;
+
+  /// Time that the workers need for the waiting work of \p Priority and of
+  /// more urgent ones.
+  Duration waitFor(int Priority) const;
 
   /// Notes that a job is stored, so that its tasks may be placed.
   void accept(const std::string &Id);
@@ -189,6 +201,7 @@
   const Queue &queueOf(const Job &Entry) const;
 
   void addJob(std::unique_ptr<Job> Entry);
+  void countWaiting(const Job &Entry, int Step, int Tasks);
   void enqueue(Job &Entry, int Step);
   void dequeue(Job &Entry, int Step);
   void requeueSteps(Job &Entry);
@@ -235,6 +248,10 @@
   std::map<std::string, Worker> Workers;
   std::map<std::string, Resources> Running; ///< By client account.
   std::map<std::string, int> PendingJobs;   ///< By queue.
+  /// Estimated work of tasks that are ready or blocked, by priority, in
+  /// thousandths of a core times milliseconds.
+  std::map<int, double> WaitingWork;
+  std::int64_t UsableCpuMillis = 0; ///< Of all workers in the last round.
   std::map<WaitRank, StepRef> Waiting;
   WaitRank ResumeAt; ///< Where the next round goes on behind the front.
   std::vector<StopOrder> Stops; ///< Decided outside of a round.
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -64,9 +64,11 @@
   Present.StepsLeft = MaxComparisonsPerRound;
   Present.GangsLeft = MaxGangsPerRound;
   std::int64_t TotalCpuMillis = 0;
+  UsableCpuMillis = 0;
   for (auto &[Id, Host] : Workers) {
     TotalCpuMillis += Host.info().Capacity.CpuMillis;
     if (Host.isUsable(Now)) {
+      UsableCpuMillis += Host.info().Capacity.CpuMillis;
       Present.FreeCpuMillis += Host.room().CpuMillis;
       Present.LargestRoom = Resources::max(Present.LargestRoom, Host.room());
     }
@@ -426,6 +428,7 @@
     Entry.Started = true;
     --PendingJobs[Entry.Spec.Queue];
   }
+  countWaiting(Entry, Step, -1);
   if (--State.ReadyCount == 0)
     dequeue(Entry, Step);
   Now.Result.Starts.push_back({Host.info().Life, Name, Run, Entry.Spec.Payload,
