--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -355,7 +355,7 @@
   putList(To, "refused", Value.Refused);
   putList(To, "advice", Value.Advice);
   put(To, "leaving", Value.Leaving);
-  put(To, "store", Value.ReachesStore);
+  put(To, "store_age", Value.StoreAnswerAgeMs, std::int64_t(-1));
 }
 static void from_json(const json &From, MemberMail &Value) {
   take(From, "submissions", Value.Submissions);
@@ -364,7 +364,7 @@
   take(From, "refused", Value.Refused);
   take(From, "advice", Value.Advice);
   take(From, "leaving", Value.Leaving);
-  take(From, "store", Value.ReachesStore);
+  take(From, "store_age", Value.StoreAnswerAgeMs);
 }
 
 static void to_json(json &To, const Assignment &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -41,6 +41,9 @@
 /// registry still names that life.
 constexpr Duration DeadWorkerPause{1500};
 
+/// Covers an answer that was on its way when the store failed.
+constexpr Duration StoreAnswerMargin{60};
+
 /// Weight of the leader's own instance in the sharing out of workers; it has
 /// other work.
 constexpr double OwnShareOfWorkers = 0.5;
@@ -200,12 +203,16 @@
 }
 
 bool Leader::shouldResign() const {
-  if (Writer.failingFor() < Use.Times.ResignAfter)
+  const Duration Failing = Writer.failingFor();
+  if (Failing < Use.Times.ResignAfter)
     return false;
-  return std::any_of(Members.begin(), Members.end(), [this](const auto &Entry) {
-    return Entry.first != Own.Instance.Name && Entry.second.ReachesStore &&
-           !Entry.second.Leaving;
-  });
+  // In an outage for all, no member has had an answer since the first failure.
+  const TimePoint Since = Use.Time.now() - Failing + StoreAnswerMargin;
+  return std::any_of(
+      Members.begin(), Members.end(), [&](const auto &Entry) {
+        return Entry.first != Own.Instance.Name && !Entry.second.Leaving &&
+               Entry.second.StoreAnsweredAt > Since;
+      });
 }
 
 // The registry of workers.
@@ -350,7 +357,8 @@
   if (!Mail.ToLeader)
     return Receipt{true};
   const MemberMail &Content = *Mail.ToLeader;
-  From.ReachesStore = Content.ReachesStore;
+  if (Content.StoreAnswerAgeMs >= 0)
+    From.StoreAnsweredAt = Now - Duration(Content.StoreAnswerAgeMs);
   for (const Submission &Handed : Content.Submissions)
     submit(From, Handed);
   for (const WorkerReport &Report : Content.Workers)
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -83,7 +83,7 @@
     std::map<std::string, TimePoint> AdviceDue; ///< Calls under way, by step.
     TimePoint AdviceBusyUntil;
     bool Leaving = false;
-    bool ReachesStore = false;
+    TimePoint StoreAnsweredAt; ///< When the store last answered the member.
   };
   /// What the leader knows of a worker besides the scheduler.
   struct Care {
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -13,8 +13,12 @@
 /// Time kept for the way back of an answer.
 constexpr Duration AnswerMargin{150};
 
-/// Retry-After while there is no leader; a takeover takes about 2.5 s.
-constexpr Duration LeaderlessRetry{1000};
+/// Retry-After while there is no leader. A takeover takes up to 2 s, an outage
+/// of the store longer, and a caller comes back only a few times; so work that
+/// may take longer comes back later.
+constexpr Duration LeastLeaderlessRetry{1000};
+constexpr Duration LongestLeaderlessRetry{4000};
+constexpr int RetriesInAllowedTime = 4;
 
 /// Length of a job's id, in hexadecimal digits.
 constexpr std::size_t JobIdLength = 16;
@@ -24,9 +28,12 @@
          Text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
-ClientAnswer unavailable() {
+/// The answer while there is nobody to decide. \p Allowed is the time that the
+/// caller's job may take.
+ClientAnswer unavailable(Duration Allowed) {
   ClientAnswer Result{ClientStatus::Unavailable};
-  Result.RetryAfter = LeaderlessRetry;
+  Result.RetryAfter = std::clamp(Allowed / RetriesInAllowedTime,
+                                 LeastLeaderlessRetry, LongestLeaderlessRetry);
   return Result;
 }
 
@@ -53,7 +60,7 @@
   Entry.GiveUpAt =
       Entry.ArrivedAt + std::max(Call.Deadline - AnswerMargin, Duration{100});
   if (Policy.Version == 0) {
-    finish(Entry, unavailable());
+    finish(Entry, unavailable(Duration{0}));
     return;
   }
   const jobs::Queue *Queue = Policy.match(Call.Host, Call.Path);
@@ -97,6 +104,7 @@
     Call.Job->Queue = Queue->Name;
     Call.Job->Account = Account;
     Call.Job->AcceptedUnixMs = Use.Calendar.unixMs();
+    Entry.Allowed = jobs::allowedTime(*Queue, *Call.Job);
     Entry.Submitted = Submission{Tag, std::move(*Call.Job)};
     break;
   }
@@ -147,9 +155,9 @@
     if (Now >= Call.GiveUpAt)
       Over.emplace_back(Tag, Call.Sent && Call.Submitted
                                  ? ClientAnswer{ClientStatus::Unresolved}
-                                 : unavailable());
+                                 : unavailable(Call.Allowed));
     else if (!Call.Sent && Now >= Call.ArrivedAt + Use.Times.LeaderlessWait)
-      Over.emplace_back(Tag, unavailable());
+      Over.emplace_back(Tag, unavailable(Call.Allowed));
   }
   for (const auto &[Tag, Answer] : Over)
     answer(Tag, Answer);
@@ -160,7 +168,7 @@
     const auto &[Tag, Call] = *Open.begin();
     answer(Tag, Call.Sent && Call.Submitted
                     ? ClientAnswer{ClientStatus::Unresolved}
-                    : unavailable());
+                    : unavailable(Call.Allowed));
   }
 }
 
@@ -209,7 +217,8 @@
   Mail.From = Own;
   Mail.ToLeader = std::exchange(Outgoing, MemberMail{});
   Mail.ToLeader->Leaving = Leaving;
-  Mail.ToLeader->ReachesStore = ReachesStore;
+  if (StoreAnswer)
+    Mail.ToLeader->StoreAnswerAgeMs = (Use.Time.now() - *StoreAnswer).count();
   LeavingTold = Leaving;
   return encode(Mail);
 }
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -77,8 +77,9 @@
   /// Does what is due. To be called often.
   void pump();
 
-  /// Tells the leader whether this instance reaches the store.
-  void setReachesStore(bool Reaches) { ReachesStore = Reaches; }
+  /// Notes when the store last answered; empty: the last call failed. The
+  /// leader is told.
+  void setStoreAnswer(std::optional<TimePoint> At) { StoreAnswer = At; }
 
   /// The last term whose leader said that it does not lead any more.
   std::int64_t resignedTerm() const { return ResignedTerm; }
@@ -102,6 +103,7 @@
     ClientResponder Respond;
     TimePoint ArrivedAt;
     TimePoint GiveUpAt;
+    Duration Allowed{0}; ///< Time that a submitted job may take.
     bool Sent = false; ///< Handed to some leader at least once.
   };
 
@@ -131,7 +133,7 @@
   std::map<std::string, std::unique_ptr<WorkerSession>> Sessions;
   bool Leaving = false;
   bool LeavingTold = false;
-  bool ReachesStore = false;
+  std::optional<TimePoint> StoreAnswer;
   std::int64_t ResignedTerm = 0;
   MemberCounts Counts;
   Lifetime Life;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -108,7 +108,9 @@
   std::vector<RefusedStart> Refused;
   std::vector<AdviceAnswer> Advice;
   bool Leaving = false;      ///< The member is about to stop.
-  bool ReachesStore = false; ///< The store has answered it lately.
+  /// Time since the store last answered the member; negative: its last call
+  /// failed, or there was none.
+  std::int64_t StoreAnswerAgeMs = -1;
 
   bool isEmpty() const {
     return Submissions.empty() && Queries.empty() && Workers.empty() &&
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -21,10 +21,6 @@
 constexpr Duration PolicyWait{800};
 constexpr Duration PolicyGap{20};
 
-/// The store counts as reachable for this long after an answer. The watch of
-/// the policy is answered every PolicyWait at the latest.
-constexpr Duration StoreFreshness{1300};
-
 /// Instances with less processor time contend later by up to this.
 constexpr Duration SlownessDelay{200};
 
@@ -96,8 +92,8 @@
   if (Office)
     Office->pump();
   resignIfCutOff();
-  Self.setReachesStore(Policy.isHealthy() &&
-                       Use.Time.now() - Policy.lastAnswer() < StoreFreshness);
+  Self.setStoreAnswer(Policy.isHealthy() ? std::optional(Policy.lastAnswer())
+                                         : std::nullopt);
   Self.pump();
   seekLeader();
   while (!Later.empty()) {
--- a/src/entry/controlloop.cpp
+++ b/src/entry/controlloop.cpp
@@ -21,7 +21,8 @@
 }
 
 void ControlLoop::post(Work Next) {
-  while (!Ring.push(std::move(Next)) && !Stopping)
+  // A full ring leaves the item as it was.
+  while (!Stopping && !Ring.push(std::move(Next))) // NOLINT(bugprone-use-after-move)
     std::this_thread::sleep_for(FullPause);
 }
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -60,7 +60,8 @@
     : Settings(std::move(Settings)), Control(Control), Node(Node), Log(Log),
       Time(Time), Edge(Edge) {}
 
-void EntryProcess::serveCaller(const HttpRequest &Request, Responder Respond) {
+void EntryProcess::serveCaller(const HttpRequest &Request,
+                               const Responder &Respond) {
   auto Call = Edge.read(Request);
   if (!Call) {
     Respond(statusOnly(404));
@@ -77,7 +78,7 @@
     Respond(Edge.write({cell::ClientStatus::Unavailable}));
 }
 
-void EntryProcess::servePeer(HttpRequest Request, Responder Respond) {
+void EntryProcess::servePeer(HttpRequest Request, const Responder &Respond) {
   if (Request.Path == MailPath) {
     Control.offer([this, Body = std::move(Request.Body), Respond] {
       const auto Reply = Node.receive(Body);
@@ -218,7 +219,7 @@
                       });
   const auto Probe =
       startHttpServer(optionsFor(Settings.ReadyAddress, MaxCallerBody),
-                      [this](const HttpRequest &Request, Responder Respond) {
+                      [this](const HttpRequest &Request, const Responder &Respond) {
                         const bool Good =
                             Ready && Request.Path == Edge.readyPath();
                         Respond(statusOnly(Good ? 200 : 503));
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -56,8 +56,8 @@
            const std::function<void()> &Reload);
 
 private:
-  void serveCaller(const HttpRequest &Request, Responder Respond);
-  void servePeer(HttpRequest Request, Responder Respond);
+  void serveCaller(const HttpRequest &Request, const Responder &Respond);
+  void servePeer(HttpRequest Request, const Responder &Respond);
   std::string metrics() const;
   std::string stateDump() const;
   void pump(const std::atomic<bool> &StopRequested);
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -9,9 +9,6 @@
 /// A share is a number of jobs per second; this much of it may come at once.
 constexpr double BurstSeconds = 1.0;
 
-/// Completion later than this multiple of the allowed time has no value.
-constexpr int UselessFactor = 3;
-
 } // namespace
 
 bool Admission::takeFromAllowance(const ClientAccount &Account, TimePoint Now) {
@@ -35,11 +32,8 @@
                                  TimePoint Now) {
   AdmissionResult Result;
   Result.BeyondShare = Account && !takeFromAllowance(*Account, Now);
-  const Duration Chain = longestChain(Spec);
-  const Duration Allowed =
-      Terms.LatencyTarget +
-      Duration(Duration::rep(double(Chain.count()) * Terms.SlackFactor));
-  const bool Hopeless = Wait + Chain > UselessFactor * Allowed;
+  const bool Hopeless =
+      Wait + longestChain(Spec) > UselessFactor * allowedTime(Terms, Spec);
   const bool Crowding = Result.BeyondShare && Wait > ToleratedWait;
   if (Hopeless || Crowding)
     Result.RetryAfter = std::clamp(Wait / 2, LeastRetry, LongestRetry);
--- a/src/jobs/clusterpolicy.cpp
+++ b/src/jobs/clusterpolicy.cpp
@@ -4,6 +4,12 @@
 
 namespace apricotwing::jobs {
 
+Duration allowedTime(const Queue &Terms, const JobSpec &Spec) {
+  return Terms.LatencyTarget +
+         Duration(Duration::rep(double(longestChain(Spec).count()) *
+                                Terms.SlackFactor));
+}
+
 const Queue *ClusterPolicy::match(std::string_view Host,
                                   std::string_view Path) const {
   const Queue *Best = nullptr;
--- a/src/jobs/clusterpolicy.h
+++ b/src/jobs/clusterpolicy.h
@@ -5,6 +5,7 @@
 
 #include "core/resources.h"
 #include "core/time.h"
+#include "jobs/jobspec.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,13 @@
   bool Public = false;               ///< Callers need no key.
 };
 
+/// Completion later than this multiple of the allowed time has no value to
+/// callers.
+inline constexpr int UselessFactor = 3;
+
+/// Time from acceptance in which a job of \p Terms should end. Thread-safe.
+Duration allowedTime(const Queue &Terms, const JobSpec &Spec);
+
 /// A client account with its keys, its share and its upper limit.
 struct ClientAccount {
   std::string Name;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// Completion later than this multiple of the allowed time is worth nothing
-/// to callers.
-constexpr int UselessFactor = 3;
-
 /// Used for a job whose queue has been dropped since its acceptance and is
 /// not known any more.
 const Queue UnknownQueue;
@@ -163,11 +159,7 @@
 void JobScheduler::addJob(std::unique_ptr<Job> Entry) {
   Job &Added = *Entry;
   Added.Sequence = ++LastSequence;
-  const Queue &Terms = queueOf(Added);
-  const Duration Allowed =
-      Terms.LatencyTarget +
-      Duration(Duration::rep(double(longestChain(Added.Spec).count()) *
-                             Terms.SlackFactor));
+  const Duration Allowed = allowedTime(queueOf(Added), Added.Spec);
   Added.Due = Added.AcceptedAt + Allowed;
   Added.Useless = Added.AcceptedAt + UselessFactor * Allowed;
   Jobs.emplace(Added.Spec.Id, std::move(Entry));
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -127,6 +127,8 @@
   EXPECT_NE(Cell.leader(), "");
 }
 
+// Guards against a change of the leader in an outage that no other instance
+// could bridge either: the state would be read anew for nothing.
 TEST_F(CellTest, KeepsItsLeaderThroughAnOutageOfTheStore) {
   const std::string Old = Cell.leader();
   const std::string Id = Cell.submit("n0", stepOf(4, 2s));
@@ -136,6 +138,7 @@
   Cell.store().Down = false;
   Cell.run(1500ms);
   EXPECT_EQ(Cell.leader(), Old);
+  EXPECT_EQ(Cell.node(Old).leader()->term(), 1);
   EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
   EXPECT_EQ(Cell.workers().doneRuns(), 4);
 }
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -86,6 +86,11 @@
   return Found == Failures.end() ? 0 : Found->second;
 }
 
+int EmulatedWorkers::failedRuns(const std::string &Task) const {
+  const auto Found = FailedRuns.find(Task);
+  return Found == FailedRuns.end() ? 0 : Found->second;
+}
+
 void EmulatedWorkers::end(Process &Entry, const std::string &Task,
                           jobs::EndKind Kind) {
   const auto Found = Entry.Runs.find(Task);
@@ -98,6 +103,8 @@
   Entry.Ended.push_back({++Entry.LastEnd, Task, Run.Run, Kind, ""});
   if (Kind == jobs::EndKind::Done)
     ++DoneRuns;
+  if (Kind == jobs::EndKind::Failed)
+    ++FailedRuns[Task];
 }
 
 // When a lease lapses, all that runs is killed, and ends that were not
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -77,6 +77,9 @@
   /// Runs of the task that ended as failed and were acknowledged in time.
   int failures(const std::string &Task) const;
 
+  /// All runs of the task that ended as failed.
+  int failedRuns(const std::string &Task) const;
+
   /// The workers as the instance \p Name sees them.
   class Handle final : public cell::WorkerClient {
   public:
@@ -144,6 +147,7 @@
   std::map<std::string, Process> Processes;
   std::set<std::string> Done; ///< Tasks with an end in force.
   std::map<std::string, int> Failures;
+  std::map<std::string, int> FailedRuns;
   std::vector<std::string> Broken;
   std::uint64_t LastSerial = 0;
   int DoneRuns = 0;
