--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -51,6 +51,22 @@
 /// How the end of a job is stored, by JobPhase; an active one has none.
 constexpr std::string_view EndLetters = "acfx";
 
+/// Load of a member of another zone than the worker's is counted so many times.
+constexpr double OtherZoneFactor = 4;
+
+/// Stands for the share of an instance that tells none.
+constexpr double LeastCpuShare = 0.01;
+
+/// Workers change their member if that lessens the load by this factor. Each
+/// change makes the worker's lists be read anew, which takes some 20 ms.
+constexpr double LeastBalanceGain = 1.3;
+constexpr Duration BalancePeriod{250};
+constexpr int MaxMovesPerBalance = 12;
+
+/// After taking office, members get this long to join before workers are
+/// given out; most join within two mails.
+constexpr Duration JoinTime{60};
+
 /// Tokens that one term may give out.
 constexpr std::int64_t TokensPerTerm = 1'000'000;
 
@@ -683,20 +699,64 @@
   Dirty = true;
 }
 
+double Leader::loadOf(const MemberState &Entry,
+                      std::size_t MoreWorkers) const {
+  double Share = Entry.Info.CpuShare;
+  if (Entry.Info.Name == Own.Instance.Name)
+    Share *= OwnShareOfWorkers;
+  return double(Entry.Workers.size() + MoreWorkers) /
+         std::max(Share, LeastCpuShare);
+}
+
+// Members join one after the other, so the first ones get too many workers,
+// the leader's own instance before all.
+void Leader::balanceWorkers() {
+  const TimePoint Now = Use.Time.now();
+  if (Now < NextBalance)
+    return;
+  NextBalance = Now + BalancePeriod;
+  for (int Moved = 0; Moved < MaxMovesPerBalance; ++Moved) {
+    Care *Chosen = nullptr;
+    double BestGain = 1;
+    for (auto &[Id, Entry] : Cares) {
+      const auto Present = Members.find(Entry.Member);
+      if (Present == Members.end() || !Entry.Settled)
+        continue;
+      MemberState *Other = memberFor(Entry);
+      if (!Other || Other == &Present->second)
+        continue;
+      const double Zone =
+          Other->Info.Zone == Present->second.Info.Zone ||
+                  Present->second.Info.Zone != Entry.Info.Zone
+              ? 1
+              : OtherZoneFactor;
+      const double Gain =
+          loadOf(Present->second, 0) / (loadOf(*Other, 1) * Zone);
+      if (Gain > std::max(BestGain, LeastBalanceGain)) {
+        BestGain = Gain;
+        Chosen = &Entry;
+      }
+    }
+    if (!Chosen)
+      return;
+    Chosen->LeaseBound = Now + Use.Times.WorkerLease + Use.Times.LeaderMargin;
+    Scheduler.unsyncWorker(Chosen->Info.Life);
+    releaseFromMember(Chosen->Info.Life.Id);
+    assignWorkers();
+  }
+}
+
 Leader::MemberState *Leader::memberFor(const Care &Entry) {
   MemberState *Best = nullptr;
   double BestLoad = 0;
   for (auto &[Name, Candidate] : Members) {
     if (Candidate.Leaving || !Candidate.Sender->isConfirmed())
       continue;
-    double Share = Candidate.Info.CpuShare;
-    if (Name == Own.Instance.Name)
-      Share *= OwnShareOfWorkers;
-    double Load = double(Candidate.Workers.size() + 1) / std::max(Share, 0.01);
+    double Load = loadOf(Candidate, 1);
     // Bytes between zones cost time and money, so another zone's member is
     // taken only if it has far less to do.
     if (Candidate.Info.Zone != Entry.Info.Zone)
-      Load *= 4;
+      Load *= OtherZoneFactor;
     if (!Best || Load < BestLoad) {
       Best = &Candidate;
       BestLoad = Load;
@@ -870,7 +930,10 @@
         expireAdvice();
         forgetOldJobs();
       }
-      assignWorkers();
+      if (Now - TookOfficeAt >= JoinTime) {
+        assignWorkers();
+        balanceWorkers();
+      }
       decide();
       storeChanges();
     }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -129,6 +129,8 @@
   void releaseFromMember(const std::string &Worker);
   void assignWorkers();
   MemberState *memberFor(const Care &Entry);
+  double loadOf(const MemberState &Entry, std::size_t MoreWorkers) const;
+  void balanceWorkers();
   void decide();
   void dispatch(const jobs::Decisions &Made);
   void sendStart(const jobs::StartOrder &Order);
@@ -169,6 +171,7 @@
   TimePoint LastDecision;
   TimePoint NextAdviceSweep;
   TimePoint NextSweep;
+  TimePoint NextBalance;
   Lifetime Life;
 };
 
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -212,6 +212,24 @@
   EXPECT_EQ(Cell.workers().doneRuns(), 20);
 }
 
+// Guards against a leader that, being its own first member, keeps all workers
+// and has no time left to decide.
+TEST_F(CellTest, SharesTheWorkersAmongItsMembers) {
+  Cell.kill("n0");
+  Cell.kill("n1");
+  Cell.kill("n2");
+  Cell.start("n0");
+  Cell.run(3s);
+  EXPECT_EQ(Cell.node("n0").member().workersInCare(), 6U);
+  Cell.start("n1");
+  Cell.start("n2");
+  Cell.run(3s);
+  for (const std::string Name : {"n0", "n1", "n2"}) {
+    EXPECT_GE(Cell.node(Name).member().workersInCare(), 1U) << Name;
+    EXPECT_LE(Cell.node(Name).member().workersInCare(), 3U) << Name;
+  }
+}
+
 // Guards against the end of a job that is split over two commits, of which
 // only the first takes effect before the leader changes: the job was gone.
 // Found by the fuzz test (seed 1, 53rd case).
