Give slow calls for advice places of their own

Cause: quick steps waited seconds for advice behind half-second calls for gangs at every member, while 300 to 900 cores were free (new log line 'load').

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -27,15 +27,14 @@
 /// Rounds are held at least this often, as tickets and pauses run out.
 constexpr Duration DecisionPeriod{100};
 
-/// Advice calls of at least this cost go to separate members, so that short
-/// calls never wait behind them.
-constexpr double SlowAdviceMs = 200;
+/// How often the leader logs what waits.
+constexpr Duration LoadLinePeriod{2000};
 
 /// One member in so many, at least one, takes no slow calls.
-constexpr std::size_t FastOnlyPart = 5;
+constexpr std::size_t FastOnlyPart = 3;
 
-/// Advice calls under way at one member.
-constexpr std::size_t MaxAdvicePerMember = 6;
+/// Short advice calls of this total cost may wait at one member.
+constexpr Duration FastAdviceQueue{100};
 
 /// Patience with an advice call beyond what its cost explains.
 constexpr Duration AdvicePatience{2500};
@@ -796,13 +795,29 @@
 
 // Decisions.
 
-int Leader::adviceSlots() {
-  int Slots = 0;
-  for (const auto &[Name, Entry] : Members)
-    if (!Entry.Leaving)
-      Slots += int(MaxAdvicePerMember) -
-               int(std::min(Entry.AdviceDue.size(), MaxAdvicePerMember));
-  return Slots;
+// Members that may take slow calls: all but the last ones, by name.
+bool Leader::takesSlowAdvice(const std::string &Name) const {
+  const std::size_t FastOnly = std::min(
+      Members.size() - 1, std::max<std::size_t>(Members.size() / FastOnlyPart,
+                                                1));
+  const auto Place = std::distance(Members.begin(), Members.find(Name));
+  return std::size_t(Place) + FastOnly < Members.size();
+}
+
+jobs::AdviceBudget Leader::adviceBudget() const {
+  const TimePoint Now = Use.Time.now();
+  jobs::AdviceBudget Budget;
+  for (const auto &[Name, Entry] : Members) {
+    if (Entry.Leaving || Entry.HasSlowAdvice)
+      continue;
+    const Duration Queued = Entry.AdviceBusyUntil - Now;
+    Budget.FastMs += double(
+        std::clamp(FastAdviceQueue - Queued, Duration{0}, FastAdviceQueue)
+            .count());
+    if (takesSlowAdvice(Name))
+      ++Budget.SlowCalls;
+  }
+  return Budget;
 }
 
 void Leader::decide() {
@@ -812,7 +827,7 @@
     return;
   LastDecision = Now;
   Dirty = false;
-  dispatch(Scheduler.decide(Now, adviceSlots()));
+  dispatch(Scheduler.decide(Now, adviceBudget()));
 }
 
 void Leader::dispatch(const jobs::Decisions &Made) {
@@ -849,25 +864,20 @@
 
 void Leader::dispatchAdvice(const jobs::AdviceRequest &Request) {
   const TimePoint Now = Use.Time.now();
-  const bool Slow = Request.CostMs >= SlowAdviceMs;
-  std::vector<MemberState *> Able;
-  for (auto &[Name, Entry] : Members)
-    if (!Entry.Leaving)
-      Able.push_back(&Entry);
-  if (Able.empty()) {
+  const bool Slow = Request.CostMs >= jobs::AdviceBudget::SlowAdviceMs;
+  MemberState *Best = nullptr;
+  for (auto &[Name, Entry] : Members) {
+    if (Entry.Leaving || Entry.HasSlowAdvice ||
+        (Slow && !takesSlowAdvice(Name)))
+      continue;
+    if (!Best || Entry.AdviceBusyUntil < Best->AdviceBusyUntil)
+      Best = &Entry;
+  }
+  if (!Best) {
     Scheduler.adviceFailed(Request.Step);
     return;
   }
-  // The last members take fast calls only; of the others, whichever is free
-  // first takes the next call.
-  const std::size_t FastOnly =
-      std::min(Able.size() - 1,
-               std::max<std::size_t>(Able.size() / FastOnlyPart, 1));
-  const auto Last = Slow ? Able.end() - std::ptrdiff_t(FastOnly) : Able.end();
-  MemberState *Best = *std::min_element(
-      Able.begin(), Last, [](const auto *Left, const auto *Right) {
-        return Left->AdviceBusyUntil < Right->AdviceBusyUntil;
-      });
+  Best->HasSlowAdvice = Slow;
   const TimePoint Start = std::max(Best->AdviceBusyUntil, Now);
   Best->AdviceBusyUntil = Start + Duration(Duration::rep(Request.CostMs) + 1);
   Use.Log.event("advice asked", Request.Step,
@@ -881,8 +891,10 @@
 
 void Leader::adviceAnswered(MemberState &From, const AdviceAnswer &Answer) {
   From.AdviceDue.erase(Answer.Step);
-  if (From.AdviceDue.empty())
+  if (From.AdviceDue.empty()) {
     From.AdviceBusyUntil = Use.Time.now();
+    From.HasSlowAdvice = false;
+  }
   Dirty = true;
   if (!Answer.Answered) {
     Use.Log.event("advice missing", Answer.Step, {{"member", From.Info.Name}});
@@ -904,9 +916,25 @@
       Entry.AdviceDue.erase(Step);
       Scheduler.adviceFailed(Step);
     }
+    if (!Over.empty() && Entry.AdviceDue.empty())
+      Entry.HasSlowAdvice = false;
   }
 }
 
+void Leader::logLoad(TimePoint Now) {
+  if (Now < NextLoadLine)
+    return;
+  NextLoadLine = Now + LoadLinePeriod;
+  std::size_t Advice = 0;
+  for (const auto &[Name, Entry] : Members)
+    Advice += Entry.AdviceDue.size();
+  Use.Log.event("load", Own.Instance.Name,
+                {{"waiting", Scheduler.summary()},
+                 {"jobs", std::to_string(Scheduler.activeJobs())},
+                 {"advice_calls", std::to_string(Advice)},
+                 {"members", std::to_string(Members.size())}});
+}
+
 void Leader::forgetOldJobs() {
   const TimePoint Now = Use.Time.now();
   for (const std::string &Id :
@@ -934,6 +962,7 @@
         expireUnlisted();
         expireAdvice();
         forgetOldJobs();
+        logLoad(Now);
       }
       if (Now - TookOfficeAt >= JoinTime) {
         assignWorkers();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -82,6 +82,7 @@
     std::set<std::string> Workers;
     std::map<std::string, TimePoint> AdviceDue; ///< Calls under way, by step.
     TimePoint AdviceBusyUntil;
+    bool HasSlowAdvice = false; ///< No other call is made until it is answered.
     bool Leaving = false;
     TimePoint StoreAnsweredAt; ///< When the store last answered the member.
   };
@@ -135,9 +136,11 @@
   void dispatch(const jobs::Decisions &Made);
   void sendStart(const jobs::StartOrder &Order);
   void dispatchAdvice(const jobs::AdviceRequest &Request);
-  int adviceSlots();
+  bool takesSlowAdvice(const std::string &Name) const;
+  jobs::AdviceBudget adviceBudget() const;
   void expireAdvice();
   void forgetOldJobs();
+  void logLoad(TimePoint Now);
   std::string compose(MemberState &To, std::int64_t Sequence);
   MemberState *memberInCharge(const jobs::WorkerLife &Life);
 
@@ -172,6 +175,7 @@
   TimePoint NextAdviceSweep;
   TimePoint NextSweep;
   TimePoint NextBalance;
+  TimePoint NextLoadLine;
   Lifetime Life;
 };
 
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -632,6 +632,34 @@
     Owner->Steps[std::size_t(Id->Step)].AdviceInFlight = false;
 }
 
+std::string JobScheduler::summary() const {
+  std::map<std::pair<int, int>, std::pair<int, int>> Steps;
+  for (const auto &[Rank, Ref] : Waiting) {
+    auto &[All, Unadvised] = Steps[{Rank.Tier, Rank.Priority}];
+    ++All;
+    Unadvised +=
+        Ref.Owner->Steps[std::size_t(Ref.Step)].Advice.empty() ? 1 : 0;
+  }
+  std::string Result;
+  for (const auto &[Rank, Counts] : Steps)
+    Result += "t" + std::to_string(Rank.first) + "p" +
+              std::to_string(Rank.second) + ":" +
+              std::to_string(Counts.first) + "/" +
+              std::to_string(Counts.second) + ",";
+  std::int64_t Free = 0;
+  int Usable = 0;
+  int Reserved = 0;
+  for (const auto &[Id, Host] : Workers) {
+    const bool Synced = Host.isSynced() && Host.isReachable();
+    Free += Synced ? Host.room().CpuMillis : 0;
+    Usable += Synced ? 1 : 0;
+    Reserved += Host.reservedFor().empty() ? 0 : 1;
+  }
+  return Result + "free_cores:" + std::to_string(Free / 1000) +
+         ",workers:" + std::to_string(Usable) +
+         ",reserved:" + std::to_string(Reserved);
+}
+
 std::set<std::string> JobScheduler::takeChanged() {
   return std::exchange(Changed, {});
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -26,6 +26,17 @@
   std::vector<AdviceRequest> Advice;
 };
 
+/// Requests for advice that may be made now. The service answers one call of
+/// an instance after the other, so calls that take long have places of their
+/// own, behind which no short call has to wait.
+struct AdviceBudget {
+  int SlowCalls = 0; ///< Calls that cost SlowAdviceMs or more.
+  double FastMs = 0; ///< Total cost of all others, in milliseconds.
+
+  /// Least cost of a slow call.
+  static constexpr double SlowAdviceMs = 200;
+};
+
 /// Why a start did not happen.
 enum class StartRefusal {
   NoRoom,    ///< The worker has no room for it.
@@ -161,13 +172,16 @@
   /// nor its job has been stopped since.
   bool isCurrent(const StartOrder &Order) const;
 
-  /// Decides what to start, stop and ask. \p AdviceSlots is the number of
-  /// requests that may be made now.
-  Decisions decide(TimePoint Now, int AdviceSlots);
+  /// Decides what to start, stop and ask.
+  Decisions decide(TimePoint Now, const AdviceBudget &Advice);
 
   /// Ids of jobs whose stored part has changed since the last call.
   std::set<std::string> takeChanged();
 
+  /// The waiting steps and the free processors in words, for the log: steps by
+  /// tier and priority, and those of them without advice.
+  std::string summary() const;
+
   /// Number of jobs that have not ended.
   std::size_t activeJobs() const { return Active; }
 
@@ -190,13 +204,16 @@
   /// State of one round.
   struct Round {
     TimePoint Now;
-    int AdviceSlots = 0;
+    AdviceBudget Advice;
     std::int64_t FreeCpuMillis = 0; ///< Not yet expected to be taken.
     std::int64_t ReservedCpuMillis = 0;
     Resources LargestRoom; ///< Largest of each resource on a usable worker.
     int StepsLeft = 0;     ///< Steps that may still be compared with workers.
     int GangsLeft = 0;     ///< Gangs among them.
     int AskAheadLeft = 0; ///< Steps that may ask for advice without room.
+    /// Workers kept free in this round for urgent steps that wait for room,
+    /// and the priority of those.
+    std::map<const Worker *, int> KeptFree;
     Decisions Result;
   };
 
@@ -236,12 +253,15 @@
   int allowedByCap(const Job &Entry, const StepSpec &Spec) const;
   void serve(Round &Now, Job &Entry, int Step);
   void serveTasks(Round &Now, Job &Entry, int Step, Candidates Found);
+  void keepFree(Round &Now, const Queue &Terms, const Candidates &Found,
+                int Tasks);
   void serveGang(Round &Now, Job &Entry, int Step, Candidates Found);
   int place(Round &Now, Job &Entry, int Step, std::vector<Candidate> &Hosts,
             int Wanted, std::int64_t GangRun);
   void startOn(Round &Now, Job &Entry, int Step, int Index, const Candidate &At,
                std::int64_t Run);
   void ask(Round &Now, Job &Entry, int Step, std::vector<std::string> Workers);
+  static bool mayAsk(const Round &Now, const Queue &Terms);
   void reserve(Round &Now, Job &Entry, int Step, const Candidates &Found,
                int Wanted);
   std::int64_t nextRun(std::int64_t Last) const;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -77,10 +77,10 @@
 
 } // namespace
 
-Decisions JobScheduler::decide(TimePoint Now, int AdviceSlots) {
+Decisions JobScheduler::decide(TimePoint Now, const AdviceBudget &Advice) {
   Round Present;
   Present.Now = Now;
-  Present.AdviceSlots = AdviceSlots;
+  Present.Advice = Advice;
   Present.AskAheadLeft = AskAheadSteps;
   Present.StepsLeft = MaxComparisonsPerRound;
   Present.GangsLeft = MaxGangsPerRound;
@@ -170,6 +170,9 @@
     if (Host.info().Upstream != Terms.Upstream || !Host.isUsable(Now.Now) ||
         !Host.satisfies(Spec) || Host.slotsIfEmpty(Spec) == 0)
       continue;
+    const auto Kept = Now.KeptFree.find(&Host);
+    if (Kept != Now.KeptFree.end() && Terms.Priority > Kept->second)
+      continue;
     const bool ForOther =
         !Host.reservedFor().empty() && Host.reservedFor() != Name;
     if (ForOther && (Terms.Priority > 0 || Spec.Gang))
@@ -223,7 +226,8 @@
   // steps that need advice.
   const bool HasRoom = Spec.Request.fitsIn(Now.LargestRoom);
   const bool PlansAhead =
-      Spec.Gang || (Now.AskAheadLeft > 0 && hasCheapAdvice(queueOf(Entry)) &&
+      Spec.Gang || queueOf(Entry).SlackFactor < TightSlack ||
+      (Now.AskAheadLeft > 0 && hasCheapAdvice(queueOf(Entry)) &&
                     !Entry.Steps[std::size_t(Step)].AdviceInFlight);
   if (!HasRoom && !PlansAhead)
     return;
@@ -249,6 +253,8 @@
   const int Left = Wanted - place(Now, Entry, Step, Found.Valid, Wanted, 0);
   if (Left == 0)
     return;
+  if (State.Rank && State.Rank->Tier == 0)
+    keepFree(Now, queueOf(Entry), Found, Left);
   // Room that is free now goes to the steps in their order, so no more steps
   // ask for advice than can use it.
   const std::int64_t Demand = Spec.Filling ? 0 : Spec.Request.CpuMillis * Left;
@@ -256,7 +262,7 @@
   Now.FreeCpuMillis -= Demand;
   const bool MayAskAhead =
       hasCheapAdvice(queueOf(Entry)) && Now.AskAheadLeft-- > 0;
-  if (State.AdviceInFlight || Now.AdviceSlots <= 0 ||
+  if (State.AdviceInFlight || !mayAsk(Now, queueOf(Entry)) ||
       (!Expected && !MayAskAhead))
     return;
   std::vector<std::string> Names;
@@ -296,6 +302,26 @@
     ask(Now, Entry, Step, std::move(Names));
 }
 
+// Small tasks of less urgent queues fill each hole as it comes, so that a
+// larger urgent task would never find room on a full cell. Load: all workers
+// full, urgent tasks larger than those that end.
+void JobScheduler::keepFree(Round &Now, const Queue &Terms,
+                            const Candidates &Found, int Tasks) {
+  if (Terms.SlackFactor >= TightSlack)
+    return;
+  std::vector<const Worker *> Hosts;
+  for (const Candidate &At : Found.Valid)
+    if (At.Slots == 0 && !Now.KeptFree.contains(At.Host))
+      Hosts.push_back(At.Host);
+  const auto MoreRoom = [](const Worker *Left, const Worker *Right) {
+    return Left->room().CpuMillis > Right->room().CpuMillis;
+  };
+  std::stable_sort(Hosts.begin(), Hosts.end(), MoreRoom);
+  for (std::size_t Index = 0;
+       Index < Hosts.size() && Index < std::size_t(Tasks); ++Index)
+    Now.KeptFree[Hosts[Index]] = Terms.Priority;
+}
+
 void JobScheduler::serveGang(Round &Now, Job &Entry, int Step,
                              Candidates Found) {
   StepState &State = Entry.Steps[std::size_t(Step)];
@@ -339,7 +365,7 @@
       Slots += At.Slots;
       Names.push_back(At.Host->info().Life.Id);
     }
-    if (Now.AdviceSlots <= 0 || Names.size() > MaxWorkersPerAdvice)
+    if (!mayAsk(Now, queueOf(Entry)) || Names.size() > MaxWorkersPerAdvice)
       return;
     clearReservation(Name, State);
     for (const std::string &Id : Names) {
@@ -353,7 +379,7 @@
   for (const Candidate &At : Approved)
     Potential += At.Host->slotsIfEmpty(Spec);
   if (Potential < GangChoice * Spec.Count && !Found.Unasked.empty()) {
-    if (Now.AdviceSlots <= 0)
+    if (!mayAsk(Now, queueOf(Entry)))
       return;
     std::stable_sort(Found.Unasked.begin(), Found.Unasked.end(), Preferred);
     const auto Rate = ApprovalRate.find(queueOf(Entry).Name);
@@ -474,14 +500,24 @@
                                Checkpoint});
 }
 
+bool JobScheduler::mayAsk(const Round &Now, const Queue &Terms) {
+  // The cost for the workers named is a small part in either case.
+  const bool Slow =
+      Terms.Advice && Terms.Advice->BaseMs >= AdviceBudget::SlowAdviceMs;
+  return Slow ? Now.Advice.SlowCalls > 0 : Now.Advice.FastMs > 0;
+}
+
 void JobScheduler::ask(Round &Now, Job &Entry, int Step,
                        std::vector<std::string> Names) {
   StepState &State = Entry.Steps[std::size_t(Step)];
   const AdviceTerms &Terms = *queueOf(Entry).Advice;
   State.AdviceInFlight = true;
   State.AdviceAskedAt = Now.Now;
-  --Now.AdviceSlots;
   const double Cost = Terms.BaseMs + Terms.PerWorkerMs * double(Names.size());
+  if (Cost >= AdviceBudget::SlowAdviceMs)
+    --Now.Advice.SlowCalls;
+  else
+    Now.Advice.FastMs -= Cost;
   Now.Result.Advice.push_back(
       {stepName(Entry.Spec.Id, Step), std::move(Names), Cost});
 }
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -72,7 +72,7 @@
 
   Decisions decide() {
     Now += Duration{10};
-    return Scheduler.decide(Now, 20);
+    return Scheduler.decide(Now, Budget);
   }
 
   void end(const StartOrder &Start, EndKind Kind) {
@@ -81,6 +81,7 @@
   }
 
   JobScheduler Scheduler;
+  AdviceBudget Budget{4, 500};
   TimePoint Now{Duration{1'000'000}};
   int LastJob = 0;
   std::int64_t LastEnd = 0;
@@ -305,6 +306,46 @@
   EXPECT_EQ(TaskId::parse(Next.Starts[0].Task)->Job, Urgent);
 }
 
+// Guards against urgent tasks that wait for good because each hole is filled by
+// a smaller, less urgent task. Load: one full worker, a backlog of small tasks.
+TEST_F(JobSchedulerTest, SmallTasksLeaveRoomForAnUrgentLargerOne) {
+  addWorker("w1");
+  addJob("batch", step(64, 1000));
+  const Decisions Filled = decide();
+  ASSERT_EQ(Filled.Starts.size(), 32U);
+  const std::string Urgent = addJob("quick", step(1, 2800, Duration{5000}));
+  for (int Number = 0; Number < 3; ++Number) {
+    end(Filled.Starts[std::size_t(Number)], EndKind::Done);
+    const Decisions Made = decide();
+    if (Made.Starts.empty())
+      continue;
+    EXPECT_EQ(TaskId::parse(Made.Starts[0].Task)->Job, Urgent);
+    return;
+  }
+  FAIL() << "the urgent task did not start";
+}
+
+// Guards against quick calls for advice that wait behind slow ones. Load: a
+// burst of gangs whose advice takes half a second each.
+TEST_F(JobSchedulerTest, KeepsWithinTheBudgetForAdvice) {
+  addWorker("w1");
+  for (int Number = 0; Number < 8; ++Number) {
+    addJob("advised", step(1, 1000));
+    addJob("cheap", step(1, 1000));
+  }
+  Budget = {2, 20};
+  int Slow = 0;
+  double FastMs = 0;
+  for (const AdviceRequest &Request : decide().Advice) {
+    const bool IsSlow = Request.CostMs >= AdviceBudget::SlowAdviceMs;
+    Slow += IsSlow ? 1 : 0;
+    FastMs += IsSlow ? 0 : Request.CostMs;
+  }
+  EXPECT_EQ(Slow, 2);
+  EXPECT_GT(FastMs, 0);
+  EXPECT_LT(FastMs, 30);
+}
+
 TEST(AdmissionTest, RefusesBeyondTheShareOnlyWhileWorkWaits) {
   Admission Gate;
   Queue Terms;
