--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -226,11 +226,10 @@
     return false;
   // In an outage for all, no member has had an answer since the first failure.
   const TimePoint Since = Use.Time.now() - Failing + StoreAnswerMargin;
-  return std::any_of(
-      Members.begin(), Members.end(), [&](const auto &Entry) {
-        return Entry.first != Own.Instance.Name && !Entry.second.Leaving &&
-               Entry.second.StoreAnsweredAt > Since;
-      });
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
+    return Entry.first != Own.Instance.Name && !Entry.second.Leaving &&
+           Entry.second.StoreAnsweredAt > Since;
+  });
 }
 
 // The registry of workers.
@@ -701,8 +700,7 @@
   Dirty = true;
 }
 
-double Leader::loadOf(const MemberState &Entry,
-                      std::size_t MoreWorkers) const {
+double Leader::loadOf(const MemberState &Entry, std::size_t MoreWorkers) const {
   double Share = Entry.Info.CpuShare;
   if (Entry.Info.Name == Own.Instance.Name)
     Share *= OwnShareOfWorkers;
@@ -727,11 +725,10 @@
       MemberState *Other = memberFor(Entry);
       if (!Other || Other == &Present->second)
         continue;
-      const double Zone =
-          Other->Info.Zone == Present->second.Info.Zone ||
-                  Present->second.Info.Zone != Entry.Info.Zone
-              ? 1
-              : OtherZoneFactor;
+      const double Zone = Other->Info.Zone == Present->second.Info.Zone ||
+                                  Present->second.Info.Zone != Entry.Info.Zone
+                              ? 1
+                              : OtherZoneFactor;
       const double Gain =
           loadOf(Present->second, 0) / (loadOf(*Other, 1) * Zone);
       if (Gain > std::max(BestGain, LeastBalanceGain)) {
@@ -797,9 +794,9 @@
 
 // Members that may take slow calls: all but the last ones, by name.
 bool Leader::takesSlowAdvice(const std::string &Name) const {
-  const std::size_t FastOnly = std::min(
-      Members.size() - 1, std::max<std::size_t>(Members.size() / FastOnlyPart,
-                                                1));
+  const std::size_t FastOnly =
+      std::min(Members.size() - 1,
+               std::max<std::size_t>(Members.size() / FastOnlyPart, 1));
   const auto Place = std::distance(Members.begin(), Members.find(Name));
   return std::size_t(Place) + FastOnly < Members.size();
 }
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -104,7 +104,7 @@
     TimePoint ArrivedAt;
     TimePoint GiveUpAt;
     Duration Allowed{0}; ///< Time that a submitted job may take.
-    bool Sent = false; ///< Handed to some leader at least once.
+    bool Sent = false;   ///< Handed to some leader at least once.
   };
 
   void open(OpenCall Call);
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -107,7 +107,7 @@
   std::vector<WorkerReport> Workers;
   std::vector<RefusedStart> Refused;
   std::vector<AdviceAnswer> Advice;
-  bool Leaving = false;      ///< The member is about to stop.
+  bool Leaving = false; ///< The member is about to stop.
   /// Time since the store last answered the member; negative: its last call
   /// failed, or there was none.
   std::int64_t StoreAnswerAgeMs = -1;
--- a/src/entry/controlloop.cpp
+++ b/src/entry/controlloop.cpp
@@ -22,10 +22,17 @@
 
 void ControlLoop::post(Work Next) {
   // A full ring leaves the item as it was.
-  while (!Stopping && !Ring.push(std::move(Next))) // NOLINT(bugprone-use-after-move)
+  while (!Stopping &&
+         !Ring.push(std::move(Next))) // NOLINT(bugprone-use-after-move)
     std::this_thread::sleep_for(FullPause);
 }
 
+void ControlLoop::drain() {
+  Work Next;
+  while (Ring.pop(Next, std::chrono::milliseconds(0)))
+    Next();
+}
+
 void ControlLoop::run(const std::function<void()> &Pump, Duration Period) {
   Work Next;
   while (!Stopping) {
--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -35,6 +35,9 @@
   /// every \p Period, until stop() is called.
   void run(const std::function<void()> &Pump, Duration Period);
 
+  /// Does what is waiting, after run() has ended.
+  void drain();
+
   /// Ends run(). Thread-safe.
   void stop() { Stopping = true; }
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -30,6 +30,9 @@
 /// Time for callers with open connections to be told to go elsewhere.
 constexpr Duration LingerTime{1000};
 
+/// Retry-After of a process that is about to end.
+constexpr Duration RefusalRetry{1000};
+
 /// Kept of the grace period for the end of the process itself.
 constexpr Duration ExitMargin{1200};
 
@@ -62,6 +65,13 @@
 
 void EntryProcess::serveCaller(const HttpRequest &Request,
                                const Responder &Respond) {
+  if (Ending) {
+    // The control thread may not run any more.
+    cell::ClientAnswer Refusal{cell::ClientStatus::Unavailable};
+    Refusal.RetryAfter = RefusalRetry;
+    Respond(Edge.write(Refusal));
+    return;
+  }
   auto Call = Edge.read(Request);
   if (!Call) {
     Respond(statusOnly(404));
@@ -204,8 +214,10 @@
   // leads elsewhere.
   if (Since >= NoticeTime)
     Callers->stopAccepting();
+  if (Since >= NoticeTime + LingerTime)
+    Ending = true;
   const bool MustEnd = Since >= Settings.Grace - ExitMargin;
-  if (MustEnd || (Since >= NoticeTime + LingerTime && Node.isIdle()))
+  if (MustEnd || (Ending && Node.isIdle()))
     Control.stop();
 }
 
@@ -217,13 +229,12 @@
                       [this](HttpRequest Request, Responder Respond) {
                         servePeer(std::move(Request), std::move(Respond));
                       });
-  const auto Probe =
-      startHttpServer(optionsFor(Settings.ReadyAddress, MaxCallerBody),
-                      [this](const HttpRequest &Request, const Responder &Respond) {
-                        const bool Good =
-                            Ready && Request.Path == Edge.readyPath();
-                        Respond(statusOnly(Good ? 200 : 503));
-                      });
+  const auto Probe = startHttpServer(
+      optionsFor(Settings.ReadyAddress, MaxCallerBody),
+      [this](const HttpRequest &Request, const Responder &Respond) {
+        const bool Good = Ready && Request.Path == Edge.readyPath();
+        Respond(statusOnly(Good ? 200 : 503));
+      });
   Callers =
       startHttpServer(optionsFor(Settings.ClientAddress, MaxCallerBody),
                       [this](const HttpRequest &Request, Responder Respond) {
@@ -240,7 +251,10 @@
           Reload();
       },
       cell::Node::PumpPeriod);
-  // A call without an answer would keep its connection, and the server, open.
+  // A call without an answer would keep its connection, and the server, open:
+  // those in the ring are taken as well.
+  Ending = true;
+  Control.drain();
   Node.abandonCalls();
   Log.event("stopped", Settings.Instance.Name, {});
   Callers.reset();
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -42,8 +42,9 @@
 
 /// Runs a Node on the control thread and serves callers, peers, the readiness
 /// probe, metrics and the state dump. A planned stop hands the office and the
-/// workers over, goes on serving until nobody is sent here any more, and ends
-/// within the grace period. Owned by main().
+/// workers over, goes on serving until nobody is sent here any more, then
+/// refuses new calls, finishes the open ones and ends within the grace period.
+/// Owned by main().
 class EntryProcess {
 public:
   EntryProcess(EntrySettings Settings, ControlLoop &Control, cell::Node &Node,
@@ -69,6 +70,7 @@
   const Clock &Time;
   const Ingress &Edge;
   std::atomic<bool> Ready = false;
+  std::atomic<bool> Ending = false; ///< New calls are refused at once.
   bool WasReady = false;
   std::optional<TimePoint> StoppingSince;
   std::unique_ptr<HttpServer> Callers;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -637,15 +637,13 @@
   for (const auto &[Rank, Ref] : Waiting) {
     auto &[All, Unadvised] = Steps[{Rank.Tier, Rank.Priority}];
     ++All;
-    Unadvised +=
-        Ref.Owner->Steps[std::size_t(Ref.Step)].Advice.empty() ? 1 : 0;
+    Unadvised += Ref.Owner->Steps[std::size_t(Ref.Step)].Advice.empty() ? 1 : 0;
   }
   std::string Result;
   for (const auto &[Rank, Counts] : Steps)
     Result += "t" + std::to_string(Rank.first) + "p" +
-              std::to_string(Rank.second) + ":" +
-              std::to_string(Counts.first) + "/" +
-              std::to_string(Counts.second) + ",";
+              std::to_string(Rank.second) + ":" + std::to_string(Counts.first) +
+              "/" + std::to_string(Counts.second) + ",";
   std::int64_t Free = 0;
   int Usable = 0;
   int Reserved = 0;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -210,7 +210,7 @@
     Resources LargestRoom; ///< Largest of each resource on a usable worker.
     int StepsLeft = 0;     ///< Steps that may still be compared with workers.
     int GangsLeft = 0;     ///< Gangs among them.
-    int AskAheadLeft = 0; ///< Steps that may ask for advice without room.
+    int AskAheadLeft = 0;  ///< Steps that may ask for advice without room.
     /// Workers kept free in this round for urgent steps that wait for room,
     /// and the priority of those.
     std::map<const Worker *, int> KeptFree;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -38,9 +38,14 @@
 constexpr int AskAheadSteps = 16;
 constexpr double CheapAdviceMs = 20;
 
-/// Workers with a valid ticket that a step without room should have for each
-/// task. More are asked for once there are fewer.
-constexpr int TicketsPerTask = 4;
+/// Part of a call's fixed cost that is spent on naming more workers than have
+/// room. Fewer calls are made with it: a call that named a single worker cost
+/// as much as one that names twenty.
+constexpr double CheapShare = 0.25;
+
+/// Approved workers named beyond those that a gang needs, as some rooms are
+/// taken until the answer comes.
+constexpr int SpareWorkersForGang = 4;
 
 /// Least number of workers named for a gang, whose call is dominated by its
 /// fixed cost.
@@ -68,6 +73,15 @@
   return Terms.Advice && Terms.Advice->BaseMs <= CheapAdviceMs;
 }
 
+/// Number of workers that can be named for CheapShare of a call's fixed cost.
+std::size_t usefulNames(const Queue &Terms) {
+  if (Terms.Advice->PerWorkerMs <= 0)
+    return MaxWorkersForTasks;
+  return std::min(MaxWorkersForTasks,
+                  std::size_t(Terms.Advice->BaseMs * CheapShare /
+                              Terms.Advice->PerWorkerMs));
+}
+
 template <typename List> int totalSlots(const List &Entries) {
   int Sum = 0;
   for (const auto &Entry : Entries)
@@ -228,7 +242,7 @@
   const bool PlansAhead =
       Spec.Gang || queueOf(Entry).SlackFactor < TightSlack ||
       (Now.AskAheadLeft > 0 && hasCheapAdvice(queueOf(Entry)) &&
-                    !Entry.Steps[std::size_t(Step)].AdviceInFlight);
+       !Entry.Steps[std::size_t(Step)].AdviceInFlight);
   if (!HasRoom && !PlansAhead)
     return;
   if (allowedByCap(Entry, Spec) == 0)
@@ -283,21 +297,20 @@
   };
   TakeWithRoom(Found.Expired, 1);
   TakeWithRoom(Found.Unasked, Chance);
-  if (Slots < Enough && MayAskAhead) {
-    // There is too little room: ask for workers where it may come free.
-    const std::size_t Wanted =
-        std::min(MaxWorkersForTasks, std::size_t(TicketsPerTask * Left));
-    const auto TakeFull = [&](const std::vector<Candidate> &Part) {
-      for (const Candidate &At : Part) {
-        if (Found.Valid.size() + Names.size() >= Wanted)
-          return;
-        if (At.Slots == 0)
-          Names.push_back(At.Host->info().Life.Id);
-      }
-    };
-    TakeFull(Found.Expired);
-    TakeFull(Found.Unasked);
-  }
+  if (Names.empty() && !MayAskAhead)
+    return;
+  // Workers without room cost little more, and room may come free there while
+  // the tickets are valid.
+  const auto TakeFull = [&](const std::vector<Candidate> &Part) {
+    for (const Candidate &At : Part) {
+      if (Found.Valid.size() + Names.size() >= usefulNames(queueOf(Entry)))
+        return;
+      if (At.Slots == 0)
+        Names.push_back(At.Host->info().Life.Id);
+    }
+  };
+  TakeFull(Found.Expired);
+  TakeFull(Found.Unasked);
   if (!Names.empty())
     ask(Now, Entry, Step, std::move(Names));
 }
@@ -357,20 +370,23 @@
   if (totalSlots(Approved) >= Spec.Count) {
     std::vector<std::string> Names;
     int Slots = 0;
+    int Spare = SpareWorkersForGang;
+    std::size_t Needed = 0;
     for (const Candidate &At : Approved) {
-      if (Slots >= Spec.Count)
+      if (Slots >= Spec.Count && Spare-- <= 0)
         break;
       if (At.Slots == 0)
         continue;
+      Needed += Slots < Spec.Count ? 1 : 0;
       Slots += At.Slots;
       Names.push_back(At.Host->info().Life.Id);
     }
     if (!mayAsk(Now, queueOf(Entry)) || Names.size() > MaxWorkersPerAdvice)
       return;
     clearReservation(Name, State);
-    for (const std::string &Id : Names) {
-      Workers.at(Id).setReservedFor(Name);
-      State.Reserved.insert(Id);
+    for (std::size_t Index = 0; Index < Needed; ++Index) {
+      Workers.at(Names[Index]).setReservedFor(Name);
+      State.Reserved.insert(Names[Index]);
     }
     ask(Now, Entry, Step, std::move(Names));
     return;
--- /dev/null
+++ b/tests/entry/entryprocess_test.cpp
@@ -0,0 +1,162 @@
+#include "entry/entryprocess.h"
+
+#include "httpclient/steadyclock.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace apricotwing::entry {
+namespace {
+
+/// A platform of which nothing answers, so that calls of callers stay open
+/// until the member gives them up.
+class SilentPlatform final : public cell::MetadataStore,
+                             public cell::PlatformRecords,
+                             public cell::WorkerClient,
+                             public cell::AdviceClient,
+                             public cell::PeerTransport,
+                             public cell::WallClock {
+public:
+  void transact(const cell::Transaction &,
+                std::function<void(cell::TransactionResult)>) override {}
+  void read(const std::string &, const std::string &, const std::string &,
+            std::function<void(cell::ReadResult)>) override {}
+  void watch(const std::string &, std::int64_t, Duration,
+             std::function<void(cell::ReadResult)>) override {}
+  std::string policyTable() const override { return "policy"; }
+  std::optional<jobs::ClusterPolicy>
+  policyIn(const cell::StoredRow &) const override {
+    return std::nullopt;
+  }
+  std::string workerTable() const override { return "workers"; }
+  std::optional<jobs::WorkerInfo>
+  workerIn(const cell::StoredRow &) const override {
+    return std::nullopt;
+  }
+  void hold(const cell::WorkerAddress &, const cell::HoldRequest &,
+            std::function<void(cell::HoldResult)>) override {}
+  void start(const cell::WorkerAddress &, const jobs::StartOrder &,
+             std::int64_t, std::function<void(cell::WorkerAnswer)>) override {}
+  void stop(const cell::WorkerAddress &, const jobs::StopOrder &,
+            std::function<void(cell::WorkerAnswer)>) override {}
+  void ask(const jobs::AdviceRequest &,
+           std::function<void(std::optional<std::vector<jobs::Approval>>)>)
+      override {}
+  void post(const std::string &, std::string, Duration,
+            std::function<void(std::optional<std::string>)>) override {}
+  std::int64_t unixMs() const override { return 0; }
+};
+
+class PlainIngress final : public Ingress {
+public:
+  std::optional<cell::ClientCall>
+  read(const HttpRequest &Request) const override {
+    cell::ClientCall Call;
+    Call.Path = Request.Path;
+    return Call;
+  }
+  HttpResponse write(const cell::ClientAnswer &Answer) const override {
+    HttpResponse Response;
+    Response.Status =
+        Answer.Status == cell::ClientStatus::Unavailable ? 503 : 504;
+    Response.Body = "{}";
+    return Response;
+  }
+  std::string readyPath() const override { return "/ready"; }
+};
+
+constexpr std::size_t ConnectionCount = 250;
+
+/// An open connection to a port on loopback; negative: refused.
+int connectTo(int Port) {
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in To{};
+  To.sin_family = AF_INET;
+  To.sin_port = htons(std::uint16_t(Port));
+  To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  timeval Limit{8, 0};
+  setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+  if (connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof To) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
+}
+
+/// Sends a request; the number of bytes of its answer, 0 if there is none,
+/// negative if it could not be sent.
+int call(int Socket) {
+  const std::string Text = "GET /queue/1 HTTP/1.1\r\nHost: x\r\n\r\n";
+  if (send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL) < 0)
+    return -1;
+  std::array<char, 512> Answer{};
+  return int(
+      std::max<ssize_t>(recv(Socket, Answer.data(), Answer.size(), 0), 0));
+}
+
+// Guards against a call that arrives while the process ends and never gets its
+// answer, which also kept the process until it was killed.
+TEST(EntryProcessTest, AnswersEveryCallUntilItEnds) {
+  const SteadyClock Time;
+  SilentPlatform Platform;
+  const PlainIngress Edge;
+  DecisionLog Log(Time, "n1");
+  ControlLoop Control;
+  const std::string Port = std::to_string(20'000 + getpid() % 10'000);
+  EntrySettings Settings;
+  Settings.Instance = {"n1", "127.0.0.1:0", "zone", 1};
+  Settings.ClientAddress = "127.0.0.1:" + Port;
+  Settings.ReadyAddress = "127.0.0.1:0";
+  Settings.Grace = Duration{6000};
+  cell::Node Node(
+      {Platform, Platform, Platform, Platform, Platform, Time, Platform, Log},
+      cell::Timing{}, Settings.Instance, "n1#1");
+  EntryProcess Process(Settings, Control, Node, Log, Time, Edge);
+  const std::atomic<bool> Stop = true;
+  std::atomic<bool> Reload = false;
+  std::atomic<bool> Ended = false;
+  std::thread Server([&] {
+    Process.run(Stop, Reload, [] {});
+    Ended = true;
+  });
+  // Connections that were opened early and are first used late, as clients
+  // keep them until the process is gone.
+  std::vector<int> Connections;
+  while (Connections.size() < ConnectionCount && !Ended) {
+    const int Socket = connectTo(std::stoi(Port));
+    if (Socket >= 0)
+      Connections.push_back(Socket);
+    else
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  int Answered = 0;
+  int Unanswered = 0;
+  for (const int Socket : Connections) {
+    if (Ended)
+      break;
+    const int Got = call(Socket);
+    Answered += Got > 0 ? 1 : 0;
+    Unanswered += Got == 0 ? 1 : 0;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  for (const int Socket : Connections)
+    close(Socket);
+  Server.join();
+  EXPECT_GT(Answered, 100);
+  // One request can meet the close of its connection.
+  EXPECT_LE(Unanswered, 1);
+}
+
+} // namespace
+} // namespace apricotwing::entry
