Move advice calls and the reading of the state out of the leader

Workers are now moved from the busiest member only, so that sharing them out stays cheap with hundreds of members.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -27,17 +27,14 @@
 /// Rounds are held at least this often, as tickets and pauses run out.
 constexpr Duration DecisionPeriod{100};
 
-/// How often the leader logs what waits.
-constexpr Duration LoadLinePeriod{2000};
+/// How often ended jobs are looked through for those to forget.
+constexpr Duration ForgetPeriod{5000};
 
-/// One member in so many, at least one, takes no slow calls.
-constexpr std::size_t FastOnlyPart = 3;
+/// How often members, registry and advice calls are looked through.
+constexpr Duration SweepPeriod{100};
 
-/// Short advice calls of this total cost may wait at one member.
-constexpr Duration FastAdviceQueue{100};
-
-/// Patience with an advice call beyond what its cost explains.
-constexpr Duration AdvicePatience{2500};
+/// How often the leader logs what waits.
+constexpr Duration LoadLinePeriod{2000};
 
 /// Pause before a worker whose process had ended is called again, if the
 /// registry still names that life.
@@ -50,9 +47,6 @@
 /// other work.
 constexpr double OwnShareOfWorkers = 0.5;
 
-/// How the end of a job is stored, by JobPhase; an active one has none.
-constexpr std::string_view EndLetters = "acfx";
-
 /// Load of a member of another zone than the worker's is counted so many times.
 constexpr double OtherZoneFactor = 4;
 
@@ -87,9 +81,13 @@
                 [this](const std::vector<StoredRow> &Rows) {
                   registryChanged(Rows);
                 }}),
-      LastToken(Own.Term * TokensPerTerm),
-      TookOfficeAt(Use.Time.now()), TablesToLoad{EndedTable, RosterTable,
-                                                 ProgressTable, JobTable} {
+      State(Use.Store, Use.Time, Use.Log,
+            {[this](const StoredState &Stored) { restoreJobs(Stored); },
+             [this](const std::string &Id, jobs::JobPhase Phase) {
+               restoreEnded(Id, Phase);
+             },
+             [this] { serveDeferred(); }}),
+      LastToken(Own.Term * TokensPerTerm), TookOfficeAt(Use.Time.now()) {
   Use.Log.event("leading", Own.Instance.Name,
                 {{"term", std::to_string(Own.Term)},
                  {"version", std::to_string(Version)}});
@@ -103,59 +101,10 @@
 
 // Takeover.
 
-void Leader::load(const std::string &Table, const std::string &From) {
-  Loading = true;
-  Use.Store.read(Table, CellPart, From,
-                 Life.guard([this, Table](const ReadResult &Page) {
-                   Loading = false;
-                   loaded(Table, Page);
-                 }));
-}
-
-void Leader::loaded(const std::string &Table, const ReadResult &Page) {
-  if (Page.Outcome != StoreOutcome::Done) {
-    NextLoad = Use.Time.now() + Duration{100};
-    return;
-  }
-  for (const StoredRow &Row : Page.Rows) {
-    bool Readable = true;
-    if (Table == EndedTable) {
-      restoreEnded(Row);
-    } else if (Table == JobTable) {
-      auto Spec = decodeJobSpec(Row.Value);
-      Readable = bool(Spec);
-      if (Spec)
-        LoadedJobs[Row.Key] = std::move(*Spec);
-    } else if (Table == ProgressTable) {
-      auto Progress = decodeProgress(Row.Value);
-      Readable = bool(Progress);
-      if (Progress)
-        LoadedProgress[Row.Key] = std::move(*Progress);
-    } else {
-      auto Roster = decodeRoster(Row.Value);
-      Readable = bool(Roster);
-      if (Roster)
-        LoadedRoster.insert(LoadedRoster.end(), Roster->begin(), Roster->end());
-    }
-    if (!Readable)
-      Use.Log.event("stored row unreadable", Row.Key, {{"table", Table}});
-  }
-  if (Page.HasMore && !Page.Rows.empty()) {
-    LoadFrom = Page.Rows.back().Key + '\x01';
-    return;
-  }
-  LoadFrom.clear();
-  TablesToLoad.pop_back();
-  if (Table == RosterTable)
-    restoreJobs();
-  if (TablesToLoad.empty())
-    serveDeferred();
-}
-
-void Leader::restoreJobs() {
+void Leader::restoreJobs(const StoredState &Stored) {
   const TimePoint Now = Use.Time.now();
   // Workers first, as the jobs' placements refer to them.
-  for (const RosterEntry &Entry : LoadedRoster) {
+  for (const RosterEntry &Entry : Stored.Roster) {
     Care &Known = Cares[Entry.Life.Id];
     if (Known.Info.Life.Born > Entry.Life.Born)
       continue; // The registry names a later life.
@@ -175,39 +124,28 @@
     Entry.LeaseBound = TookOfficeAt + Use.Times.MemberLease +
                        Use.Times.WorkerLease + Use.Times.LeaderMargin;
   const std::int64_t Today = Use.Calendar.unixMs();
-  for (const auto &[Id, Spec] : LoadedJobs) {
-    const auto Progress = LoadedProgress.find(Id);
+  for (const auto &[Id, Spec] : Stored.Jobs) {
+    const auto Progress = Stored.Progress.find(Id);
     const Duration Age(std::max<std::int64_t>(Today - Spec.AcceptedUnixMs, 0));
     Scheduler.restore(Spec,
-                      Progress == LoadedProgress.end() ? jobs::JobProgress{}
-                                                       : Progress->second,
+                      Progress == Stored.Progress.end() ? jobs::JobProgress{}
+                                                        : Progress->second,
                       Age, Now);
   }
   Use.Log.event("state loaded", Own.Instance.Name,
                 {{"term", std::to_string(Own.Term)},
-                 {"jobs", std::to_string(LoadedJobs.size())},
-                 {"roster", std::to_string(LoadedRoster.size())},
+                 {"jobs", std::to_string(Stored.Jobs.size())},
+                 {"roster", std::to_string(Stored.Roster.size())},
                  {"after_ms", std::to_string((Now - TookOfficeAt).count())}});
-  LoadedJobs.clear();
-  LoadedProgress.clear();
-  LoadedRoster.clear();
   Loaded = true;
   Dirty = true;
 }
 
-// Jobs that have ended are read last: no decision needs them, only callers
-// who ask for one or hand one in again.
-void Leader::restoreEnded(const StoredRow &Row) {
+void Leader::restoreEnded(const std::string &Id, jobs::JobPhase Phase) {
   jobs::JobSpec Ended;
-  Ended.Id = Row.Key;
+  Ended.Id = Id;
   jobs::JobProgress Progress;
-  const std::size_t Letter = Row.Value.empty() ? std::string_view::npos
-                                               : EndLetters.find(Row.Value[0]);
-  if (Letter == std::string_view::npos) {
-    Use.Log.event("stored row unreadable", Row.Key, {{"table", EndedTable}});
-    return;
-  }
-  Progress.Phase = jobs::JobPhase(Letter);
+  Progress.Phase = Phase;
   Scheduler.restore(Ended, Progress, Duration{0}, Use.Time.now());
 }
 
@@ -358,6 +296,7 @@
                              return compose(Fresh, Sequence);
                            }});
     Found = Members.find(Mail.From.Name);
+    Desk.add(Mail.From.Name);
     Use.Log.event("member joined", Mail.From.Name,
                   {{"session", Mail.Session}, {"zone", Mail.From.Zone}});
   }
@@ -391,10 +330,14 @@
     query(From, Asked);
   if (Content.Leaving && !From.Leaving) {
     From.Leaving = true;
+    for (const std::string &Step : Desk.remove(From.Info.Name))
+      Scheduler.adviceFailed(Step);
     Use.Log.event("member leaving", From.Info.Name, {});
     const std::set<std::string> Workers = From.Workers;
     for (const std::string &Id : Workers) {
-      Cares.at(Id).LeaseBound = Now + Use.Times.WorkerLease;
+      Cares.at(Id).LeaseBound =
+          std::max(Cares.at(Id).LeaseBound,
+                   Now + Use.Times.WorkerLease + Use.Times.LeaderMargin);
       Scheduler.unsyncWorker(Cares.at(Id).Info.Life);
       releaseFromMember(Id);
     }
@@ -424,7 +367,7 @@
   const auto Answer = [this, Member, Session, Tag] {
     submitted(Member, Session, Tag, SubmitResult::Accepted);
   };
-  if (!TablesToLoad.empty()) {
+  if (!State.isDone()) {
     // Whether the job is known is clear only once the state is loaded.
     Deferred.push_back([this, Member, Session, Handed] {
       const auto Found = Members.find(Member);
@@ -498,7 +441,7 @@
       query(Found->second, Asked);
   };
   // A job that has not ended is known before all others.
-  if (!Loaded || (!TablesToLoad.empty() && !Scheduler.find(Asked.Subject))) {
+  if (!Loaded || (!State.isDone() && !Scheduler.find(Asked.Subject))) {
     Deferred.push_back(AskAgain);
     return;
   }
@@ -647,11 +590,9 @@
       continue;
     const jobs::JobProgress Progress = Entry->progress();
     if (Progress.Phase != jobs::JobPhase::Active) {
-      Writer.change(
-          {{JobTable, Id, std::nullopt},
-           {ProgressTable, Id, std::nullopt},
-           {EndedTable, Id,
-            std::string(1, EndLetters[std::size_t(Progress.Phase)])}});
+      Writer.change({{JobTable, Id, std::nullopt},
+                     {ProgressTable, Id, std::nullopt},
+                     {EndedTable, Id, endText(Progress.Phase)}});
       Use.Log.event(
           "job ended", Id,
           {{"phase", std::string(nameIn(jobs::JobPhaseNames, Progress.Phase))},
@@ -694,7 +635,7 @@
                               Use.Times.WorkerLease + Use.Times.LeaderMargin);
     Scheduler.unsyncWorker(Entry.Info.Life);
   }
-  for (const auto &[Step, Due] : Found->second.AdviceDue)
+  for (const std::string &Step : Desk.remove(Name))
     Scheduler.adviceFailed(Step);
   Members.erase(Found);
   Dirty = true;
@@ -716,35 +657,45 @@
     return;
   NextBalance = Now + BalancePeriod;
   for (int Moved = 0; Moved < MaxMovesPerBalance; ++Moved) {
-    Care *Chosen = nullptr;
-    double BestGain = 1;
-    for (auto &[Id, Entry] : Cares) {
-      const auto Present = Members.find(Entry.Member);
-      if (Present == Members.end() || !Entry.Settled)
-        continue;
-      MemberState *Other = memberFor(Entry);
-      if (!Other || Other == &Present->second)
-        continue;
-      const double Zone = Other->Info.Zone == Present->second.Info.Zone ||
-                                  Present->second.Info.Zone != Entry.Info.Zone
-                              ? 1
-                              : OtherZoneFactor;
-      const double Gain =
-          loadOf(Present->second, 0) / (loadOf(*Other, 1) * Zone);
-      if (Gain > std::max(BestGain, LeastBalanceGain)) {
-        BestGain = Gain;
-        Chosen = &Entry;
-      }
-    }
-    if (!Chosen)
+    const auto Busiest = std::max_element(
+        Members.begin(), Members.end(), [this](const auto &A, const auto &B) {
+          return loadOf(A.second, 0) < loadOf(B.second, 0);
+        });
+    if (Busiest == Members.end() || !moveOneWorker(Busiest->second))
       return;
-    Chosen->LeaseBound = Now + Use.Times.WorkerLease + Use.Times.LeaderMargin;
-    Scheduler.unsyncWorker(Chosen->Info.Life);
-    releaseFromMember(Chosen->Info.Life.Id);
     assignWorkers();
   }
 }
 
+// Takes the worker from a member whose move lessens the load most; false if
+// none is worth it.
+bool Leader::moveOneWorker(MemberState &From) {
+  Care *Chosen = nullptr;
+  double BestGain = LeastBalanceGain;
+  for (const std::string &Id : From.Workers) {
+    Care &Entry = Cares.at(Id);
+    MemberState *Other = Entry.Settled ? memberFor(Entry) : nullptr;
+    if (!Other || Other == &From)
+      continue;
+    const bool LeavesZone = From.Info.Zone == Entry.Info.Zone &&
+                            Other->Info.Zone != Entry.Info.Zone;
+    const double Gain = loadOf(From, 0) / (loadOf(*Other, 1) *
+                                           (LeavesZone ? OtherZoneFactor : 1));
+    if (Gain <= BestGain)
+      continue;
+    BestGain = Gain;
+    Chosen = &Entry;
+  }
+  if (!Chosen)
+    return false;
+  Chosen->LeaseBound =
+      std::max(Chosen->LeaseBound,
+               Use.Time.now() + Use.Times.WorkerLease + Use.Times.LeaderMargin);
+  Scheduler.unsyncWorker(Chosen->Info.Life);
+  releaseFromMember(Chosen->Info.Life.Id);
+  return true;
+}
+
 Leader::MemberState *Leader::memberFor(const Care &Entry) {
   MemberState *Best = nullptr;
   double BestLoad = 0;
@@ -792,31 +743,6 @@
 
 // Decisions.
 
-// Members that may take slow calls: all but the last ones, by name.
-bool Leader::takesSlowAdvice(const std::string &Name) const {
-  const std::size_t FastOnly =
-      std::min(Members.size() - 1,
-               std::max<std::size_t>(Members.size() / FastOnlyPart, 1));
-  const auto Place = std::distance(Members.begin(), Members.find(Name));
-  return std::size_t(Place) + FastOnly < Members.size();
-}
-
-jobs::AdviceBudget Leader::adviceBudget() const {
-  const TimePoint Now = Use.Time.now();
-  jobs::AdviceBudget Budget;
-  for (const auto &[Name, Entry] : Members) {
-    if (Entry.Leaving || Entry.HasSlowAdvice)
-      continue;
-    const Duration Queued = Entry.AdviceBusyUntil - Now;
-    Budget.FastMs += double(
-        std::clamp(FastAdviceQueue - Queued, Duration{0}, FastAdviceQueue)
-            .count());
-    if (takesSlowAdvice(Name))
-      ++Budget.SlowCalls;
-  }
-  return Budget;
-}
-
 void Leader::decide() {
   const TimePoint Now = Use.Time.now();
   const Duration Since = Now - LastDecision;
@@ -824,7 +750,7 @@
     return;
   LastDecision = Now;
   Dirty = false;
-  dispatch(Scheduler.decide(Now, adviceBudget()));
+  dispatch(Scheduler.decide(Now, Desk.budget(Now)));
 }
 
 void Leader::dispatch(const jobs::Decisions &Made) {
@@ -860,80 +786,45 @@
 }
 
 void Leader::dispatchAdvice(const jobs::AdviceRequest &Request) {
-  const TimePoint Now = Use.Time.now();
-  const bool Slow = Request.CostMs >= jobs::AdviceBudget::SlowAdviceMs;
-  MemberState *Best = nullptr;
-  for (auto &[Name, Entry] : Members) {
-    if (Entry.Leaving || Entry.HasSlowAdvice ||
-        (Slow && !takesSlowAdvice(Name)))
-      continue;
-    if (!Best || Entry.AdviceBusyUntil < Best->AdviceBusyUntil)
-      Best = &Entry;
-  }
-  if (!Best) {
+  const auto Name = Desk.assign(Request, Use.Time.now());
+  if (!Name) {
     Scheduler.adviceFailed(Request.Step);
     return;
   }
-  Best->HasSlowAdvice = Slow;
-  const TimePoint Start = std::max(Best->AdviceBusyUntil, Now);
-  Best->AdviceBusyUntil = Start + Duration(Duration::rep(Request.CostMs) + 1);
   Use.Log.event("advice asked", Request.Step,
                 {{"workers", std::to_string(Request.Workers.size())},
                  {"cost_ms", std::to_string(int(Request.CostMs))},
-                 {"queued_ms", std::to_string((Start - Now).count())},
-                 {"member", Best->Info.Name}});
-  Best->AdviceDue[Request.Step] = Best->AdviceBusyUntil + AdvicePatience;
-  Best->Outgoing.Advice.push_back(Request);
+                 {"member", *Name}});
+  Members.at(*Name).Outgoing.Advice.push_back(Request);
 }
 
 void Leader::adviceAnswered(MemberState &From, const AdviceAnswer &Answer) {
-  From.AdviceDue.erase(Answer.Step);
-  if (From.AdviceDue.empty()) {
-    From.AdviceBusyUntil = Use.Time.now();
-    From.HasSlowAdvice = false;
-  }
+  const TimePoint Now = Use.Time.now();
+  Desk.answered(From.Info.Name, Answer.Step, Now);
   Dirty = true;
   if (!Answer.Answered) {
     Use.Log.event("advice missing", Answer.Step, {{"member", From.Info.Name}});
     Scheduler.adviceFailed(Answer.Step);
     return;
   }
-  Scheduler.adviceArrived(Answer.Step, Answer.Asked, Answer.Approved,
-                          Use.Time.now());
-}
-
-void Leader::expireAdvice() {
-  const TimePoint Now = Use.Time.now();
-  for (auto &[Name, Entry] : Members) {
-    std::vector<std::string> Over;
-    for (const auto &[Step, Due] : Entry.AdviceDue)
-      if (Now >= Due)
-        Over.push_back(Step);
-    for (const std::string &Step : Over) {
-      Entry.AdviceDue.erase(Step);
-      Scheduler.adviceFailed(Step);
-    }
-    if (!Over.empty() && Entry.AdviceDue.empty())
-      Entry.HasSlowAdvice = false;
-  }
+  Scheduler.adviceArrived(Answer.Step, Answer.Asked, Answer.Approved, Now);
 }
 
 void Leader::logLoad(TimePoint Now) {
   if (Now < NextLoadLine)
     return;
   NextLoadLine = Now + LoadLinePeriod;
-  std::size_t Advice = 0;
-  for (const auto &[Name, Entry] : Members)
-    Advice += Entry.AdviceDue.size();
   Use.Log.event("load", Own.Instance.Name,
                 {{"waiting", Scheduler.summary()},
                  {"jobs", std::to_string(Scheduler.activeJobs())},
-                 {"advice_calls", std::to_string(Advice)},
+                 {"advice_calls", std::to_string(Desk.openCalls())},
                  {"members", std::to_string(Members.size())}});
 }
 
-void Leader::forgetOldJobs() {
-  const TimePoint Now = Use.Time.now();
+void Leader::forgetOldJobs(TimePoint Now) {
+  if (Now < NextForget)
+    return;
+  NextForget = Now + ForgetPeriod;
   for (const std::string &Id :
        Scheduler.endedBefore(Now - Use.Times.StatusRetention)) {
     Scheduler.forget(Id);
@@ -946,8 +837,8 @@
     return;
   const TimePoint Now = Use.Time.now();
   // Restored jobs need the terms of their queues.
-  if (!TablesToLoad.empty() && !Loading && PolicyKnown && Now >= NextLoad)
-    load(TablesToLoad.back(), LoadFrom);
+  if (PolicyKnown)
+    State.pump();
   Registry.pump();
   // Without a valid lease nothing is ordered or told; the journal goes on
   // trying to renew it.
@@ -955,10 +846,11 @@
     checkMembers();
     if (Loaded && RegistryRead) {
       if (Now >= NextSweep) {
-        NextSweep = Now + Duration{100};
+        NextSweep = Now + SweepPeriod;
         expireUnlisted();
-        expireAdvice();
-        forgetOldJobs();
+        for (const std::string &Step : Desk.takeOverdue(Now))
+          Scheduler.adviceFailed(Step);
+        forgetOldJobs(Now);
         logLoad(Now);
       }
       if (Now - TookOfficeAt >= JoinTime) {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -3,11 +3,13 @@
 #ifndef APRICOTWING_CELL_LEADER_H
 #define APRICOTWING_CELL_LEADER_H
 
+#include "cell/advicedesk.h"
 #include "cell/journal.h"
 #include "cell/lifetime.h"
 #include "cell/maillink.h"
 #include "cell/messages.h"
 #include "cell/ports.h"
+#include "cell/stateloader.h"
 #include "cell/tablefollower.h"
 #include "cell/timing.h"
 #include "jobs/admission.h"
@@ -80,9 +82,6 @@
     LeaderMail Outgoing;
     TimePoint LastHeard;
     std::set<std::string> Workers;
-    std::map<std::string, TimePoint> AdviceDue; ///< Calls under way, by step.
-    TimePoint AdviceBusyUntil;
-    bool HasSlowAdvice = false; ///< No other call is made until it is answered.
     bool Leaving = false;
     TimePoint StoreAnsweredAt; ///< When the store last answered the member.
   };
@@ -100,10 +99,8 @@
     bool Settled = false;  ///< Synced or lapsed in this term.
   };
 
-  void load(const std::string &Table, const std::string &From);
-  void loaded(const std::string &Table, const ReadResult &Page);
-  void restoreJobs();
-  void restoreEnded(const StoredRow &Row);
+  void restoreJobs(const StoredState &Stored);
+  void restoreEnded(const std::string &Id, jobs::JobPhase Phase);
   void serveDeferred();
 
   void registryReplaced(const std::vector<StoredRow> &Rows);
@@ -132,14 +129,12 @@
   MemberState *memberFor(const Care &Entry);
   double loadOf(const MemberState &Entry, std::size_t MoreWorkers) const;
   void balanceWorkers();
+  bool moveOneWorker(MemberState &From);
   void decide();
   void dispatch(const jobs::Decisions &Made);
   void sendStart(const jobs::StartOrder &Order);
   void dispatchAdvice(const jobs::AdviceRequest &Request);
-  bool takesSlowAdvice(const std::string &Name) const;
-  jobs::AdviceBudget adviceBudget() const;
-  void expireAdvice();
-  void forgetOldJobs();
+  void forgetOldJobs(TimePoint Now);
   void logLoad(TimePoint Now);
   std::string compose(MemberState &To, std::int64_t Sequence);
   MemberState *memberInCharge(const jobs::WorkerLife &Life);
@@ -149,7 +144,9 @@
   Journal Writer;
   jobs::JobScheduler Scheduler;
   jobs::Admission Gate;
+  AdviceDesk Desk;
   TableFollower Registry;
+  StateLoader State;
   std::map<std::string, MemberState> Members; ///< By instance name.
   std::map<std::string, Care> Cares;          ///< By worker id.
   std::map<std::string, std::vector<std::function<void()>>> Storing; ///< Jobs.
@@ -158,22 +155,15 @@
 
   bool Loaded = false;
   bool RegistryRead = false;
-  std::map<std::string, jobs::JobSpec> LoadedJobs;
-  std::map<std::string, jobs::JobProgress> LoadedProgress;
-  std::vector<RosterEntry> LoadedRoster;
   bool PolicyKnown = false;
-  std::vector<std::string> TablesToLoad;
-  bool Loading = false;
-  TimePoint NextLoad;
-  std::string LoadFrom;
 
   /// Calls that came before the state was loaded.
   std::vector<std::function<void()>> Deferred;
 
   bool Dirty = true;
   TimePoint LastDecision;
-  TimePoint NextAdviceSweep;
   TimePoint NextSweep;
+  TimePoint NextForget;
   TimePoint NextBalance;
   TimePoint NextLoadLine;
   Lifetime Life;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -235,11 +235,11 @@
         const bool Good = Ready && Request.Path == Edge.readyPath();
         Respond(statusOnly(Good ? 200 : 503));
       });
-  Callers =
-      startHttpServer(optionsFor(Settings.ClientAddress, MaxCallerBody),
-                      [this](const HttpRequest &Request, Responder Respond) {
-                        serveCaller(Request, std::move(Respond));
-                      });
+  Callers = startHttpServer(
+      optionsFor(Settings.ClientAddress, MaxCallerBody),
+      [this](const HttpRequest &Request, const Responder &Respond) {
+        serveCaller(Request, Respond);
+      });
   Log.event("started", Settings.Instance.Name,
             {{"zone", Settings.Instance.Zone},
              {"callers", Settings.ClientAddress},
