--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -226,8 +226,8 @@
                        const std::function<void()> &Reload) {
   const auto Peers =
       startHttpServer(optionsFor(Settings.Instance.Address, MaxPeerBody),
-                      [this](HttpRequest Request, Responder Respond) {
-                        servePeer(std::move(Request), std::move(Respond));
+                      [this](HttpRequest Request, const Responder &Respond) {
+                        servePeer(std::move(Request), Respond);
                       });
   const auto Probe = startHttpServer(
       optionsFor(Settings.ReadyAddress, MaxCallerBody),
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -9,12 +9,12 @@
 #include "jobs/jobspec.h"
 #include "jobs/run.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -76,7 +76,14 @@
   std::uint64_t Sequence = 0; ///< Order of acceptance.
   int Step = 0;
 
-  friend auto operator<=>(const WaitRank &, const WaitRank &) = default;
+  friend bool operator<(const WaitRank &Left, const WaitRank &Right) {
+    return Left.key() < Right.key();
+  }
+
+private:
+  std::tuple<int, int, TimePoint, std::uint64_t, int> key() const {
+    return {Tier, Priority, Due, Sequence, Step};
+  }
 };
 
 /// What the advice service has said about one worker for one step.
