Let the lease of a silent worker end

Cause: each repeated call to a worker that did not answer asked for a longer lease, and as it might have arrived, the lease never counted as ended. CellTest.RepeatsTheWorkOfASilentWorkerAfterItsLease failed before.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -92,7 +92,8 @@
 
 void WorkerSession::hold() {
   HoldRequest Request;
-  const bool Extend = HasClock && Holder.MayExtend();
+  // A worker that does not answer may be dead; its lease has to end.
+  const bool Extend = HasClock && Reachable && Holder.MayExtend();
   if (Extend) {
     Request.DeadlineMs = clockEstimate() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -204,6 +204,16 @@
   EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
 }
 
+// Guards against calls to a worker that does not answer which put off the end of
+// its lease for ever: its tasks were never started again.
+TEST_F(CellTest, RepeatsTheWorkOfASilentWorkerAfterItsLease) {
+  const std::string Id = Cell.submit("n0", stepOf(6, 3s));
+  Cell.run(500ms);
+  Cell.workers().Cut = {"w0", "w1", "w2"};
+  Cell.run(12s);
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
+}
+
 // Guards against an order that is carried out seconds after it was given up.
 TEST_F(CellTest, SettlesOrdersThatAreCarriedOutLate) {
   Cell.workers().LateOrders = 0.3;
