--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -674,7 +674,11 @@
   double BestGain = LeastBalanceGain;
   for (const std::string &Id : From.Workers) {
     Care &Entry = Cares.at(Id);
-    MemberState *Other = Entry.Settled ? memberFor(Entry) : nullptr;
+    const jobs::Worker *Host = Scheduler.worker(Id);
+    // The next member would have to wait for the lease of a silent worker
+    // anew, as it cannot read the worker's clock.
+    const bool Answers = Host && Host->isSynced() && Host->isReachable();
+    MemberState *Other = Answers ? memberFor(Entry) : nullptr;
     if (!Other || Other == &From)
       continue;
     const bool LeavesZone = From.Info.Zone == Entry.Info.Zone &&
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -204,8 +204,8 @@
   EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
 }
 
-// Guards against calls to a worker that does not answer which put off the end of
-// its lease for ever: its tasks were never started again.
+// Guards against calls to a worker that does not answer which put off the end
+// of its lease for ever: its tasks were never started again.
 TEST_F(CellTest, RepeatsTheWorkOfASilentWorkerAfterItsLease) {
   const std::string Id = Cell.submit("n0", stepOf(6, 3s));
   Cell.run(500ms);
