Read the learned approval rate in one place

The fallback stood twice as a literal beside InitialApprovalRate, and the least rate had no name. AdviceAskedAt was written and never read. Behaviour is unchanged; jobs and cell tests pass, linter clean on the changed files.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -113,7 +113,6 @@
   std::int64_t LastFailedRun = 0; ///< Of the gang, so it counts once.
   std::map<std::string, AdviceEntry> Advice; ///< By worker id.
   bool AdviceInFlight = false;
-  TimePoint AdviceAskedAt;
   std::set<std::string> Reserved; ///< Ids of workers kept free for a gang.
   std::optional<WaitRank> Rank;   ///< Set while the step waits.
 };
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -625,6 +625,11 @@
   Rate += ApprovalLearningRate * (double(FreshApproved) / double(Fresh) - Rate);
 }
 
+double JobScheduler::approvalRate(const std::string &Queue) const {
+  const auto Found = ApprovalRate.find(Queue);
+  return Found == ApprovalRate.end() ? InitialApprovalRate : Found->second;
+}
+
 void JobScheduler::adviceFailed(const std::string &Step) {
   const auto Id = TaskId::parse(Step + ".0");
   Job *Owner = Id ? findJob(Id->Job) : nullptr;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -261,6 +261,7 @@
   void startOn(Round &Now, Job &Entry, int Step, int Index, const Candidate &At,
                std::int64_t Run);
   void ask(Round &Now, Job &Entry, int Step, std::vector<std::string> Workers);
+  double approvalRate(const std::string &Queue) const;
   static bool mayAsk(const Round &Now, const Queue &Terms);
   void reserve(Round &Now, Job &Entry, int Step, const Candidates &Found,
                int Wanted);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -59,6 +59,9 @@
 /// multiple of what it needs; fewer leave it waiting for particular workers.
 constexpr int GangChoice = 3;
 
+/// Keeps the number of workers named for a gang finite while none was approved.
+constexpr double LeastApprovalRate = 0.05;
+
 /// Largest share of all processors kept free for waiting gangs.
 constexpr double MaxReservedShare = 0.4;
 
@@ -282,8 +285,7 @@
   std::vector<std::string> Names;
   double Slots = 0;
   const double Enough = RoomMargin * Left;
-  const auto Rate = ApprovalRate.find(queueOf(Entry).Name);
-  const double Chance = Rate == ApprovalRate.end() ? 0.5 : Rate->second;
+  const double Chance = approvalRate(queueOf(Entry).Name);
   const auto TakeWithRoom = [&](const std::vector<Candidate> &Part,
                                 double Approved) {
     for (const Candidate &At : Part) {
@@ -398,9 +400,8 @@
     if (!mayAsk(Now, queueOf(Entry)))
       return;
     std::stable_sort(Found.Unasked.begin(), Found.Unasked.end(), Preferred);
-    const auto Rate = ApprovalRate.find(queueOf(Entry).Name);
     const double Chance =
-        std::max(Rate == ApprovalRate.end() ? 0.5 : Rate->second, 0.05);
+        std::max(approvalRate(queueOf(Entry).Name), LeastApprovalRate);
     double Missing = GangChoice * Spec.Count - Potential;
     std::vector<std::string> Names;
     for (const Candidate &At : Found.Unasked) {
@@ -528,7 +529,6 @@
   StepState &State = Entry.Steps[std::size_t(Step)];
   const AdviceTerms &Terms = *queueOf(Entry).Advice;
   State.AdviceInFlight = true;
-  State.AdviceAskedAt = Now.Now;
   const double Cost = Terms.BaseMs + Terms.PerWorkerMs * double(Names.size());
   if (Cost >= AdviceBudget::SlowAdviceMs)
     --Now.Advice.SlowCalls;
