Choose few large members for the care of workers and the largest to lead

Cause: on the grown sites the leader exchanged mail with all 33 to 42 members up to a hundred times a second each way, and nothing kept the office off the instances of 0.12 of a core. At 0.5 of a core it was saturated two seconds after the start of traffic; receipts came late, links broke, and each new session made all workers be read anew.

--- a/src/cell/advicedesk.cpp
+++ b/src/cell/advicedesk.cpp
@@ -9,6 +9,14 @@
 /// One member in so many, at least one, takes no slow calls.
 constexpr std::size_t FastOnlyPart = 3;
 
+/// A quick call goes to a small member only if it would wait so much longer at
+/// all others: with little processor time, and with mail less often, its
+/// answer arrives later by about that.
+constexpr Duration SmallMemberDelay{40};
+
+/// Members with less than this part of the largest one's processor time.
+constexpr double SmallPart = 0.5;
+
 /// Short calls of this total cost may wait at one member.
 constexpr Duration FastQueue{100};
 
@@ -21,7 +29,10 @@
 
 } // namespace
 
-void AdviceDesk::add(const std::string &Name) { Members.try_emplace(Name); }
+void AdviceDesk::add(const std::string &Name, double CpuShare) {
+  Members[Name].CpuShare = CpuShare;
+  rank();
+}
 
 std::vector<std::string> AdviceDesk::remove(const std::string &Name) {
   std::vector<std::string> Lost;
@@ -31,29 +42,40 @@
   for (const auto &[Step, Due] : Found->second.Due)
     Lost.push_back(Step);
   Members.erase(Found);
+  rank();
   return Lost;
 }
 
-// Slow calls go to the first members by name; a single member takes all.
-std::size_t AdviceDesk::slowMembers() const {
+// Slow calls go to the smallest members, as their time is spent waiting; the
+// largest third takes none. A single member takes all.
+void AdviceDesk::rank() {
+  std::vector<Member *> Order;
+  for (auto &[Name, Entry] : Members)
+    Order.push_back(&Entry);
+  const auto Smaller = [](const Member *Left, const Member *Right) {
+    return Left->CpuShare < Right->CpuShare;
+  };
+  std::stable_sort(Order.begin(), Order.end(), Smaller);
   const std::size_t FastOnly =
-      std::max<std::size_t>(Members.size() / FastOnlyPart, 1);
-  return std::max<std::size_t>(
-      Members.size() - std::min(FastOnly, Members.size()), 1);
+      std::max<std::size_t>(Order.size() / FastOnlyPart, 1);
+  const std::size_t Slow =
+      std::max<std::size_t>(Order.size() - std::min(FastOnly, Order.size()), 1);
+  for (std::size_t Place = 0; Place < Order.size(); ++Place) {
+    Order[Place]->TakesSlow = Place < Slow;
+    Order[Place]->Small =
+        Order[Place]->CpuShare < Order.back()->CpuShare * SmallPart;
+  }
 }
 
 jobs::AdviceBudget AdviceDesk::budget(TimePoint Now) const {
   jobs::AdviceBudget Budget;
-  std::size_t Place = 0;
-  const std::size_t Slow = slowMembers();
   for (const auto &[Name, Entry] : Members) {
-    const bool TakesSlow = Place++ < Slow;
     if (Entry.HasSlow)
       continue;
     const Duration Queued = Entry.BusyUntil - Now;
     Budget.FastMs +=
         double(std::clamp(FastQueue - Queued, Duration{0}, FastQueue).count());
-    Budget.SlowCalls += TakesSlow ? 1 : 0;
+    Budget.SlowCalls += Entry.TakesSlow ? 1 : 0;
   }
   return Budget;
 }
@@ -61,15 +83,17 @@
 std::optional<std::string>
 AdviceDesk::assign(const jobs::AdviceRequest &Request, TimePoint Now) {
   const bool Slow = isSlow(Request);
-  const std::size_t SlowCount = slowMembers();
-  std::size_t Place = 0;
+  const auto FreeAt = [&](const Member &Entry) {
+    const Duration Delay =
+        Entry.Small && !Slow ? SmallMemberDelay : Duration::zero();
+    return std::max(Entry.BusyUntil, Now) + Delay;
+  };
   auto Best = Members.end();
   for (auto Entry = Members.begin(); Entry != Members.end(); ++Entry) {
-    const bool TakesSlow = Place++ < SlowCount;
-    if (Entry->second.HasSlow || (Slow && !TakesSlow))
+    const Member &Candidate = Entry->second;
+    if (Candidate.HasSlow || (Slow && !Candidate.TakesSlow))
       continue;
-    if (Best == Members.end() ||
-        Entry->second.BusyUntil < Best->second.BusyUntil)
+    if (Best == Members.end() || FreeAt(Candidate) < FreeAt(Best->second))
       Best = Entry;
   }
   if (Best == Members.end())
--- a/src/cell/advicedesk.h
+++ b/src/cell/advicedesk.h
@@ -20,8 +20,8 @@
 /// its thread only.
 class AdviceDesk {
 public:
-  /// Adds a member, or takes it in again.
-  void add(const std::string &Member);
+  /// Adds a member with \p CpuShare of a core, or takes it in again.
+  void add(const std::string &Member, double CpuShare);
 
   /// Removes a member; returns the steps whose calls are lost with it.
   std::vector<std::string> remove(const std::string &Member);
@@ -48,9 +48,12 @@
     std::map<std::string, TimePoint> Due; ///< Calls under way, by step.
     TimePoint BusyUntil;
     bool HasSlow = false; ///< No other call is made until it is answered.
+    double CpuShare = 1;
+    bool TakesSlow = true;
+    bool Small = false; ///< Has far less processor time than the largest.
   };
 
-  std::size_t slowMembers() const;
+  void rank();
 
   std::map<std::string, Member> Members;
 };
--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -259,12 +259,16 @@
         {"sequence", Value.Sequence},
         {"process", Value.Process},
         {"instance", Value.Instance}};
+  put(To, "successor", Value.Successor);
+  put(To, "largest", Value.LargestShare);
 }
 static void from_json(const json &From, LeaderRecord &Value) {
   From.at("term").get_to(Value.Term);
   From.at("sequence").get_to(Value.Sequence);
   From.at("process").get_to(Value.Process);
   From.at("instance").get_to(Value.Instance);
+  take(From, "successor", Value.Successor);
+  take(From, "largest", Value.LargestShare);
 }
 
 static void to_json(json &To, const RosterEntry &Value) {
@@ -396,6 +400,7 @@
   putList(To, "stops", Value.Stops);
   putList(To, "acks", Value.Acks);
   putList(To, "advice", Value.Advice);
+  put(To, "gap", Value.MailGapMs);
 }
 static void from_json(const json &From, LeaderMail &Value) {
   take(From, "submitted", Value.Submitted);
@@ -406,6 +411,7 @@
   take(From, "stops", Value.Stops);
   take(From, "acks", Value.Acks);
   take(From, "advice", Value.Advice);
+  take(From, "gap", Value.MailGapMs);
 }
 
 static void to_json(json &To, const Envelope &Value) {
--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -72,8 +72,9 @@
   Batches.back().Stored.push_back(std::move(Then));
 }
 
-void Journal::stepDown() {
+void Journal::stepDown(const std::string &Successor) {
   SteppingDown = true;
+  Own.Successor = Successor;
   pump();
 }
 
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -57,8 +57,11 @@
   void pump();
 
   /// Writes a record without an instance after the changes so far, so that
-  /// another instance takes over at once.
-  void stepDown();
+  /// another instance takes over at once: \p Successor if it is named.
+  void stepDown(const std::string &Successor);
+
+  /// Tells with the next commits the largest share of a core of a member.
+  void setLargestShare(double Share) { Own.LargestShare = Share; }
 
   /// True while no other instance can have taken over. Checked before each
   /// decision that reaches workers or callers.
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1,5 +1,6 @@
 #include "cell/leader.h"
 
+#include "cell/caretakers.h"
 #include "cell/codec.h"
 
 #include <algorithm>
@@ -20,6 +21,24 @@
 /// A member that was silent for this long loses its workers to others.
 constexpr Duration MemberSilence{1000};
 
+/// The same for a member that still sends mail, while its receipts are late: a
+/// busy leader works them off late itself.
+constexpr Duration ReceiptPatience{2500};
+
+/// The leader handles some 1,000 mails a second on half a core. Up to
+/// SmallCell members may send at Timing::MailGap; in larger cells the gap
+/// grows with the number of members of each kind, and mostly those send
+/// that look after workers.
+constexpr std::size_t SmallCell = 9;
+constexpr std::size_t CaretakersPerGap = 4;
+constexpr std::size_t OthersPerGap = 5;
+
+/// The leader hands its office to a member with so many times its processor
+/// time, once that has been a member for HandOverAfter.
+constexpr double HandOverFactor = 1.5;
+constexpr Duration HandOverAfter{2000};
+constexpr Duration HandOverStoreAge{1000};
+
 /// Least time between two rounds of decisions, so that events that come
 /// together are decided on together.
 constexpr Duration DecisionGap{4};
@@ -47,6 +66,10 @@
 /// other work.
 constexpr double OwnShareOfWorkers = 0.5;
 
+/// A round that took long is followed by a pause of so many times its length,
+/// so that mail and commits get the larger part of the processor.
+constexpr int RoundPause = 2;
+
 /// Load of a member of another zone than the worker's is counted so many times.
 constexpr double OtherZoneFactor = 4;
 
@@ -158,6 +181,43 @@
     Call();
 }
 
+const Leader::MemberState *Leader::largestMember() const {
+  const MemberState *Best = nullptr;
+  for (const auto &[Name, Entry] : Members) {
+    const bool Fit = Name != Own.Instance.Name && !Entry.Leaving &&
+                     Entry.Sender->isConfirmed();
+    if (Fit && (!Best || Entry.Info.CpuShare > Best->Info.CpuShare))
+      Best = &Entry;
+  }
+  return Best;
+}
+
+// Among equal members the first that notices takes over; to wait for a certain
+// one would only cost time.
+void Leader::stepDown() {
+  const MemberState *Next = largestMember();
+  const bool Outstanding =
+      Next && std::any_of(Members.begin(), Members.end(), [&](const auto &One) {
+        return One.second.Info.CpuShare * HandOverFactor <= Next->Info.CpuShare;
+      });
+  const std::string Successor = Outstanding ? Next->Info.Name : std::string();
+  Use.Log.event("stepping down", Own.Instance.Name,
+                {{"term", std::to_string(Own.Term)}, {"for", Successor}});
+  Writer.stepDown(Successor);
+}
+
+// The leader needs more processor time than any member. Load: a cell of
+// instances of unequal size whose small ones came first.
+bool Leader::shouldHandOver() const {
+  const TimePoint Now = Use.Time.now();
+  const MemberState *Next = largestMember();
+  return Loaded && Next &&
+         Next->Info.CpuShare >= Own.Instance.CpuShare * HandOverFactor &&
+         Now - Next->JoinedAt >= HandOverAfter &&
+         Now - TookOfficeAt >= HandOverAfter &&
+         Now - Next->StoreAnsweredAt < HandOverStoreAge;
+}
+
 bool Leader::shouldResign() const {
   const Duration Failing = Writer.failingFor();
   if (Failing < Use.Times.ResignAfter)
@@ -289,6 +349,7 @@
     MemberState &Fresh = Members[Mail.From.Name];
     Fresh.Info = Mail.From;
     Fresh.Session = Mail.Session;
+    Fresh.JoinedAt = Now;
     Fresh.Sender = std::make_unique<MailSender>(
         Use.Peers, Use.Time, Use.Times, Mail.From.Address,
         MailSender::Source{[&Fresh] { return !Fresh.Outgoing.isEmpty(); },
@@ -296,7 +357,7 @@
                              return compose(Fresh, Sequence);
                            }});
     Found = Members.find(Mail.From.Name);
-    Desk.add(Mail.From.Name);
+    Desk.add(Mail.From.Name, Mail.From.CpuShare);
     Use.Log.event("member joined", Mail.From.Name,
                   {{"session", Mail.Session}, {"zone", Mail.From.Zone}});
   }
@@ -353,6 +414,11 @@
   Mail.Term = Own.Term;
   Mail.FromLeader = true;
   Mail.From = Own.Instance;
+  const Duration Gap = mailGapFor(To);
+  if (Gap != To.ToldGap)
+    To.Outgoing.MailGapMs = Gap.count();
+  To.ToldGap = Gap;
+  To.Sender->setGap(Gap);
   Mail.ToMember = std::exchange(To.Outgoing, LeaderMail{});
   return encode(Mail);
 }
@@ -611,15 +677,50 @@
 // Members.
 
 void Leader::checkMembers() {
-  const TimePoint Now = Use.Time.now();
   std::vector<std::string> Silent;
   for (const auto &[Name, Entry] : Members)
-    if (Now - Entry.LastHeard > MemberSilence || Entry.Sender->isBroken())
+    if (isLost(Entry))
       Silent.push_back(Name);
   for (const std::string &Name : Silent)
     closeMember(Name);
 }
 
+bool Leader::isLost(const MemberState &Entry) const {
+  const TimePoint Now = Use.Time.now();
+  return Now - Entry.LastHeard > MemberSilence || Entry.Sender->isRejected() ||
+         Now - Entry.Sender->lastConfirmed() > ReceiptPatience;
+}
+
+Duration Leader::mailGapFor(const MemberState &To) const {
+  if (Members.size() <= SmallCell)
+    return Use.Times.MailGap;
+  const bool InCare = Caretakers.contains(To.Info.Name);
+  const std::size_t Alike =
+      InCare ? Caretakers.size() / CaretakersPerGap
+             : (Members.size() - Caretakers.size()) / OthersPerGap;
+  return std::min(Use.Times.MailGap *
+                      Duration::rep(std::max<std::size_t>(Alike, 1)),
+                  Use.Times.KeepAlive);
+}
+
+void Leader::updateCaretakers() {
+  std::vector<CaretakerCandidate> Fit;
+  double Largest = Own.Instance.CpuShare;
+  for (const auto &[Name, Entry] : Members) {
+    if (Entry.Leaving || !Entry.Sender->isConfirmed())
+      continue;
+    Largest = std::max(Largest, Entry.Info.CpuShare);
+    if (Name != Own.Instance.Name)
+      Fit.push_back({Name, Entry.Info.CpuShare});
+  }
+  const bool Small = Fit.size() <= MinCaretakers;
+  Caretakers = chooseCaretakers(std::move(Fit), Cares.size());
+  // In a small cell the leader's own instance does its part.
+  if (Small)
+    Caretakers.insert(Own.Instance.Name);
+  Writer.setLargestShare(Largest);
+}
+
 void Leader::closeMember(const std::string &Name) {
   const auto Found = Members.find(Name);
   const TimePoint Heard = Found->second.LastHeard;
@@ -643,6 +744,8 @@
 
 double Leader::loadOf(const MemberState &Entry, std::size_t MoreWorkers) const {
   double Share = Entry.Info.CpuShare;
+  if (!Caretakers.contains(Entry.Info.Name))
+    Share = 0; // Its workers go to others.
   if (Entry.Info.Name == Own.Instance.Name)
     Share *= OwnShareOfWorkers;
   return double(Entry.Workers.size() + MoreWorkers) /
@@ -704,7 +807,8 @@
   MemberState *Best = nullptr;
   double BestLoad = 0;
   for (auto &[Name, Candidate] : Members) {
-    if (Candidate.Leaving || !Candidate.Sender->isConfirmed())
+    if (Candidate.Leaving || !Candidate.Sender->isConfirmed() ||
+        !Caretakers.contains(Name))
       continue;
     double Load = loadOf(Candidate, 1);
     // Bytes between zones cost time and money, so another zone's member is
@@ -749,12 +853,14 @@
 
 void Leader::decide() {
   const TimePoint Now = Use.Time.now();
-  const Duration Since = Now - LastDecision;
-  if (Since < DecisionGap || (!Dirty && Since < DecisionPeriod))
+  if (Now < NextDecision || (!Dirty && Now - LastDecision < DecisionPeriod))
     return;
   LastDecision = Now;
   Dirty = false;
-  dispatch(Scheduler.decide(Now, Desk.budget(Now)));
+  const jobs::Decisions Made = Scheduler.decide(Now, Desk.budget(Now));
+  const TimePoint Ended = Use.Time.now();
+  NextDecision = Ended + std::max(DecisionGap, (Ended - Now) * RoundPause);
+  dispatch(Made);
 }
 
 void Leader::dispatch(const jobs::Decisions &Made) {
@@ -851,6 +957,11 @@
     if (Loaded && RegistryRead) {
       if (Now >= NextSweep) {
         NextSweep = Now + SweepPeriod;
+        updateCaretakers();
+        if (shouldHandOver()) {
+          stepDown();
+          return;
+        }
         expireUnlisted();
         for (const std::string &Step : Desk.takeOverdue(Now))
           Scheduler.adviceFailed(Step);
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -62,7 +62,7 @@
   bool shouldResign() const;
 
   /// Hands the office over: no more decisions, and the record is cleared.
-  void stepDown() { Writer.stepDown(); }
+  void stepDown();
 
   /// True once another instance leads or may lead.
   bool isDeposed() const { return Writer.isDeposed(); }
@@ -83,7 +83,9 @@
     TimePoint LastHeard;
     std::set<std::string> Workers;
     bool Leaving = false;
+    TimePoint JoinedAt;
     TimePoint StoreAnsweredAt; ///< When the store last answered the member.
+    Duration ToldGap{0}; ///< Least time between its mails, as it was told.
   };
   /// What the leader knows of a worker besides the scheduler.
   struct Care {
@@ -123,6 +125,11 @@
 
   void storeChanges();
   void checkMembers();
+  bool isLost(const MemberState &Entry) const;
+  void updateCaretakers();
+  Duration mailGapFor(const MemberState &To) const;
+  const MemberState *largestMember() const;
+  bool shouldHandOver() const;
   void closeMember(const std::string &Name);
   void releaseFromMember(const std::string &Worker);
   void assignWorkers();
@@ -148,7 +155,8 @@
   TableFollower Registry;
   StateLoader State;
   std::map<std::string, MemberState> Members; ///< By instance name.
-  std::map<std::string, Care> Cares;          ///< By worker id.
+  std::set<std::string> Caretakers;  ///< Members that look after workers.
+  std::map<std::string, Care> Cares; ///< By worker id.
   std::map<std::string, std::vector<std::function<void()>>> Storing; ///< Jobs.
   std::int64_t LastToken = 0;
   const TimePoint TookOfficeAt;
@@ -162,6 +170,7 @@
 
   bool Dirty = true;
   TimePoint LastDecision;
+  TimePoint NextDecision; ///< Rounds that took long are further apart.
   TimePoint NextSweep;
   TimePoint NextForget;
   TimePoint NextBalance;
--- a/src/cell/maillink.cpp
+++ b/src/cell/maillink.cpp
@@ -17,7 +17,7 @@
 MailSender::MailSender(PeerTransport &Transport, const Clock &Time,
                        const Timing &Times, std::string Address, Source From)
     : Transport(Transport), Time(Time), Times(Times),
-      Address(std::move(Address)), From(std::move(From)),
+      Address(std::move(Address)), From(std::move(From)), Gap(Times.MailGap),
       SentAt(Time.now() - Times.KeepAlive), LastConfirmed(Time.now()) {}
 
 bool MailSender::isBroken() const {
@@ -33,7 +33,7 @@
       post();
     return;
   }
-  if (Now - SentAt < (From.HasMail() ? Times.MailGap : Times.KeepAlive))
+  if (Now - SentAt < (From.HasMail() ? Gap : Times.KeepAlive))
     return;
   Body = From.Compose(++Sequence);
   post();
--- a/src/cell/maillink.h
+++ b/src/cell/maillink.h
@@ -47,6 +47,12 @@
   /// True once a mail has been received by the other end.
   bool isConfirmed() const { return Confirmed; }
 
+  /// True if the other end does not know the session (any more).
+  bool isRejected() const { return Rejected; }
+
+  /// Sets the least time between two mails; Timing::MailGap at first.
+  void setGap(Duration Least) { Gap = Least; }
+
 private:
   void post();
 
@@ -55,6 +61,7 @@
   const Timing &Times;
   const std::string Address;
   const Source From;
+  Duration Gap;
   std::int64_t Sequence = 0;
   std::string Body; ///< The mail under way; empty: none.
   bool InFlight = false;
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -252,6 +252,8 @@
 }
 
 void Member::handle(const LeaderMail &Mail) {
+  if (Mail.MailGapMs > 0)
+    Sender->setGap(Duration(Mail.MailGapMs));
   for (const SubmitAnswer &Given : Mail.Submitted) {
     ClientAnswer Answer{ClientStatus::Accepted};
     if (Given.Result == SubmitResult::Malformed)
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -29,6 +29,8 @@
   std::int64_t Sequence = 0; ///< Counts the commits of a term.
   std::string Process;       ///< Which process of the instance it is.
   InstanceInfo Instance;     ///< Empty name: the last leader has stepped down.
+  std::string Successor;     ///< Instance that a leader steps down for.
+  double LargestShare = 0;   ///< Of a core, among the members; 0: not known.
 };
 
 /// The stored record of workers that may be running something.
@@ -143,6 +145,8 @@
   std::vector<jobs::StopOrder> Stops;
   std::vector<EndAck> Acks;
   std::vector<jobs::AdviceRequest> Advice;
+  std::int64_t MailGapMs = 0; ///< Least time between two mails of the member;
+                              ///< 0: as before.
 
   bool isEmpty() const {
     return Submitted.empty() && Answers.empty() && Assigned.empty() &&
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -21,8 +21,14 @@
 constexpr Duration PolicyWait{800};
 constexpr Duration PolicyGap{20};
 
-/// Instances with less processor time contend later by up to this.
-constexpr Duration SlownessDelay{200};
+/// Instances with less processor time than the largest member of the last
+/// leader contend later by up to this, as a leader needs most of all. Covers
+/// two readings of the record by the larger ones.
+constexpr Duration SlownessDelay{450};
+
+/// Other instances wait so long for the successor of a leader that has stepped
+/// down. It learns of that with its next mail.
+constexpr Duration SuccessorWait{350};
 
 } // namespace
 
@@ -172,6 +178,9 @@
     Self.connect(*Record);
     return;
   }
+  if (Vacant && !Record->Successor.empty() && Record->Successor != Own.Name &&
+      Now - SeenSince < SuccessorWait)
+    return;
   // A process of this instance has ended when its successor has its ports.
   const bool GivenUp = Record->Term == Self.resignedTerm();
   if (Vacant || GivenUp || (Mine && Record->Process != Process) ||
@@ -179,8 +188,12 @@
     contend(Row.Version, Record->Term);
     return;
   }
-  const Duration Delay(Duration::rep(double(SlownessDelay.count()) *
-                                     (1 - std::clamp(Own.CpuShare, 0.0, 1.0))));
+  const double Strength =
+      Record->LargestShare > 0
+          ? std::clamp(Own.CpuShare / Record->LargestShare, 0.0, 1.0)
+          : 1.0;
+  const Duration Delay(
+      Duration::rep(double(SlownessDelay.count()) * (1 - Strength)));
   if (Now - SeenSince >= Times.LeaderLease + Times.LeaderMargin + Delay) {
     contend(Row.Version, Record->Term);
     return;
--- a/tests/cell/advicedesk_test.cpp
+++ b/tests/cell/advicedesk_test.cpp
@@ -11,7 +11,7 @@
 protected:
   AdviceDeskTest() {
     for (const std::string Name : {"a", "b", "c"})
-      Desk.add(Name);
+      Desk.add(Name, 0.25);
   }
 
   static jobs::AdviceRequest request(const std::string &Step, double CostMs) {
@@ -57,10 +57,25 @@
   EXPECT_EQ(Desk.remove(*Again), std::vector<std::string>{"s2"});
 }
 
+// Guards against quick calls at instances whose answers come late, while the
+// large ones wait for slow calls.
+TEST(AdviceDeskSizesTest, SlowCallsGoToSmallMembersAndQuickOnesToLarge) {
+  AdviceDesk Desk;
+  const TimePoint Now{Duration{1000}};
+  Desk.add("a-large", 0.5);
+  for (const std::string Name : {"b", "c", "d"})
+    Desk.add(Name, 0.12);
+  EXPECT_EQ(Desk.budget(Now).SlowCalls, 3);
+  EXPECT_EQ(Desk.assign({"s1", {"w"}, 500}, Now), "b");
+  for (int Number = 0; Number < 3; ++Number)
+    EXPECT_EQ(Desk.assign({"f" + std::to_string(Number), {"w"}, 10}, Now),
+              "a-large");
+}
+
 TEST(AdviceDeskAloneTest, ASingleMemberTakesAllCalls) {
   AdviceDesk Desk;
   EXPECT_FALSE(Desk.assign({"s", {"w"}, 500}, TimePoint{}));
-  Desk.add("a");
+  Desk.add("a", 0.25);
   EXPECT_EQ(Desk.assign({"s", {"w"}, 500}, TimePoint{}), "a");
 }
 
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -298,5 +298,51 @@
   EXPECT_EQ(viewOf(Cell, "n0", Id), JobView::Completed);
 }
 
+/// Instances of 0.12 of a core but for n2, which has half a core.
+class UnequalCellTest : public testing::Test {
+protected:
+  UnequalCellTest() : Cell(1, {0.12, 0.12, 0.5, 0.12, 0.12}, 6) {
+    Cell.run(6s);
+  }
+  ~UnequalCellTest() override {
+    for (const std::string &Broken : Cell.workers().broken())
+      ADD_FAILURE() << Broken;
+  }
+
+  EmulatedCell Cell;
+};
+
+// Guards against a leader on an instance that is too small for it, because
+// that one happened to be the first.
+TEST_F(UnequalCellTest, TheLargestInstanceLeads) {
+  EXPECT_EQ(Cell.leader(), "n2");
+  Cell.kill("n2");
+  Cell.run(4s);
+  EXPECT_NE(Cell.leader(), "");
+  const std::string Id = Cell.submit("n0", stepOf(6, 4s));
+  Cell.run(500ms);
+  Cell.start("n2");
+  Cell.run(5s);
+  EXPECT_EQ(Cell.leader(), "n2");
+  EXPECT_EQ(viewOf(Cell, "n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 6);
+}
+
+// Guards against an office that stays vacant because its named successor has
+// died meanwhile.
+TEST_F(UnequalCellTest, AnotherLeadsIfTheSuccessorIsGone) {
+  Cell.kill("n2");
+  Cell.run(4s);
+  const std::string Old = Cell.leader();
+  ASSERT_NE(Old, "");
+  Cell.start("n2");
+  Cell.run(1500ms); // A member, but not for long enough to be handed over to.
+  Cell.node(Old).leave();
+  Cell.kill("n2");
+  Cell.run(1500ms);
+  EXPECT_NE(Cell.leader(), "");
+  EXPECT_NE(Cell.leader(), "n2");
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -18,7 +18,9 @@
 /// Codec of the emulated platform's own rows.
 class EmulatedRecords final : public cell::PlatformRecords {
 public:
-  explicit EmulatedRecords(EmulatedWorkers &Workers) : Workers(Workers) {}
+  EmulatedRecords(EmulatedWorkers &Workers,
+                  const std::vector<jobs::Queue> &Queues)
+      : Workers(Workers), Queues(Queues) {}
 
   std::string policyTable() const override { return "policy"; }
 
@@ -26,21 +28,7 @@
   policyIn(const cell::StoredRow &Row) const override {
     jobs::ClusterPolicy Result;
     Result.Version = std::stoll(Row.Value);
-    jobs::Queue Batch;
-    Batch.Name = "batch";
-    Batch.Host = Host;
-    Batch.PathPrefix = "/batch/";
-    Batch.Upstream = "service";
-    Batch.Priority = 1;
-    Batch.MaxAttempts = 3;
-    Batch.SlackFactor = 4;
-    Batch.LatencyTarget = Duration{1000};
-    jobs::Queue Quick = Batch;
-    Quick.Name = "quick";
-    Quick.PathPrefix = "/quick/";
-    Quick.Priority = 0;
-    Quick.Advice = jobs::AdviceTerms{10, 1, Duration{2000}};
-    Result.Queues = {Batch, Quick};
+    Result.Queues = Queues;
     jobs::ClientAccount Account;
     Account.Name = "account";
     Account.Keys = {Key};
@@ -63,8 +51,28 @@
 
 private:
   EmulatedWorkers &Workers;
+  const std::vector<jobs::Queue> &Queues;
 };
 
+/// A queue without advice and a more urgent one with cheap advice.
+std::vector<jobs::Queue> usualQueues() {
+  jobs::Queue Batch;
+  Batch.Name = "batch";
+  Batch.Host = Host;
+  Batch.PathPrefix = "/batch/";
+  Batch.Upstream = "service";
+  Batch.Priority = 1;
+  Batch.MaxAttempts = 3;
+  Batch.SlackFactor = 4;
+  Batch.LatencyTarget = Duration{1000};
+  jobs::Queue Quick = Batch;
+  Quick.Name = "quick";
+  Quick.PathPrefix = "/quick/";
+  Quick.Priority = 0;
+  Quick.Advice = jobs::AdviceTerms{10, 1, Duration{2000}};
+  return {Batch, Quick};
+}
+
 class VirtualCalendar final : public cell::WallClock {
 public:
   explicit VirtualCalendar(const VirtualTime &Time) : Time(Time) {}
@@ -134,8 +142,14 @@
 
 EmulatedCell::EmulatedCell(std::uint64_t Seed, int InstanceCount,
                            int WorkerCount)
-    : Store(Time, Seed), Workers(Time, Seed + 1),
-      RowCodec(std::make_unique<EmulatedRecords>(Workers)),
+    : EmulatedCell(Seed, std::vector<double>(std::size_t(InstanceCount), 1.0),
+                   WorkerCount) {}
+
+EmulatedCell::EmulatedCell(std::uint64_t Seed,
+                           const std::vector<double> &CpuShares,
+                           int WorkerCount)
+    : Store(Time, Seed), Workers(Time, Seed + 1), Queues(usualQueues()),
+      RowCodec(std::make_unique<EmulatedRecords>(Workers, Queues)),
       Calendar(std::make_unique<VirtualCalendar>(Time)),
       Log(std::make_unique<Quiet>(Time)) {
   Workers.TraitsOf = [this](const jobs::TaskId &Id) {
@@ -155,8 +169,11 @@
     Workers.add("w" + std::to_string(Number), "zone", {32'000, 65'536, 0});
   putPolicy(1);
   publishWorkers();
-  for (int Number = 0; Number < InstanceCount; ++Number)
-    start("n" + std::to_string(Number));
+  for (std::size_t Number = 0; Number < CpuShares.size(); ++Number) {
+    const std::string Name = "n" + std::to_string(Number);
+    Instances[Name].CpuShare = CpuShares[Number];
+    start(Name);
+  }
 }
 
 EmulatedCell::~EmulatedCell() = default;
@@ -176,6 +193,12 @@
   Store.put("policy", "", "policy", std::to_string(Version));
 }
 
+void EmulatedCell::putQueues(std::vector<jobs::Queue> Next,
+                             std::int64_t Version) {
+  Queues = std::move(Next);
+  putPolicy(Version);
+}
+
 void EmulatedCell::start(const std::string &Name) {
   Instance &Entry = Instances[Name];
   if (Entry.Node)
@@ -189,7 +212,7 @@
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
                         *Entry.Peers, Time, *Calendar, *Log},
-      cell::Timing{}, cell::InstanceInfo{Name, Name, "zone", 1.0},
+      cell::Timing{}, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
       Name + "#" + std::to_string(Entry.Starts));
   pump(Name, Entry.Starts);
 }
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -33,6 +33,11 @@
 public:
   explicit EmulatedCell(std::uint64_t Seed, int Instances = 3,
                         int WorkerCount = 6);
+
+  /// The same with instances of the given shares of a core; all of them are
+  /// named "n" and their place in the list.
+  EmulatedCell(std::uint64_t Seed, const std::vector<double> &CpuShares,
+               int WorkerCount);
   ~EmulatedCell();
 
   VirtualTime &time() { return Time; }
@@ -74,6 +79,9 @@
   /// Publishes the policy, with \p Version.
   void putPolicy(std::int64_t Version);
 
+  /// Replaces the queues of the policy and publishes it with \p Version.
+  void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
+
   /// Hands in a job of one step at an instance; returns its id. The runs of a
   /// job whose payload is "fails" fail.
   std::string submit(const std::string &Instance, jobs::StepSpec Step,
@@ -101,6 +109,7 @@
     std::unique_ptr<EmulatedAdvice> Advice;
     std::unique_ptr<Network> Peers;
     std::unique_ptr<cell::Node> Node;
+    double CpuShare = 1;
     bool Frozen = false;
     int Starts = 0;
   };
@@ -113,6 +122,7 @@
   VirtualTime Time;
   EmulatedStore Store;
   EmulatedWorkers Workers;
+  std::vector<jobs::Queue> Queues;
   std::unique_ptr<cell::PlatformRecords> RowCodec;
   std::unique_ptr<cell::WallClock> Calendar;
   std::unique_ptr<Quiet> Log;
