Compare steps with usable workers only once a round; limit log lines by kind

One walk over both sorted lists replaces a look-up per worker and step, and one number the tuple that was built in each comparison.

--- a/src/entry/decisionlog.cpp
+++ b/src/entry/decisionlog.cpp
@@ -23,18 +23,23 @@
 
 } // namespace
 
-DecisionLog::DecisionLog(const Clock &Time, std::string Instance)
-    : Time(Time), Instance(std::move(Instance)), Output(Log::easyloggingSink()),
+DecisionLog::DecisionLog(const Clock &Time, std::string Instance,
+                         Log::Sink Output)
+    : Time(Time), Instance(std::move(Instance)), Output(std::move(Output)),
       SecondStart(Time.now()) {}
 
 void DecisionLog::newSecond(TimePoint Now) {
-  if (DroppedInSecond > 0)
-    Output(LogLevel::Warning,
-           "entry: lines left out count=" + std::to_string(DroppedInSecond) +
-               " instance=" + Instance);
+  for (auto &[Name, Count] : Seen) {
+    if (Count > LinesPerKind) {
+      std::string Line = "entry: lines left out";
+      append(Line, "of", Name);
+      append(Line, "count", std::to_string(Count - LinesPerKind));
+      append(Line, "instance", Instance);
+      Output(LogLevel::Warning, Line);
+    }
+    Count = 0;
+  }
   SecondStart = Now;
-  Written = 0;
-  DroppedInSecond = 0;
 }
 
 void DecisionLog::event(std::string_view Name, std::string_view Subject,
@@ -42,12 +47,13 @@
   const TimePoint Now = Time.now();
   if (Now - SecondStart >= Second)
     newSecond(Now);
-  if (Written >= LinesPerSecond) {
-    ++DroppedInSecond;
+  auto Found = Seen.find(Name);
+  if (Found == Seen.end())
+    Found = Seen.emplace(Name, 0).first;
+  if (++Found->second > LinesPerKind) {
     ++Dropped;
     return;
   }
-  ++Written;
   std::string Line = "entry:";
   append(Line, "event", Name);
   if (!Subject.empty())
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -190,10 +190,18 @@
     Job *Owner = nullptr;
     int Step = 0;
   };
+  /// A worker that may be used in a round, with what is the same for all steps.
+  struct UsableWorker {
+    const std::string *Id = nullptr;
+    Worker *Host = nullptr;
+    int Pace = 1;     ///< Rounded.
+    int FinePace = 1; ///< In FinePaceSteps.
+  };
   struct Candidate {
     Worker *Host = nullptr;
     int Slots = 0;
     const AdviceEntry *Advice = nullptr; ///< Null: not asked yet.
+    std::int64_t Cost = 0;               ///< The least is taken first.
   };
   /// How the workers of a service stand to a waiting step.
   struct Candidates {
@@ -214,6 +222,8 @@
     /// Workers kept free in this round for urgent steps that wait for room,
     /// and the priority of those.
     std::map<const Worker *, int> KeptFree;
+    /// The usable workers by upstream, in the order of their ids.
+    std::map<std::string, std::vector<UsableWorker>> Usable;
     Decisions Result;
   };
 
@@ -250,6 +260,8 @@
   std::optional<WaitRank> serveFrom(Round &Now, const WaitRank &First,
                                     std::size_t Limit);
   Candidates candidatesFor(Round &Now, Job &Entry, int Step);
+  static std::int64_t costOf(const UsableWorker &Host, const StepSpec &Spec,
+                             const std::string &StepName, bool Tight);
   int allowedByCap(const Job &Entry, const StepSpec &Spec) const;
   void serve(Round &Now, Job &Entry, int Step);
   void serveTasks(Round &Now, Job &Entry, int Step, Candidates Found);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -72,6 +72,12 @@
 /// A ticket that expires sooner is not used, as the start takes time.
 constexpr Duration TicketMargin{150};
 
+/// One number orders the workers by several criteria: a step of pace outweighs
+/// any difference in room, which is in thousandths of a core, and a foreign
+/// reservation or a distant rack outweighs any pace.
+constexpr std::int64_t PaceCost = std::int64_t(1) << 32;
+constexpr std::int64_t ForeignOrFarCost = std::int64_t(1) << 48;
+
 bool hasCheapAdvice(const Queue &Terms) {
   return Terms.Advice && Terms.Advice->BaseMs <= CheapAdviceMs;
 }
@@ -106,6 +112,9 @@
   for (auto &[Id, Host] : Workers) {
     TotalCpuMillis += Host.info().Capacity.CpuMillis;
     if (Host.isUsable(Now)) {
+      Present.Usable[Host.info().Upstream].push_back(
+          {&Id, &Host, int(std::lround(Host.pace())),
+           int(std::lround(Host.pace() * FinePaceSteps))});
       UsableCpuMillis += Host.info().Capacity.CpuMillis;
       Present.FreeCpuMillis += Host.room().CpuMillis;
       Present.LargestRoom = Resources::max(Present.LargestRoom, Host.room());
@@ -171,6 +180,26 @@
   return Allowed;
 }
 
+// Best fit keeps large rooms for large tasks; a filling task looks for
+// processors that nobody uses. Work with little slack takes the faster worker;
+// all other work only stays away from workers that are far slower than usual.
+std::int64_t JobScheduler::costOf(const UsableWorker &Entry,
+                                  const StepSpec &Spec,
+                                  const std::string &StepName, bool Tight) {
+  const Worker &Host = *Entry.Host;
+  const bool Foreign =
+      !Host.reservedFor().empty() && Host.reservedFor() != StepName;
+  const auto &Labels = Host.info().Labels;
+  const bool Far = !Spec.PreferredRack.empty() &&
+                   std::find(Labels.begin(), Labels.end(),
+                             Spec.PreferredRack) == Labels.end();
+  const std::int64_t Fit =
+      Spec.Filling ? -Host.unusedCpuMillis() : Host.room().CpuMillis;
+  const std::int64_t Pace = Tight ? Entry.FinePace : Entry.Pace;
+  return ((Foreign ? 2 : 0) + (Far ? 1 : 0)) * ForeignOrFarCost +
+         Pace * PaceCost + Fit;
+}
+
 JobScheduler::Candidates JobScheduler::candidatesFor(Round &Now, Job &Entry,
                                                      int Step) {
   Candidates Result;
@@ -178,14 +207,21 @@
   const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
   StepState &State = Entry.Steps[std::size_t(Step)];
   const std::string Name = stepName(Entry.Spec.Id, Step);
+  const bool Tight = Terms.SlackFactor < TightSlack;
   std::map<std::string, int> OnWorker;
   if (Spec.MaxPerWorker > 0)
     for (const TaskState &Task : State.Tasks)
       if (Task.Phase == TaskPhase::Placed)
         ++OnWorker[Task.Worker.Id];
-  for (auto &[Id, Host] : Workers) {
-    if (Host.info().Upstream != Terms.Upstream || !Host.isUsable(Now.Now) ||
-        !Host.satisfies(Spec) || Host.slotsIfEmpty(Spec) == 0)
+  // Both lists are in the order of ids, so one walk finds what is known of
+  // each worker. Load: hundreds of workers, compared with each waiting step.
+  auto Known = State.Advice.begin();
+  for (const UsableWorker &Usable : Now.Usable[Terms.Upstream]) {
+    const std::string &Id = *Usable.Id;
+    Worker &Host = *Usable.Host;
+    while (Known != State.Advice.end() && Known->first < Id)
+      ++Known;
+    if (!Spec.Request.fitsIn(Host.info().Capacity) || !Host.satisfies(Spec))
       continue;
     const auto Kept = Now.KeptFree.find(&Host);
     if (Kept != Now.KeptFree.end() && Terms.Priority > Kept->second)
@@ -194,43 +230,24 @@
         !Host.reservedFor().empty() && Host.reservedFor() != Name;
     if (ForOther && (Terms.Priority > 0 || Spec.Gang))
       continue;
+    const bool IsKnown = Known != State.Advice.end() && Known->first == Id &&
+                         Known->second.Worker == Host.info().Life;
+    if (Terms.Advice && IsKnown && !Known->second.Approved)
+      continue;
     int Slots = Host.slotsFor(Spec);
     if (Spec.MaxPerWorker > 0)
       Slots = std::min(Slots, Spec.MaxPerWorker - OnWorker[Id]);
-    Slots = std::max(Slots, 0);
-    if (!Terms.Advice) {
-      Result.Valid.push_back({&Host, Slots, nullptr});
-      continue;
-    }
-    const auto Known = State.Advice.find(Id);
-    if (Known == State.Advice.end() || Known->second.Worker != Host.info().Life)
-      Result.Unasked.push_back({&Host, Slots, nullptr});
-    else if (Known->second.Approved &&
-             Known->second.Expires > Now.Now + TicketMargin)
-      Result.Valid.push_back({&Host, Slots, &Known->second});
-    else if (Known->second.Approved)
-      Result.Expired.push_back({&Host, Slots, &Known->second});
+    const Candidate At{&Host, std::max(Slots, 0),
+                       IsKnown ? &Known->second : nullptr,
+                       costOf(Usable, Spec, Name, Tight)};
+    if (!Terms.Advice ||
+        (IsKnown && Known->second.Expires > Now.Now + TicketMargin))
+      Result.Valid.push_back(At);
+    else
+      (IsKnown ? Result.Expired : Result.Unasked).push_back(At);
   }
-  // Best fit keeps large rooms for large tasks; a filling task looks for
-  // processors that nobody uses.
-  const auto Cost = [&](const Candidate &At) {
-    const Worker &Host = *At.Host;
-    const bool Foreign =
-        !Host.reservedFor().empty() && Host.reservedFor() != Name;
-    const auto &Labels = Host.info().Labels;
-    const bool Far = !Spec.PreferredRack.empty() &&
-                     std::find(Labels.begin(), Labels.end(),
-                               Spec.PreferredRack) == Labels.end();
-    const std::int64_t Fit =
-        Spec.Filling ? -Host.unusedCpuMillis() : Host.room().CpuMillis;
-    // Work with little slack takes the faster worker; all other work only
-    // stays away from workers that are far slower than usual.
-    const int Steps = Terms.SlackFactor < TightSlack ? FinePaceSteps : 1;
-    const auto Pace = std::int64_t(std::lround(Host.pace() * Steps));
-    return std::tuple(Foreign, Far, Pace, Fit);
-  };
-  const auto Better = [&](const Candidate &Left, const Candidate &Right) {
-    return Cost(Left) < Cost(Right);
+  const auto Better = [](const Candidate &Left, const Candidate &Right) {
+    return Left.Cost < Right.Cost;
   };
   for (auto *Part : {&Result.Valid, &Result.Expired, &Result.Unasked})
     std::stable_sort(Part->begin(), Part->end(), Better);
