Let gangs gather single rooms as they come free

A gang whose account was at its limit kept its reservation. Quick steps that asked at the same time named the same few workers and found their rooms taken. Ruled out: the advice service (22 of 33 instances take slow calls, a third of them in use), and the leader's processor (0.29 of 0.5 of a core). Change: a gang claims single rooms on its approved workers, in the order in which gangs are served; claims of later gangs give way once 40% of the processors are claimed. Calls for advice name as many workers as half of their fixed cost is worth. Steps begin at different workers among those that suit alike.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -185,7 +185,8 @@
       Entry["draining"] = Worker.info().Draining;
       Entry["free_cpu_millis"] = Worker.room().CpuMillis;
       Entry["free_memory_mib"] = Worker.room().MemoryMib;
-      Entry["reserved_for"] = Worker.reservedFor();
+      for (const auto &[Step, Room] : Worker.claims())
+        Entry["claims"][Step] = Room.CpuMillis;
       for (const auto &[Task, Run] : Worker.runs())
         Entry["runs"][Task] = Run.Run;
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -113,8 +113,8 @@
   std::int64_t LastFailedRun = 0; ///< Of the gang, so it counts once.
   std::map<std::string, AdviceEntry> Advice; ///< By worker id.
   bool AdviceInFlight = false;
-  std::set<std::string> Reserved; ///< Ids of workers kept free for a gang.
-  std::optional<WaitRank> Rank;   ///< Set while the step waits.
+  std::set<std::string> Claimed; ///< Ids of workers with claims of the gang.
+  std::optional<WaitRank> Rank;  ///< Set while the step waits.
 };
 
 /// One accepted job. Owned by a JobScheduler and used on its thread only.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -240,7 +240,7 @@
     dequeue(Entry, int(Step));
     StepState &State = Entry.Steps[Step];
     countWaiting(Entry, int(Step), -State.ReadyCount);
-    clearReservation(stepName(Entry.Spec.Id, int(Step)), State);
+    clearClaims(stepName(Entry.Spec.Id, int(Step)), State);
     if (Phase != JobPhase::Completed)
       stopPlaced(Entry, int(Step));
   }
@@ -651,16 +651,16 @@
               "/" + std::to_string(Counts.second) + ",";
   std::int64_t Free = 0;
   int Usable = 0;
-  int Reserved = 0;
+  std::int64_t Claimed = 0;
   for (const auto &[Id, Host] : Workers) {
     const bool Synced = Host.isSynced() && Host.isReachable();
     Free += Synced ? Host.room().CpuMillis : 0;
     Usable += Synced ? 1 : 0;
-    Reserved += Host.reservedFor().empty() ? 0 : 1;
+    Claimed += Synced ? Host.claimed().CpuMillis : 0;
   }
   return Result + "free_cores:" + std::to_string(Free / 1000) +
          ",workers:" + std::to_string(Usable) +
-         ",reserved:" + std::to_string(Reserved);
+         ",claimed_cores:" + std::to_string(Claimed / 1000);
 }
 
 std::set<std::string> JobScheduler::takeChanged() {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -213,8 +213,8 @@
   struct Round {
     TimePoint Now;
     AdviceBudget Advice;
-    std::int64_t FreeCpuMillis = 0; ///< Not yet expected to be taken.
-    std::int64_t ReservedCpuMillis = 0;
+    std::int64_t FreeCpuMillis = 0;      ///< Not yet expected to be taken.
+    std::int64_t ClaimableCpuMillis = 0; ///< By gangs that wait for room.
     Resources LargestRoom; ///< Largest of each resource on a usable worker.
     int StepsLeft = 0;     ///< Steps that may still be compared with workers.
     int GangsLeft = 0;     ///< Gangs among them.
@@ -255,13 +255,13 @@
   void stopRun(Worker &Host, const std::string &Task, std::int64_t Run);
   void stopPlaced(Job &Entry, int Step);
   void adopt(Worker &Host, const ActiveRun &Run, TimePoint Now);
-  void clearReservation(const std::string &Step, StepState &State);
+  void clearClaims(const std::string &Step, StepState &State);
 
   std::optional<WaitRank> serveFrom(Round &Now, const WaitRank &First,
                                     std::size_t Limit);
   Candidates candidatesFor(Round &Now, Job &Entry, int Step);
   static std::int64_t costOf(const UsableWorker &Host, const StepSpec &Spec,
-                             const std::string &StepName, bool Tight);
+                             bool Tight);
   int allowedByCap(const Job &Entry, const StepSpec &Spec) const;
   void serve(Round &Now, Job &Entry, int Step);
   void serveTasks(Round &Now, Job &Entry, int Step, Candidates Found);
@@ -275,8 +275,12 @@
   void ask(Round &Now, Job &Entry, int Step, std::vector<std::string> Workers);
   double approvalRate(const std::string &Queue) const;
   static bool mayAsk(const Round &Now, const Queue &Terms);
-  void reserve(Round &Now, Job &Entry, int Step, const Candidates &Found,
-               int Wanted);
+  void askForGang(Round &Now, Job &Entry, int Step,
+                  const std::vector<Candidate> &Approved,
+                  const std::vector<Candidate> &Unasked);
+  void claimRoom(Round &Now, Job &Entry, int Step,
+                 const std::vector<Candidate> &Approved);
+  bool takeClaims(Round &Now, const WaitRank &First);
   std::int64_t nextRun(std::int64_t Last) const;
 
   const std::int64_t Term;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 
 namespace apricotwing::jobs {
@@ -23,9 +24,6 @@
 /// Gangs among them, which are compared even if there is no room for them.
 constexpr int MaxGangsPerRound = 12;
 
-/// Largest number of workers that the advice service takes in one call.
-constexpr std::size_t MaxWorkersPerAdvice = 100;
-
 /// Workers named for a step of separate tasks. More would cost time that the
 /// step spends waiting, and its tasks rarely need more hosts.
 constexpr std::size_t MaxWorkersForTasks = 30;
@@ -38,32 +36,21 @@
 constexpr int AskAheadSteps = 16;
 constexpr double CheapAdviceMs = 20;
 
-/// Part of a call's fixed cost that is spent on naming more workers than have
-/// room. Fewer calls are made with it: a call that named a single worker cost
-/// as much as one that names twenty.
-constexpr double CheapShare = 0.25;
-
-/// Approved workers named beyond those that a gang needs, as some rooms are
-/// taken until the answer comes.
-constexpr int SpareWorkersForGang = 4;
+/// Part of a call's fixed cost that is spent on naming more workers than are
+/// needed. Fewer calls are made with it: a call that names a single worker
+/// costs hardly less than one that names twenty, and rooms are taken until the
+/// answer comes.
+constexpr double CheapShare = 0.5;
 
-/// Least number of workers named for a gang, whose call is dominated by its
-/// fixed cost.
-constexpr std::size_t MinWorkersForGang = 8;
+/// Rooms that differ by less suit alike.
+constexpr std::int64_t FitStepMillis = 4000;
 
 /// Room asked for as a multiple of what is needed, as some of it is taken
 /// before the answer comes.
 constexpr double RoomMargin = 1.5;
 
-/// Room that the approved workers of a gang should have when empty, as a
-/// multiple of what it needs; fewer leave it waiting for particular workers.
-constexpr int GangChoice = 3;
-
-/// Keeps the number of workers named for a gang finite while none was approved.
-constexpr double LeastApprovalRate = 0.05;
-
-/// Largest share of all processors kept free for waiting gangs.
-constexpr double MaxReservedShare = 0.4;
+/// Largest share of all processors that waiting gangs may claim.
+constexpr double MaxClaimedShare = 0.4;
 
 /// Queues with less slack place by the workers' pace, in steps of a sixth.
 constexpr double TightSlack = 2;
@@ -73,10 +60,11 @@
 constexpr Duration TicketMargin{150};
 
 /// One number orders the workers by several criteria: a step of pace outweighs
-/// any difference in room, which is in thousandths of a core, and a foreign
-/// reservation or a distant rack outweighs any pace.
+/// any difference in room, which is in thousandths of a core, and a distant
+/// rack or the claim of a gang outweighs any pace.
 constexpr std::int64_t PaceCost = std::int64_t(1) << 32;
-constexpr std::int64_t ForeignOrFarCost = std::int64_t(1) << 48;
+constexpr std::int64_t DistanceCost = std::int64_t(1) << 48;
+constexpr std::int64_t ClaimedCost = std::int64_t(1) << 49;
 
 bool hasCheapAdvice(const Queue &Terms) {
   return Terms.Advice && Terms.Advice->BaseMs <= CheapAdviceMs;
@@ -91,13 +79,6 @@
                               Terms.Advice->PerWorkerMs));
 }
 
-template <typename List> int totalSlots(const List &Entries) {
-  int Sum = 0;
-  for (const auto &Entry : Entries)
-    Sum += Entry.Slots;
-  return Sum;
-}
-
 } // namespace
 
 Decisions JobScheduler::decide(TimePoint Now, const AdviceBudget &Advice) {
@@ -119,11 +100,10 @@
       Present.FreeCpuMillis += Host.room().CpuMillis;
       Present.LargestRoom = Resources::max(Present.LargestRoom, Host.room());
     }
-    if (!Host.reservedFor().empty())
-      Present.ReservedCpuMillis += Host.info().Capacity.CpuMillis;
+    Present.ClaimableCpuMillis -= Host.claimed().CpuMillis;
   }
-  Present.ReservedCpuMillis -=
-      std::int64_t(double(TotalCpuMillis) * MaxReservedShare);
+  Present.ClaimableCpuMillis +=
+      std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
   const std::optional<WaitRank> FrontEnd =
       serveFrom(Present, WaitRank{}, FrontStepsPerRound);
   if (FrontEnd) {
@@ -184,20 +164,17 @@
 // processors that nobody uses. Work with little slack takes the faster worker;
 // all other work only stays away from workers that are far slower than usual.
 std::int64_t JobScheduler::costOf(const UsableWorker &Entry,
-                                  const StepSpec &Spec,
-                                  const std::string &StepName, bool Tight) {
+                                  const StepSpec &Spec, bool Tight) {
   const Worker &Host = *Entry.Host;
-  const bool Foreign =
-      !Host.reservedFor().empty() && Host.reservedFor() != StepName;
   const auto &Labels = Host.info().Labels;
   const bool Far = !Spec.PreferredRack.empty() &&
                    std::find(Labels.begin(), Labels.end(),
                              Spec.PreferredRack) == Labels.end();
   const std::int64_t Fit =
-      Spec.Filling ? -Host.unusedCpuMillis() : Host.room().CpuMillis;
+      (Spec.Filling ? -Host.unusedCpuMillis() : Host.room().CpuMillis) /
+      FitStepMillis;
   const std::int64_t Pace = Tight ? Entry.FinePace : Entry.Pace;
-  return ((Foreign ? 2 : 0) + (Far ? 1 : 0)) * ForeignOrFarCost +
-         Pace * PaceCost + Fit;
+  return (Far ? DistanceCost : 0) + Pace * PaceCost + Fit;
 }
 
 JobScheduler::Candidates JobScheduler::candidatesFor(Round &Now, Job &Entry,
@@ -226,26 +203,35 @@
     const auto Kept = Now.KeptFree.find(&Host);
     if (Kept != Now.KeptFree.end() && Terms.Priority > Kept->second)
       continue;
-    const bool ForOther =
-        !Host.reservedFor().empty() && Host.reservedFor() != Name;
-    if (ForOther && (Terms.Priority > 0 || Spec.Gang))
-      continue;
     const bool IsKnown = Known != State.Advice.end() && Known->first == Id &&
                          Known->second.Worker == Host.info().Life;
     if (Terms.Advice && IsKnown && !Known->second.Approved)
       continue;
-    int Slots = Host.slotsFor(Spec);
+    int Slots = Host.slotsFor(Spec, Name);
+    // Work with little slack and a short run time takes room that gangs still
+    // gather, if there is no other; they get it back soon.
+    const bool TakesClaimed = Slots == 0 && Tight && !Host.claims().empty();
+    if (TakesClaimed)
+      Slots = Host.slotsInRoom(Spec);
     if (Spec.MaxPerWorker > 0)
       Slots = std::min(Slots, Spec.MaxPerWorker - OnWorker[Id]);
-    const Candidate At{&Host, std::max(Slots, 0),
-                       IsKnown ? &Known->second : nullptr,
-                       costOf(Usable, Spec, Name, Tight)};
+    const Candidate At{
+        &Host, std::max(Slots, 0), IsKnown ? &Known->second : nullptr,
+        costOf(Usable, Spec, Tight) + (TakesClaimed ? ClaimedCost : 0)};
     if (!Terms.Advice ||
         (IsKnown && Known->second.Expires > Now.Now + TicketMargin))
       Result.Valid.push_back(At);
     else
       (IsKnown ? Result.Expired : Result.Unasked).push_back(At);
   }
+  // Steps that ask at the same time begin at different workers among those that
+  // suit alike, so that not all of them count on the same rooms.
+  if (!Result.Unasked.empty())
+    std::rotate(Result.Unasked.begin(),
+                Result.Unasked.begin() +
+                    std::ptrdiff_t(std::hash<std::string>()(Name) %
+                                   Result.Unasked.size()),
+                Result.Unasked.end());
   const auto Better = [](const Candidate &Left, const Candidate &Right) {
     return Left.Cost < Right.Cost;
   };
@@ -256,18 +242,20 @@
 
 void JobScheduler::serve(Round &Now, Job &Entry, int Step) {
   const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
+  const StepState &State = Entry.Steps[std::size_t(Step)];
   // The rooms only shrink during a round. A gang plans ahead, as do the first
   // steps that need advice.
   const bool HasRoom = Spec.Request.fitsIn(Now.LargestRoom);
   const bool PlansAhead =
       Spec.Gang || queueOf(Entry).SlackFactor < TightSlack ||
       (Now.AskAheadLeft > 0 && hasCheapAdvice(queueOf(Entry)) &&
-       !Entry.Steps[std::size_t(Step)].AdviceInFlight);
+       !State.AdviceInFlight);
   if (!HasRoom && !PlansAhead)
     return;
-  if (allowedByCap(Entry, Spec) == 0)
+  if (!Spec.Gang && allowedByCap(Entry, Spec) == 0)
     return;
-  if (Spec.Gang && Now.GangsLeft-- <= 0)
+  // Nothing can be decided about a gang before the answer.
+  if (Spec.Gang && (State.AdviceInFlight || Now.GangsLeft-- <= 0))
     return;
   --Now.StepsLeft;
   Candidates Found = candidatesFor(Now, Entry, Step);
@@ -303,10 +291,12 @@
   double Slots = 0;
   const double Enough = RoomMargin * Left;
   const double Chance = approvalRate(queueOf(Entry).Name);
+  const std::size_t Useful = usefulNames(queueOf(Entry));
   const auto TakeWithRoom = [&](const std::vector<Candidate> &Part,
                                 double Approved) {
     for (const Candidate &At : Part) {
-      if (Slots >= Enough || Names.size() >= MaxWorkersForTasks)
+      if ((Slots >= Enough && Names.size() >= Useful) ||
+          Names.size() >= MaxWorkersForTasks)
         return;
       if (At.Slots == 0)
         continue;
@@ -322,7 +312,7 @@
   // the tickets are valid.
   const auto TakeFull = [&](const std::vector<Candidate> &Part) {
     for (const Candidate &At : Part) {
-      if (Found.Valid.size() + Names.size() >= usefulNames(queueOf(Entry)))
+      if (Found.Valid.size() + Names.size() >= Useful)
         return;
       if (At.Slots == 0)
         Names.push_back(At.Host->info().Life.Id);
@@ -354,119 +344,6 @@
     Now.KeptFree[Hosts[Index]] = Terms.Priority;
 }
 
-void JobScheduler::serveGang(Round &Now, Job &Entry, int Step,
-                             Candidates Found) {
-  StepState &State = Entry.Steps[std::size_t(Step)];
-  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
-  // Members of the last run that are being stopped are still placed.
-  if (State.ReadyCount != Spec.Count || allowedByCap(Entry, Spec) < Spec.Count)
-    return;
-  const std::string Name = stepName(Entry.Spec.Id, Step);
-  Now.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
-  if (totalSlots(Found.Valid) >= Spec.Count) {
-    std::int64_t Last = 0;
-    for (const TaskState &Task : State.Tasks)
-      Last = std::max(Last, Task.Run);
-    const auto MoreSlots = [](const Candidate &Left, const Candidate &Right) {
-      return Left.Slots > Right.Slots;
-    };
-    std::stable_sort(Found.Valid.begin(), Found.Valid.end(), MoreSlots);
-    place(Now, Entry, Step, Found.Valid, Spec.Count, nextRun(Last));
-    clearReservation(Name, State);
-    return;
-  }
-  if (State.AdviceInFlight)
-    return;
-  std::vector<Candidate> Approved = Found.Valid;
-  Approved.insert(Approved.end(), Found.Expired.begin(), Found.Expired.end());
-  const auto Preferred = [&](const Candidate &Left, const Candidate &Right) {
-    const bool LeftMine = Left.Host->reservedFor() == Name;
-    const bool RightMine = Right.Host->reservedFor() == Name;
-    return std::tuple(!LeftMine, -Left.Slots, -Left.Host->room().CpuMillis) <
-           std::tuple(!RightMine, -Right.Slots, -Right.Host->room().CpuMillis);
-  };
-  std::stable_sort(Approved.begin(), Approved.end(), Preferred);
-  if (totalSlots(Approved) >= Spec.Count) {
-    std::vector<std::string> Names;
-    int Slots = 0;
-    int Spare = SpareWorkersForGang;
-    std::size_t Needed = 0;
-    for (const Candidate &At : Approved) {
-      if (Slots >= Spec.Count && Spare-- <= 0)
-        break;
-      if (At.Slots == 0)
-        continue;
-      Needed += Slots < Spec.Count ? 1 : 0;
-      Slots += At.Slots;
-      Names.push_back(At.Host->info().Life.Id);
-    }
-    if (!mayAsk(Now, queueOf(Entry)) || Names.size() > MaxWorkersPerAdvice)
-      return;
-    clearReservation(Name, State);
-    for (std::size_t Index = 0; Index < Needed; ++Index) {
-      Workers.at(Names[Index]).setReservedFor(Name);
-      State.Reserved.insert(Names[Index]);
-    }
-    ask(Now, Entry, Step, std::move(Names));
-    return;
-  }
-  int Potential = 0;
-  for (const Candidate &At : Approved)
-    Potential += At.Host->slotsIfEmpty(Spec);
-  if (Potential < GangChoice * Spec.Count && !Found.Unasked.empty()) {
-    if (!mayAsk(Now, queueOf(Entry)))
-      return;
-    std::stable_sort(Found.Unasked.begin(), Found.Unasked.end(), Preferred);
-    const double Chance =
-        std::max(approvalRate(queueOf(Entry).Name), LeastApprovalRate);
-    double Missing = GangChoice * Spec.Count - Potential;
-    std::vector<std::string> Names;
-    for (const Candidate &At : Found.Unasked) {
-      if (Names.size() >= MaxWorkersPerAdvice ||
-          (Missing <= 0 && Names.size() >= MinWorkersForGang))
-        break;
-      Missing -= At.Host->slotsIfEmpty(Spec) * Chance;
-      Names.push_back(At.Host->info().Life.Id);
-    }
-    ask(Now, Entry, Step, std::move(Names));
-    return;
-  }
-  Candidates Ordered;
-  Ordered.Valid = std::move(Approved);
-  reserve(Now, Entry, Step, Ordered, Spec.Count);
-}
-
-void JobScheduler::reserve(Round &Now, Job &Entry, int Step,
-                           const Candidates &Found, int Wanted) {
-  StepState &State = Entry.Steps[std::size_t(Step)];
-  const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
-  const std::string Name = stepName(Entry.Spec.Id, Step);
-  int Slots = 0;
-  for (const std::string &Id : State.Reserved)
-    if (const auto Host = Workers.find(Id); Host != Workers.end())
-      Slots += Host->second.slotsIfEmpty(Spec);
-  for (const Candidate &At : Found.Valid) {
-    if (Slots >= Wanted || Now.ReservedCpuMillis >= 0)
-      return;
-    Worker &Host = *At.Host;
-    if (!Host.reservedFor().empty())
-      continue;
-    Host.setReservedFor(Name);
-    State.Reserved.insert(Host.info().Life.Id);
-    Now.ReservedCpuMillis += Host.info().Capacity.CpuMillis;
-    Slots += Host.slotsIfEmpty(Spec);
-  }
-}
-
-void JobScheduler::clearReservation(const std::string &Step, StepState &State) {
-  for (const std::string &Id : State.Reserved) {
-    const auto Host = Workers.find(Id);
-    if (Host != Workers.end() && Host->second.reservedFor() == Step)
-      Host->second.setReservedFor({});
-  }
-  State.Reserved.clear();
-}
-
 int JobScheduler::place(Round &Now, Job &Entry, int Step,
                         std::vector<Candidate> &Hosts, int Wanted,
                         std::int64_t GangRun) {
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -56,14 +56,38 @@
   return true;
 }
 
-int Worker::slotsFor(const StepSpec &Step) const {
-  Resources Free = room();
+void Worker::claim(const std::string &Name, const StepSpec &Step, int Slots) {
+  releaseClaim(Name);
+  Resources Sum;
+  for (int Slot = 0; Slot < Slots; ++Slot)
+    Sum += Step.Request;
+  Claimed += Sum;
+  Claims[Name] = Sum;
+}
+
+void Worker::releaseClaim(const std::string &Name) {
+  const auto Found = Claims.find(Name);
+  if (Found == Claims.end())
+    return;
+  Claimed -= Found->second;
+  Claims.erase(Found);
+}
+
+int Worker::slotsFor(const StepSpec &Step, const std::string &Name) const {
+  Resources Kept = Claimed;
+  if (const auto Own = Claims.find(Name); Own != Claims.end())
+    Kept -= Own->second;
+  Resources Free = room() - Kept;
   // A filling task makes progress only with processors that nobody uses.
   if (Step.Filling)
     Free.CpuMillis = unusedCpuMillis();
   return slotsIn(Free, Step);
 }
 
+int Worker::slotsInRoom(const StepSpec &Step) const {
+  return slotsIn(room(), Step);
+}
+
 int Worker::slotsIfEmpty(const StepSpec &Step) const {
   return slotsIn(Info.Capacity, Step);
 }
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -83,8 +83,12 @@
     return Info.Capacity.CpuMillis - Used.CpuMillis - FillingCpuMillis;
   }
 
-  /// How many tasks of \p Step fit into the present room.
-  int slotsFor(const StepSpec &Step) const;
+  /// How many tasks of \p Step fit into the present room, but for what gangs
+  /// other than that of the step \p Name claim of it.
+  int slotsFor(const StepSpec &Step, const std::string &Name) const;
+
+  /// How many tasks of \p Step fit into the present room, claimed or not.
+  int slotsInRoom(const StepSpec &Step) const;
 
   /// How many tasks of \p Step the worker could run if it were empty.
   int slotsIfEmpty(const StepSpec &Step) const;
@@ -92,9 +96,16 @@
   /// True if it carries the label that \p Step requires.
   bool satisfies(const StepSpec &Step) const;
 
-  /// Name of the step for whose gang it is kept free; empty: none.
-  const std::string &reservedFor() const { return ReservedFor; }
-  void setReservedFor(std::string Step) { ReservedFor = std::move(Step); }
+  /// Keeps room for \p Slots tasks of the gang of the step \p Name, which is
+  /// yet to find room for all. Replaces an earlier claim of it.
+  void claim(const std::string &Name, const StepSpec &Step, int Slots);
+
+  /// Gives up the claim of a step's gang, if there is one.
+  void releaseClaim(const std::string &Name);
+
+  /// Room that gangs claim, in all and by step.
+  const Resources &claimed() const { return Claimed; }
+  const std::map<std::string, Resources> &claims() const { return Claims; }
 
   /// Failures in a row that make a worker suspect. Jobs that can never
   /// succeed are a few percent, so four in a row point to the worker.
@@ -115,7 +126,8 @@
   Resources Used;
   std::int64_t FillingCpuMillis = 0;
   std::map<std::string, HeldRun> Runs;
-  std::string ReservedFor;
+  Resources Claimed;
+  std::map<std::string, Resources> Claims; ///< By step.
 };
 
 } // namespace apricotwing::jobs
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -1,92 +1,13 @@
-#include "jobs/jobscheduler.h"
+#include "jobs/jobschedulertest.h"
 
 #include "jobs/admission.h"
 
-#include <gtest/gtest.h>
-
 #include <map>
 #include <string>
 
 namespace apricotwing::jobs {
 namespace {
 
-/// A scheduler with workers of 32 cores and one queue of each kind.
-class JobSchedulerTest : public testing::Test {
-protected:
-  JobSchedulerTest() : Scheduler(1) {
-    ClusterPolicy Policy;
-    Policy.Version = 1;
-    Policy.Queues = {queueOf("quick", 0, 1.5), queueOf("batch", 2, 4)};
-    Queue Advised = queueOf("advised", 1, 2.2);
-    Advised.Advice = AdviceTerms{480, 7, Duration{2000}};
-    Policy.Queues.push_back(Advised);
-    Advised.Name = "cheap";
-    Advised.Advice = AdviceTerms{6, 0.1, Duration{2000}};
-    Policy.Queues.push_back(Advised);
-    Policy.Accounts = {{"small", {"k"}, 10, {8000, 0, 0}},
-                       {"large", {"l"}, 10, {}}};
-    Policy.Upstreams = {{"service", false, false}};
-    Scheduler.setPolicy(Policy);
-  }
-
-  static Queue queueOf(const std::string &Name, int Priority, double Slack) {
-    Queue Result;
-    Result.Name = Name;
-    Result.Upstream = "service";
-    Result.Priority = Priority;
-    Result.MaxAttempts = 2;
-    Result.SlackFactor = Slack;
-    Result.LatencyTarget = Duration{1000};
-    return Result;
-  }
-
-  WorkerLife addWorker(const std::string &Id) {
-    WorkerInfo Info;
-    Info.Life = {Id, 1};
-    Info.Upstream = "service";
-    Info.Capacity = {32'000, 65'536, 0};
-    Scheduler.updateWorker(Info);
-    Scheduler.syncWorker(Info.Life, {}, {}, Now);
-    return Info.Life;
-  }
-
-  std::string addJob(const std::string &Queue, StepSpec Step,
-                     const std::string &Account = "large") {
-    JobSpec Spec;
-    Spec.Id = "job" + std::to_string(++LastJob);
-    Spec.Queue = Queue;
-    Spec.Account = Account;
-    Spec.Steps = {std::move(Step)};
-    Scheduler.add(Spec, false, Now);
-    return Spec.Id;
-  }
-
-  static StepSpec step(int Count, std::int64_t CpuMillis,
-                       Duration Estimate = Duration{1000}) {
-    StepSpec Step;
-    Step.Count = Count;
-    Step.Request = {CpuMillis, 1024, 0};
-    Step.Estimate = Estimate;
-    return Step;
-  }
-
-  Decisions decide() {
-    Now += Duration{10};
-    return Scheduler.decide(Now, Budget);
-  }
-
-  void end(const StartOrder &Start, EndKind Kind) {
-    Scheduler.runEnded(Start.Worker,
-                       {++LastEnd, Start.Task, Start.Run, Kind, ""}, Now);
-  }
-
-  JobScheduler Scheduler;
-  AdviceBudget Budget{4, 500};
-  TimePoint Now{Duration{1'000'000}};
-  int LastJob = 0;
-  std::int64_t LastEnd = 0;
-};
-
 TEST_F(JobSchedulerTest, NeverPlacesMoreThanAWorkerHas) {
   addWorker("w1");
   addJob("batch", step(10, 9000));
