Count jobs whose starts were all refused as waiting

Cause: a job counted as started once a task of it was placed. JobSchedulerTest.CountsAJobWhoseStartsWereRefusedAsWaiting failed before.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -122,7 +122,8 @@
   JobSpec Spec;
   JobPhase Phase = JobPhase::Active;
   JobPhase StoredPhase = JobPhase::Active; ///< What callers may be told.
-  bool Started = false;                    ///< Some task has been placed.
+  bool Started = false; ///< Some task is placed or has run.
+  bool Ran = false;     ///< A worker has listed a run of it.
   bool BeyondShare = false;      ///< Served after those within their share.
   Duration RemainingEstimate{0}; ///< Time that the unfinished part takes.
   TimePoint AcceptedAt;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -344,8 +344,23 @@
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
   if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run &&
-      Task->Worker == Host.info().Life)
+      Task->Worker == Host.info().Life) {
     makeReady(*Owner, Id->Step, *Task);
+    noteUnstarted(*Owner);
+  }
+}
+
+// A job of which all starts were refused is still waiting. Load: a cell so busy
+// that tickets run out before the orders arrive.
+void JobScheduler::noteUnstarted(Job &Entry) {
+  if (!Entry.Started || Entry.Ran || Entry.Phase != JobPhase::Active)
+    return;
+  for (const StepState &Step : Entry.Steps)
+    for (const TaskState &Task : Step.Tasks)
+      if (Task.Phase != TaskPhase::Ready)
+        return;
+  Entry.Started = false;
+  ++PendingJobs[Entry.Spec.Queue];
 }
 
 void JobScheduler::holdRoom(Worker &Host, const Job &Entry, const TaskId &Id,
@@ -392,13 +407,15 @@
 // A run that nobody placed here, by what is stored, is stopped.
 void JobScheduler::adopt(Worker &Host, const ActiveRun &Run, TimePoint Now) {
   const auto Held = Host.runs().find(Run.Task);
+  const auto Id = TaskId::parse(Run.Task);
+  Job *Owner = nullptr;
+  const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (Owner)
+    Owner->Ran = true;
   if (Held != Host.runs().end() && Held->second.Run == Run.Run) {
     runProgressed(Host.info().Life, Run);
     return;
   }
-  const auto Id = TaskId::parse(Run.Task);
-  Job *Owner = nullptr;
-  const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
   if (Task)
     holdRoom(Host, *Owner, *Id, Run.Run,
              Owner->Spec.Steps[std::size_t(Id->Step)], Now);
@@ -526,6 +543,8 @@
   const auto Id = TaskId::parse(End.Task);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (Owner)
+    Owner->Ran = true;
   if (End.Kind == EndKind::Done)
     Host->noteEnd(true, Now);
   if (!Task || Owner->Phase != JobPhase::Active ||
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -245,6 +245,7 @@
   void holdRoom(Worker &Host, const Job &Entry, const TaskId &Id,
                 std::int64_t Run, const StepSpec &Spec, TimePoint Now);
   void releaseAll(Worker &Host);
+  void noteUnstarted(Job &Entry);
   void makeReady(Job &Entry, int Step, TaskState &Task);
   void finishTask(Job &Entry, int Step, TaskState &Task, TimePoint Now);
   void finishJob(Job &Entry, JobPhase Phase, TimePoint Now);
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -18,6 +18,29 @@
   EXPECT_EQ(decide().Starts.size(), 1U);
 }
 
+// Guards against a count of waiting jobs that leaves out those whose starts
+// were refused: on a busy day 71 were told where 153 were waiting.
+TEST_F(JobSchedulerTest, CountsAJobWhoseStartsWereRefusedAsWaiting) {
+  addWorker("w1");
+  const std::string Id = addJob("batch", step(2, 1000));
+  EXPECT_EQ(Scheduler.pending("batch"), 1);
+  Decisions Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 2U);
+  EXPECT_EQ(Scheduler.pending("batch"), 0);
+  for (const StartOrder &Start : Made.Starts)
+    Scheduler.startRefused(Start.Worker, Start.Task, Start.Run,
+                           StartRefusal::Expired, Now);
+  EXPECT_EQ(Scheduler.pending("batch"), 1);
+  EXPECT_EQ(Scheduler.view(Id), JobView::Queued);
+  Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 2U);
+  end(Made.Starts[0], EndKind::Stopped);
+  Scheduler.startRefused(Made.Starts[1].Worker, Made.Starts[1].Task,
+                         Made.Starts[1].Run, StartRefusal::Expired, Now);
+  EXPECT_EQ(Scheduler.pending("batch"), 0);
+  EXPECT_EQ(Scheduler.view(Id), JobView::InProgress);
+}
+
 TEST_F(JobSchedulerTest, KeepsAnAccountBelowItsLimit) {
   addWorker("w1");
   addJob("batch", step(10, 1000), "small");
