Spread mail out under load; keep useless jobs from the advice of others

Change: MailPacer widens the gaps between mails while more come than the leader's share of a core is good for. Useless jobs, and gangs that only explore, ask while half of the advice service's time is free. Steps that wait for their first advice are not compared with workers.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -33,6 +33,10 @@
 constexpr std::size_t CaretakersPerGap = 4;
 constexpr std::size_t OthersPerGap = 5;
 
+/// Starts and ends wait for the mail of caretakers, so theirs is sent more
+/// often than a sign of life.
+constexpr Duration LongestCaretakerGap{80};
+
 /// The leader hands its office to a member with so many times its processor
 /// time, once that has been a member for HandOverAfter.
 constexpr double HandOverFactor = 1.5;
@@ -95,7 +99,7 @@
                TimePoint SentAt)
     : Use(Use), Own(Own),
       Writer(Use.Store, Use.Time, Use.Times, Own, Version, SentAt),
-      Scheduler(Own.Term),
+      Scheduler(Own.Term), Pacer(Own.Instance.CpuShare),
       Registry(Use.Store, Use.Time, Use.Records.workerTable(), RegistryGap,
                RegistryWait,
                {[this](const std::vector<StoredRow> &Rows) {
@@ -363,6 +367,7 @@
   }
   MemberState &From = Found->second;
   From.LastHeard = Now;
+  Pacer.note(Now);
   switch (From.Receiver.judge(Mail.Sequence)) {
   case MailReceiver::Verdict::OutOfOrder:
     return Receipt{false};
@@ -408,6 +413,7 @@
 }
 
 std::string Leader::compose(MemberState &To, std::int64_t Sequence) {
+  Pacer.note(Use.Time.now());
   Envelope Mail;
   Mail.Session = To.Session;
   Mail.Sequence = Sequence;
@@ -692,15 +698,15 @@
 }
 
 Duration Leader::mailGapFor(const MemberState &To) const {
-  if (Members.size() <= SmallCell)
-    return Use.Times.MailGap;
   const bool InCare = Caretakers.contains(To.Info.Name);
-  const std::size_t Alike =
-      InCare ? Caretakers.size() / CaretakersPerGap
-             : (Members.size() - Caretakers.size()) / OthersPerGap;
-  return std::min(Use.Times.MailGap *
-                      Duration::rep(std::max<std::size_t>(Alike, 1)),
-                  Use.Times.KeepAlive);
+  std::size_t Alike = 1;
+  if (Members.size() > SmallCell)
+    Alike = InCare ? Caretakers.size() / CaretakersPerGap
+                   : (Members.size() - Caretakers.size()) / OthersPerGap;
+  const double Gap = double(Use.Times.MailGap.count()) *
+                     double(std::max<std::size_t>(Alike, 1)) * Pacer.factor();
+  return std::min(Duration(Duration::rep(Gap)),
+                  InCare ? LongestCaretakerGap : Use.Times.KeepAlive);
 }
 
 void Leader::updateCaretakers() {
@@ -928,6 +934,8 @@
                 {{"waiting", Scheduler.summary()},
                  {"jobs", std::to_string(Scheduler.activeJobs())},
                  {"advice_calls", std::to_string(Desk.openCalls())},
+                 {"mails_per_s", std::to_string(int(Pacer.rate()))},
+                 {"gap_factor", std::to_string(Pacer.factor())},
                  {"members", std::to_string(Members.size())}});
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -7,6 +7,7 @@
 #include "cell/journal.h"
 #include "cell/lifetime.h"
 #include "cell/maillink.h"
+#include "cell/mailpacer.h"
 #include "cell/messages.h"
 #include "cell/ports.h"
 #include "cell/stateloader.h"
@@ -152,6 +153,7 @@
   jobs::JobScheduler Scheduler;
   jobs::Admission Gate;
   AdviceDesk Desk;
+  MailPacer Pacer;
   TableFollower Registry;
   StateLoader State;
   std::map<std::string, MemberState> Members; ///< By instance name.
--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -101,7 +101,7 @@
                               const std::vector<Candidate> &Approved,
                               const std::vector<Candidate> &Unasked) {
   const Queue &Terms = queueOf(Entry);
-  if (!mayAsk(Now, Terms))
+  if (!mayAsk(Now, Terms, Entry.Steps[std::size_t(Step)]))
     return; // Later in this round or in the next ones.
   const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
   const double Chance = std::max(approvalRate(Terms.Name), LeastApprovalRate);
@@ -137,6 +137,9 @@
     const bool HasChoice = Potential >= GangChoice * Spec.Count;
     if (HasChoice && Expected - Known < WorthwhileRoom * Spec.Count)
       return;
+    // Gangs that have their room must not wait behind those that explore.
+    if (HasChoice && Now.Advice.SlowCalls * 2 < Now.FullAdvice.SlowCalls)
+      return;
     Names.clear();
     double Missing = GangChoice * Spec.Count - Potential;
     for (const Candidate &At : Unasked) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -68,6 +68,9 @@
   friend bool operator==(const JobProgress &, const JobProgress &) = default;
 };
 
+/// Tier of jobs whose completion has no value any more.
+inline constexpr int UselessTier = 2;
+
 /// Order in which waiting steps are served; see JobScheduler.
 struct WaitRank {
   int Tier = 0;     ///< 0: can end in time; 1: late; 2: of no use any more.
@@ -122,8 +125,8 @@
   JobSpec Spec;
   JobPhase Phase = JobPhase::Active;
   JobPhase StoredPhase = JobPhase::Active; ///< What callers may be told.
-  bool Started = false; ///< Some task is placed or has run.
-  bool Ran = false;     ///< A worker has listed a run of it.
+  bool Started = false;                    ///< Some task is placed or has run.
+  bool Ran = false;                        ///< A worker has listed a run of it.
   bool BeyondShare = false;      ///< Served after those within their share.
   Duration RemainingEstimate{0}; ///< Time that the unfinished part takes.
   TimePoint AcceptedAt;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -250,7 +250,7 @@
 
 int JobScheduler::tierOf(const Job &Entry, TimePoint Now) {
   if (Now >= Entry.Useless)
-    return 2;
+    return UselessTier;
   const bool Late = Now + Entry.RemainingEstimate > Entry.Due;
   return Late || Entry.BeyondShare ? 1 : 0;
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -30,8 +30,10 @@
 /// an instance after the other, so calls that take long have places of their
 /// own, behind which no short call has to wait.
 struct AdviceBudget {
-  int SlowCalls = 0; ///< Calls that cost SlowAdviceMs or more.
-  double FastMs = 0; ///< Total cost of all others, in milliseconds.
+  int SlowCalls = 0;    ///< Calls that cost SlowAdviceMs or more.
+  double FastMs = 0;    ///< Total cost of all others, in milliseconds.
+  int AllSlowCalls = 0; ///< SlowCalls while nothing is under way; 0: unknown.
+  double AllFastMs = 0; ///< FastMs while nothing is under way; 0: unknown.
 
   /// Least cost of a slow call.
   static constexpr double SlowAdviceMs = 200;
@@ -213,6 +215,7 @@
   struct Round {
     TimePoint Now;
     AdviceBudget Advice;
+    AdviceBudget FullAdvice;             ///< While nothing is under way.
     std::int64_t FreeCpuMillis = 0;      ///< Not yet expected to be taken.
     std::int64_t ClaimableCpuMillis = 0; ///< By gangs that wait for room.
     Resources LargestRoom; ///< Largest of each resource on a usable worker.
@@ -275,7 +278,8 @@
                std::int64_t Run);
   void ask(Round &Now, Job &Entry, int Step, std::vector<std::string> Workers);
   double approvalRate(const std::string &Queue) const;
-  static bool mayAsk(const Round &Now, const Queue &Terms);
+  static bool mayAsk(const Round &Now, const Queue &Terms,
+                     const StepState &State);
   void askForGang(Round &Now, Job &Entry, int Step,
                   const std::vector<Candidate> &Approved,
                   const std::vector<Candidate> &Unasked);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -85,6 +85,9 @@
   Round Present;
   Present.Now = Now;
   Present.Advice = Advice;
+  Present.FullAdvice.SlowCalls =
+      std::max(Advice.SlowCalls, Advice.AllSlowCalls);
+  Present.FullAdvice.FastMs = std::max(Advice.FastMs, Advice.AllFastMs);
   Present.AskAheadLeft = AskAheadSteps;
   Present.StepsLeft = MaxComparisonsPerRound;
   Present.GangsLeft = MaxGangsPerRound;
@@ -254,8 +257,11 @@
     return;
   if (!Spec.Gang && allowedByCap(Entry, Spec) == 0)
     return;
-  // Nothing can be decided about a gang before the answer.
-  if (Spec.Gang && (State.AdviceInFlight || Now.GangsLeft-- <= 0))
+  // Nothing can be decided about a gang before the answer, nor about other
+  // steps before the first one.
+  if (State.AdviceInFlight && (Spec.Gang || State.Advice.empty()))
+    return;
+  if (Spec.Gang && Now.GangsLeft-- <= 0)
     return;
   --Now.StepsLeft;
   Candidates Found = candidatesFor(Now, Entry, Step);
@@ -284,7 +290,7 @@
   Now.FreeCpuMillis -= Demand;
   const bool MayAskAhead =
       hasCheapAdvice(queueOf(Entry)) && Now.AskAheadLeft-- > 0;
-  if (State.AdviceInFlight || !mayAsk(Now, queueOf(Entry)) ||
+  if (State.AdviceInFlight || !mayAsk(Now, queueOf(Entry), State) ||
       (!Expected && !MayAskAhead))
     return;
   std::vector<std::string> Names;
@@ -411,7 +417,15 @@
                                Checkpoint});
 }
 
-bool JobScheduler::mayAsk(const Round &Now, const Queue &Terms) {
+// Jobs that are of no use any more leave half of the advice service's time to
+// all others. Load: hundreds of them after an outage, each of which would ask
+// again whenever its tickets had run out.
+bool JobScheduler::mayAsk(const Round &Now, const Queue &Terms,
+                          const StepState &State) {
+  const bool Useless = State.Rank && State.Rank->Tier == UselessTier;
+  if (Useless && (Now.Advice.FastMs * 2 < Now.FullAdvice.FastMs ||
+                  Now.Advice.SlowCalls * 2 < Now.FullAdvice.SlowCalls))
+    return false;
   // The cost for the workers named is a small part in either case.
   const bool Slow =
       Terms.Advice && Terms.Advice->BaseMs >= AdviceBudget::SlowAdviceMs;
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -98,6 +98,25 @@
   EXPECT_GT(Named.size(), Names / 2);
 }
 
+// Guards against hundreds of jobs that are of no use any more and ask again
+// whenever their tickets have run out: after an outage, all others waited for
+// advice behind them.
+TEST_F(GangPlacementTest, UselessJobsLeaveHalfOfTheAdviceToOthers) {
+  addWorker("w1");
+  const std::string Old = addJob("cheap", step(1, 9000));
+  Now += Duration{60'000}; // Far beyond its due time.
+  Budget = AdviceBudget{4, 200, 4, 500};
+  EXPECT_TRUE(decide().Advice.empty());
+  const std::string Fresh = addJob("cheap", step(1, 9000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  EXPECT_TRUE(Made.Advice[0].Step.starts_with(Fresh));
+  Budget = AdviceBudget{4, 500, 4, 500};
+  const Decisions Idle = decide();
+  ASSERT_EQ(Idle.Advice.size(), 1U);
+  EXPECT_TRUE(Idle.Advice[0].Step.starts_with(Old));
+}
+
 // Guards against a quick task that waits for room which a gang gathers.
 TEST_F(GangPlacementTest, UrgentTasksUseRoomThatAGangGathers) {
   const auto Filling = fillWorkers();
