--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -465,9 +465,7 @@
   const jobs::AdmissionResult Judged =
       Terms ? Gate.judge(Handed.Job, *Terms,
                          Scheduler.account(Handed.Job.Account),
-                         Scheduler.waitFor(Terms->Priority),
-                         Scheduler.backlogOf(Terms->Name, Use.Time.now()),
-                         Use.Time.now())
+                         Scheduler.waitFor(Terms->Priority), Use.Time.now())
             : jobs::AdmissionResult{};
   if (Judged.RetryAfter) {
     Use.Log.event(
@@ -476,10 +474,7 @@
          {"account", Handed.Job.Account},
          {"beyond_share", Judged.BeyondShare ? "1" : "0"},
          {"wait_ms",
-          std::to_string(Scheduler.waitFor(Terms->Priority).count())},
-         {"backlog_ms",
-          std::to_string(
-              Scheduler.backlogOf(Terms->Name, Use.Time.now()).count())}});
+          std::to_string(Scheduler.waitFor(Terms->Priority).count())}});
     From.Outgoing.Submitted.push_back(
         {Tag, SubmitResult::Busy, Judged.RetryAfter->count()});
     return;
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -29,16 +29,14 @@
 
 AdmissionResult Admission::judge(const JobSpec &Spec, const Queue &Terms,
                                  const ClientAccount *Account, Duration Wait,
-                                 Duration Backlog, TimePoint Now) {
+                                 TimePoint Now) {
   AdmissionResult Result;
   Result.BeyondShare = Account && !takeFromAllowance(*Account, Now);
   const bool Hopeless =
       Wait + longestChain(Spec) > UselessFactor * allowedTime(Terms, Spec);
-  const Duration Longer = std::max(Wait, Backlog);
-  const bool Crowding = Result.BeyondShare && Longer > ToleratedWait;
-  const bool Late = Backlog > allowedTime(Terms, Spec);
-  if (Hopeless || Crowding || Late)
-    Result.RetryAfter = std::clamp(Longer / 2, LeastRetry, LongestRetry);
+  const bool Crowding = Result.BeyondShare && Wait > ToleratedWait;
+  if (Hopeless || Crowding)
+    Result.RetryAfter = std::clamp(Wait / 2, LeastRetry, LongestRetry);
   return Result;
 }
 
--- a/src/jobs/admission.h
+++ b/src/jobs/admission.h
@@ -26,13 +26,11 @@
 class Admission {
 public:
   /// Decides about \p Spec. \p Wait is the time that the workers need for the
-  /// waiting work of its priority and of more urgent ones, \p Backlog the time
-  /// that the waiting jobs of its queue need at their present pace, which also
-  /// tells when room is not what is missing. Counts the job against its
-  /// account's share, refused or not.
+  /// waiting work of its priority and of more urgent ones. Counts the job
+  /// against its account's share, refused or not.
   AdmissionResult judge(const JobSpec &Spec, const Queue &Terms,
                         const ClientAccount *Account, Duration Wait,
-                        Duration Backlog, TimePoint Now);
+                        TimePoint Now);
 
   /// Below this wait, jobs beyond an account's share are taken: there is room
   /// for them.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -24,11 +24,6 @@
 /// exactly, and not every worker is approved for every step.
 constexpr double UsablePart = 0.8;
 
-/// Starts of a queue's jobs are counted for so long to tell their pace; slower
-/// queues tell nothing.
-constexpr Duration PaceWindow{1000};
-constexpr double LeastPace = 10;
-
 /// Pause before a worker that refused a start is used again.
 constexpr Duration RefusalPause{500};
 
@@ -117,33 +112,6 @@
                                 (double(UsableCpuMillis) * UsablePart)));
 }
 
-void JobScheduler::noteStarted(Job &Entry, TimePoint Now) {
-  Entry.Started = true;
-  --PendingJobs[Entry.Spec.Queue];
-  StartPace &Pace = Paces[Entry.Spec.Queue];
-  const Duration Passed = Now - Pace.WindowStart;
-  if (Passed >= PaceWindow) {
-    const bool IsFirst = Passed >= 2 * PaceWindow;
-    Pace.PerSecond =
-        IsFirst ? 0
-                : Pace.Count / std::chrono::duration<double>(Passed).count();
-    Pace.WindowStart = Now;
-    Pace.Count = 0;
-  }
-  ++Pace.Count;
-}
-
-Duration JobScheduler::backlogOf(const std::string &Queue,
-                                 TimePoint Now) const {
-  const auto Found = Paces.find(Queue);
-  if (Found == Paces.end() ||
-      Now - Found->second.WindowStart > 2 * PaceWindow ||
-      Found->second.PerSecond < LeastPace)
-    return Duration{0};
-  return Duration(
-      Duration::rep(1000 * pending(Queue) / Found->second.PerSecond));
-}
-
 bool JobScheduler::add(const JobSpec &Spec, bool BeyondShare, TimePoint Now) {
   if (Jobs.contains(Spec.Id))
     return false;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -96,10 +96,6 @@
   /// more urgent ones.
   Duration waitFor(int Priority) const;
 
-  /// Time that the waiting jobs of \p Queue need at the pace at which its jobs
-  /// have started lately; zero while too few have to tell.
-  Duration backlogOf(const std::string &Queue, TimePoint Now) const;
-
   /// Adds a job from storage. Its placed tasks take room on their workers
   /// until those have been synced or have lapsed; a task whose worker is not
   /// known runs nowhere. \p Age is the time since its acceptance.
@@ -203,12 +199,6 @@
     int Pace = 1;     ///< Rounded.
     int FinePace = 1; ///< In FinePaceSteps.
   };
-  /// How many jobs of a queue have started lately.
-  struct StartPace {
-    TimePoint WindowStart;
-    int Count = 0;        ///< In the present window.
-    double PerSecond = 0; ///< In the last full window.
-  };
   struct Candidate {
     Worker *Host = nullptr;
     int Slots = 0;
@@ -245,7 +235,6 @@
   Worker *findWorker(const WorkerLife &Life);
   const Queue &queueOf(const Job &Entry) const;
 
-  void noteStarted(Job &Entry, TimePoint Now);
   void addJob(std::unique_ptr<Job> Entry);
   void countWaiting(const Job &Entry, int Step, int Tasks);
   void enqueue(Job &Entry, int Step);
@@ -310,7 +299,6 @@
   std::map<std::string, Worker> Workers;
   std::map<std::string, Resources> Running; ///< By client account.
   std::map<std::string, int> PendingJobs;   ///< By queue.
-  std::map<std::string, StartPace> Paces;   ///< By queue.
   /// Estimated work of tasks that are ready or blocked, by priority, in
   /// thousandths of a core times milliseconds.
   std::map<int, double> WaitingWork;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -405,8 +405,10 @@
   Changed.insert(Entry.Spec.Id);
   if (!Spec.Filling)
     Now.FreeCpuMillis -= Spec.Request.CpuMillis;
-  if (!Entry.Started)
-    noteStarted(Entry, Now.Now);
+  if (!Entry.Started) {
+    Entry.Started = true;
+    --PendingJobs[Entry.Spec.Queue];
+  }
   countWaiting(Entry, Step, -1);
   if (--State.ReadyCount == 0)
     dequeue(Entry, Step);
