--- a/bench/cell_load.cpp
+++ b/bench/cell_load.cpp
@@ -68,6 +68,7 @@
       {"/quick/", 0.921, 3, {5000, 9100, 0}, Duration{640}, false, 1200},
   };
   std::vector<double> Shares;
+  Shares.reserve(std::size_t(InstanceCount));
   for (int Number = 0; Number < InstanceCount; ++Number)
     Shares.push_back(Number % 6 == 0 ? 0.5 : 0.12);
   EmulatedCell Cell(1, Shares, WorkerCount);
