--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -40,7 +40,7 @@
 constexpr double SlowPace = 1.5;
 
 /// Number of workers that can be named for NamesShare of a call's fixed cost.
-std::size_t usefulNames(const AdviceTerms &Terms) {
+std::size_t usualNames(const AdviceTerms &Terms) {
   if (Terms.PerWorkerMs <= 0)
     return MaxWorkersPerAdvice;
   return std::min(MaxWorkersPerAdvice,
@@ -105,7 +105,7 @@
     return; // Later in this round or in the next ones.
   const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
   const double Chance = std::max(approvalRate(Terms.Name), LeastApprovalRate);
-  const std::size_t Usual = usefulNames(*Terms.Advice);
+  const std::size_t Usual = usualNames(*Terms.Advice);
   std::vector<std::string> Names;
   int Known = 0;
   int Spare = SpareWorkersForGang;
@@ -163,13 +163,7 @@
   StepState &State = Entry.Steps[std::size_t(Step)];
   const StepSpec &Spec = Entry.Spec.Steps[std::size_t(Step)];
   const std::string Name = stepName(Entry.Spec.Id, Step);
-  for (const std::string &Id : State.Claimed)
-    if (const auto Host = Workers.find(Id); Host != Workers.end()) {
-      const auto Own = Host->second.claims().find(Name);
-      if (Own != Host->second.claims().end())
-        Now.ClaimableCpuMillis += Own->second.CpuMillis;
-    }
-  clearClaims(Name, State);
+  Now.ClaimableCpuMillis += clearClaims(Name, State);
   int Missing = Spec.Count;
   for (const Candidate &At : Approved) {
     if (Missing == 0 || At.Slots == 0)
@@ -193,24 +187,22 @@
     StepState &State = Ref.Owner->Steps[std::size_t(Ref.Step)];
     if (State.Claimed.empty() || State.AdviceInFlight)
       continue;
-    const std::string Name = stepName(Ref.Owner->Spec.Id, Ref.Step);
-    for (const std::string &Id : State.Claimed)
-      if (const auto Host = Workers.find(Id); Host != Workers.end()) {
-        const auto Claim = Host->second.claims().find(Name);
-        if (Claim != Host->second.claims().end())
-          Now.ClaimableCpuMillis += Claim->second.CpuMillis;
-      }
-    clearClaims(Name, State);
+    Now.ClaimableCpuMillis +=
+        clearClaims(stepName(Ref.Owner->Spec.Id, Ref.Step), State);
     return true;
   }
   return false;
 }
 
-void JobScheduler::clearClaims(const std::string &Step, StepState &State) {
+// Returns the processors that the claims held.
+std::int64_t JobScheduler::clearClaims(const std::string &Step,
+                                       StepState &State) {
+  std::int64_t Freed = 0;
   for (const std::string &Id : State.Claimed)
     if (const auto Host = Workers.find(Id); Host != Workers.end())
-      Host->second.releaseClaim(Step);
+      Freed += Host->second.releaseClaim(Step).CpuMillis;
   State.Claimed.clear();
+  return Freed;
 }
 
 } // namespace apricotwing::jobs
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -259,7 +259,7 @@
   void stopRun(Worker &Host, const std::string &Task, std::int64_t Run);
   void stopPlaced(Job &Entry, int Step);
   void adopt(Worker &Host, const ActiveRun &Run, TimePoint Now);
-  void clearClaims(const std::string &Step, StepState &State);
+  std::int64_t clearClaims(const std::string &Step, StepState &State);
 
   std::optional<WaitRank> serveFrom(Round &Now, const WaitRank &First,
                                     std::size_t Limit);
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -65,12 +65,14 @@
   Claims[Name] = Sum;
 }
 
-void Worker::releaseClaim(const std::string &Name) {
+Resources Worker::releaseClaim(const std::string &Name) {
   const auto Found = Claims.find(Name);
   if (Found == Claims.end())
-    return;
-  Claimed -= Found->second;
+    return {};
+  const Resources Freed = Found->second;
+  Claimed -= Freed;
   Claims.erase(Found);
+  return Freed;
 }
 
 int Worker::slotsFor(const StepSpec &Step, const std::string &Name) const {
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -100,8 +100,8 @@
   /// yet to find room for all. Replaces an earlier claim of it.
   void claim(const std::string &Name, const StepSpec &Step, int Slots);
 
-  /// Gives up the claim of a step's gang, if there is one.
-  void releaseClaim(const std::string &Name);
+  /// Gives up the claim of a step's gang; returns the room that it held.
+  Resources releaseClaim(const std::string &Name);
 
   /// Room that gangs claim, in all and by step.
   const Resources &claimed() const { return Claimed; }
