--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -25,10 +25,10 @@
 /// busy leader works them off late itself.
 constexpr Duration ReceiptPatience{2500};
 
-/// The leader handles some 1,000 mails a second on half a core. Up to
-/// SmallCell members may send at Timing::MailGap; in larger cells the gap
-/// grows with the number of members of each kind, and mostly those send
-/// that look after workers.
+/// Up to SmallCell members send at Timing::MailGap: wider gaps cost their quick
+/// jobs more than they saved. In larger cells the gap grows with the number of
+/// members of each kind and with the load; mostly those send that look after
+/// workers.
 constexpr std::size_t SmallCell = 9;
 constexpr std::size_t CaretakersPerGap = 4;
 constexpr std::size_t OthersPerGap = 5;
@@ -698,11 +698,12 @@
 }
 
 Duration Leader::mailGapFor(const MemberState &To) const {
+  if (Members.size() <= SmallCell)
+    return Use.Times.MailGap;
   const bool InCare = Caretakers.contains(To.Info.Name);
-  std::size_t Alike = 1;
-  if (Members.size() > SmallCell)
-    Alike = InCare ? Caretakers.size() / CaretakersPerGap
-                   : (Members.size() - Caretakers.size()) / OthersPerGap;
+  const std::size_t Alike =
+      InCare ? Caretakers.size() / CaretakersPerGap
+             : (Members.size() - Caretakers.size()) / OthersPerGap;
   const double Gap = double(Use.Times.MailGap.count()) *
                      double(std::max<std::size_t>(Alike, 1)) * Pacer.factor();
   return std::min(Duration(Duration::rep(Gap)),
