--- a/src/cell/mailpacer.h
+++ b/src/cell/mailpacer.h
@@ -10,7 +10,8 @@
 /// Spreads mail out while the leader handles more of it than it has processor
 /// time for: each mail costs some 0.2 ms beside its content, so fewer and
 /// larger mails leave time to decide. Load: bursts of submissions at dozens of
-/// members; small cells do without it. Owned by the leader; used on its thread only.
+/// members; small cells do without it. Owned by the leader; used on its thread
+/// only.
 class MailPacer {
 public:
   /// \p CpuShare is the part of a core that the leader's instance may use.
