--- a/tests/cell/caretakers_test.cpp
+++ b/tests/cell/caretakers_test.cpp
@@ -11,7 +11,7 @@
 /// \p Large members with half a core and \p Small with 0.12 of one.
 std::vector<CaretakerCandidate> membersOf(int Large, int Small) {
   std::vector<CaretakerCandidate> Result;
-  Result.reserve(std::size_t(Large + Small));
+  Result.reserve(std::size_t(Large) + std::size_t(Small));
   for (int Number = 0; Number < Large; ++Number)
     Result.push_back({"large" + std::to_string(Number), 0.5});
   for (int Number = 0; Number < Small; ++Number)
