--- /dev/null
+++ b/src/cell/callrouter.cpp
@@ -0,0 +1,250 @@
+#include "cell/callrouter.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace apricotwing::cell {
+
+namespace {
+
+/// Time reserved for sending the answer back to the caller.
+constexpr Duration ResponseMargin{150};
+
+/// Limits of Retry-After while there is no leader. A takeover takes up to 2 s
+/// and an outage of the store longer, and a caller retries only a few times.
+/// Jobs that may take longer are therefore retried later.
+constexpr Duration MinNoLeaderRetryAfter{1000};
+constexpr Duration MaxNoLeaderRetryAfter{4000};
+constexpr int RetriesInAllowedTime = 4;
+
+/// Length of a job id in hexadecimal digits.
+constexpr std::size_t JobIdLength = 16;
+
+bool isJobId(const std::string &Text) {
+  return Text.size() == JobIdLength &&
+         Text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+/// Returns the answer to a call while there is no leader. \p AllowedTime is the
+/// time that the submitted job may take.
+ClientAnswer unavailable(Duration AllowedTime) {
+  ClientAnswer Result{ClientStatus::Unavailable};
+  Result.RetryAfter = std::clamp(AllowedTime / RetriesInAllowedTime,
+                                 MinNoLeaderRetryAfter, MaxNoLeaderRetryAfter);
+  return Result;
+}
+
+} // namespace
+
+void CallRouter::setPolicy(const jobs::ClusterPolicy &NewPolicy) {
+  if (NewPolicy.Version <= Policy.Version)
+    return;
+  Deps.Log.event("policy in force", "",
+                 {{"version", std::to_string(NewPolicy.Version)},
+                  {"before", std::to_string(Policy.Version)}});
+  Policy = NewPolicy;
+}
+
+void CallRouter::setLayout(const ShardLayout &NewLayout) {
+  Layout = NewLayout;
+  for (auto &[Tag, Call] : Open)
+    sendToShards(Call);
+}
+
+void CallRouter::serve(ClientCall Call, ClientResponder Respond) {
+  OpenCall NewCall;
+  NewCall.Respond = std::move(Respond);
+  NewCall.ArrivedAt = Deps.Time.now();
+  NewCall.Deadline = NewCall.ArrivedAt +
+                     std::max(Call.Deadline - ResponseMargin, Duration{100});
+  if (Policy.Version == 0) {
+    finish(NewCall, unavailable(Duration{0}));
+    return;
+  }
+  const jobs::Queue *Queue = Policy.match(Call.Host, Call.Path);
+  if (!Queue) {
+    finish(NewCall, {ClientStatus::NoSuchQueue});
+    return;
+  }
+  const jobs::ClientAccount *KeyOwner = Policy.accountOfKey(Call.Key);
+  if (!KeyOwner && !Queue->Public) {
+    finish(NewCall, {ClientStatus::UnknownKey});
+    return;
+  }
+  if (KeyOwner)
+    NewCall.Account = KeyOwner->Name;
+  NewCall.PublicQueue = Queue->Public;
+  const std::string Id = Call.Path.substr(Queue->PathPrefix.size());
+  const std::uint64_t Tag = ++LastTag;
+  if (Id.empty() && Call.Verb == ClientVerb::Read) {
+    NewCall.QueryRequest = Query{Tag, QueryKind::Pending, Queue->Name};
+    open(std::move(NewCall));
+    return;
+  }
+  if (!isJobId(Id)) {
+    finish(NewCall,
+           {Call.Verb == ClientVerb::Submit ? ClientStatus::Malformed
+                                            : ClientStatus::NoSuchJob});
+    return;
+  }
+  switch (Call.Verb) {
+  case ClientVerb::Read:
+    NewCall.QueryRequest = Query{Tag, QueryKind::State, Id};
+    break;
+  case ClientVerb::Cancel:
+    NewCall.QueryRequest = Query{Tag, QueryKind::Cancel, Id};
+    break;
+  case ClientVerb::Submit:
+    if (!Call.Job) {
+      finish(NewCall, {ClientStatus::Malformed});
+      return;
+    }
+    Call.Job->Id = Id;
+    Call.Job->Queue = Queue->Name;
+    Call.Job->Account = NewCall.Account;
+    Call.Job->AcceptedUnixMs = Deps.WallTime.unixMs();
+    NewCall.AllowedTime = jobs::allowedTime(*Queue, *Call.Job);
+    NewCall.SubmitRequest = Submission{Tag, std::move(*Call.Job)};
+    break;
+  }
+  open(std::move(NewCall));
+}
+
+void CallRouter::open(OpenCall Call) {
+  const std::uint64_t Tag =
+      Call.SubmitRequest ? Call.SubmitRequest->Tag : Call.QueryRequest->Tag;
+  OpenCall &Added = Open.emplace(Tag, std::move(Call)).first->second;
+  if (Layout)
+    sendToShards(Added);
+}
+
+void CallRouter::sendToShards(OpenCall &Call) {
+  Call.AskedAll =
+      Call.QueryRequest && Call.QueryRequest->Kind == QueryKind::Pending;
+  if (!Call.AskedAll) {
+    sendTo(Layout->shardOfAccount(Call.Account), Call);
+    return;
+  }
+  for (int Shard = 0; Shard < Layout->shardCount(); ++Shard)
+    sendTo(Shard, Call);
+}
+
+void CallRouter::sendTo(int Shard, OpenCall &Call) {
+  Call.Awaited.insert(Shard);
+  if (Call.SubmitRequest)
+    Deps.Channel(Shard).submit(*Call.SubmitRequest);
+  else
+    Deps.Channel(Shard).query(*Call.QueryRequest);
+}
+
+bool CallRouter::wasSent(std::uint64_t Tag, const OpenCall &Call) const {
+  return std::any_of(Call.Awaited.begin(), Call.Awaited.end(), [&](int Shard) {
+    return Deps.Channel(Shard).wasSent(Tag);
+  });
+}
+
+// A submission that may have reached a leader may be stored, so it cannot be
+// refused.
+ClientAnswer CallRouter::failureOf(std::uint64_t Tag,
+                                   const OpenCall &Call) const {
+  return Call.SubmitRequest && wasSent(Tag, Call)
+             ? ClientAnswer{ClientStatus::Unresolved}
+             : unavailable(Call.AllowedTime);
+}
+
+void CallRouter::onSubmitted(const SubmitAnswer &Result) {
+  const auto Found = Open.find(Result.Tag);
+  if (Found == Open.end() || !Found->second.SubmitRequest)
+    return;
+  ClientAnswer Answer{ClientStatus::Accepted};
+  if (Result.Result == SubmitResult::Malformed)
+    Answer.Status = ClientStatus::Malformed;
+  if (Result.Result == SubmitResult::Busy) {
+    Answer.Status = ClientStatus::Busy;
+    Answer.RetryAfter = Duration(Result.RetryAfterMs);
+  }
+  answer(Result.Tag, Answer);
+}
+
+void CallRouter::onAnswered(int Shard, const QueryAnswer &Result) {
+  const auto Found = Open.find(Result.Tag);
+  if (Found == Open.end() || !Found->second.QueryRequest)
+    return;
+  OpenCall &Call = Found->second;
+  if (Call.Awaited.erase(Shard) == 0)
+    return;
+  Deps.Channel(Shard).drop(Result.Tag);
+  const QueryKind Kind = Call.QueryRequest->Kind;
+  Call.Count += Result.Count;
+  const bool Unknown =
+      Kind != QueryKind::Pending && Result.View == jobs::JobView::Unknown;
+  if (Unknown && Call.PublicQueue && !Call.AskedAll) {
+    Call.AskedAll = true;
+    for (int Other = 0; Other < Layout->shardCount(); ++Other)
+      if (Other != Shard)
+        sendTo(Other, Call);
+  }
+  const bool NeedsMore = Kind == QueryKind::Pending || Unknown;
+  if (NeedsMore && !Call.Awaited.empty())
+    return;
+  ClientAnswer Answer{ClientStatus::State};
+  Answer.View = Result.View;
+  Answer.Count = Call.Count;
+  if (Kind == QueryKind::Pending)
+    Answer.Status = ClientStatus::Count;
+  else if (Unknown)
+    Answer.Status = ClientStatus::NoSuchJob;
+  else if (Kind == QueryKind::Cancel)
+    Answer.Status = ClientStatus::Accepted;
+  answer(Result.Tag, Answer);
+}
+
+void CallRouter::answer(std::uint64_t Tag, ClientAnswer Answer) {
+  const auto Found = Open.find(Tag);
+  if (Found == Open.end())
+    return;
+  OpenCall Call = std::move(Found->second);
+  Open.erase(Found);
+  for (const int Shard : Call.Awaited)
+    Deps.Channel(Shard).drop(Tag);
+  finish(Call, Answer);
+}
+
+void CallRouter::finish(OpenCall &Call, ClientAnswer Answer) {
+  ++Answers[Answer.Status];
+  if (Call.SubmitRequest || Answer.Status == ClientStatus::UnknownKey ||
+      Answer.Status == ClientStatus::Unavailable ||
+      Answer.Status == ClientStatus::Unresolved)
+    Deps.Log.event(
+        "answered",
+        Call.SubmitRequest ? Call.SubmitRequest->Job.Id : std::string(),
+        {{"outcome", std::string(enumName(ClientStatusNames, Answer.Status))},
+         {"after_ms",
+          std::to_string((Deps.Time.now() - Call.ArrivedAt).count())},
+         {"policy", std::to_string(Policy.Version)},
+         {"shard",
+          std::to_string(Layout ? Layout->shardOfAccount(Call.Account) : -1)}});
+  Call.Respond(Answer);
+}
+
+void CallRouter::pump() {
+  const TimePoint Now = Deps.Time.now();
+  std::vector<std::uint64_t> Expired;
+  for (const auto &[Tag, Call] : Open) {
+    const bool Late = Now >= Call.ArrivedAt + Deps.Times.NoLeaderTimeout;
+    if (Now >= Call.Deadline || (Late && !wasSent(Tag, Call)))
+      Expired.push_back(Tag);
+  }
+  for (const std::uint64_t Tag : Expired)
+    answer(Tag, failureOf(Tag, Open.at(Tag)));
+}
+
+void CallRouter::failOpenCalls() {
+  while (!Open.empty()) {
+    const std::uint64_t Tag = Open.begin()->first;
+    answer(Tag, failureOf(Tag, Open.begin()->second));
+  }
+}
+
+} // namespace apricotwing::cell
--- /dev/null
+++ b/src/cell/callrouter.h
@@ -0,0 +1,106 @@
+/// \file
+/// Checks the calls of an instance's callers and routes them to the shards.
+#ifndef APRICOTWING_CELL_CALLROUTER_H
+#define APRICOTWING_CELL_CALLROUTER_H
+
+#include "cell/clientcall.h"
+#include "cell/leaderchannel.h"
+#include "cell/messages.h"
+#include "cell/ports.h"
+#include "cell/shardlayout.h"
+#include "cell/timing.h"
+#include "jobs/clusterpolicy.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace apricotwing::cell {
+
+/// Checks client calls against the policy, sends each to the leader of the
+/// shard that it concerns and answers its caller. Calls that concern the whole
+/// cell are sent to all shards, and their answers are combined. Holds no state
+/// that must survive the process. Owned by the Node and used on its thread
+/// only.
+class CallRouter {
+public:
+  struct Ports {
+    const Clock &Time;
+    const WallClock &WallTime;
+    EventLog &Log;
+    const Timing &Times;
+    /// The channel to the leader of a shard. Precondition: the layout is set
+    /// and has the shard.
+    std::function<LeaderChannel &(int Shard)> Channel;
+  };
+
+  explicit CallRouter(Ports Deps) : Deps(std::move(Deps)) {}
+
+  /// Applies a policy if it is newer than the current one.
+  void setPolicy(const jobs::ClusterPolicy &NewPolicy);
+  const jobs::ClusterPolicy &policy() const { return Policy; }
+
+  /// Sets the layout. Calls that arrived before are sent now.
+  void setLayout(const ShardLayout &NewLayout);
+
+  /// Handles a client call; \p Respond is called exactly once.
+  void serve(ClientCall Call, ClientResponder Respond);
+
+  /// Processes the answer of the leader of \p Shard.
+  void onSubmitted(const SubmitAnswer &Result);
+  void onAnswered(int Shard, const QueryAnswer &Result);
+
+  /// Answers the calls whose deadline has passed. Must be called frequently.
+  void pump();
+
+  /// Answers all open calls immediately, before the process ends.
+  void failOpenCalls();
+
+  /// Number of calls without an answer.
+  std::size_t openCalls() const { return Open.size(); }
+
+  /// Number of answers by status, for metrics.
+  const std::map<ClientStatus, std::uint64_t> &answers() const {
+    return Answers;
+  }
+
+private:
+  /// A client call that waits for answers of leaders.
+  struct OpenCall {
+    std::optional<Submission> SubmitRequest;
+    std::optional<Query> QueryRequest;
+    std::string Account; ///< Its shard has the job.
+    /// The job may belong to another account's shard, since the queue accepts
+    /// calls without a key.
+    bool PublicQueue = false;
+    ClientResponder Respond;
+    TimePoint ArrivedAt;
+    TimePoint Deadline;
+    Duration AllowedTime{0}; ///< Time that a submitted job may take.
+    std::set<int> Awaited;   ///< Shards whose answer is missing.
+    bool AskedAll = false;
+    int Count = 0; ///< Sum of the answers about waiting jobs.
+  };
+
+  void open(OpenCall Call);
+  void sendToShards(OpenCall &Call);
+  void sendTo(int Shard, OpenCall &Call);
+  bool wasSent(std::uint64_t Tag, const OpenCall &Call) const;
+  ClientAnswer failureOf(std::uint64_t Tag, const OpenCall &Call) const;
+  void answer(std::uint64_t Tag, ClientAnswer Answer);
+  void finish(OpenCall &Call, ClientAnswer Answer);
+
+  const Ports Deps;
+  jobs::ClusterPolicy Policy;
+  std::optional<ShardLayout> Layout;
+  std::uint64_t LastTag = 0;
+  std::map<std::uint64_t, OpenCall> Open; ///< By tag.
+  std::map<ClientStatus, std::uint64_t> Answers;
+};
+
+} // namespace apricotwing::cell
+
+#endif
--- /dev/null
+++ b/src/cell/callservice.cpp
@@ -0,0 +1,181 @@
+#include "cell/callservice.h"
+
+#include "cell/codec.h"
+
+namespace apricotwing::cell {
+
+namespace {
+
+/// How long a refusal is remembered. An instance repeats a submission for as
+/// long as its caller waits, which is 3 s, and a request may be delayed.
+constexpr Duration RefusalRetention{8000};
+
+} // namespace
+
+CallService::OpenBatch::~OpenBatch() {
+  if (Reply.Submitted.empty() && Reply.Answers.empty())
+    Respond(std::nullopt);
+  else
+    Respond(std::move(Reply));
+}
+
+void CallService::serve(const CallBatch &Batch, BatchResponder Respond) {
+  const auto Open = std::make_shared<OpenBatch>(std::move(Respond));
+  Open->Process = Batch.Process;
+  for (const Submission &NewSubmission : Batch.Submissions)
+    submit(Open, NewSubmission);
+  for (const Query &Request : Batch.Queries)
+    query(Open, Request);
+}
+
+void CallService::allowActiveJobs() {
+  ActiveJobsAllowed = true;
+  runDeferred();
+}
+
+void CallService::allowAll() {
+  AllAllowed = true;
+  runDeferred();
+}
+
+void CallService::runDeferred() {
+  for (const auto &Call : std::exchange(DeferredCalls, {}))
+    Call();
+}
+
+void CallService::submit(const BatchPointer &Batch,
+                         const Submission &NewSubmission) {
+  const std::string &Id = NewSubmission.Job.Id;
+  const std::uint64_t Tag = NewSubmission.Tag;
+  if (!AllAllowed) {
+    // Whether the job is already known is clear only once the state is loaded.
+    DeferredCalls.push_back(
+        [this, Batch, NewSubmission] { submit(Batch, NewSubmission); });
+    return;
+  }
+  if (!Deps.StateJournal.isLeaseValid())
+    return; // The sender repeats the call.
+  const auto Accept = [Batch, Tag] {
+    Batch->Reply.Submitted.push_back({Tag, SubmitResult::Accepted, 0});
+  };
+  if (const auto Waiting = JobsBeingStored.find(Id);
+      Waiting != JobsBeingStored.end()) {
+    Waiting->second.push_back(Accept);
+    return;
+  }
+  if (Deps.Scheduler.find(Id)) {
+    Accept();
+    return;
+  }
+  if (const SubmitAnswer *Earlier = earlierRefusal(Batch, Tag)) {
+    Batch->Reply.Submitted.push_back(*Earlier);
+    return;
+  }
+  if (const auto Problem = jobs::validationError(NewSubmission.Job)) {
+    Deps.Log.event("job malformed", Id, {{"problem", *Problem}});
+    refuse(Batch, Tag, SubmitResult::Malformed, Duration{0});
+    return;
+  }
+  jobs::AdmissionResult Admitted;
+  if (const auto RetryAfter = refusal(NewSubmission.Job, Admitted)) {
+    refuse(Batch, Tag, SubmitResult::Busy, *RetryAfter);
+    return;
+  }
+  JobsBeingStored[Id].push_back(Accept);
+  Deps.Scheduler.add(NewSubmission.Job, Admitted.BeyondShare, Deps.Time.now());
+  Owner.RequestDecision();
+  Deps.StateJournal.put(JobTable, Id, encode(NewSubmission.Job));
+  Deps.StateJournal.whenCommitted(Guard.wrap([this, Job = NewSubmission.Job] {
+    Deps.Log.event("job accepted", Job.Id,
+                   {{"queue", Job.Queue},
+                    {"account", Job.Account},
+                    {"steps", std::to_string(Job.Steps.size())},
+                    {"tasks", std::to_string(Job.Steps.front().Count)}});
+    Owner.RequestDecision();
+    const auto Waiting = JobsBeingStored.extract(Job.Id);
+    if (!Waiting.empty())
+      for (const auto &Callback : Waiting.mapped())
+        Callback();
+  }));
+}
+
+// Returns the time after which the caller should try again if the job must be
+// refused.
+std::optional<Duration> CallService::refusal(const jobs::JobSpec &Job,
+                                             jobs::AdmissionResult &Admitted) {
+  const jobs::Queue *TargetQueue = Deps.Scheduler.queue(Job.Queue);
+  if (!TargetQueue)
+    return std::nullopt;
+  const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue->Priority);
+  Admitted = AdmissionControl.evaluate(Job, *TargetQueue,
+                                       Deps.Scheduler.account(Job.Account),
+                                       Wait, Deps.Time.now());
+  if (Admitted.RetryAfter)
+    Deps.Log.event("job refused", Job.Id,
+                   {{"queue", Job.Queue},
+                    {"account", Job.Account},
+                    {"beyond_share", Admitted.BeyondShare ? "1" : "0"},
+                    {"wait_ms", std::to_string(Wait.count())}});
+  return Admitted.RetryAfter;
+}
+
+void CallService::refuse(const BatchPointer &Batch, std::uint64_t Tag,
+                         SubmitResult Result, Duration RetryAfter) {
+  const TimePoint Now = Deps.Time.now();
+  while (!RecentRefusals.empty() &&
+         Now - RecentRefusals.front().At > RefusalRetention) {
+    RefusalAnswers.erase(RecentRefusals.front().Request);
+    RecentRefusals.pop_front();
+  }
+  const SubmitAnswer Answer{Tag, Result, RetryAfter.count()};
+  RecentRefusals.push_back({Now, {Batch->Process, Tag}});
+  RefusalAnswers[{Batch->Process, Tag}] = Answer;
+  Batch->Reply.Submitted.push_back(Answer);
+}
+
+const SubmitAnswer *CallService::earlierRefusal(const BatchPointer &Batch,
+                                                std::uint64_t Tag) {
+  const auto Found = RefusalAnswers.find({Batch->Process, Tag});
+  return Found == RefusalAnswers.end() ? nullptr : &Found->second;
+}
+
+void CallService::query(const BatchPointer &Batch, const Query &Request) {
+  const auto AskAgain = [this, Batch, Request] { query(Batch, Request); };
+  // Jobs that have not ended are loaded before ended ones.
+  const bool Loaded =
+      AllAllowed || (ActiveJobsAllowed && Deps.Scheduler.find(Request.Subject));
+  if (!Loaded) {
+    DeferredCalls.push_back(AskAgain);
+    return;
+  }
+  // A job that is being stored will be known shortly.
+  if (const auto Waiting = JobsBeingStored.find(Request.Subject);
+      Waiting != JobsBeingStored.end()) {
+    Waiting->second.push_back(AskAgain);
+    return;
+  }
+  if (Request.Kind == QueryKind::Cancel && Deps.StateJournal.isLeaseValid() &&
+      Deps.Scheduler.find(Request.Subject)) {
+    Deps.Scheduler.cancel(Request.Subject, Deps.Time.now());
+    Deps.Log.event("job cancelled", Request.Subject, {});
+    Owner.RequestDecision();
+    Owner.StoreChanges();
+    Deps.StateJournal.whenCommitted(
+        Guard.wrap([this, Batch, Request] { answerQuery(Batch, Request); }));
+    return;
+  }
+  answerQuery(Batch, Request);
+}
+
+void CallService::answerQuery(const BatchPointer &Batch, const Query &Request) {
+  if (!Deps.StateJournal.isLeaseValid())
+    return; // The sender repeats the call.
+  QueryAnswer Answer{Request.Tag, jobs::JobView::Unknown, 0};
+  if (Request.Kind == QueryKind::Pending)
+    Answer.Count = Deps.Scheduler.pending(Request.Subject);
+  else
+    Answer.View = Deps.Scheduler.view(Request.Subject);
+  Batch->Reply.Answers.push_back(Answer);
+}
+
+} // namespace apricotwing::cell
--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
 #include <type_traits>
 #include <utility>
 
@@ -48,15 +49,23 @@
   return json(Content).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-template <typename Value>
-std::optional<Value> fromText(const std::string &Text) {
+/// Returns the result of \p Decode, or nothing if it reports invalid content.
+template <typename Value, typename Decoder>
+std::optional<Value> decodeOr(const Decoder &Decode) {
   try {
-    return json::parse(Text).get<Value>();
+    return Decode();
   } catch (const json::exception &) {
     return std::nullopt; // Callers log the failure together with the sender.
+  } catch (const std::invalid_argument &) {
+    return std::nullopt;
   }
 }
 
+template <typename Value>
+std::optional<Value> fromText(const std::string &Text) {
+  return decodeOr<Value>([&Text] { return json::parse(Text).get<Value>(); });
+}
+
 } // namespace
 
 static void to_json(json &To, const Resources &Value) { // NOLINT
@@ -356,21 +365,19 @@
 
 static void to_json(json &To, const MemberMessage &Value) {
   To = json::object();
-  putList(To, "submissions", Value.Submissions);
-  putList(To, "queries", Value.Queries);
   putList(To, "workers", Value.Workers);
   putList(To, "refused", Value.Refused);
   putList(To, "advice", Value.Advice);
   put(To, "leaving", Value.Leaving);
+  put(To, "leads", Value.OtherShardsLed);
   put(To, "store_age", Value.StoreResponseAgeMs, std::int64_t(-1));
 }
 static void from_json(const json &From, MemberMessage &Value) {
-  take(From, "submissions", Value.Submissions);
-  take(From, "queries", Value.Queries);
   take(From, "workers", Value.Workers);
   take(From, "refused", Value.Refused);
   take(From, "advice", Value.Advice);
   take(From, "leaving", Value.Leaving);
+  take(From, "leads", Value.OtherShardsLed);
   take(From, "store_age", Value.StoreResponseAgeMs);
 }
 
@@ -395,26 +402,20 @@
 
 static void to_json(json &To, const LeaderMessage &Value) {
   To = json::object();
-  putList(To, "submitted", Value.Submitted);
-  putList(To, "answers", Value.Answers);
   putList(To, "assigned", Value.Assigned);
   putList(To, "dismissed", Value.Revoked); // Sent under its older name.
   putList(To, "starts", Value.Starts);
   putList(To, "stops", Value.Stops);
   putList(To, "acks", Value.Acks);
   putList(To, "advice", Value.Advice);
-  put(To, "gap", Value.MinMessageIntervalMs);
 }
 static void from_json(const json &From, LeaderMessage &Value) {
-  take(From, "submitted", Value.Submitted);
-  take(From, "answers", Value.Answers);
   take(From, "assigned", Value.Assigned);
   take(From, "dismissed", Value.Revoked);
   take(From, "starts", Value.Starts);
   take(From, "stops", Value.Stops);
   take(From, "acks", Value.Acks);
   take(From, "advice", Value.Advice);
-  take(From, "gap", Value.MinMessageIntervalMs);
 }
 
 static void to_json(json &To, const Envelope &Value) {
@@ -423,6 +424,8 @@
         {"term", Value.Term},
         {"from_leader", Value.FromLeader},
         {"from", Value.From}};
+  put(To, "shard", Value.Shard);
+  put(To, "guest", Value.Guest);
   if (Value.ToLeader)
     To["to_leader"] = *Value.ToLeader;
   if (Value.ToMember)
@@ -434,6 +437,8 @@
   From.at("term").get_to(Value.Term);
   From.at("from_leader").get_to(Value.FromLeader);
   From.at("from").get_to(Value.From);
+  take(From, "shard", Value.Shard);
+  take(From, "guest", Value.Guest);
   if (From.contains("to_leader"))
     Value.ToLeader = From.at("to_leader").get<MemberMessage>();
   if (From.contains("to_member"))
@@ -442,10 +447,53 @@
 
 static void to_json(json &To, const EnvelopeReply &Value) {
   To = {{"accepted", Value.Accepted}, {"resigned", Value.Resigned}};
+  put(To, "full", Value.Full);
+  put(To, "largest", Value.LargestCpuShare);
 }
 static void from_json(const json &From, EnvelopeReply &Value) {
   From.at("accepted").get_to(Value.Accepted);
   take(From, "resigned", Value.Resigned);
+  take(From, "full", Value.Full);
+  take(From, "largest", Value.LargestCpuShare);
+}
+
+static void to_json(json &To, const CallBatch &Value) {
+  To = {{"term", Value.Term}, {"process", Value.Process}};
+  put(To, "shard", Value.Shard);
+  putList(To, "submissions", Value.Submissions);
+  putList(To, "queries", Value.Queries);
+}
+static void from_json(const json &From, CallBatch &Value) {
+  From.at("term").get_to(Value.Term);
+  From.at("process").get_to(Value.Process);
+  take(From, "shard", Value.Shard);
+  take(From, "submissions", Value.Submissions);
+  take(From, "queries", Value.Queries);
+}
+
+static void to_json(json &To, const CallBatchReply &Value) {
+  To = {{"outcome", int(Value.Outcome)}};
+  putList(To, "submitted", Value.Submitted);
+  putList(To, "answers", Value.Answers);
+}
+static void from_json(const json &From, CallBatchReply &Value) {
+  takeEnum(From, "outcome", Value.Outcome);
+  take(From, "submitted", Value.Submitted);
+  take(From, "answers", Value.Answers);
+}
+
+static void to_json(json &To, const ShardLayout &Value) {
+  To = {{"shares", Value.shares()}, {"accounts", Value.accounts()}};
+}
+static void from_json(const json &From, ShardLayout &Value) {
+  auto Shares = From.at("shares").get<std::vector<double>>();
+  auto Accounts = From.at("accounts").get<std::map<std::string, int>>();
+  if (Shares.empty())
+    throw std::invalid_argument("a layout without shards");
+  for (const auto &[Name, Shard] : Accounts)
+    if (Shard < 0 || std::size_t(Shard) >= Shares.size())
+      throw std::invalid_argument("an account of an unknown shard");
+  Value = ShardLayout(std::move(Shares), std::move(Accounts));
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -457,6 +505,9 @@
 }
 std::string encode(const Envelope &Value) { return toText(Value); }
 std::string encode(const EnvelopeReply &Value) { return toText(Value); }
+std::string encode(const CallBatch &Value) { return toText(Value); }
+std::string encode(const CallBatchReply &Value) { return toText(Value); }
+std::string encode(const ShardLayout &Value) { return toText(Value); }
 
 std::optional<LeaderRecord> decodeLeaderRecord(const std::string &Text) {
   return fromText<LeaderRecord>(Text);
@@ -470,12 +521,26 @@
 std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &Text) {
   return fromText<std::vector<RosterEntry>>(Text);
 }
-std::optional<Envelope> decodeEnvelope(const std::string &Text) {
-  return fromText<Envelope>(Text);
-}
 std::optional<EnvelopeReply> decodeEnvelopeReply(const std::string &Text) {
   return fromText<EnvelopeReply>(Text);
 }
+std::optional<CallBatchReply> decodeCallBatchReply(const std::string &Text) {
+  return fromText<CallBatchReply>(Text);
+}
+std::optional<ShardLayout> decodeShardLayout(const std::string &Text) {
+  return fromText<ShardLayout>(Text);
+}
+
+std::optional<std::variant<Envelope, CallBatch>>
+decodePeerMessage(const std::string &Text) {
+  using Message = std::variant<Envelope, CallBatch>;
+  return decodeOr<Message>([&Text]() -> Message {
+    const json Parsed = json::parse(Text);
+    if (Parsed.contains("session"))
+      return Parsed.get<Envelope>();
+    return Parsed.get<CallBatch>();
+  });
+}
 
 } // namespace cell
 
--- a/src/cell/codec.h
+++ b/src/cell/codec.h
@@ -4,9 +4,11 @@
 #define APRICOTWING_CELL_CODEC_H
 
 #include "cell/messages.h"
+#include "cell/shardlayout.h"
 
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace apricotwing::cell {
@@ -20,13 +22,21 @@
 std::string encode(const std::vector<RosterEntry> &Value);
 std::string encode(const Envelope &Value);
 std::string encode(const EnvelopeReply &Value);
+std::string encode(const CallBatch &Value);
+std::string encode(const CallBatchReply &Value);
+std::string encode(const ShardLayout &Value);
 
 std::optional<LeaderRecord> decodeLeaderRecord(const std::string &Text);
 std::optional<jobs::JobSpec> decodeJobSpec(const std::string &Text);
 std::optional<jobs::JobProgress> decodeProgress(const std::string &Text);
 std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &Text);
-std::optional<Envelope> decodeEnvelope(const std::string &Text);
 std::optional<EnvelopeReply> decodeEnvelopeReply(const std::string &Text);
+std::optional<CallBatchReply> decodeCallBatchReply(const std::string &Text);
+std::optional<ShardLayout> decodeShardLayout(const std::string &Text);
+
+/// Decodes a message from another instance. See above.
+std::optional<std::variant<Envelope, CallBatch>>
+decodePeerMessage(const std::string &Text);
 
 } // namespace apricotwing::cell
 
--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -30,10 +30,16 @@
 
 } // namespace
 
+std::string partitionOf(int Shard) {
+  return Shard == 0 ? "cell" : "cell-" + std::to_string(Shard);
+}
+
 Journal::Journal(MetadataStore &Store, const Clock &Time, const Timing &Times,
-                 LeaderRecord Record, std::int64_t Version, TimePoint SentAt)
-    : Store(Store), Time(Time), Times(Times), Record(std::move(Record)),
-      Version(Version), LeaseStart(SentAt), LastSent(SentAt) {}
+                 std::string Partition, LeaderRecord Record,
+                 std::int64_t Version, TimePoint SentAt)
+    : Store(Store), Time(Time), Times(Times), Partition(std::move(Partition)),
+      Record(std::move(Record)), Version(Version), LeaseStart(SentAt),
+      LastSent(SentAt) {}
 
 Journal::Batch &Journal::openBatch(std::size_t Rows, std::size_t Bytes) {
   // A batch that was sent may still be applied, so nothing can be added to it.
@@ -118,7 +124,7 @@
   if (SteppingDown && Batches.size() == 1)
     NewRecord.Instance = InstanceInfo{};
   Transaction Changes;
-  Changes.Partition = CellPartition;
+  Changes.Partition = Partition;
   Changes.Conditions.push_back({LeaderTable, LeaderKey, Version});
   Changes.Changes.push_back({LeaderTable, LeaderKey, encode(NewRecord)});
   for (const auto &[Name, Value] : Batches.front().Rows)
@@ -179,7 +185,7 @@
 // and each sequence number belongs to one batch.
 void Journal::readBack() {
   ReadingBack = true;
-  Store.read(LeaderTable, CellPartition, LeaderKey,
+  Store.read(LeaderTable, Partition, LeaderKey,
              Guard.wrap([this](const ReadResult &Result) {
                ReadingBack = false;
                onReadBack(Result);
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -20,15 +20,19 @@
 
 namespace apricotwing::cell {
 
-/// Names of the tables, their common partition, and the key of the leader
-/// record.
-inline constexpr const char *CellPartition = "cell";
+/// Names of the tables, and the keys of the leader record and of the layout.
+/// All rows of a shard are in one partition; the layout is in that of shard 0.
 inline constexpr const char *LeaderTable = "leader";
 inline constexpr const char *LeaderKey = "leader";
 inline constexpr const char *JobTable = "jobs";
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *EndedTable = "ended";
 inline constexpr const char *RosterTable = "roster";
+inline constexpr const char *LayoutTable = "layout";
+inline constexpr const char *LayoutKey = "layout";
+
+/// Returns the partition of the rows of a shard. Thread-safe.
+std::string partitionOf(int Shard);
 
 /// Commits changes in batches, one transaction at a time. Each transaction
 /// rewrites the leader record on the condition that its version is unchanged. A
@@ -36,10 +40,12 @@
 /// leader cannot write. Owned by the leader and used on its thread only.
 class Journal {
 public:
-  /// Starts a term whose leader record \p Record was written with the version
-  /// \p Version, by a transaction that was sent at \p SentAt.
+  /// Starts a term in the shard of \p Partition, whose leader record \p Record
+  /// was written with the version \p Version, by a transaction that was sent at
+  /// \p SentAt.
   Journal(MetadataStore &Store, const Clock &Time, const Timing &Times,
-          LeaderRecord Record, std::int64_t Version, TimePoint SentAt);
+          std::string Partition, LeaderRecord Record, std::int64_t Version,
+          TimePoint SentAt);
 
   /// Adds changes that must be part of the same commit.
   void write(const std::vector<RowChange> &Changes);
@@ -99,6 +105,7 @@
   MetadataStore &Store;
   const Clock &Time;
   const Timing &Times;
+  const std::string Partition;
   LeaderRecord Record;
   std::int64_t Version;
   TimePoint LeaseStart;
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -26,18 +26,20 @@
 /// late. It is longer because a busy leader processes the replies late itself.
 constexpr Duration MemberAckTimeout{2500};
 
-/// In cells of up to SmallCellSize members all members send at
-/// Timing::MinMessageInterval: a longer interval delayed short jobs more than
-/// it saved. In larger cells the interval grows with the load and with the
-/// number of supervisors or of other members; most messages are sent by
-/// supervisors.
-constexpr std::size_t SmallCellSize = 9;
-constexpr std::size_t SupervisorsPerInterval = 4;
-constexpr std::size_t OthersPerInterval = 5;
-
-/// Upper limit of the interval for supervisors. Start orders and ended runs
-/// wait for their messages, so it is shorter than the keep-alive interval.
-constexpr Duration MaxSupervisorInterval{80};
+/// Maximum number of members that belong to other shards. They are the
+/// instances with the largest CPU shares: candidates for leadership and
+/// supervision.
+constexpr std::size_t MaxGuests = 8;
+
+/// Guests make calls for advice, too, if the shard has fewer members of its
+/// own.
+constexpr std::size_t MinAdvisers = 3;
+
+/// The layout of a new cell is decided once no new worker has registered for
+/// this long, which is the interval at which workers write to the registry, or
+/// after MaxLayoutDelay.
+constexpr Duration LayoutSettleTime{1500};
+constexpr Duration MaxLayoutDelay{6000};
 
 /// Leadership is transferred to a member whose CPU share is larger by this
 /// factor, once it has been a member for MinTransferDelay.
@@ -99,11 +101,15 @@
 
 } // namespace
 
-Leader::Leader(const Ports &Deps, const LeaderRecord &Record,
+Leader::Leader(const Ports &Deps, int Shard, const LeaderRecord &Record,
                std::int64_t Version, TimePoint SentAt)
-    : Deps(Deps), Record(Record),
-      StateJournal(Deps.Store, Deps.Time, Deps.Times, Record, Version, SentAt),
-      Scheduler(Record.Term), Pacer(Record.Instance.CpuShare),
+    : Deps(Deps), Shard(Shard), Record(Record),
+      StateJournal(Deps.Store, Deps.Time, Deps.Times, partitionOf(Shard),
+                   Record, Version, SentAt),
+      Scheduler(Record.Term),
+      Calls(
+          {Scheduler, StateJournal, Deps.Time, Deps.Log},
+          {[this] { storeChangedJobs(); }, [this] { DecisionNeeded = true; }}),
       Registry(Deps.Store, Deps.Time, Deps.Records.workerTable(),
                RegistryWatchInterval, RegistryWatchTimeout,
                {[this](const std::vector<StoredRow> &Rows) {
@@ -112,18 +118,72 @@
                 [this](const std::vector<StoredRow> &Rows) {
                   onRegistryChanges(Rows);
                 }}),
-      Loader(Deps.Store, Deps.Time, Deps.Log,
+      Loader(Deps.Store, Deps.Time, Deps.Log, partitionOf(Shard),
              {[this](const StoredState &Stored) { restoreJobs(Stored); },
               [this](const std::string &Id, jobs::JobPhase Phase) {
                 restoreEnded(Id, Phase);
               },
-              [this] { serveDeferred(); }}),
+              [this] { onAllLoaded(); }}),
       LastToken(Record.Term * TokensPerTerm), TermStartedAt(Deps.Time.now()) {
   Deps.Log.event("leading", Record.Instance.Name,
-                 {{"term", std::to_string(Record.Term)},
+                 {{"shard", std::to_string(Shard)},
+                  {"term", std::to_string(Record.Term)},
                   {"version", std::to_string(Version)}});
 }
 
+// The layout of the cell.
+
+void Leader::setLayout(const ShardLayout &NewLayout) {
+  if (Layout)
+    return;
+  Layout = NewLayout;
+  std::vector<std::string> Foreign;
+  for (const auto &[Id, Worker] : WorkerStates)
+    if (!isOwnWorker(Id))
+      Foreign.push_back(Id);
+  for (const std::string &Id : Foreign)
+    removeWorker(Id);
+  if (Loaded)
+    Calls.allowActiveJobs();
+  if (Loader.isDone())
+    Calls.allowAll();
+  DecisionNeeded = true;
+}
+
+bool Leader::isOwnWorker(const std::string &Id) const {
+  return !Layout || Layout->shardOfWorker(Id) == Shard;
+}
+
+// A cell whose workers are just starting waits until they have registered,
+// because the layout depends on their number and never changes.
+void Leader::proposeLayout() {
+  const TimePoint Now = Deps.Time.now();
+  const bool Settled =
+      !WorkerStates.empty() && Now - LastNewWorker >= LayoutSettleTime;
+  if (LayoutProposed || (!Settled && Now - TermStartedAt < MaxLayoutDelay))
+    return;
+  LayoutProposed = true;
+  // A store that has jobs or workers without a layout was written by a version
+  // without shards.
+  const bool Used =
+      Scheduler.activeJobs() > 0 ||
+      std::any_of(WorkerStates.begin(), WorkerStates.end(),
+                  [](const auto &Entry) { return Entry.second.InRoster; });
+  const ShardLayout Planned =
+      Used ? ShardLayout()
+           : planLayout(Scheduler.accounts(), WorkerStates.size(),
+                        Members.size());
+  StateJournal.put(LayoutTable, LayoutKey, encode(Planned));
+  StateJournal.whenCommitted(Guard.wrap([this, Planned] {
+    Deps.Log.event("layout stored", Record.Instance.Name,
+                   {{"shards", std::to_string(Planned.shardCount())},
+                    {"workers", std::to_string(WorkerStates.size())},
+                    {"members", std::to_string(Members.size())}});
+    setLayout(Planned);
+    Deps.LayoutDecided(Planned);
+  }));
+}
+
 void Leader::setPolicy(const jobs::ClusterPolicy &NewPolicy) {
   Scheduler.setPolicy(NewPolicy);
   PolicyKnown = PolicyKnown || NewPolicy.Version > 0;
@@ -134,6 +194,10 @@
 
 void Leader::restoreJobs(const StoredState &Stored) {
   const TimePoint Now = Deps.Time.now();
+  if (Stored.Layout) {
+    setLayout(*Stored.Layout);
+    Deps.LayoutDecided(*Stored.Layout);
+  }
   // Restore workers first because the placements of jobs refer to them.
   for (const RosterEntry &Entry : Stored.Roster) {
     WorkerState &Known = WorkerStates[Entry.Incarnation.Id];
@@ -165,11 +229,14 @@
                       Age, Now);
   }
   Deps.Log.event("state loaded", Record.Instance.Name,
-                 {{"term", std::to_string(Record.Term)},
+                 {{"shard", std::to_string(Shard)},
+                  {"term", std::to_string(Record.Term)},
                   {"jobs", std::to_string(Stored.Jobs.size())},
                   {"roster", std::to_string(Stored.Roster.size())},
                   {"after_ms", std::to_string((Now - TermStartedAt).count())}});
   Loaded = true;
+  if (Layout)
+    Calls.allowActiveJobs();
   DecisionNeeded = true;
 }
 
@@ -181,13 +248,19 @@
   Scheduler.restore(Ended, Progress, Duration{0}, Deps.Time.now());
 }
 
-void Leader::serveDeferred() {
+void Leader::onAllLoaded() {
   Deps.Log.event("ended jobs loaded", Record.Instance.Name,
                  {{"term", std::to_string(Record.Term)},
                   {"after_ms",
                    std::to_string((Deps.Time.now() - TermStartedAt).count())}});
-  for (const auto &Call : std::exchange(DeferredCalls, {}))
-    Call();
+  if (Layout)
+    Calls.allowAll();
+}
+
+// CPU share that a member has for this shard if each shard that it leads takes
+// the same part.
+double Leader::effectiveShare(const MemberState &Member) {
+  return Member.Info.CpuShare / (1 + Member.OtherShardsLed);
 }
 
 const Leader::MemberState *Leader::largestMember() const {
@@ -195,7 +268,7 @@
   for (const auto &[Name, Member] : Members) {
     const bool Eligible = Name != Record.Instance.Name && !Member.Leaving &&
                           Member.Sender->isEstablished();
-    if (Eligible && (!Best || Member.Info.CpuShare > Best->Info.CpuShare))
+    if (Eligible && (!Best || effectiveShare(Member) > effectiveShare(*Best)))
       Best = &Member;
   }
   return Best;
@@ -208,24 +281,28 @@
   const bool HasLargeCandidate =
       Candidate &&
       std::any_of(Members.begin(), Members.end(), [&](const auto &One) {
-        return One.second.Info.CpuShare * TransferShareRatio <=
-               Candidate->Info.CpuShare;
+        return effectiveShare(One.second) * TransferShareRatio <=
+               effectiveShare(*Candidate);
       });
   const std::string Successor =
       HasLargeCandidate ? Candidate->Info.Name : std::string();
   Deps.Log.event("stepping down", Record.Instance.Name,
-                 {{"term", std::to_string(Record.Term)}, {"for", Successor}});
+                 {{"shard", std::to_string(Shard)},
+                  {"term", std::to_string(Record.Term)},
+                  {"for", Successor}});
   StateJournal.stepDown(Successor);
 }
 
 // The leader needs more CPU time than any other member. This matters in a cell
-// with instances of unequal size whose small instances started first.
+// with instances of unequal size whose small instances started first, and after
+// the loss of leaders, when an instance may lead several shards. It gives up
+// all but the one with the lowest number.
 bool Leader::shouldTransferLeadership() const {
   const TimePoint Now = Deps.Time.now();
   const MemberState *Candidate = largestMember();
+  const double OwnShare = Record.Instance.CpuShare / (1 + LowerShardsLed);
   return Loaded && Candidate &&
-         Candidate->Info.CpuShare >=
-             Record.Instance.CpuShare * TransferShareRatio &&
+         effectiveShare(*Candidate) >= OwnShare * TransferShareRatio &&
          Now - Candidate->JoinedAt >= MinTransferDelay &&
          Now - TermStartedAt >= MinTransferDelay &&
          Now - Candidate->StoreAnsweredAt < MaxSuccessorStoreAge;
@@ -265,6 +342,8 @@
 }
 
 void Leader::applyRegistryRow(const StoredRow &Row) {
+  if (!isOwnWorker(Row.Key))
+    return;
   const auto Found = WorkerStates.find(Row.Key);
   if (Row.Deleted) {
     if (Found != WorkerStates.end() && Found->second.Registered)
@@ -287,6 +366,8 @@
                    {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
     removeWorker(Row.Key);
   }
+  if (Found == WorkerStates.end())
+    LastNewWorker = Deps.Time.now();
   WorkerState &Worker = WorkerStates[Row.Key];
   if (Worker.Info.Draining != Info->Draining)
     Deps.Log.event("worker drain state", Row.Key,
@@ -365,40 +446,44 @@
       return EnvelopeReply{false};
     if (Found != Members.end())
       removeMember(Message.From.Name);
+    if (Message.Guest && isFull())
+      return EnvelopeReply{false, false, true};
     MemberState &NewMember = Members[Message.From.Name];
     NewMember.Info = Message.From;
+    NewMember.Guest = Message.Guest;
     NewMember.Session = Message.Session;
     NewMember.JoinedAt = Now;
     NewMember.Sender = std::make_unique<MessageSender>(
         Deps.Peers, Deps.Time, Deps.Times, Message.From.Address,
+        Deps.Times.LeaderKeepAliveInterval,
         MessageSender::Source{
             [&NewMember] { return !NewMember.Outgoing.isEmpty(); },
             [this, &NewMember](std::int64_t Sequence) {
               return composeMessage(NewMember, Sequence);
             }});
     Found = Members.find(Message.From.Name);
-    Dispatcher.add(Message.From.Name, Message.From.CpuShare);
+    updateAdvisers();
     Deps.Log.event("member joined", Message.From.Name,
-                   {{"session", Message.Session}, {"zone", Message.From.Zone}});
+                   {{"session", Message.Session},
+                    {"zone", Message.From.Zone},
+                    {"guest", Message.Guest ? "1" : "0"}});
   }
   MemberState &From = Found->second;
   From.LastReceivedAt = Now;
-  Pacer.recordMessage(Now);
   switch (From.Receiver.checkSequence(Message.Sequence)) {
   case MessageReceiver::SequenceStatus::OutOfOrder:
     return EnvelopeReply{false};
   case MessageReceiver::SequenceStatus::Duplicate:
-    return EnvelopeReply{true};
+    return accept();
   case MessageReceiver::SequenceStatus::New:
     break;
   }
   if (!Message.ToLeader)
-    return EnvelopeReply{true};
+    return accept();
   const MemberMessage &Content = *Message.ToLeader;
   if (Content.StoreResponseAgeMs >= 0)
     From.StoreAnsweredAt = Now - Duration(Content.StoreResponseAgeMs);
-  for (const Submission &NewSubmission : Content.Submissions)
-    submit(From, NewSubmission);
+  From.OtherShardsLed = Content.OtherShardsLed;
   for (const WorkerReport &Report : Content.Workers)
     onWorkerReport(From, Report);
   for (const RefusedStart &Refused : Content.Refused) {
@@ -408,12 +493,9 @@
   }
   for (const AdviceAnswer &Answer : Content.Advice)
     onAdviceAnswer(From, Answer);
-  for (const Query &Request : Content.Queries)
-    query(From, Request);
   if (Content.Leaving && !From.Leaving) {
     From.Leaving = true;
-    for (const std::string &Step : Dispatcher.remove(From.Info.Name))
-      Scheduler.adviceFailed(Step);
+    updateAdvisers();
     Deps.Log.event("member leaving", From.Info.Name, {});
     const std::set<std::string> Workers = From.Workers;
     for (const std::string &Id : Workers) {
@@ -425,150 +507,25 @@
     }
   }
   storeChangedJobs();
-  return EnvelopeReply{true};
+  return accept();
+}
+
+EnvelopeReply Leader::accept() const {
+  return {true, false, false, LargestCpuShare};
 }
 
 std::string Leader::composeMessage(MemberState &To, std::int64_t Sequence) {
-  Pacer.recordMessage(Deps.Time.now());
   Envelope Message;
+  Message.Shard = Shard;
   Message.Session = To.Session;
   Message.Sequence = Sequence;
   Message.Term = Record.Term;
   Message.FromLeader = true;
   Message.From = Record.Instance;
-  const Duration Interval = messageIntervalFor(To);
-  if (Interval != To.AnnouncedInterval)
-    To.Outgoing.MinMessageIntervalMs = Interval.count();
-  To.AnnouncedInterval = Interval;
-  To.Sender->setMinInterval(Interval);
   Message.ToMember = std::exchange(To.Outgoing, LeaderMessage{});
   return encode(Message);
 }
 
-// Client calls.
-
-void Leader::submit(MemberState &From, const Submission &NewSubmission) {
-  const std::string &Id = NewSubmission.Job.Id;
-  const std::string Member = From.Info.Name;
-  const std::string Session = From.Session;
-  const std::uint64_t Tag = NewSubmission.Tag;
-  const auto Answer = [this, Member, Session, Tag] {
-    answerSubmission(Member, Session, Tag, SubmitResult::Accepted);
-  };
-  if (!Loader.isDone()) {
-    // Whether the job is already known is clear only once the state is loaded.
-    DeferredCalls.push_back([this, Member, Session, NewSubmission] {
-      const auto Found = Members.find(Member);
-      if (Found != Members.end() && Found->second.Session == Session)
-        submit(Found->second, NewSubmission);
-    });
-    return;
-  }
-  if (const auto Waiting = JobsBeingStored.find(Id);
-      Waiting != JobsBeingStored.end()) {
-    Waiting->second.push_back(Answer);
-    return;
-  }
-  if (Scheduler.find(Id)) {
-    Answer();
-    return;
-  }
-  if (const auto Problem = jobs::validationError(NewSubmission.Job)) {
-    Deps.Log.event("job malformed", Id, {{"problem", *Problem}});
-    From.Outgoing.Submitted.push_back({Tag, SubmitResult::Malformed, 0});
-    return;
-  }
-  const jobs::Queue *TargetQueue = Scheduler.queue(NewSubmission.Job.Queue);
-  const jobs::AdmissionResult Admitted =
-      TargetQueue
-          ? AdmissionControl.evaluate(
-                NewSubmission.Job, *TargetQueue,
-                Scheduler.account(NewSubmission.Job.Account),
-                Scheduler.estimatedWait(TargetQueue->Priority), Deps.Time.now())
-          : jobs::AdmissionResult{};
-  if (Admitted.RetryAfter) {
-    Deps.Log.event(
-        "job refused", Id,
-        {{"queue", NewSubmission.Job.Queue},
-         {"account", NewSubmission.Job.Account},
-         {"beyond_share", Admitted.BeyondShare ? "1" : "0"},
-         {"wait_ms",
-          std::to_string(
-              Scheduler.estimatedWait(TargetQueue->Priority).count())}});
-    From.Outgoing.Submitted.push_back(
-        {Tag, SubmitResult::Busy, Admitted.RetryAfter->count()});
-    return;
-  }
-  JobsBeingStored[Id].push_back(Answer);
-  Scheduler.add(NewSubmission.Job, Admitted.BeyondShare, Deps.Time.now());
-  DecisionNeeded = true;
-  StateJournal.put(JobTable, Id, encode(NewSubmission.Job));
-  StateJournal.whenCommitted(Guard.wrap([this, Job = NewSubmission.Job] {
-    Deps.Log.event("job accepted", Job.Id,
-                   {{"queue", Job.Queue},
-                    {"account", Job.Account},
-                    {"steps", std::to_string(Job.Steps.size())},
-                    {"tasks", std::to_string(Job.Steps.front().Count)}});
-    DecisionNeeded = true;
-    const auto Waiting = JobsBeingStored.extract(Job.Id);
-    if (!Waiting.empty())
-      for (const auto &Callback : Waiting.mapped())
-        Callback();
-  }));
-}
-
-void Leader::answerSubmission(const std::string &Member,
-                              const std::string &Session, std::uint64_t Tag,
-                              SubmitResult Result) {
-  const auto Found = Members.find(Member);
-  if (Found != Members.end() && Found->second.Session == Session)
-    Found->second.Outgoing.Submitted.push_back({Tag, Result, 0});
-}
-
-void Leader::query(MemberState &From, const Query &Request) {
-  const std::string Member = From.Info.Name;
-  const std::string Session = From.Session;
-  const auto AskAgain = [this, Member, Session, Request] {
-    const auto Found = Members.find(Member);
-    if (Found != Members.end() && Found->second.Session == Session)
-      query(Found->second, Request);
-  };
-  // Jobs that have not ended are loaded before ended ones.
-  if (!Loaded || (!Loader.isDone() && !Scheduler.find(Request.Subject))) {
-    DeferredCalls.push_back(AskAgain);
-    return;
-  }
-  // A job that is being stored will be known shortly.
-  if (JobsBeingStored.contains(Request.Subject)) {
-    JobsBeingStored[Request.Subject].push_back(AskAgain);
-    return;
-  }
-  if (Request.Kind == QueryKind::Cancel && Scheduler.find(Request.Subject)) {
-    Scheduler.cancel(Request.Subject, Deps.Time.now());
-    Deps.Log.event("job cancelled", Request.Subject, {});
-    DecisionNeeded = true;
-    storeChangedJobs();
-    StateJournal.whenCommitted(Guard.wrap([this, Member, Session, Request] {
-      answerQuery(Member, Session, Request);
-    }));
-    return;
-  }
-  answerQuery(Member, Session, Request);
-}
-
-void Leader::answerQuery(const std::string &Member, const std::string &Session,
-                         const Query &Request) {
-  const auto Found = Members.find(Member);
-  if (Found == Members.end() || Found->second.Session != Session)
-    return;
-  QueryAnswer Answer{Request.Tag, jobs::JobView::Unknown, 0};
-  if (Request.Kind == QueryKind::Pending)
-    Answer.Count = Scheduler.pending(Request.Subject);
-  else
-    Answer.View = Scheduler.view(Request.Subject);
-  Found->second.Outgoing.Answers.push_back(Answer);
-}
-
 // Workers.
 
 void Leader::onWorkerReport(MemberState &From, const WorkerReport &Report) {
@@ -726,37 +683,50 @@
          Now - Member.Sender->lastAckedSend() > MemberAckTimeout;
 }
 
-Duration Leader::messageIntervalFor(const MemberState &To) const {
-  if (Members.size() <= SmallCellSize)
-    return Deps.Times.MinMessageInterval;
-  const bool IsSupervisor = Supervisors.contains(To.Info.Name);
-  const std::size_t GroupIntervals =
-      IsSupervisor ? Supervisors.size() / SupervisorsPerInterval
-                   : (Members.size() - Supervisors.size()) / OthersPerInterval;
-  const double Interval = double(Deps.Times.MinMessageInterval.count()) *
-                          double(std::max<std::size_t>(GroupIntervals, 1)) *
-                          Pacer.factor();
-  return std::min(Duration(Duration::rep(Interval)),
-                  IsSupervisor ? MaxSupervisorInterval
-                               : Deps.Times.KeepAliveInterval);
+bool Leader::isFull() const {
+  return std::count_if(Members.begin(), Members.end(), [](const auto &Entry) {
+           return Entry.second.Guest;
+         }) >= std::ptrdiff_t(MaxGuests);
+}
+
+// The advice service handles the calls of an instance one after the other, so
+// each instance normally makes calls for one shard only.
+void Leader::updateAdvisers() {
+  std::set<std::string> Chosen;
+  for (const auto &[Name, Member] : Members)
+    if (!Member.Guest && !Member.Leaving)
+      Chosen.insert(Name);
+  const bool NeedsGuests = Chosen.size() < MinAdvisers;
+  for (const auto &[Name, Member] : Members)
+    if (NeedsGuests && !Member.Leaving)
+      Chosen.insert(Name);
+  for (const std::string &Name : Advisers)
+    if (!Chosen.contains(Name))
+      for (const std::string &Step : Dispatcher.remove(Name))
+        Scheduler.adviceFailed(Step);
+  for (const std::string &Name : Chosen)
+    if (!Advisers.contains(Name))
+      Dispatcher.add(Name, Members.at(Name).Info.CpuShare);
+  Advisers = std::move(Chosen);
 }
 
 void Leader::updateSupervisors() {
   std::vector<SupervisorCandidate> Eligible;
-  double Largest = Record.Instance.CpuShare;
+  LargestCpuShare = Record.Instance.CpuShare;
   for (const auto &[Name, Member] : Members) {
     if (Member.Leaving || !Member.Sender->isEstablished())
       continue;
-    Largest = std::max(Largest, Member.Info.CpuShare);
+    LargestCpuShare = std::max(LargestCpuShare, Member.Info.CpuShare);
     if (Name != Record.Instance.Name)
-      Eligible.push_back({Name, Member.Info.CpuShare});
+      Eligible.push_back({Name, effectiveShare(Member)});
   }
   const bool Small = Eligible.size() <= MinSupervisors;
-  Supervisors = selectSupervisors(std::move(Eligible), WorkerStates.size());
+  Supervisors =
+      selectSupervisors(std::move(Eligible), WorkerStates.size(), Shard);
   // In a small cell the leader's own instance supervises workers, too.
   if (Small)
     Supervisors.insert(Record.Instance.Name);
-  StateJournal.setLargestCpuShare(Largest);
+  StateJournal.setLargestCpuShare(LargestCpuShare);
 }
 
 void Leader::removeMember(const std::string &Name) {
@@ -775,9 +745,8 @@
                                          Deps.Times.ClockSkewMargin);
     Scheduler.markUnsynced(Worker.Info.Incarnation);
   }
-  for (const std::string &Step : Dispatcher.remove(Name))
-    Scheduler.adviceFailed(Step);
   Members.erase(Found);
+  updateAdvisers();
   DecisionNeeded = true;
 }
 
@@ -973,11 +942,10 @@
     return;
   NextLoadLog = Now + LoadLogInterval;
   Deps.Log.event("load", Record.Instance.Name,
-                 {{"waiting", Scheduler.summary()},
+                 {{"shard", std::to_string(Shard)},
+                  {"waiting", Scheduler.summary()},
                   {"jobs", std::to_string(Scheduler.activeJobs())},
                   {"advice_calls", std::to_string(Dispatcher.openCalls())},
-                  {"mails_per_s", std::to_string(int(Pacer.rate()))},
-                  {"gap_factor", std::to_string(Pacer.factor())},
                   {"members", std::to_string(Members.size())}});
 }
 
@@ -1004,7 +972,9 @@
   // trying to renew the lease.
   if (StateJournal.isLeaseValid()) {
     checkMembers();
-    if (Loaded && RegistryRead) {
+    if (Loaded && RegistryRead && PolicyKnown && !Layout)
+      proposeLayout();
+    if (Loaded && RegistryRead && Layout) {
       if (Now >= NextMaintenance) {
         NextMaintenance = Now + MaintenanceInterval;
         updateSupervisors();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -1,23 +1,24 @@
 /// \file
-/// The scheduling leader of a cell.
+/// The scheduling leader of a shard.
 #ifndef APRICOTWING_CELL_LEADER_H
 #define APRICOTWING_CELL_LEADER_H
 
 #include "cell/advicedispatcher.h"
 #include "cell/callbackguard.h"
+#include "cell/callservice.h"
 #include "cell/journal.h"
 #include "cell/messagelink.h"
-#include "cell/messagepacer.h"
 #include "cell/messages.h"
 #include "cell/ports.h"
+#include "cell/shardlayout.h"
 #include "cell/stateloader.h"
 #include "cell/tablewatcher.h"
 #include "cell/timing.h"
-#include "jobs/admissioncontroller.h"
 #include "jobs/clusterpolicy.h"
 #include "jobs/jobscheduler.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,11 +28,12 @@
 
 namespace apricotwing::cell {
 
-/// Accepts and stores jobs, runs the scheduler and sends its orders to the
-/// members, which supervise the workers. After a takeover it rebuilds its state
-/// from the store, which has the jobs and ended runs, and from the workers,
-/// which know the active runs. Owned by the Node while it leads and used on its
-/// thread only.
+/// Accepts and stores the jobs of a shard, runs the scheduler and sends its
+/// orders to the members, which supervise the workers. After a takeover it
+/// rebuilds its state from the store, which has the jobs and ended runs, and
+/// from the workers, which know the active runs. The first leader of shard 0
+/// also decides on the layout of the cell. Owned by a ShardAgent while it leads
+/// and used on its thread only.
 class Leader {
 public:
   struct Ports {
@@ -42,12 +44,26 @@
     const WallClock &WallTime;
     EventLog &Log;
     const Timing &Times;
+    /// Called when this leader has stored the layout of a new cell, or found it
+    /// in the store.
+    std::function<void(const ShardLayout &)> LayoutDecided;
   };
 
-  /// Starts a term whose leader record \p Record was written with the version
-  /// \p Version, by a transaction that was sent at \p SentAt.
-  Leader(const Ports &Deps, const LeaderRecord &Record, std::int64_t Version,
-         TimePoint SentAt);
+  /// Starts a term in shard \p Shard whose leader record \p Record was written
+  /// with the version \p Version, by a transaction that was sent at \p SentAt.
+  Leader(const Ports &Deps, int Shard, const LeaderRecord &Record,
+         std::int64_t Version, TimePoint SentAt);
+
+  /// Sets the layout of the cell. Until then no worker is used and no call is
+  /// answered.
+  void setLayout(const ShardLayout &NewLayout);
+
+  /// Sets the number of other shards that this instance leads, and of those
+  /// among them that have a lower number.
+  void setOtherShardsLed(int Count, int Lower) {
+    OtherShardsLed = Count;
+    LowerShardsLed = Lower;
+  }
 
   /// Applies a policy.
   void setPolicy(const jobs::ClusterPolicy &NewPolicy);
@@ -56,6 +72,12 @@
   /// lease is not valid, so that the member sends the message again.
   std::optional<EnvelopeReply> receive(const Envelope &Message);
 
+  /// Answers calls of callers; \p Respond is called exactly once, at the latest
+  /// when this object is destroyed.
+  void serveCalls(const CallBatch &Batch, BatchResponder Respond) {
+    Calls.serve(Batch, std::move(Respond));
+  }
+
   /// Performs all work that is due. Must be called frequently.
   void pump();
 
@@ -87,8 +109,9 @@
     std::set<std::string> Workers;
     bool Leaving = false;
     TimePoint JoinedAt;
-    TimePoint StoreAnsweredAt;     ///< Last store response to the member.
-    Duration AnnouncedInterval{0}; ///< Message interval last sent to it.
+    TimePoint StoreAnsweredAt; ///< Last store response to the member.
+    bool Guest = false;        ///< Belongs to another shard.
+    int OtherShardsLed = 0;    ///< That its instance leads.
   };
   /// State of a worker that the scheduler does not track.
   struct WorkerState {
@@ -107,7 +130,9 @@
 
   void restoreJobs(const StoredState &Stored);
   void restoreEnded(const std::string &Id, jobs::JobPhase Phase);
-  void serveDeferred();
+  void onAllLoaded();
+  void proposeLayout();
+  bool isOwnWorker(const std::string &Id) const;
 
   void onRegistrySnapshot(const std::vector<StoredRow> &Rows);
   void onRegistryChanges(const std::vector<StoredRow> &Rows);
@@ -116,12 +141,6 @@
   void removeUnregistered();
   void removeWorker(const std::string &Id);
 
-  void submit(MemberState &From, const Submission &NewSubmission);
-  void answerSubmission(const std::string &Member, const std::string &Session,
-                        std::uint64_t Tag, SubmitResult Result);
-  void query(MemberState &From, const Query &Request);
-  void answerQuery(const std::string &Member, const std::string &Session,
-                   const Query &Request);
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
   void acknowledge(const WorkerReport &Report);
@@ -130,8 +149,11 @@
   void storeChangedJobs();
   void checkMembers();
   bool isLost(const MemberState &Member) const;
+  EnvelopeReply accept() const;
+  bool isFull() const;
+  static double effectiveShare(const MemberState &Member);
   void updateSupervisors();
-  Duration messageIntervalFor(const MemberState &To) const;
+  void updateAdvisers();
   const MemberState *largestMember() const;
   bool shouldTransferLeadership() const;
   void removeMember(const std::string &Name);
@@ -151,20 +173,20 @@
   MemberState *supervisorOf(const jobs::WorkerIncarnation &Incarnation);
 
   const Ports Deps;
+  const int Shard;
   const LeaderRecord Record;
   Journal StateJournal;
   jobs::JobScheduler Scheduler;
-  jobs::AdmissionController AdmissionControl;
+  CallService Calls;
   AdviceDispatcher Dispatcher;
-  MessagePacer Pacer;
   TableWatcher Registry;
   StateLoader Loader;
   std::map<std::string, MemberState> Members; ///< By instance name.
   /// Names of members that supervise workers.
   std::set<std::string> Supervisors;
+  /// Names of members that make calls for advice.
+  std::set<std::string> Advisers;
   std::map<std::string, WorkerState> WorkerStates; ///< By worker id.
-  /// Callbacks that wait until a new job is stored, by job id.
-  std::map<std::string, std::vector<std::function<void()>>> JobsBeingStored;
   std::int64_t LastToken = 0;
   const TimePoint TermStartedAt;
 
@@ -172,8 +194,12 @@
   bool RegistryRead = false;
   bool PolicyKnown = false;
 
-  /// Calls that arrived before the state was loaded.
-  std::vector<std::function<void()>> DeferredCalls;
+  std::optional<ShardLayout> Layout;
+  bool LayoutProposed = false;
+  TimePoint LastNewWorker; ///< When the registry last showed a new worker.
+  int OtherShardsLed = 0;
+  int LowerShardsLed = 0;
+  double LargestCpuShare = 0; ///< Of all members; 0: not determined yet.
 
   bool DecisionNeeded = true;
   TimePoint LastDecision;
--- a/src/cell/messagelink.cpp
+++ b/src/cell/messagelink.cpp
@@ -16,11 +16,11 @@
 
 MessageSender::MessageSender(PeerTransport &Transport, const Clock &Time,
                              const Timing &Times, std::string Address,
-                             Source From)
+                             Duration KeepAliveInterval, Source From)
     : Transport(Transport), Time(Time), Times(Times),
-      Address(std::move(Address)), From(std::move(From)),
-      MinInterval(Times.MinMessageInterval),
-      SentAt(Time.now() - Times.KeepAliveInterval), LastAckedSend(Time.now()) {}
+      Address(std::move(Address)), KeepAliveInterval(KeepAliveInterval),
+      From(std::move(From)), SentAt(Time.now() - KeepAliveInterval),
+      LastAckedSend(Time.now()) {}
 
 bool MessageSender::isBroken() const {
   return Rejected || Time.now() - LastAckedSend > Times.LinkTimeout;
@@ -36,7 +36,7 @@
     return;
   }
   if (Now - SentAt <
-      (From.HasContent() ? MinInterval : Times.KeepAliveInterval))
+      (From.HasContent() ? Times.MinMessageInterval : KeepAliveInterval))
     return;
   Body = From.Compose(++Sequence);
   post();
@@ -45,25 +45,28 @@
 void MessageSender::post() {
   InFlight = true;
   SentAt = Time.now();
-  Transport.post(Address, Body, ReplyTimeout,
-                 Guard.wrap([this](const std::optional<std::string> &Reply) {
-                   InFlight = false;
-                   const auto Answer =
-                       Reply ? decodeEnvelopeReply(*Reply) : std::nullopt;
-                   if (!Answer) {
-                     RetryAt = Time.now() + ResendDelay;
-                     return;
-                   }
-                   if (!Answer->Accepted) {
-                     Rejected = true;
-                     Resigned = Answer->Resigned;
-                     return;
-                   }
-                   Established = true;
-                   LastAckedSend = SentAt;
-                   Body.clear();
-                   pump();
-                 }));
+  Transport.post(
+      Address, Body, ReplyTimeout, Guard.wrap([this](const PeerResult &Result) {
+        InFlight = false;
+        const auto Answer =
+            Result.Reply ? decodeEnvelopeReply(*Result.Reply) : std::nullopt;
+        if (!Answer) {
+          RetryAt = Time.now() + ResendDelay;
+          return;
+        }
+        if (!Answer->Accepted) {
+          Rejected = true;
+          Resigned = Answer->Resigned;
+          Full = Answer->Full;
+          return;
+        }
+        Established = true;
+        if (Answer->LargestCpuShare > 0)
+          LargestCpuShare = Answer->LargestCpuShare;
+        LastAckedSend = SentAt;
+        Body.clear();
+        pump();
+      }));
 }
 
 } // namespace apricotwing::cell
--- a/src/cell/messagelink.h
+++ b/src/cell/messagelink.h
@@ -28,8 +28,11 @@
     std::function<std::string(std::int64_t Sequence)> Compose;
   };
 
+  /// An empty message is sent if there was no content for
+  /// \p KeepAliveInterval.
   MessageSender(PeerTransport &Transport, const Clock &Time,
-                const Timing &Times, std::string Address, Source From);
+                const Timing &Times, std::string Address,
+                Duration KeepAliveInterval, Source From);
 
   /// Sends the next message if there is content and no message is in flight,
   /// or an empty keep-alive message when one is due.
@@ -46,16 +49,18 @@
   /// link if no message has been acknowledged yet.
   TimePoint lastAckedSend() const { return LastAckedSend; }
 
+  /// True if the other end has replied that it needs no more guests.
+  bool isFull() const { return Full; }
+
+  /// The value of the last reply that had one; 0: there was none.
+  double largestCpuShare() const { return LargestCpuShare; }
+
   /// True once the other end has acknowledged a message.
   bool isEstablished() const { return Established; }
 
   /// True if the other end has rejected the session as unknown.
   bool isRejected() const { return Rejected; }
 
-  /// Sets the minimum interval between two messages; initially
-  /// Timing::MinMessageInterval.
-  void setMinInterval(Duration Interval) { MinInterval = Interval; }
-
 private:
   void post();
 
@@ -63,13 +68,15 @@
   const Clock &Time;
   const Timing &Times;
   const std::string Address;
+  const Duration KeepAliveInterval;
   const Source From;
-  Duration MinInterval;
   std::int64_t Sequence = 0;
   std::string Body; ///< The message being sent; empty if there is none.
   bool InFlight = false;
   bool Rejected = false;
   bool Resigned = false;
+  bool Full = false;
+  double LargestCpuShare = 0;
   bool Established = false;
   TimePoint SentAt;
   TimePoint RetryAt;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -44,9 +44,9 @@
   std::string Zone;
 };
 
-/// A job that a caller submitted to a member.
+/// A job that a caller submitted.
 struct Submission {
-  /// Correlation id that the member chooses; echoed in the answer.
+  /// Correlation id that the sender chooses; echoed in the answer.
   std::uint64_t Tag = 0;
   jobs::JobSpec Job;
 };
@@ -73,6 +73,27 @@
   int Count = 0; ///< If Pending.
 };
 
+/// Calls of callers that an instance sends to the leader of a shard.
+struct CallBatch {
+  int Shard = 0;
+  std::int64_t Term = 0; ///< Term of the leader that is addressed.
+  std::string Process;   ///< Identifies the sending process.
+  std::vector<Submission> Submissions;
+  std::vector<Query> Queries;
+};
+
+enum class BatchOutcome {
+  Answered,
+  NotLeader, ///< The receiver does not lead the shard in that term.
+};
+
+/// The reply to a batch of calls. Calls without an answer may be sent again.
+struct CallBatchReply {
+  BatchOutcome Outcome = BatchOutcome::Answered;
+  std::vector<SubmitAnswer> Submitted;
+  std::vector<QueryAnswer> Answers;
+};
+
 /// Kind of a report about a worker that a member supervises.
 enum class WorkerEvent {
   Synced, ///< Complete lists of runs, read with the current fencing token.
@@ -109,8 +130,6 @@
 
 /// Message from a member to its leader.
 struct MemberMessage {
-  std::vector<Submission> Submissions;
-  std::vector<Query> Queries;
   std::vector<WorkerReport> Workers;
   std::vector<RefusedStart> Refused;
   std::vector<AdviceAnswer> Advice;
@@ -118,10 +137,11 @@
   /// Time since the store last responded to the member; negative if the last
   /// call failed or there was no call yet.
   std::int64_t StoreResponseAgeMs = -1;
+  /// Number of other shards that the member's instance leads.
+  int OtherShardsLed = 0;
 
   bool isEmpty() const {
-    return Submissions.empty() && Queries.empty() && Workers.empty() &&
-           Refused.empty() && Advice.empty();
+    return Workers.empty() && Refused.empty() && Advice.empty();
   }
 };
 
@@ -142,31 +162,29 @@
 
 /// Message from the leader to a member.
 struct LeaderMessage {
-  std::vector<SubmitAnswer> Submitted;
-  std::vector<QueryAnswer> Answers;
   std::vector<Assignment> Assigned;
   std::vector<jobs::WorkerIncarnation> Revoked;
   std::vector<jobs::StartCommand> Starts;
   std::vector<jobs::StopCommand> Stops;
   std::vector<EndedRunsAck> Acks;
   std::vector<jobs::AdviceRequest> Advice;
-  /// Minimum interval between two messages of the member; 0: unchanged.
-  std::int64_t MinMessageIntervalMs = 0;
 
   bool isEmpty() const {
-    return Submitted.empty() && Answers.empty() && Assigned.empty() &&
-           Revoked.empty() && Starts.empty() && Stops.empty() && Acks.empty() &&
-           Advice.empty();
+    return Assigned.empty() && Revoked.empty() && Starts.empty() &&
+           Stops.empty() && Acks.empty() && Advice.empty();
   }
 };
 
 /// Frame of each message on a link.
 struct Envelope {
+  int Shard = 0;
   std::string Session; ///< Chosen by the member for each link.
   /// Number of the message in its direction, starting at 1.
   std::int64_t Sequence = 0;
   std::int64_t Term = 0; ///< Term of the leader that sends or is addressed.
   bool FromLeader = false;
+  /// The member belongs to another shard and only helps out in this one.
+  bool Guest = false;
   InstanceInfo From;
   std::optional<MemberMessage> ToLeader;
   std::optional<LeaderMessage> ToMember;
@@ -176,6 +194,9 @@
 struct EnvelopeReply {
   bool Accepted = false; ///< False if the session is unknown or closed.
   bool Resigned = false; ///< The leader of that term has resigned.
+  bool Full = false;     ///< The leader needs no more guests.
+  /// Largest CPU share of any member; 0: unknown, or not sent by a leader.
+  double LargestCpuShare = 0;
 };
 
 } // namespace apricotwing::cell
--- a/src/cell/node.h
+++ b/src/cell/node.h
@@ -1,13 +1,14 @@
 /// \file
-/// An entry instance: its member, and the leader while the instance leads.
+/// An entry instance: its callers, and the shards in which it takes part.
 #ifndef APRICOTWING_CELL_NODE_H
 #define APRICOTWING_CELL_NODE_H
 
 #include "cell/callbackguard.h"
+#include "cell/callrouter.h"
 #include "cell/clientcall.h"
-#include "cell/leader.h"
-#include "cell/member.h"
 #include "cell/ports.h"
+#include "cell/shardagent.h"
+#include "cell/shardlayout.h"
 #include "cell/tablewatcher.h"
 #include "cell/timing.h"
 
@@ -17,12 +18,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace apricotwing::cell {
 
-/// Watches the policy, discovers the leader and takes over leadership when
-/// there is none. All methods run on the control thread, which calls pump()
-/// after each event and at least every PumpPeriod.
+/// Watches the policy, reads the layout of the cell and has an agent for each
+/// shard. All methods run on the control thread, which calls pump() after each
+/// event and at least every PumpPeriod.
 class Node {
 public:
   struct Ports {
@@ -36,6 +38,9 @@
     EventLog &Log;
   };
 
+  /// Receives the reply to a message; empty if it must not be answered.
+  using Responder = std::function<void(std::optional<std::string>)>;
+
   /// Maximum time between two calls of pump().
   static constexpr Duration PumpPeriod{20};
 
@@ -47,9 +52,9 @@
   /// Handles a client call; \p Respond is called exactly once.
   void serve(ClientCall Call, ClientResponder Respond);
 
-  /// Handles a message from a peer and returns the reply; empty if the message
-  /// must not be answered.
-  std::optional<std::string> receive(const std::string &Body);
+  /// Handles a message from a peer; \p Respond is called exactly once, at the
+  /// latest when this object is destroyed.
+  void receive(const std::string &Body, const Responder &Respond);
 
   /// Performs all work that is due.
   void pump();
@@ -62,13 +67,23 @@
   void leave();
 
   /// Answers all open calls immediately, before the process ends.
-  void failOpenCalls() { LocalMember.failOpenCalls(); }
+  void failOpenCalls() { Router.failOpenCalls(); }
 
   /// True once this instance does not lead and no call is open.
   bool isIdle() const;
 
-  const Member &member() const { return LocalMember; }
-  const Leader *leader() const { return LocalLeader.get(); }
+  const CallRouter &router() const { return Router; }
+
+  /// Number of shards; 0 while the layout is not known.
+  int shardCount() const { return Layout ? Layout->shardCount() : 0; }
+
+  /// The agents by shard; at least that of shard 0.
+  const std::vector<std::unique_ptr<ShardAgent>> &agents() const {
+    return Agents;
+  }
+
+  /// The leader of a shard; null while this instance does not lead it.
+  const Leader *leader(int Shard = 0) const;
 
 private:
   /// Delivers messages from this instance to itself without the network.
@@ -76,9 +91,8 @@
   public:
     LoopbackTransport(Node &Owner, PeerTransport &Remote)
         : Owner(Owner), Remote(Remote) {}
-    void
-    post(const std::string &Address, std::string Body, Duration Timeout,
-         std::function<void(std::optional<std::string>)> Callback) override;
+    void post(const std::string &Address, std::string Body, Duration Timeout,
+              std::function<void(PeerResult)> Callback) override;
 
   private:
     Node &Owner;
@@ -86,12 +100,10 @@
   };
 
   void onPolicyRows(const std::vector<StoredRow> &Rows);
-  void readLeaderRecord();
-  void onLeaderRecord(const ReadResult &Result);
-  void acquireLeadership(std::int64_t Version, std::int64_t Term);
-  void resignIfStoreUnreachable();
-  void becomeLeader(const LeaderRecord &Record, std::int64_t Version,
-                    TimePoint SentAt);
+  void readLayout();
+  void setLayout(const ShardLayout &NewLayout);
+  void addAgent(int Shard);
+  ShardAgent::Surroundings surroundingsOf(std::size_t Shard) const;
 
   const Ports Deps;
   const Timing Times;
@@ -100,18 +112,14 @@
   LoopbackTransport Peers;
   std::deque<std::function<void()>> PendingDeliveries;
   TableWatcher PolicyWatcher;
-  Member LocalMember;
-  std::unique_ptr<Leader> LocalLeader;
+  CallRouter Router;
+  std::optional<ShardLayout> Layout;
+  /// Set by an agent while the agents are in use; applied afterwards.
+  std::optional<ShardLayout> NewLayout;
+  bool ReadingLayout = false;
+  TimePoint NextLayoutRead;
   bool Leaving = false;
-
-  /// A read or write of the leader record is in flight.
-  bool StoreCallInFlight = false;
-  TimePoint NextLeaderRead;
-  /// Of the leader record; -1: not read yet.
-  std::int64_t ObservedVersion = -1;
-  TimePoint ObservedSince;
-  /// Last term that this instance resigned from.
-  std::int64_t ResignedTerm = 0;
+  std::vector<std::unique_ptr<ShardAgent>> Agents;
   CallbackGuard Guard;
 };
 
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -216,16 +216,23 @@
           Callback) = 0;
 };
 
+/// Result of a message to another entry instance.
+struct PeerResult {
+  /// Empty: there was no reply in time, or the other end could not give one.
+  std::optional<std::string> Reply;
+  /// The message was not and will not be received.
+  bool NotSent = false;
+};
+
 /// Sends messages to another entry instance.
 class PeerTransport {
 public:
   virtual ~PeerTransport() = default;
 
-  /// Sends \p Body to \p Address; the callback gets an empty result if there
-  /// was no reply within \p Timeout.
-  virtual void
-  post(const std::string &Address, std::string Body, Duration Timeout,
-       std::function<void(std::optional<std::string>)> Callback) = 0;
+  /// Sends \p Body to \p Address and waits up to \p Timeout for the reply.
+  virtual void post(const std::string &Address, std::string Body,
+                    Duration Timeout,
+                    std::function<void(PeerResult)> Callback) = 0;
 };
 
 /// Structured log of scheduling decisions and state changes.
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -23,16 +23,16 @@
 }
 
 StateLoader::StateLoader(MetadataStore &Store, const Clock &Time, EventLog &Log,
-                         Callbacks Owner)
-    : Store(Store), Time(Time), Log(Log),
-      Owner(std::move(Owner)), Tables{EndedTable, RosterTable, ProgressTable,
-                                      JobTable} {}
+                         std::string Partition, Callbacks Owner)
+    : Store(Store), Time(Time), Log(Log), Partition(std::move(Partition)),
+      Owner(std::move(Owner)), Tables{EndedTable, RosterTable, LayoutTable,
+                                      ProgressTable, JobTable} {}
 
 void StateLoader::pump() {
   if (Tables.empty() || InFlight || Time.now() < RetryAt)
     return;
   InFlight = true;
-  Store.read(Tables.back(), CellPartition, NextKey,
+  Store.read(Tables.back(), Partition, NextKey,
              Guard.wrap([this](const ReadResult &Page) {
                InFlight = false;
                onPage(Page);
@@ -77,6 +77,10 @@
       State.Progress[Row.Key] = std::move(*Progress);
     return bool(Progress);
   }
+  if (Table == LayoutTable) {
+    State.Layout = decodeShardLayout(Row.Value);
+    return bool(State.Layout);
+  }
   const auto Roster = decodeRoster(Row.Value);
   if (Roster)
     State.Roster.insert(State.Roster.end(), Roster->begin(), Roster->end());
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -6,10 +6,12 @@
 #include "cell/callbackguard.h"
 #include "cell/messages.h"
 #include "cell/ports.h"
+#include "cell/shardlayout.h"
 #include "jobs/job.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,14 +23,15 @@
   std::map<std::string, jobs::JobSpec> Jobs;
   std::map<std::string, jobs::JobProgress> Progress;
   std::vector<RosterEntry> Roster;
+  std::optional<ShardLayout> Layout; ///< Only in shard 0.
 };
 
 /// Encodes the final phase of a job for the table of ended jobs.
 std::string encodeEndPhase(jobs::JobPhase Phase);
 
-/// Reads the tables of the cell after a takeover: first the jobs, their
-/// progress and the roster, then the ended jobs, which scheduling does not
-/// need. Owned by the leader and used on its thread only.
+/// Reads the tables of a shard after a takeover: first the jobs, their
+/// progress, the roster and the layout, then the ended jobs, which scheduling
+/// does not need. Owned by the leader and used on its thread only.
 class StateLoader {
 public:
   struct Callbacks {
@@ -41,7 +44,7 @@
   };
 
   StateLoader(MetadataStore &Store, const Clock &Time, EventLog &Log,
-              Callbacks Owner);
+              std::string Partition, Callbacks Owner);
 
   /// Starts the next read if one is due. Does nothing once all tables are
   /// read.
@@ -58,6 +61,7 @@
   MetadataStore &Store;
   const Clock &Time;
   EventLog &Log;
+  const std::string Partition;
   const Callbacks Owner;
   std::vector<std::string> Tables; ///< Still to be read; the last one is next.
   std::string NextKey;
--- a/src/cell/supervisorselection.cpp
+++ b/src/cell/supervisorselection.cpp
@@ -1,17 +1,24 @@
 #include "cell/supervisorselection.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace apricotwing::cell {
 
 std::set<std::string>
-selectSupervisors(std::vector<SupervisorCandidate> Members,
-                  std::size_t Workers) {
-  const auto Larger = [](const SupervisorCandidate &Left,
-                         const SupervisorCandidate &Right) {
-    return std::tie(Right.CpuShare, Left.Name) <
-           std::tie(Left.CpuShare, Right.Name);
+selectSupervisors(std::vector<SupervisorCandidate> Members, std::size_t Workers,
+                  int Shard) {
+  const auto OrderOf = [Shard](const SupervisorCandidate &Candidate) {
+    return std::pair(-Candidate.CpuShare,
+                     XXH3_64bits_withSeed(Candidate.Name.data(),
+                                          Candidate.Name.size(),
+                                          XXH64_hash_t(Shard)));
+  };
+  const auto Larger = [&OrderOf](const SupervisorCandidate &Left,
+                                 const SupervisorCandidate &Right) {
+    return OrderOf(Left) < OrderOf(Right);
   };
   std::sort(Members.begin(), Members.end(), Larger);
   std::set<std::string> Chosen;
--- a/src/cell/supervisorselection.h
+++ b/src/cell/supervisorselection.h
@@ -20,10 +20,11 @@
 /// workers. The leader constantly exchanges messages with each supervisor and
 /// every message has a fixed cost, so a large cell uses only the members with
 /// the largest CPU shares. A cell of up to MinSupervisors members uses all of
-/// them. Thread-safe.
+/// them. Members with equal shares are chosen in an order that depends on
+/// \p Shard, so that the shards of a cell choose different ones. Thread-safe.
 std::set<std::string>
-selectSupervisors(std::vector<SupervisorCandidate> Members,
-                  std::size_t Workers);
+selectSupervisors(std::vector<SupervisorCandidate> Members, std::size_t Workers,
+                  int Shard);
 
 /// Minimum number of supervisors, if the cell has as many members. With 8, the
 /// loss of one affects an eighth of the workers.
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -27,10 +27,14 @@
   /// reach the store.
   Duration ResignTimeout{500};
 
-  /// Maximum time between two messages on a link; an empty message is sent if
-  /// there is no content.
+  /// Maximum time between two messages from a member to its leader; an empty
+  /// message is sent if there is no content.
   Duration KeepAliveInterval{250};
 
+  /// The same for messages from the leader, which show only whether this
+  /// direction of the link works.
+  Duration LeaderKeepAliveInterval{1000};
+
   /// Minimum interval between two messages in one direction of a link. Each
   /// message costs about 0.3 ms of CPU time at both ends, so without this limit
   /// a busy leader would spend its whole CPU share on messages.
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -60,6 +60,27 @@
   return Result;
 }
 
+nlohmann::json leaderDump(const cell::Leader &Leader) {
+  nlohmann::json Dump;
+  Dump["term"] = Leader.term();
+  Dump["loaded"] = Leader.isLoaded();
+  Dump["members"] = Leader.memberCount();
+  Dump["active_jobs"] = Leader.scheduler().activeJobs();
+  for (const auto &[Id, Worker] : Leader.scheduler().workers()) {
+    auto &WorkerDump = Dump["workers"][Id];
+    WorkerDump["synced"] = Worker.isSynced();
+    WorkerDump["reachable"] = Worker.isReachable();
+    WorkerDump["draining"] = Worker.info().Draining;
+    WorkerDump["free_cpu_millis"] = Worker.freeResources().CpuMillis;
+    WorkerDump["free_memory_mib"] = Worker.freeResources().MemoryMib;
+    for (const auto &[Step, Claim] : Worker.claims())
+      WorkerDump["claims"][Step] = Claim.CpuMillis;
+    for (const auto &[Task, Run] : Worker.runs())
+      WorkerDump["runs"][Task] = Run.Run;
+  }
+  return Dump;
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(EntrySettings Settings, ControlLoop &Control,
@@ -95,13 +116,17 @@
 
 void EntryProcess::servePeer(HttpRequest Request, const Responder &Respond) {
   if (Request.Path == PeerMessagePath) {
-    Control.tryPost([this, Body = std::move(Request.Body), Respond] {
-      const auto Reply = Node.receive(Body);
-      HttpResponse Response = statusOnly(Reply ? 200 : 503);
-      if (Reply)
-        Response.Body = *Reply;
-      Respond(Response);
-    });
+    const bool Queued =
+        Control.tryPost([this, Body = std::move(Request.Body), Respond] {
+          Node.receive(Body, [Respond](std::optional<std::string> Reply) {
+            HttpResponse Response = statusOnly(Reply ? 200 : 503);
+            if (Reply)
+              Response.Body = std::move(*Reply);
+            Respond(Response);
+          });
+        });
+    if (!Queued)
+      Respond(statusOnly(503));
     return;
   }
   if (Request.Path == "/healthz" || Request.Path == "/readyz") {
@@ -134,12 +159,30 @@
                       .Name("apricotwing_entry_answers_total")
                       .Help("Answers to callers by outcome")
                       .Register(Registry);
-  for (const auto &[Status, Count] : Node.member().counts().Answers)
+  for (const auto &[Status, Count] : Node.router().answers())
     Answers
         .Add({{"outcome",
                std::string(enumName(cell::ClientStatusNames, Status))}})
         .Increment(double(Count));
-  const cell::MemberCounts &Counts = Node.member().counts();
+  cell::MemberCounts Counts;
+  std::size_t WorkerSessions = 0;
+  double ShardsLed = 0;
+  double Members = 0;
+  double ActiveJobs = 0;
+  double Commits = 0;
+  double RowsWritten = 0;
+  for (const auto &Agent : Node.agents()) {
+    Counts += Agent->member().counts();
+    WorkerSessions += Agent->member().workerSessionCount();
+    const cell::Leader *Leader = Agent->leader();
+    if (!Leader)
+      continue;
+    ++ShardsLed;
+    Members += double(Leader->memberCount());
+    ActiveJobs += double(Leader->scheduler().activeJobs());
+    Commits += double(Leader->journal().commits());
+    RowsWritten += double(Leader->journal().rowsWritten());
+  }
   Gauge("apricotwing_entry_starts", "Start commands sent to workers",
         double(Counts.Starts));
   Gauge("apricotwing_entry_ends", "Ends of runs that workers reported",
@@ -149,24 +192,25 @@
   Gauge("apricotwing_entry_links_lost", "Links to a leader that were lost",
         double(Counts.LinksLost));
   Gauge("apricotwing_entry_open_calls", "Calls that wait for an answer",
-        double(Node.member().openCalls()));
+        double(Node.router().openCalls()));
   // The exported name is kept from an earlier term for worker sessions.
   Gauge("apricotwing_entry_workers_in_care",
         "Workers with a session, opened after assignment by the leader",
-        double(Node.member().workerSessionCount()));
+        double(WorkerSessions));
   Gauge("apricotwing_entry_policy_version", "Version of the policy in force",
-        double(Node.member().policy().Version));
-  Gauge("apricotwing_entry_leading", "1 while this instance is the leader",
-        Node.leader() ? 1 : 0);
-  if (const cell::Leader *Leader = Node.leader()) {
-    Gauge("apricotwing_leader_members", "Members with a link to this leader",
-          double(Leader->memberCount()));
+        double(Node.router().policy().Version));
+  Gauge("apricotwing_entry_shards", "Shards of the cell; 0: not known yet",
+        double(Node.shardCount()));
+  Gauge("apricotwing_entry_leading", "Shards that this instance leads",
+        ShardsLed);
+  if (ShardsLed > 0) {
+    Gauge("apricotwing_leader_members",
+          "Members with a link to this instance's leaders", Members);
     Gauge("apricotwing_leader_active_jobs", "Jobs that have not ended",
-          double(Leader->scheduler().activeJobs()));
-    Gauge("apricotwing_leader_commits", "Commits to the store",
-          double(Leader->journal().commits()));
+          ActiveJobs);
+    Gauge("apricotwing_leader_commits", "Commits to the store", Commits);
     Gauge("apricotwing_leader_rows_written", "Rows written to the store",
-          double(Leader->journal().rowsWritten()));
+          RowsWritten);
   }
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
@@ -176,28 +220,16 @@
   Dump["instance"] = Settings.Instance.Name;
   Dump["zone"] = Settings.Instance.Zone;
   Dump["ready"] = Ready.load();
-  Dump["policy_version"] = Node.member().policy().Version;
-  Dump["leader_term"] = Node.member().leaderTerm();
-  Dump["open_calls"] = Node.member().openCalls();
-  Dump["workers_in_care"] = Node.member().workerSessionCount();
-  if (const cell::Leader *Leader = Node.leader()) {
-    auto &LeaderDump = Dump["leading"];
-    LeaderDump["term"] = Leader->term();
-    LeaderDump["loaded"] = Leader->isLoaded();
-    LeaderDump["members"] = Leader->memberCount();
-    LeaderDump["active_jobs"] = Leader->scheduler().activeJobs();
-    for (const auto &[Id, Worker] : Leader->scheduler().workers()) {
-      auto &WorkerDump = LeaderDump["workers"][Id];
-      WorkerDump["synced"] = Worker.isSynced();
-      WorkerDump["reachable"] = Worker.isReachable();
-      WorkerDump["draining"] = Worker.info().Draining;
-      WorkerDump["free_cpu_millis"] = Worker.freeResources().CpuMillis;
-      WorkerDump["free_memory_mib"] = Worker.freeResources().MemoryMib;
-      for (const auto &[Step, Claim] : Worker.claims())
-        WorkerDump["claims"][Step] = Claim.CpuMillis;
-      for (const auto &[Task, Run] : Worker.runs())
-        WorkerDump["runs"][Task] = Run.Run;
-    }
+  Dump["policy_version"] = Node.router().policy().Version;
+  Dump["shards"] = Node.shardCount();
+  Dump["open_calls"] = Node.router().openCalls();
+  for (const auto &Agent : Node.agents()) {
+    nlohmann::json ShardDump;
+    ShardDump["leader_term"] = Agent->member().leaderTerm();
+    ShardDump["workers_in_care"] = Agent->member().workerSessionCount();
+    if (Agent->leader())
+      ShardDump["leading"] = leaderDump(*Agent->leader());
+    Dump["by_shard"].push_back(std::move(ShardDump));
   }
   return Dump.dump();
 }
--- a/src/entry/httppeertransport.cpp
+++ b/src/entry/httppeertransport.cpp
@@ -6,7 +6,7 @@
 
 void HttpPeerTransport::post(
     const std::string &Address, std::string Body, Duration Timeout,
-    std::function<void(std::optional<std::string>)> Callback) {
+    std::function<void(cell::PeerResult)> Callback) {
   HttpCall Call;
   Call.Method = "POST";
   Call.Url = "http://" + Address + PeerMessagePath;
@@ -18,10 +18,11 @@
   Call.MayResend = true;
   Client.start(std::move(Call), [this, Callback = std::move(Callback)](
                                     HttpResult Result) {
-    std::optional<std::string> Reply;
+    cell::PeerResult Answer;
+    Answer.NotSent = Result.State == TransferState::NotSent;
     if (Result.State == TransferState::Complete && Result.Status == 200)
-      Reply = std::move(Result.Body);
-    Control.post([Callback, Reply = std::move(Reply)] { Callback(Reply); });
+      Answer.Reply = std::move(Result.Body);
+    Control.post([Callback, Answer = std::move(Answer)] { Callback(Answer); });
   });
 }
 
--- a/src/entry/httppeertransport.h
+++ b/src/entry/httppeertransport.h
@@ -21,7 +21,7 @@
 
   /// See PeerTransport; \p Callback runs on the control thread.
   void post(const std::string &Address, std::string Body, Duration Timeout,
-            std::function<void(std::optional<std::string>)> Callback) override;
+            std::function<void(cell::PeerResult)> Callback) override;
 
 private:
   AsyncHttpClient &Client;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -94,6 +94,14 @@
   return Found == Accounts.end() ? nullptr : &Found->second;
 }
 
+std::vector<ClientAccount> JobScheduler::accounts() const {
+  std::vector<ClientAccount> Result;
+  Result.reserve(Accounts.size());
+  for (const auto &[Name, Account] : Accounts)
+    Result.push_back(Account);
+  return Result;
+}
+
 void JobScheduler::addWaitingWork(const Job &CurrentJob, int Step, int Tasks) {
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   if (CurrentJob.Steps[std::size_t(Step)].CountsAsWaitingWork)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -93,6 +93,9 @@
   /// The client account named \p Name; null if no policy has contained it.
   const ClientAccount *account(const std::string &Name) const;
 
+  /// All client accounts that any policy has contained.
+  std::vector<ClientAccount> accounts() const;
+
   /// Time that the workers need for the waiting work of \p Priority and of
   /// more urgent priorities. Zero before the first round.
   Duration estimatedWait(int Priority) const;
--- a/tests/cell/cell_fuzz_test.cpp
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -74,15 +74,26 @@
 /// guarantees given to callers hold.
 class FaultScenario {
 public:
+  /// A cell with one shard.
   explicit FaultScenario(std::uint64_t Seed) : Cell(Seed) { Cell.run(2s); }
 
+  /// A cell with several shards. It has so many workers that the advice service
+  /// approves some of each shard for any step.
+  FaultScenario(std::uint64_t Seed, const cell::ShardLayout &Layout,
+                const std::vector<jobs::ClientAccount> &Accounts)
+      : Cell(Seed, std::vector<double>(4, 1.0), 32, Accounts, Layout),
+        Shards(Layout.shardCount()) {
+    Cell.run(2s);
+  }
+
   void play(const Action &Step) {
     const std::vector<std::string> Names = Cell.names();
     const std::string &Any = Names[std::size_t(Step.Choice) % Names.size()];
     const std::vector<std::string> Workers = Cell.workers().ids();
     const std::string &Worker =
         Workers[std::size_t(Step.Choice) % Workers.size()];
-    const std::string Leader = Cell.leader().empty() ? Any : Cell.leader();
+    const std::string Leading = Cell.leader(Step.Choice % Shards);
+    const std::string Leader = Leading.empty() ? Any : Leading;
     const Duration Work(100 + Step.Choice * 4);
     const std::string Queue = Step.Choice % 3 == 0 ? "/quick/" : "/batch/";
     switch (Step.Kind) {
@@ -288,6 +299,7 @@
   }
 
   EmulatedCell Cell;
+  const int Shards = 1;
   std::vector<std::string> Ids;
 };
 
@@ -307,5 +319,28 @@
       20);
 }
 
+// The same with two shards, whose leaders are lost one by one or together.
+TEST(CellFuzzTest, KeepsItsPromisesWithTwoShards) {
+  std::vector<jobs::ClientAccount> Accounts(4);
+  for (std::size_t Index = 0; Index < Accounts.size(); ++Index) {
+    Accounts[Index].Name = "a" + std::to_string(Index);
+    Accounts[Index].Keys = {"key" + std::to_string(Index)};
+    Accounts[Index].Weight = 50;
+  }
+  const cell::ShardLayout Layout({0.5, 0.5},
+                                 {{"a0", 0}, {"a1", 1}, {"a2", 0}, {"a3", 1}});
+  checkWithFixedSeeds(
+      [&] {
+        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const auto Steps =
+            *rc::gen::container<std::vector<Action>>(anyAction());
+        FaultScenario Scenario(Seed, Layout, Accounts);
+        for (const Action &Step : Steps)
+          Scenario.play(Step);
+        Scenario.check();
+      },
+      20);
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -250,13 +250,15 @@
   Cell.kill("n2");
   Cell.start("n0");
   Cell.run(3s);
-  EXPECT_EQ(Cell.node("n0").member().workerSessionCount(), 6U);
+  EXPECT_EQ(Cell.node("n0").agents()[0]->member().workerSessionCount(), 6U);
   Cell.start("n1");
   Cell.start("n2");
   Cell.run(3s);
   for (const std::string Name : {"n0", "n1", "n2"}) {
-    EXPECT_GE(Cell.node(Name).member().workerSessionCount(), 1U) << Name;
-    EXPECT_LE(Cell.node(Name).member().workerSessionCount(), 3U) << Name;
+    EXPECT_GE(Cell.node(Name).agents()[0]->member().workerSessionCount(), 1U)
+        << Name;
+    EXPECT_LE(Cell.node(Name).agents()[0]->member().workerSessionCount(), 3U)
+        << Name;
   }
 }
 
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -13,14 +13,14 @@
 constexpr Duration PumpStep{10};
 constexpr Duration HeartbeatPeriod{1500};
 constexpr const char *Host = "cell.example";
-constexpr const char *Key = "key";
 
 /// Decodes the rows of the emulated platform.
 class EmulatedRecords final : public cell::PlatformRecords {
 public:
   EmulatedRecords(EmulatedWorkers &Workers,
-                  const std::vector<jobs::Queue> &Queues)
-      : Workers(Workers), Queues(Queues) {}
+                  const std::vector<jobs::Queue> &Queues,
+                  const std::vector<jobs::ClientAccount> &Accounts)
+      : Workers(Workers), Queues(Queues), Accounts(Accounts) {}
 
   std::string policyTable() const override { return "policy"; }
 
@@ -29,11 +29,7 @@
     jobs::ClusterPolicy Result;
     Result.Version = std::stoll(Row.Value);
     Result.Queues = Queues;
-    jobs::ClientAccount Account;
-    Account.Name = "account";
-    Account.Keys = {Key};
-    Account.Weight = 100;
-    Result.Accounts = {Account};
+    Result.Accounts = Accounts;
     jobs::Upstream Service;
     Service.Name = "service";
     Result.Upstreams = {Service};
@@ -53,8 +49,17 @@
 private:
   EmulatedWorkers &Workers;
   const std::vector<jobs::Queue> &Queues;
+  const std::vector<jobs::ClientAccount> &Accounts;
 };
 
+std::vector<jobs::ClientAccount> singleAccount() {
+  jobs::ClientAccount Account;
+  Account.Name = "account";
+  Account.Keys = {"key"};
+  Account.Weight = 100;
+  return {Account};
+}
+
 /// Returns a queue without placement advice and a more urgent one with fast
 /// advice calls.
 std::vector<jobs::Queue> usualQueues() {
@@ -117,29 +122,47 @@
       : Cell(Cell), Name(std::move(Name)) {}
 
   void post(const std::string &Address, std::string Body, Duration Timeout,
-            std::function<void(std::optional<std::string>)> Callback) override {
+            std::function<void(cell::PeerResult)> Callback) override {
     EmulatedCell &World = Cell;
     const auto Cut = [&World, From = Name, To = Address] {
       return World.CutInstances.contains(From) ||
              World.CutInstances.contains(To);
     };
     if (Cut()) {
-      World.Time.after(Timeout, [Callback] { Callback(std::nullopt); });
+      World.Time.after(Timeout, [Callback] { Callback({}); });
       return;
     }
     World.Time.after(
         PeerLatency, [&World, Address, Body, Callback, Cut, Timeout] {
           Instance &To = World.Instances.at(Address);
           if (!To.Node || To.Frozen || Cut()) {
-            World.Time.after(Timeout, [Callback] { Callback(std::nullopt); });
+            World.Time.after(Timeout, [Callback] { Callback({}); });
             return;
           }
-          const auto Reply = To.Node->receive(Body);
-          World.Time.after(PeerLatency, [Callback, Reply] { Callback(Reply); });
+          ++World.Messages[Address];
+          deliver(World, *To.Node, Body, Timeout, Callback);
         });
   }
 
 private:
+  /// Passes a message to \p To. Its reply counts only until the timeout, after
+  /// which the sender has already got an empty result.
+  static void deliver(EmulatedCell &World, cell::Node &To,
+                      const std::string &Body, Duration Timeout,
+                      const std::function<void(cell::PeerResult)> &Callback) {
+    const auto Open = std::make_shared<bool>(true);
+    const auto Finish = [Open, Callback](const cell::PeerResult &Result) {
+      if (std::exchange(*Open, false))
+        Callback(Result);
+    };
+    World.Time.after(Timeout, [Finish] { Finish({}); });
+    To.receive(Body, [&World, Finish](std::optional<std::string> Reply) {
+      World.Time.after(PeerLatency, [Finish, Reply] {
+        Finish({Reply, false});
+      });
+    });
+  }
+
   EmulatedCell &Cell;
   const std::string Name;
 };
@@ -152,8 +175,16 @@
 EmulatedCell::EmulatedCell(std::uint64_t Seed,
                            const std::vector<double> &CpuShares,
                            int WorkerCount)
+    : EmulatedCell(Seed, CpuShares, WorkerCount, singleAccount()) {}
+
+EmulatedCell::EmulatedCell(std::uint64_t Seed,
+                           const std::vector<double> &CpuShares,
+                           int WorkerCount,
+                           std::vector<jobs::ClientAccount> JobAccounts,
+                           const std::optional<cell::ShardLayout> &Layout)
     : Store(Time, Seed), Workers(Time, Seed + 1), Queues(usualQueues()),
-      RowCodec(std::make_unique<EmulatedRecords>(Workers, Queues)),
+      Accounts(std::move(JobAccounts)),
+      RowCodec(std::make_unique<EmulatedRecords>(Workers, Queues, Accounts)),
       WallTime(std::make_unique<VirtualWallClock>(Time)),
       Log(std::make_unique<TraceLog>(Time)) {
   Workers.TraitsOf = [this](const jobs::TaskId &Id) {
@@ -172,6 +203,9 @@
   for (int Number = 0; Number < WorkerCount; ++Number)
     Workers.add("w" + std::to_string(Number), "zone", {32'000, 65'536, 0});
   putPolicy(1);
+  if (Layout)
+    Store.put(cell::LayoutTable, cell::partitionOf(0), cell::LayoutKey,
+              cell::encode(*Layout));
   publishWorkers();
   for (std::size_t Number = 0; Number < CpuShares.size(); ++Number) {
     const std::string Name = "n" + std::to_string(Number);
@@ -252,10 +286,10 @@
   return Result;
 }
 
-std::string EmulatedCell::leader() const {
+std::string EmulatedCell::leader(int Shard) const {
   std::string Result;
   for (const auto &[Name, Entry] : Instances) {
-    if (!Entry.Node || !Entry.Node->leader())
+    if (!Entry.Node || !Entry.Node->leader(Shard))
       continue;
     if (!Result.empty())
       return {};
@@ -274,6 +308,7 @@
   Record.Spec.Payload = Payload;
   Record.Spec.Steps = {std::move(Step)};
   QueueOf[Id] = Queue;
+  AccountIndex[Id] = std::size_t(LastId) % Accounts.size();
   submitAgain(Instance, Id);
   return Id;
 }
@@ -283,6 +318,10 @@
   call(Instance, Id, cell::ClientVerb::Submit);
 }
 
+const std::string &EmulatedCell::accountOf(const std::string &Id) const {
+  return Accounts[AccountIndex.at(Id)].Name;
+}
+
 void EmulatedCell::read(const std::string &Instance, const std::string &Id) {
   call(Instance, Id, cell::ClientVerb::Read);
 }
@@ -300,7 +339,7 @@
   Call.Verb = Verb;
   Call.Host = Host;
   Call.Path = QueueOf.at(Id) + Id;
-  Call.Key = Key;
+  Call.Key = Accounts[AccountIndex.at(Id)].Keys.front();
   Call.Job = Records.at(Id).Spec;
   if (Verb == cell::ClientVerb::Submit)
     Records.at(Id).Unresolved = true; // Until an answer arrives.
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,12 @@
   /// the list.
   EmulatedCell(std::uint64_t Seed, const std::vector<double> &CpuShares,
                int WorkerCount);
+
+  /// The same with the client accounts \p Accounts, to which the jobs belong in
+  /// turn, and with the layout \p Layout stored before the first start.
+  EmulatedCell(std::uint64_t Seed, const std::vector<double> &CpuShares,
+               int WorkerCount, std::vector<jobs::ClientAccount> Accounts,
+               const std::optional<cell::ShardLayout> &Layout = {});
   ~EmulatedCell();
 
   VirtualTime &time() { return Time; }
@@ -65,9 +72,18 @@
   /// Names of all instances.
   std::vector<std::string> names() const;
 
-  /// Name of the leading instance; empty if none or more than one instance
-  /// considers itself the leader.
-  std::string leader() const;
+  /// Name of the instance that leads a shard; empty if none or more than one
+  /// instance considers itself its leader.
+  std::string leader(int Shard = 0) const;
+
+  /// Name of the account that a job belongs to.
+  const std::string &accountOf(const std::string &Id) const;
+
+  /// Number of messages that an instance has received from others.
+  int messagesReceived(const std::string &Name) const {
+    const auto Found = Messages.find(Name);
+    return Found == Messages.end() ? 0 : Found->second;
+  }
 
   /// True if the process of an instance is running and not frozen.
   bool isRunning(const std::string &Name) const {
@@ -124,6 +140,7 @@
   EmulatedStore Store;
   EmulatedWorkers Workers;
   std::vector<jobs::Queue> Queues;
+  const std::vector<jobs::ClientAccount> Accounts;
   std::unique_ptr<cell::PlatformRecords> RowCodec;
   std::unique_ptr<cell::WallClock> WallTime;
   std::unique_ptr<TraceLog> Log;
@@ -131,6 +148,8 @@
   std::set<std::string> CutInstances;
   std::map<std::string, JobRecord> Records;
   std::map<std::string, std::string> QueueOf;
+  std::map<std::string, std::size_t> AccountIndex; ///< By job id.
+  std::map<std::string, int> Messages;             ///< Received, by instance.
   std::map<cell::ClientStatus, int> Answers;
   std::uint64_t LastId = 0;
 };
--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -55,7 +55,7 @@
            std::function<void(std::optional<std::vector<jobs::Approval>>)>)
       override {}
   void post(const std::string &, std::string, Duration,
-            std::function<void(std::optional<std::string>)>) override {}
+            std::function<void(cell::PeerResult)>) override {}
   std::int64_t unixMs() const override { return 0; }
 };
 
