Survive malformed calls, messages and responses

Cause: an instance computed the time that a job may take before its steps were checked, so a step that waits for one that does not exist was an access beyond the end of a list; a job of billions of tasks used up the leader's memory, and then that of the next; a field of another type in a worker's response was an uncaught exception on the HTTP client's thread.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -11,6 +11,9 @@
 /// Time reserved for sending the answer back to the caller.
 constexpr Duration ResponseMargin{150};
 
+/// Longest time for which a call is kept open, whatever its caller states.
+constexpr Duration MaxCallTime{60'000};
+
 /// Limits of Retry-After while there is no leader. A takeover takes up to 2 s
 /// and an outage of the store longer, and a caller retries only a few times.
 /// Jobs that may take longer are therefore retried later.
@@ -56,8 +59,9 @@
   OpenCall NewCall;
   NewCall.Respond = std::move(Respond);
   NewCall.ArrivedAt = Deps.Time.now();
-  NewCall.Deadline = NewCall.ArrivedAt +
-                     std::max(Call.Deadline - ResponseMargin, Duration{100});
+  NewCall.Deadline =
+      NewCall.ArrivedAt +
+      std::clamp(Call.Deadline - ResponseMargin, Duration{100}, MaxCallTime);
   if (Policy.Version == 0) {
     finish(NewCall, unavailable(Duration{0}));
     return;
@@ -100,6 +104,11 @@
       finish(NewCall, {ClientStatus::Malformed});
       return;
     }
+    if (const auto Problem = jobs::validationError(*Call.Job)) {
+      Deps.Log.event("job malformed", Id, {{"problem", *Problem}});
+      finish(NewCall, {ClientStatus::Malformed});
+      return;
+    }
     Call.Job->Id = Id;
     Call.Job->Queue = Queue->Name;
     Call.Job->Account = NewCall.Account;
--- a/src/entry/controlloop.cpp
+++ b/src/entry/controlloop.cpp
@@ -1,6 +1,7 @@
 #include "entry/controlloop.h"
 
 #include <chrono>
+#include <exception>
 #include <thread>
 #include <utility>
 
@@ -28,24 +29,34 @@
     std::this_thread::sleep_for(FullQueuePause);
 }
 
+// An exception ends only the work that threw it. It must not end the process,
+// since the same message would then end one instance after the other.
+void ControlLoop::perform(const Work &Item) {
+  try {
+    Item();
+  } catch (const std::exception &Problem) {
+    OnError(Problem.what());
+  }
+}
+
 void ControlLoop::drain() {
   Work Item;
   while (Queue.pop(Item, std::chrono::milliseconds(0)))
-    Item();
+    perform(Item);
 }
 
 void ControlLoop::run(const std::function<void()> &Pump, Duration Period) {
   Work Item;
   while (!Stopping) {
     if (Queue.pop(Item, Period)) {
-      Item();
+      perform(Item);
       for (int Count = 1;
            Count < MaxBatch && Queue.pop(Item, std::chrono::milliseconds(0));
            ++Count)
-        Item();
+        perform(Item);
     }
     Item = nullptr;
-    Pump();
+    perform(Pump);
   }
 }
 
--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -8,6 +8,8 @@
 
 #include <atomic>
 #include <functional>
+#include <string>
+#include <utility>
 
 namespace apricotwing::entry {
 
@@ -23,6 +25,12 @@
 
   ControlLoop() : Queue(2 * Capacity) {}
 
+  /// Sets the function that is told of an exception that work has thrown; it is
+  /// called on the thread of run(). Must be called before run().
+  void setErrorHandler(std::function<void(const std::string &)> Handler) {
+    OnError = std::move(Handler);
+  }
+
   /// Adds the work of a client call. Returns false if at least Capacity items
   /// are waiting. Never blocks. Thread-safe.
   bool tryPost(Work Item);
@@ -44,6 +52,9 @@
   void stop() { Stopping = true; }
 
 private:
+  void perform(const Work &Item);
+
+  std::function<void(const std::string &)> OnError = [](const std::string &) {};
   BoundedQueue<Work> Queue;
   std::atomic<bool> Stopping = false;
 };
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -199,6 +199,9 @@
         double(WorkerSessions));
   Gauge("apricotwing_entry_policy_version", "Version of the policy in force",
         double(Node.router().policy().Version));
+  Gauge("apricotwing_entry_internal_errors",
+        "Work that was abandoned because of an unexpected exception",
+        double(InternalErrors));
   Gauge("apricotwing_entry_shards", "Shards of the cell; 0: not known yet",
         double(Node.shardCount()));
   Gauge("apricotwing_entry_leading", "Shards that this instance leads",
@@ -280,6 +283,10 @@
       [this](const HttpRequest &Request, const Responder &Respond) {
         serveClient(Request, Respond);
       });
+  Control.setErrorHandler([this](const std::string &Problem) {
+    ++InternalErrors;
+    Log.event("internal error", Settings.Instance.Name, {{"problem", Problem}});
+  });
   Log.event("started", Settings.Instance.Name,
             {{"zone", Settings.Instance.Zone},
              {"callers", Settings.ClientAddress},
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -9,6 +9,7 @@
 #include "entry/decisionlog.h"
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -75,6 +76,7 @@
   std::atomic<bool> Ready = false;
   std::atomic<bool> RefusingCalls = false; ///< New calls are refused at once.
   bool WasReady = false;
+  std::uint64_t InternalErrors = 0;
   std::optional<TimePoint> StoppingSince;
   std::unique_ptr<HttpServer> ClientServer;
 };
--- a/src/entry/httppeertransport.cpp
+++ b/src/entry/httppeertransport.cpp
@@ -4,9 +4,9 @@
 
 namespace apricotwing::entry {
 
-void HttpPeerTransport::post(
-    const std::string &Address, std::string Body, Duration Timeout,
-    std::function<void(cell::PeerResult)> Callback) {
+void HttpPeerTransport::post(const std::string &Address, std::string Body,
+                             Duration Timeout,
+                             std::function<void(cell::PeerResult)> Callback) {
   HttpCall Call;
   Call.Method = "POST";
   Call.Url = "http://" + Address + PeerMessagePath;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -123,6 +123,8 @@
   /// Ids of the workers on which the gang has claims.
   std::set<std::string> Claimed;
   std::optional<WaitRank> Rank; ///< Set while the step is waiting.
+  /// When the step was first considered since its last start.
+  std::optional<TimePoint> WaitingSince;
 };
 
 /// An accepted job. Owned by a JobScheduler and used on its thread only.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -121,6 +121,21 @@
                                 (double(UsableCpuMillis) * UsableShare)));
 }
 
+Duration JobScheduler::longestWait(TimePoint Now) const {
+  Duration Longest{0};
+  for (const auto &[Rank, Ref] : Waiting) {
+    const StepState &State = Ref.Owner->Steps[std::size_t(Ref.Step)];
+    if (State.WaitingSince && State.CountsAsWaitingWork)
+      Longest = std::max(Longest, Now - *State.WaitingSince);
+  }
+  return Longest;
+}
+
+double JobScheduler::freeShare() const {
+  return UsableCpuMillis > 0 ? double(FreeCpuMillis) / double(UsableCpuMillis)
+                             : 0;
+}
+
 bool JobScheduler::add(const JobSpec &Spec, bool BeyondShare, TimePoint Now) {
   if (Jobs.contains(Spec.Id))
     return false;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -100,6 +100,16 @@
   /// more urgent priorities. Zero before the first round.
   Duration estimatedWait(int Priority) const;
 
+  /// Longest time that a waiting step has waited for a start. Steps that no
+  /// worker can run, or that wait because of their account's limit, don't
+  /// count.
+  Duration longestWait(TimePoint Now) const;
+
+  /// Fraction of the processors of all usable workers that is free, and the
+  /// number of these workers, in the last round.
+  double freeShare() const;
+  int usableWorkers() const { return UsableWorkers; }
+
   /// Adds a job from storage. Its placed tasks keep resources allocated on
   /// their workers until the workers are synced or their leases expire; a task
   /// whose worker is unknown is not running. \p Age is the time since the job's
@@ -324,6 +334,8 @@
   Resources LargestCapacity;
   /// Capacity of all usable workers in the last round.
   std::int64_t UsableCpuMillis = 0;
+  std::int64_t FreeCpuMillis = 0;
+  int UsableWorkers = 0;
   std::map<WaitRank, StepRef> Waiting;
   /// First step that the next round considers after the front of the order.
   WaitRank ResumeAt;
--- a/src/jobs/jobspec.cpp
+++ b/src/jobs/jobspec.cpp
@@ -47,12 +47,22 @@
 std::optional<std::string> validationError(const JobSpec &Spec) {
   if (Spec.Steps.empty())
     return "a job needs at least one step";
+  std::int64_t Tasks = 0;
   for (std::size_t Number = 0; Number < Spec.Steps.size(); ++Number) {
     const StepSpec &Step = Spec.Steps[Number];
     if (Step.Count < 1)
       return "the count of a step must be at least 1";
+    Tasks += Step.Count;
+    if (Tasks > MaxTasksPerJob)
+      return "a job may have at most " + std::to_string(MaxTasksPerJob) +
+             " tasks";
     if (!Step.Request.isNonNegative())
       return "the resources of a step must not be negative";
+    if (!Step.Request.fitsIn(
+            {MaxAmountPerTask, MaxAmountPerTask, MaxAmountPerTask}))
+      return "the resources of a step are too large";
+    if (Step.Estimate < Duration::zero() || Step.Estimate > MaxEstimate)
+      return "the estimated duration of a step must be between 0 and one year";
     for (const int Earlier : Step.After)
       if (Earlier < 0 || std::size_t(Earlier) >= Number)
         return "a step may only wait for earlier steps";
--- a/src/jobs/jobspec.h
+++ b/src/jobs/jobspec.h
@@ -70,9 +70,16 @@
 /// Thread-safe.
 std::string stepName(const std::string &Job, int Step);
 
+/// Limits of a well-formed job. They are far above what a cell can run; without
+/// them a single job could use up the memory of each instance that reads it.
+inline constexpr int MaxTasksPerJob = 20'000;
+inline constexpr std::int64_t MaxAmountPerTask = 1'000'000'000'000;
+inline constexpr Duration MaxEstimate{std::chrono::hours(24 * 365)};
+
 /// Returns what is wrong with \p Spec, or nothing if it is well-formed: it has
-/// at least one step, every task count is positive, no resource is negative,
-/// and steps depend only on earlier steps. Thread-safe.
+/// at least one step, every task count is positive, no resource or estimate is
+/// negative or beyond the limits above, and steps depend only on earlier steps.
+/// All other functions for jobs require a well-formed one. Thread-safe.
 std::optional<std::string> validationError(const JobSpec &Spec);
 
 /// Length of the critical path: the estimated run time of the longest chain of
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -100,6 +100,7 @@
   Current.GangsLeft = MaxGangsPerRound;
   std::int64_t TotalCpuMillis = 0;
   UsableCpuMillis = 0;
+  UsableWorkers = 0;
   for (auto &[Id, Host] : Workers) {
     TotalCpuMillis += Host.info().Capacity.CpuMillis;
     if (Host.isUsable(Now)) {
@@ -107,12 +108,14 @@
           {&Id, &Host, int(std::lround(Host.slowdown())),
            int(std::lround(Host.slowdown() * FineSlowdownSteps))});
       UsableCpuMillis += Host.info().Capacity.CpuMillis;
+      ++UsableWorkers;
       Current.FreeCpuMillis += Host.freeResources().CpuMillis;
       Current.LargestFree =
           Resources::max(Current.LargestFree, Host.freeResources());
     }
     Current.ClaimableCpuMillis -= Host.claimed().CpuMillis;
   }
+  FreeCpuMillis = Current.FreeCpuMillis;
   Current.ClaimableCpuMillis +=
       std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
   const std::optional<WaitRank> FrontLimit =
@@ -260,7 +263,12 @@
 
 void JobScheduler::scheduleStep(Round &Current, Job &CurrentJob, int Step) {
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
-  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const int Fitting = allowedByCap(CurrentJob, Spec);
+  if (Fitting == 0 || (Spec.Gang && Fitting < Spec.Count))
+    State.WaitingSince.reset();
+  else if (!State.WaitingSince)
+    State.WaitingSince = Current.Now;
   // Free resources only shrink during a round, so a step that did not fit at
   // its start need not be compared. Gangs, steps with low slack and the first
   // steps that need advice plan ahead and are compared anyway.
@@ -271,7 +279,7 @@
        !State.AdviceInFlight);
   if (!FitsLargestFree && !PlansAhead)
     return;
-  if (!Spec.Gang && allowedByCap(CurrentJob, Spec) == 0)
+  if (!Spec.Gang && Fitting == 0)
     return;
   // While a request is in flight, nothing can be decided about a gang, or about
   // another step that has no advice yet.
@@ -423,6 +431,7 @@
   Task.PlacedAt = Current.Now;
   allocateRun(Host, CurrentJob, TaskId{CurrentJob.Spec.Id, 0, Step, Index}, Run,
               Spec, Current.Now);
+  State.WaitingSince.reset();
   Changed.insert(CurrentJob.Spec.Id);
   if (!Spec.BestEffort)
     Current.FreeCpuMillis -= Spec.Request.CpuMillis;
--- /dev/null
+++ b/tests/cell/hazards_test.cpp
@@ -0,0 +1,271 @@
+/// \file
+/// What operators of similar systems have reported, on the emulated platform.
+#include "cell/codec.h"
+#include "emulator/emulatedcell.h"
+#include "support/fixedseeds.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace apricotwing::emulator {
+namespace {
+
+using namespace std::chrono_literals;
+using jobs::JobView;
+
+class HazardsTest : public testing::Test {
+protected:
+  HazardsTest() : Cell(1) { Cell.run(2s); }
+  ~HazardsTest() override {
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << Violation;
+  }
+
+  std::vector<std::string> submitMany(const std::string &Instance, int Count,
+                                      const jobs::StepSpec &Step) {
+    std::vector<std::string> Ids;
+    Ids.reserve(std::size_t(Count));
+    for (int Number = 0; Number < Count; ++Number)
+      Ids.push_back(Cell.submit(Instance, Step));
+    return Ids;
+  }
+
+  JobView viewOf(const std::string &Instance, const std::string &Id) {
+    Cell.read(Instance, Id);
+    Cell.run(300ms);
+    return Cell.jobs().at(Id).View;
+  }
+
+  std::string otherThan(const std::string &Name) const {
+    return Name == "n0" ? "n1" : "n0";
+  }
+
+  EmulatedCell Cell;
+};
+
+// Guards against work that is started again, or given up, because its worker
+// was silent for less than its lease.
+TEST_F(HazardsTest, KeepsTheWorkOfAWorkerThatIsSilentForLessThanItsLease) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  Cell.workers().Cut = {"w0", "w1", "w2", "w3"};
+  Cell.run(4500ms);
+  Cell.workers().Cut.clear();
+  Cell.run(6s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 12);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against answers that are late for seconds on all calls to workers.
+TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseAnswersAreLost) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 6s));
+  Cell.run(1s);
+  Cell.workers().LostAnswers = 0.5;
+  Cell.run(4s);
+  Cell.workers().LostAnswers = 0;
+  Cell.run(4s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against orders that are sent by the old and by the new leader around a
+// planned hand-over, with messages that are seconds late.
+TEST_F(HazardsTest, OrdersGoOutOnceAroundAHandOver) {
+  for (int Round = 0; Round < 3; ++Round) {
+    const std::string Old = Cell.leader();
+    ASSERT_NE(Old, "");
+    Cell.DelayedMessages = 0.3;
+    const auto Ids = submitMany(otherThan(Old), 6, stepOf(3, 800ms));
+    Cell.run(20ms);
+    Cell.node(Old).leave();
+    Cell.run(3s);
+    Cell.DelayedMessages = 0;
+    Cell.kill(Old);
+    Cell.start(Old);
+    Cell.run(6s);
+    const std::string Name = otherThan(Old);
+    int Accepted = 0;
+    for (const std::string &Id : Ids)
+      Accepted += viewOf(Name, Id) == JobView::Completed ? 1 : 0;
+    EXPECT_GE(Accepted, 1);
+    EXPECT_EQ(Cell.workers().doneRuns() % 3, 0);
+  }
+}
+
+// Guards against a supervisor that was suspended between receiving an order and
+// sending it, and that acts when its workers already belong to another member.
+TEST_F(HazardsTest, ASuspendedMemberDoesNotActOnOldOrders) {
+  const std::string Leader = Cell.leader();
+  const std::string Suspended = otherThan(Leader);
+  const auto Ids = submitMany(Leader, 8, stepOf(3, 2s));
+  Cell.run(12ms);
+  Cell.freeze(Suspended);
+  Cell.run(9s);
+  Cell.thaw(Suspended);
+  Cell.run(12s);
+  for (const std::string &Id : Ids)
+    EXPECT_EQ(viewOf(Leader, Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().doneRuns(), 24);
+}
+
+// Guards against a leader that answers callers after its lease has run out
+// while it was suspended: a job that the next leader accepted would be unknown.
+TEST_F(HazardsTest, ASuspendedLeaderAnswersNoCallerWithOldState) {
+  const std::string Old = Cell.leader();
+  const std::string Other = otherThan(Old);
+  Cell.freeze(Old);
+  Cell.run(3s);
+  const std::string Id = Cell.submit(Other, stepOf(1, 5s));
+  Cell.run(500ms);
+  ASSERT_TRUE(Cell.jobs().at(Id).Accepted);
+  Cell.thaw(Old);
+  for (int Number = 0; Number < 40; ++Number) {
+    Cell.read(Old, Id);
+    Cell.run(25ms);
+  }
+  EXPECT_FALSE(Cell.answers().contains(cell::ClientStatus::NoSuchJob));
+}
+
+// Guards against a job that runs twice, or that its caller is told has not run,
+// after answers between instances were lost at any hop.
+TEST_F(HazardsTest, LostAnswersBetweenInstancesNeitherRepeatNorDenyWork) {
+  Cell.LostReplies = 0.3;
+  std::vector<std::string> Ids;
+  for (int Number = 0; Number < 40; ++Number) {
+    Ids.push_back(
+        Cell.submit("n" + std::to_string(Number % 3), stepOf(2, 300ms)));
+    Cell.run(60ms);
+  }
+  Cell.run(4s);
+  Cell.LostReplies = 0;
+  Cell.run(8s);
+  for (const std::string &Id : Ids) {
+    const JobRecord &Job = Cell.jobs().at(Id);
+    const bool Ran = Cell.workers().isDone(Id + ".0.0.0");
+    EXPECT_TRUE(Job.Accepted || Job.Unresolved || !Ran) << Id;
+    if (Job.Accepted) {
+      EXPECT_EQ(viewOf("n0", Id), JobView::Completed) << Id;
+    }
+  }
+  EXPECT_EQ(Cell.workers().doneRuns() % 2, 0);
+}
+
+// Guards against a worker that has left and is used again after a restart.
+TEST_F(HazardsTest, AWorkerThatLeftIsNotUsedAfterARestart) {
+  Cell.workers().crash("w0");
+  Cell.run(5s);
+  for (const std::string &Name : Cell.names())
+    Cell.kill(Name);
+  Cell.run(500ms);
+  for (const std::string &Name : Cell.names())
+    Cell.start(Name);
+  Cell.run(4s);
+  const auto Ids = submitMany("n0", 10, stepOf(4, 500ms));
+  Cell.run(4s);
+  const cell::Leader *Leader = Cell.node(Cell.leader()).leader();
+  EXPECT_EQ(Leader->scheduler().worker("w0"), nullptr);
+  for (const std::string &Id : Ids)
+    EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+}
+
+// Guards against a withdrawn key that is accepted again after a restart.
+TEST_F(HazardsTest, AWithdrawnKeyStaysWithdrawnAfterARestart) {
+  Cell.withdrawKeys(2);
+  Cell.run(1s);
+  for (int Round = 0; Round < 2; ++Round) {
+    const std::string Id = Cell.submit("n1", stepOf(1, 100ms));
+    Cell.run(1s);
+    EXPECT_FALSE(Cell.jobs().at(Id).Accepted);
+    for (const std::string &Name : Cell.names()) {
+      Cell.kill(Name);
+      Cell.start(Name);
+    }
+    Cell.run(3s);
+  }
+  EXPECT_EQ(Cell.answers().at(cell::ClientStatus::UnknownKey), 2);
+}
+
+// Guards against a caller's job that ends the instance: the time that it may
+// take was computed from its steps before they were checked.
+TEST_F(HazardsTest, AMalformedJobIsRefusedAndTheInstanceGoesOn) {
+  jobs::StepSpec Wrong = stepOf(1, 100ms);
+  Wrong.After = {1'000'000};
+  const std::string Id = Cell.submit("n1", Wrong);
+  Cell.run(100ms);
+  EXPECT_FALSE(Cell.jobs().at(Id).Accepted);
+  EXPECT_EQ(Cell.answers().at(cell::ClientStatus::Malformed), 1);
+  const std::string Good = Cell.submit("n1", stepOf(1, 100ms));
+  Cell.run(1s);
+  EXPECT_EQ(viewOf("n1", Good), JobView::Completed);
+}
+
+/// Returns \p Text with some characters replaced, removed or repeated.
+std::string mutate(std::string Text, const std::vector<int> &Choices) {
+  static const std::string Pieces[] = {
+      "{",    "}",    "[",     "]",  "\"",
+      "null", "-1",   "1e300", ",",  ":",
+      "\xff", "true", "{}",    "[]", "99999999999999999999"};
+  for (std::size_t Index = 0; Index + 2 < Choices.size(); Index += 3) {
+    if (Text.empty())
+      return Text;
+    const std::size_t At = std::size_t(Choices[Index]) % Text.size();
+    const std::size_t Length = std::min<std::size_t>(
+        std::size_t(Choices[Index + 1]) % 12, Text.size() - At);
+    Text.replace(At, Length,
+                 Pieces[std::size_t(Choices[Index + 2]) % std::size(Pieces)]);
+  }
+  return Text;
+}
+
+// Guards against a malformed message from a peer that ends a process or spoils
+// its state.
+TEST(MalformedMessageTest, AnInstanceGoesOn) {
+  checkWithFixedSeeds(
+      [] {
+        EmulatedCell Cell(1);
+        Cell.run(2s);
+        const std::string Leader = Cell.leader();
+        cell::Envelope Link;
+        Link.Session = "x/1";
+        Link.Sequence = 1;
+        Link.Term = 1;
+        Link.From = {"n9", "n9", "zone", 1};
+        Link.ToLeader = cell::MemberMessage{};
+        Link.ToLeader->Refused = {{{"w0", 1}, "0000000000000001.0.0.0", 1}};
+        Link.ToLeader->Advice = {{"0000000000000001.0.0", {"w0"}, true, {}}};
+        cell::CallBatch Batch;
+        Batch.Term = 1;
+        Batch.Process = "x";
+        jobs::JobSpec Job;
+        Job.Id = "00000000000000aa";
+        Job.Queue = "batch";
+        Job.Account = "account";
+        Job.Steps = {stepOf(2, 100ms)};
+        Batch.Submissions = {{1, Job}};
+        Batch.Queries = {{2, cell::QueryKind::State, Job.Id}};
+        const auto Choices = *rc::gen::container<std::vector<int>>(
+            30, rc::gen::inRange(0, 100'000));
+        for (std::size_t Index = 0; Index + 3 <= Choices.size(); Index += 3) {
+          const std::vector<int> Part(Choices.begin() + std::ptrdiff_t(Index),
+                                      Choices.end());
+          for (const std::string &Text :
+               {cell::encode(Link), cell::encode(Batch)})
+            Cell.node(Leader).receive(
+                mutate(Text, Part), [](const std::optional<std::string> &) {});
+        }
+        Cell.run(3s);
+        const std::string Good = Cell.submit("n1", stepOf(2, 100ms));
+        Cell.run(4s);
+        RC_ASSERT(Cell.workers().isDone(Good + ".0.0.0"));
+      },
+      30);
+}
+
+} // namespace
+} // namespace apricotwing::emulator
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -128,41 +128,36 @@
       return World.CutInstances.contains(From) ||
              World.CutInstances.contains(To);
     };
-    if (Cut()) {
-      World.Time.after(Timeout, [Callback] { Callback({}); });
-      return;
-    }
-    World.Time.after(
-        PeerLatency, [&World, Address, Body, Callback, Cut, Timeout] {
-          Instance &To = World.Instances.at(Address);
-          if (!To.Node || To.Frozen || Cut()) {
-            World.Time.after(Timeout, [Callback] { Callback({}); });
-            return;
-          }
-          ++World.Messages[Address];
-          deliver(World, *To.Node, Body, Timeout, Callback);
-        });
-  }
-
-private:
-  /// Passes a message to \p To. Its reply counts only until the timeout, after
-  /// which the sender has already got an empty result.
-  static void deliver(EmulatedCell &World, cell::Node &To,
-                      const std::string &Body, Duration Timeout,
-                      const std::function<void(cell::PeerResult)> &Callback) {
+    // The sender gets an empty result after the timeout, and may then send the
+    // message again, while a delayed one can still arrive.
     const auto Open = std::make_shared<bool>(true);
     const auto Finish = [Open, Callback](const cell::PeerResult &Result) {
       if (std::exchange(*Open, false))
         Callback(Result);
     };
     World.Time.after(Timeout, [Finish] { Finish({}); });
-    To.receive(Body, [&World, Finish](std::optional<std::string> Reply) {
-      World.Time.after(PeerLatency, [Finish, Reply] {
-        Finish({Reply, false});
-      });
+    if (Cut())
+      return;
+    const Duration Delay =
+        World.happens(World.DelayedMessages) ? DelayTime : PeerLatency;
+    World.Time.after(Delay, [&World, Address, Body, Finish, Cut] {
+      const auto Found = World.Instances.find(Address);
+      if (Found == World.Instances.end() || !Found->second.Node ||
+          Found->second.Frozen || Cut())
+        return;
+      Instance &To = Found->second;
+      ++World.Messages[Address];
+      To.Node->receive(
+          Body, [&World, Finish](const std::optional<std::string> &Reply) {
+            if (!World.happens(World.LostReplies))
+              World.Time.after(PeerLatency, [Finish, Reply] {
+                Finish({Reply, false});
+              });
+          });
     });
   }
 
+private:
   EmulatedCell &Cell;
   const std::string Name;
 };
@@ -183,8 +178,9 @@
                            std::vector<jobs::ClientAccount> JobAccounts,
                            const std::optional<cell::ShardLayout> &Layout)
     : Store(Time, Seed), Workers(Time, Seed + 1), Queues(usualQueues()),
-      Accounts(std::move(JobAccounts)),
-      RowCodec(std::make_unique<EmulatedRecords>(Workers, Queues, Accounts)),
+      Accounts(std::move(JobAccounts)), PolicyAccounts(Accounts),
+      Random(Seed + 2), RowCodec(std::make_unique<EmulatedRecords>(
+                            Workers, Queues, PolicyAccounts)),
       WallTime(std::make_unique<VirtualWallClock>(Time)),
       Log(std::make_unique<TraceLog>(Time)) {
   Workers.TraitsOf = [this](const jobs::TaskId &Id) {
@@ -232,6 +228,17 @@
   Store.put("policy", "", "policy", std::to_string(Version));
 }
 
+void EmulatedCell::withdrawKeys(std::int64_t Version) {
+  for (jobs::ClientAccount &Account : PolicyAccounts)
+    Account.Keys = {"new " + Account.Keys.front()};
+  putPolicy(Version);
+}
+
+bool EmulatedCell::happens(double Probability) {
+  return Probability > 0 &&
+         std::uniform_real_distribution<double>(0, 1)(Random) < Probability;
+}
+
 void EmulatedCell::putQueues(std::vector<jobs::Queue> Next,
                              std::int64_t Version) {
   Queues = std::move(Next);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -93,6 +94,16 @@
   /// The node of a running instance.
   cell::Node &node(const std::string &Name) { return *Instances.at(Name).Node; }
 
+  /// Fraction of the messages between instances that arrive DelayTime late, and
+  /// of those whose reply is lost.
+  double DelayedMessages = 0;
+  double LostReplies = 0;
+  static constexpr Duration DelayTime{2500};
+
+  /// Publishes a policy with the version \p Version in which the accounts have
+  /// other keys than callers use.
+  void withdrawKeys(std::int64_t Version);
+
   /// Publishes the policy with the version \p Version.
   void putPolicy(std::int64_t Version);
 
@@ -131,6 +142,7 @@
     int Starts = 0;
   };
 
+  bool happens(double Probability);
   void pump(const std::string &Name, int Start);
   void call(const std::string &Instance, const std::string &Id,
             cell::ClientVerb Verb);
@@ -141,6 +153,8 @@
   EmulatedWorkers Workers;
   std::vector<jobs::Queue> Queues;
   const std::vector<jobs::ClientAccount> Accounts;
+  std::vector<jobs::ClientAccount> PolicyAccounts; ///< As the policy has them.
+  std::mt19937_64 Random;
   std::unique_ptr<cell::PlatformRecords> RowCodec;
   std::unique_ptr<cell::WallClock> WallTime;
   std::unique_ptr<TraceLog> Log;
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -197,6 +197,7 @@
   if (!Used.fitsIn(Entry.Info.Capacity))
     fail("limit: " + Order.Task + " on " + Id);
   const std::uint64_t Serial = ++LastSerial;
+  ++StartedRuns;
   Entry.Runs[Order.Task] = {Order.Run, Traits, Serial};
   if (Traits.Gang)
     startGangIfComplete(*jobs::TaskId::parse(Order.Task), Order.Run);
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -69,6 +69,9 @@
   /// Number of runs that ended as done.
   int doneRuns() const { return DoneRuns; }
 
+  /// Number of runs that were started.
+  int startedRuns() const { return StartedRuns; }
+
   /// Number of active runs.
   int activeRuns() const;
 
@@ -158,6 +161,7 @@
   std::vector<std::string> Violations;
   std::uint64_t LastSerial = 0;
   int DoneRuns = 0;
+  int StartedRuns = 0;
 };
 
 /// An advice service that approves about half of the workers for each step.
--- /dev/null
+++ b/tests/platform/executorresponse_test.cpp
@@ -0,0 +1,78 @@
+#include "platform/executorclient.h"
+#include "platform/jobapicodec.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace apricotwing::platform {
+namespace {
+
+const jobs::WorkerIncarnation Worker{"i-1", 1000};
+
+HttpResult responseOf(int Status, const std::string &Body) {
+  HttpResult Result;
+  Result.State = TransferState::Complete;
+  Result.Status = Status;
+  Result.Body = Body;
+  return Result;
+}
+
+TEST(ExecutorResponseTest, ReadsAHeartbeat) {
+  const auto Result = parseHeartbeatResult(
+      responseOf(200, R"({"clock_ms":5,"born":1000,)"
+                      R"("running":[["t",2,"c",41,0]],)"
+                      R"("finished":[[7,"u",1,"done",""]]})"),
+      Worker);
+  EXPECT_EQ(Result.Outcome, cell::WorkerOutcome::Done);
+  ASSERT_EQ(Result.Running.size(), 1U);
+  EXPECT_EQ(Result.Running[0].Percent, 41);
+  ASSERT_EQ(Result.Ended.size(), 1U);
+  EXPECT_EQ(Result.Ended[0].Kind, jobs::EndKind::Done);
+}
+
+// Guards against a response with fields of another type that ends the process:
+// the exception was not caught on the thread of the HTTP client.
+TEST(ExecutorResponseTest, SurvivesMalformedResponses) {
+  for (const int Status : {200, 400, 409, 421, 429, 500})
+    for (const std::string Body :
+         {"",
+          "{",
+          "[]",
+          "null",
+          "7",
+          "{}",
+          R"({"clock_ms":"x"})",
+          R"({"clock_ms":{}})",
+          R"({"clock_ms":1e300})",
+          R"({"reason":7})",
+          R"({"reason":null})",
+          R"({"born":"x"})",
+          R"({"born":1e300})",
+          R"({"clock_ms":5,"running":7,"finished":[]})",
+          R"({"clock_ms":5,"running":[7],"finished":[]})",
+          R"({"clock_ms":5,"running":[["t",2,"c","x"]],"finished":[]})",
+          R"({"clock_ms":5,"running":[["t",2,"c",1e300]],"finished":[]})",
+          R"({"clock_ms":5,"running":[],"finished":[[1]]})",
+          R"({"clock_ms":5,"running":[],"finished":[[1,2,3,4,5]]})",
+          "\xff\xfe{}"}) {
+      EXPECT_NO_THROW(parseHeartbeatResult(responseOf(Status, Body), Worker))
+          << Status << " " << Body;
+      EXPECT_NO_THROW(parseWorkerAnswer(responseOf(Status, Body), Worker))
+          << Status << " " << Body;
+    }
+}
+
+// Guards against durations that no integer can represent.
+TEST(ExecutorResponseTest, RejectsDurationsOutOfRange) {
+  for (const std::string Value : {"1e300", "-1e300", "-5", "1e18"}) {
+    const auto Job =
+        parseJob(R"({"spec":"x","steps":[{"count":1,"estimated_duration_ms":)" +
+                 Value + "}]}");
+    ASSERT_TRUE(Job) << Value;
+    EXPECT_TRUE(jobs::validationError(*Job)) << Value;
+  }
+}
+
+} // namespace
+} // namespace apricotwing::platform
