Apply only the last transfer of a worker

A leader that read the transfers after the jobs applied them one by one; an earlier transfer of a worker that had returned removed the worker with all its runs. Ruled out: packed rows (the random test of commits and restarts holds). Change: all records are read first, then each worker's last one counts. Seen to fail: ShardsTest.ALeaderKeepsTheWorkOfAWorkerThatHasReturned, 36 starts instead of 24 before the change.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -188,20 +188,26 @@
 
 void Leader::onTransfers(const std::vector<StoredRow> &Rows) {
   TransfersRead = true;
+  std::set<std::string> Changed;
   for (const StoredRow &Row : Rows) {
     const auto Transfer =
         Row.Deleted ? std::nullopt : decodeTransfer(Row.Value);
-    if (!Transfer || !Ownership->record(Row.Key, *Transfer))
-      continue;
-    if (Transfer->To != Shard) {
-      removeWorker(Row.Key);
+    if (Transfer && Ownership->record(Row.Key, *Transfer))
+      Changed.insert(Row.Key);
+  }
+  // Only the last transfer of a worker counts: an earlier one must not end the
+  // runs of a worker that has returned.
+  for (const std::string &Id : Changed) {
+    if (!isOwnWorker(Id)) {
+      removeWorker(Id);
       continue;
     }
-    Deps.Log.event("worker received", Row.Key,
-                   {{"from", std::to_string(Transfer->From)},
-                    {"number", std::to_string(Transfer->Number)}});
-    if (const auto Known = ForeignRows.extract(Row.Key); !Known.empty())
+    if (const auto Known = ForeignRows.extract(Id); !Known.empty()) {
+      Deps.Log.event(
+          "worker received", Id,
+          {{"number", std::to_string(Ownership->lastTransfer(Id).Number)}});
       applyRegistryRow(Known.mapped());
+    }
   }
 }
 
--- a/tests/cell/shards_test.cpp
+++ b/tests/cell/shards_test.cpp
@@ -178,6 +178,27 @@
   EXPECT_EQ(Cell.workers().doneRuns(), 8 * int(Ids.size()));
 }
 
+// Guards against a leader that takes an earlier transfer of a worker for the
+// last one, when it reads the transfers after the jobs: it gave up all runs on
+// the worker and started them again. Found on a hunted day of the large site.
+TEST_F(ShardsTest, ALeaderKeepsTheWorkOfAWorkerThatHasReturned) {
+  for (int Number = 0; Number < 8; ++Number)
+    Cell.submit(Cell.leader(1), stepOf(3, 6s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().startedRuns(), 24);
+  for (const std::string &Id : Cell.workers().ids()) {
+    if (Layout.shardOfWorker(Id) != 0)
+      continue;
+    Cell.store().put(cell::TransferTable, cell::partitionOf(0), Id,
+                     cell::encode(cell::TransferRecord{0, 1, 1, 5'000'000}));
+    Cell.store().put(cell::TransferTable, cell::partitionOf(1), Id,
+                     cell::encode(cell::TransferRecord{1, 0, 2, 9'000'000}));
+  }
+  Cell.run(20s);
+  EXPECT_EQ(Cell.workers().startedRuns(), 24);
+  EXPECT_EQ(Cell.workers().doneRuns(), 24);
+}
+
 // Guards against an instance that keeps leading two shards after others have
 // come back.
 TEST_F(ShardsTest, SpreadsLeadershipAgainAfterLosses) {
