Start nothing beside a run whose job is unknown

Found by reading: a new leader does not know the jobs that have ended, and counted their runs, which it stops, as using nothing; stopping takes up to 0.9 s there. Change: a worker with such a run gets no new runs until it is gone. Seen to fail: JobSchedulerTest.StartsNothingBesideARunOfAnUnknownJob.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -450,7 +450,7 @@
     allocateRun(Host, *Owner, *Id, Run.Run,
                 Owner->Spec.Steps[std::size_t(Id->Step)], Now);
   else
-    Host.allocate(Run.Task, {Run.Run, {}, false, {}, false, Now});
+    Host.allocate(Run.Task, {Run.Run, {}, false, {}, false, Now, true});
   stopRun(Host, Run.Task, Run.Run);
 }
 
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -42,7 +42,9 @@
   Used += chargedResources(Run);
   if (Run.BestEffort)
     FillingCpuMillis += Run.Request.CpuMillis;
-  Runs[Task] = std::move(Run);
+  AllocatedRun &Entry = Runs[Task];
+  UnknownRuns += int(Run.IsUnknown) - int(Entry.IsUnknown);
+  Entry = std::move(Run);
 }
 
 bool Worker::release(const std::string &Task, std::int64_t Run) {
@@ -52,6 +54,7 @@
   Used -= chargedResources(Found->second);
   if (Found->second.BestEffort)
     FillingCpuMillis -= Found->second.Request.CpuMillis;
+  UnknownRuns -= int(Found->second.IsUnknown);
   Runs.erase(Found);
   return true;
 }
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -24,6 +24,8 @@
   std::string Account;
   bool Stopping = false;
   TimePoint Since;
+  /// Its job has ended, so what it uses is unknown.
+  bool IsUnknown = false;
 };
 
 /// One incarnation of a worker. Owned by a JobScheduler and used on its thread
@@ -46,9 +48,11 @@
   bool isReachable() const { return Reachable; }
   void setReachable(bool Value) { Reachable = Value; }
 
-  /// True if new runs may be started on it at \p Now.
+  /// True if new runs may be started on it at \p Now. Nothing is started beside
+  /// a run of unknown size.
   bool isUsable(TimePoint Now) const {
-    return Synced && Reachable && !Info.Draining && Now >= AvoidedUntil;
+    return Synced && Reachable && !Info.Draining && Now >= AvoidedUntil &&
+           UnknownRuns == 0;
   }
 
   /// Starts no new runs on it until \p Until.
@@ -132,6 +136,7 @@
   Resources Used;
   std::int64_t FillingCpuMillis = 0;
   std::map<std::string, AllocatedRun> Runs;
+  int UnknownRuns = 0;
   Resources Claimed;
   std::map<std::string, Resources> Claims; ///< By step name.
 };
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -164,6 +164,30 @@
   EXPECT_EQ(Made.Starts[0].Task, "old.0.0.1");
 }
 
+// Guards against a worker that gets more than it can hold after a change of the
+// leader: the resources of a run whose job has ended are unknown until it is
+// gone, which takes as long as stopping it does.
+TEST_F(JobSchedulerTest, StartsNothingBesideARunOfAnUnknownJob) {
+  WorkerInfo Info;
+  Info.Incarnation = {"w1", 1};
+  Info.Upstream = "service";
+  Info.Capacity = {32'000, 65'536, 0};
+  Scheduler.updateWorker(Info);
+  Scheduler.syncWorker(Info.Incarnation, {{"gone.0.0.0", 1, "", 10}}, {}, Now);
+  JobSpec Spec;
+  Spec.Id = "new";
+  Spec.Queue = "batch";
+  Spec.Steps = {step(1, 1000)};
+  Scheduler.add(Spec, false, Now);
+  const Decisions First = decide();
+  EXPECT_EQ(First.Starts.size(), 0U);
+  ASSERT_EQ(First.Stops.size(), 1U);
+  EXPECT_EQ(First.Stops[0].Task, "gone.0.0.0");
+  Scheduler.runEnded(Info.Incarnation,
+                     {1, "gone.0.0.0", 1, EndKind::Stopped, ""}, Now);
+  EXPECT_EQ(decide().Starts.size(), 1U);
+}
+
 // Guards against a faulty worker on which every run fails and which, being
 // empty, attracts all further tasks.
 TEST_F(JobSchedulerTest, AvoidsAWorkerThatFailsEverything) {
