Compute a shard's load once for each exchange

Closing read of the diff: the load was computed for the leader record and again for the plan of transfers, each time with a walk over all waiting steps; and the leader was told a number of other shards that nothing read. Behaviour is unchanged.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -217,10 +217,10 @@
   if (!Transfers || Now < NextLoadExchange)
     return;
   NextLoadExchange = Now + LoadExchangeInterval;
-  StateJournal.setLoad(
-      {Scheduler.usableWorkers(), Scheduler.freeShare(),
-       Scheduler.estimatedWait(std::numeric_limits<int>::max()),
-       Scheduler.longestWait(Now)});
+  const ShardLoad Own{Scheduler.usableWorkers(), Scheduler.freeShare(),
+                      Scheduler.estimatedWait(std::numeric_limits<int>::max()),
+                      Scheduler.longestWait(Now)};
+  StateJournal.setLoad(Own);
   for (int Other = 0; Other < Ownership->layout().shardCount(); ++Other) {
     if (Other == Shard)
       continue;
@@ -233,10 +233,10 @@
             OtherLoads[Other] = {Read->Load, Deps.Time.now()};
         }));
   }
-  transferWorkers(Now);
+  transferWorkers(Own, Now);
 }
 
-void Leader::transferWorkers(TimePoint Now) {
+void Leader::transferWorkers(const ShardLoad &Own, TimePoint Now) {
   std::map<int, ShardLoad> Loads;
   for (const auto &[Other, Known] : OtherLoads)
     if (Now - Known.ReadAt < MaxLoadAge)
@@ -245,9 +245,6 @@
   for (const auto &[Id, Worker] : WorkerStates)
     if (isIdle(Worker))
       Idle.push_back(Id);
-  const ShardLoad Own{Scheduler.usableWorkers(), Scheduler.freeShare(),
-                      Scheduler.estimatedWait(std::numeric_limits<int>::max()),
-                      Scheduler.longestWait(Now)};
   const auto Planned = planTransfer(Own, Loads, Idle.size());
   if (!Planned)
     return;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -59,12 +59,8 @@
   /// answered.
   void setLayout(const ShardLayout &NewLayout);
 
-  /// Sets the number of other shards that this instance leads, and of those
-  /// among them that have a lower number.
-  void setOtherShardsLed(int Count, int Lower) {
-    OtherShardsLed = Count;
-    LowerShardsLed = Lower;
-  }
+  /// Sets how many shards with a lower number this instance leads.
+  void setLowerShardsLed(int Count) { LowerShardsLed = Count; }
 
   /// Applies a policy.
   void setPolicy(const jobs::ClusterPolicy &NewPolicy);
@@ -137,7 +133,7 @@
   bool mayUseWorkers() const;
   void onTransfers(const std::vector<StoredRow> &Rows);
   void exchangeLoads(TimePoint Now);
-  void transferWorkers(TimePoint Now);
+  void transferWorkers(const ShardLoad &Own, TimePoint Now);
   void transferWorker(const std::string &Id, int To);
   bool isIdle(const WorkerState &Worker) const;
 
@@ -217,7 +213,6 @@
   TimePoint NextLoadExchange;
   bool LayoutProposed = false;
   TimePoint LastNewWorker; ///< When the registry last showed a new worker.
-  int OtherShardsLed = 0;
   int LowerShardsLed = 0;
   double LargestCpuShare = 0; ///< Of all members; 0: not determined yet.
 
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -90,7 +90,7 @@
     LocalLeader.reset();
   }
   if (LocalLeader) {
-    LocalLeader->setOtherShardsLed(Others.ShardsLed, Others.LowerShardsLed);
+    LocalLeader->setLowerShardsLed(Others.LowerShardsLed);
     LocalLeader->pump();
   }
   resignIfStoreUnreachable();
