--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -222,6 +222,7 @@
 
 void CallRouter::finish(OpenCall &Call, ClientAnswer Answer) {
   ++Answers[Answer.Status];
+  const int Shard = Layout ? Layout->shardOfAccount(Call.Account) : -1;
   if (Call.SubmitRequest || Answer.Status == ClientStatus::UnknownKey ||
       Answer.Status == ClientStatus::Unavailable ||
       Answer.Status == ClientStatus::Unresolved)
@@ -232,8 +233,8 @@
          {"after_ms",
           std::to_string((Deps.Time.now() - Call.ArrivedAt).count())},
          {"policy", std::to_string(Policy.Version)},
-         {"shard",
-          std::to_string(Layout ? Layout->shardOfAccount(Call.Account) : -1)}});
+         {"shard", std::to_string(Shard)},
+         {"leader", Layout ? Deps.Channel(Shard).leaderName() : ""}});
   Call.Respond(Answer);
 }
 
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -911,6 +911,7 @@
         });
     if (Busiest == Members.end() || !moveOneWorker(Busiest->second))
       return;
+    ++MovedWorkers;
     assignWorkers();
   }
 }
@@ -1078,12 +1079,22 @@
   if (Now < NextLoadLog)
     return;
   NextLoadLog = Now + LoadLogInterval;
-  Deps.Log.event("load", Record.Instance.Name,
-                 {{"shard", std::to_string(Shard)},
-                  {"waiting", Scheduler.summary()},
-                  {"jobs", std::to_string(Scheduler.activeJobs())},
-                  {"advice_calls", std::to_string(Dispatcher.openCalls())},
-                  {"members", std::to_string(Members.size())}});
+  const auto Own = Members.find(Record.Instance.Name);
+  const auto Unassigned = std::count_if(
+      WorkerStates.begin(), WorkerStates.end(),
+      [](const auto &Entry) { return Entry.second.Member.empty(); });
+  Deps.Log.event(
+      "load", Record.Instance.Name,
+      {{"shard", std::to_string(Shard)},
+       {"waiting", Scheduler.summary()},
+       {"jobs", std::to_string(Scheduler.activeJobs())},
+       {"advice_calls", std::to_string(Dispatcher.openCalls())},
+       {"members", std::to_string(Members.size())},
+       {"supervisors", std::to_string(Supervisors.size())},
+       {"unassigned", std::to_string(Unassigned)},
+       {"own_workers",
+        std::to_string(Own == Members.end() ? 0 : Own->second.Workers.size())},
+       {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
 }
 
 void Leader::removeExpiredJobs(TimePoint Now) {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -223,6 +223,7 @@
   TimePoint NextJobExpiry;
   TimePoint NextRebalance;
   TimePoint NextLoadLog;
+  int MovedWorkers = 0; ///< Moved to another member since the last log line.
   CallbackGuard Guard;
 };
 
--- a/src/cell/leaderchannel.h
+++ b/src/cell/leaderchannel.h
@@ -50,6 +50,11 @@
   /// Sets the current leader. All open calls are sent to a new one at once.
   void setLeader(const LeaderRecord &Record);
 
+  /// Name of the current leader's instance; empty while it is unknown.
+  std::string leaderName() const {
+    return Leader ? Leader->Instance.Name : std::string();
+  }
+
   /// True if there are open calls and the leader is unknown or does not answer
   /// as expected, so that the leader record should be read.
   bool needsLeader() const;
