--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -2,6 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
 namespace apricotwing::emulator {
 namespace {
 
@@ -375,5 +381,77 @@
   EXPECT_NE(Cell.leader(), "n2");
 }
 
+/// Six instances with half a core and eight with 0.12.
+class LargeCellTest : public testing::Test {
+protected:
+  LargeCellTest() : Cell(1, shares(), 48) { Cell.run(8s); }
+  ~LargeCellTest() override {
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << Violation;
+  }
+
+  static std::vector<double> shares() {
+    std::vector<double> Result(14, 0.12);
+    std::fill(Result.begin() + 4, Result.begin() + 10, 0.5);
+    return Result;
+  }
+
+  static bool isLarge(const std::string &Name) {
+    return shares().at(std::stoul(Name.substr(1))) == 0.5;
+  }
+
+  EmulatedCell Cell;
+};
+
+TEST_F(LargeCellTest, ASmallInstanceDoesNotLeadAfterAResignation) {
+  for (int Change = 0; Change < 12; ++Change) {
+    const std::string Old = Cell.leader();
+    ASSERT_TRUE(isLarge(Old)) << Old;
+    Cell.store().RefusedCallers = {Old};
+    std::set<std::string> Leaders;
+    for (int Step = 0; Step < 200; ++Step) {
+      Cell.run(10ms);
+      if (!Cell.leader().empty())
+        Leaders.insert(Cell.leader());
+    }
+    Cell.store().RefusedCallers.clear();
+    EXPECT_GT(Leaders.size(), 1U);
+    EXPECT_TRUE(std::all_of(Leaders.begin(), Leaders.end(), isLarge));
+    Cell.run(2s + Change * 30ms);
+  }
+}
+
+TEST_F(LargeCellTest, AnInstanceWithoutTheStoreFindsTheNextLeader) {
+  const std::string Old = Cell.leader();
+  Cell.store().Cut = {Old, "n0", "n1", "n2", "n3"};
+  Cell.run(3s);
+  for (const std::string &Name : {Old, std::string("n0"), std::string("n3")}) {
+    const std::string Id = Cell.submit(Name, stepOf(1, 100ms));
+    Cell.run(400ms);
+    EXPECT_TRUE(Cell.jobs().at(Id).Accepted) << Name;
+    EXPECT_EQ(viewOf(Cell, Name, Id), JobView::Completed) << Name;
+  }
+}
+
+// Guards against a new leader that has no processor time left for decisions,
+// because it supervises the workers itself.
+TEST_F(LargeCellTest, ANewLeaderDistributesTheWorkersAmongLargeMembers) {
+  const std::string Old = Cell.leader();
+  Cell.node(Old).leave();
+  std::map<std::string, std::size_t> Most;
+  for (int Step = 0; Step < 300; ++Step) {
+    Cell.run(10ms);
+    for (const std::string &Name : Cell.names()) {
+      const auto &Member = Cell.node(Name).agents().front()->member();
+      if (Name != Old)
+        Most[Name] = std::max(Most[Name], Member.workerSessionCount());
+    }
+  }
+  const std::string Next = Cell.leader();
+  ASSERT_TRUE(isLarge(Next));
+  for (const auto &[Name, Workers] : Most)
+    EXPECT_LE(Workers, isLarge(Name) && Name != Next ? 48U / 4 : 0U) << Name;
+}
+
 } // namespace
 } // namespace apricotwing::emulator
