Spread the watch calls of instances over time

The members' watches of the policy end together, every 800 ms, since each change of the policy wakes all of them at once; news of an answer may therefore arrive only after the leader's lease has expired, when it processes no messages any more.

Each watch now waits between half of its time-out and all of it, in a sequence that differs between instances. Idle instances make a third more watch calls.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -122,6 +122,7 @@
           {[this] { storeChangedJobs(); }, [this] { DecisionNeeded = true; }}),
       Registry(Deps.Store, Deps.Time, Deps.Records.workerTable(), {""},
                RegistryWatchInterval, RegistryWatchTimeout,
+               Record.Instance.Name,
                {[this](const std::vector<StoredRow> &Rows) {
                   onRegistrySnapshot(Rows);
                 },
@@ -165,7 +166,7 @@
     };
     Transfers = std::make_unique<TableWatcher>(
         Deps.Store, Deps.Time, TransferTable, std::move(Partitions),
-        TransferWatchInterval, TransferWatchTimeout,
+        TransferWatchInterval, TransferWatchTimeout, Record.Instance.Name,
         TableWatcher::Callbacks{OnRows, OnRows});
   }
   if (Loaded)
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -43,7 +43,7 @@
       Process(std::move(Process)), Peers(*this, Deps.Peers),
       PolicyWatcher(
           Deps.Store, Deps.Time, Deps.Records.policyTable(), {""},
-          PolicyWatchInterval, PolicyWatchTimeout,
+          PolicyWatchInterval, PolicyWatchTimeout, this->Instance.Name,
           {[this](const std::vector<StoredRow> &Rows) { onPolicyRows(Rows); },
            [this](const std::vector<StoredRow> &Rows) { onPolicyRows(Rows); }}),
       Router({Deps.Time, Deps.WallTime, Deps.Log, this->Times,
--- a/src/cell/tablewatcher.cpp
+++ b/src/cell/tablewatcher.cpp
@@ -1,5 +1,7 @@
 #include "cell/tablewatcher.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace apricotwing::cell {
@@ -15,10 +17,19 @@
                            std::string Table,
                            std::vector<std::string> Partitions,
                            Duration MinInterval, Duration WatchTimeout,
-                           Callbacks Owner)
+                           std::string JitterSeed, Callbacks Owner)
     : Store(Store), Time(Time), Table(std::move(Table)),
       Partitions(std::move(Partitions)), MinInterval(MinInterval),
-      WatchTimeout(WatchTimeout), Owner(std::move(Owner)) {}
+      WatchTimeout(WatchTimeout), JitterSeed(std::move(JitterSeed)),
+      Owner(std::move(Owner)) {}
+
+Duration TableWatcher::nextWatchTimeout() {
+  const Duration Shortest = WatchTimeout / 2;
+  const std::uint64_t Hash = XXH3_64bits_withSeed(
+      JitterSeed.data(), JitterSeed.size(), XXH64_hash_t(++WatchCalls));
+  return Shortest +
+         Duration(Duration::rep(Hash % std::uint64_t(Shortest.count() + 1)));
+}
 
 void TableWatcher::pump() {
   if (InFlight || Time.now() < NextCall)
@@ -66,7 +77,7 @@
 
 void TableWatcher::watch() {
   const TimePoint Sent = Time.now();
-  Store.watch(Table, Version, WatchTimeout,
+  Store.watch(Table, Version, nextWatchTimeout(),
               Guard.wrap([this, Sent](const ReadResult &Result) {
                 InFlight = false;
                 if (Result.Outcome == StoreOutcome::HistoryLost) {
--- a/src/cell/tablewatcher.h
+++ b/src/cell/tablewatcher.h
@@ -6,6 +6,7 @@
 #include "cell/callbackguard.h"
 #include "cell/ports.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -27,10 +28,12 @@
   /// Watches the rows in the partitions \p Partitions of \p Table.
   /// \p MinInterval is the minimum time between two calls, which limits their
   /// rate if rows change constantly. \p WatchTimeout is the maximum time that a
-  /// watch call waits for a change.
+  /// watch call waits for a change. Each call waits for between half of it and
+  /// all of it, in a sequence that depends on \p JitterSeed, so that the calls
+  /// of many watchers do not end at the same time after each change.
   TableWatcher(MetadataStore &Store, const Clock &Time, std::string Table,
                std::vector<std::string> Partitions, Duration MinInterval,
-               Duration WatchTimeout, Callbacks Owner);
+               Duration WatchTimeout, std::string JitterSeed, Callbacks Owner);
 
   /// Starts the next call if it is due.
   void pump();
@@ -46,6 +49,7 @@
   void onPage(const ReadResult &Page);
   void watch();
   void onFailure();
+  Duration nextWatchTimeout();
 
   MetadataStore &Store;
   const Clock &Time;
@@ -53,7 +57,9 @@
   const std::vector<std::string> Partitions;
   const Duration MinInterval;
   const Duration WatchTimeout;
+  const std::string JitterSeed;
   const Callbacks Owner;
+  std::uint64_t WatchCalls = 0;
   std::vector<StoredRow> PartialRows;
   std::size_t NextPartition = 0; ///< That is read next.
   std::string NextKey;
