Let large instances lead after a resignation

After the leader had lost the store, instances with 0.12 of a core led, up to four in a row, each too slow to load the state, to read the workers' lists and to decide in time.

Cause: the delay that favours instances with a large CPU share applied to leases that expired, but not to leaders that had resigned or stepped down; there the first reader of the leader record won. Class: a rule of an election that only one of several ways into it observes.

The delay now starts when an instance learns that there is no leader, whatever the reason. The named successor and the successor of an own earlier process still contend at once. A resigned leader is no longer connected to again.

--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -194,18 +194,26 @@
     return;
   // A record of another process of this instance is stale: that process must
   // have ended, because this process uses the same ports.
+  const bool IsOwnVacancy = IsOwnRecord && (Record->Process != Process ||
+                                            Record->Term > ResignedTerm);
+  const bool IsSuccessor = NoLeader && Record->Successor == Instance.Name;
   const bool LeaderResigned = Record->Term == LocalMember.resignedTerm();
-  const bool IsVacant = NoLeader || LeaderResigned ||
-                        (IsOwnRecord && Record->Process != Process) ||
-                        (IsOwnRecord && Record->Term > ResignedTerm);
-  const bool HasExpired = Now - ObservedSince >=
-                          Deps.Times.LeaderLease + Deps.Times.ClockSkewMargin +
-                              electionDelay(Others);
+  const bool HasNoLeader = NoLeader || LeaderResigned;
+  if (HasNoLeader && VacantTerm != Record->Term) {
+    VacantTerm = Record->Term;
+    VacantSince = Now;
+  }
+  const Duration Delay = electionDelay(Others);
+  const bool IsVacant = IsOwnVacancy || IsSuccessor ||
+                        (HasNoLeader && Now - VacantSince >= Delay);
+  const bool HasExpired =
+      Now - ObservedSince >=
+      Deps.Times.LeaderLease + Deps.Times.ClockSkewMargin + Delay;
   if ((IsVacant || HasExpired) && isLinked(Others)) {
     acquireLeadership(Version, Record->Term);
     return;
   }
-  if (!NoLeader)
+  if (!HasNoLeader)
     follow(*Record, Others);
 }
 
--- a/src/cell/shardagent.h
+++ b/src/cell/shardagent.h
@@ -119,6 +119,10 @@
   /// Of the leader record; -1: not read yet.
   std::int64_t ObservedVersion = -1;
   TimePoint ObservedSince;
+  /// Last term whose leader is known to have stepped down or resigned, and
+  /// when this instance learned of it.
+  std::int64_t VacantTerm = 0;
+  TimePoint VacantSince;
   /// Last term that this instance resigned from.
   std::int64_t ResignedTerm = 0;
   CallbackGuard Guard;
