Wait for members before a new leader assigns the workers

All 350 workers had been assigned to the new leader's own instance, since only it and the member that was stopping had joined when the state was loaded; 12 of them moved every 250 ms, and each is unsupervised for a moment.

Cause: the leader took the members of the first 60 ms for all there are, and with up to eight members it supervises workers itself. Class: a decision on a membership that is known to be incomplete.

The leader record now tells the number of members. Until as many have joined, but for at most 0.7 s, only members with half of the largest CPU share supervise workers, each at most its part among four, and no worker is moved.

LargeCellTest.ANewLeaderDistributesTheWorkersAmongLargeMembers failed before: the leader supervised up to 48 of 48 workers. The test now asks the leader for the assignments, as sessions of the last term also counted; it fails without the waiting (Joining false from the start).

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -292,6 +292,7 @@
         {"instance", Value.Instance}};
   put(To, "successor", Value.Successor);
   put(To, "largest", Value.LargestCpuShare);
+  put(To, "members", Value.Members);
   put(To, "load", Value.Load);
 }
 static void from_json(const json &From, LeaderRecord &Value) {
@@ -301,6 +302,7 @@
   From.at("instance").get_to(Value.Instance);
   take(From, "successor", Value.Successor);
   take(From, "largest", Value.LargestCpuShare);
+  take(From, "members", Value.Members);
   take(From, "load", Value.Load);
 }
 
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -74,9 +74,12 @@
   /// preferred one; it may be empty.
   void stepDown(const std::string &Successor);
 
-  /// Sets the largest CPU share of any member, which is written with the next
-  /// commits.
-  void setLargestCpuShare(double Share) { Record.LargestCpuShare = Share; }
+  /// Sets the number of members and the largest CPU share of any of them, which
+  /// are written with the next commits.
+  void setMembers(int Count, double LargestCpuShare) {
+    Record.Members = Count;
+    Record.LargestCpuShare = LargestCpuShare;
+  }
 
   /// Continues with the packed rows that the previous leader has left.
   /// Precondition: no changes have been added in this term.
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -102,9 +102,13 @@
 constexpr Duration RebalanceInterval{250};
 constexpr int MaxMovesPerRebalance = 12;
 
-/// Time for members to join after a takeover before workers are assigned. Most
-/// members join within two messages.
-constexpr Duration JoinPeriod{60};
+/// Time after a takeover before workers are assigned.
+constexpr Duration MinJoinPeriod{60};
+
+/// Time after a takeover in which more members are expected to join. A member
+/// notices the change with its next message, which an idle one sends within
+/// 0.4 s, and then reads the leader record.
+constexpr Duration MaxJoinPeriod{700};
 
 /// Maximum number of fencing tokens per term.
 constexpr std::int64_t TokensPerTerm = 1'000'000;
@@ -848,22 +852,41 @@
 }
 
 void Leader::updateSupervisors() {
+  const auto Established =
+      std::count_if(Members.begin(), Members.end(), [](const auto &Entry) {
+        return Entry.second.Sender->isEstablished();
+      });
+  Joining = Joining && Established < Record.Members &&
+            Deps.Time.now() - TermStartedAt < MaxJoinPeriod;
+  const double MinShare =
+      Joining ? Record.LargestCpuShare * LargeShareRatio : 0;
   std::vector<SupervisorCandidate> Eligible;
-  LargestCpuShare = Record.Instance.CpuShare;
+  std::size_t Others = std::size_t(Joining ? Record.Members - 1 : 0);
+  LargestCpuShare =
+      std::max(Record.Instance.CpuShare, Joining ? Record.LargestCpuShare : 0);
   for (const auto &[Name, Member] : Members) {
     if (Member.Leaving || !Member.Sender->isEstablished())
       continue;
     LargestCpuShare = std::max(LargestCpuShare, Member.Info.CpuShare);
-    if (Name != Record.Instance.Name)
+    if (Name != Record.Instance.Name && Member.Info.CpuShare >= MinShare)
       Eligible.push_back({Name, effectiveShare(Member)});
   }
-  const bool Small = Eligible.size() <= MinSupervisors;
+  Others = std::max(Others, Eligible.size());
   Supervisors =
       selectSupervisors(std::move(Eligible), WorkerStates.size(), Shard);
   // In a small cell the leader's own instance supervises workers, too.
-  if (Small)
+  if (Others <= MinSupervisors)
     Supervisors.insert(Record.Instance.Name);
-  StateJournal.setLargestCpuShare(LargestCpuShare);
+  if (!Joining)
+    StateJournal.setMembers(int(Members.size()), LargestCpuShare);
+}
+
+// Maximum number of workers of a member while more members may join: their
+// part if as many supervise as a cell of this size has at least.
+std::size_t Leader::joinPeriodQuota() const {
+  const std::size_t Expected = std::clamp<std::size_t>(
+      std::size_t(std::max(Record.Members, 1)) - 1, 1, MinLargeSupervisors);
+  return (WorkerStates.size() + Expected - 1) / Expected;
 }
 
 void Leader::removeMember(const std::string &Name) {
@@ -952,11 +975,12 @@
 }
 
 Leader::MemberState *Leader::selectSupervisor(const WorkerState &Worker) {
+  const std::size_t Quota = Joining ? joinPeriodQuota() : WorkerStates.size();
   MemberState *Best = nullptr;
   double BestLoad = 0;
   for (auto &[Name, Candidate] : Members) {
     if (Candidate.Leaving || !Candidate.Sender->isEstablished() ||
-        !Supervisors.contains(Name))
+        !Supervisors.contains(Name) || Candidate.Workers.size() >= Quota)
       continue;
     double Load = loadOf(Candidate, 1);
     // Traffic between zones costs time and money, so a member in another zone
@@ -1080,7 +1104,6 @@
   if (Now < NextLoadLog)
     return;
   NextLoadLog = Now + LoadLogInterval;
-  const auto Own = Members.find(Record.Instance.Name);
   const auto Unassigned = std::count_if(
       WorkerStates.begin(), WorkerStates.end(),
       [](const auto &Entry) { return Entry.second.Member.empty(); });
@@ -1093,8 +1116,7 @@
        {"members", std::to_string(Members.size())},
        {"supervisors", std::to_string(Supervisors.size())},
        {"unassigned", std::to_string(Unassigned)},
-       {"own_workers",
-        std::to_string(Own == Members.end() ? 0 : Own->second.Workers.size())},
+       {"own_workers", std::to_string(workersOf(Record.Instance.Name))},
        {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
 }
 
@@ -1140,10 +1162,10 @@
         exchangeLoads(Now);
         logLoad(Now);
       }
-      if (Now - TermStartedAt >= JoinPeriod) {
+      if (Now - TermStartedAt >= MinJoinPeriod)
         assignWorkers();
+      if (!Joining)
         rebalanceWorkers();
-      }
       decide();
       storeChangedJobs();
     }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -95,6 +95,13 @@
   std::size_t memberCount() const { return Members.size(); }
   bool isLoaded() const { return Loaded; }
 
+  /// Number of workers that the member \p Name supervises; 0 if there is no
+  /// such member.
+  std::size_t workersOf(const std::string &Name) const {
+    const auto Found = Members.find(Name);
+    return Found == Members.end() ? 0 : Found->second.Workers.size();
+  }
+
 private:
   struct MemberState {
     InstanceInfo Info;
@@ -155,6 +162,7 @@
   EnvelopeReply accept() const;
   bool isFull() const;
   static double effectiveShare(const MemberState &Member);
+  std::size_t joinPeriodQuota() const;
   void updateSupervisors();
   void updateAdvisers();
   const MemberState *largestMember() const;
@@ -187,6 +195,10 @@
   std::map<std::string, MemberState> Members; ///< By instance name.
   /// Names of members that supervise workers.
   std::set<std::string> Supervisors;
+  /// More members of the last term may still join. Until then the first ones
+  /// must not get all workers, in particular not the leader's own instance,
+  /// which needs its CPU time for decisions.
+  bool Joining = true;
   /// Names of members that make calls for advice.
   std::set<std::string> Advisers;
   std::map<std::string, WorkerState> WorkerStates; ///< By worker id.
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -36,6 +36,9 @@
   std::string Successor;
   /// Largest CPU share of any member; 0 if unknown.
   double LargestCpuShare = 0;
+  /// Number of members; in the first record of a term, that of the last term. 0
+  /// if unknown.
+  int Members = 0;
   ShardLoad Load;
 };
 
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -181,6 +181,7 @@
     return;
   }
   RecordedCpuShare = Record->LargestCpuShare;
+  RecordedMembers = Record->Members;
   const bool NoLeader = Record->Instance.Name.empty();
   const bool IsOwnRecord = Record->Instance.Name == Instance.Name;
   if (LocalLeader && IsOwnRecord && Record->Process == Process &&
@@ -242,6 +243,7 @@
   NewRecord.Process = Process;
   NewRecord.Instance = Instance;
   NewRecord.LargestCpuShare = largestCpuShare();
+  NewRecord.Members = RecordedMembers;
   Transaction Changes;
   Changes.Partition = partitionOf(Shard);
   Changes.Conditions.push_back({LeaderTable, LeaderKey, Version});
--- a/src/cell/shardagent.h
+++ b/src/cell/shardagent.h
@@ -112,6 +112,7 @@
   /// When the instance may offer itself as a guest again.
   TimePoint NextGuestOffer;
   double RecordedCpuShare = 0; ///< Largest one in the leader record.
+  int RecordedMembers = 0;     ///< Their number in the leader record.
 
   /// A read or write of the leader record is in flight.
   bool StoreCallInFlight = false;
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -441,11 +441,11 @@
   std::map<std::string, std::size_t> Most;
   for (int Step = 0; Step < 300; ++Step) {
     Cell.run(10ms);
-    for (const std::string &Name : Cell.names()) {
-      const auto &Member = Cell.node(Name).agents().front()->member();
-      if (Name != Old)
-        Most[Name] = std::max(Most[Name], Member.workerSessionCount());
-    }
+    const std::string Next = Cell.leader();
+    if (!Next.empty() && Next != Old)
+      for (const std::string &Name : Cell.names())
+        Most[Name] =
+            std::max(Most[Name], Cell.node(Next).leader()->workersOf(Name));
   }
   const std::string Next = Cell.leader();
   ASSERT_TRUE(isLarge(Next));
