Ask other instances for the leader while the store does not answer

Cause: the leader's address was only in its record in the store. Class: a dependency of all instances on a service that only one of them needs.

The leader tells its members the addresses of the eight largest ones. An instance that needs the leader, and whose read of the record fails or takes over 150 ms, asks one of them every 100 ms. The answer is a hint: a leader still proves itself by answering in its term, which needs a valid lease, so an outdated answer changes nothing but the time that it costs.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -433,6 +433,7 @@
   putList(To, "stops", Value.Stops);
   putList(To, "acks", Value.Acks);
   putList(To, "advice", Value.Advice);
+  putList(To, "contacts", Value.Contacts);
 }
 static void from_json(const json &From, LeaderMessage &Value) {
   take(From, "assigned", Value.Assigned);
@@ -441,6 +442,7 @@
   take(From, "stops", Value.Stops);
   take(From, "acks", Value.Acks);
   take(From, "advice", Value.Advice);
+  take(From, "contacts", Value.Contacts);
 }
 
 static void to_json(json &To, const Envelope &Value) {
@@ -507,6 +509,23 @@
   take(From, "answers", Value.Answers);
 }
 
+static void to_json(json &To, const LeaderQuery &Value) {
+  To = {{"leader_of", Value.Shard}};
+}
+static void from_json(const json &From, LeaderQuery &Value) {
+  From.at("leader_of").get_to(Value.Shard);
+}
+
+static void to_json(json &To, const LeaderAnswer &Value) {
+  To = json::object();
+  if (Value.Leader)
+    To["leader"] = *Value.Leader;
+}
+static void from_json(const json &From, LeaderAnswer &Value) {
+  if (From.contains("leader"))
+    Value.Leader = From.at("leader").get<LeaderRecord>();
+}
+
 static void to_json(json &To, const ShardLayout &Value) {
   To = {{"shares", Value.shares()}, {"accounts", Value.accounts()}};
 }
@@ -544,6 +563,8 @@
 std::string encode(const EnvelopeReply &Value) { return toText(Value); }
 std::string encode(const CallBatch &Value) { return toText(Value); }
 std::string encode(const CallBatchReply &Value) { return toText(Value); }
+std::string encode(const LeaderQuery &Value) { return toText(Value); }
+std::string encode(const LeaderAnswer &Value) { return toText(Value); }
 std::string encode(const ShardLayout &Value) { return toText(Value); }
 std::string encode(const TransferRecord &Value) { return toText(Value); }
 std::string encode(const std::vector<RowChange> &Value) {
@@ -568,6 +589,9 @@
 std::optional<CallBatchReply> decodeCallBatchReply(const std::string &Text) {
   return fromText<CallBatchReply>(Text);
 }
+std::optional<LeaderAnswer> decodeLeaderAnswer(const std::string &Text) {
+  return fromText<LeaderAnswer>(Text);
+}
 std::optional<ShardLayout> decodeShardLayout(const std::string &Text) {
   return fromText<ShardLayout>(Text);
 }
@@ -579,13 +603,15 @@
   return fromText<std::vector<RowChange>>(Text);
 }
 
-std::optional<std::variant<Envelope, CallBatch>>
+std::optional<std::variant<Envelope, CallBatch, LeaderQuery>>
 decodePeerMessage(const std::string &Text) {
-  using Message = std::variant<Envelope, CallBatch>;
+  using Message = std::variant<Envelope, CallBatch, LeaderQuery>;
   return decodeOr<Message>([&Text]() -> Message {
     const json Parsed = json::parse(Text);
     if (Parsed.contains("session"))
       return Parsed.get<Envelope>();
+    if (Parsed.contains("leader_of"))
+      return Parsed.get<LeaderQuery>();
     return Parsed.get<CallBatch>();
   });
 }
--- a/src/cell/codec.h
+++ b/src/cell/codec.h
@@ -25,6 +25,8 @@
 std::string encode(const EnvelopeReply &Value);
 std::string encode(const CallBatch &Value);
 std::string encode(const CallBatchReply &Value);
+std::string encode(const LeaderQuery &Value);
+std::string encode(const LeaderAnswer &Value);
 std::string encode(const ShardLayout &Value);
 std::string encode(const TransferRecord &Value);
 std::string encode(const std::vector<RowChange> &Value);
@@ -35,12 +37,13 @@
 std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &Text);
 std::optional<EnvelopeReply> decodeEnvelopeReply(const std::string &Text);
 std::optional<CallBatchReply> decodeCallBatchReply(const std::string &Text);
+std::optional<LeaderAnswer> decodeLeaderAnswer(const std::string &Text);
 std::optional<TransferRecord> decodeTransfer(const std::string &Text);
 std::optional<ShardLayout> decodeShardLayout(const std::string &Text);
 std::optional<std::vector<RowChange>> decodeRowChanges(const std::string &Text);
 
 /// Decodes a message from another instance. See above.
-std::optional<std::variant<Envelope, CallBatch>>
+std::optional<std::variant<Envelope, CallBatch, LeaderQuery>>
 decodePeerMessage(const std::string &Text);
 
 } // namespace apricotwing::cell
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -110,6 +110,11 @@
 /// 0.4 s, and then reads the leader record.
 constexpr Duration MaxJoinPeriod{700};
 
+/// Number of instances that members ask for the leader while the store does not
+/// answer them, and minimum interval between two changes of the list.
+constexpr std::size_t MaxContacts = 8;
+constexpr Duration ContactsInterval{1000};
+
 /// Maximum number of fencing tokens per term.
 constexpr std::int64_t TokensPerTerm = 1'000'000;
 
@@ -594,6 +599,7 @@
     NewMember.Guest = Message.Guest;
     NewMember.Session = Message.Session;
     NewMember.JoinedAt = Now;
+    NewMember.Outgoing.Contacts = Contacts;
     NewMember.Sender = std::make_unique<MessageSender>(
         Deps.Peers, Deps.Time, Deps.Times, Message.From.Address,
         Deps.Times.LeaderKeepAliveInterval,
@@ -881,6 +887,30 @@
     StateJournal.setMembers(int(Members.size()), LargestCpuShare);
 }
 
+// The largest members are the likely next leaders.
+void Leader::updateContacts(TimePoint Now) {
+  if (Joining || Now < NextContactsUpdate)
+    return;
+  NextContactsUpdate = Now + ContactsInterval;
+  std::vector<const InstanceInfo *> Candidates;
+  for (const auto &[Name, Member] : Members)
+    if (!Member.Leaving && Member.Sender->isEstablished())
+      Candidates.push_back(&Member.Info);
+  std::stable_sort(Candidates.begin(), Candidates.end(),
+                   [](const InstanceInfo *Left, const InstanceInfo *Right) {
+                     return Left->CpuShare > Right->CpuShare;
+                   });
+  Candidates.resize(std::min(Candidates.size(), MaxContacts));
+  std::vector<std::string> Addresses;
+  for (const InstanceInfo *Contact : Candidates)
+    Addresses.push_back(Contact->Address);
+  if (Addresses == Contacts)
+    return;
+  Contacts = std::move(Addresses);
+  for (auto &[Name, Member] : Members)
+    Member.Outgoing.Contacts = Contacts;
+}
+
 // Maximum number of workers of a member while more members may join: their
 // part if as many supervise as a cell of this size has at least.
 std::size_t Leader::joinPeriodQuota() const {
@@ -1151,6 +1181,7 @@
       if (Now >= NextMaintenance) {
         NextMaintenance = Now + MaintenanceInterval;
         updateSupervisors();
+        updateContacts(Now);
         if (shouldTransferLeadership()) {
           stepDown();
           return;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -164,6 +164,7 @@
   static double effectiveShare(const MemberState &Member);
   std::size_t joinPeriodQuota() const;
   void updateSupervisors();
+  void updateContacts(TimePoint Now);
   void updateAdvisers();
   const MemberState *largestMember() const;
   bool shouldTransferLeadership() const;
@@ -199,6 +200,9 @@
   /// must not get all workers, in particular not the leader's own instance,
   /// which needs its CPU time for decisions.
   bool Joining = true;
+  /// Addresses that members ask for the leader while the store does not answer.
+  std::vector<std::string> Contacts;
+  TimePoint NextContactsUpdate;
   /// Names of members that make calls for advice.
   std::set<std::string> Advisers;
   std::map<std::string, WorkerState> WorkerStates; ///< By worker id.
--- a/src/cell/leaderchannel.h
+++ b/src/cell/leaderchannel.h
@@ -55,6 +55,11 @@
     return Leader ? Leader->Instance.Name : std::string();
   }
 
+  /// The current leader, if its last answer was as expected.
+  std::optional<LeaderRecord> answeringLeader() const {
+    return Suspect ? std::nullopt : Leader;
+  }
+
   /// True if there are open calls and the leader is unknown or does not answer
   /// as expected, so that the leader record should be read.
   bool needsLeader() const;
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -96,6 +96,8 @@
 }
 
 void Member::handle(const LeaderMessage &Message) {
+  if (!Message.Contacts.empty())
+    Contacts = Message.Contacts;
   for (const Assignment &NewAssignment : Message.Assigned)
     assign(NewAssignment);
   for (const jobs::WorkerIncarnation &Incarnation : Message.Revoked) {
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace apricotwing::cell {
 
@@ -88,6 +89,13 @@
   /// Term of the leader that the member last connected to; 0: none.
   std::int64_t leaderTerm() const { return Leader ? Leader->Term : 0; }
 
+  /// The leader that the member last connected to.
+  const std::optional<LeaderRecord> &leaderRecord() const { return Leader; }
+
+  /// Addresses of instances that probably know the leader, as the last leader
+  /// named them.
+  const std::vector<std::string> &contacts() const { return Contacts; }
+
   /// Handles a message from the leader.
   EnvelopeReply receive(const Envelope &Message);
 
@@ -126,6 +134,7 @@
   const InstanceInfo Instance;
   const std::string Process;
   std::optional<LeaderRecord> Leader;
+  std::vector<std::string> Contacts;
   std::string Session;
   std::uint64_t LastSession = 0;
   std::unique_ptr<MessageSender> Sender;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -165,6 +165,15 @@
   std::int64_t UpTo = 0;
 };
 
+/// Asks an instance who leads a shard.
+struct LeaderQuery {
+  int Shard = 0;
+};
+
+struct LeaderAnswer {
+  std::optional<LeaderRecord> Leader; ///< Empty: not known.
+};
+
 /// Message from the leader to a member.
 struct LeaderMessage {
   std::vector<Assignment> Assigned;
@@ -173,10 +182,13 @@
   std::vector<jobs::StopCommand> Stops;
   std::vector<EndedRunsAck> Acks;
   std::vector<jobs::AdviceRequest> Advice;
+  /// Addresses of the instances to ask for the leader while the store does not
+  /// answer; empty: unchanged.
+  std::vector<std::string> Contacts;
 
   bool isEmpty() const {
     return Assigned.empty() && Revoked.empty() && Starts.empty() &&
-           Stops.empty() && Acks.empty() && Advice.empty();
+           Stops.empty() && Acks.empty() && Advice.empty() && Contacts.empty();
   }
 };
 
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -143,6 +143,10 @@
     });
     return;
   }
+  if (std::holds_alternative<LeaderQuery>(*Message)) {
+    Respond(encode(LeaderAnswer{Agent.knownLeader()}));
+    return;
+  }
   const auto Reply = Agent.receive(std::get<Envelope>(*Message));
   Respond(Reply ? std::optional(encode(*Reply)) : std::nullopt);
 }
@@ -154,6 +158,9 @@
   for (std::size_t Other = 0; Other < Agents.size(); ++Other) {
     Result.LargestCpuShare =
         std::max(Result.LargestCpuShare, Agents[Other]->largestCpuShare());
+    const auto &Contacts = Agents[Other]->member().contacts();
+    if (!Contacts.empty() && (!Result.Contacts || Other == Shard))
+      Result.Contacts = &Contacts;
     if (Other == Shard || !Agents[Other]->leader())
       continue;
     ++Result.ShardsLed;
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -12,6 +12,12 @@
 /// Interval between two reads of the leader record while there is no link.
 constexpr Duration LeaderReadInterval{200};
 
+/// Other instances are asked for the leader if a read of its record failed or
+/// takes longer than this, and again after LookupInterval. A slow store takes
+/// up to 0.7 s, but then the leader is also slow to change.
+constexpr Duration MaxLeaderReadTime{150};
+constexpr Duration LookupInterval{100};
+
 /// The leader record is read once the link has been silent for this long, so
 /// that its latest version is known when the link is given up.
 constexpr Duration LeaderReadAfterSilence{400};
@@ -41,6 +47,7 @@
     : Deps(Deps), Shard(Shard), Instance(Instance), Process(Process),
       Owner(std::move(Owner)),
       Channel(Deps.Peers, Deps.Time, Shard, Process, this->Owner.Answers),
+      Lookup(Deps.Peers, Shard, Instance.Name),
       LocalMember({Deps.Workers, Deps.Advice, Deps.Peers, Deps.Time, Deps.Log,
                    Deps.Times},
                   Shard, std::move(Instance), std::move(Process)),
@@ -97,7 +104,7 @@
   LocalMember.setLastStoreResponse(Others.LastStoreResponse);
   LocalMember.setOtherShardsLed(Others.ShardsLed);
   LocalMember.pump();
-  readLeaderRecord(Others);
+  findLeader(Others);
   Channel.pump();
 }
 
@@ -135,28 +142,55 @@
          Instance.CpuShare >= Largest * GuestShareRatio;
 }
 
-void ShardAgent::readLeaderRecord(const Surroundings &Others) {
+void ShardAgent::findLeader(const Surroundings &Others) {
   const TimePoint Now = Deps.Time.now();
   if (LocalMember.takeGuestRejection())
     NextGuestOffer = Now + GuestOfferInterval;
-  if (StoreCallInFlight || Now < NextLeaderRead)
-    return;
   const bool IsLinkWell = !isLinked(Others) ||
                           (LocalMember.isEstablished() &&
                            LocalMember.timeSinceAck() < LeaderReadAfterSilence);
   if (IsLinkWell && !Channel.needsLeader()) {
-    ObservedVersion = -1;
+    if (!StoreCallInFlight)
+      ObservedVersion = -1;
     return;
   }
+  if (StoreCallInFlight ? Now - StoreCallSentAt >= MaxLeaderReadTime
+                        : StoreCallFailed)
+    askForLeader(Others);
+  if (StoreCallInFlight || Now < NextLeaderRead)
+    return;
   StoreCallInFlight = true;
+  StoreCallSentAt = Now;
   NextLeaderRead = Now + LeaderReadInterval;
   Deps.Store.read(LeaderTable, partitionOf(Shard), LeaderKey,
                   Guard.wrap([this, Others](const ReadResult &Result) {
                     StoreCallInFlight = false;
+                    StoreCallFailed = Result.Outcome != StoreOutcome::Done;
                     onLeaderRecord(Result, Others);
                   }));
 }
 
+// An instance that is cut off from the store can still serve callers and
+// supervise workers, as only the leader needs the store for that.
+void ShardAgent::askForLeader(const Surroundings &Others) {
+  const TimePoint Now = Deps.Time.now();
+  if (!Others.Contacts || LocalLeader || Leaving || Now < NextLookup)
+    return;
+  NextLookup = Now + LookupInterval;
+  Lookup.ask(*Others.Contacts, [this, Others](const LeaderRecord &Found) {
+    const bool Outdated = Found.Term < LocalMember.leaderTerm() ||
+                          Found.Term <= LocalMember.resignedTerm() ||
+                          Found.Instance.Name == Instance.Name;
+    if (!Outdated && !LocalLeader)
+      follow(Found, Others);
+  });
+}
+
+std::optional<LeaderRecord> ShardAgent::knownLeader() const {
+  return LocalMember.isEstablished() ? LocalMember.leaderRecord()
+                                     : Channel.answeringLeader();
+}
+
 void ShardAgent::onLeaderRecord(const ReadResult &Result,
                                 const Surroundings &Others) {
   if (Result.Outcome != StoreOutcome::Done) {
--- a/src/cell/shardagent.h
+++ b/src/cell/shardagent.h
@@ -6,6 +6,7 @@
 #include "cell/callbackguard.h"
 #include "cell/leader.h"
 #include "cell/leaderchannel.h"
+#include "cell/leaderlookup.h"
 #include "cell/member.h"
 #include "cell/ports.h"
 #include "cell/shardlayout.h"
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace apricotwing::cell {
 
@@ -47,6 +49,8 @@
     double LargestCpuShare = 0; ///< Of any instance, as far as known.
     std::optional<TimePoint> LastStoreResponse; ///< Empty if the last call
                                                 ///< failed.
+    /// Addresses of the instances to ask for the leader; null if none is known.
+    const std::vector<std::string> *Contacts = nullptr;
   };
 
   /// \p Process identifies this process among all processes that the instance
@@ -70,6 +74,10 @@
   /// Performs all work that is due. Must be called frequently.
   void pump(const Surroundings &Others);
 
+  /// The leader that has answered this instance recently; empty if there is
+  /// none.
+  std::optional<LeaderRecord> knownLeader() const;
+
   /// True if this instance is a member of the shard in good standing. Always
   /// true in other shards than the home shard.
   bool isServing() const { return !Home || LocalMember.isEstablished(); }
@@ -89,7 +97,8 @@
 private:
   bool isLinked(const Surroundings &Others) const;
   void resignIfStoreUnreachable();
-  void readLeaderRecord(const Surroundings &Others);
+  void findLeader(const Surroundings &Others);
+  void askForLeader(const Surroundings &Others);
   void onLeaderRecord(const ReadResult &Result, const Surroundings &Others);
   void follow(const LeaderRecord &Record, const Surroundings &Others);
   Duration electionDelay(const Surroundings &Others) const;
@@ -105,6 +114,7 @@
   std::optional<ShardLayout> Layout;
   jobs::ClusterPolicy Policy;
   LeaderChannel Channel;
+  LeaderLookup Lookup;
   Member LocalMember;
   std::unique_ptr<Leader> LocalLeader;
   bool Home;
@@ -116,7 +126,10 @@
 
   /// A read or write of the leader record is in flight.
   bool StoreCallInFlight = false;
+  TimePoint StoreCallSentAt;
+  bool StoreCallFailed = false; ///< The last read of the leader record.
   TimePoint NextLeaderRead;
+  TimePoint NextLookup;
   /// Of the leader record; -1: not read yet.
   std::int64_t ObservedVersion = -1;
   TimePoint ObservedSince;
