Name only successors that reach the store

A leader that stops names the largest member as its successor, and others leave the leadership to it for 350 ms. Members that are cut off from the store remain members, and since they find the next leader by themselves there are more of them; one of these cannot take over. The same choice made a transfer of leadership fail altogether if the largest candidate had lost the store although the second largest had not.

The age of a candidate's last answer from the store, which only the transfer checked, and only after the choice, is now part of the choice.

LargeCellTest.AStoppingLeaderNamesASuccessorThatReachesTheStore failed before: it named n5, which was cut off.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -397,11 +397,13 @@
   return Member.Info.CpuShare / (1 + Member.OtherShardsLed);
 }
 
-const Leader::MemberState *Leader::largestMember() const {
+const Leader::MemberState *Leader::bestSuccessor() const {
+  const TimePoint Now = Deps.Time.now();
   const MemberState *Best = nullptr;
   for (const auto &[Name, Member] : Members) {
     const bool Eligible = Name != Record.Instance.Name && !Member.Leaving &&
-                          Member.Sender->isEstablished();
+                          Member.Sender->isEstablished() &&
+                          Now - Member.StoreAnsweredAt < MaxSuccessorStoreAge;
     if (Eligible && (!Best || effectiveShare(Member) > effectiveShare(*Best)))
       Best = &Member;
   }
@@ -411,7 +413,7 @@
 // Names a successor only if it is much larger than another member. Among equal
 // members the first one that notices the step-down takes over without waiting.
 void Leader::stepDown() {
-  const MemberState *Candidate = largestMember();
+  const MemberState *Candidate = bestSuccessor();
   const bool HasLargeCandidate =
       Candidate &&
       std::any_of(Members.begin(), Members.end(), [&](const auto &One) {
@@ -433,13 +435,12 @@
 // all but the one with the lowest number.
 bool Leader::shouldTransferLeadership() const {
   const TimePoint Now = Deps.Time.now();
-  const MemberState *Candidate = largestMember();
+  const MemberState *Candidate = bestSuccessor();
   const double OwnShare = Record.Instance.CpuShare / (1 + LowerShardsLed);
   return Loaded && Candidate &&
          effectiveShare(*Candidate) >= OwnShare * TransferShareRatio &&
          Now - Candidate->JoinedAt >= MinTransferDelay &&
-         Now - TermStartedAt >= MinTransferDelay &&
-         Now - Candidate->StoreAnsweredAt < MaxSuccessorStoreAge;
+         Now - TermStartedAt >= MinTransferDelay;
 }
 
 bool Leader::shouldResign() const {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -166,7 +166,7 @@
   void updateSupervisors();
   void updateContacts(TimePoint Now);
   void updateAdvisers();
-  const MemberState *largestMember() const;
+  const MemberState *bestSuccessor() const;
   bool shouldTransferLeadership() const;
   void removeMember(const std::string &Name);
   void releaseFromMember(const std::string &Worker);
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -1,3 +1,5 @@
+#include "cell/codec.h"
+#include "cell/journal.h"
 #include "emulator/emulatedcell.h"
 
 #include <gtest/gtest.h>
@@ -433,6 +435,20 @@
   }
 }
 
+// Guards against waiting for a successor that cannot take over.
+TEST_F(LargeCellTest, AStoppingLeaderNamesASuccessorThatReachesTheStore) {
+  const std::string Old = Cell.leader();
+  ASSERT_EQ(Old, "n4");
+  Cell.store().Cut = {"n5", "n6", "n7", "n8"};
+  Cell.run(3s);
+  Cell.node(Old).leave();
+  Cell.run(50ms);
+  const auto Record = cell::decodeLeaderRecord(Cell.store().value(
+      cell::LeaderTable, cell::partitionOf(0), cell::LeaderKey));
+  ASSERT_TRUE(Record);
+  EXPECT_EQ(Record->Successor, "n9");
+}
+
 // Guards against a new leader that has no processor time left for decisions,
 // because it supervises the workers itself.
 TEST_F(LargeCellTest, ANewLeaderDistributesTheWorkersAmongLargeMembers) {
