Clear the leader record if a step-down meets a commit in flight

What callers would see: a planned hand-over that takes as long as the loss of a leader, about 2 s. Found when a change of timings made UnequalCellTest.AnotherLeadsIfTheSuccessorIsGone fail: the members connected to the old leader 15 times, since the record still named it.

Cause: whether a commit clears the record was decided twice, when the commit is sent and when it has succeeded. A step-down between the two, with no further batch waiting, ended the term although the commit had renewed it. Class: a condition that is evaluated again instead of being remembered.

The commit remembers whether it clears the record; after a commit without an answer the stored record tells.

JournalTest.StepsDownAfterTheCommitInFlight failed before: the record named n0 and no successor.

--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -127,7 +127,8 @@
   ReadBackAnswered = false;
   LeaderRecord NewRecord = Record;
   NewRecord.Sequence = Record.Sequence + 1;
-  if (SteppingDown && Batches.size() == 1)
+  ClearsLeader = SteppingDown && Batches.size() == 1;
+  if (ClearsLeader)
     NewRecord.Instance = InstanceInfo{};
   Transaction Changes;
   Changes.Partition = Partition;
@@ -183,9 +184,7 @@
   Log.apply(*Batches.front().Sent);
   ++Commits;
   RowsWritten += Batches.front().Sent->Writes.size() + 1;
-  // The leader record without an instance is written with the last batch.
-  if (SteppingDown && Batches.size() == 1)
-    Deposed = true;
+  Deposed = ClearsLeader;
   const std::vector<std::function<void()>> OnCommitted =
       std::move(Batches.front().OnCommitted);
   Batches.pop_front();
@@ -225,6 +224,8 @@
     return;
   }
   if (StoredRecord->Sequence == Record.Sequence + 1) {
+    // Any attempt may have been applied, also one before the step-down.
+    ClearsLeader = StoredRecord->Instance.Name.empty();
     onCommitted(Row.Version);
     return;
   }
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -142,6 +142,8 @@
   /// The store has answered a read since the commit.
   bool ReadBackAnswered = false;
   bool SteppingDown = false;
+  /// The commit in flight writes the leader record without an instance.
+  bool ClearsLeader = false;
   bool Deposed = false;
   bool Failing = false; ///< The last attempt to commit the first batch failed.
   std::uint64_t Commits = 0;
