Let large instances notice the loss of a leader first

Cause: each instance waits for the end of the leader's lease from the time at which it began to read the leader record, 0.4 s after its last answered message. That time differs between instances by more than the delay covers.

The record is now read once a message has had no reply for 150 ms, and the delay covers that and two reads: 0.57 s instead of 0.34 s at 0.12 of 0.5 cores. It runs while others wait for a named successor. Idle instances no longer read the record before each keep-alive message.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -903,6 +903,7 @@
                    });
   Candidates.resize(std::min(Candidates.size(), MaxContacts));
   std::vector<std::string> Addresses;
+  Addresses.reserve(Candidates.size());
   for (const InstanceInfo *Contact : Candidates)
     Addresses.push_back(Contact->Address);
   if (Addresses == Contacts)
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -80,11 +80,9 @@
     return Sender ? Sender->largestCpuShare() : 0;
   }
 
-  /// Time since the newest acknowledged message was sent. Precondition:
-  /// isConnected().
-  Duration timeSinceAck() const {
-    return Deps.Time.now() - Sender->lastAckedSend();
-  }
+  /// Time for which a message to the leader has had no reply; zero if none is
+  /// being sent. Precondition: isConnected().
+  Duration unansweredFor() const { return Sender->unansweredFor(); }
 
   /// Term of the leader that the member last connected to; 0: none.
   std::int64_t leaderTerm() const { return Leader ? Leader->Term : 0; }
--- a/src/cell/messagelink.cpp
+++ b/src/cell/messagelink.cpp
@@ -39,6 +39,7 @@
       (From.HasContent() ? Times.MinMessageInterval : KeepAliveInterval))
     return;
   Body = From.Compose(++Sequence);
+  FirstSentAt = Now;
   post();
 }
 
--- a/src/cell/messagelink.h
+++ b/src/cell/messagelink.h
@@ -52,6 +52,12 @@
   /// link if no message has been acknowledged yet.
   TimePoint lastAckedSend() const { return LastAckedSend; }
 
+  /// Time since the message that waits for a reply was first sent; zero if none
+  /// does.
+  Duration unansweredFor() const {
+    return Body.empty() ? Duration::zero() : Time.now() - FirstSentAt;
+  }
+
   /// True if the other end has replied that it needs no more guests.
   bool isFull() const { return Full; }
 
@@ -82,6 +88,7 @@
   double LargestCpuShare = 0;
   bool Established = false;
   TimePoint SentAt;
+  TimePoint FirstSentAt; ///< Of the message being sent.
   TimePoint RetryAt;
   TimePoint LastAckedSend;
   CallbackGuard Guard;
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -18,16 +18,16 @@
 constexpr Duration MaxLeaderReadTime{150};
 constexpr Duration LookupInterval{100};
 
-/// The leader record is read once the link has been silent for this long, so
-/// that its latest version is known when the link is given up.
-constexpr Duration LeaderReadAfterSilence{400};
+/// The leader record is read once a message to the leader has had no reply for
+/// this long, so that its latest version is known when the link is given up.
+constexpr Duration MaxUnansweredTime{150};
 
 /// Maximum extra delay before an instance tries to become leader. Instances
 /// with a smaller CPU share than the largest member of the last term wait
 /// longer, because the leader needs the most CPU time, and so do instances that
-/// lead another shard. The delay covers two reads of the leader record by the
-/// larger instances.
-constexpr Duration MaxElectionDelay{450};
+/// lead another shard. The delay covers MaxUnansweredTime and two reads of the
+/// leader record by the larger instances, as their links may fail last.
+constexpr Duration MaxElectionDelay{750};
 
 /// How long other instances leave leadership to the preferred successor after a
 /// step-down. The successor notices the step-down with its next message.
@@ -146,9 +146,9 @@
   const TimePoint Now = Deps.Time.now();
   if (LocalMember.takeGuestRejection())
     NextGuestOffer = Now + GuestOfferInterval;
-  const bool IsLinkWell = !isLinked(Others) ||
-                          (LocalMember.isEstablished() &&
-                           LocalMember.timeSinceAck() < LeaderReadAfterSilence);
+  const bool IsLinkWell =
+      !isLinked(Others) || (LocalMember.isEstablished() &&
+                            LocalMember.unansweredFor() < MaxUnansweredTime);
   if (IsLinkWell && !Channel.needsLeader()) {
     if (!StoreCallInFlight)
       ObservedVersion = -1;
@@ -223,6 +223,12 @@
     follow(*Record, Others);
     return;
   }
+  const bool LeaderResigned = Record->Term == LocalMember.resignedTerm();
+  const bool HasNoLeader = NoLeader || LeaderResigned;
+  if (HasNoLeader && VacantTerm != Record->Term) {
+    VacantTerm = Record->Term;
+    VacantSince = Now;
+  }
   if (NoLeader && !Record->Successor.empty() &&
       Record->Successor != Instance.Name &&
       Now - ObservedSince < SuccessorGracePeriod)
@@ -232,12 +238,6 @@
   const bool IsOwnVacancy = IsOwnRecord && (Record->Process != Process ||
                                             Record->Term > ResignedTerm);
   const bool IsSuccessor = NoLeader && Record->Successor == Instance.Name;
-  const bool LeaderResigned = Record->Term == LocalMember.resignedTerm();
-  const bool HasNoLeader = NoLeader || LeaderResigned;
-  if (HasNoLeader && VacantTerm != Record->Term) {
-    VacantTerm = Record->Term;
-    VacantSince = Now;
-  }
   const Duration Delay = electionDelay(Others);
   const bool IsVacant = IsOwnVacancy || IsSuccessor ||
                         (HasNoLeader && Now - VacantSince >= Delay);
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -399,7 +399,7 @@
   }
 
   static bool isLarge(const std::string &Name) {
-    return shares().at(std::stoul(Name.substr(1))) == 0.5;
+    return !Name.empty() && shares().at(std::stoul(Name.substr(1))) == 0.5;
   }
 
   EmulatedCell Cell;
@@ -423,6 +423,29 @@
   }
 }
 
+// A small member whose link has just failed waits for the end of the leader's
+// lease before the large members do.
+TEST_F(LargeCellTest, ASmallInstanceDoesNotLeadAfterALoss) {
+  for (int Change = 0; Change < 12; ++Change) {
+    const std::string Old = Cell.leader();
+    ASSERT_TRUE(isLarge(Old)) << Old;
+    Cell.cut("n0");
+    Cell.run(500ms + Change * 30ms);
+    Cell.kill(Old);
+    Cell.heal("n0");
+    std::set<std::string> Leaders;
+    for (int Step = 0; Step < 300; ++Step) {
+      Cell.run(10ms);
+      if (!Cell.leader().empty())
+        Leaders.insert(Cell.leader());
+    }
+    EXPECT_FALSE(Leaders.empty());
+    EXPECT_TRUE(std::all_of(Leaders.begin(), Leaders.end(), isLarge));
+    Cell.start(Old);
+    Cell.run(2s + Change * 30ms);
+  }
+}
+
 TEST_F(LargeCellTest, AnInstanceWithoutTheStoreFindsTheNextLeader) {
   const std::string Old = Cell.leader();
   Cell.store().Cut = {Old, "n0", "n1", "n2", "n3"};
