Log what a leader that cannot serve waits for

A leader whose lease is invalid or whose state is not loaded left no line in the log, and neither did a read of the stored state that failed and was repeated.

`leader cannot serve` tells, every 2 s, which of these it is.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -71,7 +71,8 @@
 /// Interval of the checks of members, registry and advice calls.
 constexpr Duration MaintenanceInterval{100};
 
-/// Interval of the log lines about the load.
+/// Interval of the log lines about the load, and about a leader that cannot
+/// serve.
 constexpr Duration LoadLogInterval{2000};
 
 /// Delay before a worker whose process has ended is assigned again if the
@@ -146,7 +147,8 @@
              restoreEnded(Id, Phase);
            },
            [this] { onAllLoaded(); }}),
-      LastToken(Record.Term * TokensPerTerm), TermStartedAt(Deps.Time.now()) {
+      LastToken(Record.Term * TokensPerTerm), TermStartedAt(Deps.Time.now()),
+      NextObstacleLog(TermStartedAt + LoadLogInterval) {
   Deps.Log.event("leading", Record.Instance.Name,
                  {{"shard", std::to_string(Shard)},
                   {"term", std::to_string(Record.Term)},
@@ -1152,6 +1154,28 @@
        {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
 }
 
+// A leader that does not serve leaves no other trace than calls without an
+// answer.
+void Leader::logObstacle(TimePoint Now) {
+  const bool Serves = StateJournal.isLeaseValid() && Loader.isDone() &&
+                      RegistryRead && mayUseWorkers();
+  if (Serves || Now < NextObstacleLog)
+    return;
+  NextObstacleLog = Now + LoadLogInterval;
+  Deps.Log.event("leader cannot serve", Record.Instance.Name,
+                 {{"shard", std::to_string(Shard)},
+                  {"term", std::to_string(Record.Term)},
+                  {"lease", StateJournal.isLeaseValid() ? "1" : "0"},
+                  {"commit_failing_ms",
+                   std::to_string(StateJournal.failureDuration().count())},
+                  {"commits", std::to_string(StateJournal.commits())},
+                  {"reading", Loader.currentTable()},
+                  {"failed_reads", std::to_string(Loader.failedReads())},
+                  {"registry", RegistryRead ? "1" : "0"},
+                  {"policy", PolicyKnown ? "1" : "0"},
+                  {"layout", Ownership ? "1" : "0"}});
+}
+
 void Leader::removeExpiredJobs(TimePoint Now) {
   if (Now < NextJobExpiry)
     return;
@@ -1205,6 +1229,7 @@
     for (auto &[Name, Member] : Members)
       Member.Sender->pump();
   }
+  logObstacle(Now);
   StateJournal.pump();
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -181,6 +181,7 @@
   void dispatchAdvice(const jobs::AdviceRequest &Request);
   void removeExpiredJobs(TimePoint Now);
   void logLoad(TimePoint Now);
+  void logObstacle(TimePoint Now);
   std::string composeMessage(MemberState &To, std::int64_t Sequence);
   MemberState *supervisorOf(const jobs::WorkerIncarnation &Incarnation);
 
@@ -239,6 +240,7 @@
   TimePoint NextJobExpiry;
   TimePoint NextRebalance;
   TimePoint NextLoadLog;
+  TimePoint NextObstacleLog;
   int MovedWorkers = 0; ///< Moved to another member since the last log line.
   CallbackGuard Guard;
 };
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -42,6 +42,7 @@
 
 void StateLoader::onPage(const ReadResult &Page) {
   if (Page.Outcome != StoreOutcome::Done) {
+    ++FailedReads;
     RetryAt = Time.now() + RetryDelay;
     return;
   }
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -10,6 +10,7 @@
 #include "cell/shardlayout.h"
 #include "jobs/job.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -57,6 +58,14 @@
   /// True once all tables are read.
   bool isDone() const { return Tables.empty(); }
 
+  /// Name of the table that is read now; empty once all are read.
+  std::string currentTable() const {
+    return Tables.empty() ? std::string() : Tables.back();
+  }
+
+  /// Number of reads that failed and were repeated.
+  std::uint64_t failedReads() const { return FailedReads; }
+
 private:
   void onPage(const ReadResult &Page);
   void finishTable();
@@ -72,6 +81,7 @@
   std::vector<std::string> Tables; ///< Still to be read; the last one is next.
   std::string NextKey;
   bool InFlight = false;
+  std::uint64_t FailedReads = 0;
   TimePoint RetryAt;
   ChangeLog Packed;
   RowChanges PackedChanges; ///< Not yet applied.
