Count the time of a call to the store from its own start

An attempt to become leader counted as a read of the leader record that had been under way since the last one, so that the instance asked others for the leader meanwhile. Found by reading; the answer was ignored unless it named a newer leader.

--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -155,7 +155,7 @@
     return;
   }
   if (StoreCallInFlight ? Now - StoreCallSentAt >= MaxLeaderReadTime
-                        : StoreCallFailed)
+                        : LeaderReadFailed)
     askForLeader(Others);
   if (StoreCallInFlight || Now < NextLeaderRead)
     return;
@@ -165,7 +165,7 @@
   Deps.Store.read(LeaderTable, partitionOf(Shard), LeaderKey,
                   Guard.wrap([this, Others](const ReadResult &Result) {
                     StoreCallInFlight = false;
-                    StoreCallFailed = Result.Outcome != StoreOutcome::Done;
+                    LeaderReadFailed = Result.Outcome != StoreOutcome::Done;
                     onLeaderRecord(Result, Others);
                   }));
 }
@@ -284,6 +284,7 @@
   Changes.Changes.push_back({LeaderTable, LeaderKey, encode(NewRecord)});
   StoreCallInFlight = true;
   const TimePoint SentAt = Deps.Time.now();
+  StoreCallSentAt = SentAt;
   Deps.Store.transact(Changes, Guard.wrap([this, NewRecord, SentAt](
                                               const TransactionResult &Result) {
     StoreCallInFlight = false;
--- a/src/cell/shardagent.h
+++ b/src/cell/shardagent.h
@@ -127,7 +127,7 @@
   /// A read or write of the leader record is in flight.
   bool StoreCallInFlight = false;
   TimePoint StoreCallSentAt;
-  bool StoreCallFailed = false; ///< The last read of the leader record.
+  bool LeaderReadFailed = false; ///< The last read of the leader record failed.
   TimePoint NextLeaderRead;
   TimePoint NextLookup;
   /// Of the leader record; -1: not read yet.
