Reproduce tasks that crash their workers in virtual time

The emulated workers can end with a task, return under the same id, another one or not at all, refuse connections or be silent meanwhile, and change their capacity while they run. The tests fail on: a task that ends its worker 60 ms after its start is started without end.

--- /dev/null
+++ b/tests/cell/workercrash_test.cpp
@@ -0,0 +1,267 @@
+/// \file
+/// Tasks that crash their workers, workers that crash for other reasons, and
+/// workers whose capacity changes, on the emulated platform.
+#include "emulator/emulatedcell.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace apricotwing::emulator {
+namespace {
+
+using namespace std::chrono_literals;
+using jobs::JobView;
+
+const std::string CrashingJob = "crashes workers";
+const std::string JobWithOneCrashingTask = "first task crashes workers";
+
+class WorkerCrashTest : public testing::Test {
+protected:
+  WorkerCrashTest() : Cell(1, 3, 12) { Cell.run(2s); }
+  ~WorkerCrashTest() override {
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << Violation;
+  }
+
+  JobView viewOf(const std::string &Id) {
+    for (const std::string &Name : Cell.names())
+      Cell.start(Name);
+    Cell.run(2s);
+    Cell.read("n1", Id);
+    Cell.run(300ms);
+    return Cell.jobs().at(Id).View;
+  }
+
+  std::string submitCrashing(int Count, const std::string &Payload,
+                             bool Gang = false) {
+    return Cell.submit("n0", stepOf(Count, 2s, Gang), "/batch/", Payload);
+  }
+
+  std::vector<std::string> submitHealthy(int Jobs, int Count, Duration Work) {
+    std::vector<std::string> Ids;
+    Ids.reserve(std::size_t(Jobs));
+    for (int Number = 0; Number < Jobs; ++Number)
+      Ids.push_back(Cell.submit("n0", stepOf(Count, Work)));
+    return Ids;
+  }
+
+  void expectCompleted(const std::vector<std::string> &Ids) {
+    for (const std::string &Id : Ids)
+      EXPECT_EQ(viewOf(Id), JobView::Completed) << Id;
+  }
+
+  static std::string firstTask(const std::string &Id) { return Id + ".0.0.0"; }
+
+  std::string hostOf(const std::string &Task) {
+    const cell::Leader *Leader = Cell.node(Cell.leader()).leader(0);
+    for (const auto &[Id, Host] : Leader->scheduler().workers())
+      if (Host.runs().contains(Task))
+        return Id;
+    return {};
+  }
+
+  EmulatedCell Cell;
+};
+
+class CrashingTaskTest : public WorkerCrashTest,
+                         public testing::WithParamInterface<Comeback> {};
+
+// Guards against a task that crashes one worker after another without end.
+TEST_P(CrashingTaskTest, IsGivenUpAfterAFewWorkers) {
+  Cell.workers().AfterCrash = GetParam();
+  const auto Healthy = submitHealthy(6, 6, 1500ms);
+  const std::string Id = submitCrashing(1, CrashingJob);
+  Cell.run(40s);
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  EXPECT_LE(Cell.workers().taskCrashes(), 3);
+  expectCompleted(Healthy);
+}
+
+// Guards against the same if the machines of ended workers do not respond.
+TEST_P(CrashingTaskTest, IsGivenUpIfItsWorkersGoSilent) {
+  Cell.workers().AfterCrash = GetParam();
+  Cell.workers().CrashesSilently = true;
+  Cell.workers().RestartDelay = 9s;
+  const auto Healthy = submitHealthy(6, 6, 1500ms);
+  const std::string Id = submitCrashing(1, CrashingJob);
+  Cell.run(120s);
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  EXPECT_LE(Cell.workers().taskCrashes(), 5);
+  expectCompleted(Healthy);
+}
+
+// Guards against crashes that are forgotten with the leader that saw them.
+TEST_P(CrashingTaskTest, IsGivenUpAlthoughEachCrashIsFollowedByANewLeader) {
+  Cell.workers().AfterCrash = GetParam();
+  const auto Healthy = submitHealthy(3, 4, 1500ms);
+  const std::string Id = submitCrashing(1, CrashingJob);
+  int Seen = 0;
+  for (int Step = 0; Step < 600; ++Step) {
+    Cell.run(100ms);
+    if (Cell.workers().taskCrashes() == Seen)
+      continue;
+    Seen = Cell.workers().taskCrashes();
+    // Before or after the leader has noticed the crash.
+    Cell.run(Seen % 2 == 0 ? 700ms : 20ms);
+    const std::string Leader = Cell.leader();
+    if (Leader.empty())
+      continue;
+    Cell.kill(Leader);
+    Cell.run(600ms);
+    Cell.start(Leader);
+  }
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  expectCompleted(Healthy);
+}
+
+INSTANTIATE_TEST_SUITE_P(Comebacks, CrashingTaskTest,
+                         testing::Values(Comeback::SameId, Comeback::OtherId,
+                                         Comeback::Never),
+                         [](const auto &Info) {
+                           return std::string(
+                               enumName(ComebackNames, Info.param));
+                         });
+
+// Guards against crashes that are forgotten when all instances lose power.
+TEST_F(WorkerCrashTest, CountsCrashesAcrossALossOfAllInstances) {
+  const std::string Id = submitCrashing(1, CrashingJob);
+  int Seen = 0;
+  for (int Step = 0; Step < 600; ++Step) {
+    Cell.run(100ms);
+    if (Cell.workers().taskCrashes() == Seen)
+      continue;
+    Seen = Cell.workers().taskCrashes();
+    for (const std::string &Name : Cell.names())
+      Cell.kill(Name);
+    Cell.run(4s);
+    for (const std::string &Name : Cell.names())
+      Cell.start(Name);
+  }
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  EXPECT_LE(Cell.workers().taskCrashes(), 5);
+}
+
+// Guards against jobs that fail because their tasks shared workers with one
+// that crashes them.
+TEST_F(WorkerCrashTest, CompletesJobsThatSharedWorkersWithACrashingTask) {
+  const auto Healthy = submitHealthy(10, 8, 3s);
+  const std::string First = submitCrashing(1, CrashingJob);
+  const std::string Second = submitCrashing(1, CrashingJob);
+  Cell.run(60s);
+  EXPECT_EQ(viewOf(First), JobView::Failed);
+  EXPECT_EQ(viewOf(Second), JobView::Failed);
+  expectCompleted(Healthy);
+}
+
+// Guards against a job of many crashing tasks that takes all workers down
+// before it is given up.
+TEST_F(WorkerCrashTest, LimitsTheCrashesUnderAWideStep) {
+  const auto Healthy = submitHealthy(4, 4, 2s);
+  const std::string Id = submitCrashing(24, CrashingJob);
+  Cell.run(60s);
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  EXPECT_LE(Cell.workers().taskCrashes(), 12 + 3);
+  expectCompleted(Healthy);
+}
+
+// Guards against a wide step of which one task crashes its workers.
+TEST_F(WorkerCrashTest, GivesUpAStepOfWhichOneTaskCrashesWorkers) {
+  const auto Healthy = submitHealthy(4, 4, 2s);
+  const std::string Id = submitCrashing(12, JobWithOneCrashingTask);
+  Cell.run(90s);
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  EXPECT_LE(Cell.workers().taskCrashes(), 3);
+  expectCompleted(Healthy);
+}
+
+// Guards against a gang that crashes its workers without end.
+TEST_F(WorkerCrashTest, GivesUpAGangThatCrashesItsWorkers) {
+  const auto Healthy = submitHealthy(4, 4, 2s);
+  const std::string Id = submitCrashing(10, CrashingJob, true);
+  Cell.run(90s);
+  EXPECT_EQ(viewOf(Id), JobView::Failed);
+  expectCompleted(Healthy);
+}
+
+// Guards against a job that fails because its task was on two workers that
+// crashed for other reasons.
+TEST_F(WorkerCrashTest, CompletesATaskThatWasOnTwoCrashedWorkers) {
+  const std::string Id = Cell.submit("n0", stepOf(1, 4s));
+  Cell.run(1s);
+  for (int Crash = 0; Crash < 2; ++Crash) {
+    const std::string Host = hostOf(firstTask(Id));
+    ASSERT_NE(Host, "");
+    Cell.workers().crash(Host);
+    Cell.run(3s);
+    Cell.workers().restart(Host);
+    Cell.run(500ms);
+  }
+  Cell.run(8s);
+  EXPECT_EQ(Cell.workers().crashesUnder(firstTask(Id)), 2);
+  EXPECT_EQ(viewOf(Id), JobView::Completed);
+}
+
+// Guards against jobs that fail after a rack without power and the next one.
+TEST_F(WorkerCrashTest, CompletesAllJobsAfterTwoRacksLostPower) {
+  const auto Ids = submitHealthy(6, 12, 4s);
+  for (int Rack = 0; Rack < 2; ++Rack) {
+    Cell.run(1500ms);
+    for (int Number = Rack * 4; Number < Rack * 4 + 4; ++Number)
+      Cell.workers().crash("w" + std::to_string(Number));
+  }
+  Cell.run(3s);
+  for (int Number = 0; Number < 8; ++Number)
+    Cell.workers().restart("w" + std::to_string(Number));
+  Cell.run(40s);
+  expectCompleted(Ids);
+}
+
+// Guards against a job that fails because its workers were silent, one after
+// the other, for longer than their lease.
+TEST_F(WorkerCrashTest, ASilentWorkerCostsNoTaskItsJob) {
+  const std::string Id = Cell.submit("n0", stepOf(1, 30s));
+  Cell.run(1s);
+  for (int Cut = 0; Cut < 6; ++Cut) {
+    const std::string Host = hostOf(firstTask(Id));
+    ASSERT_NE(Host, "");
+    Cell.workers().Cut = {Host};
+    Cell.run(11s);
+    Cell.workers().Cut.clear();
+    Cell.run(3s);
+  }
+  Cell.run(35s);
+  EXPECT_EQ(viewOf(Id), JobView::Completed);
+}
+
+// Guards against starts on a worker whose capacity has shrunk, and against
+// resources that stay unused after it has grown again.
+TEST_F(WorkerCrashTest, FollowsACapacityThatShrinksAndGrows) {
+  const auto Ids = submitHealthy(30, 12, 2s);
+  Cell.run(1s);
+  for (int Number = 0; Number < 10; ++Number)
+    Cell.workers().resize("w" + std::to_string(Number), {6000, 65'536, 0});
+  Cell.run(8s);
+  int OnSmall = 0;
+  int OnLarge = 0;
+  const auto Count = [&] {
+    const cell::Leader *Leader = Cell.node(Cell.leader()).leader(0);
+    OnSmall = OnLarge = 0;
+    for (const auto &[Name, Host] : Leader->scheduler().workers())
+      (Name == "w10" || Name == "w11" ? OnLarge : OnSmall) +=
+          int(Host.runs().size());
+  };
+  Count();
+  EXPECT_LE(OnSmall, 10);
+  for (int Number = 0; Number < 10; ++Number)
+    Cell.workers().resize("w" + std::to_string(Number), {32'000, 65'536, 0});
+  Cell.run(2500ms);
+  Count();
+  EXPECT_GE(OnSmall, 40);
+  Cell.run(30s);
+  expectCompleted(Ids);
+}
+
+} // namespace
+} // namespace apricotwing::emulator
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -12,6 +12,9 @@
 constexpr Duration PeerLatency{2};
 constexpr Duration PumpStep{10};
 constexpr Duration HeartbeatPeriod{1500};
+
+/// Run time of a task that crashes its worker.
+constexpr Duration CrashDelay{60};
 constexpr const char *Host = "cell.example";
 
 /// Decodes the rows of the emulated platform.
@@ -192,6 +195,10 @@
     Traits.Request = Step.Request;
     Traits.Work = Step.Estimate;
     Traits.Fails = Found->second.Spec.Payload == "fails";
+    if (Found->second.Spec.Payload == "crashes workers" ||
+        (Found->second.Spec.Payload == "first task crashes workers" &&
+         Id.Index == 0))
+      Traits.CrashesWorkerAfter = CrashDelay;
     Traits.Gang = Step.Gang;
     Traits.GangSize = Step.Count;
     return Traits;
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -116,7 +116,8 @@
   void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
 
   /// Submits a job of one step at an instance and returns the job id. All runs
-  /// of a job with the payload "fails" fail.
+  /// of a job with the payload "fails" fail; with "crashes workers" or "first
+  /// task crashes workers", they end the process of their worker.
   std::string submit(const std::string &Instance, jobs::StepSpec Step,
                      const std::string &Queue = "/batch/",
                      const std::string &Payload = "");
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -19,6 +19,15 @@
 /// How long a gang member waits for the others.
 constexpr Duration GangTimeout{3000};
 
+/// Time in which the scheduler must have noticed that a capacity has shrunk:
+/// the platform's contact timeout and one registry update.
+constexpr Duration ResizeNotice{4500};
+
+/// Crashes under a task, and starts after the last of them, that the platform
+/// accepts.
+constexpr int AcceptedCrashes = 3;
+constexpr int AcceptedLaterStarts = 2;
+
 } // namespace
 
 bool EmulatedWorkers::randomChance(double Share) {
@@ -50,9 +59,67 @@
 void EmulatedWorkers::crash(const std::string &Id) {
   Process &Entry = Processes.at(Id);
   Entry.Up = false;
+  for (const auto &[Task, Run] : Entry.Runs)
+    ++CrashCounts[Task].Crashes;
   Entry.Runs.clear();
 }
 
+void EmulatedWorkers::resize(const std::string &Id, Resources Capacity) {
+  Process &Entry = Processes.at(Id);
+  Entry.FormerCapacity = allowedCapacity(Entry);
+  Entry.ResizedAt = Time.now();
+  Entry.Info.Capacity = Capacity;
+}
+
+Resources EmulatedWorkers::allowedCapacity(const Process &Entry) const {
+  const bool IsNoticed = Time.now() - Entry.ResizedAt >= ResizeNotice;
+  return IsNoticed ? Entry.Info.Capacity
+                   : Resources::max(Entry.Info.Capacity, Entry.FormerCapacity);
+}
+
+void EmulatedWorkers::crashAfter(const std::string &Id, const std::string &Task,
+                                 std::uint64_t Serial, Duration Delay) {
+  Time.after(Delay, [this, Id, Task, Serial] {
+    const auto Host = Processes.find(Id);
+    if (Host == Processes.end() || !Host->second.Up)
+      return;
+    const auto Run = Host->second.Runs.find(Task);
+    if (Run == Host->second.Runs.end() || Run->second.Serial != Serial)
+      return;
+    ++TaskCrashes;
+    crash(Id);
+    if (AfterCrash != Comeback::Never)
+      Time.after(RestartDelay, [this, Id] { comeBack(Id); });
+  });
+}
+
+void EmulatedWorkers::comeBack(const std::string &Id) {
+  Process &Entry = Processes.at(Id);
+  if (Entry.Up)
+    return; // A test has restarted it.
+  if (AfterCrash == Comeback::SameId) {
+    restart(Id);
+    return;
+  }
+  Entry.Replaced = true;
+  add(Id + "'", Entry.Info.Zone, Entry.Info.Capacity);
+}
+
+// How a call ends whose worker process has ended.
+cell::WorkerOutcome
+EmulatedWorkers::outcomeOfEnded(const std::string &Id) const {
+  const auto Found = Processes.find(Id);
+  if (Found != Processes.end() && Found->second.Replaced)
+    return cell::WorkerOutcome::OtherLife;
+  return CrashesSilently ? cell::WorkerOutcome::NoAnswer
+                         : cell::WorkerOutcome::NoProcess;
+}
+
+int EmulatedWorkers::crashesUnder(const std::string &Task) const {
+  const auto Found = CrashCounts.find(Task);
+  return Found == CrashCounts.end() ? 0 : Found->second.Crashes;
+}
+
 jobs::WorkerInfo EmulatedWorkers::restart(const std::string &Id) {
   const jobs::WorkerInfo Old = Processes.at(Id).Info;
   Processes.erase(Id);
@@ -194,11 +261,20 @@
   Resources Used = Traits.Request;
   for (const auto &[Task, Run] : Entry.Runs)
     Used += Run.Traits.Request;
-  if (!Used.fitsIn(Entry.Info.Capacity))
+  if (!Used.fitsIn(allowedCapacity(Entry)))
     fail("limit: " + Order.Task + " on " + Id);
+  if (const auto Count = CrashCounts.find(Order.Task);
+      Traits.CrashesWorkerAfter && Count != CrashCounts.end() &&
+      Count->second.Crashes >= AcceptedCrashes &&
+      ++Count->second.LaterStarts > AcceptedLaterStarts)
+    fail("budget: " + Order.Task + " started " +
+         std::to_string(Count->second.LaterStarts) +
+         " times after three workers had crashed under it");
   const std::uint64_t Serial = ++LastSerial;
   ++StartedRuns;
   Entry.Runs[Order.Task] = {Order.Run, Traits, Serial};
+  if (Traits.CrashesWorkerAfter)
+    crashAfter(Id, Order.Task, Serial, *Traits.CrashesWorkerAfter);
   if (Traits.Gang)
     startGangIfComplete(*jobs::TaskId::parse(Order.Task), Order.Run);
   else
@@ -299,9 +375,12 @@
   }
   const auto Found = Processes.find(Id);
   if (Found == Processes.end() || !Found->second.Up) {
-    Time.after(Latency, [Callback] {
-      Callback({cell::WorkerOutcome::NoProcess, std::nullopt});
-    });
+    const cell::WorkerOutcome Outcome = outcomeOfEnded(Id);
+    Time.after(Outcome == cell::WorkerOutcome::NoAnswer ? OrderTimeout
+                                                        : Latency,
+               [Callback, Outcome] {
+                 Callback({Outcome, std::nullopt});
+               });
     return;
   }
   if (randomChance(LateOrders)) {
@@ -367,8 +446,11 @@
     Time.after(Latency, [Callback, Result] { Callback(Result); });
   };
   if (Found == Processes.end() || !Found->second.Up) {
-    Result.Outcome = cell::WorkerOutcome::NoProcess;
-    Answer();
+    Result.Outcome = outcomeOfEnded(To.Incarnation.Id);
+    if (Result.Outcome == cell::WorkerOutcome::NoAnswer)
+      Time.after(OrderTimeout, [Callback] { Callback({}); });
+    else
+      Answer();
     return;
   }
   Process &Entry = Found->second;
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -4,6 +4,7 @@
 #define APRICOTWING_TESTS_EMULATOR_EMULATEDWORKERS_H
 
 #include "cell/ports.h"
+#include "core/nametable.h"
 #include "jobs/jobspec.h"
 #include "virtualtime.h"
 
@@ -25,8 +26,19 @@
   bool Fails = false; ///< Each run ends as failed.
   bool Gang = false;
   int GangSize = 1;
+  /// Each run ends the process of its worker after this time.
+  std::optional<Duration> CrashesWorkerAfter;
 };
 
+/// What becomes of a worker whose process a task has ended.
+enum class Comeback { SameId, OtherId, Never };
+
+inline constexpr NameTable<Comeback, 3> ComebackNames = {{
+    {Comeback::SameId, "SameId"},
+    {Comeback::OtherId, "OtherId"},
+    {Comeback::Never, "Never"},
+}};
+
 /// All workers of a cell, with leases, run lists, fencing and tickets as the
 /// platform specifies them. Records every violation of the scheduler's
 /// guarantees. Not thread-safe.
@@ -43,6 +55,12 @@
   std::set<std::string> Cut; ///< Ids of workers that no instance can reach.
   std::set<std::pair<std::string, std::string>>
       CutPairs; ///< Pairs of an instance and a worker that it cannot reach.
+  /// How workers return RestartDelay after a task has ended their process.
+  Comeback AfterCrash = Comeback::SameId;
+  Duration RestartDelay{3000};
+  /// Machines whose process has ended do not respond, instead of refusing
+  /// connections.
+  bool CrashesSilently = false;
 
   /// Returns the traits of a task; must be set before the first start.
   std::function<TaskTraits(const jobs::TaskId &)> TraitsOf;
@@ -57,6 +75,9 @@
   /// Starts a new process of a crashed worker.
   jobs::WorkerInfo restart(const std::string &Id);
 
+  /// Changes the capacity of a worker while its process runs.
+  void resize(const std::string &Id, Resources Capacity);
+
   /// Registry entry of a worker; empty if the worker has crashed.
   std::optional<jobs::WorkerInfo> info(const std::string &Id) const;
 
@@ -85,6 +106,11 @@
   /// Number of all runs of the task that ended as failed.
   int failedRuns(const std::string &Task) const;
 
+  /// Number of processes that ended while they ran the task, and number of
+  /// processes that ended because of any task.
+  int crashesUnder(const std::string &Task) const;
+  int taskCrashes() const { return TaskCrashes; }
+
   /// Client of the workers for the instance \p Name.
   class Handle final : public cell::WorkerClient {
   public:
@@ -125,6 +151,16 @@
     std::int64_t Acked = 0;
     std::int64_t ExpiredUpTo = 0; ///< Ended runs up to this number do not count
                                   ///< because the lease expired.
+    bool Replaced = false;        ///< Another process listens on its port.
+    /// Capacity before the last change, and the time of the change.
+    Resources FormerCapacity;
+    TimePoint ResizedAt;
+  };
+
+  /// Runs of a task that ended with the process of their worker.
+  struct CrashCount {
+    int Crashes = 0;
+    int LaterStarts = 0; ///< After the third crash.
   };
 
   bool randomChance(double Share);
@@ -149,6 +185,11 @@
              const TaskTraits &Traits);
   void finishAfter(const std::string &Id, const std::string &Task,
                    std::uint64_t Serial, const TaskTraits &Traits);
+  void crashAfter(const std::string &Id, const std::string &Task,
+                  std::uint64_t Serial, Duration Delay);
+  void comeBack(const std::string &Id);
+  Resources allowedCapacity(const Process &Entry) const;
+  cell::WorkerOutcome outcomeOfEnded(const std::string &Id) const;
   void startGangIfComplete(const jobs::TaskId &Id, std::int64_t Run);
   void fail(const std::string &Text) { Violations.push_back(Text); }
 
@@ -158,10 +199,12 @@
   std::set<std::string> Done; ///< Tasks with an acknowledged successful run.
   std::map<std::string, int> Failures;
   std::map<std::string, int> FailedRuns;
+  std::map<std::string, CrashCount> CrashCounts; ///< By task.
   std::vector<std::string> Violations;
   std::uint64_t LastSerial = 0;
   int DoneRuns = 0;
   int StartedRuns = 0;
+  int TaskCrashes = 0;
 };
 
 /// An advice service that approves about half of the workers for each step.
