Log the runs that are lost with a worker, and why

A run that ended with its worker left no line in any log, so a task that crashes workers could not be told from one that was on them by chance. The scheduler is told why a worker's runs are over (its process ended, announced or not, its lease expired, the registry dropped it, another shard took it), and the leader writes one line 'run lost' a run with cause and age. What is decided does not change.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -166,7 +166,7 @@
     if (!isOwnWorker(Id))
       Foreign.push_back(Id);
   for (const std::string &Id : Foreign)
-    removeWorker(Id);
+    removeWorker(Id, jobs::WorkerLoss::Transferred);
   if (NewLayout.shardCount() > 1) {
     std::vector<std::string> Partitions;
     Partitions.reserve(std::size_t(NewLayout.shardCount()));
@@ -211,7 +211,7 @@
   // runs of a worker that has returned.
   for (const std::string &Id : Changed) {
     if (!isOwnWorker(Id)) {
-      removeWorker(Id);
+      removeWorker(Id, jobs::WorkerLoss::Transferred);
       continue;
     }
     if (const auto Known = ForeignRows.extract(Id); !Known.empty()) {
@@ -287,7 +287,7 @@
       {{TransferTable, Id, encode(Transfer)}, {RosterTable, Id, std::nullopt}});
   Ownership->record(Id, Transfer);
   WorkerStates.at(Id).InRoster = false;
-  removeWorker(Id);
+  removeWorker(Id, jobs::WorkerLoss::Transferred);
 }
 
 // A cell whose workers are just starting waits until they have registered,
@@ -345,7 +345,7 @@
       Known.Info.Zone = Entry.Zone;
       Known.Info.Draining = true;
       Known.UnregisteredSince = Now;
-      Scheduler.updateWorker(Known.Info);
+      Scheduler.updateWorker(Known.Info, Now);
     }
     Known.InRoster = true;
   }
@@ -507,7 +507,9 @@
       Found->second.Info.Incarnation != Info->Incarnation) {
     Deps.Log.event("worker restarted", Row.Key,
                    {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
-    removeWorker(Row.Key);
+    removeWorker(Row.Key, Found->second.StopAnnounced
+                              ? jobs::WorkerLoss::Announced
+                              : jobs::WorkerLoss::ProcessEnded);
   }
   const bool IsNew = Found == WorkerStates.end();
   WorkerState &Worker = WorkerStates[Row.Key];
@@ -523,7 +525,8 @@
                    {{"draining", Info->Draining ? "1" : "0"}});
   Worker.Info = *Info;
   Worker.Registered = true;
-  Scheduler.updateWorker(*Info);
+  Worker.StopAnnounced = Worker.StopAnnounced || Info->Draining;
+  Scheduler.updateWorker(*Info, Deps.Time.now());
   DecisionNeeded = true;
 }
 
@@ -542,7 +545,7 @@
       continue;
     if (!Worker.Info.Draining) {
       Worker.Info.Draining = true;
-      Scheduler.updateWorker(Worker.Info);
+      Scheduler.updateWorker(Worker.Info, Now);
     }
     const jobs::Worker *Known = Scheduler.worker(Id);
     const bool Empty = Worker.Resolved && (!Known || Known->runs().empty());
@@ -551,16 +554,20 @@
   }
   for (const std::string &Id : Gone) {
     Deps.Log.event("worker removed", Id, {});
-    removeWorker(Id);
+    removeWorker(Id, WorkerStates.at(Id).StopAnnounced
+                         ? jobs::WorkerLoss::Announced
+                         : jobs::WorkerLoss::Gone);
   }
 }
 
-void Leader::removeWorker(const std::string &Id) {
+void Leader::removeWorker(const std::string &Id, jobs::WorkerLoss Cause) {
   const auto Found = WorkerStates.find(Id);
   if (Found == WorkerStates.end())
     return;
   releaseFromMember(Id);
-  Scheduler.removeWorker(Found->second.Info.Incarnation);
+  Scheduler.removeWorker(Found->second.Info.Incarnation, Cause,
+                         Deps.Time.now());
+  logLostRuns();
   if (Found->second.InRoster || Found->second.RosterPending)
     StateJournal.remove(RosterTable, Id);
   WorkerStates.erase(Found);
@@ -721,7 +728,8 @@
     return;
   case WorkerEvent::LeaseExpired:
     Worker.Resolved = true;
-    Scheduler.expireWorkerLease(Report.Incarnation);
+    Scheduler.loseRuns(Report.Incarnation, jobs::WorkerLoss::LeaseExpired, Now);
+    logLostRuns();
     Scheduler.setReachable(Report.Incarnation, false);
     return;
   case WorkerEvent::Fenced:
@@ -735,7 +743,11 @@
     // All runs of this process have ended with it. The registry will contain
     // the next process once that has registered.
     Worker.Resolved = true;
-    Scheduler.expireWorkerLease(Report.Incarnation);
+    Scheduler.loseRuns(Report.Incarnation,
+                       Worker.StopAnnounced ? jobs::WorkerLoss::Announced
+                                            : jobs::WorkerLoss::ProcessEnded,
+                       Now);
+    logLostRuns();
     Scheduler.setReachable(Report.Incarnation, false);
     From.Workers.erase(Report.Incarnation.Id);
     Worker.Member.clear();
@@ -744,6 +756,16 @@
   }
 }
 
+void Leader::logLostRuns() {
+  for (const jobs::LostRun &Lost : Scheduler.takeLostRuns())
+    Deps.Log.event(
+        "run lost", Lost.Task,
+        {{"run", std::to_string(Lost.Run)},
+         {"worker", Lost.Worker.Id},
+         {"cause", std::string(enumName(jobs::WorkerLossNames, Lost.Cause))},
+         {"age_ms", std::to_string(Lost.Age.count())}});
+}
+
 void Leader::ensureInRoster(const WorkerReport &Report, WorkerState &Worker) {
   if (Worker.InRoster)
     return;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -130,6 +130,7 @@
     TimePoint MaxLeaseEnd;
     TimePoint AssignAfter; ///< Earliest reassignment after its process ended.
     bool Resolved = false; ///< Synced in this term, or its lease expired.
+    bool StopAnnounced = false; ///< The registry has shown it as draining.
   };
 
   void restoreJobs(const StoredState &Stored);
@@ -149,7 +150,8 @@
   void applyRegistryRow(const StoredRow &Row);
   void markUnregistered(WorkerState &Worker);
   void removeUnregistered();
-  void removeWorker(const std::string &Id);
+  void removeWorker(const std::string &Id, jobs::WorkerLoss Cause);
+  void logLostRuns();
 
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -317,7 +317,7 @@
 
 // Workers.
 
-void JobScheduler::updateWorker(const WorkerInfo &Info) {
+void JobScheduler::updateWorker(const WorkerInfo &Info, TimePoint Now) {
   LargestCapacity = Resources::max(LargestCapacity, Info.Capacity);
   const auto Found = Workers.find(Info.Incarnation.Id);
   if (Found != Workers.end() &&
@@ -326,24 +326,27 @@
     return;
   }
   if (Found != Workers.end())
-    removeWorker(Found->second.info().Incarnation);
+    removeWorker(Found->second.info().Incarnation, WorkerLoss::ProcessEnded,
+                 Now);
   Workers.emplace(Info.Incarnation.Id, Worker(Info));
 }
 
-void JobScheduler::removeWorker(const WorkerIncarnation &Incarnation) {
+void JobScheduler::removeWorker(const WorkerIncarnation &Incarnation,
+                                WorkerLoss Cause, TimePoint Now) {
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
-  releaseAll(*Host);
+  releaseAll(*Host, Cause, Now);
   Workers.erase(Incarnation.Id);
 }
 
-void JobScheduler::expireWorkerLease(const WorkerIncarnation &Incarnation) {
+void JobScheduler::loseRuns(const WorkerIncarnation &Incarnation,
+                            WorkerLoss Cause, TimePoint Now) {
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
   Host->setSynced(false);
-  releaseAll(*Host);
+  releaseAll(*Host, Cause, Now);
 }
 
 void JobScheduler::setReachable(const WorkerIncarnation &Incarnation,
@@ -357,10 +360,17 @@
     Host->setSynced(false);
 }
 
-void JobScheduler::releaseAll(Worker &Host) {
+void JobScheduler::releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now) {
   const auto Allocated = Host.runs();
-  for (const auto &[Name, Run] : Allocated)
+  for (const auto &[Name, Run] : Allocated) {
+    LostRuns.push_back(
+        {Name, Run.Run, Host.info().Incarnation, Cause, Now - Run.Since});
     releaseWithoutResult(Host, Name, Run.Run);
+  }
+}
+
+std::vector<LostRun> JobScheduler::takeLostRuns() {
+  return std::exchange(LostRuns, {});
 }
 
 // Frees the resources of a run that ended without a result or never started.
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -140,11 +140,12 @@
 
   /// Adds a worker or updates its description. A new incarnation of a known id
   /// ends all runs of the old incarnation.
-  void updateWorker(const WorkerInfo &Info);
+  void updateWorker(const WorkerInfo &Info, TimePoint Now);
 
-  /// Ends all runs of a worker that no longer exists for certain, and removes
-  /// the worker.
-  void removeWorker(const WorkerIncarnation &Incarnation);
+  /// Ends all runs of a worker and removes the worker. Precondition: it is
+  /// certain that none of them is active.
+  void removeWorker(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
+                    TimePoint Now);
 
   /// Reconciles the state with the complete lists of runs on a worker. A run
   /// that was placed there and is in neither list has not started and never
@@ -153,8 +154,13 @@
                   const std::vector<ActiveRun> &Running,
                   const std::vector<EndedRun> &Ended, TimePoint Now);
 
-  /// Ends all runs of a worker whose lease has expired for certain.
-  void expireWorkerLease(const WorkerIncarnation &Incarnation);
+  /// Ends all runs of a worker, which must be synced before it gets new ones.
+  /// Precondition: it is certain that none of them is active.
+  void loseRuns(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
+                TimePoint Now);
+
+  /// Runs that were lost together with their workers since the last call.
+  std::vector<LostRun> takeLostRuns();
 
   /// Sets whether a worker can currently be reached.
   void setReachable(const WorkerIncarnation &Incarnation, bool Reachable);
@@ -272,7 +278,7 @@
                             std::int64_t Run);
   void allocateRun(Worker &Host, const Job &CurrentJob, const TaskId &Id,
                    std::int64_t Run, const StepSpec &Spec, TimePoint Now);
-  void releaseAll(Worker &Host);
+  void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
   void markUnstarted(Job &CurrentJob);
   void makeReady(Job &CurrentJob, int Step, TaskState &Task);
   void finishTask(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
@@ -340,6 +346,7 @@
   /// First step that the next round considers after the front of the order.
   WaitRank ResumeAt;
   std::vector<StopCommand> Stops; ///< Decided between two rounds.
+  std::vector<LostRun> LostRuns;  ///< Since the last takeLostRuns().
   std::set<std::string> Changed;
   std::uint64_t LastSequence = 0;
   std::size_t Active = 0;
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -62,6 +62,23 @@
                           const WorkerIncarnation &) = default;
 };
 
+/// Why the runs of a worker ended without a report of their ends.
+enum class WorkerLoss {
+  ProcessEnded, ///< Its process ended without notice.
+  LeaseExpired, ///< It did not respond; its process may still exist.
+  Gone,         ///< It never responded again and is no longer in the registry.
+  Announced,    ///< Its process ended after it had announced that.
+  Transferred,  ///< Another shard uses it; it had no runs.
+};
+
+inline constexpr NameTable<WorkerLoss, 5> WorkerLossNames = {{
+    {WorkerLoss::ProcessEnded, "process_ended"},
+    {WorkerLoss::LeaseExpired, "lease_expired"},
+    {WorkerLoss::Gone, "gone"},
+    {WorkerLoss::Announced, "announced"},
+    {WorkerLoss::Transferred, "transferred"},
+}};
+
 /// Description of a worker from the platform's registry.
 struct WorkerInfo {
   WorkerIncarnation Incarnation;
@@ -76,6 +93,15 @@
   friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
 };
 
+/// A run that was lost together with its worker.
+struct LostRun {
+  std::string Task;
+  std::int64_t Run = 0;
+  WorkerIncarnation Worker;
+  WorkerLoss Cause = WorkerLoss::ProcessEnded;
+  Duration Age{0}; ///< Time since it was placed.
+};
+
 /// Command to start a run of a task.
 struct StartCommand {
   WorkerIncarnation Worker;
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -128,7 +128,7 @@
   const std::string Id = addJob("batch", step(1, 1000));
   const Decisions Made = decide();
   ASSERT_EQ(Made.Starts.size(), 1U);
-  Scheduler.expireWorkerLease(First);
+  Scheduler.loseRuns(First, WorkerLoss::LeaseExpired, Now);
   Scheduler.syncWorker(First, {}, {}, Now);
   const Decisions Again = decide();
   ASSERT_EQ(Again.Starts.size(), 1U);
@@ -145,7 +145,7 @@
   Info.Incarnation = {"w1", 1};
   Info.Upstream = "service";
   Info.Capacity = {32'000, 65'536, 0};
-  Scheduler.updateWorker(Info);
+  Scheduler.updateWorker(Info, Now);
   addWorker("w2");
   JobSpec Spec;
   Spec.Id = "old";
@@ -172,7 +172,7 @@
   Info.Incarnation = {"w1", 1};
   Info.Upstream = "service";
   Info.Capacity = {32'000, 65'536, 0};
-  Scheduler.updateWorker(Info);
+  Scheduler.updateWorker(Info, Now);
   Scheduler.syncWorker(Info.Incarnation, {{"gone.0.0.0", 1, "", 10}}, {}, Now);
   JobSpec Spec;
   Spec.Id = "new";
--- a/tests/jobs/jobschedulertest.h
+++ b/tests/jobs/jobschedulertest.h
@@ -47,7 +47,7 @@
     Info.Incarnation = {Id, 1};
     Info.Upstream = "service";
     Info.Capacity = {32'000, 65'536, 0};
-    Scheduler.updateWorker(Info);
+    Scheduler.updateWorker(Info, Now);
     Scheduler.syncWorker(Info.Incarnation, {}, {}, Now);
     return Info.Incarnation;
   }
