Give up tasks that crash one worker after another

Callers saw: one task took worker after worker down, with all that ran there. Where workers did not return, no job ended any more.

Cause: only runs that ended 'failed' counted as attempts. A run lost with its worker made its task ready again and left no trace, neither in memory nor in the store.

Now each task keeps the workers that were lost under it (CrashHistory), stored with the job's progress like the number of failures. A worker whose process ended without notice counts; one that announced its end, or was transferred, doesn't; one whose lease expired counts once the registry has dropped it too, or another process has its id, and no longer if it responds again. A start that was never sent doesn't count. After the third ended process, or the fourth loss with silent workers, the job fails at once.

Those that only shared a worker have crashes as well. So a suspect is not put where it crashed, nor beside other suspects if there is a choice; after two crashes it runs apart from other suspects, and nothing is started beside it for 30 s, so that the third crash has one cause. A step under which two workers were lost starts one suspect as a probe, and the others once it has succeeded: otherwise a wide step takes as many workers down again. A gang counts a run, not a member; a task that lasts is cleared by ten minutes.

Ruled out: counting at the lapse of a lease (a silent worker would cost a task its job); counting two crashes (a rack without power and a rolling replacement would); blaming jobs by what else crashed at the same time.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -154,6 +154,17 @@
   From.at(1).get_to(Value.Run);
 }
 
+static void to_json(json &To, const CrashRecord &Value) {
+  To = json::array({Value.Worker, Value.Run,
+                    std::string(enumName(WorkerLossNames, Value.Cause))});
+}
+static void from_json(const json &From, CrashRecord &Value) {
+  From.at(0).get_to(Value.Worker);
+  From.at(1).get_to(Value.Run);
+  Value.Cause =
+      parseEnum(WorkerLossNames, "cause", From.at(2).get<std::string>());
+}
+
 static void to_json(json &To, const StepProgress &Value) {
   To = json::object();
   put(To, "placed", Value.Placed);
@@ -162,6 +173,7 @@
   put(To, "failed", Value.Failures);
   put(To, "gang_failed", Value.GangFailures);
   put(To, "saved", Value.Checkpoints);
+  put(To, "lost", Value.Crashes);
 }
 static void from_json(const json &From, StepProgress &Value) {
   take(From, "placed", Value.Placed);
@@ -170,6 +182,7 @@
   take(From, "failed", Value.Failures);
   take(From, "gang_failed", Value.GangFailures);
   take(From, "saved", Value.Checkpoints);
+  take(From, "lost", Value.Crashes);
 }
 
 static void to_json(json &To, const JobProgress &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -763,7 +763,8 @@
         {{"run", std::to_string(Lost.Run)},
          {"worker", Lost.Worker.Id},
          {"cause", std::string(enumName(jobs::WorkerLossNames, Lost.Cause))},
-         {"age_ms", std::to_string(Lost.Age.count())}});
+         {"age_ms", std::to_string(Lost.Age.count())},
+         {"losses", std::to_string(Lost.Losses)}});
 }
 
 void Leader::ensureInRoster(const WorkerReport &Report, WorkerState &Worker) {
@@ -826,8 +827,8 @@
             std::string(enumName(jobs::JobPhaseNames, Progress.Phase))},
            {"after_ms",
             std::to_string((Deps.Time.now() - Job->AcceptedAt).count())},
-           {"allowed_ms",
-            std::to_string((Job->Due - Job->AcceptedAt).count())}});
+           {"allowed_ms", std::to_string((Job->Due - Job->AcceptedAt).count())},
+           {"reason", Job->FailureReason}});
     }
     if (Progress.Phase != jobs::JobPhase::Active)
       StateJournal.whenCommitted(
@@ -1120,6 +1121,7 @@
       To && Host && Host->isSynced() && StateJournal.isLeaseValid();
   if (Usable && Scheduler.isCurrent(Order)) {
     To->Outgoing.Starts.push_back(Order);
+    Scheduler.markDispatched(Order);
     return;
   }
   // The order was never sent, so the run was not started. If the worker's lists
--- /dev/null
+++ b/src/jobs/crashhistory.cpp
@@ -0,0 +1,69 @@
+#include "jobs/crashhistory.h"
+
+#include <algorithm>
+
+namespace apricotwing::jobs {
+
+namespace {
+
+bool counts(const CrashRecord &Record) {
+  return Record.Cause == WorkerLoss::ProcessEnded ||
+         Record.Cause == WorkerLoss::Gone;
+}
+
+} // namespace
+
+void CrashHistory::add(const CrashRecord &Record) {
+  if (Record.Cause != WorkerLoss::Announced &&
+      Record.Cause != WorkerLoss::Transferred)
+    Records.push_back(Record);
+}
+
+bool CrashHistory::update(const WorkerIncarnation &Worker, WorkerLoss Cause) {
+  bool Found = false;
+  for (CrashRecord &Record : Records)
+    if (Record.Worker == Worker) {
+      Record.Cause = Cause;
+      Found = true;
+    }
+  return Found;
+}
+
+bool CrashHistory::remove(const WorkerIncarnation &Worker) {
+  return std::erase_if(Records, [&](const CrashRecord &Record) {
+           return Record.Worker == Worker;
+         }) > 0;
+}
+
+void CrashHistory::mergeGangMember(const CrashHistory &Member) {
+  for (const CrashRecord &Record : Member.Records) {
+    const auto Same =
+        std::find_if(Records.begin(), Records.end(),
+                     [&](const CrashRecord &R) { return R.Run == Record.Run; });
+    if (Same == Records.end())
+      Records.push_back(Record);
+    else if (Record.Cause == WorkerLoss::ProcessEnded || !counts(*Same))
+      *Same = Record;
+  }
+}
+
+int CrashHistory::losses() const {
+  return int(std::count_if(Records.begin(), Records.end(), counts));
+}
+
+bool CrashHistory::isExhausted() const {
+  const auto Ends = std::count_if(
+      Records.begin(), Records.end(), [](const CrashRecord &Record) {
+        return Record.Cause == WorkerLoss::ProcessEnded;
+      });
+  return Ends >= MaxProcessEnds || losses() >= MaxLosses;
+}
+
+bool CrashHistory::includes(const std::string &Worker) const {
+  return std::any_of(Records.begin(), Records.end(),
+                     [&](const CrashRecord &Record) {
+                       return counts(Record) && Record.Worker.Id == Worker;
+                     });
+}
+
+} // namespace apricotwing::jobs
--- /dev/null
+++ b/src/jobs/crashhistory.h
@@ -0,0 +1,80 @@
+/// \file
+/// The workers that were lost while they ran a task.
+#ifndef APRICOTWING_JOBS_CRASHHISTORY_H
+#define APRICOTWING_JOBS_CRASHHISTORY_H
+
+#include "jobs/run.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace apricotwing::jobs {
+
+/// The loss of the worker of one run.
+struct CrashRecord {
+  WorkerIncarnation Worker;
+  std::int64_t Run = 0;
+  WorkerLoss Cause = WorkerLoss::ProcessEnded;
+
+  friend bool operator==(const CrashRecord &, const CrashRecord &) = default;
+};
+
+/// Decides, from the workers that were lost under a task, whether the task may
+/// be the cause. Answers a load of tasks that crash each worker that starts
+/// them, among many that only shared a worker with one of these. A worker whose
+/// lease expired may only have been silent, so that does not count until the
+/// worker is gone. A value type; stored with the job.
+class CrashHistory {
+public:
+  /// Losses of workers under a task after which it is started on a worker of
+  /// its own, so that at its next crash no other task is to blame.
+  static constexpr int IsolationThreshold = 2;
+
+  /// Ends of worker processes under a task after which it is given up.
+  static constexpr int MaxProcessEnds = 3;
+
+  /// The same including workers that went silent and never returned. One more
+  /// is allowed, as these may have been cut off.
+  static constexpr int MaxLosses = 4;
+
+  /// Adds a loss. Ignores causes that the task cannot have.
+  void add(const CrashRecord &Record);
+
+  /// Corrects the cause of losses of a worker. Returns whether there are any.
+  bool update(const WorkerIncarnation &Worker, WorkerLoss Cause);
+
+  /// Removes losses of a worker, as it still exists. Returns whether there were
+  /// any.
+  bool remove(const WorkerIncarnation &Worker);
+
+  void clear() { Records.clear(); }
+
+  /// Adds the losses of another task of the same gang. Those during the same
+  /// run count as one, because the members end together.
+  void mergeGangMember(const CrashHistory &Member);
+
+  /// Number of losses that count.
+  int losses() const;
+
+  /// True if the task may crash its workers.
+  bool isSuspect() const { return losses() > 0; }
+
+  /// True if the task must run on a worker of its own.
+  bool needsIsolation() const { return losses() >= IsolationThreshold; }
+
+  /// True if the task must not be started again.
+  bool isExhausted() const;
+
+  /// True if a loss that counts was that of a worker with the id \p Worker.
+  bool includes(const std::string &Worker) const;
+
+  const std::vector<CrashRecord> &records() const { return Records; }
+
+private:
+  std::vector<CrashRecord> Records;
+};
+
+} // namespace apricotwing::jobs
+
+#endif
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -4,6 +4,44 @@
 
 namespace apricotwing::jobs {
 
+CrashHistory StepState::gangCrashes() const {
+  CrashHistory Result;
+  for (const TaskState &Task : Tasks)
+    Result.mergeGangMember(Task.Crashes);
+  return Result;
+}
+
+bool StepState::needsProbe() const {
+  if (!HasCrashes || SuspectSucceeded)
+    return false;
+  std::set<std::string> Lost;
+  for (const TaskState &Task : Tasks)
+    if (Task.Phase != TaskPhase::Done && Task.Crashes.isSuspect())
+      for (const CrashRecord &Record : Task.Crashes.records())
+        if (Record.Cause != WorkerLoss::LeaseExpired)
+          Lost.insert(Record.Worker.Id);
+  return Lost.size() >= 2;
+}
+
+bool StepState::isSuspectPlaced() const {
+  return std::any_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
+    return Task.Phase == TaskPhase::Placed && Task.Crashes.isSuspect();
+  });
+}
+
+int StepState::nextProbe() const {
+  int Result = -1;
+  int MostLosses = 0;
+  for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
+    const int Losses = Tasks[Index].Crashes.losses();
+    if (Tasks[Index].Phase != TaskPhase::Ready || Losses <= MostLosses)
+      continue;
+    MostLosses = Losses;
+    Result = int(Index);
+  }
+  return Result;
+}
+
 bool Job::isStepDone(int Step) const {
   const StepState &State = Steps[std::size_t(Step)];
   return std::size_t(State.DoneCount) == State.Tasks.size();
@@ -59,6 +97,8 @@
         Stored.Failures[int(Index)] = Task.Failures;
       if (!Task.Checkpoint.empty())
         Stored.Checkpoints[int(Index)] = Task.Checkpoint;
+      if (!Task.Crashes.records().empty())
+        Stored.Crashes[int(Index)] = Task.Crashes.records();
     }
     Result.Steps.push_back(std::move(Stored));
   }
@@ -101,6 +141,12 @@
       for (const auto &[Index, Checkpoint] : Progress.Checkpoints)
         if (TaskState *Task = TaskAt(Index))
           Task->Checkpoint = Checkpoint;
+      for (const auto &[Index, Records] : Progress.Crashes)
+        if (TaskState *Task = TaskAt(Index)) {
+          Step.HasCrashes = true;
+          for (const CrashRecord &Record : Records)
+            Task->Crashes.add(Record);
+        }
     }
     Step.ReadyCount = int(std::count_if(
         Step.Tasks.begin(), Step.Tasks.end(),
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -6,6 +6,7 @@
 
 #include "core/nametable.h"
 #include "core/time.h"
+#include "jobs/crashhistory.h"
 #include "jobs/jobspec.h"
 #include "jobs/run.h"
 
@@ -56,6 +57,8 @@
   int GangFailures = 0;            ///< Number of failed runs of the gang.
   std::int64_t LastFailedRun = 0;  ///< Of the gang; counts as one failure.
   std::map<int, std::string> Checkpoints; ///< By index of unfinished tasks.
+  /// Workers lost under unfinished tasks, by task index.
+  std::map<int, std::vector<CrashRecord>> Crashes;
 
   friend bool operator==(const StepProgress &, const StepProgress &) = default;
 };
@@ -107,6 +110,7 @@
   std::string Checkpoint;
   int Failures = 0;
   std::set<std::string> FailedOn; ///< Ids of workers on which a run failed.
+  CrashHistory Crashes; ///< Of a gang's member: on which it was placed.
 };
 
 /// State of one step, kept in memory.
@@ -125,6 +129,24 @@
   std::optional<WaitRank> Rank; ///< Set while the step is waiting.
   /// When the step was first considered since its last start.
   std::optional<TimePoint> WaitingSince;
+  /// A worker was lost under one of the tasks.
+  bool HasCrashes = false;
+  /// A suspect task has succeeded, so the step as a whole is not the cause.
+  bool SuspectSucceeded = false;
+
+  /// The losses of workers under the gang of which the tasks are the members.
+  CrashHistory gangCrashes() const;
+
+  /// True if workers are likely to crash because of the step: at least two were
+  /// lost under its unfinished tasks, and no suspect has succeeded since. One
+  /// suspect is then started alone, as a probe for all of them.
+  bool needsProbe() const;
+
+  /// True if a suspect task is placed.
+  bool isSuspectPlaced() const;
+
+  /// Index of the suspect to start as the probe; -1 if none is ready.
+  int nextProbe() const;
 };
 
 /// An accepted job. Owned by a JobScheduler and used on its thread only.
@@ -137,9 +159,10 @@
   bool BeyondShare = false;      ///< Scheduled after jobs within their share.
   Duration RemainingEstimate{0}; ///< Critical path of the unfinished steps.
   TimePoint AcceptedAt;
-  TimePoint Due;          ///< Completion after this time is late.
-  TimePoint FirmDeadline; ///< Completion after this time has no value.
-  TimePoint EndedAt;      ///< Valid once the phase is final.
+  TimePoint Due;             ///< Completion after this time is late.
+  TimePoint FirmDeadline;    ///< Completion after this time has no value.
+  TimePoint EndedAt;         ///< Valid once the phase is final.
+  std::string FailureReason; ///< For the log; set if the phase is Failed.
   std::uint64_t Sequence = 0;
   std::vector<StepState> Steps;
 
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -25,6 +25,14 @@
 /// resources exactly, and not every worker is approved for every step.
 constexpr double UsableShare = 0.8;
 
+/// Time for which a suspect runs alone. A task that crashes its worker usually
+/// does so soon after its start, and a worker reserved for longer is wasted.
+constexpr Duration IsolationTime{30'000};
+
+/// A long-running task that has run for this long is not to blame for crashes
+/// of the workers on which it was started earlier.
+constexpr Duration SurvivalTime{600'000};
+
 /// Time after which a worker that refused a start is used again.
 constexpr Duration RefusalPause{500};
 
@@ -163,6 +171,7 @@
     return;
   for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step) {
     const StepSpec &StepDescription = Added.Spec.Steps[Step];
+    restoreCrashes(Added, int(Step));
     std::vector<TaskState> &Tasks = Added.Steps[Step].Tasks;
     for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
       TaskState &Task = Tasks[Index];
@@ -170,12 +179,41 @@
         continue;
       Worker *Host = findWorker(Task.Worker);
       if (!Host) {
+        // The worker was lost before this term, in which the loss was not
+        // stored any more.
+        const bool HasSuccessor = worker(Task.Worker.Id) != nullptr;
+        Task.Crashes.add(
+            {Task.Worker, Task.Run,
+             HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone});
+        Added.Steps[Step].HasCrashes = true;
         makeReady(Added, int(Step), Task);
+        Changed.insert(Spec.Id);
         continue;
       }
       Task.PlacedAt = Now;
       allocateRun(*Host, Added, TaskId{Spec.Id, 0, int(Step), int(Index)},
                   Task.Run, StepDescription, Now);
+      Host->runs()
+          .at(TaskId{Spec.Id, 0, int(Step), int(Index)}.text())
+          .IsDispatched = true;
+    }
+  }
+}
+
+// A worker may have restarted since its loss was stored.
+void JobScheduler::restoreCrashes(Job &CurrentJob, int Step) {
+  std::vector<TaskState> &Tasks = CurrentJob.Steps[std::size_t(Step)].Tasks;
+  for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
+    const std::vector<CrashRecord> Records = Tasks[Index].Crashes.records();
+    for (const CrashRecord &Record : Records) {
+      if (Record.Cause == WorkerLoss::ProcessEnded)
+        continue;
+      const Worker *Known = worker(Record.Worker.Id);
+      if (Known && Known->info().Incarnation != Record.Worker)
+        Tasks[Index].Crashes.update(Record.Worker, WorkerLoss::ProcessEnded);
+      else
+        SilentWorkers[Record.Worker].insert(
+            TaskId{CurrentJob.Spec.Id, 0, Step, int(Index)}.text());
     }
   }
 }
@@ -328,6 +366,7 @@
   if (Found != Workers.end())
     removeWorker(Found->second.info().Incarnation, WorkerLoss::ProcessEnded,
                  Now);
+  resolveSilenceBefore(Info.Incarnation, Now);
   Workers.emplace(Info.Incarnation.Id, Worker(Info));
 }
 
@@ -338,6 +377,7 @@
     return;
   releaseAll(*Host, Cause, Now);
   Workers.erase(Incarnation.Id);
+  resolveSilence(Incarnation, Cause, Now);
 }
 
 void JobScheduler::loseRuns(const WorkerIncarnation &Incarnation,
@@ -347,6 +387,8 @@
     return;
   Host->setSynced(false);
   releaseAll(*Host, Cause, Now);
+  if (Cause != WorkerLoss::LeaseExpired)
+    resolveSilence(Incarnation, Cause, Now);
 }
 
 void JobScheduler::setReachable(const WorkerIncarnation &Incarnation,
@@ -363,12 +405,122 @@
 void JobScheduler::releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now) {
   const auto Allocated = Host.runs();
   for (const auto &[Name, Run] : Allocated) {
-    LostRuns.push_back(
-        {Name, Run.Run, Host.info().Incarnation, Cause, Now - Run.Since});
+    recordLoss(Host, Name, Run, Cause, Now);
     releaseWithoutResult(Host, Name, Run.Run);
+    failIfExhausted(Name, Now);
+  }
+}
+
+void JobScheduler::recordLoss(const Worker &Host, const std::string &Name,
+                              const AllocatedRun &Run, WorkerLoss Cause,
+                              TimePoint Now) {
+  const WorkerIncarnation &Lost = Host.info().Incarnation;
+  const auto Id = TaskId::parse(Name);
+  Job *Owner = nullptr;
+  TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (!Task || Owner->Phase != JobPhase::Active ||
+      Task->Phase != TaskPhase::Placed || Task->Run != Run.Run ||
+      Task->Worker != Lost)
+    return;
+  const Duration Age = Now - Run.Since;
+  if (Run.IsDispatched) {
+    const std::size_t Step = std::size_t(Id->Step);
+    if (Owner->Spec.Steps[Step].LongRunning && Age >= SurvivalTime)
+      Task->Crashes.clear();
+    Task->Crashes.add({Lost, Run.Run, Cause});
+    Owner->Steps[Step].HasCrashes = true;
+    if (Cause == WorkerLoss::LeaseExpired)
+      SilentWorkers[Lost].insert(Name);
+  }
+  // Stored even if nothing is counted, so that the next leader does not take
+  // the placement for one whose worker was lost unnoticed.
+  Changed.insert(Owner->Spec.Id);
+  LostRuns.push_back({Name, Run.Run, Lost, Cause, Age, Task->Crashes.losses()});
+}
+
+// A task that has been started again may still succeed, so its job does not
+// fail before that run has ended.
+void JobScheduler::failIfExhausted(const std::string &Name, TimePoint Now) {
+  const auto Id = TaskId::parse(Name);
+  Job *Owner = nullptr;
+  const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (!Task || Owner->Phase != JobPhase::Active ||
+      Task->Phase != TaskPhase::Ready)
+    return;
+  const std::size_t Step = std::size_t(Id->Step);
+  const CrashHistory Crashes = Owner->Spec.Steps[Step].Gang
+                                   ? Owner->Steps[Step].gangCrashes()
+                                   : Task->Crashes;
+  if (!Crashes.isExhausted())
+    return;
+  Owner->FailureReason = "workers crashed under " + Name + ":";
+  for (const CrashRecord &Record : Crashes.records())
+    Owner->FailureReason += " " + Record.Worker.Id;
+  finishJob(*Owner, JobPhase::Failed, Now);
+}
+
+// Corrects the history of the tasks on a worker that went silent, now that it
+// is known what has become of it.
+void JobScheduler::resolveSilence(const WorkerIncarnation &Incarnation,
+                                  WorkerLoss Cause, TimePoint Now) {
+  const auto Silent = SilentWorkers.find(Incarnation);
+  if (Silent == SilentWorkers.end())
+    return;
+  if (Cause != WorkerLoss::ProcessEnded && Cause != WorkerLoss::Gone) {
+    endSilence(Incarnation);
+    return;
+  }
+  const std::set<std::string> Names = Silent->second;
+  // A worker that is gone may still turn out to have been cut off.
+  if (Cause != WorkerLoss::Gone)
+    SilentWorkers.erase(Silent);
+  for (const std::string &Name : Names) {
+    const auto Id = TaskId::parse(Name);
+    Job *Owner = nullptr;
+    TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+    if (!Task || !Task->Crashes.update(Incarnation, Cause))
+      continue;
+    Changed.insert(Owner->Spec.Id);
+    failIfExhausted(Name, Now);
   }
 }
 
+// The processes that had the id of a new one before have ended.
+void JobScheduler::resolveSilenceBefore(const WorkerIncarnation &Incarnation,
+                                        TimePoint Now) {
+  std::vector<WorkerIncarnation> Ended;
+  for (auto Silent = SilentWorkers.lower_bound({Incarnation.Id, 0});
+       Silent != SilentWorkers.end() && Silent->first < Incarnation; ++Silent)
+    Ended.push_back(Silent->first);
+  for (const WorkerIncarnation &Earlier : Ended)
+    resolveSilence(Earlier, WorkerLoss::ProcessEnded, Now);
+}
+
+// The worker responds again, so none of its tasks has crashed it.
+void JobScheduler::endSilence(const WorkerIncarnation &Incarnation) {
+  const auto Silent = SilentWorkers.extract(Incarnation);
+  if (Silent.empty())
+    return;
+  for (const std::string &Name : Silent.mapped()) {
+    const auto Id = TaskId::parse(Name);
+    Job *Owner = nullptr;
+    TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+    if (Task && Task->Crashes.remove(Incarnation))
+      Changed.insert(Owner->Spec.Id);
+  }
+}
+
+bool JobScheduler::runsAlone(const Job &CurrentJob, int Step,
+                             const TaskState &Task) const {
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  if (!State.HasCrashes)
+    return false;
+  if (CurrentJob.Spec.Steps[std::size_t(Step)].Gang)
+    return State.gangCrashes().needsIsolation();
+  return Task.Crashes.needsIsolation() ||
+         (Task.Crashes.isSuspect() && State.needsProbe());
+}
+
 std::vector<LostRun> JobScheduler::takeLostRuns() {
   return std::exchange(LostRuns, {});
 }
@@ -404,8 +556,14 @@
 void JobScheduler::allocateRun(Worker &Host, const Job &CurrentJob,
                                const TaskId &Id, std::int64_t Run,
                                const StepSpec &Spec, TimePoint Now) {
-  Host.allocate(Id.text(), {Run, Spec.Request, Spec.BestEffort,
-                            CurrentJob.Spec.Account, false, Now});
+  AllocatedRun New{
+      Run, Spec.Request, Spec.BestEffort, CurrentJob.Spec.Account, false, Now};
+  const TaskState &Task =
+      CurrentJob.Steps[std::size_t(Id.Step)].Tasks[std::size_t(Id.Index)];
+  New.IsSuspect = Task.Crashes.isSuspect();
+  if (runsAlone(CurrentJob, Id.Step, Task))
+    New.AloneUntil = Now + IsolationTime;
+  Host.allocate(Id.text(), std::move(New));
   Running[CurrentJob.Spec.Account] += Spec.Request;
 }
 
@@ -425,6 +583,7 @@
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
+  endSilence(Incarnation);
   for (const EndedRun &End : Ended)
     runEnded(Incarnation, End, Now);
   std::map<std::string, std::int64_t> Listed;
@@ -453,6 +612,7 @@
   if (Owner)
     Owner->HasRun = true;
   if (Allocated != Host.runs().end() && Allocated->second.Run == Run.Run) {
+    Allocated->second.IsDispatched = true;
     runProgressed(Host.info().Incarnation, Run);
     return;
   }
@@ -526,6 +686,9 @@
     }
     Ended.Phase = TaskPhase::Done;
     Ended.Checkpoint.clear();
+    State.SuspectSucceeded =
+        State.SuspectSucceeded || Ended.Crashes.isSuspect();
+    Ended.Crashes.clear();
     ++State.DoneCount;
   };
   Finish(Task);
@@ -554,8 +717,12 @@
     return;
   State.LastFailedRun = Run;
   const int Failures = Gang ? ++State.GangFailures : ++Task.Failures;
-  if (Failures >= queueOf(CurrentJob).MaxAttempts)
-    finishJob(CurrentJob, JobPhase::Failed, Now);
+  if (Failures < queueOf(CurrentJob).MaxAttempts)
+    return;
+  CurrentJob.FailureReason =
+      std::to_string(Failures) + " failed runs of " +
+      (Gang ? "the gang of step " + std::to_string(Step) : "one task");
+  finishJob(CurrentJob, JobPhase::Failed, Now);
 }
 
 // Updates the slowdown of a worker from the run time of a task, compared with
@@ -643,6 +810,15 @@
          Allocated->second.Run == Order.Run && !Allocated->second.Stopping;
 }
 
+void JobScheduler::markDispatched(const StartCommand &Order) {
+  Worker *Host = findWorker(Order.Worker);
+  if (!Host)
+    return;
+  const auto Allocated = Host->runs().find(Order.Task);
+  if (Allocated != Host->runs().end() && Allocated->second.Run == Order.Run)
+    Allocated->second.IsDispatched = true;
+}
+
 // Advice.
 
 void JobScheduler::adviceArrived(const std::string &Step,
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -200,6 +200,10 @@
   /// worker and has not been stopped.
   bool isCurrent(const StartCommand &Order) const;
 
+  /// Records that \p Order is being sent, so that its run may be the cause if
+  /// the worker crashes.
+  void markDispatched(const StartCommand &Order);
+
   /// Runs one scheduling round: decides which runs to start and stop, and which
   /// advice to request.
   Decisions decide(TimePoint Now, const AdviceBudget &Advice);
@@ -278,6 +282,16 @@
                             std::int64_t Run);
   void allocateRun(Worker &Host, const Job &CurrentJob, const TaskId &Id,
                    std::int64_t Run, const StepSpec &Spec, TimePoint Now);
+  void recordLoss(const Worker &Host, const std::string &Name,
+                  const AllocatedRun &Run, WorkerLoss Cause, TimePoint Now);
+  void failIfExhausted(const std::string &Name, TimePoint Now);
+  void resolveSilence(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
+                      TimePoint Now);
+  void resolveSilenceBefore(const WorkerIncarnation &Incarnation,
+                            TimePoint Now);
+  void endSilence(const WorkerIncarnation &Incarnation);
+  bool runsAlone(const Job &CurrentJob, int Step, const TaskState &Task) const;
+  void restoreCrashes(Job &CurrentJob, int Step);
   void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
   void markUnstarted(Job &CurrentJob);
   void makeReady(Job &CurrentJob, int Step, TaskState &Task);
@@ -305,6 +319,8 @@
                             const Candidates &Found, int Tasks);
   void scheduleGang(Round &Current, Job &CurrentJob, int Step,
                     Candidates Found);
+  static Candidate *chooseHost(std::vector<Candidate> &Hosts,
+                               const TaskState &Task, bool Alone);
   int place(Round &Current, Job &CurrentJob, int Step,
             std::vector<Candidate> &Hosts, int Wanted, std::int64_t GangRun);
   void startOn(Round &Current, Job &CurrentJob, int Step, int Index,
@@ -347,6 +363,9 @@
   WaitRank ResumeAt;
   std::vector<StopCommand> Stops; ///< Decided between two rounds.
   std::vector<LostRun> LostRuns;  ///< Since the last takeLostRuns().
+  /// Names of the tasks on workers whose lease has expired, until it is known
+  /// whether the worker still exists.
+  std::map<WorkerIncarnation, std::set<std::string>> SilentWorkers;
   std::set<std::string> Changed;
   std::uint64_t LastSequence = 0;
   std::size_t Active = 0;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <tuple>
 
 namespace apricotwing::jobs {
 
@@ -203,6 +204,9 @@
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
   const bool IsLowSlack = JobQueue.SlackFactor < LowSlackFactor;
+  const bool StartsAlone =
+      Spec.Gang ? State.HasCrashes && State.gangCrashes().needsIsolation()
+                : State.needsProbe();
   std::map<std::string, int> PlacedOnWorker;
   if (Spec.MaxPerWorker > 0)
     for (const TaskState &Task : State.Tasks)
@@ -216,7 +220,8 @@
     Worker &Host = *Usable.Host;
     while (Advice != State.Advice.end() && Advice->first < Id)
       ++Advice;
-    if (!Spec.Request.fitsIn(Host.info().Capacity) || !Host.satisfies(Spec))
+    if (!Spec.Request.fitsIn(Host.info().Capacity) || !Host.satisfies(Spec) ||
+        Host.isReserved(Current.Now))
       continue;
     const auto Reservation = Current.ReservedHosts.find(&Host);
     if (Reservation != Current.ReservedHosts.end() &&
@@ -236,6 +241,8 @@
       Slots = Host.slotsInFreeResources(Spec);
     if (Spec.MaxPerWorker > 0)
       Slots = std::min(Slots, Spec.MaxPerWorker - PlacedOnWorker[Id]);
+    if (StartsAlone && Host.suspectRuns() > 0)
+      Slots = 0;
     const Candidate Option{
         &Host, std::max(Slots, 0), HasAdvice ? &Advice->second : nullptr,
         costOf(Usable, Spec, IsLowSlack) + (TakesClaimed ? ClaimedCost : 0)};
@@ -299,7 +306,10 @@
                                  Candidates Found) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
-  const int Wanted = std::min(State.ReadyCount, allowedByCap(CurrentJob, Spec));
+  int Wanted = std::min(State.ReadyCount, allowedByCap(CurrentJob, Spec));
+  // The other tasks wait for the result of the probe.
+  if (State.needsProbe())
+    Wanted = State.isSuspectPlaced() ? 0 : std::min(Wanted, 1);
   if (Wanted == 0)
     return;
   const int Remaining =
@@ -382,33 +392,58 @@
                         std::vector<Candidate> &Hosts, int Wanted,
                         std::int64_t GangRun) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const bool Gang = GangRun > 0;
+  const int Probe = !Gang && State.needsProbe() ? State.nextProbe() : -1;
   int Placed = 0;
   for (std::size_t Index = 0; Index < State.Tasks.size() && Placed < Wanted;
        ++Index) {
     TaskState &Task = State.Tasks[Index];
-    if (Task.Phase != TaskPhase::Ready)
+    if (Task.Phase != TaskPhase::Ready || (Probe >= 0 && int(Index) != Probe))
+      continue;
+    // The workers of a gang that runs alone were selected before.
+    const bool Alone = !Gang && runsAlone(CurrentJob, Step, Task);
+    Candidate *Chosen = chooseHost(Hosts, Task, Alone);
+    if (!Chosen && Alone)
       continue;
-    Candidate *Chosen = nullptr;
-    for (Candidate &Option : Hosts) {
-      if (Option.Slots <= 0)
-        continue;
-      const bool FailedThere =
-          Task.FailedOn.contains(Option.Host->info().Incarnation.Id);
-      if (!Chosen || !FailedThere)
-        Chosen = &Option;
-      if (!FailedThere)
-        break;
-    }
     if (!Chosen)
       return Placed;
     startOn(Current, CurrentJob, Step, int(Index), *Chosen,
-            GangRun > 0 ? GangRun : nextRun(Task.Run));
-    --Chosen->Slots;
+            Gang ? GangRun : nextRun(Task.Run));
+    Chosen->Slots = Alone ? 0 : Chosen->Slots - 1;
     ++Placed;
   }
   return Placed;
 }
 
+// Returns the first worker with a free slot, but if possible none on which the
+// task has failed or which crashed under it, and no two suspects on one worker.
+// A task that is to run alone gets the worker with the fewest runs and no other
+// suspect; null if there is none.
+JobScheduler::Candidate *JobScheduler::chooseHost(std::vector<Candidate> &Hosts,
+                                                  const TaskState &Task,
+                                                  bool Alone) {
+  const bool IsSuspect = Task.Crashes.isSuspect();
+  Candidate *Chosen = nullptr;
+  std::tuple<bool, std::size_t> Lowest;
+  for (Candidate &Option : Hosts) {
+    const Worker &Host = *Option.Host;
+    const std::string &Id = Host.info().Incarnation.Id;
+    const bool HasSuspects = IsSuspect && Host.suspectRuns() > 0;
+    if (Option.Slots <= 0 || (Alone && HasSuspects))
+      continue;
+    const bool IsAvoided = Task.FailedOn.contains(Id) || HasSuspects ||
+                           (IsSuspect && Task.Crashes.includes(Id));
+    const std::tuple Cost(IsAvoided, Alone ? Host.runs().size() : 0);
+    if (!Chosen || Cost < Lowest) {
+      Chosen = &Option;
+      Lowest = Cost;
+    }
+    if (!Alone && !IsAvoided)
+      break;
+  }
+  return Chosen;
+}
+
 void JobScheduler::startOn(Round &Current, Job &CurrentJob, int Step, int Index,
                            const Candidate &Option, std::int64_t Run) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -100,6 +100,7 @@
   WorkerIncarnation Worker;
   WorkerLoss Cause = WorkerLoss::ProcessEnded;
   Duration Age{0}; ///< Time since it was placed.
+  int Losses = 0;  ///< Of workers under its task that count so far.
 };
 
 /// Command to start a run of a task.
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -44,6 +44,11 @@
     FillingCpuMillis += Run.Request.CpuMillis;
   AllocatedRun &Entry = Runs[Task];
   UnknownRuns += int(Run.IsUnknown) - int(Entry.IsUnknown);
+  SuspectRuns += int(Run.IsSuspect) - int(Entry.IsSuspect);
+  LoneRuns +=
+      int(Run.AloneUntil.has_value()) - int(Entry.AloneUntil.has_value());
+  if (Run.AloneUntil)
+    ReservedUntil = std::max(ReservedUntil, *Run.AloneUntil);
   Entry = std::move(Run);
 }
 
@@ -55,6 +60,10 @@
   if (Found->second.BestEffort)
     FillingCpuMillis -= Found->second.Request.CpuMillis;
   UnknownRuns -= int(Found->second.IsUnknown);
+  SuspectRuns -= int(Found->second.IsSuspect);
+  LoneRuns -= int(Found->second.AloneUntil.has_value());
+  if (LoneRuns == 0)
+    ReservedUntil = {};
   Runs.erase(Found);
   return true;
 }
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace apricotwing::jobs {
@@ -26,6 +27,11 @@
   TimePoint Since;
   /// Its job has ended, so what it uses is unknown.
   bool IsUnknown = false;
+  /// The order to start it may have reached the worker.
+  bool IsDispatched = false;
+  bool IsSuspect = false; ///< It may crash the worker.
+  /// Nothing else is started on the worker until then; empty: no such limit.
+  std::optional<TimePoint> AloneUntil = std::nullopt;
 };
 
 /// One incarnation of a worker. Owned by a JobScheduler and used on its thread
@@ -52,9 +58,17 @@
   /// a run of unknown size.
   bool isUsable(TimePoint Now) const {
     return Synced && Reachable && !Info.Draining && Now >= AvoidedUntil &&
-           UnknownRuns == 0;
+           UnknownRuns == 0 && !isReserved(Now);
   }
 
+  /// True if a run on it is to have no company.
+  bool isReserved(TimePoint Now) const {
+    return LoneRuns > 0 && Now < ReservedUntil;
+  }
+
+  /// Number of runs on it that may crash it.
+  int suspectRuns() const { return SuspectRuns; }
+
   /// Starts no new runs on it until \p Until.
   void avoidUntil(TimePoint Until) {
     AvoidedUntil = std::max(AvoidedUntil, Until);
@@ -137,6 +151,9 @@
   std::int64_t FillingCpuMillis = 0;
   std::map<std::string, AllocatedRun> Runs;
   int UnknownRuns = 0;
+  int SuspectRuns = 0;
+  int LoneRuns = 0;
+  TimePoint ReservedUntil; ///< Valid while there are lone runs.
   Resources Claimed;
   std::map<std::string, Resources> Claims; ///< By step name.
 };
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -86,7 +86,7 @@
   Cell.workers().RestartDelay = 9s;
   const auto Healthy = submitHealthy(6, 6, 1500ms);
   const std::string Id = submitCrashing(1, CrashingJob);
-  Cell.run(120s);
+  Cell.run(60s);
   EXPECT_EQ(viewOf(Id), JobView::Failed);
   EXPECT_LE(Cell.workers().taskCrashes(), 5);
   expectCompleted(Healthy);
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -188,6 +188,100 @@
   EXPECT_EQ(decide().Starts.size(), 1U);
 }
 
+// Guards against a task that is blamed for a crash although its start was never
+// sent: the worker ended while the decision was being stored.
+TEST_F(JobSchedulerTest, DoesNotBlameATaskWhoseStartWasNotSent) {
+  const std::string Id = addJob("batch", step(1, 1000));
+  for (int Number = 0; Number < 5; ++Number) {
+    const WorkerIncarnation Host = addWorker("w" + std::to_string(Number));
+    ASSERT_EQ(decide().Starts.size(), 1U);
+    Scheduler.loseRuns(Host, WorkerLoss::ProcessEnded, Now);
+  }
+  EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Active);
+}
+
+// Guards against an innocent task that shares the blame again: one that was on
+// two crashed workers runs apart from other suspects, and nothing is started
+// beside it.
+TEST_F(JobSchedulerTest, IsolatesATaskAfterTwoCrashes) {
+  addJob("batch", step(1, 1000));
+  for (int Number = 0; Number < 2; ++Number) {
+    const WorkerIncarnation Host = addWorker("bad" + std::to_string(Number));
+    const Decisions Made = decide();
+    ASSERT_EQ(Made.Starts.size(), 1U);
+    Scheduler.markDispatched(Made.Starts[0]);
+    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
+  }
+  addWorker("w1");
+  const Decisions Isolated = decide();
+  ASSERT_EQ(Isolated.Starts.size(), 1U);
+  addJob("batch", step(1, 1000));
+  EXPECT_EQ(decide().Starts.size(), 0U);
+  end(Isolated.Starts[0], EndKind::Done);
+  EXPECT_EQ(decide().Starts.size(), 1U);
+}
+
+// Guards against a wide step whose tasks crash one worker each: a second round
+// would take as many workers down as the first.
+TEST_F(JobSchedulerTest, ProbesAStepUnderWhichTwoWorkersCrashed) {
+  const WorkerIncarnation First = addWorker("bad1");
+  const WorkerIncarnation Second = addWorker("bad2");
+  addJob("batch", step(6, 10'000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 6U);
+  for (const StartCommand &Start : Made.Starts)
+    Scheduler.markDispatched(Start);
+  Scheduler.removeWorker(First, WorkerLoss::ProcessEnded, Now);
+  Scheduler.removeWorker(Second, WorkerLoss::ProcessEnded, Now);
+  addWorker("w1");
+  addWorker("w2");
+  const Decisions Probe = decide();
+  ASSERT_EQ(Probe.Starts.size(), 1U);
+  EXPECT_EQ(decide().Starts.size(), 0U);
+  end(Probe.Starts[0], EndKind::Done);
+  EXPECT_EQ(decide().Starts.size(), 5U);
+}
+
+// Guards against a service that is given up after years because the machines
+// of its tasks crash now and then.
+TEST_F(JobSchedulerTest, ForgetsTheCrashesOfALongRunningTaskThatSurvived) {
+  StepSpec Lasting = step(1, 1000);
+  Lasting.LongRunning = true;
+  const std::string Id = addJob("batch", Lasting);
+  for (int Number = 0; Number < 6; ++Number) {
+    const WorkerIncarnation Host = addWorker("w" + std::to_string(Number));
+    Decisions Made = decide();
+    if (Made.Starts.empty())
+      Made = decide(); // The step got a new rank.
+    ASSERT_EQ(Made.Starts.size(), 1U);
+    Scheduler.markDispatched(Made.Starts[0]);
+    Now += std::chrono::hours(1);
+    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
+  }
+  EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Active);
+}
+
+// Guards against a service whose tasks crash each worker soon after their
+// start.
+TEST_F(JobSchedulerTest, GivesUpALongRunningTaskThatCrashesAtOnce) {
+  StepSpec Lasting = step(1, 1000);
+  Lasting.LongRunning = true;
+  const std::string Id = addJob("batch", Lasting);
+  for (int Number = 0; Number < 3; ++Number) {
+    const WorkerIncarnation Host = addWorker("w" + std::to_string(Number));
+    Decisions Made = decide();
+    if (Made.Starts.empty())
+      Made = decide(); // The step got a new rank.
+    ASSERT_EQ(Made.Starts.size(), 1U);
+    Scheduler.markDispatched(Made.Starts[0]);
+    Now += Duration{5000};
+    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
+  }
+  EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Failed);
+  addWorker("w9");
+  EXPECT_EQ(decide().Starts.size(), 0U);
+}
+
 // Guards against a faulty worker on which every run fails and which, being
 // empty, attracts all further tasks.
 TEST_F(JobSchedulerTest, AvoidsAWorkerThatFailsEverything) {
