--- a/tests/cell/cell_fuzz_test.cpp
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -46,8 +46,14 @@
   WorkersApplyLate,
   WorkersLoseAnswers,
   WorkersRecover,
+  SubmitCrashing,
+  ResizeWorker,
+  WorkersCrashSilently,
+  WorkersReturnDifferently,
 };
 constexpr int ActionKinds = int(ActionKind::WorkersRecover) + 1;
+constexpr int ActionKindsWithCrashes =
+    int(ActionKind::WorkersReturnDifferently) + 1;
 
 struct Action {
   ActionKind Kind = ActionKind::Wait;
@@ -58,11 +64,11 @@
   return To << "{" << int(Value.Kind) << "," << Value.Choice << "}";
 }
 
-rc::Gen<Action> anyAction() {
+rc::Gen<Action> anyAction(int Kinds = ActionKinds) {
   const auto Kind = rc::gen::weightedOneOf<int>(
       {{8, rc::gen::inRange(0, int(ActionKind::Wait))},
        {8, rc::gen::just(int(ActionKind::Wait))},
-       {10, rc::gen::inRange(0, ActionKinds)}});
+       {10, rc::gen::inRange(0, Kinds)}});
   return rc::gen::apply(
       [](int KindNumber, int Choice) {
         return Action{ActionKind(KindNumber), Choice};
@@ -200,6 +206,23 @@
     case ActionKind::WorkersRecover:
       healWorkers();
       break;
+    case ActionKind::SubmitCrashing:
+      submitted(Cell.submit(
+          Any, stepOf(1 + Step.Choice % 5, Work, Step.Choice % 4 == 0), Queue,
+          Step.Choice % 2 == 0 ? "crashes workers"
+                               : "first task crashes workers"));
+      break;
+    case ActionKind::ResizeWorker:
+      if (Cell.workers().info(Worker))
+        Cell.workers().resize(Worker, {4000 + Step.Choice * 28, 65'536, 0});
+      break;
+    case ActionKind::WorkersCrashSilently:
+      Cell.workers().CrashesSilently = true;
+      Cell.workers().RestartDelay = 9s;
+      break;
+    case ActionKind::WorkersReturnDifferently:
+      Cell.workers().AfterCrash = Comeback(Step.Choice % 3);
+      break;
     }
   }
 
@@ -255,6 +278,9 @@
     Workers.CutPairs.clear();
     Workers.LateOrders = 0;
     Workers.LostAnswers = 0;
+    Workers.CrashesSilently = false;
+    Workers.RestartDelay = 3s;
+    Workers.AfterCrash = Comeback::SameId;
   }
 
   std::string findViolation(const JobRecord &Job) {
@@ -262,10 +288,12 @@
     const jobs::StepSpec &Step = Job.Spec.Steps.front();
     int Done = 0;
     int Failed = 0;
+    int MostCrashes = 0;
     for (int Index = 0; Index < Step.Count; ++Index) {
       const std::string Task = jobs::TaskId{Id, 0, 0, Index}.text();
       Done += Cell.workers().isDone(Task) ? 1 : 0;
       Failed += Cell.workers().failures(Task);
+      MostCrashes = std::max(MostCrashes, Cell.workers().crashesUnder(Task));
     }
     using jobs::JobView;
     if (!Job.Accepted && !Job.Unresolved && Done + Failed > 0)
@@ -291,6 +319,15 @@
                  : Id + " must fail after 3 runs, had " +
                        std::to_string(Failed) + ", is " +
                        std::to_string(int(Job.View)) + "\n";
+    if (Job.Spec.Payload == "crashes workers" ||
+        Job.Spec.Payload == "first task crashes workers")
+      return Job.View == JobView::Failed
+                 ? ""
+                 : Id + " crashes workers and is not given up: " +
+                       std::to_string(int(Job.View)) + "\n";
+    // The platform accepts a failure from two crashes on.
+    if (Job.View == JobView::Failed && MostCrashes >= 3)
+      return {};
     return Job.View == JobView::Completed
                ? ""
                : Id + " was accepted and is not completed: " +
@@ -319,6 +356,22 @@
       20);
 }
 
+// The same with tasks that crash their workers, workers that return in several
+// ways, and capacities that change.
+TEST(CellFuzzTest, KeepsItsPromisesWithCrashingTasks) {
+  checkWithFixedSeeds(
+      [] {
+        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const auto Steps = *rc::gen::container<std::vector<Action>>(
+            anyAction(ActionKindsWithCrashes));
+        FaultScenario Scenario(Seed);
+        for (const Action &Step : Steps)
+          Scenario.play(Step);
+        Scenario.check();
+      },
+      20);
+}
+
 // The same with two shards, whose leaders are lost one by one or together.
 TEST(CellFuzzTest, KeepsItsPromisesWithTwoShards) {
   std::vector<jobs::ClientAccount> Accounts(4);
