Follow workers whose capacity shrinks

A start that was decided before its worker shrank was sent all the same if the commit of the decision came back later. Now it is not sent, and the task is placed anew. The largest capacity, by which a step counts as waiting work, only grew: work that fits nowhere any more made every other job look late, so that callers were refused while workers were idle. It follows the workers of the last round now, also after a change of the leader, whose restored jobs were counted before the registry had been read. Such work stays queued, as the capacity may return, and 'load' counts it (oversized).

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -118,6 +118,34 @@
         double(Spec.Estimate.count());
 }
 
+void JobScheduler::setLargestCapacity(const Resources &Largest) {
+  // Without workers, as after a restart of all, the last value is kept.
+  if (Largest == LargestCapacity || Largest == Resources{})
+    return;
+  LargestCapacity = Largest;
+  for (const auto &[Id, CurrentJob] : Jobs) {
+    if (CurrentJob->Phase != JobPhase::Active)
+      continue;
+    for (std::size_t Step = 0; Step < CurrentJob->Steps.size(); ++Step) {
+      StepState &State = CurrentJob->Steps[Step];
+      const bool Counts = countsAsWaitingWork(CurrentJob->Spec.Steps[Step]);
+      if (Counts == State.CountsAsWaitingWork)
+        continue;
+      // Work is added and removed only while it counts.
+      addWaitingWork(*CurrentJob, int(Step), -State.ReadyCount);
+      State.CountsAsWaitingWork = Counts;
+      addWaitingWork(*CurrentJob, int(Step), State.ReadyCount);
+    }
+  }
+}
+
+// Long-running steps, best-effort steps and steps that fit no worker do not
+// delay other steps.
+bool JobScheduler::countsAsWaitingWork(const StepSpec &Spec) const {
+  return !Spec.BestEffort && !Spec.LongRunning &&
+         Spec.Request.fitsIn(LargestCapacity);
+}
+
 Duration JobScheduler::estimatedWait(int Priority) const {
   double Work = 0;
   for (const auto &[Level, Waiting] : WaitingWork)
@@ -229,12 +257,8 @@
     return;
   ++Active;
   for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step) {
-    // Long-running steps, best-effort steps and steps that fit no worker do not
-    // delay other steps.
-    const StepSpec &Spec = Added.Spec.Steps[Step];
     Added.Steps[Step].CountsAsWaitingWork =
-        !Spec.BestEffort && !Spec.LongRunning &&
-        Spec.Request.fitsIn(LargestCapacity);
+        countsAsWaitingWork(Added.Spec.Steps[Step]);
     addWaitingWork(Added, int(Step), Added.Steps[Step].ReadyCount);
   }
   if (!Added.Started)
@@ -356,7 +380,6 @@
 // Workers.
 
 void JobScheduler::updateWorker(const WorkerInfo &Info, TimePoint Now) {
-  LargestCapacity = Resources::max(LargestCapacity, Info.Capacity);
   const auto Found = Workers.find(Info.Incarnation.Id);
   if (Found != Workers.end() &&
       Found->second.info().Incarnation == Info.Incarnation) {
@@ -807,7 +830,8 @@
     return false;
   const auto Allocated = Host->runs().find(Order.Task);
   return Allocated != Host->runs().end() &&
-         Allocated->second.Run == Order.Run && !Allocated->second.Stopping;
+         Allocated->second.Run == Order.Run && !Allocated->second.Stopping &&
+         Host->freeResources().isNonNegative();
 }
 
 void JobScheduler::markDispatched(const StartCommand &Order) {
@@ -877,7 +901,12 @@
 
 std::string JobScheduler::summary() const {
   std::map<std::pair<int, int>, std::pair<int, int>> Steps;
+  int Oversized = 0;
   for (const auto &[Rank, Ref] : Waiting) {
+    Oversized += Ref.Owner->Spec.Steps[std::size_t(Ref.Step)].Request.fitsIn(
+                     LargestCapacity)
+                     ? 0
+                     : 1;
     auto &[All, Unadvised] = Steps[{Rank.Tier, Rank.Priority}];
     ++All;
     Unadvised += Ref.Owner->Steps[std::size_t(Ref.Step)].Advice.empty() ? 1 : 0;
@@ -898,7 +927,8 @@
   }
   return Result + "free_cores:" + std::to_string(Free / 1000) +
          ",workers:" + std::to_string(Usable) +
-         ",claimed_cores:" + std::to_string(Claimed / 1000);
+         ",claimed_cores:" + std::to_string(Claimed / 1000) +
+         ",oversized:" + std::to_string(Oversized);
 }
 
 std::set<std::string> JobScheduler::takeChanged() {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -197,7 +197,7 @@
   void adviceFailed(const std::string &Step);
 
   /// True if \p Order should still be sent: its run is still placed on that
-  /// worker and has not been stopped.
+  /// worker, which has room for it, and has not been stopped.
   bool isCurrent(const StartCommand &Order) const;
 
   /// Records that \p Order is being sent, so that its run may be the cause if
@@ -212,7 +212,8 @@
   std::set<std::string> takeChanged();
 
   /// Text for the log: the number of waiting steps by tier and priority and how
-  /// many of them have no advice, then the free and claimed processors.
+  /// many of them have no advice, then the free and claimed processors and the
+  /// number of steps whose tasks fit no worker.
   std::string summary() const;
 
   /// Number of jobs that have not ended.
@@ -270,6 +271,8 @@
   const Queue &queueOf(const Job &CurrentJob) const;
 
   void addJob(std::unique_ptr<Job> NewJob);
+  void setLargestCapacity(const Resources &Largest);
+  bool countsAsWaitingWork(const StepSpec &Spec) const;
   void addWaitingWork(const Job &CurrentJob, int Step, int Tasks);
   void enqueue(Job &CurrentJob, int Step);
   void dequeue(Job &CurrentJob, int Step);
@@ -352,7 +355,7 @@
   /// Estimated work of all tasks that are ready or blocked, by priority, in
   /// thousandths of a core times milliseconds.
   std::map<int, double> WaitingWork;
-  /// Maximum of each resource over all workers seen.
+  /// Maximum of each resource over all workers in the last round.
   Resources LargestCapacity;
   /// Capacity of all usable workers in the last round.
   std::int64_t UsableCpuMillis = 0;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -102,20 +102,24 @@
   std::int64_t TotalCpuMillis = 0;
   UsableCpuMillis = 0;
   UsableWorkers = 0;
+  Resources Largest;
   for (auto &[Id, Host] : Workers) {
     TotalCpuMillis += Host.info().Capacity.CpuMillis;
+    Largest = Resources::max(Largest, Host.info().Capacity);
     if (Host.isUsable(Now)) {
       Current.Usable[Host.info().Upstream].push_back(
           {&Id, &Host, int(std::lround(Host.slowdown())),
            int(std::lround(Host.slowdown() * FineSlowdownSteps))});
       UsableCpuMillis += Host.info().Capacity.CpuMillis;
       ++UsableWorkers;
-      Current.FreeCpuMillis += Host.freeResources().CpuMillis;
+      Current.FreeCpuMillis +=
+          std::max<std::int64_t>(Host.freeResources().CpuMillis, 0);
       Current.LargestFree =
           Resources::max(Current.LargestFree, Host.freeResources());
     }
     Current.ClaimableCpuMillis -= Host.claimed().CpuMillis;
   }
+  setLargestCapacity(Largest);
   FreeCpuMillis = Current.FreeCpuMillis;
   Current.ClaimableCpuMillis +=
       std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -282,6 +282,43 @@
   EXPECT_EQ(decide().Starts.size(), 0U);
 }
 
+// Guards against a start that is sent to a worker whose capacity has shrunk
+// since it was decided on.
+TEST_F(JobSchedulerTest, SendsNoStartToAWorkerThatHasShrunk) {
+  addWorker("w1");
+  addJob("batch", step(8, 4000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 8U);
+  resize("w1", 10'000);
+  std::size_t Sent = 0;
+  for (const StartCommand &Start : Made.Starts) {
+    if (Scheduler.isCurrent(Start))
+      ++Sent;
+    else
+      Scheduler.startRefused(Start.Worker, Start.Task, Start.Run,
+                             StartRefusal::Expired, Now);
+  }
+  EXPECT_EQ(Sent, 2U);
+  EXPECT_TRUE(decide().Starts.empty());
+  resize("w1", 32'000);
+  EXPECT_EQ(decide().Starts.size(), 6U);
+}
+
+// Guards against work that fits no worker any more and makes every other job
+// look late, so that callers are refused while workers are idle.
+TEST_F(JobSchedulerTest, WorkThatFitsNoWorkerDelaysNoOther) {
+  addWorker("w1");
+  addJob("batch", step(100, 20'000, Duration{60'000}));
+  decide();
+  EXPECT_GT(Scheduler.estimatedWait(2), Duration{60'000});
+  resize("w1", 16'000);
+  decide();
+  EXPECT_EQ(Scheduler.estimatedWait(2), Duration{0});
+  resize("w1", 32'000);
+  decide();
+  EXPECT_GT(Scheduler.estimatedWait(2), Duration{60'000});
+}
+
 // Guards against a faulty worker on which every run fails and which, being
 // empty, attracts all further tasks.
 TEST_F(JobSchedulerTest, AvoidsAWorkerThatFailsEverything) {
--- a/tests/jobs/jobschedulertest.h
+++ b/tests/jobs/jobschedulertest.h
@@ -52,6 +52,12 @@
     return Info.Incarnation;
   }
 
+  void resize(const std::string &Id, std::int64_t CpuMillis) {
+    WorkerInfo Info = Scheduler.worker(Id)->info();
+    Info.Capacity.CpuMillis = CpuMillis;
+    Scheduler.updateWorker(Info, Now);
+  }
+
   std::string addJob(const std::string &Queue, StepSpec Step,
                      const std::string &Account = "large") {
     JobSpec Spec;
