Isolate suspects from runs that have just started

A task that is to run alone now also avoids workers on which anything was started within the last 1.5 s, by which a crash has been noticed, for at most 2 s.

A suspect that has run for 30 s is no danger to its neighbours any more, and a probe that has run for as long counts as a success. Otherwise, with tasks that run for hours, the others of its step would wait for hours, and after the loss of a rack no worker would be free of suspects.

--- a/src/jobs/crashhistory.h
+++ b/src/jobs/crashhistory.h
@@ -38,6 +38,11 @@
   /// is allowed, as these may have been cut off.
   static constexpr int MaxLosses = 4;
 
+  /// A task that crashes its worker usually does so within this time after its
+  /// start. Afterwards it is no danger to others, and its worker is shared
+  /// again.
+  static constexpr Duration DangerTime{30'000};
+
   /// Adds a loss. Ignores causes that the task cannot have.
   void add(const CrashRecord &Record);
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -18,15 +18,20 @@
   return Result;
 }
 
-bool StepState::needsProbe() const {
+bool StepState::needsProbe(TimePoint Now) const {
   if (!HasCrashes || SuspectSucceeded)
     return false;
-  std::set<std::string> Lost;
-  for (const TaskState &Task : Tasks)
-    if (Task.Phase != TaskPhase::Done && Task.Crashes.isSuspect())
-      for (const CrashRecord &Record : Task.Crashes.records())
-        if (Record.Cause != WorkerLoss::LeaseExpired)
-          Lost.insert(Record.Worker.Id);
+  std::set<WorkerIncarnation> Lost;
+  for (const TaskState &Task : Tasks) {
+    if (Task.Phase == TaskPhase::Done || !Task.Crashes.isSuspect())
+      continue;
+    if (Task.Phase == TaskPhase::Placed &&
+        Now - Task.PlacedAt >= CrashHistory::DangerTime)
+      return false;
+    for (const CrashRecord &Record : Task.Crashes.records())
+      if (Record.Cause != WorkerLoss::LeaseExpired)
+        Lost.insert(Record.Worker);
+  }
   return Lost.size() >= 2;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -142,9 +142,10 @@
   CrashHistory gangCrashes() const;
 
   /// True if workers are likely to crash because of the step: at least two were
-  /// lost under its unfinished tasks, and no suspect has succeeded since. One
-  /// suspect is then started alone, as a probe for all of them.
-  bool needsProbe() const;
+  /// lost under its unfinished tasks, and no suspect has succeeded since, or
+  /// run for CrashHistory::DangerTime. One suspect is then started alone, as a
+  /// probe for all of them.
+  bool needsProbe(TimePoint Now) const;
 
   /// True if a suspect task is placed.
   bool isSuspectPlaced() const;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -25,10 +25,6 @@
 /// resources exactly, and not every worker is approved for every step.
 constexpr double UsableShare = 0.8;
 
-/// Time for which a suspect runs alone. A task that crashes its worker usually
-/// does so soon after its start, and a worker reserved for longer is wasted.
-constexpr Duration IsolationTime{30'000};
-
 /// A long-running task that has run for this long is not to blame for crashes
 /// of the workers on which it was started earlier.
 constexpr Duration SurvivalTime{600'000};
@@ -534,14 +530,14 @@
 }
 
 bool JobScheduler::runsAlone(const Job &CurrentJob, int Step,
-                             const TaskState &Task) const {
+                             const TaskState &Task, TimePoint Now) {
   const StepState &State = CurrentJob.Steps[std::size_t(Step)];
   if (!State.HasCrashes)
     return false;
   if (CurrentJob.Spec.Steps[std::size_t(Step)].Gang)
     return State.gangCrashes().needsIsolation();
   return Task.Crashes.needsIsolation() ||
-         (Task.Crashes.isSuspect() && State.needsProbe());
+         (Task.Crashes.isSuspect() && State.needsProbe(Now));
 }
 
 std::vector<LostRun> JobScheduler::takeLostRuns() {
@@ -584,8 +580,8 @@
   const TaskState &Task =
       CurrentJob.Steps[std::size_t(Id.Step)].Tasks[std::size_t(Id.Index)];
   New.IsSuspect = Task.Crashes.isSuspect();
-  if (runsAlone(CurrentJob, Id.Step, Task))
-    New.AloneUntil = Now + IsolationTime;
+  if (runsAlone(CurrentJob, Id.Step, Task, Now))
+    New.AloneUntil = Now + CrashHistory::DangerTime;
   Host.allocate(Id.text(), std::move(New));
   Running[CurrentJob.Spec.Account] += Spec.Request;
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -293,7 +293,8 @@
   void resolveSilenceBefore(const WorkerIncarnation &Incarnation,
                             TimePoint Now);
   void endSilence(const WorkerIncarnation &Incarnation);
-  bool runsAlone(const Job &CurrentJob, int Step, const TaskState &Task) const;
+  static bool runsAlone(const Job &CurrentJob, int Step, const TaskState &Task,
+                        TimePoint Now);
   void restoreCrashes(Job &CurrentJob, int Step);
   void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
   void markUnstarted(Job &CurrentJob);
@@ -324,8 +325,12 @@
                             const Candidates &Found, int Tasks);
   void scheduleGang(Round &Current, Job &CurrentJob, int Step,
                     Candidates Found);
-  static Candidate *chooseHost(std::vector<Candidate> &Hosts,
-                               const TaskState &Task, bool Alone);
+  static bool isApart(const Worker &Host, const StepState &State,
+                      TimePoint Now);
+  static Candidate *chooseHost(const Round &Current,
+                               std::vector<Candidate> &Hosts,
+                               const StepState &State, const TaskState &Task,
+                               bool Alone);
   int place(Round &Current, Job &CurrentJob, int Step,
             std::vector<Candidate> &Hosts, int Wanted, std::int64_t GangRun);
   void startOn(Round &Current, Job &CurrentJob, int Step, int Index,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -63,6 +63,14 @@
 constexpr double LowSlackFactor = 2;
 constexpr int FineSlowdownSteps = 6;
 
+/// A run that has lasted for this long has not crashed its worker, or the crash
+/// has been noticed: two refused connections and the report take 0.5 to 1 s.
+constexpr Duration FreshTime{1500};
+
+/// Longest time for which a task that is to run alone waits for a worker
+/// without fresh runs.
+constexpr Duration MaxApartWait{2000};
+
 /// Minimum remaining validity of a ticket that is used, because the start takes
 /// time.
 constexpr Duration TicketMargin{150};
@@ -210,7 +218,7 @@
   const bool IsLowSlack = JobQueue.SlackFactor < LowSlackFactor;
   const bool StartsAlone =
       Spec.Gang ? State.HasCrashes && State.gangCrashes().needsIsolation()
-                : State.needsProbe();
+                : State.needsProbe(Current.Now);
   const std::set<std::string> Yielding = Spec.Gang && State.Rank
                                              ? yieldingTo(*State.Rank)
                                              : std::set<std::string>();
@@ -248,7 +256,7 @@
       Slots = Host.slotsInFreeResources(Spec);
     if (Spec.MaxPerWorker > 0)
       Slots = std::min(Slots, Spec.MaxPerWorker - PlacedOnWorker[Id]);
-    if (StartsAlone && Host.suspectRuns() > 0)
+    if (StartsAlone && !isApart(Host, State, Current.Now))
       Slots = 0;
     const Candidate Option{
         &Host, std::max(Slots, 0), HasAdvice ? &Advice->second : nullptr,
@@ -315,7 +323,7 @@
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   int Wanted = std::min(State.ReadyCount, allowedByCap(CurrentJob, Spec));
   // The other tasks wait for the result of the probe.
-  if (State.needsProbe())
+  if (State.needsProbe(Current.Now))
     Wanted = State.isSuspectPlaced() ? 0 : std::min(Wanted, 1);
   if (Wanted == 0)
     return;
@@ -401,7 +409,8 @@
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const bool Gang = GangRun > 0;
   const std::optional<WaitRank> Rank = State.Rank; // Reset with the last start.
-  const int Probe = !Gang && State.needsProbe() ? State.nextProbe() : -1;
+  const int Probe =
+      !Gang && State.needsProbe(Current.Now) ? State.nextProbe() : -1;
   int Placed = 0;
   for (std::size_t Index = 0; Index < State.Tasks.size() && Placed < Wanted;
        ++Index) {
@@ -409,8 +418,8 @@
     if (Task.Phase != TaskPhase::Ready || (Probe >= 0 && int(Index) != Probe))
       continue;
     // The workers of a gang that runs alone were selected before.
-    const bool Alone = !Gang && runsAlone(CurrentJob, Step, Task);
-    Candidate *Chosen = chooseHost(Hosts, Task, Alone);
+    const bool Alone = !Gang && runsAlone(CurrentJob, Step, Task, Current.Now);
+    Candidate *Chosen = chooseHost(Current, Hosts, State, Task, Alone);
     if (!Chosen && Alone)
       continue;
     if (!Chosen)
@@ -425,11 +434,24 @@
   return Placed;
 }
 
+// True if no other run on a worker is likely to crash it: suspects, and those
+// that have just started. While workers are busy there may be no worker without
+// the latter, so they are accepted after a while.
+bool JobScheduler::isApart(const Worker &Host, const StepState &State,
+                           TimePoint Now) {
+  const bool HasWaited =
+      State.WaitingSince && Now - *State.WaitingSince >= MaxApartWait;
+  return !Host.hasSuspectSince(Now - CrashHistory::DangerTime) &&
+         (HasWaited || !Host.hasStartSince(Now - FreshTime));
+}
+
 // Returns the first worker with a free slot, but if possible none on which the
 // task has failed or which crashed under it, and no two suspects on one worker.
-// A task that is to run alone gets the worker with the fewest runs and no other
-// suspect; null if there is none.
-JobScheduler::Candidate *JobScheduler::chooseHost(std::vector<Candidate> &Hosts,
+// A task that is to run alone gets the worker with the fewest runs on which it
+// is apart from others; null if there is none.
+JobScheduler::Candidate *JobScheduler::chooseHost(const Round &Current,
+                                                  std::vector<Candidate> &Hosts,
+                                                  const StepState &State,
                                                   const TaskState &Task,
                                                   bool Alone) {
   const bool IsSuspect = Task.Crashes.isSuspect();
@@ -438,9 +460,11 @@
   for (Candidate &Option : Hosts) {
     const Worker &Host = *Option.Host;
     const std::string &Id = Host.info().Incarnation.Id;
-    const bool HasSuspects = IsSuspect && Host.suspectRuns() > 0;
-    if (Option.Slots <= 0 || (Alone && HasSuspects))
+    if (Option.Slots <= 0 || (Alone && !isApart(Host, State, Current.Now)))
       continue;
+    const bool HasSuspects =
+        IsSuspect &&
+        Host.hasSuspectSince(Current.Now - CrashHistory::DangerTime);
     const bool IsAvoided = Task.FailedOn.contains(Id) || HasSuspects ||
                            (IsSuspect && Task.Crashes.includes(Id));
     const std::tuple Cost(IsAvoided, Alone ? Host.runs().size() : 0);
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -44,7 +44,6 @@
     FillingCpuMillis += Run.Request.CpuMillis;
   AllocatedRun &Entry = Runs[Task];
   UnknownRuns += int(Run.IsUnknown) - int(Entry.IsUnknown);
-  SuspectRuns += int(Run.IsSuspect) - int(Entry.IsSuspect);
   LoneRuns +=
       int(Run.AloneUntil.has_value()) - int(Entry.AloneUntil.has_value());
   if (Run.AloneUntil)
@@ -60,7 +59,6 @@
   if (Found->second.BestEffort)
     FillingCpuMillis -= Found->second.Request.CpuMillis;
   UnknownRuns -= int(Found->second.IsUnknown);
-  SuspectRuns -= int(Found->second.IsSuspect);
   LoneRuns -= int(Found->second.AloneUntil.has_value());
   if (LoneRuns == 0)
     ReservedUntil = {};
@@ -68,6 +66,18 @@
   return true;
 }
 
+bool Worker::hasSuspectSince(TimePoint Since) const {
+  return std::any_of(Runs.begin(), Runs.end(), [Since](const auto &Entry) {
+    return Entry.second.IsSuspect && Entry.second.Since >= Since;
+  });
+}
+
+bool Worker::hasStartSince(TimePoint Since) const {
+  return std::any_of(Runs.begin(), Runs.end(), [Since](const auto &Entry) {
+    return Entry.second.Since >= Since;
+  });
+}
+
 void Worker::claim(const std::string &Name, const StepSpec &Step, int Slots) {
   releaseClaim(Name);
   Resources Sum;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -67,8 +67,11 @@
     return LoneRuns > 0 && Now < ReservedUntil;
   }
 
-  /// Number of runs on it that may crash it.
-  int suspectRuns() const { return SuspectRuns; }
+  /// True if a suspect has been started on it since \p Since.
+  bool hasSuspectSince(TimePoint Since) const;
+
+  /// True if any run has been started on it since \p Since.
+  bool hasStartSince(TimePoint Since) const;
 
   /// Starts no new runs on it until \p Until.
   void avoidUntil(TimePoint Until) {
@@ -153,7 +156,6 @@
   std::int64_t FillingCpuMillis = 0;
   std::map<std::string, AllocatedRun> Runs;
   int UnknownRuns = 0;
-  int SuspectRuns = 0;
   int LoneRuns = 0;
   TimePoint ReservedUntil; ///< Valid while there are lone runs.
   Resources Claimed;
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -263,5 +264,50 @@
   expectCompleted(Ids);
 }
 
+// Guards against innocent jobs that fail, or starve behind suspects, while
+// half of the large jobs crash their workers for ten seconds.
+TEST(CrashLoadTest, InnocentJobsEndWhileManyTasksCrashWorkers) {
+  for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+    EmulatedCell Cell(Seed, 4, 48);
+    Cell.run(2s);
+    std::mt19937_64 Random(Seed);
+    const auto Any = [&Random](int Low, int High) {
+      return std::uniform_int_distribution<int>(Low, High)(Random);
+    };
+    std::vector<std::string> Healthy;
+    std::vector<std::string> Crashing;
+    for (int Tick = 0; Tick < 200; ++Tick) {
+      const bool IsLarge = Tick % 8 == 0;
+      jobs::StepSpec Step =
+          stepOf(IsLarge ? Any(2, 16) : Any(1, 12),
+                 Duration(IsLarge ? Any(3000, 9000) : Any(400, 3000)), IsLarge);
+      Step.Request.CpuMillis = IsLarge ? Any(5000, 13'000) : Any(1000, 4000);
+      const bool Crashes =
+          IsLarge && Tick >= 40 && Tick < 110 && Any(1, 2) == 1;
+      (Crashes ? Crashing : Healthy)
+          .push_back(Cell.submit("n" + std::to_string(Tick % 4), Step,
+                                 "/batch/", Crashes ? CrashingJob : ""));
+      Cell.run(150ms);
+    }
+    Cell.run(30s);
+    for (const auto *Ids : {&Healthy, &Crashing})
+      for (const std::string &Id : *Ids)
+        Cell.read("n1", Id);
+    Cell.run(1s);
+    ASSERT_FALSE(Crashing.empty());
+    for (const std::string &Id : Crashing)
+      EXPECT_TRUE(!Cell.jobs().at(Id).Accepted ||
+                  Cell.jobs().at(Id).View == JobView::Failed)
+          << Id << " of seed " << Seed;
+    for (const std::string &Id : Healthy)
+      EXPECT_TRUE(!Cell.jobs().at(Id).Accepted ||
+                  Cell.jobs().at(Id).View == JobView::Completed)
+          << Id << " of seed " << Seed << " is "
+          << int(Cell.jobs().at(Id).View);
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << Violation;
+  }
+}
+
 } // namespace
 } // namespace apricotwing::emulator
