Count lost runs and failed jobs, and describe suspects

Histories of jobs that have ended are not corrected any more when it turns out what has become of a silent worker, as the end would be stored and logged again.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -757,7 +757,8 @@
 }
 
 void Leader::logLostRuns() {
-  for (const jobs::LostRun &Lost : Scheduler.takeLostRuns())
+  for (const jobs::LostRun &Lost : Scheduler.takeLostRuns()) {
+    ++LostRuns;
     Deps.Log.event(
         "run lost", Lost.Task,
         {{"run", std::to_string(Lost.Run)},
@@ -765,6 +766,7 @@
          {"cause", std::string(enumName(jobs::WorkerLossNames, Lost.Cause))},
          {"age_ms", std::to_string(Lost.Age.count())},
          {"losses", std::to_string(Lost.Losses)}});
+  }
 }
 
 void Leader::ensureInRoster(const WorkerReport &Report, WorkerState &Worker) {
@@ -817,6 +819,7 @@
     if (!Job)
       continue;
     const jobs::JobProgress Progress = Job->progress();
+    FailedJobs += Progress.Phase == jobs::JobPhase::Failed ? 1 : 0;
     if (Progress.Phase != jobs::JobPhase::Active) {
       StateJournal.write({{JobTable, Id, std::nullopt},
                           {ProgressTable, Id, std::nullopt},
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -95,6 +95,12 @@
   std::size_t memberCount() const { return Members.size(); }
   bool isLoaded() const { return Loaded; }
 
+  /// Number of runs in this term that were lost with their worker, and of jobs
+  /// that failed because workers crashed under a task or its attempts were used
+  /// up.
+  std::uint64_t lostRuns() const { return LostRuns; }
+  std::uint64_t failedJobs() const { return FailedJobs; }
+
   /// Number of workers that the member \p Name supervises; 0 if there is no
   /// such member.
   std::size_t workersOf(const std::string &Name) const {
@@ -243,6 +249,8 @@
   TimePoint NextRebalance;
   TimePoint NextLoadLog;
   TimePoint NextObstacleLog;
+  std::uint64_t LostRuns = 0;
+  std::uint64_t FailedJobs = 0;
   int MovedWorkers = 0; ///< Moved to another member since the last log line.
   CallbackGuard Guard;
 };
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -171,6 +171,8 @@
   double ActiveJobs = 0;
   double Commits = 0;
   double RowsWritten = 0;
+  double LostRuns = 0;
+  double FailedJobs = 0;
   for (const auto &Agent : Node.agents()) {
     Counts += Agent->member().counts();
     WorkerSessions += Agent->member().workerSessionCount();
@@ -182,6 +184,8 @@
     ActiveJobs += double(Leader->scheduler().activeJobs());
     Commits += double(Leader->journal().commits());
     RowsWritten += double(Leader->journal().rowsWritten());
+    LostRuns += double(Leader->lostRuns());
+    FailedJobs += double(Leader->failedJobs());
   }
   Gauge("apricotwing_entry_starts", "Start commands sent to workers",
         double(Counts.Starts));
@@ -214,6 +218,10 @@
     Gauge("apricotwing_leader_commits", "Commits to the store", Commits);
     Gauge("apricotwing_leader_rows_written", "Rows written to the store",
           RowsWritten);
+    Gauge("apricotwing_leader_lost_runs",
+          "Runs that ended with their worker in this term", LostRuns);
+    Gauge("apricotwing_leader_failed_jobs", "Jobs that failed in this term",
+          FailedJobs);
   }
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -497,7 +497,8 @@
     const auto Id = TaskId::parse(Name);
     Job *Owner = nullptr;
     TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-    if (!Task || !Task->Crashes.update(Incarnation, Cause))
+    if (!Task || Owner->Phase != JobPhase::Active ||
+        !Task->Crashes.update(Incarnation, Cause))
       continue;
     Changed.insert(Owner->Spec.Id);
     failIfExhausted(Name, Now);
@@ -524,7 +525,8 @@
     const auto Id = TaskId::parse(Name);
     Job *Owner = nullptr;
     TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-    if (Task && Task->Crashes.remove(Incarnation))
+    if (Task && Owner->Phase == JobPhase::Active &&
+        Task->Crashes.remove(Incarnation))
       Changed.insert(Owner->Spec.Id);
   }
 }
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -58,8 +58,11 @@
   std::string Id;
   std::int64_t StartedUnixMs = 0; ///< Unix time of its start, in ms.
 
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTBEGIN(readability-identifier-naming)
   friend auto operator<=>(const WorkerIncarnation &,
                           const WorkerIncarnation &) = default;
+  // NOLINTEND(readability-identifier-naming)
 };
 
 /// Why the runs of a worker ended without a report of their ends.
