Blame a task only for crashes at which it was apart from others

A task that must run alone waited without limit for a worker on which no suspect had been started within 30 s. After the loss of a rack there may be none, and then its job would have nothing running although most of the room is free. It waits for at most 1.5 s now and then takes any worker.

So the history keeps whether a task was apart from others when its worker crashed; without one such crash it is given up only after four.

A gang's members all count as suspects, and silent workers all of whose tasks have ended are forgotten.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -156,13 +156,15 @@
 
 static void to_json(json &To, const CrashRecord &Value) {
   To = json::array({Value.Worker, Value.Run,
-                    std::string(enumName(WorkerLossNames, Value.Cause))});
+                    std::string(enumName(WorkerLossNames, Value.Cause)),
+                    Value.Apart});
 }
 static void from_json(const json &From, CrashRecord &Value) {
   From.at(0).get_to(Value.Worker);
   From.at(1).get_to(Value.Run);
   Value.Cause =
       parseEnum(WorkerLossNames, "cause", From.at(2).get<std::string>());
+  From.at(3).get_to(Value.Apart);
 }
 
 static void to_json(json &To, const StepProgress &Value) {
--- a/src/jobs/crashhistory.h
+++ b/src/jobs/crashhistory.h
@@ -16,6 +16,8 @@
   WorkerIncarnation Worker;
   std::int64_t Run = 0;
   WorkerLoss Cause = WorkerLoss::ProcessEnded;
+  /// No other run on the worker is likely to have been the cause.
+  bool Apart = false;
 
   friend bool operator==(const CrashRecord &, const CrashRecord &) = default;
 };
@@ -31,11 +33,12 @@
   /// its own, so that at its next crash no other task is to blame.
   static constexpr int IsolationThreshold = 2;
 
-  /// Ends of worker processes under a task after which it is given up.
+  /// Ends of worker processes under a task after which it is given up if it was
+  /// apart from others at one of them.
   static constexpr int MaxProcessEnds = 3;
 
-  /// The same including workers that went silent and never returned. One more
-  /// is allowed, as these may have been cut off.
+  /// Losses of workers after which it is given up in any case, including those
+  /// that went silent and never returned, which may have been cut off.
   static constexpr int MaxLosses = 4;
 
   /// A task that crashes its worker usually does so within this time after its
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -208,7 +208,8 @@
         const bool HasSuccessor = worker(Task.Worker.Id) != nullptr;
         Task.Crashes.add(
             {Task.Worker, Task.Run,
-             HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone});
+             HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone,
+             false});
         Added.Steps[Step].HasCrashes = true;
         makeReady(Added, int(Step), Task);
         Changed.insert(Spec.Id);
@@ -446,10 +447,13 @@
     const std::size_t Step = std::size_t(Id->Step);
     if (Owner->Spec.Steps[Step].LongRunning && Age >= SurvivalTime)
       Task->Crashes.clear();
-    Task->Crashes.add({Lost, Run.Run, Cause});
+    Task->Crashes.add({Lost, Run.Run, Cause, Run.IsApart});
     Owner->Steps[Step].HasCrashes = true;
-    if (Cause == WorkerLoss::LeaseExpired)
+    if (Cause == WorkerLoss::LeaseExpired) {
+      if (!SilentWorkers.contains(Lost))
+        removeEndedSilence();
       SilentWorkers[Lost].insert(Name);
+    }
   }
   // Stored even if nothing is counted, so that the next leader does not take
   // the placement for one whose worker was lost unnoticed.
@@ -505,6 +509,18 @@
   }
 }
 
+// Forgets silent workers all of whose tasks have ended since.
+void JobScheduler::removeEndedSilence() {
+  std::erase_if(SilentWorkers, [this](const auto &Silent) {
+    return std::none_of(Silent.second.begin(), Silent.second.end(),
+                        [this](const std::string &Name) {
+                          const auto Id = TaskId::parse(Name);
+                          const Job *Owner = Id ? find(Id->Job) : nullptr;
+                          return Owner && Owner->Phase == JobPhase::Active;
+                        });
+  });
+}
+
 // The processes that had the id of a new one before have ended.
 void JobScheduler::resolveSilenceBefore(const WorkerIncarnation &Incarnation,
                                         TimePoint Now) {
@@ -579,11 +595,15 @@
                                const StepSpec &Spec, TimePoint Now) {
   AllocatedRun New{
       Run, Spec.Request, Spec.BestEffort, CurrentJob.Spec.Account, false, Now};
-  const TaskState &Task =
-      CurrentJob.Steps[std::size_t(Id.Step)].Tasks[std::size_t(Id.Index)];
-  New.IsSuspect = Task.Crashes.isSuspect();
-  if (runsAlone(CurrentJob, Id.Step, Task, Now))
+  const StepState &State = CurrentJob.Steps[std::size_t(Id.Step)];
+  const TaskState &Task = State.Tasks[std::size_t(Id.Index)];
+  New.IsSuspect =
+      State.HasCrashes &&
+      (Spec.Gang ? State.gangCrashes().isSuspect() : Task.Crashes.isSuspect());
+  if (runsAlone(CurrentJob, Id.Step, Task, Now)) {
+    New.IsApart = isApart(Host, Now);
     New.AloneUntil = Now + CrashHistory::DangerTime;
+  }
   Host.allocate(Id.text(), std::move(New));
   Running[CurrentJob.Spec.Account] += Spec.Request;
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -293,6 +293,7 @@
   void resolveSilenceBefore(const WorkerIncarnation &Incarnation,
                             TimePoint Now);
   void endSilence(const WorkerIncarnation &Incarnation);
+  void removeEndedSilence();
   static bool runsAlone(const Job &CurrentJob, int Step, const TaskState &Task,
                         TimePoint Now);
   void restoreCrashes(Job &CurrentJob, int Step);
@@ -325,8 +326,8 @@
                             const Candidates &Found, int Tasks);
   void scheduleGang(Round &Current, Job &CurrentJob, int Step,
                     Candidates Found);
-  static bool isApart(const Worker &Host, const StepState &State,
-                      TimePoint Now);
+  static bool isApart(const Worker &Host, TimePoint Now);
+  static bool hasWaitedToRunAlone(const StepState &State, TimePoint Now);
   static Candidate *chooseHost(const Round &Current,
                                std::vector<Candidate> &Hosts,
                                const StepState &State, const TaskState &Task,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -67,9 +67,9 @@
 /// has been noticed: two refused connections and the report take 0.5 to 1 s.
 constexpr Duration FreshTime{1500};
 
-/// Longest time for which a task that is to run alone waits for a worker
-/// without fresh runs.
-constexpr Duration MaxApartWait{2000};
+/// Longest time for which a task that is to run alone waits for a worker on
+/// which it is apart from others.
+constexpr Duration MaxApartWait{1500};
 
 /// Minimum remaining validity of a ticket that is used, because the start takes
 /// time.
@@ -219,6 +219,8 @@
   const bool StartsAlone =
       Spec.Gang ? State.HasCrashes && State.gangCrashes().needsIsolation()
                 : State.needsProbe(Current.Now);
+  const bool MustBeApart =
+      StartsAlone && !hasWaitedToRunAlone(State, Current.Now);
   const std::set<std::string> Yielding = Spec.Gang && State.Rank
                                              ? yieldingTo(*State.Rank)
                                              : std::set<std::string>();
@@ -256,7 +258,7 @@
       Slots = Host.slotsInFreeResources(Spec);
     if (Spec.MaxPerWorker > 0)
       Slots = std::min(Slots, Spec.MaxPerWorker - PlacedOnWorker[Id]);
-    if (StartsAlone && !isApart(Host, State, Current.Now))
+    if (MustBeApart && !isApart(Host, Current.Now))
       Slots = 0;
     const Candidate Option{
         &Host, std::max(Slots, 0), HasAdvice ? &Advice->second : nullptr,
@@ -435,39 +437,46 @@
 }
 
 // True if no other run on a worker is likely to crash it: suspects, and those
-// that have just started. While workers are busy there may be no worker without
-// the latter, so they are accepted after a while.
-bool JobScheduler::isApart(const Worker &Host, const StepState &State,
-                           TimePoint Now) {
-  const bool HasWaited =
-      State.WaitingSince && Now - *State.WaitingSince >= MaxApartWait;
+// that have just started.
+bool JobScheduler::isApart(const Worker &Host, TimePoint Now) {
   return !Host.hasSuspectSince(Now - CrashHistory::DangerTime) &&
-         (HasWaited || !Host.hasStartSince(Now - FreshTime));
+         !Host.hasStartSince(Now - FreshTime);
+}
+
+// After the loss of a rack there may be suspects on all workers, and in a busy
+// cell there are fresh runs on all of them.
+bool JobScheduler::hasWaitedToRunAlone(const StepState &State, TimePoint Now) {
+  return State.WaitingSince && Now - *State.WaitingSince >= MaxApartWait;
 }
 
 // Returns the first worker with a free slot, but if possible none on which the
 // task has failed or which crashed under it, and no two suspects on one worker.
-// A task that is to run alone gets the worker with the fewest runs on which it
-// is apart from others; null if there is none.
+// A task that is to run alone gets a worker on which it is apart from others,
+// and null if there is none, but any worker once it has waited.
 JobScheduler::Candidate *JobScheduler::chooseHost(const Round &Current,
                                                   std::vector<Candidate> &Hosts,
                                                   const StepState &State,
                                                   const TaskState &Task,
                                                   bool Alone) {
   const bool IsSuspect = Task.Crashes.isSuspect();
+  const bool MustBeApart = Alone && !hasWaitedToRunAlone(State, Current.Now);
   Candidate *Chosen = nullptr;
-  std::tuple<bool, std::size_t> Lowest;
+  std::tuple<bool, bool, std::size_t> Lowest;
   for (Candidate &Option : Hosts) {
     const Worker &Host = *Option.Host;
     const std::string &Id = Host.info().Incarnation.Id;
-    if (Option.Slots <= 0 || (Alone && !isApart(Host, State, Current.Now)))
+    if (Option.Slots <= 0)
+      continue;
+    const bool IsApart = !Alone || isApart(Host, Current.Now);
+    if (MustBeApart && !IsApart)
       continue;
     const bool HasSuspects =
         IsSuspect &&
         Host.hasSuspectSince(Current.Now - CrashHistory::DangerTime);
     const bool IsAvoided = Task.FailedOn.contains(Id) || HasSuspects ||
                            (IsSuspect && Task.Crashes.includes(Id));
-    const std::tuple Cost(IsAvoided, Alone ? Host.runs().size() : 0);
+    const std::tuple Cost(!IsApart, IsAvoided,
+                          Alone ? Host.runs().size() : std::size_t(0));
     if (!Chosen || Cost < Lowest) {
       Chosen = &Option;
       Lowest = Cost;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -31,6 +31,8 @@
   /// The order to start it may have reached the worker.
   bool IsDispatched = false;
   bool IsSuspect = false; ///< It may crash the worker.
+  /// When it was placed, no other run was likely to crash the worker.
+  bool IsApart = false;
   /// Nothing else is started on the worker until then; empty: no such limit.
   std::optional<TimePoint> AloneUntil = std::nullopt;
 };
