Say once which losses count and whose they are

Which losses of workers count was written twice (CrashHistory and needsProbe), the choice between the losses of a task and those of its gang three times, the choice between an announced end and another cause three times, and the payloads that crash emulated workers three times. Each has one place now: CrashRecord::counts, StepState::crashesOf, WorkerState::causeOfLoss and two constants of the emulator.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -507,9 +507,8 @@
       Found->second.Info.Incarnation != Info->Incarnation) {
     Deps.Log.event("worker restarted", Row.Key,
                    {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
-    removeWorker(Row.Key, Found->second.StopAnnounced
-                              ? jobs::WorkerLoss::Announced
-                              : jobs::WorkerLoss::ProcessEnded);
+    removeWorker(Row.Key,
+                 Found->second.causeOfLoss(jobs::WorkerLoss::ProcessEnded));
   }
   const bool IsNew = Found == WorkerStates.end();
   WorkerState &Worker = WorkerStates[Row.Key];
@@ -554,9 +553,7 @@
   }
   for (const std::string &Id : Gone) {
     Deps.Log.event("worker removed", Id, {});
-    removeWorker(Id, WorkerStates.at(Id).StopAnnounced
-                         ? jobs::WorkerLoss::Announced
-                         : jobs::WorkerLoss::Gone);
+    removeWorker(Id, WorkerStates.at(Id).causeOfLoss(jobs::WorkerLoss::Gone));
   }
 }
 
@@ -744,9 +741,7 @@
     // the next process once that has registered.
     Worker.Resolved = true;
     Scheduler.loseRuns(Report.Incarnation,
-                       Worker.StopAnnounced ? jobs::WorkerLoss::Announced
-                                            : jobs::WorkerLoss::ProcessEnded,
-                       Now);
+                       Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
     logLostRuns();
     Scheduler.setReachable(Report.Incarnation, false);
     From.Workers.erase(Report.Incarnation.Id);
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -137,6 +137,12 @@
     TimePoint AssignAfter; ///< Earliest reassignment after its process ended.
     bool Resolved = false; ///< Synced in this term, or its lease expired.
     bool StopAnnounced = false; ///< The registry has shown it as draining.
+
+    /// Why its runs are over if its process is; \p Unannounced unless it had
+    /// announced that.
+    jobs::WorkerLoss causeOfLoss(jobs::WorkerLoss Unannounced) const {
+      return StopAnnounced ? jobs::WorkerLoss::Announced : Unannounced;
+    }
   };
 
   void restoreJobs(const StoredState &Stored);
--- a/src/jobs/crashhistory.cpp
+++ b/src/jobs/crashhistory.cpp
@@ -1,18 +1,10 @@
 #include "jobs/crashhistory.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace apricotwing::jobs {
 
-namespace {
-
-bool counts(const CrashRecord &Record) {
-  return Record.Cause == WorkerLoss::ProcessEnded ||
-         Record.Cause == WorkerLoss::Gone;
-}
-
-} // namespace
-
 void CrashHistory::add(const CrashRecord &Record) {
   if (Record.Cause != WorkerLoss::Announced &&
       Record.Cause != WorkerLoss::Transferred)
@@ -42,13 +34,14 @@
                      [&](const CrashRecord &R) { return R.Run == Record.Run; });
     if (Same == Records.end())
       Records.push_back(Record);
-    else if ((Record.Apart && counts(Record)) || !counts(*Same))
+    else if ((Record.Apart && Record.counts()) || !Same->counts())
       *Same = Record;
   }
 }
 
 int CrashHistory::losses() const {
-  return int(std::count_if(Records.begin(), Records.end(), counts));
+  return int(std::count_if(Records.begin(), Records.end(),
+                           std::mem_fn(&CrashRecord::counts)));
 }
 
 bool CrashHistory::isExhausted() const {
@@ -65,7 +58,7 @@
 bool CrashHistory::includes(const std::string &Worker) const {
   return std::any_of(Records.begin(), Records.end(),
                      [&](const CrashRecord &Record) {
-                       return counts(Record) && Record.Worker.Id == Worker;
+                       return Record.counts() && Record.Worker.Id == Worker;
                      });
 }
 
--- a/src/jobs/crashhistory.h
+++ b/src/jobs/crashhistory.h
@@ -19,6 +19,11 @@
   /// No other run on the worker is likely to have been the cause.
   bool Apart = false;
 
+  /// True unless the worker may still exist.
+  bool counts() const {
+    return Cause == WorkerLoss::ProcessEnded || Cause == WorkerLoss::Gone;
+  }
+
   friend bool operator==(const CrashRecord &, const CrashRecord &) = default;
 };
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -29,7 +29,7 @@
         Now - Task.PlacedAt >= CrashHistory::DangerTime)
       return false;
     for (const CrashRecord &Record : Task.Crashes.records())
-      if (Record.Cause != WorkerLoss::LeaseExpired)
+      if (Record.counts())
         Lost.insert(Record.Worker);
   }
   return Lost.size() >= 2;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -141,6 +141,12 @@
   /// The losses of workers under the gang of which the tasks are the members.
   CrashHistory gangCrashes() const;
 
+  /// The losses by which \p Task is judged: those of the whole gang if it is a
+  /// member of one.
+  CrashHistory crashesOf(const TaskState &Task, bool Gang) const {
+    return Gang ? gangCrashes() : Task.Crashes;
+  }
+
   /// True if workers are likely to crash because of the step: at least two were
   /// lost under its unfinished tasks, and no suspect has succeeded since, or
   /// run for CrashHistory::DangerTime. One suspect is then started alone, as a
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -471,9 +471,8 @@
       Task->Phase != TaskPhase::Ready)
     return;
   const std::size_t Step = std::size_t(Id->Step);
-  const CrashHistory Crashes = Owner->Spec.Steps[Step].Gang
-                                   ? Owner->Steps[Step].gangCrashes()
-                                   : Task->Crashes;
+  const CrashHistory Crashes =
+      Owner->Steps[Step].crashesOf(*Task, Owner->Spec.Steps[Step].Gang);
   if (!Crashes.isExhausted())
     return;
   Owner->FailureReason = "workers crashed under " + Name + ":";
@@ -552,10 +551,9 @@
   const StepState &State = CurrentJob.Steps[std::size_t(Step)];
   if (!State.HasCrashes)
     return false;
-  if (CurrentJob.Spec.Steps[std::size_t(Step)].Gang)
-    return State.gangCrashes().needsIsolation();
-  return Task.Crashes.needsIsolation() ||
-         (Task.Crashes.isSuspect() && State.needsProbe(Now));
+  const bool Gang = CurrentJob.Spec.Steps[std::size_t(Step)].Gang;
+  return State.crashesOf(Task, Gang).needsIsolation() ||
+         (!Gang && Task.Crashes.isSuspect() && State.needsProbe(Now));
 }
 
 std::vector<LostRun> JobScheduler::takeLostRuns() {
@@ -598,8 +596,7 @@
   const StepState &State = CurrentJob.Steps[std::size_t(Id.Step)];
   const TaskState &Task = State.Tasks[std::size_t(Id.Index)];
   New.IsSuspect =
-      State.HasCrashes &&
-      (Spec.Gang ? State.gangCrashes().isSuspect() : Task.Crashes.isSuspect());
+      State.HasCrashes && State.crashesOf(Task, Spec.Gang).isSuspect();
   if (runsAlone(CurrentJob, Id.Step, Task, Now)) {
     New.IsApart = isApart(Host, Now);
     New.AloneUntil = Now + CrashHistory::DangerTime;
--- a/tests/cell/cell_fuzz_test.cpp
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -213,8 +213,7 @@
     case ActionKind::SubmitCrashing:
       submitted(Cell.submit(
           Any, stepOf(1 + Step.Choice % 5, Work, Step.Choice % 4 == 0), Queue,
-          Step.Choice % 2 == 0 ? "crashes workers"
-                               : "first task crashes workers"));
+          Step.Choice % 2 == 0 ? CrashingJob : JobWithOneCrashingTask));
       break;
     case ActionKind::ResizeWorker:
       if (Cell.workers().info(Worker))
@@ -364,8 +363,8 @@
                  : Id + " must fail after 3 runs, had " +
                        std::to_string(Failed) + ", is " +
                        std::to_string(int(Job.View)) + "\n";
-    if (Job.Spec.Payload == "crashes workers" ||
-        Job.Spec.Payload == "first task crashes workers")
+    if (Job.Spec.Payload == CrashingJob ||
+        Job.Spec.Payload == JobWithOneCrashingTask)
       return Job.View == JobView::Failed
                  ? ""
                  : Id + " crashes workers and is not given up: " +
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -15,9 +15,6 @@
 using namespace std::chrono_literals;
 using jobs::JobView;
 
-const std::string CrashingJob = "crashes workers";
-const std::string JobWithOneCrashingTask = "first task crashes workers";
-
 class WorkerCrashTest : public testing::Test {
 protected:
   WorkerCrashTest() : Cell(1, 3, 12) { Cell.run(2s); }
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -195,9 +195,8 @@
     Traits.Request = Step.Request;
     Traits.Work = Step.Estimate;
     Traits.Fails = Found->second.Spec.Payload == "fails";
-    if (Found->second.Spec.Payload == "crashes workers" ||
-        (Found->second.Spec.Payload == "first task crashes workers" &&
-         Id.Index == 0))
+    if (Found->second.Spec.Payload == CrashingJob ||
+        (Found->second.Spec.Payload == JobWithOneCrashingTask && Id.Index == 0))
       Traits.CrashesWorkerAfter = CrashDelay;
     Traits.Gang = Step.Gang;
     Traits.GangSize = Step.Count;
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -19,6 +19,12 @@
 
 namespace apricotwing::emulator {
 
+/// Payloads of jobs of which all tasks, or the first one, end the process of
+/// their worker.
+inline constexpr const char *CrashingJob = "crashes workers";
+inline constexpr const char *JobWithOneCrashingTask =
+    "first task crashes workers";
+
 /// State of one job as the callers of a cell see it.
 struct JobRecord {
   jobs::JobSpec Spec;
@@ -116,8 +122,7 @@
   void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
 
   /// Submits a job of one step at an instance and returns the job id. All runs
-  /// of a job with the payload "fails" fail; with "crashes workers" or "first
-  /// task crashes workers", they end the process of their worker.
+  /// of a job with the payload "fails" fail; see also CrashingJob.
   std::string submit(const std::string &Instance, jobs::StepSpec Step,
                      const std::string &Queue = "/batch/",
                      const std::string &Payload = "");
