Share the bodies of tests that differ by a figure

Two tests of tasks that crash their workers, and the loops of two tests of long-running tasks, were the same but for times and bounds. Times, bounds and assertions are unchanged.

--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -64,35 +64,32 @@
 };
 
 class CrashingTaskTest : public WorkerCrashTest,
-                         public testing::WithParamInterface<Comeback> {};
+                         public testing::WithParamInterface<Comeback> {
+protected:
+  CrashingTaskTest() { Cell.workers().AfterCrash = GetParam(); }
+
+  void expectGivenUp(Duration Within, int MaxCrashes) {
+    const auto Healthy = submitHealthy(6, 6, 1500ms);
+    const std::string Id = submitCrashing(1, CrashingJob);
+    Cell.run(Within);
+    EXPECT_EQ(viewOf(Id), JobView::Failed);
+    EXPECT_LE(Cell.workers().taskCrashes(), MaxCrashes);
+    expectCompleted(Healthy);
+  }
+};
 
 // Guards against a task that crashes one worker after another without end.
-TEST_P(CrashingTaskTest, IsGivenUpAfterAFewWorkers) {
-  Cell.workers().AfterCrash = GetParam();
-  const auto Healthy = submitHealthy(6, 6, 1500ms);
-  const std::string Id = submitCrashing(1, CrashingJob);
-  Cell.run(40s);
-  EXPECT_EQ(viewOf(Id), JobView::Failed);
-  EXPECT_LE(Cell.workers().taskCrashes(), 3);
-  expectCompleted(Healthy);
-}
+TEST_P(CrashingTaskTest, IsGivenUpAfterAFewWorkers) { expectGivenUp(40s, 3); }
 
 // Guards against the same if the machines of ended workers do not respond.
 TEST_P(CrashingTaskTest, IsGivenUpIfItsWorkersGoSilent) {
-  Cell.workers().AfterCrash = GetParam();
   Cell.workers().CrashesSilently = true;
   Cell.workers().RestartDelay = 9s;
-  const auto Healthy = submitHealthy(6, 6, 1500ms);
-  const std::string Id = submitCrashing(1, CrashingJob);
-  Cell.run(60s);
-  EXPECT_EQ(viewOf(Id), JobView::Failed);
-  EXPECT_LE(Cell.workers().taskCrashes(), 5);
-  expectCompleted(Healthy);
+  expectGivenUp(60s, 5);
 }
 
 // Guards against crashes that are forgotten with the leader that saw them.
 TEST_P(CrashingTaskTest, IsGivenUpAlthoughEachCrashIsFollowedByANewLeader) {
-  Cell.workers().AfterCrash = GetParam();
   const auto Healthy = submitHealthy(3, 4, 1500ms);
   const std::string Id = submitCrashing(1, CrashingJob);
   int Seen = 0;
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -248,16 +248,9 @@
   StepSpec Lasting = step(1, 1000);
   Lasting.LongRunning = true;
   const std::string Id = addJob("batch", Lasting);
-  for (int Number = 0; Number < 6; ++Number) {
-    const WorkerIncarnation Host = addWorker("w" + std::to_string(Number));
-    Decisions Made = decide();
-    if (Made.Starts.empty())
-      Made = decide(); // The step got a new rank.
-    ASSERT_EQ(Made.Starts.size(), 1U);
-    Scheduler.markDispatched(Made.Starts[0]);
-    Now += std::chrono::hours(1);
-    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
-  }
+  for (int Number = 0; Number < 6; ++Number)
+    ASSERT_NO_FATAL_FAILURE(
+        crashAfter("w" + std::to_string(Number), std::chrono::hours(1)));
   EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Active);
 }
 
@@ -267,16 +260,9 @@
   StepSpec Lasting = step(1, 1000);
   Lasting.LongRunning = true;
   const std::string Id = addJob("batch", Lasting);
-  for (int Number = 0; Number < 3; ++Number) {
-    const WorkerIncarnation Host = addWorker("w" + std::to_string(Number));
-    Decisions Made = decide();
-    if (Made.Starts.empty())
-      Made = decide(); // The step got a new rank.
-    ASSERT_EQ(Made.Starts.size(), 1U);
-    Scheduler.markDispatched(Made.Starts[0]);
-    Now += Duration{5000};
-    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
-  }
+  for (int Number = 0; Number < 3; ++Number)
+    ASSERT_NO_FATAL_FAILURE(
+        crashAfter("w" + std::to_string(Number), Duration{5000}));
   EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Failed);
   addWorker("w9");
   EXPECT_EQ(decide().Starts.size(), 0U);
--- a/tests/jobs/jobschedulertest.h
+++ b/tests/jobs/jobschedulertest.h
@@ -58,6 +58,19 @@
     Scheduler.updateWorker(Info, Now);
   }
 
+  /// Adds a worker, on which the only waiting task is started, and lets it
+  /// crash \p Age later.
+  void crashAfter(const std::string &Id, Duration Age) {
+    const WorkerIncarnation Host = addWorker(Id);
+    Decisions Made = decide();
+    if (Made.Starts.empty())
+      Made = decide(); // The step got a new rank.
+    ASSERT_EQ(Made.Starts.size(), 1U);
+    Scheduler.markDispatched(Made.Starts[0]);
+    Now += Age;
+    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
+  }
+
   std::string addJob(const std::string &Queue, StepSpec Step,
                      const std::string &Account = "large") {
     JobSpec Spec;
