Log and count the runs that have to end

Cause: no line said that a run was to be stopped, to whom the order went or what the worker answered, so a lost order could not be told from a lost cancellation or from a second start.

Change: the scheduler keeps the runs that have to end, with cause and time, instead of a flag of each run; the logic is the same. The leader logs 'stopping run', 'run does not stop' (every 2 s, for runs that had to end more than 2 s ago) and to_stop= at each sync; members log 'stop answered'. Metrics: apricotwing_leader_runs_to_stop and _longest_stop_seconds.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -75,6 +75,11 @@
 /// serve.
 constexpr Duration LoadLogInterval{2000};
 
+/// Time after which a run that has to end but has not is logged, in intervals
+/// of LoadLogInterval, and how many of them.
+constexpr Duration OverdueStopAge{2000};
+constexpr int MaxOverdueStopLines = 20;
+
 /// Delay before a worker whose process has ended is assigned again if the
 /// registry still contains the same process.
 constexpr Duration EndedProcessDelay{1500};
@@ -700,6 +705,7 @@
                    {{"member", From.Info.Name},
                     {"token", std::to_string(Report.Token)},
                     {"running", std::to_string(Report.Running.size())},
+                    {"to_stop", std::to_string(runsToStopOn(Worker))},
                     {"ended", std::to_string(Report.Ended.size())}});
     ensureInRoster(Report, Worker);
     acknowledge(Report);
@@ -1096,9 +1102,12 @@
 }
 
 void Leader::dispatch(const jobs::Decisions &Result) {
-  for (const jobs::StopCommand &Order : Result.Stops)
-    if (MemberState *To = supervisorOf(Order.Worker))
+  for (const jobs::StopCommand &Order : Result.Stops) {
+    MemberState *To = supervisorOf(Order.Worker);
+    if (To)
       To->Outgoing.Stops.push_back(Order);
+    logStop("stopping run", Order);
+  }
   for (const jobs::AdviceRequest &Request : Result.Advice)
     dispatchAdvice(Request);
   if (Result.Starts.empty())
@@ -1112,6 +1121,51 @@
   }));
 }
 
+// The member is empty if nobody supervises the worker.
+void Leader::logStop(std::string_view Event, const jobs::StopCommand &Order) {
+  const auto Found = Scheduler.runsToStop().find(Order);
+  const jobs::Worker *Host = Scheduler.worker(Order.Worker.Id);
+  if (Found == Scheduler.runsToStop().end() || !Host)
+    return;
+  const MemberState *To = supervisorOf(Order.Worker);
+  const Duration Age = Deps.Time.now() - Found->second.Since;
+  Deps.Log.event(Event, Order.Task,
+                 {{"run", std::to_string(Order.Run)},
+                  {"worker", Order.Worker.Id},
+                  {"member", To ? To->Info.Name : ""},
+                  {"cause", std::string(enumName(jobs::StopCauseNames,
+                                                 Found->second.Cause))},
+                  {"age_ms", std::to_string(Age.count())},
+                  {"synced", Host->isSynced() ? "1" : "0"},
+                  {"reachable", Host->isReachable() ? "1" : "0"}});
+}
+
+std::size_t Leader::runsToStopOn(const WorkerState &Worker) const {
+  const auto &Runs = Scheduler.runsToStop();
+  const auto IsOnIt = [&](const auto &Entry) {
+    return Entry.first.Worker == Worker.Info.Incarnation;
+  };
+  return std::size_t(std::count_if(Runs.begin(), Runs.end(), IsOnIt));
+}
+
+void Leader::logOverdueStops(TimePoint Now) {
+  if (Now < NextOverdueStopLog)
+    return;
+  NextOverdueStopLog = Now + LoadLogInterval;
+  int Lines = 0;
+  for (const auto &[Order, Progress] : Scheduler.runsToStop())
+    if (Now - Progress.Since >= OverdueStopAge && Lines++ < MaxOverdueStopLines)
+      logStop("run does not stop", Order);
+}
+
+Duration Leader::longestStop() const {
+  const TimePoint Now = Deps.Time.now();
+  Duration Longest{0};
+  for (const auto &[Order, Progress] : Scheduler.runsToStop())
+    Longest = std::max(Longest, Now - Progress.Since);
+  return Longest;
+}
+
 void Leader::sendStart(const jobs::StartCommand &Order) {
   MemberState *To = supervisorOf(Order.Worker);
   const jobs::Worker *Host = Scheduler.worker(Order.Worker.Id);
@@ -1240,6 +1294,7 @@
         removeExpiredJobs(Now);
         exchangeLoads(Now);
         logLoad(Now);
+        logOverdueStops(Now);
       }
       if (Now - TermStartedAt >= MinJoinPeriod)
         assignWorkers();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -25,6 +25,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace apricotwing::cell {
@@ -101,6 +102,10 @@
   std::uint64_t lostRuns() const { return LostRuns; }
   std::uint64_t failedJobs() const { return FailedJobs; }
 
+  /// Longest time for which a run has had to end without being known to have
+  /// ended; zero if there is none.
+  Duration longestStop() const;
+
   /// Number of workers that the member \p Name supervises; 0 if there is no
   /// such member.
   std::size_t workersOf(const std::string &Name) const {
@@ -191,6 +196,9 @@
   bool moveOneWorker(MemberState &From);
   void decide();
   void dispatch(const jobs::Decisions &Result);
+  void logStop(std::string_view Event, const jobs::StopCommand &Order);
+  std::size_t runsToStopOn(const WorkerState &Worker) const;
+  void logOverdueStops(TimePoint Now);
   void sendStart(const jobs::StartCommand &Order);
   void dispatchAdvice(const jobs::AdviceRequest &Request);
   void removeExpiredJobs(TimePoint Now);
@@ -255,6 +263,7 @@
   TimePoint NextRebalance;
   TimePoint NextLoadLog;
   TimePoint NextObstacleLog;
+  TimePoint NextOverdueStopLog;
   std::uint64_t LostRuns = 0;
   std::uint64_t FailedJobs = 0;
   int MovedWorkers = 0; ///< Moved to another member since the last log line.
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -298,6 +298,11 @@
   Client.stop(Worker, PendingStops.at(Key),
               Guard.wrap([this, Key](const WorkerAnswer &Answer) {
                 StopsInFlight.erase(Key);
+                Log.event("stop answered", Key.first,
+                          {{"run", std::to_string(Key.second)},
+                           {"worker", Worker.Incarnation.Id},
+                           {"outcome", std::string(enumName(WorkerOutcomeNames,
+                                                            Answer.Outcome))}});
                 if (Answer.ClockMs)
                   updateClock(*Answer.ClockMs);
                 if (Answer.Outcome == WorkerOutcome::NoAnswer ||
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -173,6 +173,8 @@
   double RowsWritten = 0;
   double LostRuns = 0;
   double FailedJobs = 0;
+  double RunsToStop = 0;
+  Duration LongestStop{0};
   for (const auto &Agent : Node.agents()) {
     Counts += Agent->member().counts();
     WorkerSessions += Agent->member().workerSessionCount();
@@ -186,6 +188,8 @@
     RowsWritten += double(Leader->journal().rowsWritten());
     LostRuns += double(Leader->lostRuns());
     FailedJobs += double(Leader->failedJobs());
+    RunsToStop += double(Leader->scheduler().runsToStop().size());
+    LongestStop = std::max(LongestStop, Leader->longestStop());
   }
   Gauge("apricotwing_entry_starts", "Start commands sent to workers",
         double(Counts.Starts));
@@ -222,6 +226,11 @@
           "Runs that ended with their worker in this term", LostRuns);
     Gauge("apricotwing_leader_failed_jobs", "Jobs that failed in this term",
           FailedJobs);
+    Gauge("apricotwing_leader_runs_to_stop",
+          "Runs that have to end and are not known to have ended", RunsToStop);
+    Gauge("apricotwing_leader_longest_stop_seconds",
+          "Longest time for which such a run has had to end",
+          std::chrono::duration<double>(LongestStop).count());
   }
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -211,7 +211,7 @@
              HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone,
              false});
         Added.Steps[Step].HasCrashes = true;
-        makeReady(Added, int(Step), Task);
+        makeReady(Added, int(Step), Task, Now);
         Changed.insert(Spec.Id);
         continue;
       }
@@ -326,7 +326,7 @@
     addWaitingWork(CurrentJob, int(Step), -State.ReadyCount);
     releaseClaims(stepName(CurrentJob.Spec.Id, int(Step)), State);
     if (Phase != JobPhase::Completed)
-      stopPlaced(CurrentJob, int(Step));
+      stopPlaced(CurrentJob, int(Step), StopCause::JobEnded, Now);
   }
 }
 
@@ -426,7 +426,7 @@
   const auto Allocated = Host.runs();
   for (const auto &[Name, Run] : Allocated) {
     recordLoss(Host, Name, Run, Cause, Now);
-    releaseWithoutResult(Host, Name, Run.Run);
+    releaseWithoutResult(Host, Name, Run.Run, Now);
     failIfExhausted(Name, Now);
   }
 }
@@ -562,14 +562,14 @@
 
 // Frees the resources of a run that ended without a result or never started.
 void JobScheduler::releaseWithoutResult(Worker &Host, const std::string &Name,
-                                        std::int64_t Run) {
+                                        std::int64_t Run, TimePoint Now) {
   release(Host, Name, Run);
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
   if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run &&
       Task->Worker == Host.info().Incarnation) {
-    makeReady(*Owner, Id->Step, *Task);
+    makeReady(*Owner, Id->Step, *Task, Now);
     markUnstarted(*Owner);
   }
 }
@@ -591,8 +591,8 @@
 void JobScheduler::allocateRun(Worker &Host, const Job &CurrentJob,
                                const TaskId &Id, std::int64_t Run,
                                const StepSpec &Spec, TimePoint Now) {
-  AllocatedRun New{
-      Run, Spec.Request, Spec.BestEffort, CurrentJob.Spec.Account, false, Now};
+  AllocatedRun New{Run, Spec.Request, Spec.BestEffort, CurrentJob.Spec.Account,
+                   Now};
   const StepState &State = CurrentJob.Steps[std::size_t(Id.Step)];
   const TaskState &Task = State.Tasks[std::size_t(Id.Index)];
   New.IsSuspect =
@@ -607,6 +607,7 @@
 
 void JobScheduler::release(Worker &Host, const std::string &Task,
                            std::int64_t Run) {
+  RunsToStop.erase({Host.info().Incarnation, Task, Run});
   const auto Found = Host.runs().find(Task);
   if (Found == Host.runs().end() || Found->second.Run != Run)
     return;
@@ -631,7 +632,7 @@
   for (const auto &[Name, Run] : Allocated) {
     const auto Found = Listed.find(Name);
     if (Found == Listed.end() || Found->second != Run.Run)
-      releaseWithoutResult(*Host, Name, Run.Run);
+      releaseWithoutResult(*Host, Name, Run.Run, Now);
   }
   for (const ActiveRun &Run : RunList)
     reconcileRun(*Host, Run, Now);
@@ -658,8 +659,8 @@
     allocateRun(Host, *Owner, *Id, Run.Run,
                 Owner->Spec.Steps[std::size_t(Id->Step)], Now);
   else
-    Host.allocate(Run.Task, {Run.Run, {}, false, {}, false, Now, true});
-  stopRun(Host, Run.Task, Run.Run);
+    Host.allocate(Run.Task, {Run.Run, {}, false, {}, Now, true});
+  stopRun(Host, Run.Task, Run.Run, StopCause::NotPlaced, Now);
 }
 
 void JobScheduler::runProgressed(const WorkerIncarnation &Incarnation,
@@ -675,16 +676,17 @@
 // Runs.
 
 void JobScheduler::stopRun(Worker &Host, const std::string &Task,
-                           std::int64_t Run) {
+                           std::int64_t Run, StopCause Cause, TimePoint Now) {
   const auto Allocated = Host.runs().find(Task);
-  if (Allocated == Host.runs().end() || Allocated->second.Run != Run ||
-      Allocated->second.Stopping)
+  if (Allocated == Host.runs().end() || Allocated->second.Run != Run)
     return;
-  Allocated->second.Stopping = true;
-  Stops.push_back({Host.info().Incarnation, Task, Run});
+  const StopCommand Order{Host.info().Incarnation, Task, Run};
+  if (RunsToStop.try_emplace(Order, StopProgress{Cause, Now}).second)
+    Stops.push_back(Order);
 }
 
-void JobScheduler::stopPlaced(Job &CurrentJob, int Step) {
+void JobScheduler::stopPlaced(Job &CurrentJob, int Step, StopCause Cause,
+                              TimePoint Now) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   for (std::size_t Index = 0; Index < State.Tasks.size(); ++Index) {
     const TaskState &Task = State.Tasks[Index];
@@ -692,11 +694,12 @@
       continue;
     if (Worker *Host = findWorker(Task.Worker))
       stopRun(*Host, TaskId{CurrentJob.Spec.Id, 0, Step, int(Index)}.text(),
-              Task.Run);
+              Task.Run, Cause, Now);
   }
 }
 
-void JobScheduler::makeReady(Job &CurrentJob, int Step, TaskState &Task) {
+void JobScheduler::makeReady(Job &CurrentJob, int Step, TaskState &Task,
+                             TimePoint Now) {
   if (CurrentJob.Phase != JobPhase::Active || Task.Phase == TaskPhase::Done ||
       Task.Phase == TaskPhase::Ready)
     return;
@@ -708,7 +711,7 @@
   // The other members of an incomplete gang make no progress and would occupy
   // resources.
   if (CurrentJob.Spec.Steps[std::size_t(Step)].Gang)
-    stopPlaced(CurrentJob, Step);
+    stopPlaced(CurrentJob, Step, StopCause::GangIncomplete, Now);
   enqueue(CurrentJob, Step);
 }
 
@@ -817,7 +820,7 @@
     if (!Spec.LongRunning)
       recordFailure(*Owner, Id->Step, *Task, End.Run, Now);
   }
-  makeReady(*Owner, Id->Step, *Task);
+  makeReady(*Owner, Id->Step, *Task, Now);
   Changed.insert(Owner->Spec.Id);
 }
 
@@ -836,7 +839,7 @@
     if (const auto Found = Advice.find(Incarnation.Id); Found != Advice.end())
       Found->second.Expires = Now;
   }
-  releaseWithoutResult(*Host, Name, Run);
+  releaseWithoutResult(*Host, Name, Run, Now);
 }
 
 bool JobScheduler::isCurrent(const StartCommand &Order) const {
@@ -845,7 +848,8 @@
     return false;
   const auto Allocated = Host->runs().find(Order.Task);
   return Allocated != Host->runs().end() &&
-         Allocated->second.Run == Order.Run && !Allocated->second.Stopping &&
+         Allocated->second.Run == Order.Run &&
+         !RunsToStop.contains({Order.Worker, Order.Task, Order.Run}) &&
          Host->freeResources().isNonNegative();
 }
 
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -196,6 +196,11 @@
   /// Records that an AdviceRequest got no answer.
   void adviceFailed(const std::string &Step);
 
+  /// The runs that have to end and are not known to have ended.
+  const std::map<StopCommand, StopProgress> &runsToStop() const {
+    return RunsToStop;
+  }
+
   /// True if \p Order should still be sent: its run is still placed on that
   /// worker, which has room for it, and has not been stopped.
   bool isCurrent(const StartCommand &Order) const;
@@ -282,7 +287,7 @@
 
   void release(Worker &Host, const std::string &Task, std::int64_t Run);
   void releaseWithoutResult(Worker &Host, const std::string &Name,
-                            std::int64_t Run);
+                            std::int64_t Run, TimePoint Now);
   void allocateRun(Worker &Host, const Job &CurrentJob, const TaskId &Id,
                    std::int64_t Run, const StepSpec &Spec, TimePoint Now);
   void recordLoss(const Worker &Host, const std::string &Name,
@@ -299,15 +304,16 @@
   void restoreCrashes(Job &CurrentJob, int Step);
   void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
   void markUnstarted(Job &CurrentJob);
-  void makeReady(Job &CurrentJob, int Step, TaskState &Task);
+  void makeReady(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
   void finishTask(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
   void finishJob(Job &CurrentJob, JobPhase Phase, TimePoint Now);
   void recordFailure(Job &CurrentJob, int Step, TaskState &Task,
                      std::int64_t Run, TimePoint Now);
   void updateSlowdown(Worker &Host, const Job &CurrentJob, const StepSpec &Spec,
                       const TaskState &Task, TimePoint Now);
-  void stopRun(Worker &Host, const std::string &Task, std::int64_t Run);
-  void stopPlaced(Job &CurrentJob, int Step);
+  void stopRun(Worker &Host, const std::string &Task, std::int64_t Run,
+               StopCause Cause, TimePoint Now);
+  void stopPlaced(Job &CurrentJob, int Step, StopCause Cause, TimePoint Now);
   void reconcileRun(Worker &Host, const ActiveRun &Run, TimePoint Now);
   std::int64_t releaseClaims(const std::string &Step, StepState &State);
   std::set<std::string> yieldingTo(const WaitRank &Rank) const;
@@ -374,7 +380,8 @@
   /// First step that the next round considers after the front of the order.
   WaitRank ResumeAt;
   std::vector<StopCommand> Stops; ///< Decided between two rounds.
-  std::vector<LostRun> LostRuns;  ///< Since the last takeLostRuns().
+  std::map<StopCommand, StopProgress> RunsToStop;
+  std::vector<LostRun> LostRuns; ///< Since the last takeLostRuns().
   /// Names of the tasks on workers whose lease has expired, until it is known
   /// whether the worker still exists.
   std::map<WorkerIncarnation, std::set<std::string>> SilentWorkers;
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -122,6 +122,29 @@
   WorkerIncarnation Worker;
   std::string Task;
   std::int64_t Run = 0;
+
+  // NOLINTBEGIN(readability-identifier-naming)
+  friend auto operator<=>(const StopCommand &, const StopCommand &) = default;
+  // NOLINTEND(readability-identifier-naming)
+};
+
+/// Why a run has to end.
+enum class StopCause {
+  JobEnded,       ///< Its job was cancelled or has failed.
+  GangIncomplete, ///< Another member of its gang does not run.
+  NotPlaced,      ///< It is not placed on the worker that runs it.
+};
+
+inline constexpr NameTable<StopCause, 3> StopCauseNames = {{
+    {StopCause::JobEnded, "job_ended"},
+    {StopCause::GangIncomplete, "gang_incomplete"},
+    {StopCause::NotPlaced, "not_placed"},
+}};
+
+/// What is known of a run that has to end.
+struct StopProgress {
+  StopCause Cause = StopCause::JobEnded;
+  TimePoint Since; ///< When it was decided that the run has to end.
 };
 
 /// Request to the advice service: which of the named workers may run a step.
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -24,7 +24,6 @@
   Resources Request;
   bool BestEffort = false;
   std::string Account;
-  bool Stopping = false;
   TimePoint Since;
   /// Its job has ended, so what it uses is unknown.
   bool IsUnknown = false;
