Reproduce runs that outlive the cancellation of their job

What callers see: a cancelled job whose cancellation was acknowledged is at work until its tasks end by themselves.

--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -343,6 +343,14 @@
   call(Instance, Id, cell::ClientVerb::Cancel);
 }
 
+std::vector<std::string> EmulatedCell::activeTasksOfCancelledJobs() const {
+  std::vector<std::string> Result;
+  for (const std::string &Task : Workers.activeTasks())
+    if (Records.at(jobs::TaskId::parse(Task)->Job).Cancelled)
+      Result.push_back(Task);
+  return Result;
+}
+
 void EmulatedCell::call(const std::string &Name, const std::string &Id,
                         cell::ClientVerb Verb) {
   Instance &Entry = Instances.at(Name);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -136,6 +136,10 @@
 
   const std::map<std::string, JobRecord> &jobs() const { return Records; }
 
+  /// Names of the tasks that are at work although the cancellation of their job
+  /// was acknowledged.
+  std::vector<std::string> activeTasksOfCancelledJobs() const;
+
   /// Number of answers by status.
   const std::map<cell::ClientStatus, int> &answers() const { return Answers; }
 
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -148,6 +148,14 @@
   return Sum;
 }
 
+std::set<std::string> EmulatedWorkers::activeTasks() const {
+  std::set<std::string> Result;
+  for (const auto &[Id, Entry] : Processes)
+    for (const auto &[Task, Run] : Entry.Runs)
+      Result.insert(Task);
+  return Result;
+}
+
 int EmulatedWorkers::failures(const std::string &Task) const {
   const auto Found = Failures.find(Task);
   return Found == Failures.end() ? 0 : Found->second;
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -96,6 +96,9 @@
   /// Number of active runs.
   int activeRuns() const;
 
+  /// Names of the tasks with an active run, on any worker.
+  std::set<std::string> activeTasks() const;
+
   /// True if a run of the task ended as done and was acknowledged in time.
   bool isDone(const std::string &Task) const { return Done.contains(Task); }
 
