Order the stop of a run until it is known to have ended

What callers see: a job whose cancellation was acknowledged works on, up to the end of its tasks, if an instance is lost, cut off or frozen around the cancellation, or if messages are late.

Cause: the stop of a run was ordered once, and a flag of the run kept it from being ordered again. The order then lived in the memory of one supervisor, or nowhere if nobody supervised the worker at that moment. The next supervisor listed the run, and the leader took it for one that was being stopped already. The class: what was ordered is remembered as done.

Change: a round orders the stop of every run that has to end, at intervals and at once when the lists of its worker were read anew, until the run has ended, is missing in a complete list, or its worker is lost. A worker whose lists have not been read is left out, as it has no supervisor that could pass on the order.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1136,6 +1136,7 @@
                   {"cause", std::string(enumName(jobs::StopCauseNames,
                                                  Found->second.Cause))},
                   {"age_ms", std::to_string(Age.count())},
+                  {"orders", std::to_string(Found->second.Orders)},
                   {"synced", Host->isSynced() ? "1" : "0"},
                   {"reachable", Host->isReachable() ? "1" : "0"}});
 }
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -29,6 +29,10 @@
 /// of the workers on which it was started earlier.
 constexpr Duration SurvivalTime{600'000};
 
+/// Interval at which the stop of a run is ordered until it is known to have
+/// ended. Workers may take 0.9 s to stop a run.
+constexpr Duration StopRepetitionInterval{1200};
+
 /// Time after which a worker that refused a start is used again.
 constexpr Duration RefusalPause{500};
 
@@ -429,6 +433,9 @@
     releaseWithoutResult(Host, Name, Run.Run, Now);
     failIfExhausted(Name, Now);
   }
+  std::erase_if(RunsToStop, [&](const auto &Entry) {
+    return Entry.first.Worker == Host.info().Incarnation;
+  });
 }
 
 void JobScheduler::recordLoss(const Worker &Host, const std::string &Name,
@@ -636,6 +643,16 @@
   }
   for (const ActiveRun &Run : RunList)
     reconcileRun(*Host, Run, Now);
+  std::erase_if(RunsToStop, [&](const auto &Entry) {
+    const StopCommand &Order = Entry.first;
+    const auto Found = Listed.find(Order.Task);
+    return Order.Worker == Incarnation &&
+           (Found == Listed.end() || Found->second != Order.Run);
+  });
+  // Earlier orders may have been lost with the last supervisor.
+  for (auto &[Order, Progress] : RunsToStop)
+    if (Order.Worker == Incarnation)
+      Progress.NextOrder = Now;
   Host->setSynced(true);
   Host->setReachable(true);
 }
@@ -680,9 +697,23 @@
   const auto Allocated = Host.runs().find(Task);
   if (Allocated == Host.runs().end() || Allocated->second.Run != Run)
     return;
-  const StopCommand Order{Host.info().Incarnation, Task, Run};
-  if (RunsToStop.try_emplace(Order, StopProgress{Cause, Now}).second)
-    Stops.push_back(Order);
+  RunsToStop.try_emplace({Host.info().Incarnation, Task, Run},
+                         StopProgress{Cause, Now, Now});
+}
+
+// A worker whose lists must be read again has no supervisor that could pass on
+// an order.
+std::vector<StopCommand> JobScheduler::dueStops(TimePoint Now) {
+  std::vector<StopCommand> Result;
+  for (auto &[Order, Progress] : RunsToStop) {
+    const Worker *Host = findWorker(Order.Worker);
+    if (!Host || !Host->isSynced() || Now < Progress.NextOrder)
+      continue;
+    Progress.NextOrder = Now + StopRepetitionInterval;
+    ++Progress.Orders;
+    Result.push_back(Order);
+  }
+  return Result;
 }
 
 void JobScheduler::stopPlaced(Job &CurrentJob, int Step, StopCause Cause,
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -210,7 +210,9 @@
   void markDispatched(const StartCommand &Order);
 
   /// Runs one scheduling round: decides which runs to start and stop, and which
-  /// advice to request.
+  /// advice to request. The stop of a run is decided again at intervals, and
+  /// whenever the lists of its worker were read anew, until the run is known to
+  /// have ended.
   Decisions decide(TimePoint Now, const AdviceBudget &Advice);
 
   /// Ids of jobs whose stored state has changed since the last call.
@@ -311,6 +313,7 @@
                      std::int64_t Run, TimePoint Now);
   void updateSlowdown(Worker &Host, const Job &CurrentJob, const StepSpec &Spec,
                       const TaskState &Task, TimePoint Now);
+  std::vector<StopCommand> dueStops(TimePoint Now);
   void stopRun(Worker &Host, const std::string &Task, std::int64_t Run,
                StopCause Cause, TimePoint Now);
   void stopPlaced(Job &CurrentJob, int Step, StopCause Cause, TimePoint Now);
@@ -379,7 +382,6 @@
   std::map<std::string, StepRef> Claimants; ///< Gangs with claims, by step.
   /// First step that the next round considers after the front of the order.
   WaitRank ResumeAt;
-  std::vector<StopCommand> Stops; ///< Decided between two rounds.
   std::map<StopCommand, StopProgress> RunsToStop;
   std::vector<LostRun> LostRuns; ///< Since the last takeLostRuns().
   /// Names of the tasks on workers whose lease has expired, until it is known
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -140,8 +140,7 @@
                             FurtherStepsPerRound)
                    .value_or(WaitRank{});
   }
-  Current.Result.Stops = std::move(Stops);
-  Stops.clear();
+  Current.Result.Stops = dueStops(Now);
   return std::move(Current.Result);
 }
 
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -144,7 +144,9 @@
 /// What is known of a run that has to end.
 struct StopProgress {
   StopCause Cause = StopCause::JobEnded;
-  TimePoint Since; ///< When it was decided that the run has to end.
+  TimePoint Since;     ///< When it was decided that the run has to end.
+  TimePoint NextOrder; ///< Earliest time of the next order.
+  int Orders = 0;      ///< Orders given so far.
 };
 
 /// Request to the advice service: which of the named workers may run a step.
