Stop the rest of an incomplete gang after a change of the leader

What callers see: members of a gang of which one was lost or refused hold their workers, and may work on, if the leader changes while they are being stopped.

That the rest has to end was decided when a member became ready, and was not stored; the next leader restored the others as placed, found them in the lists and let them be. A member whose worker it did not know stopped only those restored before it.

Change: a restored gang with a ready and a placed member has the latter stopped.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -226,6 +226,9 @@
           .at(TaskId{Spec.Id, 0, int(Step), int(Index)}.text())
           .IsDispatched = true;
     }
+    // The last leader may not have stopped the rest of an incomplete gang.
+    if (StepDescription.Gang && Added.Steps[Step].ReadyCount > 0)
+      stopPlaced(Added, int(Step), StopCause::GangIncomplete, Now);
   }
 }
 
