End a session whose stop is fenced or meets another process

What is seen: a stop that another session has fenced, or that reaches the next process of a worker, counts as carried out. The session learns only by its next heartbeat that its worker is gone.

Cause: any answer but a missing one ended the order. Change: the answers Fenced and OtherLife end the session, as they do for a start, so that the worker is assigned anew and its lists are read. Refused connections still count for heartbeats only: several stops at once must not look like several attempts.

WorkerSessionTest.EndsIfAStopIsFenced failed before.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -297,23 +297,43 @@
   NextStop = Time.now() + StopRetryDelay;
   Client.stop(Worker, PendingStops.at(Key),
               Guard.wrap([this, Key](const WorkerAnswer &Answer) {
-                StopsInFlight.erase(Key);
-                Log.event("stop answered", Key.first,
-                          {{"run", std::to_string(Key.second)},
-                           {"worker", Worker.Incarnation.Id},
-                           {"outcome", std::string(enumName(WorkerOutcomeNames,
-                                                            Answer.Outcome))}});
-                if (Answer.ClockMs)
-                  updateClock(*Answer.ClockMs);
-                if (Answer.Outcome == WorkerOutcome::NoAnswer ||
-                    Answer.Outcome == WorkerOutcome::NoProcess ||
-                    Answer.Outcome == WorkerOutcome::NotSent ||
-                    Answer.Outcome == WorkerOutcome::Unhealthy)
-                  return; // pump() sends the order again.
-                PendingStops.erase(Key);
+                onStopAnswer(Key, Answer);
               }));
 }
 
+void WorkerSession::onStopAnswer(const RunKey &Key,
+                                 const WorkerAnswer &Answer) {
+  StopsInFlight.erase(Key);
+  Log.event(
+      "stop answered", Key.first,
+      {{"run", std::to_string(Key.second)},
+       {"worker", Worker.Incarnation.Id},
+       {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))}});
+  if (Ended)
+    return;
+  if (Answer.ClockMs)
+    updateClock(*Answer.ClockMs);
+  switch (Answer.Outcome) {
+  case WorkerOutcome::Fenced:
+  case WorkerOutcome::OtherLife:
+    endIfTerminal(Answer.Outcome);
+    return;
+  case WorkerOutcome::NoAnswer:
+  case WorkerOutcome::NoProcess:
+  case WorkerOutcome::NotSent:
+  case WorkerOutcome::Unhealthy:
+    return; // pump() sends the order again.
+  case WorkerOutcome::Done:
+  case WorkerOutcome::Expired:
+  case WorkerOutcome::NoRoom:
+  case WorkerOutcome::NoTicket:
+  case WorkerOutcome::Malformed:
+    // If the run goes on, the leader orders the stop again.
+    PendingStops.erase(Key);
+    return;
+  }
+}
+
 void WorkerSession::acknowledge(std::int64_t UpTo) {
   AckedEnd = std::max(AckedEnd, UpTo);
   if (LastReportedEnd <= AckedEnd)
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -77,6 +77,7 @@
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
   void reportRefused(const RunKey &Key, jobs::StartRefusal Reason);
   void sendStop(const RunKey &Key);
+  void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
   /// Ends the session if \p Outcome is final for it; returns true in that case.
   bool endIfTerminal(WorkerOutcome Outcome);
   void end(WorkerEvent Event);
--- /dev/null
+++ b/tests/cell/workersession_test.cpp
@@ -0,0 +1,131 @@
+/// \file
+/// The session of a member with one worker, against a mocked client.
+#include "cell/workersession.h"
+#include "emulator/virtualtime.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace apricotwing::cell {
+namespace {
+
+using testing::_;
+using testing::NiceMock;
+using namespace std::chrono_literals;
+
+class MockWorkerClient : public WorkerClient {
+public:
+  MOCK_METHOD(void, heartbeat,
+              (const WorkerAddress &, const HeartbeatRequest &,
+               std::function<void(HeartbeatResult)>),
+              (override));
+  MOCK_METHOD(void, start,
+              (const WorkerAddress &, const jobs::StartCommand &, std::int64_t,
+               std::function<void(WorkerAnswer)>),
+              (override));
+  MOCK_METHOD(void, stop,
+              (const WorkerAddress &, const jobs::StopCommand &,
+               std::function<void(WorkerAnswer)>),
+              (override));
+};
+
+class SilentLog final : public EventLog {
+public:
+  void event(std::string_view, std::string_view,
+             std::initializer_list<Field>) override {}
+};
+
+class WorkerSessionTest : public testing::Test {
+protected:
+  WorkerSessionTest() {
+    ON_CALL(Client, heartbeat)
+        .WillByDefault([this](const WorkerAddress &, const HeartbeatRequest &,
+                              std::function<void(HeartbeatResult)> Callback) {
+          Heartbeat = std::move(Callback);
+        });
+    ON_CALL(Client, start)
+        .WillByDefault([this](const WorkerAddress &, const jobs::StartCommand &,
+                              std::int64_t,
+                              std::function<void(WorkerAnswer)> Callback) {
+          StartAnswer = std::move(Callback);
+        });
+    ON_CALL(Client, stop)
+        .WillByDefault([this](const WorkerAddress &, const jobs::StopCommand &,
+                              std::function<void(WorkerAnswer)> Callback) {
+          StopAnswer = std::move(Callback);
+        });
+  }
+
+  /// Answers the heartbeat that is in flight and sends the next one.
+  void answerHeartbeat(std::vector<jobs::ActiveRun> Running,
+                       WorkerOutcome Outcome = WorkerOutcome::Done) {
+    Time.advanceTo(Time.now() + 100ms);
+    HeartbeatResult Result;
+    Result.Outcome = Outcome;
+    Result.ClockMs = Time.now().time_since_epoch().count();
+    Result.Running = std::move(Running);
+    std::exchange(Heartbeat, {})(Result);
+    Session.pump();
+  }
+
+  void synchronize(std::vector<jobs::ActiveRun> Running) {
+    Session.pump();
+    answerHeartbeat(std::move(Running));
+  }
+
+  std::vector<WorkerEvent> events() const {
+    std::vector<WorkerEvent> Result;
+    Result.reserve(Reports.size());
+    for (const WorkerReport &Report : Reports)
+      Result.push_back(Report.Event);
+    return Result;
+  }
+
+  emulator::VirtualTime Time;
+  const Timing Times;
+  SilentLog Log;
+  NiceMock<MockWorkerClient> Client;
+  std::function<void(HeartbeatResult)> Heartbeat;
+  std::function<void(WorkerAnswer)> StartAnswer;
+  std::function<void(WorkerAnswer)> StopAnswer;
+  std::vector<WorkerReport> Reports;
+  std::vector<RefusedStart> Refused;
+  bool MayExtend = true;
+  const jobs::WorkerIncarnation Worker{"w0", 1};
+  const jobs::StartCommand Start{Worker, "job.0.0.0", 1, "", "", ""};
+  const jobs::StopCommand Stop{Worker, "job.0.0.0", 1};
+  const jobs::ActiveRun Run{"job.0.0.0", 1, "", 0};
+  WorkerSession Session{
+      Client,
+      Time,
+      Times,
+      Log,
+      {Worker, "address", 7, 0},
+      {[this](WorkerReport Report) { Reports.push_back(std::move(Report)); },
+       [this](const RefusedStart &Start) { Refused.push_back(Start); },
+       [this] { return MayExtend; }}};
+};
+
+TEST_F(WorkerSessionTest, EndsIfAStopIsFenced) {
+  synchronize({Run});
+  Session.stop(Stop);
+  StopAnswer({WorkerOutcome::Fenced, std::nullopt});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Fenced}));
+}
+
+TEST_F(WorkerSessionTest, RepeatsAStopWithoutAnAnswer) {
+  synchronize({Run});
+  Session.stop(Stop);
+  StopAnswer({WorkerOutcome::NoAnswer, std::nullopt});
+  EXPECT_CALL(Client, stop(_, _, _)).Times(1);
+  Time.advanceTo(Time.now() + 500ms);
+  Session.pump();
+}
+
+} // namespace
+} // namespace apricotwing::cell
