Refuse a start for which the supervisor's permission has run out

What operators of similar systems reported: a process that had been paused for some seconds acted on a permission that had run out meanwhile. Here a member sent a start although its leader had acknowledged nothing for more than 2 s; only the fencing token of the next supervisor stood between it and a second run, and nothing once the job was cancelled.

Change: a start is sent, or sent again, only while leases may be extended, else it is reported as refused. Fencing stays as it is.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -203,7 +203,9 @@
 void WorkerSession::start(const jobs::StartCommand &Order) {
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
-  if (Ended || !Synced) {
+  // The order may come late, or this process may have been paused.
+  const bool IsPermitted = Synced && Owner.MayExtend();
+  if (Ended || !IsPermitted) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
   }
@@ -251,7 +253,7 @@
       reportRefused(Key, jobs::StartRefusal::Unhealthy);
       return;
     }
-    if (Pending.Sends < MaxStartSends &&
+    if (Pending.Sends < MaxStartSends && Owner.MayExtend() &&
         estimatedClockMs() < Pending.DeadlineMs)
       send(Key);
     return;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -111,6 +111,15 @@
        [this] { return MayExtend; }}};
 };
 
+TEST_F(WorkerSessionTest, DoesNotStartARunAfterItsPermissionRanOut) {
+  synchronize({});
+  MayExtend = false;
+  EXPECT_CALL(Client, start(_, _, _, _)).Times(0);
+  Session.start(Start);
+  ASSERT_EQ(Refused.size(), 1U);
+  EXPECT_EQ(Refused[0].Reason, jobs::StartRefusal::Expired);
+}
+
 TEST_F(WorkerSessionTest, EndsIfAStopIsFenced) {
   synchronize({Run});
   Session.stop(Stop);
