Drop a start that comes behind the stop of its run

What can be seen: a job is cancelled while the start of a task waits in a message to its supervisor. The stop goes into the same message and is sent first, the start right after it. A worker that has answered the stop rejects the start, but one that gets them in the other order begins the run and ends it again.

Change: a start whose run is being stopped is reported as refused. A stop that is under way is not sent a second time, since the leader repeats it.

WorkerSessionTest.DoesNotStartARunThatIsBeingStopped and .SendsAStopOnceWhileItIsUnderWay failed before.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -85,7 +85,7 @@
     NextStop = Now + StopRetryDelay;
     std::vector<RunKey> Due;
     for (const auto &[Key, Order] : PendingStops)
-      if (!StopsInFlight[Key])
+      if (!StopsInFlight.contains(Key))
         Due.push_back(Key);
     for (const RunKey &Key : Due)
       sendStop(Key);
@@ -205,7 +205,7 @@
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
   // The order may come late, or this process may have been paused.
   const bool IsPermitted = Synced && Owner.MayExtend();
-  if (Ended || !IsPermitted) {
+  if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
   }
@@ -289,13 +289,14 @@
 void WorkerSession::stop(const jobs::StopCommand &Order) {
   const RunKey Key{Order.Task, Order.Run};
   PendingStops[Key] = Order;
-  sendStop(Key);
+  if (!StopsInFlight.contains(Key))
+    sendStop(Key);
 }
 
 void WorkerSession::sendStop(const RunKey &Key) {
   if (Ended)
     return;
-  StopsInFlight[Key] = true;
+  StopsInFlight.insert(Key);
   NextStop = Time.now() + StopRetryDelay;
   Client.stop(Worker, PendingStops.at(Key),
               Guard.wrap([this, Key](const WorkerAnswer &Answer) {
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,10 +39,12 @@
   /// Performs all work that is due. Must be called frequently.
   void pump();
 
-  /// Sends a start order, or reports it as refused.
+  /// Sends a start order, or reports it as refused, for example if the run is
+  /// being stopped.
   void start(const jobs::StartCommand &Order);
 
-  /// Sends a stop order, and repeats it until the worker responds.
+  /// Sends a stop order unless it is under way, and repeats it until the worker
+  /// responds.
   void stop(const jobs::StopCommand &Order);
 
   /// Notes that the ended runs up to number \p UpTo are stored.
@@ -114,7 +117,7 @@
   std::int64_t AckedEnd = 0;
   std::map<RunKey, PendingStart> PendingStarts;
   std::map<RunKey, jobs::StopCommand> PendingStops;
-  std::map<RunKey, bool> StopsInFlight;
+  std::set<RunKey> StopsInFlight;
   TimePoint NextStop;
   CallbackGuard Guard;
 };
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -120,6 +120,14 @@
   EXPECT_EQ(Refused[0].Reason, jobs::StartRefusal::Expired);
 }
 
+TEST_F(WorkerSessionTest, DoesNotStartARunThatIsBeingStopped) {
+  synchronize({});
+  EXPECT_CALL(Client, start(_, _, _, _)).Times(0);
+  Session.stop(Stop);
+  Session.start(Start);
+  EXPECT_EQ(Refused.size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, EndsIfAStopIsFenced) {
   synchronize({Run});
   Session.stop(Stop);
@@ -136,5 +144,12 @@
   Session.pump();
 }
 
+TEST_F(WorkerSessionTest, SendsAStopOnceWhileItIsUnderWay) {
+  synchronize({Run});
+  EXPECT_CALL(Client, stop(_, _, _)).Times(1);
+  Session.stop(Stop);
+  Session.stop(Stop);
+}
+
 } // namespace
 } // namespace apricotwing::cell
