Hold every list of a worker against what its session started

A supervisor passed on the list of running runs only when it read it for the first time. A run that appeared later, such as one whose start had been reported as refused, was compared with nothing: neither stopped when its job was cancelled nor counted against the worker's capacity.

Change: a session knows the runs of its first lists and those it started. Any other run ends the session, as a higher fencing token does; the worker is assigned anew, its lists are read, and the leader keeps or stops the run as for any worker that it syncs. Log line 'unexpected run'.

--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -106,7 +106,8 @@
   Reachable,
   Unreachable,
   LeaseExpired, ///< Its lease has definitely expired.
-  Fenced,       ///< Another session has a higher fencing token.
+  Fenced, ///< The session is over: another one has a higher fencing token, or
+          ///< the worker runs what no session should have started.
   ProcessEnded, ///< Its process has ended and may have been restarted.
 };
 
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -148,6 +148,16 @@
 }
 
 void WorkerSession::processRunLists(const HeartbeatResult &Result) {
+  if (!Synced)
+    expectListed(Result);
+  if (const jobs::ActiveRun *Unexpected = unexpectedRun(Result)) {
+    Log.event("unexpected run", Unexpected->Task,
+              {{"run", std::to_string(Unexpected->Run)},
+               {"worker", Worker.Incarnation.Id},
+               {"token", std::to_string(Worker.Token)}});
+    end(WorkerEvent::Fenced, "worker must be synced anew");
+    return;
+  }
   WorkerReport Report;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
@@ -158,6 +168,7 @@
     LastReportedEnd = std::max(LastReportedEnd, End.Number);
     PendingStarts.erase({End.Task, End.Run});
     PendingStops.erase({End.Task, End.Run});
+    ExpectedRuns.erase({End.Task, End.Run});
   }
   resolvePendingStarts(Result);
   if (!Synced) {
@@ -177,6 +188,26 @@
   Owner.Report(std::move(Report));
 }
 
+// The leader decides about the runs of the first lists. Later ones can only
+// have been started by this session.
+void WorkerSession::expectListed(const HeartbeatResult &Result) {
+  ExpectedRuns.clear();
+  for (const auto &[Key, Pending] : PendingStarts)
+    ExpectedRuns.insert(Key);
+  for (const jobs::ActiveRun &Run : Result.Running)
+    ExpectedRuns.insert({Run.Task, Run.Run});
+}
+
+const jobs::ActiveRun *
+WorkerSession::unexpectedRun(const HeartbeatResult &Result) const {
+  const auto Found =
+      std::find_if(Result.Running.begin(), Result.Running.end(),
+                   [this](const jobs::ActiveRun &Run) {
+                     return !ExpectedRuns.contains({Run.Task, Run.Run});
+                   });
+  return Found == Result.Running.end() ? nullptr : &*Found;
+}
+
 void WorkerSession::resolvePendingStarts(const HeartbeatResult &Result) {
   if (PendingStarts.empty())
     return;
@@ -209,6 +240,7 @@
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
   }
+  ExpectedRuns.insert(Key);
   PendingStarts[Key].DeadlineMs =
       estimatedClockMs() + Times.StartValidity.count();
   send(Key);
@@ -283,6 +315,7 @@
 void WorkerSession::reportRefused(const RunKey &Key,
                                   jobs::StartRefusal Reason) {
   PendingStarts.erase(Key);
+  ExpectedRuns.erase(Key);
   Owner.Refuse({Worker.Incarnation, Key.first, Key.second, Reason});
 }
 
@@ -345,7 +378,7 @@
 
 bool WorkerSession::endIfTerminal(WorkerOutcome Outcome) {
   if (Outcome == WorkerOutcome::Fenced) {
-    end(WorkerEvent::Fenced);
+    end(WorkerEvent::Fenced, "worker fenced by another session");
     return true;
   }
   if (Outcome == WorkerOutcome::NoProcess)
@@ -353,19 +386,17 @@
   if (Outcome != WorkerOutcome::OtherLife &&
       ConsecutiveRefusals < RefusalsUntilEnded)
     return false;
-  end(WorkerEvent::ProcessEnded);
+  end(WorkerEvent::ProcessEnded, "worker process ended");
   return true;
 }
 
-void WorkerSession::end(WorkerEvent Event) {
+void WorkerSession::end(WorkerEvent Event, std::string_view LogEvent) {
   if (Ended)
     return;
   Ended = true;
   PendingStarts.clear();
   PendingStops.clear();
-  Log.event(Event == WorkerEvent::Fenced ? "worker fenced by another session"
-                                         : "worker process ended",
-            Worker.Incarnation.Id,
+  Log.event(LogEvent, Worker.Incarnation.Id,
             {{"token", std::to_string(Worker.Token)},
              {"refused", std::to_string(ConsecutiveRefusals)}});
   report(Event);
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace apricotwing::cell {
@@ -74,6 +75,8 @@
   void sendHeartbeat();
   void onHeartbeat(const HeartbeatResult &Result, bool Extended);
   void processRunLists(const HeartbeatResult &Result);
+  void expectListed(const HeartbeatResult &Result);
+  const jobs::ActiveRun *unexpectedRun(const HeartbeatResult &Result) const;
   void resolvePendingStarts(const HeartbeatResult &Result);
   void markUnreachable(WorkerOutcome Outcome);
   void send(const RunKey &Key);
@@ -83,7 +86,7 @@
   void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
   /// Ends the session if \p Outcome is final for it; returns true in that case.
   bool endIfTerminal(WorkerOutcome Outcome);
-  void end(WorkerEvent Event);
+  void end(WorkerEvent Event, std::string_view LogEvent);
   void report(WorkerEvent Event);
   void updateClock(std::int64_t ClockMs);
   std::int64_t estimatedClockMs() const;
@@ -116,6 +119,8 @@
   /// Highest number of an ended run that the worker may drop.
   std::int64_t AckedEnd = 0;
   std::map<RunKey, PendingStart> PendingStarts;
+  /// The runs that the lists may contain.
+  std::set<RunKey> ExpectedRuns;
   std::map<RunKey, jobs::StopCommand> PendingStops;
   std::set<RunKey> StopsInFlight;
   TimePoint NextStop;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -111,6 +111,31 @@
        [this] { return MayExtend; }}};
 };
 
+TEST_F(WorkerSessionTest, ReadsTheListsAnewIfARunWasNotStartedHere) {
+  synchronize({});
+  answerHeartbeat({Run});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Fenced}));
+}
+
+TEST_F(WorkerSessionTest, ReadsTheListsAnewIfARefusedStartRuns) {
+  synchronize({});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::Unhealthy, std::nullopt});
+  ASSERT_EQ(Refused.size(), 1U);
+  answerHeartbeat({Run});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Fenced}));
+}
+
+TEST_F(WorkerSessionTest, KeepsTheSessionWhileOnlyExpectedRunsAreListed) {
+  synchronize({{"other.0.0.0", 4, "", 0}});
+  Session.start(Start);
+  answerHeartbeat({Run, {"other.0.0.0", 4, "", 0}});
+  StartAnswer({WorkerOutcome::Done, std::nullopt});
+  answerHeartbeat({Run});
+  answerHeartbeat({Run});
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+}
+
 TEST_F(WorkerSessionTest, DoesNotStartARunAfterItsPermissionRanOut) {
   synchronize({});
   MayExtend = false;
