End the sessions of a member when it links to a leader anew

What callers see: a task runs on two workers at once, or a cancelled job goes on, if the link between a supervisor and its leader breaks for a second while no other instance reaches one of its workers.

Cause: found in review. The leader gives the worker to another member, but the sessions of the broken link stayed and, as soon as the member had joined again, extended the lease of a worker that they no longer supervise. The leader takes the lease for expired after the time that it could know of, starts the tasks elsewhere, and can't order any stop. The permission to extend leases had outlived the assignment that it was for.

Change: a new link starts without sessions; the leader assigns all workers of a member that joins again anyway.

--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -27,6 +27,9 @@
   Session = Process + "/" + std::to_string(++LastSession);
   Receiver = MessageReceiver{};
   Outgoing = MemberMessage{};
+  // The leader of the new link assigns the workers anew, possibly to others.
+  // The old sessions must not extend leases that it may take for expired.
+  Sessions.clear();
   LeavingSent = false;
   Deps.Log.event("connecting to leader", NewLeader.Instance.Name,
                  {{"shard", std::to_string(Shard)},
--- a/tests/cell/cancel_test.cpp
+++ b/tests/cell/cancel_test.cpp
@@ -138,5 +138,61 @@
   EXPECT_EQ(Leading.longestStop(), 0s);
 }
 
+/// Lets only \p Name reach the worker, and breaks the link of \p Name to the
+/// leader for \p Length.
+void isolate(EmulatedCell &Cell, const std::string &Name,
+             const std::string &Worker, Duration Length) {
+  for (const std::string &Other : Cell.names())
+    if (Other != Name)
+      Cell.workers().CutPairs.insert({Other, Worker});
+  Cell.cut(Name);
+  Cell.run(Length);
+  Cell.heal(Name);
+}
+
+// Guards against a lease that the session of a lost assignment extends.
+TEST(IsolatedWorkerTest,
+     AMemberThatJoinedAgainExtendsNoLeaseOfItsFormerWorkers) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed)
+    for (const Duration Length : {1300ms, 2500ms})
+      for (const std::string Name : {"n0", "n1", "n2"})
+        for (const std::string Worker : {"w0", "w1", "w2", "w3", "w4", "w5"}) {
+          EmulatedCell Cell(Seed);
+          Cell.run(2s);
+          if (Cell.leader() == Name)
+            continue;
+          SCOPED_TRACE("seed " + std::to_string(Seed) + ", " + Name + ", " +
+                       Worker + ", " + std::to_string(Length.count()));
+          Cell.submit(Cell.leader(), stepOf(12, 120s));
+          Cell.run(2s);
+          isolate(Cell, Name, Worker, Length);
+          Cell.run(20s);
+          EXPECT_EQ(Cell.workers().violations(), std::vector<std::string>{});
+        }
+}
+
+// Guards against a run that nobody can stop and whose lease is extended.
+TEST(IsolatedWorkerTest,
+     ARunOfACancelledJobLapsesIfItsSupervisorCannotReachIt) {
+  for (std::uint64_t Seed = 1; Seed <= 2; ++Seed)
+    for (const std::string Name : {"n0", "n1", "n2"})
+      for (const std::string Worker : {"w0", "w1", "w2", "w3", "w4", "w5"}) {
+        EmulatedCell Cell(Seed);
+        Cell.run(2s);
+        if (Cell.leader() == Name)
+          continue;
+        SCOPED_TRACE("seed " + std::to_string(Seed) + ", " + Name + ", " +
+                     Worker);
+        const std::string Id = Cell.submit(Cell.leader(), stepOf(12, 120s));
+        Cell.run(2s);
+        isolate(Cell, Name, Worker, 1300ms);
+        Cell.run(1s);
+        ASSERT_TRUE(cancelAcknowledged(Cell, Cell.leader(), Id));
+        Cell.run(20s);
+        EXPECT_EQ(Cell.activeTasksOfCancelledJobs(),
+                  std::vector<std::string>{});
+      }
+}
+
 } // namespace
 } // namespace apricotwing::emulator
