Count on the lease of a worker whose session was fenced

What callers see: a task runs on two workers at once, if a worker goes silent right after its session was fenced.

Cause: found by reading and in review. A worker that changes its supervisor is assigned with the longest lease that earlier sessions may have granted. A fenced session was left out, so the next one took the lease of a silent worker for expired after half a second instead of 6.6 s.

Change: one function for all three ways in which a session ends while its process lives: fenced, moved, member leaving.

IsolatedWorkerTest.ALeaseOutlivesTheFencingOfTheSessionThatGrantedIt failed before with violations 'twice' for both workers that had runs.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -576,6 +576,13 @@
   DecisionNeeded = true;
 }
 
+// Its session may have extended the lease until now.
+void Leader::assumeLeased(WorkerState &Worker) const {
+  Worker.MaxLeaseEnd =
+      std::max(Worker.MaxLeaseEnd, Deps.Time.now() + Deps.Times.WorkerLease +
+                                       Deps.Times.ClockSkewMargin);
+}
+
 void Leader::releaseFromMember(const std::string &Id) {
   WorkerState &Worker = WorkerStates.at(Id);
   const auto Member = Members.find(Worker.Member);
@@ -658,9 +665,7 @@
     Deps.Log.event("member leaving", From.Info.Name, {});
     const std::set<std::string> Workers = From.Workers;
     for (const std::string &Id : Workers) {
-      WorkerStates.at(Id).MaxLeaseEnd =
-          std::max(WorkerStates.at(Id).MaxLeaseEnd,
-                   Now + Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin);
+      assumeLeased(WorkerStates.at(Id));
       Scheduler.markUnsynced(WorkerStates.at(Id).Info.Incarnation);
       releaseFromMember(Id);
     }
@@ -738,6 +743,7 @@
   case WorkerEvent::Fenced:
     // The cause is an order of a later term or a delayed call of an earlier
     // session of this term. A new token resolves both cases.
+    assumeLeased(Worker);
     Scheduler.markUnsynced(Report.Incarnation);
     From.Workers.erase(Report.Incarnation.Id);
     Worker.Member.clear();
@@ -1027,9 +1033,7 @@
   }
   if (!Chosen)
     return false;
-  Chosen->MaxLeaseEnd =
-      std::max(Chosen->MaxLeaseEnd, Deps.Time.now() + Deps.Times.WorkerLease +
-                                        Deps.Times.ClockSkewMargin);
+  assumeLeased(*Chosen);
   Scheduler.markUnsynced(Chosen->Info.Incarnation);
   releaseFromMember(Chosen->Info.Incarnation.Id);
   return true;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -188,6 +188,7 @@
   const MemberState *bestSuccessor() const;
   bool shouldTransferLeadership() const;
   void removeMember(const std::string &Name);
+  void assumeLeased(WorkerState &Worker) const;
   void releaseFromMember(const std::string &Worker);
   void assignWorkers();
   MemberState *selectSupervisor(const WorkerState &Worker);
--- a/tests/cell/cancel_test.cpp
+++ b/tests/cell/cancel_test.cpp
@@ -194,5 +194,24 @@
       }
 }
 
+// Guards against a lease that is taken for expired as its session was fenced.
+TEST(IsolatedWorkerTest, ALeaseOutlivesTheFencingOfTheSessionThatGrantedIt) {
+  for (const std::string Worker : {"w0", "w1", "w2", "w3", "w4", "w5"}) {
+    SCOPED_TRACE(Worker);
+    EmulatedCell Cell(1);
+    Cell.run(2s);
+    Cell.submit(Cell.leader(), stepOf(12, 120s));
+    Cell.run(2s);
+    const auto Info = *Cell.workers().info(Worker);
+    EmulatedWorkers::Handle Other(Cell.workers(), "other");
+    Other.heartbeat({Info.Incarnation, Info.Address, 1'000'040},
+                    cell::HeartbeatRequest{}, [](cell::HeartbeatResult) {});
+    Cell.run(100ms);
+    Cell.workers().Cut.insert(Worker);
+    Cell.run(10s);
+    EXPECT_EQ(Cell.workers().violations(), std::vector<std::string>{});
+  }
+}
+
 } // namespace
 } // namespace apricotwing::emulator
