Wait for the end of a run before its task is started again

Found in review: a run that survived the lease that the leader believed it had is listed again while its task is ready. The stop was ordered, and in the same round the task was started, possibly on the same worker. The entry of the run that was to be stopped was overwritten, and its resources stayed allocated for ever.

Change: a step of which a run is at work that is not placed is not scheduled until that run has ended. The stops of one worker are looked up by range, as thousands may be open after a cancellation.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -436,9 +436,10 @@
     releaseWithoutResult(Host, Name, Run.Run, Now);
     failIfExhausted(Name, Now);
   }
-  std::erase_if(RunsToStop, [&](const auto &Entry) {
-    return Entry.first.Worker == Host.info().Incarnation;
-  });
+  const WorkerIncarnation &Lost = Host.info().Incarnation;
+  auto Stop = RunsToStop.lower_bound({Lost, {}, 0});
+  while (Stop != RunsToStop.end() && Stop->first.Worker == Lost)
+    Stop = RunsToStop.erase(Stop);
 }
 
 void JobScheduler::recordLoss(const Worker &Host, const std::string &Name,
@@ -646,16 +647,17 @@
   }
   for (const ActiveRun &Run : RunList)
     reconcileRun(*Host, Run, Now);
-  std::erase_if(RunsToStop, [&](const auto &Entry) {
-    const StopCommand &Order = Entry.first;
-    const auto Found = Listed.find(Order.Task);
-    return Order.Worker == Incarnation &&
-           (Found == Listed.end() || Found->second != Order.Run);
-  });
-  // Earlier orders may have been lost with the last supervisor.
-  for (auto &[Order, Progress] : RunsToStop)
-    if (Order.Worker == Incarnation)
-      Progress.NextOrder = Now;
+  for (auto Stop = RunsToStop.lower_bound({Incarnation, {}, 0});
+       Stop != RunsToStop.end() && Stop->first.Worker == Incarnation;) {
+    const auto Found = Listed.find(Stop->first.Task);
+    if (Found == Listed.end() || Found->second != Stop->first.Run) {
+      Stop = RunsToStop.erase(Stop);
+      continue;
+    }
+    // Earlier orders may have been lost with the last supervisor.
+    Stop->second.NextOrder = Now;
+    ++Stop;
+  }
   Host->setSynced(true);
   Host->setReachable(true);
 }
@@ -706,6 +708,15 @@
 
 // A worker whose lists must be read again has no supervisor that could pass on
 // an order.
+std::set<std::string> JobScheduler::stepsStillAtWork() const {
+  std::set<std::string> Result;
+  for (const auto &[Order, Progress] : RunsToStop)
+    if (const auto Id = TaskId::parse(Order.Task);
+        Id && Progress.Cause == StopCause::NotPlaced)
+      Result.insert(stepName(Id->Job, Id->Step));
+  return Result;
+}
+
 std::vector<StopCommand> JobScheduler::dueStops(TimePoint Now) {
   std::vector<StopCommand> Result;
   for (auto &[Order, Progress] : RunsToStop) {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -264,6 +264,9 @@
     int StepsLeft = 0;      ///< Steps that may still be compared with workers.
     int GangsLeft = 0;      ///< Gangs that may still be compared.
     int PrefetchesLeft = 0; ///< Steps that may request advice in advance.
+    /// Names of steps of which a run is at work that is not placed; it must end
+    /// before its task is started again.
+    std::set<std::string> StillAtWork;
     /// Workers that are reserved in this round for urgent waiting steps, with
     /// the priority of those steps.
     std::map<const Worker *, int> ReservedHosts;
@@ -314,6 +317,7 @@
   void updateSlowdown(Worker &Host, const Job &CurrentJob, const StepSpec &Spec,
                       const TaskState &Task, TimePoint Now);
   std::vector<StopCommand> dueStops(TimePoint Now);
+  std::set<std::string> stepsStillAtWork() const;
   void stopRun(Worker &Host, const std::string &Task, std::int64_t Run,
                StopCause Cause, TimePoint Now);
   void stopPlaced(Job &CurrentJob, int Step, StopCause Cause, TimePoint Now);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -100,6 +100,7 @@
 Decisions JobScheduler::decide(TimePoint Now, const AdviceBudget &Advice) {
   Round Current;
   Current.Now = Now;
+  Current.StillAtWork = stepsStillAtWork();
   Current.Advice = Advice;
   Current.FullAdvice.SlowCalls =
       std::max(Advice.SlowCalls, Advice.MaxSlowCalls);
@@ -287,6 +288,9 @@
 void JobScheduler::scheduleStep(Round &Current, Job &CurrentJob, int Step) {
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  if (!Current.StillAtWork.empty() &&
+      Current.StillAtWork.contains(stepName(CurrentJob.Spec.Id, Step)))
+    return;
   const int Fitting = allowedByCap(CurrentJob, Spec);
   if (Fitting == 0 || (Spec.Gang && Fitting < Spec.Count))
     State.WaitingSince.reset();
--- a/tests/jobs/runstops_test.cpp
+++ b/tests/jobs/runstops_test.cpp
@@ -113,5 +113,47 @@
   EXPECT_EQ(decide().Stops.size(), 3U);
 }
 
+// Guards against a start beside a run of the same task that has to end.
+TEST_F(RunStopsTest, StartsNoTaskOnAWorkerThatStillRunsIt) {
+  const WorkerIncarnation Host = addWorker("w0");
+  addJob("batch", step(1, 1000));
+  const StartCommand Start = decide().Starts.at(0);
+  Scheduler.loseRuns(Host, WorkerLoss::LeaseExpired, Now);
+  Scheduler.syncWorker(Host, {{Start.Task, Start.Run, "", 0}}, {}, Now);
+  const Decisions Made = decide();
+  EXPECT_EQ(Made.Stops.size(), 1U);
+  EXPECT_EQ(Made.Starts.size(), 0U);
+}
+
+// Guards against resources that stay allocated to a run that has ended.
+TEST_F(RunStopsTest, FreesTheResourcesOfBothRunsOfATaskOnOneWorker) {
+  const WorkerIncarnation Host = addWorker("w0");
+  addJob("batch", step(1, 1000));
+  const StartCommand First = decide().Starts.at(0);
+  Scheduler.loseRuns(Host, WorkerLoss::LeaseExpired, Now);
+  Scheduler.syncWorker(Host, {{First.Task, First.Run, "", 0}}, {}, Now);
+  Decisions Made = decide();
+  end(First, EndKind::Stopped);
+  if (Made.Starts.empty())
+    Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 1U);
+  end(Made.Starts[0], EndKind::Done);
+  EXPECT_TRUE(Scheduler.runsToStop().empty());
+  EXPECT_TRUE(Scheduler.worker("w0")->runs().empty());
+  EXPECT_EQ(Scheduler.worker("w0")->freeResources().CpuMillis, 32'000);
+}
+
+// Guards against a run that is not stopped as a later one of its task is known.
+TEST_F(RunStopsTest, StopsBothRunsOfATaskWhoseJobIsCancelled) {
+  const WorkerIncarnation Host = addWorker("w0");
+  const std::string Job = addJob("batch", step(1, 1000));
+  const StartCommand First = decide().Starts.at(0);
+  Scheduler.loseRuns(Host, WorkerLoss::LeaseExpired, Now);
+  Scheduler.syncWorker(Host, {{First.Task, First.Run, "", 0}}, {}, Now);
+  const std::size_t Starts = decide().Starts.size();
+  Scheduler.cancel(Job, Now);
+  EXPECT_EQ(Scheduler.runsToStop().size(), 1U + Starts);
+}
+
 } // namespace
 } // namespace apricotwing::jobs
