Check that only tasks of active jobs are at work in fuzz and soak

A stop order was remembered as done, so a run outlived the acknowledged cancellation of its job. Fuzzed cells had no tasks of minutes, and nothing compared the runs at work with the active jobs: what nobody stopped had ended by itself before the end of a play.

RunMonitor repeats a caller's cancellation until it is acknowledged. In a cell that nothing has disturbed for 10 s, and at the end of each play, it reports tasks at work 3.2 s (at the end 4.2 s) after the acknowledged cancellation of their job, starts later than 3 s after it, and at the end runs of jobs that failed, were refused or are unknown. All cases of CellFuzzTest have the check at the end; two new ones have jobs with tasks of 120 to 600 s, repeated and single cancellations, delayed messages, lost replies and calm periods. The actions of the older cases are the same.

SubmitAgain leaves out cancelled jobs whose end may be forgotten, as these would be new.

--- a/tests/cell/cell_fuzz_test.cpp
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include "emulator/emulatedcell.h"
+#include "emulator/runmonitor.h"
 #include "support/fixedseeds.h"
 
 #include <gtest/gtest.h>
@@ -51,10 +52,19 @@
   ResizeWorker,
   WorkersCrashSilently,
   WorkersReturnDifferently,
+  SubmitLongTasks,
+  SubmitLongGang,
+  CancelLongOnce,
+  CancelLong,
+  DelayMessages,
+  LoseReplies,
+  NetworkRecovers,
+  CalmDown,
 };
 constexpr int ActionKinds = int(ActionKind::WorkersRecover) + 1;
 constexpr int ActionKindsWithCrashes =
     int(ActionKind::WorkersReturnDifferently) + 1;
+constexpr int ActionKindsWithLongTasks = int(ActionKind::CalmDown) + 1;
 
 struct Action {
   ActionKind Kind = ActionKind::Wait;
@@ -77,19 +87,33 @@
       Kind, rc::gen::inRange(0, 1000));
 }
 
+rc::Gen<Action> anyActionWithLongTasks() {
+  const auto LongTasks = rc::gen::apply(
+      [](int KindNumber, int Choice) {
+        return Action{ActionKind(KindNumber), Choice};
+      },
+      rc::gen::inRange(int(ActionKind::SubmitLongTasks),
+                       ActionKindsWithLongTasks),
+      rc::gen::inRange(0, 1000));
+  return rc::gen::weightedOneOf<Action>(
+      {{2, anyAction(ActionKindsWithLongTasks)}, {1, LongTasks}});
+}
+
 /// Applies random actions to a cell, then ends all faults and checks that the
 /// guarantees given to callers hold.
 class FaultScenario {
 public:
   /// A cell with one shard.
-  explicit FaultScenario(std::uint64_t Seed) : Cell(Seed) { Cell.run(2s); }
+  explicit FaultScenario(std::uint64_t Seed) : Cell(Seed), Runs(Cell) {
+    Cell.run(2s);
+  }
 
   /// A cell with several shards. It has so many workers that the advice service
   /// approves some of each shard for any step.
   FaultScenario(std::uint64_t Seed, const cell::ShardLayout &Layout,
                 const std::vector<jobs::ClientAccount> &Accounts)
       : Cell(Seed, std::vector<double>(4, 1.0), 32, Accounts, Layout),
-        Shards(Layout.shardCount()) {
+        Runs(Cell) {
     Cell.run(2s);
   }
 
@@ -102,10 +126,13 @@
     const std::vector<std::string> Workers = Cell.workers().ids();
     const std::string &Worker =
         Workers[std::size_t(Step.Choice) % Workers.size()];
-    const std::string Leading = Cell.leader(Step.Choice % Shards);
+    const std::string Leading = Cell.leader(Step.Choice % Cell.shardCount());
     const std::string Leader = Leading.empty() ? Any : Leading;
     const Duration Work(100 + Step.Choice * 4);
+    const Duration LongWork(120'000 + Step.Choice * 480);
     const std::string Queue = Step.Choice % 3 == 0 ? "/quick/" : "/batch/";
+    if (isDisturbance(Step.Kind))
+      Runs.noteDisturbance();
     switch (Step.Kind) {
     case ActionKind::SubmitTasks:
       submitted(Cell.submit(Any, stepOf(1 + Step.Choice % 7, Work), Queue));
@@ -118,15 +145,14 @@
       submitted(Cell.submit(Any, stepOf(1, Work), Queue, "fails"));
       break;
     case ActionKind::SubmitAgain:
-      if (!Ids.empty())
-        Cell.submitAgain(Any, Ids[std::size_t(Step.Choice) % Ids.size()]);
+      submitAgain(Any, Step.Choice);
       break;
     case ActionKind::Cancel:
       if (!Ids.empty())
         Cell.cancel(Any, Ids[std::size_t(Step.Choice) % Ids.size()]);
       break;
     case ActionKind::Wait:
-      Cell.run(Duration(Step.Choice * 3));
+      Runs.run(Duration(Step.Choice * 3));
       break;
     case ActionKind::KillLeader:
       Cell.kill(Leader);
@@ -161,7 +187,7 @@
     case ActionKind::StopLeader:
       if (Cell.isRunning(Leader))
         Cell.node(Leader).leave();
-      Cell.run(1s);
+      Runs.run(1s);
       Cell.kill(Leader);
       break;
     case ActionKind::StoreDown:
@@ -183,7 +209,7 @@
       Cell.store().Latency = 400ms;
       break;
     case ActionKind::StoreRecovers:
-      healStore();
+      Cell.store().endFaults();
       break;
     case ActionKind::CompactStore:
       Cell.store().compact();
@@ -208,7 +234,7 @@
       Cell.workers().LostAnswers = 0.3;
       break;
     case ActionKind::WorkersRecover:
-      healWorkers();
+      Cell.workers().endFaults();
       break;
     case ActionKind::SubmitCrashing:
       submitted(Cell.submit(
@@ -226,24 +252,47 @@
     case ActionKind::WorkersReturnDifferently:
       Cell.workers().AfterCrash = Comeback(Step.Choice % 3);
       break;
+    case ActionKind::SubmitLongTasks:
+      submittedLong(
+          Cell.submit(Any, stepOf(1 + Step.Choice % 7, LongWork), Queue));
+      break;
+    case ActionKind::SubmitLongGang:
+      submittedLong(
+          Cell.submit(Any, stepOf(2 + Step.Choice % 9, LongWork, true), Queue));
+      break;
+    case ActionKind::CancelLongOnce:
+      if (!LongIds.empty())
+        Cell.cancel(Any, LongIds[std::size_t(Step.Choice) % LongIds.size()]);
+      break;
+    case ActionKind::CancelLong:
+      if (!LongIds.empty())
+        Runs.cancel(Any, LongIds[std::size_t(Step.Choice) % LongIds.size()]);
+      break;
+    case ActionKind::DelayMessages:
+      Cell.DelayedMessages = 0.3;
+      break;
+    case ActionKind::LoseReplies:
+      Cell.LostReplies = 0.3;
+      break;
+    case ActionKind::NetworkRecovers:
+      Cell.DelayedMessages = 0;
+      Cell.LostReplies = 0;
+      break;
+    case ActionKind::CalmDown:
+      Cell.endFaults();
+      Runs.run(RunMonitor::CalmTime + 5s);
+      break;
     }
   }
 
   /// Ends all faults, waits until all work has finished and checks the
   /// guarantees.
   void check() {
-    healStore();
-    healWorkers();
-    for (const std::string &Id : Cell.workers().ids())
-      if (!Cell.workers().info(Id))
-        Cell.workers().restart(Id);
-    for (const std::string &Name : Cell.names()) {
-      Cell.heal(Name);
-      Cell.thaw(Name);
-    }
-    startAll();
+    const TimePoint Until = Cell.time().now() + 45s;
+    Cell.endFaults();
     readAll();
-    Cell.run(45s);
+    Runs.settle(LongIds);
+    Cell.run(std::max(Until - Cell.time().now(), Duration{0}));
     noteEnds();
     readAll();
     Cell.run(45s);
@@ -252,6 +301,8 @@
       Cell.read("n0", Id);
     Cell.run(2s);
     std::string Wrong;
+    for (const std::string &Text : Runs.violations())
+      Wrong += Text + "\n";
     for (const std::string &Text : Cell.workers().violations())
       Wrong += Text + "\n";
     for (const std::string &Id : Ids)
@@ -263,11 +314,49 @@
   }
 
 private:
+  // Actions of callers and waits leave a calm cell calm.
+  static bool isDisturbance(ActionKind Kind) {
+    switch (Kind) {
+    case ActionKind::SubmitTasks:
+    case ActionKind::SubmitGang:
+    case ActionKind::SubmitFailing:
+    case ActionKind::SubmitAgain:
+    case ActionKind::Cancel:
+    case ActionKind::Wait:
+    case ActionKind::SubmitLongTasks:
+    case ActionKind::SubmitLongGang:
+    case ActionKind::CancelLongOnce:
+    case ActionKind::CancelLong:
+      return false;
+    default:
+      return true;
+    }
+  }
+
   void submitted(std::string Id) {
     SubmittedAt[Id] = Cell.time().now();
     Ids.push_back(std::move(Id));
   }
 
+  void submittedLong(const std::string &Id) {
+    LongIds.push_back(Id);
+    submitted(Id);
+  }
+
+  // A job that was cancelled and forgotten would be accepted as a new one.
+  void submitAgain(const std::string &Instance, int Choice) {
+    if (Ids.empty())
+      return;
+    const std::string &Id = Ids[std::size_t(Choice) % Ids.size()];
+    if (!Cell.jobs().at(Id).Cancelled || !mayBeForgotten(Id))
+      Cell.submitAgain(Instance, Id);
+  }
+
+  bool mayBeForgotten(const std::string &Id) {
+    return Cell.time().now() - SubmittedAt.at(Id) >=
+           cell::Timing().StatusRetention;
+  }
+
   // Reads all jobs, as the ends of those that ended two minutes ago are
   // forgotten before a long scenario is over.
   void readAll() {
@@ -291,11 +380,8 @@
   // least as long ago as ends are kept.
   jobs::JobView viewOf(const JobRecord &Job) {
     const auto End = Ends.find(Job.Spec.Id);
-    const bool MayBeForgotten =
-        Cell.time().now() - SubmittedAt.at(Job.Spec.Id) >=
-        cell::Timing().StatusRetention;
     return Job.View == jobs::JobView::Unknown && End != Ends.end() &&
-                   MayBeForgotten
+                   mayBeForgotten(Job.Spec.Id)
                ? End->second
                : Job.View;
   }
@@ -305,27 +391,6 @@
       Cell.start(Name);
   }
 
-  void healStore() {
-    EmulatedStore &Store = Cell.store();
-    Store.Down = false;
-    Store.RefusedCallers.clear();
-    Store.Cut.clear();
-    Store.LostAnswers = 0;
-    Store.LateEffects = 0;
-    Store.Latency = 5ms;
-  }
-
-  void healWorkers() {
-    EmulatedWorkers &Workers = Cell.workers();
-    Workers.Cut.clear();
-    Workers.CutPairs.clear();
-    Workers.LateOrders = 0;
-    Workers.LostAnswers = 0;
-    Workers.CrashesSilently = false;
-    Workers.RestartDelay = 3s;
-    Workers.AfterCrash = Comeback::SameId;
-  }
-
   std::string findViolation(JobRecord Job) {
     Job.View = viewOf(Job);
     const std::string &Id = Job.Spec.Id;
@@ -380,8 +445,9 @@
   }
 
   EmulatedCell Cell;
-  const int Shards = 1;
+  RunMonitor Runs;
   std::vector<std::string> Ids;
+  std::vector<std::string> LongIds; ///< Those of Ids with tasks of minutes.
   std::map<std::string, TimePoint> SubmittedAt;
   std::map<std::string, jobs::JobView> Ends; ///< Of jobs, as callers saw them.
   TimePoint LastRead;
@@ -421,20 +487,12 @@
 
 // The same with two shards, whose leaders are lost one by one or together.
 TEST(CellFuzzTest, KeepsItsPromisesWithTwoShards) {
-  std::vector<jobs::ClientAccount> Accounts(4);
-  for (std::size_t Index = 0; Index < Accounts.size(); ++Index) {
-    Accounts[Index].Name = "a" + std::to_string(Index);
-    Accounts[Index].Keys = {"key" + std::to_string(Index)};
-    Accounts[Index].Weight = 50;
-  }
-  const cell::ShardLayout Layout({0.5, 0.5},
-                                 {{"a0", 0}, {"a1", 1}, {"a2", 0}, {"a3", 1}});
   checkWithFixedSeeds(
-      [&] {
+      [] {
         const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
         const auto Steps =
             *rc::gen::container<std::vector<Action>>(anyAction());
-        FaultScenario Scenario(Seed, Layout, Accounts);
+        FaultScenario Scenario(Seed, twoShards(), equalAccounts(4));
         for (const Action &Step : Steps)
           Scenario.play(Step);
         Scenario.check();
@@ -442,5 +500,35 @@
       20);
 }
 
+// The same with tasks of minutes, whose jobs callers cancel, and with messages
+// that are delayed or lost.
+TEST(CellFuzzTest, LeavesNoRunOfACancelledJobAtWork) {
+  checkWithFixedSeeds(
+      [] {
+        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const auto Steps =
+            *rc::gen::container<std::vector<Action>>(anyActionWithLongTasks());
+        FaultScenario Scenario(Seed);
+        for (const Action &Step : Steps)
+          Scenario.play(Step);
+        Scenario.check();
+      },
+      10);
+}
+
+TEST(CellFuzzTest, LeavesNoRunOfACancelledJobAtWorkWithTwoShards) {
+  checkWithFixedSeeds(
+      [] {
+        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const auto Steps =
+            *rc::gen::container<std::vector<Action>>(anyActionWithLongTasks());
+        FaultScenario Scenario(Seed, twoShards(), equalAccounts(4));
+        for (const Action &Step : Steps)
+          Scenario.play(Step);
+        Scenario.check();
+      },
+      10);
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/codec.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
@@ -181,7 +182,8 @@
                            std::vector<jobs::ClientAccount> JobAccounts,
                            const std::optional<cell::ShardLayout> &Layout)
     : Store(Time, Seed), Workers(Time, Seed + 1), Queues(usualQueues()),
-      Accounts(std::move(JobAccounts)), PolicyAccounts(Accounts),
+      Accounts(std::move(JobAccounts)),
+      Shards(Layout ? Layout->shardCount() : 1), PolicyAccounts(Accounts),
       Random(Seed + 2), RowCodec(std::make_unique<EmulatedRecords>(
                             Workers, Queues, PolicyAccounts)),
       WallTime(std::make_unique<VirtualWallClock>(Time)),
@@ -290,6 +292,37 @@
   Instances.at(Name).Frozen = false;
 }
 
+void EmulatedCell::endFaults() {
+  Store.endFaults();
+  Workers.endFaults();
+  for (const std::string &Id : Workers.ids())
+    if (!Workers.info(Id))
+      Workers.restart(Id);
+  DelayedMessages = 0;
+  LostReplies = 0;
+  for (const std::string &Name : names()) {
+    heal(Name);
+    thaw(Name);
+  }
+  for (const std::string &Name : names())
+    start(Name);
+}
+
+bool EmulatedCell::hasFaults() const {
+  const bool AllRun =
+      std::all_of(Instances.begin(), Instances.end(),
+                  [this](const auto &Entry) { return isRunning(Entry.first); });
+  return !AllRun || !CutInstances.empty() || DelayedMessages > 0 ||
+         LostReplies > 0 || Store.hasFaults() || Workers.hasFaults();
+}
+
+bool EmulatedCell::isLed() const {
+  for (int Shard = 0; Shard < Shards; ++Shard)
+    if (leader(Shard).empty())
+      return false;
+  return true;
+}
+
 void EmulatedCell::run(Duration Length) { Time.advanceTo(Time.now() + Length); }
 
 std::vector<std::string> EmulatedCell::names() const {
@@ -343,6 +376,14 @@
   call(Instance, Id, cell::ClientVerb::Cancel);
 }
 
+std::vector<std::string> EmulatedCell::activeTasksOfCancelledJobs() const {
+  std::vector<std::string> Result;
+  for (const std::string &Task : Workers.activeTasks())
+    if (Records.at(jobs::TaskId::parse(Task)->Job).Cancelled)
+      Result.push_back(Task);
+  return Result;
+}
+
 void EmulatedCell::call(const std::string &Name, const std::string &Id,
                         cell::ClientVerb Verb) {
   Instance &Entry = Instances.at(Name);
@@ -374,12 +415,33 @@
     if (Verb == cell::ClientVerb::Read &&
         Answer.Status == cell::ClientStatus::NoSuchJob)
       Record.View = jobs::JobView::Unknown;
+    if (Verb == cell::ClientVerb::Read &&
+        (Answer.Status == cell::ClientStatus::State ||
+         Answer.Status == cell::ClientStatus::NoSuchJob))
+      Record.ViewedAt = Time.now();
     if (Verb == cell::ClientVerb::Cancel &&
-        Answer.Status == cell::ClientStatus::Accepted)
+        Answer.Status == cell::ClientStatus::Accepted) {
+      if (!Record.Cancelled)
+        Record.CancelledAt = Time.now();
       Record.Cancelled = true;
+    }
   });
 }
 
+std::vector<jobs::ClientAccount> equalAccounts(int Count) {
+  std::vector<jobs::ClientAccount> Result(static_cast<std::size_t>(Count));
+  for (std::size_t Index = 0; Index < Result.size(); ++Index) {
+    Result[Index].Name = "a" + std::to_string(Index);
+    Result[Index].Keys = {"key" + std::to_string(Index)};
+    Result[Index].Weight = 50;
+  }
+  return Result;
+}
+
+cell::ShardLayout twoShards() {
+  return {{0.5, 0.5}, {{"a0", 0}, {"a1", 1}, {"a2", 0}, {"a3", 1}}};
+}
+
 jobs::StepSpec stepOf(int Count, Duration Work, bool Gang) {
   jobs::StepSpec Step;
   Step.Count = Count;
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -36,7 +36,9 @@
   /// a lost instance has handed in.
   bool Unresolved = false;
   bool Cancelled = false; ///< A cancellation was acknowledged.
+  TimePoint CancelledAt;  ///< Time of the first acknowledgement.
   jobs::JobView View = jobs::JobView::Unknown; ///< From the last answer.
+  TimePoint ViewedAt; ///< Time of the last answer to a read.
 };
 
 /// Entry instances that run the real Node code on an emulated store, workers,
@@ -81,6 +83,19 @@
   void cut(const std::string &Name) { CutInstances.insert(Name); }
   void heal(const std::string &Name) { CutInstances.erase(Name); }
 
+  /// Ends all faults and starts the instances and workers that are down.
+  void endFaults();
+
+  /// True if an instance is down, frozen or disconnected, or if messages, the
+  /// store, orders or heartbeats are disturbed.
+  bool hasFaults() const;
+
+  /// Number of shards.
+  int shardCount() const { return Shards; }
+
+  /// True if each shard has a leader.
+  bool isLed() const;
+
   /// Names of all instances.
   std::vector<std::string> names() const;
 
@@ -136,6 +151,10 @@
 
   const std::map<std::string, JobRecord> &jobs() const { return Records; }
 
+  /// Names of the tasks that are at work although the cancellation of their job
+  /// was acknowledged.
+  std::vector<std::string> activeTasksOfCancelledJobs() const;
+
   /// Number of answers by status.
   const std::map<cell::ClientStatus, int> &answers() const { return Answers; }
 
@@ -164,6 +183,7 @@
   EmulatedWorkers Workers;
   std::vector<jobs::Queue> Queues;
   const std::vector<jobs::ClientAccount> Accounts;
+  const int Shards;
   std::vector<jobs::ClientAccount> PolicyAccounts; ///< As the policy has them.
   std::mt19937_64 Random;
   std::unique_ptr<cell::PlatformRecords> RowCodec;
@@ -179,6 +199,14 @@
   std::uint64_t LastId = 0;
 };
 
+/// Returns \p Count client accounts of equal weight, named "a" plus their
+/// index.
+std::vector<jobs::ClientAccount> equalAccounts(int Count);
+
+/// Returns a layout of two shards of equal size, to which four accounts belong
+/// in turn.
+cell::ShardLayout twoShards();
+
 /// Returns a step of \p Count tasks that take \p Work each.
 jobs::StepSpec stepOf(int Count, Duration Work, bool Gang = false);
 
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -29,6 +29,20 @@
   return Down || RefusedCallers.contains(Caller);
 }
 
+void EmulatedStore::endFaults() {
+  Down = false;
+  RefusedCallers.clear();
+  Cut.clear();
+  LostAnswers = 0;
+  LateEffects = 0;
+  Latency = UsualLatency;
+}
+
+bool EmulatedStore::hasFaults() const {
+  return Down || !RefusedCallers.empty() || !Cut.empty() || LostAnswers > 0 ||
+         LateEffects > 0 || Latency != UsualLatency;
+}
+
 void EmulatedStore::write(const Name &Key,
                           const std::optional<std::string> &Value) {
   const auto &[Table, Partition, Id] = Key;
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -30,7 +30,14 @@
   double LostAnswers = 0; ///< Fraction of transactions without a response.
   double LateEffects = 0; ///< Fraction of transactions that are applied seconds
                           ///< later, without a response.
-  Duration Latency{5};
+  Duration Latency = UsualLatency;
+  static constexpr Duration UsualLatency{5};
+
+  /// Ends all injected faults.
+  void endFaults();
+
+  /// True if a fault is injected.
+  bool hasFaults() const;
 
   /// Writes a row like an operator or a worker.
   void put(const std::string &Table, const std::string &Partition,
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -34,6 +34,28 @@
   return Share > 0 && std::uniform_real_distribution<>(0, 1)(Random) < Share;
 }
 
+void EmulatedWorkers::endFaults() {
+  Cut.clear();
+  CutPairs.clear();
+  LateOrders = 0;
+  LostAnswers = 0;
+  CrashesSilently = false;
+  RestartDelay = UsualRestartDelay;
+  AfterCrash = Comeback::SameId;
+}
+
+bool EmulatedWorkers::hasFaults() const {
+  return !Cut.empty() || !CutPairs.empty() || LateOrders > 0 || LostAnswers > 0;
+}
+
+std::optional<TimePoint>
+EmulatedWorkers::lastStart(const std::string &Task) const {
+  const auto Found = LastStarts.find(Task);
+  if (Found == LastStarts.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 bool EmulatedWorkers::isCut(const std::string &Instance,
                             const std::string &Id) const {
   return Cut.contains(Id) || CutPairs.contains({Instance, Id});
@@ -148,6 +170,14 @@
   return Sum;
 }
 
+std::set<std::string> EmulatedWorkers::activeTasks() const {
+  std::set<std::string> Result;
+  for (const auto &[Id, Entry] : Processes)
+    for (const auto &[Task, Run] : Entry.Runs)
+      Result.insert(Task);
+  return Result;
+}
+
 int EmulatedWorkers::failures(const std::string &Task) const {
   const auto Found = Failures.find(Task);
   return Found == Failures.end() ? 0 : Found->second;
@@ -272,6 +302,7 @@
          " times after three workers had crashed under it");
   const std::uint64_t Serial = ++LastSerial;
   ++StartedRuns;
+  LastStarts[Order.Task] = Time.now();
   Entry.Runs[Order.Task] = {Order.Run, Traits, Serial};
   if (Traits.CrashesWorkerAfter)
     crashAfter(Id, Order.Task, Serial, *Traits.CrashesWorkerAfter);
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -57,11 +57,18 @@
       CutPairs; ///< Pairs of an instance and a worker that it cannot reach.
   /// How workers return RestartDelay after a task has ended their process.
   Comeback AfterCrash = Comeback::SameId;
-  Duration RestartDelay{3000};
+  Duration RestartDelay = UsualRestartDelay;
+  static constexpr Duration UsualRestartDelay{3000};
   /// Machines whose process has ended do not respond, instead of refusing
   /// connections.
   bool CrashesSilently = false;
 
+  /// Ends all injected faults; crashed workers stay so.
+  void endFaults();
+
+  /// True if orders or heartbeats are disturbed by an injected fault.
+  bool hasFaults() const;
+
   /// Returns the traits of a task; must be set before the first start.
   std::function<TaskTraits(const jobs::TaskId &)> TraitsOf;
 
@@ -93,9 +100,15 @@
   /// Number of runs that were started.
   int startedRuns() const { return StartedRuns; }
 
+  /// Time of the last start of a task; empty if it was never started.
+  std::optional<TimePoint> lastStart(const std::string &Task) const;
+
   /// Number of active runs.
   int activeRuns() const;
 
+  /// Names of the tasks with an active run, on any worker.
+  std::set<std::string> activeTasks() const;
+
   /// True if a run of the task ended as done and was acknowledged in time.
   bool isDone(const std::string &Task) const { return Done.contains(Task); }
 
@@ -197,6 +210,7 @@
   std::mt19937_64 Random;
   std::map<std::string, Process> Processes;
   std::set<std::string> Done; ///< Tasks with an acknowledged successful run.
+  std::map<std::string, TimePoint> LastStarts; ///< By task.
   std::map<std::string, int> Failures;
   std::map<std::string, int> FailedRuns;
   std::map<std::string, CrashCount> CrashCounts; ///< By task.
