--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -85,7 +85,7 @@
     NextStop = Now + StopRetryDelay;
     std::vector<RunKey> Due;
     for (const auto &[Key, Order] : PendingStops)
-      if (!StopsInFlight[Key])
+      if (!StopsInFlight.contains(Key))
         Due.push_back(Key);
     for (const RunKey &Key : Due)
       sendStop(Key);
@@ -203,7 +203,9 @@
 void WorkerSession::start(const jobs::StartCommand &Order) {
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
-  if (Ended || !Synced) {
+  // The order may come late, or this process may have been paused.
+  const bool IsPermitted = Synced && Owner.MayExtend();
+  if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
   }
@@ -251,7 +253,7 @@
       reportRefused(Key, jobs::StartRefusal::Unhealthy);
       return;
     }
-    if (Pending.Sends < MaxStartSends &&
+    if (Pending.Sends < MaxStartSends && Owner.MayExtend() &&
         estimatedClockMs() < Pending.DeadlineMs)
       send(Key);
     return;
@@ -287,28 +289,54 @@
 void WorkerSession::stop(const jobs::StopCommand &Order) {
   const RunKey Key{Order.Task, Order.Run};
   PendingStops[Key] = Order;
-  sendStop(Key);
+  if (!StopsInFlight.contains(Key))
+    sendStop(Key);
 }
 
 void WorkerSession::sendStop(const RunKey &Key) {
   if (Ended)
     return;
-  StopsInFlight[Key] = true;
+  StopsInFlight.insert(Key);
   NextStop = Time.now() + StopRetryDelay;
   Client.stop(Worker, PendingStops.at(Key),
               Guard.wrap([this, Key](const WorkerAnswer &Answer) {
-                StopsInFlight.erase(Key);
-                if (Answer.ClockMs)
-                  updateClock(*Answer.ClockMs);
-                if (Answer.Outcome == WorkerOutcome::NoAnswer ||
-                    Answer.Outcome == WorkerOutcome::NoProcess ||
-                    Answer.Outcome == WorkerOutcome::NotSent ||
-                    Answer.Outcome == WorkerOutcome::Unhealthy)
-                  return; // pump() sends the order again.
-                PendingStops.erase(Key);
+                onStopAnswer(Key, Answer);
               }));
 }
 
+void WorkerSession::onStopAnswer(const RunKey &Key,
+                                 const WorkerAnswer &Answer) {
+  StopsInFlight.erase(Key);
+  Log.event(
+      "stop answered", Key.first,
+      {{"run", std::to_string(Key.second)},
+       {"worker", Worker.Incarnation.Id},
+       {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))}});
+  if (Ended)
+    return;
+  if (Answer.ClockMs)
+    updateClock(*Answer.ClockMs);
+  switch (Answer.Outcome) {
+  case WorkerOutcome::Fenced:
+  case WorkerOutcome::OtherLife:
+    endIfTerminal(Answer.Outcome);
+    return;
+  case WorkerOutcome::NoAnswer:
+  case WorkerOutcome::NoProcess:
+  case WorkerOutcome::NotSent:
+  case WorkerOutcome::Unhealthy:
+    return; // pump() sends the order again.
+  case WorkerOutcome::Done:
+  case WorkerOutcome::Expired:
+  case WorkerOutcome::NoRoom:
+  case WorkerOutcome::NoTicket:
+  case WorkerOutcome::Malformed:
+    // If the run goes on, the leader orders the stop again.
+    PendingStops.erase(Key);
+    return;
+  }
+}
+
 void WorkerSession::acknowledge(std::int64_t UpTo) {
   AckedEnd = std::max(AckedEnd, UpTo);
   if (LastReportedEnd <= AckedEnd)
