--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -34,6 +34,28 @@
   return Share > 0 && std::uniform_real_distribution<>(0, 1)(Random) < Share;
 }
 
+void EmulatedWorkers::endFaults() {
+  Cut.clear();
+  CutPairs.clear();
+  LateOrders = 0;
+  LostAnswers = 0;
+  CrashesSilently = false;
+  RestartDelay = UsualRestartDelay;
+  AfterCrash = Comeback::SameId;
+}
+
+bool EmulatedWorkers::hasFaults() const {
+  return !Cut.empty() || !CutPairs.empty() || LateOrders > 0 || LostAnswers > 0;
+}
+
+std::optional<TimePoint>
+EmulatedWorkers::lastStart(const std::string &Task) const {
+  const auto Found = LastStarts.find(Task);
+  if (Found == LastStarts.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 bool EmulatedWorkers::isCut(const std::string &Instance,
                             const std::string &Id) const {
   return Cut.contains(Id) || CutPairs.contains({Instance, Id});
@@ -280,6 +302,7 @@
          " times after three workers had crashed under it");
   const std::uint64_t Serial = ++LastSerial;
   ++StartedRuns;
+  LastStarts[Order.Task] = Time.now();
   Entry.Runs[Order.Task] = {Order.Run, Traits, Serial};
   if (Traits.CrashesWorkerAfter)
     crashAfter(Id, Order.Task, Serial, *Traits.CrashesWorkerAfter);
