Send either the assignment or the revocation of a worker

What callers see: a worker gets neither starts nor stops for the rest of a term, though all is well; a run of a cancelled job on it goes on until it ends by itself.

Cause: a worker that is taken from a member and given back to it before the next message is composed was in both lists of the message. Members handle revocations last, so the new session was deleted, while the leader believed the worker to be supervised: a message that was sent counted as its effect.

Change: only the later of the two is sent. An assignment replaces the session of the earlier one anyway.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -585,11 +585,22 @@
                                        Deps.Times.ClockSkewMargin);
 }
 
+// A message that has both an assignment and a revocation of a worker would not
+// tell which is the later one.
+void Leader::withdrawAssignment(LeaderMessage &Message,
+                                const jobs::WorkerIncarnation &Worker) {
+  std::erase_if(Message.Assigned, [&Worker](const Assignment &Earlier) {
+    return Earlier.Incarnation == Worker;
+  });
+  std::erase(Message.Revoked, Worker);
+}
+
 void Leader::releaseFromMember(const std::string &Id) {
   WorkerState &Worker = WorkerStates.at(Id);
   const auto Member = Members.find(Worker.Member);
   if (Member != Members.end()) {
     Member->second.Workers.erase(Id);
+    withdrawAssignment(Member->second.Outgoing, Worker.Info.Incarnation);
     Member->second.Outgoing.Revoked.push_back(Worker.Info.Incarnation);
   }
   Worker.Member.clear();
@@ -1074,6 +1085,7 @@
     // Above all tokens of the shards that used the worker before.
     Worker.Token = Ownership->lastTransfer(Id).Token + ++LastToken;
     To->Workers.insert(Id);
+    withdrawAssignment(To->Outgoing, Worker.Info.Incarnation);
     const Duration Assumed = std::max(Worker.MaxLeaseEnd - Now, Duration{0});
     To->Outgoing.Assigned.push_back({Worker.Info.Incarnation,
                                      Worker.Info.Address, Worker.Token,
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -188,6 +188,8 @@
   const MemberState *bestSuccessor() const;
   bool shouldTransferLeadership() const;
   void removeMember(const std::string &Name);
+  static void withdrawAssignment(LeaderMessage &Message,
+                                 const jobs::WorkerIncarnation &Worker);
   void assumeLeased(WorkerState &Worker) const;
   void releaseFromMember(const std::string &Worker);
   void assignWorkers();
--- a/tests/cell/supervision_test.cpp
+++ b/tests/cell/supervision_test.cpp
@@ -157,5 +157,30 @@
   EXPECT_GT(Departures, 0);
 }
 
+// Guards against a worker that was given back to the member that lost it.
+TEST(SupervisionTest, EveryWorkerIsSyncedOnceNothingIsDisturbed) {
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    std::mt19937_64 Random(Seed);
+    EmulatedCell Cell(Seed, 4, 12);
+    Cell.run(2s);
+    Cell.LostReplies = 0.3;
+    for (int Round = 0; Round < 12; ++Round) {
+      const std::string Name = "n" + std::to_string(1 + Random() % 3);
+      Cell.kill(Name);
+      Cell.run(Duration(10 * (Random() % 20)));
+      Cell.start(Name);
+      Cell.run(Duration(10 * (Random() % 120)));
+    }
+    Cell.LostReplies = 0;
+    Cell.run(12s);
+    const std::string Leader = Cell.leader();
+    ASSERT_FALSE(Leader.empty());
+    for (const auto &[Id, Host] :
+         Cell.node(Leader).leader(0)->scheduler().workers())
+      EXPECT_TRUE(Host.isSynced() && Host.isReachable()) << Id;
+  }
+}
+
 } // namespace
 } // namespace apricotwing::emulator
