Keep a worker in each shard and ask for one where there is none

What callers see: accepted jobs of one shard wait for ever beside an idle shard.

Change: a shard keeps one worker. While no capacity is known, steps count as waiting.

PlanTransferTest.KeepsAWorker and JobSchedulerTest.TellsHowLongAStepHasWaitedWithoutAnyWorker failed before.

--- a/src/cell/workertransfer.cpp
+++ b/src/cell/workertransfer.cpp
@@ -25,6 +25,9 @@
 /// Maximum fraction of its workers that a shard gives away at once.
 constexpr double MaxGivenShare = 0.1;
 
+/// Workers that a shard always keeps.
+constexpr int MinKeptWorkers = 1;
+
 /// Returns how many workers a shard needs, as a fraction of those it has.
 double neededShare(const ShardLoad &Load) {
   if (Load.LongestWait < NeededLongestWait)
@@ -72,8 +75,10 @@
   const double Spare =
       std::min(Own.FreeShare - MinGiverFreeShare, MaxGivenShare) *
       double(Own.Workers);
+  const auto Givable = std::min(
+      IdleWorkers, std::size_t(std::max(Own.Workers - MinKeptWorkers, 0)));
   const auto Count =
-      std::min(IdleWorkers, std::size_t(std::ceil(std::min(Needed, Spare))));
+      std::min(Givable, std::size_t(std::ceil(std::min(Needed, Spare))));
   if (Count == 0)
     return std::nullopt;
   return PlannedTransfer{Neediest->first, Count};
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -142,8 +142,9 @@
 // Long-running steps, best-effort steps and steps that fit no worker do not
 // delay other steps.
 bool JobScheduler::countsAsWaitingWork(const StepSpec &Spec) const {
+  const bool IsCapacityKnown = LargestCapacity != Resources{};
   return !Spec.BestEffort && !Spec.LongRunning &&
-         Spec.Request.fitsIn(LargestCapacity);
+         (!IsCapacityKnown || Spec.Request.fitsIn(LargestCapacity));
 }
 
 Duration JobScheduler::estimatedWait(int Priority) const {
--- a/tests/cell/workertransfer_test.cpp
+++ b/tests/cell/workertransfer_test.cpp
@@ -46,6 +46,17 @@
   EXPECT_TRUE(planTransfer(IdleLoad, {{1, Stuck}}, 200));
 }
 
+// Guards against a shard that gives its last worker away and gets none back.
+TEST(PlanTransferTest, KeepsAWorker) {
+  ShardLoad Last = IdleLoad;
+  Last.Workers = 1;
+  EXPECT_FALSE(planTransfer(Last, {{1, BusyLoad}}, 1));
+  Last.Workers = 2;
+  const auto Planned = planTransfer(Last, {{1, BusyLoad}}, 2);
+  ASSERT_TRUE(Planned);
+  EXPECT_EQ(Planned->Workers, 1U);
+}
+
 // Guards against workers that go back and forth between shards with the usual
 // load.
 TEST(PlanTransferTest, GivesNothingUnderTheUsualLoad) {
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -81,6 +81,14 @@
     EXPECT_EQ(Start.Run, Made.Starts[0].Run);
 }
 
+// Guards against a shard without workers that never asks for any.
+TEST_F(JobSchedulerTest, TellsHowLongAStepHasWaitedWithoutAnyWorker) {
+  addJob("batch", step(1, 1000));
+  decide();
+  Now += Duration{3000};
+  EXPECT_GE(Scheduler.longestWait(Now), Duration{3000});
+}
+
 // Guards against members of a gang that keep running after the start of another
 // member was refused.
 TEST_F(JobSchedulerTest, StopsAGangOfWhichOneMemberWasRefused) {
