Check that tasks end whose stop was decided

The fuzz test of a shard looked at runs, which also ended when nobody stopped their tasks: these took at most 20 s. A quarter of the runs now has tasks of 1 to 11 minutes. In the middle of a walk and at its end, 10 s after the network and the workers are well (two reports and the longest delay of a message), no attempt may run whose run was cancelled or has ended, whose end is recorded, or whose stop was recorded before. This covers cancellations, preemption, members of gangs, drained workers, lowered limits and new owners. Two process tests cancel a run of tasks of ten minutes through another instance while a worker is down, and kill or pause the owner at once.

--- a/tests/core/shardfuzz_test.cpp
+++ b/tests/core/shardfuzz_test.cpp
@@ -26,8 +26,9 @@
   Refuse,
   Network,
   Restart,
+  CheckStops,
 };
-constexpr int StepKinds = int(StepKind::Restart) + 1;
+constexpr int StepKinds = int(StepKind::CheckStops) + 1;
 
 struct Model {};
 
@@ -52,6 +53,15 @@
   return Spec;
 }
 
+/// How long the tasks of a run actually run: a few seconds or some minutes.
+Duration makeLength(const RunSpec &Spec, std::uint32_t Seed) {
+  if (Spec.Kind == RunKind::Service)
+    return Duration{100'000};
+  if (Seed % 4 == 0)
+    return Duration(60'000 + std::int64_t(Seed % 600'000));
+  return Duration(100 + std::int64_t(Seed % 20'000));
+}
+
 struct Step : rc::state::Command<Model, ShardWorld> {
   StepKind Kind = *rc::gen::map(
       rc::gen::weightedOneOf<int>({{6, rc::gen::just(int(StepKind::Submit))},
@@ -69,9 +79,7 @@
     switch (Kind) {
     case StepKind::Submit:
       World.submit(Teams[Second % 3], makeSpec(First),
-                   makeSpec(First).Kind == RunKind::Service
-                       ? Duration{100'000}
-                       : Duration(100 + std::int64_t(Second % 20'000)));
+                   makeLength(makeSpec(First), Second));
       break;
     case StepKind::Cancel:
       if (World.submitted() > 0)
@@ -113,6 +121,9 @@
     case StepKind::Network:
       World.setNetwork(First % 60, Second % 60);
       break;
+    case StepKind::CheckStops:
+      World.checkStops();
+      break;
     }
   }
 
@@ -130,7 +141,8 @@
 // Guards against violations of a shard's invariants under any combination of
 // faults: no worker exceeds its capacity, a task has one attempt at a time, no
 // team exceeds its limit, gangs run completely or not at all, each task ends
-// once, replay gives the same state, and no run is lost.
+// once, replay gives the same state, no run is lost, and once all is well no
+// attempt runs on that was to be stopped.
 TEST(ShardFuzz, KeepsItsPromises) { checkWithFixedSeeds(fuzzShard, 1000); }
 
 } // namespace
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -291,6 +291,28 @@
   EXPECT_EQ(Stops, 16U);
 }
 
+// Guards against tasks of a cancelled run that work on, because the owner was
+// lost before it had stopped all of them.
+TEST_F(ShardSchedulerTest, NewOwnerGoesOnToStopTheTasksOfACancelledRun) {
+  SchedulerOptions Options;
+  Options.MaxStopsPerTick = 3;
+  setUp(Options);
+  Scheduler->admit(runOf("r", "a", 16, {1000, 100, 0}));
+  ASSERT_EQ(tick().Starts.size(), 16U);
+  Scheduler->cancel("r");
+  tick();
+  const ShardSnapshot Saved = Scheduler->snapshot(1);
+  Scheduler = std::make_unique<ShardScheduler>("s", Options);
+  Scheduler->restore(Saved, Now);
+  setTeams({{"a", 1}}, {1'000'000, 1'000'000, 100});
+  setWorkers(4);
+  std::set<AttemptId> Stopped;
+  for (int Round = 0; Round < 10; ++Round)
+    for (const StopCommand &Stop : tick().Stops)
+      Stopped.insert(Stop.Id);
+  EXPECT_EQ(Stopped.size(), 16U);
+}
+
 // Guards against a run that is executed twice because its inbox row was read
 // before the row was deleted, and against losing a cancellation that arrives
 // before its run.
--- a/tests/core/shardworld.cpp
+++ b/tests/core/shardworld.cpp
@@ -15,6 +15,13 @@
 /// worker stops its tasks when its lease expires.
 constexpr Duration LimitGrace{30'000};
 
+/// Time until a stop has taken effect once nothing is lost: two reports of the
+/// worker and the longest delay of a message.
+constexpr Duration StopBound{10'000};
+
+/// Longest run time of a task after the stops were checked at the end.
+constexpr Duration ShortTask{20'000};
+
 void require(bool Holds, const std::string &Invariant) {
   if (!Holds)
     throw std::logic_error(Invariant);
@@ -67,6 +74,10 @@
          Found->second.Attempt == Id.Attempt;
 }
 
+bool JournalOracle::isStopping(const AttemptId &Id) const {
+  return isActive(Id) && Tasks.at(Id.Task).Stopping;
+}
+
 std::uint32_t JournalOracle::openTasks(const RunId &Run) const {
   std::uint32_t Open = 0;
   for (std::uint32_t Index = 0; Index < Runs.at(Run).Spec.Tasks; ++Index) {
@@ -452,6 +463,46 @@
   recover();
 }
 
+std::set<AttemptId> ShardWorld::running() const {
+  std::set<AttemptId> Result;
+  for (const auto &[Id, Simulated] : Workers)
+    for (const auto &[Name, Each] : Simulated.Attempts)
+      if (Each.State == TaskState::Running)
+        Result.insert(Name);
+  return Result;
+}
+
+void ShardWorld::checkStops() {
+  setNetwork(0, 0);
+  Refusals = 0;
+  for (auto &[Id, Simulated] : Workers)
+    Simulated.Reachable = true;
+  std::set<AttemptId> Stopping;
+  for (const AttemptId &Name : running())
+    if (Oracle.isStopping(Name))
+      Stopping.insert(Name);
+  advance(StopBound);
+  for (const AttemptId &Name : running()) {
+    const RunId &Run = Name.Task.Run;
+    require(!Submissions.at(Run).Cancelled,
+            toString(Name) + " runs on although its run was cancelled");
+    require(!Oracle.Final.contains(Run),
+            toString(Name) + " runs on although its run has ended");
+    require(Oracle.isActive(Name),
+            toString(Name) + " runs on although its end is recorded");
+    require(!Stopping.contains(Name),
+            toString(Name) + " runs on although its stop is recorded");
+  }
+}
+
+void ShardWorld::shortenTasks() {
+  for (auto &[Id, Run] : Submissions)
+    Run.Length = std::min(Run.Length, ShortTask);
+  for (auto &[Id, Simulated] : Workers)
+    for (auto &[Name, Each] : Simulated.Attempts)
+      Each.EndsAt = std::min(Each.EndsAt, Now + ShortTask);
+}
+
 bool ShardWorld::canEverRun(const RunSpec &Spec) const {
   std::uint64_t Slots = 0;
   for (const auto &[Id, Simulated] : Workers) {
@@ -466,10 +517,8 @@
 }
 
 void ShardWorld::settle() {
-  setNetwork(0, 0);
-  Refusals = 0;
+  checkStops();
   for (auto &[Id, Simulated] : Workers) {
-    Simulated.Reachable = true;
     Simulated.IsFaulty = false;
     Simulated.View.Drained = false;
   }
@@ -480,6 +529,8 @@
     if (Run.Record.Spec.Kind == RunKind::Service ||
         !canEverRun(Run.Record.Spec))
       cancelRun(Id);
+  checkStops();
+  shortenTasks();
   const auto IsLeft = [this](const RunId &Id) { return !isOver(Id); };
   constexpr Duration Limit{3 * 3'600'000};
   for (const TimePoint End = Now + Limit;
--- a/tests/core/shardworld.h
+++ b/tests/core/shardworld.h
@@ -27,6 +27,8 @@
   /// the journal.
   void check(const JournalEvent &Event);
   bool isActive(const AttemptId &Id) const;
+  /// True if a stop of this active attempt was recorded.
+  bool isStopping(const AttemptId &Id) const;
   /// Tasks of a run that have not reached a final state.
   std::uint32_t openTasks(const RunId &Run) const;
   /// True if some unfinished tasks of a run are running and others are not.
@@ -69,9 +71,14 @@
   void refuseStarts(std::uint32_t Count) { Refusals = Count; }
   void setNetwork(std::uint32_t Loss, std::uint32_t Duplicates);
 
-  /// Ends all faults, cancels all services and all runs that can never be
-  /// placed, and advances until all runs are retired. Throws if a run is lost
-  /// or ends in the wrong state.
+  /// Makes all workers reachable and the network reliable. Throws if an attempt
+  /// runs on for longer than StopBound although its run was cancelled or has
+  /// ended, or although its stop was recorded.
+  void checkStops();
+
+  /// Ends all faults and checks the stops. Then cancels all services and all
+  /// runs that can never be placed, shortens long tasks, and advances until all
+  /// runs are retired. Throws if a run is lost or ends in the wrong state.
   void settle();
 
   std::size_t submitted() const { return Order.size(); }
@@ -127,6 +134,8 @@
   void enqueue(Message Next);
   void checkDecisions(const Decisions &Made) const;
   void checkActualState() const;
+  std::set<AttemptId> running() const;
+  void shortenTasks();
   void configure();
   bool canEverRun(const RunSpec &Spec) const;
   bool isOver(const RunId &Run) const { return Oracle.Retired.contains(Run); }
--- a/tests/process/runs_test.cpp
+++ b/tests/process/runs_test.cpp
@@ -84,6 +84,47 @@
   expectNoOverlap(Target);
 }
 
+/// Cancels a run of long tasks through another instance while one worker is
+/// unreachable, then sends \p Signal to the owner of the shard. Expects that no
+/// task runs on, including those on the unreachable worker once it is back.
+void expectCancelledTasksStop(int Signal) {
+  constexpr int TenMinutesMs = 600'000;
+  Cluster Target(3);
+  Target.addTeam();
+  const std::size_t Owner = Target.shardOwner();
+  const std::size_t Other = Owner == 0 ? 1 : 0;
+  const RunId Run = Target.submit(Other, runSpec("long", 12, TenMinutesMs));
+  awaitCondition("tasks run",
+                 [&] { return Target.counts()["running_tasks"] == 12; });
+  Target.fault({{"target", "worker:w0"}, {"down", true}});
+  EXPECT_EQ(Target
+                .call(Other, "POST", "/v1/runs/" + Run + "/cancel", "",
+                      Cluster::teamKey())
+                .Status,
+            202);
+  Target.signalDaemon(Owner, Signal);
+  awaitCondition("another owner", [&] { return Target.shardOwner() != Owner; });
+  Target.fault({{"target", "worker:w0"}, {"down", false}});
+  awaitCondition("all tasks are stopped",
+                 [&] { return Target.counts()["running_tasks"] == 0; });
+  Target.signalDaemon(Owner, SIGCONT);
+  Target.awaitRun(Other, Run, RunState::Cancelled);
+  EXPECT_EQ(Target.counts()["running_tasks"], 0);
+  EXPECT_EQ(executionsOf(Target, Run).Attempts, 12U);
+}
+
+// Guards against tasks of a cancelled run that work on because the owner of
+// their shard was killed after the cancellation was acknowledged.
+TEST(RunsProcessTest, CancelledTasksStopAlthoughTheOwnerIsKilled) {
+  expectCancelledTasksStop(SIGKILL);
+}
+
+// Guards against tasks of a cancelled run that work on because the owner of
+// their shard was paused after the cancellation was acknowledged.
+TEST(RunsProcessTest, CancelledTasksStopAlthoughTheOwnerIsPaused) {
+  expectCancelledTasksStop(SIGSTOP);
+}
+
 // Guards against restarting a task on another worker while a paused worker may
 // still run it, and against a task that is never restarted.
 TEST(RunsProcessTest, TasksOfPausedWorkerRestartOnlyAfterItsLease) {
