Fuzz the shard with commits of unknown outcome

An owner that does not know the outcome of a commit goes on to renew leases and to read reports, which change its state, and decides nothing until it knows. The simulation left this out. The time to apply a lower limit does not run meanwhile, as nothing is decided.

--- a/tests/core/shardfuzz_test.cpp
+++ b/tests/core/shardfuzz_test.cpp
@@ -27,8 +27,9 @@
   Network,
   Restart,
   CheckStops,
+  HideOutcome,
 };
-constexpr int StepKinds = int(StepKind::CheckStops) + 1;
+constexpr int StepKinds = int(StepKind::HideOutcome) + 1;
 
 struct Model {};
 
@@ -124,6 +125,9 @@
     case StepKind::CheckStops:
       World.checkStops();
       break;
+    case StepKind::HideOutcome:
+      World.hideNextOutcome(Duration(100 + std::int64_t(Second % 40'000)));
+      break;
     }
   }
 
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -353,6 +353,26 @@
   EXPECT_EQ(After.Starts[0].Reserved.CpuMillis, 2500);
 }
 
+// Guards against two attempts of a task at once: the outcome of a commit was
+// unknown until the worker's lease had expired and the worker had come back,
+// and only then the start was sent.
+TEST(ShardWorldTest, StartIsNotSentAfterItsAttemptHasEnded) {
+  ShardWorld World(1);
+  World.advance(Duration{1'000});
+  RunSpec Spec;
+  Spec.PerTask = {1000, 1000, 0};
+  World.submit("blue", Spec, Duration{300'000});
+  World.hideNextOutcome(Duration{40'000});
+  World.advance(Duration{1'000});
+  for (const char *Zone : {"z0", "z1", "z2"})
+    World.loseZone(Zone);
+  World.advance(Duration{25'000});
+  for (std::size_t Worker = 0; Worker < 12; ++Worker)
+    World.setReachable(Worker, true);
+  World.advance(Duration{30'000});
+  World.settle();
+}
+
 // Guards against a new owner that does not know how often a task has failed.
 TEST_F(ShardSchedulerTest, KeepsTheCountOfFailuresAcrossASnapshot) {
   RunRecord Run = runOf("r", "a", 1, {1000, 100, 0});
--- a/tests/core/shardworld.cpp
+++ b/tests/core/shardworld.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace apricotwing {
 
@@ -368,6 +369,9 @@
     Inbox.erase(Id);
   for (const RunId &Id : Made.HandledCancellations)
     CancelRows.erase(Id);
+}
+
+void ShardWorld::saveSnapshotIfDue(const Decisions &Made) {
   if (!Made.needsCommit() || ++Commits % 16 != 0)
     return;
   const ShardSnapshot Live = Owner->snapshot(Commits);
@@ -381,6 +385,11 @@
   Journal.clear();
 }
 
+void ShardWorld::finishCommit(const Decisions &Made) {
+  send(Made);
+  saveSnapshotIfDue(Made);
+}
+
 void ShardWorld::enqueue(Message Next) {
   if (Random() % 100 < LossPercent)
     return;
@@ -440,9 +449,25 @@
   progressWorkers();
   deliver();
   poll();
-  const Decisions Made = decide();
-  commit(Made);
-  send(Made);
+  if (Unresolved && Now >= ResolvedAt) {
+    finishCommit(*Unresolved);
+    Unresolved.reset();
+  }
+  if (!Unresolved) {
+    Decisions Made = decide();
+    commit(Made);
+    if (HiddenOutcome.count() > 0 && Made.needsCommit()) {
+      ResolvedAt = Now + std::exchange(HiddenOutcome, {});
+      Unresolved = std::move(Made);
+    } else {
+      finishCommit(Made);
+    }
+  } else {
+    // No stop can be decided, so the time to apply a lower limit does not run.
+    for (auto &[Team, Old] : OldLimits)
+      for (auto &[Until, Limit] : Old)
+        Until += Span;
+  }
   checkActualState();
 }
 
@@ -453,12 +478,13 @@
 }
 
 void ShardWorld::crash(CrashPoint Point) {
+  Unresolved.reset();
   if (Point != CrashPoint::Idle) {
     const Decisions Made = decide();
     if (Point != CrashPoint::BeforeCommit)
       commit(Made);
     if (Point == CrashPoint::AfterSends)
-      send(Made);
+      finishCommit(Made);
   }
   recover();
 }
@@ -474,6 +500,8 @@
 
 void ShardWorld::checkStops() {
   setNetwork(0, 0);
+  HiddenOutcome = {};
+  ResolvedAt = std::min(ResolvedAt, Now);
   Refusals = 0;
   for (auto &[Id, Simulated] : Workers)
     Simulated.Reachable = true;
--- a/tests/core/shardworld.h
+++ b/tests/core/shardworld.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -70,6 +71,9 @@
   void setDrained(std::size_t Worker, bool Value);
   void refuseStarts(std::uint32_t Count) { Refusals = Count; }
   void setNetwork(std::uint32_t Loss, std::uint32_t Duplicates);
+  /// Makes the outcome of the next commit unknown to the owner for \p Span. It
+  /// makes no decisions meanwhile, but goes on to renew leases.
+  void hideNextOutcome(Duration Span) { HiddenOutcome = Span; }
 
   /// Makes all workers reachable and the network reliable. Throws if an attempt
   /// runs on for longer than StopBound although its run was cancelled or has
@@ -130,6 +134,8 @@
   void poll();
   Decisions decide();
   void commit(const Decisions &Made);
+  void saveSnapshotIfDue(const Decisions &Made);
+  void finishCommit(const Decisions &Made);
   void send(const Decisions &Made);
   void enqueue(Message Next);
   void checkDecisions(const Decisions &Made) const;
@@ -157,6 +163,10 @@
   ShardSnapshot LastSnapshot;
   std::vector<JournalEvent> Journal;
   std::uint64_t Commits = 0;
+  Duration HiddenOutcome{0};
+  /// Decisions whose commit has taken effect, which the owner does not know.
+  std::optional<Decisions> Unresolved;
+  TimePoint ResolvedAt;
   JournalOracle Oracle;
   std::map<AttemptId, TaskState>
       ActualOutcomes; ///< How attempts actually ended.
