--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -401,7 +401,14 @@
   Implementation->Data.State.apply(Event, Now);
 }
 
+bool ShardScheduler::hasUncommittedEvents() const {
+  return !Implementation->Data.PendingDecisions.Events.empty();
+}
+
 ShardSnapshot ShardScheduler::snapshot(std::uint64_t Sequence) const {
+  if (hasUncommittedEvents())
+    throw Error(ErrorKind::Internal, "a snapshot of uncommitted events",
+                "report this as a fault of the shard's owner");
   return Implementation->Data.State.snapshot(Sequence);
 }
 
--- a/src/core/shardscheduler.h
+++ b/src/core/shardscheduler.h
@@ -138,9 +138,15 @@
   void apply(const JournalEvent &Event, TimePoint Now);
 
   /// The durable state after journal entry \p Sequence. It does not depend on
-  /// whether the state was reached live or by replay.
+  /// whether the state was reached live or by replay. Throws Error(Internal) if
+  /// hasUncommittedEvents(): the snapshot would contain events that are also
+  /// replayed after it.
   ShardSnapshot snapshot(std::uint64_t Sequence) const;
 
+  /// True if the state contains events, for example of a report, that the next
+  /// tick will return.
+  bool hasUncommittedEvents() const;
+
   /// Replaces the list of this shard's workers. A worker that is missing gets
   /// no starts; its attempts remain until a report or handleWorkerExpired().
   void setWorkers(const std::vector<WorkerView> &Workers);
--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -344,7 +344,9 @@
 }
 
 void ShardRunner::saveSnapshotIfDue(const ShardId &Shard, HeldShard &Held) {
-  if (Held.EntriesSinceSnapshot < JournalEntriesPerSnapshot)
+  // Reports may have arrived while the outcome of the commit was unknown.
+  if (Held.EntriesSinceSnapshot < JournalEntriesPerSnapshot ||
+      Held.Scheduler->hasUncommittedEvents())
     return;
   Held.EntriesSinceSnapshot =
       JournalEntriesPerSnapshot - JournalEntriesPerRetry;
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -1,3 +1,4 @@
+#include "core/error.h"
 #include "core/healthtracker.h"
 #include "core/shardworld.h"
 #include "core/usageestimator.h"
@@ -373,6 +374,20 @@
   World.settle();
 }
 
+// Guards against a shard that no instance can take over, because a report was
+// processed before the outcome of a commit was known and entered the snapshot
+// as well as the next journal entry.
+TEST_F(ShardSchedulerTest, SnapshotOfUncommittedEventsIsRefused) {
+  Scheduler->admit(runOf("r", "a", 2, {1000, 100, 0}));
+  const Decisions Made = tick();
+  EXPECT_FALSE(Scheduler->hasUncommittedEvents());
+  endAttempt(Made.Starts.at(0).Id, TaskState::Succeeded);
+  EXPECT_TRUE(Scheduler->hasUncommittedEvents());
+  EXPECT_THROW(Scheduler->snapshot(1), Error);
+  tick();
+  EXPECT_EQ(Scheduler->snapshot(2).Runs.size(), 1U);
+}
+
 // Guards against a new owner that does not know how often a task has failed.
 TEST_F(ShardSchedulerTest, KeepsTheCountOfFailuresAcrossASnapshot) {
   RunRecord Run = runOf("r", "a", 1, {1000, 100, 0});
