Send no start whose attempt has ended

What callers would see: a task that runs twice at a time.

Cause: a start is sent once its commit is known. If the outcome was unknown for longer than a worker's lease, the attempt was counted as lost and started again elsewhere. If the worker came back before the outcome was known, the old start was sent with the new deadline of the lease, and the worker accepted it. Starts that wait for a thread were ruled out: they carry the deadline known when they were decided.

The owner asks the scheduler before it sends a start whether the attempt is still to run. A start that is being stopped is not sent either.

--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -482,6 +482,11 @@
   return RunLifecycle::publicRecord(*Entry);
 }
 
+bool ShardScheduler::isStartWanted(const AttemptId &Id) const {
+  const TaskRef Task = Implementation->Data.State.findActive(Id);
+  return Task.Run && Task.task().State != TaskState::Stopping;
+}
+
 std::vector<AttemptId>
 ShardScheduler::attemptsOn(const WorkerId &Worker) const {
   std::vector<AttemptId> Result;
--- a/src/core/shardscheduler.h
+++ b/src/core/shardscheduler.h
@@ -201,6 +201,10 @@
   /// The current state of a run; empty if it is unknown or retired.
   std::optional<RunRecord> run(const RunId &Run) const;
 
+  /// True if the attempt has been started and is neither ended nor being
+  /// stopped. A start command must not be sent otherwise.
+  bool isStartWanted(const AttemptId &Id) const;
+
   /// Attempts that may be running on a worker.
   std::vector<AttemptId> attemptsOn(const WorkerId &Worker) const;
 
--- a/src/daemon/workerfleet.cpp
+++ b/src/daemon/workerfleet.cpp
@@ -126,8 +126,10 @@
     workerState(Worker).Acknowledgements.insert(Ended.begin(), Ended.end());
   for (const StopCommand &Command : Committed.Stops)
     sendStop(Command);
+  // While the outcome of the commit was unknown, the attempt may have ended.
   for (const StartCommand &Command : Committed.Starts)
-    sendStart(Command);
+    if (Scheduler->isStartWanted(Command.Id))
+      sendStart(Command);
 }
 
 void WorkerFleet::sendStart(const StartCommand &Command) {
--- a/tests/core/shardworld.cpp
+++ b/tests/core/shardworld.cpp
@@ -406,7 +406,8 @@
 
 void ShardWorld::send(const Decisions &Made) {
   for (const StartCommand &Start : Made.Starts)
-    enqueue({Now, 0, 0, true, Start.Worker, Start.Id, Start.Reserved});
+    if (Owner->isStartWanted(Start.Id))
+      enqueue({Now, 0, 0, true, Start.Worker, Start.Id, Start.Reserved});
   for (const StopCommand &Stop : Made.Stops)
     enqueue({Now, 0, 0, false, Stop.Worker, Stop.Id, {}});
   for (const auto &[Id, Ended] : Made.Acknowledgements)
