Reproduce cancellations that are dropped

A cancellation whose run has not been read from the inbox for 60 s is reported as handled, so that its row is deleted; the run starts later.

--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -335,6 +335,18 @@
   EXPECT_FALSE(Scheduler->run("early").has_value());
 }
 
+// Guards against a run that starts although its cancellation was acknowledged,
+// because the run was read from a long inbox minutes after its cancellation.
+TEST_F(ShardSchedulerTest, KeepsTheCancellationOfARunThatIsAdmittedMuchLater) {
+  for (int Round = 0; Round < 10; ++Round) {
+    Scheduler->cancel("late");
+    EXPECT_THAT(tick(Duration{60'000}).HandledCancellations, IsEmpty());
+  }
+  Scheduler->admit(runOf("late", "a", 1, {1000, 100, 0}));
+  EXPECT_THAT(tick().Starts, IsEmpty());
+  EXPECT_FALSE(Scheduler->run("late").has_value());
+}
+
 // Guards against overcommitted workers, when placement uses the declared sizes
 // although the tasks use more.
 TEST_F(ShardSchedulerTest, ReservesTheLargerOfDeclaredAndObserved) {
