Keep a cancellation until its effect is known

What callers would see: a run that starts although its cancellation was acknowledged. Seen in tests only.

Cause: the owner reads the first 1000 rows of the inbox in a scan. If a run was further back for 60 s, for example after the shard had no owner while runs were accepted, its cancellation was dropped (EarlyCancelKeep) and its row deleted. The time out was there for cancellations of runs that an earlier owner had retired.

For the cancellation of a run that it does not know the owner now reads the row of the run. If the run has ended, the cancellation is over at once; otherwise the run is admitted first, in whichever part of the inbox it is. Nothing depends on a time any more, and cancellations of ended runs no longer fill the page for 60 s. Ruled out: a row that is not final although the run was retired, since both are in one transaction.

Before: KeepsTheCancellationOfARunThatIsAdmittedMuchLater and CancelsARunBehindAFullPageOfTheInbox failed (the run was left as accepted, its cancellation deleted). After: both pass, and ShardFuzz.KeepsItsPromises, which now reads its inbox in pages of 2 rows.

--- a/src/core/runintake.cpp
+++ b/src/core/runintake.cpp
@@ -14,6 +14,16 @@
     Cancellations.push_back(Run);
 }
 
+void RunIntake::discardCancellation(const RunId &Run) {
+  EarlyCancels.erase(Run);
+  Data.PendingDecisions.HandledCancellations.push_back(Run);
+}
+
+bool RunIntake::knows(const RunId &Run) const {
+  return AdmissionIds.contains(Run) || Data.State.find(Run) != nullptr ||
+         Lifecycle.wasRetired(Run);
+}
+
 void RunIntake::processAdmissions(TimePoint Now) {
   for (std::uint32_t Left = Data.Options.MaxAdmissionsPerTick;
        Left > 0 && !Admissions.empty(); --Left) {
@@ -37,12 +47,8 @@
   }
   if (Lifecycle.wasRetired(Id))
     return true;
-  // The run may still be in the inbox, or an earlier owner may have retired it.
-  const auto EarlyCancel = EarlyCancels.try_emplace(Id, Now).first;
-  if (Now - EarlyCancel->second < Data.Options.EarlyCancelKeep)
-    return false;
-  EarlyCancels.erase(EarlyCancel);
-  return true;
+  EarlyCancels.insert(Id);
+  return false;
 }
 
 void RunIntake::processCancellations(TimePoint Now) {
--- a/src/core/runintake.h
+++ b/src/core/runintake.h
@@ -6,15 +6,15 @@
 #include "core/runlifecycle.h"
 
 #include <deque>
-#include <unordered_map>
 #include <unordered_set>
 
 namespace apricotwing {
 
 /// Queues the rows of the inbox and of the cancellations, each id once, and
 /// passes a bounded number of them to the RunLifecycle in each tick. A
-/// cancellation that arrives before its run is kept for EarlyCancelKeep. Owned
-/// by the shard's scheduler; not thread-safe.
+/// cancellation that arrives before its run is kept until the run arrives or
+/// the cancellation is discarded. Owned by the shard's scheduler; not
+/// thread-safe.
 class RunIntake {
 public:
   /// Both arguments must outlive this object.
@@ -27,12 +27,17 @@
   /// Queues a cancellation; no effect if it is already queued.
   void cancel(const RunId &Run);
 
+  /// Reports a cancellation as handled and no longer keeps it.
+  void discardCancellation(const RunId &Run);
+
+  /// True if the run is queued, known, or was retired recently.
+  bool knows(const RunId &Run) const;
+
   /// Admits queued runs, at most MaxAdmissionsPerTick.
   void processAdmissions(TimePoint Now);
 
   /// Applies queued cancellations, at most MaxCancellationsPerTick. The
-  /// cancellation of an unknown run is reported as handled only after
-  /// EarlyCancelKeep.
+  /// cancellation of an unknown run is kept and not reported as handled.
   void processCancellations(TimePoint Now);
 
 private:
@@ -44,7 +49,7 @@
   std::unordered_set<RunId> AdmissionIds;
   std::deque<RunId> Cancellations;
   std::unordered_set<RunId> CancellationIds;
-  std::unordered_map<RunId, TimePoint> EarlyCancels; ///< First seen, by run.
+  std::unordered_set<RunId> EarlyCancels; ///< Of runs that are not known yet.
 };
 
 } // namespace apricotwing
--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -444,6 +444,14 @@
   Implementation->Intake.cancel(Run);
 }
 
+void ShardScheduler::discardCancellation(const RunId &Run) {
+  Implementation->Intake.discardCancellation(Run);
+}
+
+bool ShardScheduler::knows(const RunId &Run) const {
+  return Implementation->Intake.knows(Run);
+}
+
 void ShardScheduler::handleReport(const WorkerId &Worker,
                                   const std::vector<TaskReport> &Reports,
                                   TimePoint Now) {
--- a/src/core/shardscheduler.h
+++ b/src/core/shardscheduler.h
@@ -35,8 +35,6 @@
       30'000};                ///< Validity of a claim on preempted resources.
   Duration RetryDelay{1'000}; ///< Initial delay after a failure; doubles.
   Duration MaxRetryDelay{300'000};
-  Duration EarlyCancelKeep{
-      60'000}; ///< How long a cancellation waits for its run.
 };
 
 /// A start command to send once the tick is committed.
@@ -170,10 +168,17 @@
   void admit(const RunRecord &Run);
 
   /// Queues a cancellation for a later tick. Repeating it has no effect. The
-  /// caller should read the inbox before the cancellations, so that a run
-  /// precedes its cancellation.
+  /// cancellation of an unknown run is kept until the run is admitted or
+  /// discardCancellation() is called; the caller finds out which applies.
   void cancel(const RunId &Run);
 
+  /// Reports the cancellation of a run that has certainly ended, or never
+  /// existed, as handled by the next tick.
+  void discardCancellation(const RunId &Run);
+
+  /// True if the run is queued for admission, known, or was retired recently.
+  bool knows(const RunId &Run) const;
+
   /// Processes a worker's list of all attempts of this shard, including ended
   /// attempts that have not been acknowledged. Reports of one worker must
   /// arrive in order. The first report makes the worker eligible for starts.
--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -275,11 +275,26 @@
     Held.AdmittedRuns.insert(Run);
   }
   for (const Row &Entry :
-       Context.Table.scan(keys::cancelPrefix(Shard), {}, MaxRowsPerScan)) {
-    // Repeated as long as the row exists, because the scheduler drops the
-    // cancellation of an unknown run after some time.
-    Held.Scheduler->cancel(runIdFromKey(Entry.Key));
+       Context.Table.scan(keys::cancelPrefix(Shard), {}, MaxRowsPerScan))
+    readCancellation(Held, Entry.Value, runIdFromKey(Entry.Key));
+}
+
+void ShardRunner::readCancellation(HeldShard &Held, const TeamName &Team,
+                                   const RunId &Run) {
+  if (!Held.Scheduler->knows(Run)) {
+    // Admission and retirement change the run's row, so the row tells whether
+    // the run is still in a part of the inbox that has not been read, or was
+    // retired by an earlier owner.
+    const std::optional<Row> Found = Context.Table.read(keys::run(Team, Run));
+    const std::optional<RunRecord> Record =
+        Found ? std::optional(Context.Codec.decodeRun(Found->Value))
+              : std::nullopt;
+    if (!Record || isFinal(Record->State))
+      return Held.Scheduler->discardCancellation(Run);
+    Held.Scheduler->admit(*Record);
+    Held.AdmittedRuns.insert(Run);
   }
+  Held.Scheduler->cancel(Run);
 }
 
 void ShardRunner::tick(const ShardId &Shard, HeldShard &Held, TimePoint Now) {
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -96,6 +96,8 @@
   void runShard(const ShardId &Shard, HeldShard &Held, TimePoint Now);
   void refreshWorkers(const ShardId &Shard, HeldShard &Held);
   void readInbox(const ShardId &Shard, HeldShard &Held, TimePoint Now);
+  void readCancellation(HeldShard &Held, const TeamName &Team,
+                        const RunId &Run);
   void tick(const ShardId &Shard, HeldShard &Held, TimePoint Now);
   void resolvePendingCommit(const ShardId &Shard, HeldShard &Held);
   void finishCommit(const ShardId &Shard, HeldShard &Held, TickResult Result);
--- a/tests/core/shardworld.cpp
+++ b/tests/core/shardworld.cpp
@@ -20,6 +20,9 @@
 /// worker and the longest delay of a message.
 constexpr Duration StopBound{10'000};
 
+/// Rows of the inbox that are read before each tick.
+constexpr std::size_t InboxPage = 2;
+
 /// Longest run time of a task after the stops were checked at the end.
 constexpr Duration ShortTask{20'000};
 
@@ -325,10 +328,20 @@
 }
 
 Decisions ShardWorld::decide() {
-  for (const auto &[Id, Record] : Inbox)
-    Owner->admit(Record);
-  for (const RunId &Id : CancelRows)
+  std::size_t Left = InboxPage;
+  for (auto Next = Inbox.begin(); Next != Inbox.end() && Left > 0;
+       ++Next, --Left)
+    Owner->admit(Next->second);
+  for (const RunId &Id : CancelRows) {
+    const bool IsKnown = Owner->knows(Id);
+    if (!IsKnown && isOver(Id)) {
+      Owner->discardCancellation(Id);
+      continue;
+    }
+    if (!IsKnown)
+      Owner->admit(Submissions.at(Id).Record);
     Owner->cancel(Id);
+  }
   Decisions Made = Owner->tick(Now);
   checkDecisions(Made);
   return Made;
