Keep the grants of requests in doubt at shutdown

What callers would see: an executor that gets more requests at a time than its slots, after a planned stop of an instance. Seen in a test only.

Cause: a request that got no answer holds its slot until the executor has certainly ended, but does not count as open. The shutdown waits for open requests and then gave back all grants at once. Grants of a session that was fenced were ruled out: others wait for the longest deadline.

The shutdown now gives back only what is not in use. The rest is reclaimed by the other instances as that of a session that has ended, after the longest deadline.

Before: ShutdownKeepsTheSlotOfARequestWithoutAnswer found 0 slots and 0 units in the pools instead of 1. After: it passes.

--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -254,14 +254,38 @@
              });
 }
 
+/// Amounts in use in all pools that were adjusted, by pool.
+std::map<std::string, UnitAmounts> GrantService::usedAmounts() {
+  std::map<std::string, UnitAmounts> Result;
+  const std::shared_ptr<const Config> Document = Context.Session.config();
+  Requests.withRouter([&](RequestRouter &Router) {
+    if (Document)
+      for (const auto &[Upstream, Unused] : Document->Upstreams)
+        Result[keys::executorPool(Upstream)] = Router.usedSlots(Upstream);
+    for (const auto &[Team, Used] : Router.usedRequests())
+      Result[keys::requestPool(Team)] = {{RequestUnit, Used}};
+  });
+  return Result;
+}
+
+void GrantService::releaseUnused(const std::string &Pool,
+                                 const UnitAmounts &Used) {
+  if (Used.empty())
+    return Ledger.releaseAll(Pool, CurrentHolder);
+  UnitAmounts Targets = heldAmounts(Pool);
+  for (auto &[Unit, Amount] : Targets) {
+    const auto Found = Used.find(Unit);
+    Amount = Found == Used.end() ? 0 : std::min(Amount, Found->second);
+  }
+  Ledger.adjust(Pool, CurrentHolder, Targets);
+}
+
 void GrantService::finish() {
   Thread.stop();
-  std::set<std::string> Pools;
-  for (const auto &[Pool, Unused] : held())
-    Pools.insert(Pool);
-  for (const std::string &Pool : Pools) {
+  std::map<std::string, UnitAmounts> Used = usedAmounts();
+  for (const auto &[Pool, Unused] : held()) {
     try {
-      Ledger.releaseAll(Pool, CurrentHolder);
+      releaseUnused(Pool, Used[Pool]);
     } catch (const Error &Failure) {
       // Other instances reclaim the grants once the session row is deleted.
       logFailure(Pool, Failure);
--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -29,8 +29,9 @@
   /// Starts a round without waiting for the period to elapse. Thread-safe.
   void wake() { Thread.wake(); }
 
-  /// Stops the thread and releases all grants. Precondition: no request is
-  /// open.
+  /// Stops the thread and releases the grants that are not in use. An executor
+  /// may still work on a request without answer; other instances reclaim its
+  /// slot once the session has ended. Precondition: no request is open.
   void finish();
 
   /// Grants that this instance holds, by pool. Thread-safe.
@@ -56,6 +57,8 @@
   void adjustTeam(const TeamName &Team, std::int64_t Wanted,
                   const std::string &Holder);
   UnitAmounts heldAmounts(const std::string &Pool) const;
+  std::map<std::string, UnitAmounts> usedAmounts();
+  void releaseUnused(const std::string &Pool, const UnitAmounts &Used);
   UnitAmounts adjustLedger(const std::string &Pool, const std::string &Holder,
                            const UnitAmounts &Targets);
   bool isAdjustmentDue(const std::string &Pool,
