Derive from the call itself whether a renewal runs

What callers would see: all tasks of a shard on one worker are lost, and the worker gets no more of them until the owner changes. Seen in a test only; it takes 16384 waiting callbacks.

Cause: a flag said that a renewal was in flight, and only its result cleared it. A result that the full queue rejected never arrived.

The call and its result now share an object that the worker's state observes: when both are gone, no renewal is in flight. The thread pool frees a job before it waits for the next one, which may take a minute.

--- a/src/daemon/threadpool.cpp
+++ b/src/daemon/threadpool.cpp
@@ -36,6 +36,8 @@
     // close() adds empty jobs to wake up the threads.
     if (HasItem && Work)
       Work();
+    // Frees what the job has captured before the wait for the next one.
+    Work = nullptr;
   }
 }
 
--- a/src/daemon/workerfleet.cpp
+++ b/src/daemon/workerfleet.cpp
@@ -40,7 +40,7 @@
   const bool MayRenew = mayRenewLeases(
       HasAuthority, Context.Session.lastRenewal(), Now, LeaseSettings);
   for (auto &[Worker, State] : Workers) {
-    if (MayRenew && !State.RenewalInFlight && !State.Address.empty() &&
+    if (MayRenew && State.RenewalInFlight.expired() && !State.Address.empty() &&
         (!State.LastRenewalStart ||
          Now - *State.LastRenewalStart >= LeaseSettings.Renew))
       renew(Worker, State, Now);
@@ -66,24 +66,26 @@
   Renewal.DeadlineMs = State.Lease.nextDeadlineMs(Now);
   Renewal.Acknowledged.assign(State.Acknowledgements.begin(),
                               State.Acknowledgements.end());
-  const auto Call = [Self = shared_from_this(), Worker, Renewal,
+  const auto InFlight = std::make_shared<char>();
+  State.RenewalInFlight = InFlight;
+  const auto Call = [Self = shared_from_this(), Worker, Renewal, InFlight,
                      Address = State.Address] {
     const TimePoint SentAt = Self->Context.Time.now();
     try {
       LeaseAnswer Answer = Self->Context.Workers.renew(Address, Renewal);
       const TimePoint ReceivedAt = Self->Context.Time.now();
-      Self->Post([Self, Worker, SentAt, ReceivedAt, Answer = std::move(Answer),
-                  Renewal] {
+      Self->Post([Self, Worker, InFlight, SentAt, ReceivedAt,
+                  Answer = std::move(Answer), Renewal] {
         Self->handleRenewalResponse(Worker, SentAt, ReceivedAt, Answer,
                                     Renewal);
       });
     } catch (const Error &Failure) {
-      Self->Post([Self, Worker, Failure] {
+      Self->Post([Self, Worker, InFlight, Failure] {
         Self->handleRenewalFailure(Worker, Failure);
       });
     }
   };
-  State.RenewalInFlight = CallPool.submit(Call);
+  CallPool.submit(Call);
 }
 
 void WorkerFleet::handleRenewalResponse(const WorkerId &Worker,
@@ -93,7 +95,7 @@
   if (Scheduler == nullptr)
     return;
   WorkerState &State = workerState(Worker);
-  State.RenewalInFlight = false;
+  State.RenewalInFlight.reset();
   for (const AttemptId &Id : Renewal.Acknowledged)
     State.Acknowledgements.erase(Id);
   if (std::exchange(State.SilenceLogged, false))
@@ -114,7 +116,7 @@
   if (Scheduler == nullptr)
     return;
   WorkerState &State = workerState(Worker);
-  State.RenewalInFlight = false;
+  State.RenewalInFlight.reset();
   Scheduler->handleWorkerUnreachable(Worker);
   if (!std::exchange(State.SilenceLogged, true))
     Context.Logger.warning(Component::Workers, "worker does not answer",
--- a/src/daemon/workerfleet.h
+++ b/src/daemon/workerfleet.h
@@ -65,7 +65,9 @@
     std::string Address;
     WorkerLease Lease;
     std::optional<TimePoint> LastRenewalStart;
-    bool RenewalInFlight = false;
+    /// Expires once the renewal has ended and its result has been handled or
+    /// dropped.
+    std::weak_ptr<void> RenewalInFlight;
     bool SilenceLogged = false;
     bool ExpiryReported = false;
     std::set<AttemptId> Acknowledgements;
