Reproduce a limit that a former owner restores

A former owner of a shard that goes on after a pause writes the limit that it knows over the one that was lowered meanwhile.

--- a/tests/core/taskgrants_test.cpp
+++ b/tests/core/taskgrants_test.cpp
@@ -63,5 +63,39 @@
   EXPECT_EQ(Grants.held().at("u"), (Resources{8000, 8000, 0}));
 }
 
+// Guards against a team above its limit, because a former owner of the shard
+// goes on after a pause and restores the limit that was lowered meanwhile.
+TEST(TaskGrantsTest, FormerOwnerDoesNotRestoreAnOldLimit) {
+  Cell World;
+  Process *Former = World.start("a");
+  for (int Round = 0; Round < 100 && Former->Shards.ownedShards().empty();
+       ++Round)
+    World.run(Duration(500));
+  ASSERT_FALSE(Former->Shards.ownedShards().empty());
+  const ShardId Shard = Former->Shards.ownedShards().front();
+  World.Paused.insert("a");
+  Process *Owner = World.start("b");
+  const auto IsOwner = [&] {
+    return Owner->Shards.isOwner(Shard, Owner->Time.now());
+  };
+  // Fencing waits for the longest extension of the paused session.
+  World.run(lengthenByClockDrift(World.Settings.MaxExtension));
+  for (int Round = 0; Round < 200 && !IsOwner(); ++Round)
+    World.run(Duration(500));
+  ASSERT_TRUE(IsOwner());
+
+  const auto Advance = [&](Process &At, std::int64_t CpuMillis) {
+    Config Document;
+    Document.Teams["t"].Limit.Tasks = {CpuMillis, 8000, 0};
+    ShardScheduler Scheduler(Shard);
+    TaskGrants(At.Table, World.Codec, At.Ids, At.Shards, Scheduler, true)
+        .advance(Document, At.Time.now());
+  };
+  Advance(*Owner, 2000);
+  EXPECT_THROW(Advance(*Former, 8000), Error);
+  const Row Pool = World.Store.Rows.at(keys::taskPool("t"));
+  EXPECT_EQ(World.Codec.decodePool(Pool.Value).Capacity.at("cpu_millis"), 2000);
+}
+
 } // namespace
 } // namespace apricotwing::simulation
