Let only the owner of a shard store task limits

What operators would see: a team with several shards above its lowered limit.

Cause: the write of a team's limit into its pool had no condition on the ownership of the shard, other than the write of the grant that follows it. A process that was paused before that write, lost the shard meanwhile and went on, stored the old limit; the present owners take theirs for stored.

Both writes now have the same condition.

Before: FormerOwnerDoesNotRestoreAnOldLimit found 8000 instead of 2000. After: it passes.

--- a/src/core/grantledger.cpp
+++ b/src/core/grantledger.cpp
@@ -100,13 +100,15 @@
     : Table(Table), Codec(Codec), Ids(Ids) {}
 
 void GrantLedger::ensureCapacity(const std::string &Pool,
-                                 const UnitAmounts &Capacity) {
-  update(Pool, [&](PoolRecord &Record) {
+                                 const UnitAmounts &Capacity,
+                                 const std::vector<RowCondition> &Guards) {
+  const auto SetCapacity = [&](PoolRecord &Record) {
     if (Record.Capacity == Capacity)
       return false;
     Record.Capacity = Capacity;
     return true;
-  });
+  };
+  update(Pool, SetCapacity, Guards);
 }
 
 PoolShare GrantLedger::adjust(const std::string &Pool,
--- a/src/core/grantledger.h
+++ b/src/core/grantledger.h
@@ -48,7 +48,10 @@
   /// are absent from \p Capacity get capacity 0; their grants stay until
   /// released. Throws Error(StoreUnavailable), Error(StoreUnknownOutcome) or
   /// Error(StoreConflict) after too many conflicts.
-  void ensureCapacity(const std::string &Pool, const UnitAmounts &Capacity);
+  /// \p Guards are additional preconditions of the write; if one does not hold,
+  /// throws Error(StaleEpoch).
+  void ensureCapacity(const std::string &Pool, const UnitAmounts &Capacity,
+                      const std::vector<RowCondition> &Guards = {});
 
   /// Runs one round for \p Holder: sets its grants of the units in \p Targets,
   /// as far as free capacity permits, and leaves its other units unchanged.
--- a/src/core/taskgrants.cpp
+++ b/src/core/taskgrants.cpp
@@ -85,11 +85,11 @@
   Held[Team] = componentMin(Held[Team], Target);
   if (IsComplete)
     Scheduler.setGrants(Held);
+  const RowCondition Guard = Ownership.ownershipCondition(Scheduler.shard());
   if (StoredLimits[Team] != Limit || !StoredLimits.contains(Team)) {
-    Ledger.ensureCapacity(Pool, toUnits(Limit));
+    Ledger.ensureCapacity(Pool, toUnits(Limit), {Guard});
     StoredLimits[Team] = Limit;
   }
-  const RowCondition Guard = Ownership.ownershipCondition(Scheduler.shard());
   const PoolShare Share =
       Ledger.adjust(Pool, Scheduler.shard(), toUnits(Target), {Guard});
   Held[Team] = toResources(Share.Granted);
