Reproduce a limit of requests that stays outdated

An older limit that another instance stores late stays in the pool, because the instances remember that they have stored theirs.

--- a/tests/daemon/grantservice_test.cpp
+++ b/tests/daemon/grantservice_test.cpp
@@ -56,5 +56,31 @@
   EXPECT_EQ(granted(keys::requestPool("team"), "requests"), 1);
 }
 
+// Guards against a team above its limit, because a limit that was written once
+// is taken for stored although a slow instance has restored the older one.
+TEST_F(GrantServiceTest, LimitThatWasOverwrittenIsRestored) {
+  RequestService Requests(Context, [] {});
+  Requests.setConfig(*Session.config());
+  InstanceListService Instances(Context, [](const InstanceSnapshot &) {});
+  GrantService Grants(Context, Requests, Instances);
+  const std::string Pool = keys::requestPool("team");
+  const auto Capacity = [&]() -> std::int64_t {
+    const std::optional<Row> Found = Table.read(Pool);
+    return Found ? Codec.decodePool(Found->Value).Capacity.at("requests") : 0;
+  };
+  ASSERT_TRUE(waitUntil([&] { return Capacity() == 4; }));
+  PoolRecord Outdated = Codec.decodePool(Table.read(Pool)->Value);
+  Outdated.Capacity["requests"] = 100;
+  Transaction Change;
+  Change.Id = Ids.next();
+  Change.Writes = {{Pool, Codec.encode(Outdated)}};
+  Table.transact(Change);
+  const TimePoint End = Time.now() + Duration(7000);
+  EXPECT_TRUE(waitUntil([&] {
+    Time.advance(Duration(Time.now() < End ? 10 : 0));
+    return Capacity() == 4;
+  }));
+}
+
 } // namespace
 } // namespace apricotwing
