Check every 5 s that limits of requests are stored

What operators would see: a team above its lowered limit of concurrent requests, or an executor with more slots than configured, for good. Seen in a test only.

Cause: an instance stored the capacity of a pool when it changed and then remembered that it had. If a paused instance stored an older one afterwards and ended before it could read the newer configuration, nobody corrected it.

The preferred instance of a pool now checks the stored capacity every 5 s, which costs a read per pool. A condition on the writer's session was not tried, as its row changes at each renewal.

Before: LimitThatWasOverwrittenIsRestored waited for 20 s in vain. After: it passes.

--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -16,6 +16,10 @@
 /// lower capacity or freed units.
 constexpr Duration RefreshPeriod{2000};
 
+/// Interval at which the preferred instance checks that the capacity of a pool
+/// is stored. A slow instance may have overwritten it with an older one.
+constexpr Duration CapacityPeriod{5000};
+
 /// Minimum time before units that a pool could not grant are requested again,
 /// so that a saturated cell does not use up the table service's read capacity.
 constexpr Duration RetryPeriod{500};
@@ -106,6 +110,7 @@
   const InstanceListService::Snapshot Snapshot = Instances.latest();
   if (!Snapshot)
     return;
+  const TimePoint Now = Context.Time.now();
   const std::vector<InstanceId> LiveInstances = Context.Session.liveInstances();
   const auto EnsureCapacity = [&](const std::string &Pool,
                                   const UnitAmounts &Capacity) {
@@ -115,7 +120,9 @@
     // dead and not yet fenced, and a lower limit must apply within seconds.
     if (State.LastComputed && *State.LastComputed != Capacity)
       State.MustWrite = true;
-    if (!State.WrittenBefore &&
+    const bool IsCheckDue = State.LastWrite == TimePoint::min() ||
+                            Now - State.LastWrite >= CapacityPeriod;
+    if (IsCheckDue &&
         rendezvousOwner(Pool, LiveInstances) == Context.Options.Instance.Id)
       State.MustWrite = true;
     State.LastComputed = Capacity;
@@ -124,7 +131,7 @@
     try {
       Ledger.ensureCapacity(Pool, Capacity);
       State.MustWrite = false;
-      State.WrittenBefore = true;
+      State.LastWrite = Now;
     } catch (const Error &Failure) {
       logFailure(Pool, Failure);
     }
--- a/src/daemon/grantservice.h
+++ b/src/daemon/grantservice.h
@@ -41,8 +41,8 @@
   /// State of writing the capacity of a pool.
   struct CapacityState {
     std::optional<UnitAmounts> LastComputed; ///< As computed in the last round.
-    bool MustWrite = false;     ///< The capacity has to be written.
-    bool WrittenBefore = false; ///< This instance has written it before.
+    bool MustWrite = false;                 ///< The capacity has to be written.
+    TimePoint LastWrite = TimePoint::min(); ///< Or check that it is stored.
   };
 
   void round();
