--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -401,7 +401,14 @@
   Implementation->Data.State.apply(Event, Now);
 }
 
+bool ShardScheduler::hasUncommittedEvents() const {
+  return !Implementation->Data.PendingDecisions.Events.empty();
+}
+
 ShardSnapshot ShardScheduler::snapshot(std::uint64_t Sequence) const {
+  if (hasUncommittedEvents())
+    throw Error(ErrorKind::Internal, "a snapshot of uncommitted events",
+                "report this as a fault of the shard's owner");
   return Implementation->Data.State.snapshot(Sequence);
 }
 
@@ -437,6 +444,14 @@
   Implementation->Intake.cancel(Run);
 }
 
+void ShardScheduler::discardCancellation(const RunId &Run) {
+  Implementation->Intake.discardCancellation(Run);
+}
+
+bool ShardScheduler::knows(const RunId &Run) const {
+  return Implementation->Intake.knows(Run);
+}
+
 void ShardScheduler::handleReport(const WorkerId &Worker,
                                   const std::vector<TaskReport> &Reports,
                                   TimePoint Now) {
@@ -475,6 +490,11 @@
   return RunLifecycle::publicRecord(*Entry);
 }
 
+bool ShardScheduler::isStartWanted(const AttemptId &Id) const {
+  const TaskRef Task = Implementation->Data.State.findActive(Id);
+  return Task.Run && Task.task().State != TaskState::Stopping;
+}
+
 std::vector<AttemptId>
 ShardScheduler::attemptsOn(const WorkerId &Worker) const {
   std::vector<AttemptId> Result;
--- a/src/core/shardscheduler.h
+++ b/src/core/shardscheduler.h
@@ -35,8 +35,6 @@
       30'000};                ///< Validity of a claim on preempted resources.
   Duration RetryDelay{1'000}; ///< Initial delay after a failure; doubles.
   Duration MaxRetryDelay{300'000};
-  Duration EarlyCancelKeep{
-      60'000}; ///< How long a cancellation waits for its run.
 };
 
 /// A start command to send once the tick is committed.
@@ -138,9 +136,15 @@
   void apply(const JournalEvent &Event, TimePoint Now);
 
   /// The durable state after journal entry \p Sequence. It does not depend on
-  /// whether the state was reached live or by replay.
+  /// whether the state was reached live or by replay. Throws Error(Internal) if
+  /// hasUncommittedEvents(): the snapshot would contain events that are also
+  /// replayed after it.
   ShardSnapshot snapshot(std::uint64_t Sequence) const;
 
+  /// True if the state contains events, for example of a report, that the next
+  /// tick will return.
+  bool hasUncommittedEvents() const;
+
   /// Replaces the list of this shard's workers. A worker that is missing gets
   /// no starts; its attempts remain until a report or handleWorkerExpired().
   void setWorkers(const std::vector<WorkerView> &Workers);
@@ -164,10 +168,17 @@
   void admit(const RunRecord &Run);
 
   /// Queues a cancellation for a later tick. Repeating it has no effect. The
-  /// caller should read the inbox before the cancellations, so that a run
-  /// precedes its cancellation.
+  /// cancellation of an unknown run is kept until the run is admitted or
+  /// discardCancellation() is called; the caller finds out which applies.
   void cancel(const RunId &Run);
 
+  /// Reports the cancellation of a run that has certainly ended, or never
+  /// existed, as handled by the next tick.
+  void discardCancellation(const RunId &Run);
+
+  /// True if the run is queued for admission, known, or was retired recently.
+  bool knows(const RunId &Run) const;
+
   /// Processes a worker's list of all attempts of this shard, including ended
   /// attempts that have not been acknowledged. Reports of one worker must
   /// arrive in order. The first report makes the worker eligible for starts.
@@ -195,6 +206,10 @@
   /// The current state of a run; empty if it is unknown or retired.
   std::optional<RunRecord> run(const RunId &Run) const;
 
+  /// True if the attempt has been started and is neither ended nor being
+  /// stopped. A start command must not be sent otherwise.
+  bool isStartWanted(const AttemptId &Id) const;
+
   /// Attempts that may be running on a worker.
   std::vector<AttemptId> attemptsOn(const WorkerId &Worker) const;
 
--- a/src/daemon/grantservice.cpp
+++ b/src/daemon/grantservice.cpp
@@ -16,6 +16,10 @@
 /// lower capacity or freed units.
 constexpr Duration RefreshPeriod{2000};
 
+/// Interval at which the preferred instance checks that the capacity of a pool
+/// is stored. A slow instance may have overwritten it with an older one.
+constexpr Duration CapacityPeriod{5000};
+
 /// Minimum time before units that a pool could not grant are requested again,
 /// so that a saturated cell does not use up the table service's read capacity.
 constexpr Duration RetryPeriod{500};
@@ -106,6 +110,7 @@
   const InstanceListService::Snapshot Snapshot = Instances.latest();
   if (!Snapshot)
     return;
+  const TimePoint Now = Context.Time.now();
   const std::vector<InstanceId> LiveInstances = Context.Session.liveInstances();
   const auto EnsureCapacity = [&](const std::string &Pool,
                                   const UnitAmounts &Capacity) {
@@ -115,7 +120,9 @@
     // dead and not yet fenced, and a lower limit must apply within seconds.
     if (State.LastComputed && *State.LastComputed != Capacity)
       State.MustWrite = true;
-    if (!State.WrittenBefore &&
+    const bool IsCheckDue = State.LastWrite == TimePoint::min() ||
+                            Now - State.LastWrite >= CapacityPeriod;
+    if (IsCheckDue &&
         rendezvousOwner(Pool, LiveInstances) == Context.Options.Instance.Id)
       State.MustWrite = true;
     State.LastComputed = Capacity;
@@ -124,7 +131,7 @@
     try {
       Ledger.ensureCapacity(Pool, Capacity);
       State.MustWrite = false;
-      State.WrittenBefore = true;
+      State.LastWrite = Now;
     } catch (const Error &Failure) {
       logFailure(Pool, Failure);
     }
@@ -254,14 +261,38 @@
              });
 }
 
+/// Amounts in use in all pools that were adjusted, by pool.
+std::map<std::string, UnitAmounts> GrantService::usedAmounts() {
+  std::map<std::string, UnitAmounts> Result;
+  const std::shared_ptr<const Config> Document = Context.Session.config();
+  Requests.withRouter([&](RequestRouter &Router) {
+    if (Document)
+      for (const auto &[Upstream, Unused] : Document->Upstreams)
+        Result[keys::executorPool(Upstream)] = Router.usedSlots(Upstream);
+    for (const auto &[Team, Used] : Router.usedRequests())
+      Result[keys::requestPool(Team)] = {{RequestUnit, Used}};
+  });
+  return Result;
+}
+
+void GrantService::releaseUnused(const std::string &Pool,
+                                 const UnitAmounts &Used) {
+  if (Used.empty())
+    return Ledger.releaseAll(Pool, CurrentHolder);
+  UnitAmounts Targets = heldAmounts(Pool);
+  for (auto &[Unit, Amount] : Targets) {
+    const auto Found = Used.find(Unit);
+    Amount = Found == Used.end() ? 0 : std::min(Amount, Found->second);
+  }
+  Ledger.adjust(Pool, CurrentHolder, Targets);
+}
+
 void GrantService::finish() {
   Thread.stop();
-  std::set<std::string> Pools;
-  for (const auto &[Pool, Unused] : held())
-    Pools.insert(Pool);
-  for (const std::string &Pool : Pools) {
+  std::map<std::string, UnitAmounts> Used = usedAmounts();
+  for (const auto &[Pool, Unused] : held()) {
     try {
-      Ledger.releaseAll(Pool, CurrentHolder);
+      releaseUnused(Pool, Used[Pool]);
     } catch (const Error &Failure) {
       // Other instances reclaim the grants once the session row is deleted.
       logFailure(Pool, Failure);
--- a/tests/core/shardscheduler_test.cpp
+++ b/tests/core/shardscheduler_test.cpp
@@ -1,3 +1,4 @@
+#include "core/error.h"
 #include "core/healthtracker.h"
 #include "core/shardworld.h"
 #include "core/usageestimator.h"
@@ -291,6 +292,28 @@
   EXPECT_EQ(Stops, 16U);
 }
 
+// Guards against tasks of a cancelled run that work on, because the owner was
+// lost before it had stopped all of them.
+TEST_F(ShardSchedulerTest, NewOwnerGoesOnToStopTheTasksOfACancelledRun) {
+  SchedulerOptions Options;
+  Options.MaxStopsPerTick = 3;
+  setUp(Options);
+  Scheduler->admit(runOf("r", "a", 16, {1000, 100, 0}));
+  ASSERT_EQ(tick().Starts.size(), 16U);
+  Scheduler->cancel("r");
+  tick();
+  const ShardSnapshot Saved = Scheduler->snapshot(1);
+  Scheduler = std::make_unique<ShardScheduler>("s", Options);
+  Scheduler->restore(Saved, Now);
+  setTeams({{"a", 1}}, {1'000'000, 1'000'000, 100});
+  setWorkers(4);
+  std::set<AttemptId> Stopped;
+  for (int Round = 0; Round < 10; ++Round)
+    for (const StopCommand &Stop : tick().Stops)
+      Stopped.insert(Stop.Id);
+  EXPECT_EQ(Stopped.size(), 16U);
+}
+
 // Guards against a run that is executed twice because its inbox row was read
 // before the row was deleted, and against losing a cancellation that arrives
 // before its run.
@@ -312,6 +335,18 @@
   EXPECT_FALSE(Scheduler->run("early").has_value());
 }
 
+// Guards against a run that starts although its cancellation was acknowledged,
+// because the run was read from a long inbox minutes after its cancellation.
+TEST_F(ShardSchedulerTest, KeepsTheCancellationOfARunThatIsAdmittedMuchLater) {
+  for (int Round = 0; Round < 10; ++Round) {
+    Scheduler->cancel("late");
+    EXPECT_THAT(tick(Duration{60'000}).HandledCancellations, IsEmpty());
+  }
+  Scheduler->admit(runOf("late", "a", 1, {1000, 100, 0}));
+  EXPECT_THAT(tick().Starts, IsEmpty());
+  EXPECT_FALSE(Scheduler->run("late").has_value());
+}
+
 // Guards against overcommitted workers, when placement uses the declared sizes
 // although the tasks use more.
 TEST_F(ShardSchedulerTest, ReservesTheLargerOfDeclaredAndObserved) {
@@ -331,6 +366,40 @@
   EXPECT_EQ(After.Starts[0].Reserved.CpuMillis, 2500);
 }
 
+// Guards against two attempts of a task at once: the outcome of a commit was
+// unknown until the worker's lease had expired and the worker had come back,
+// and only then the start was sent.
+TEST(ShardWorldTest, StartIsNotSentAfterItsAttemptHasEnded) {
+  ShardWorld World(1);
+  World.advance(Duration{1'000});
+  RunSpec Spec;
+  Spec.PerTask = {1000, 1000, 0};
+  World.submit("blue", Spec, Duration{300'000});
+  World.hideNextOutcome(Duration{40'000});
+  World.advance(Duration{1'000});
+  for (const char *Zone : {"z0", "z1", "z2"})
+    World.loseZone(Zone);
+  World.advance(Duration{25'000});
+  for (std::size_t Worker = 0; Worker < 12; ++Worker)
+    World.setReachable(Worker, true);
+  World.advance(Duration{30'000});
+  World.settle();
+}
+
+// Guards against a shard that no instance can take over, because a report was
+// processed before the outcome of a commit was known and entered the snapshot
+// as well as the next journal entry.
+TEST_F(ShardSchedulerTest, SnapshotOfUncommittedEventsIsRefused) {
+  Scheduler->admit(runOf("r", "a", 2, {1000, 100, 0}));
+  const Decisions Made = tick();
+  EXPECT_FALSE(Scheduler->hasUncommittedEvents());
+  endAttempt(Made.Starts.at(0).Id, TaskState::Succeeded);
+  EXPECT_TRUE(Scheduler->hasUncommittedEvents());
+  EXPECT_THROW(Scheduler->snapshot(1), Error);
+  tick();
+  EXPECT_EQ(Scheduler->snapshot(2).Runs.size(), 1U);
+}
+
 // Guards against a new owner that does not know how often a task has failed.
 TEST_F(ShardSchedulerTest, KeepsTheCountOfFailuresAcrossASnapshot) {
   RunRecord Run = runOf("r", "a", 1, {1000, 100, 0});
--- a/tests/core/shardworld.cpp
+++ b/tests/core/shardworld.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace apricotwing {
 
@@ -15,6 +16,16 @@
 /// worker stops its tasks when its lease expires.
 constexpr Duration LimitGrace{30'000};
 
+/// Time until a stop has taken effect once nothing is lost: two reports of the
+/// worker and the longest delay of a message.
+constexpr Duration StopBound{10'000};
+
+/// Rows of the inbox that are read before each tick.
+constexpr std::size_t InboxPage = 2;
+
+/// Longest run time of a task after the stops were checked at the end.
+constexpr Duration ShortTask{20'000};
+
 void require(bool Holds, const std::string &Invariant) {
   if (!Holds)
     throw std::logic_error(Invariant);
@@ -67,6 +78,10 @@
          Found->second.Attempt == Id.Attempt;
 }
 
+bool JournalOracle::isStopping(const AttemptId &Id) const {
+  return isActive(Id) && Tasks.at(Id.Task).Stopping;
+}
+
 std::uint32_t JournalOracle::openTasks(const RunId &Run) const {
   std::uint32_t Open = 0;
   for (std::uint32_t Index = 0; Index < Runs.at(Run).Spec.Tasks; ++Index) {
@@ -313,10 +328,20 @@
 }
 
 Decisions ShardWorld::decide() {
-  for (const auto &[Id, Record] : Inbox)
-    Owner->admit(Record);
-  for (const RunId &Id : CancelRows)
+  std::size_t Left = InboxPage;
+  for (auto Next = Inbox.begin(); Next != Inbox.end() && Left > 0;
+       ++Next, --Left)
+    Owner->admit(Next->second);
+  for (const RunId &Id : CancelRows) {
+    const bool IsKnown = Owner->knows(Id);
+    if (!IsKnown && isOver(Id)) {
+      Owner->discardCancellation(Id);
+      continue;
+    }
+    if (!IsKnown)
+      Owner->admit(Submissions.at(Id).Record);
     Owner->cancel(Id);
+  }
   Decisions Made = Owner->tick(Now);
   checkDecisions(Made);
   return Made;
@@ -357,7 +382,11 @@
     Inbox.erase(Id);
   for (const RunId &Id : Made.HandledCancellations)
     CancelRows.erase(Id);
-  if (!Made.needsCommit() || ++Commits % 16 != 0)
+}
+
+void ShardWorld::saveSnapshotIfDue(const Decisions &Made) {
+  if (!Made.needsCommit() || ++Commits % 16 != 0 ||
+      Owner->hasUncommittedEvents())
     return;
   const ShardSnapshot Live = Owner->snapshot(Commits);
   ShardScheduler Replayed("s", Options);
@@ -370,6 +399,11 @@
   Journal.clear();
 }
 
+void ShardWorld::finishCommit(const Decisions &Made) {
+  send(Made);
+  saveSnapshotIfDue(Made);
+}
+
 void ShardWorld::enqueue(Message Next) {
   if (Random() % 100 < LossPercent)
     return;
@@ -385,7 +419,8 @@
 
 void ShardWorld::send(const Decisions &Made) {
   for (const StartCommand &Start : Made.Starts)
-    enqueue({Now, 0, 0, true, Start.Worker, Start.Id, Start.Reserved});
+    if (Owner->isStartWanted(Start.Id))
+      enqueue({Now, 0, 0, true, Start.Worker, Start.Id, Start.Reserved});
   for (const StopCommand &Stop : Made.Stops)
     enqueue({Now, 0, 0, false, Stop.Worker, Stop.Id, {}});
   for (const auto &[Id, Ended] : Made.Acknowledgements)
@@ -429,9 +464,25 @@
   progressWorkers();
   deliver();
   poll();
-  const Decisions Made = decide();
-  commit(Made);
-  send(Made);
+  if (Unresolved && Now >= ResolvedAt) {
+    finishCommit(*Unresolved);
+    Unresolved.reset();
+  }
+  if (!Unresolved) {
+    Decisions Made = decide();
+    commit(Made);
+    if (HiddenOutcome.count() > 0 && Made.needsCommit()) {
+      ResolvedAt = Now + std::exchange(HiddenOutcome, {});
+      Unresolved = std::move(Made);
+    } else {
+      finishCommit(Made);
+    }
+  } else {
+    // No stop can be decided, so the time to apply a lower limit does not run.
+    for (auto &[Team, Old] : OldLimits)
+      for (auto &[Until, Limit] : Old)
+        Until += Span;
+  }
   checkActualState();
 }
 
@@ -442,16 +493,59 @@
 }
 
 void ShardWorld::crash(CrashPoint Point) {
+  Unresolved.reset();
   if (Point != CrashPoint::Idle) {
     const Decisions Made = decide();
     if (Point != CrashPoint::BeforeCommit)
       commit(Made);
     if (Point == CrashPoint::AfterSends)
-      send(Made);
+      finishCommit(Made);
   }
   recover();
 }
 
+std::set<AttemptId> ShardWorld::running() const {
+  std::set<AttemptId> Result;
+  for (const auto &[Id, Simulated] : Workers)
+    for (const auto &[Name, Each] : Simulated.Attempts)
+      if (Each.State == TaskState::Running)
+        Result.insert(Name);
+  return Result;
+}
+
+void ShardWorld::checkStops() {
+  setNetwork(0, 0);
+  HiddenOutcome = {};
+  ResolvedAt = std::min(ResolvedAt, Now);
+  Refusals = 0;
+  for (auto &[Id, Simulated] : Workers)
+    Simulated.Reachable = true;
+  std::set<AttemptId> Stopping;
+  for (const AttemptId &Name : running())
+    if (Oracle.isStopping(Name))
+      Stopping.insert(Name);
+  advance(StopBound);
+  for (const AttemptId &Name : running()) {
+    const RunId &Run = Name.Task.Run;
+    require(!Submissions.at(Run).Cancelled,
+            toString(Name) + " runs on although its run was cancelled");
+    require(!Oracle.Final.contains(Run),
+            toString(Name) + " runs on although its run has ended");
+    require(Oracle.isActive(Name),
+            toString(Name) + " runs on although its end is recorded");
+    require(!Stopping.contains(Name),
+            toString(Name) + " runs on although its stop is recorded");
+  }
+}
+
+void ShardWorld::shortenTasks() {
+  for (auto &[Id, Run] : Submissions)
+    Run.Length = std::min(Run.Length, ShortTask);
+  for (auto &[Id, Simulated] : Workers)
+    for (auto &[Name, Each] : Simulated.Attempts)
+      Each.EndsAt = std::min(Each.EndsAt, Now + ShortTask);
+}
+
 bool ShardWorld::canEverRun(const RunSpec &Spec) const {
   std::uint64_t Slots = 0;
   for (const auto &[Id, Simulated] : Workers) {
@@ -466,10 +560,8 @@
 }
 
 void ShardWorld::settle() {
-  setNetwork(0, 0);
-  Refusals = 0;
+  checkStops();
   for (auto &[Id, Simulated] : Workers) {
-    Simulated.Reachable = true;
     Simulated.IsFaulty = false;
     Simulated.View.Drained = false;
   }
@@ -480,6 +572,8 @@
     if (Run.Record.Spec.Kind == RunKind::Service ||
         !canEverRun(Run.Record.Spec))
       cancelRun(Id);
+  checkStops();
+  shortenTasks();
   const auto IsLeft = [this](const RunId &Id) { return !isOver(Id); };
   constexpr Duration Limit{3 * 3'600'000};
   for (const TimePoint End = Now + Limit;
--- a/tests/core/shardworld.h
+++ b/tests/core/shardworld.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -27,6 +28,8 @@
   /// the journal.
   void check(const JournalEvent &Event);
   bool isActive(const AttemptId &Id) const;
+  /// True if a stop of this active attempt was recorded.
+  bool isStopping(const AttemptId &Id) const;
   /// Tasks of a run that have not reached a final state.
   std::uint32_t openTasks(const RunId &Run) const;
   /// True if some unfinished tasks of a run are running and others are not.
@@ -68,10 +71,18 @@
   void setDrained(std::size_t Worker, bool Value);
   void refuseStarts(std::uint32_t Count) { Refusals = Count; }
   void setNetwork(std::uint32_t Loss, std::uint32_t Duplicates);
-
-  /// Ends all faults, cancels all services and all runs that can never be
-  /// placed, and advances until all runs are retired. Throws if a run is lost
-  /// or ends in the wrong state.
+  /// Makes the outcome of the next commit unknown to the owner for \p Span. It
+  /// makes no decisions meanwhile, but goes on to renew leases.
+  void hideNextOutcome(Duration Span) { HiddenOutcome = Span; }
+
+  /// Makes all workers reachable and the network reliable. Throws if an attempt
+  /// runs on for longer than StopBound although its run was cancelled or has
+  /// ended, or although its stop was recorded.
+  void checkStops();
+
+  /// Ends all faults and checks the stops. Then cancels all services and all
+  /// runs that can never be placed, shortens long tasks, and advances until all
+  /// runs are retired. Throws if a run is lost or ends in the wrong state.
   void settle();
 
   std::size_t submitted() const { return Order.size(); }
@@ -123,10 +134,14 @@
   void poll();
   Decisions decide();
   void commit(const Decisions &Made);
+  void saveSnapshotIfDue(const Decisions &Made);
+  void finishCommit(const Decisions &Made);
   void send(const Decisions &Made);
   void enqueue(Message Next);
   void checkDecisions(const Decisions &Made) const;
   void checkActualState() const;
+  std::set<AttemptId> running() const;
+  void shortenTasks();
   void configure();
   bool canEverRun(const RunSpec &Spec) const;
   bool isOver(const RunId &Run) const { return Oracle.Retired.contains(Run); }
@@ -148,6 +163,10 @@
   ShardSnapshot LastSnapshot;
   std::vector<JournalEvent> Journal;
   std::uint64_t Commits = 0;
+  Duration HiddenOutcome{0};
+  /// Decisions whose commit has taken effect, which the owner does not know.
+  std::optional<Decisions> Unresolved;
+  TimePoint ResolvedAt;
   JournalOracle Oracle;
   std::map<AttemptId, TaskState>
       ActualOutcomes; ///< How attempts actually ended.
