--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1161,10 +1161,12 @@
 
 std::size_t Leader::runsToStopOn(const WorkerState &Worker) const {
   const auto &Runs = Scheduler.runsToStop();
-  const auto IsOnIt = [&](const auto &Entry) {
-    return Entry.first.Worker == Worker.Info.Incarnation;
-  };
-  return std::size_t(std::count_if(Runs.begin(), Runs.end(), IsOnIt));
+  const jobs::WorkerIncarnation &Incarnation = Worker.Info.Incarnation;
+  std::size_t Count = 0;
+  for (auto Run = Runs.lower_bound({Incarnation, {}, 0});
+       Run != Runs.end() && Run->first.Worker == Incarnation; ++Run)
+    ++Count;
+  return Count;
 }
 
 void Leader::logOverdueStops(TimePoint Now) {
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -707,8 +707,6 @@
                          StopProgress{Cause, Now, Now});
 }
 
-// A worker whose lists must be read again has no supervisor that could pass on
-// an order.
 std::set<std::string> JobScheduler::stepsStillAtWork() const {
   std::set<std::string> Result;
   for (const auto &[Order, Progress] : RunsToStop)
@@ -718,6 +716,8 @@
   return Result;
 }
 
+// A worker whose lists must be read again has no supervisor that could pass on
+// an order.
 std::vector<StopCommand> JobScheduler::dueStops(TimePoint Now) {
   std::vector<StopCommand> Result;
   for (auto &[Order, Progress] : RunsToStop) {
