Share the bodies of the fuzz tests of the cell

The tests differed by the generator of actions, the number of shards and of cases. The tests of supervision share how a worker is cut off.

--- a/tests/cell/cell_fuzz_test.cpp
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <ostream>
 #include <string>
@@ -453,81 +454,49 @@
   TimePoint LastRead;
 };
 
-// Random faults of instances, store and workers, alone and in combination.
-// RC_PARAMS="seed=S max_success=N" selects the seed and a longer run.
-TEST(CellFuzzTest, KeepsItsPromisesUnderRandomFaults) {
+/// Plays \p Count random sequences of the actions that \p Actions generates on
+/// cells with one shard or two. RC_PARAMS="seed=S max_success=N" selects the
+/// seed and a longer run.
+void playScenarios(const std::function<rc::Gen<Action>()> &Actions,
+                   bool HasTwoShards, int Count) {
   checkWithFixedSeeds(
-      [] {
+      [&] {
         const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const auto Steps =
-            *rc::gen::container<std::vector<Action>>(anyAction());
-        FaultScenario Scenario(Seed);
+        const auto Steps = *rc::gen::container<std::vector<Action>>(Actions());
+        FaultScenario Scenario =
+            HasTwoShards ? FaultScenario(Seed, twoShards(), equalAccounts(4))
+                         : FaultScenario(Seed);
         for (const Action &Step : Steps)
           Scenario.play(Step);
         Scenario.check();
       },
-      20);
+      Count);
+}
+
+// Random faults of instances, store and workers, alone and in combination.
+TEST(CellFuzzTest, KeepsItsPromisesUnderRandomFaults) {
+  playScenarios([] { return anyAction(); }, false, 20);
 }
 
 // The same with tasks that crash their workers, workers that return in several
 // ways, and capacities that change.
 TEST(CellFuzzTest, KeepsItsPromisesWithCrashingTasks) {
-  checkWithFixedSeeds(
-      [] {
-        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const auto Steps = *rc::gen::container<std::vector<Action>>(
-            anyAction(ActionKindsWithCrashes));
-        FaultScenario Scenario(Seed);
-        for (const Action &Step : Steps)
-          Scenario.play(Step);
-        Scenario.check();
-      },
-      20);
+  playScenarios([] { return anyAction(ActionKindsWithCrashes); }, false, 20);
 }
 
 // The same with two shards, whose leaders are lost one by one or together.
 TEST(CellFuzzTest, KeepsItsPromisesWithTwoShards) {
-  checkWithFixedSeeds(
-      [] {
-        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const auto Steps =
-            *rc::gen::container<std::vector<Action>>(anyAction());
-        FaultScenario Scenario(Seed, twoShards(), equalAccounts(4));
-        for (const Action &Step : Steps)
-          Scenario.play(Step);
-        Scenario.check();
-      },
-      20);
+  playScenarios([] { return anyAction(); }, true, 20);
 }
 
 // The same with tasks of minutes, whose jobs callers cancel, and with messages
 // that are delayed or lost.
 TEST(CellFuzzTest, LeavesNoRunOfACancelledJobAtWork) {
-  checkWithFixedSeeds(
-      [] {
-        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const auto Steps =
-            *rc::gen::container<std::vector<Action>>(anyActionWithLongTasks());
-        FaultScenario Scenario(Seed);
-        for (const Action &Step : Steps)
-          Scenario.play(Step);
-        Scenario.check();
-      },
-      10);
+  playScenarios(anyActionWithLongTasks, false, 10);
 }
 
 TEST(CellFuzzTest, LeavesNoRunOfACancelledJobAtWorkWithTwoShards) {
-  checkWithFixedSeeds(
-      [] {
-        const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-        const auto Steps =
-            *rc::gen::container<std::vector<Action>>(anyActionWithLongTasks());
-        FaultScenario Scenario(Seed, twoShards(), equalAccounts(4));
-        for (const Action &Step : Steps)
-          Scenario.play(Step);
-        Scenario.check();
-      },
-      10);
+  playScenarios(anyActionWithLongTasks, true, 10);
 }
 
 } // namespace
--- a/tests/cell/supervision_test.cpp
+++ b/tests/cell/supervision_test.cpp
@@ -15,13 +15,27 @@
 
 using namespace std::chrono_literals;
 
+/// Lets only \p Name reach \p Worker.
+void leaveWorkerTo(EmulatedCell &Cell, const std::string &Name,
+                   const std::string &Worker) {
+  for (const std::string &Other : Cell.names())
+    if (Other != Name)
+      Cell.workers().CutPairs.insert({Other, Worker});
+}
+
+/// Lets only \p Name reach the workers that \p Leading has not synced.
+void leaveUnsyncedWorkersTo(EmulatedCell &Cell, const cell::Leader &Leading,
+                            const std::string &Name) {
+  for (const auto &[Id, Host] : Leading.scheduler().workers())
+    if (!Host.isSynced())
+      leaveWorkerTo(Cell, Name, Id);
+}
+
 /// Lets only \p Name reach the worker, and breaks the link of \p Name to the
 /// leader for \p Length.
 void isolate(EmulatedCell &Cell, const std::string &Name,
              const std::string &Worker, Duration Length) {
-  for (const std::string &Other : Cell.names())
-    if (Other != Name)
-      Cell.workers().CutPairs.insert({Other, Worker});
+  leaveWorkerTo(Cell, Name, Worker);
   Cell.cut(Name);
   Cell.run(Length);
   Cell.heal(Name);
@@ -115,11 +129,7 @@
     if (Leading.workersOf(Name) >= Before || Leading.workersOf(Name) == 0)
       continue;
     ++Moves;
-    for (const auto &[Id, Host] : Leading.scheduler().workers())
-      if (!Host.isSynced())
-        for (const std::string &Other : Cell.names())
-          if (Other != Name)
-            Cell.workers().CutPairs.insert({Other, Id});
+    leaveUnsyncedWorkersTo(Cell, Leading, Name);
     Cell.run(12s);
     EXPECT_EQ(Cell.workers().violations(), std::vector<std::string>{});
   }
@@ -146,11 +156,7 @@
       continue;
     ++Departures;
     Cell.cut(Name);
-    for (const auto &[Id, Host] : Leading.scheduler().workers())
-      if (!Host.isSynced())
-        for (const std::string &Other : Cell.names())
-          if (Other != Name)
-            Cell.workers().CutPairs.insert({Other, Id});
+    leaveUnsyncedWorkersTo(Cell, Leading, Name);
     Cell.run(12s);
     EXPECT_EQ(Cell.workers().violations(), std::vector<std::string>{});
   }
