--- a/tests/cell/supervision_test.cpp
+++ b/tests/cell/supervision_test.cpp
@@ -51,8 +51,9 @@
           Cell.run(2s);
           if (Cell.leader() == Name)
             continue;
-          SCOPED_TRACE("seed " + std::to_string(Seed) + ", " + Name + ", " +
-                       Worker + ", " + std::to_string(Length.count()));
+          SCOPED_TRACE(testing::Message()
+                       << "seed " << Seed << ", " << Name << ", " << Worker
+                       << ", " << Length.count());
           Cell.submit(Cell.leader(), stepOf(12, 120s));
           Cell.run(2s);
           isolate(Cell, Name, Worker, Length);
@@ -70,8 +71,8 @@
         Cell.run(2s);
         if (Cell.leader() == Name)
           continue;
-        SCOPED_TRACE("seed " + std::to_string(Seed) + ", " + Name + ", " +
-                     Worker);
+        SCOPED_TRACE(testing::Message()
+                     << "seed " << Seed << ", " << Name << ", " << Worker);
         const std::string Id = Cell.submit(Cell.leader(), stepOf(12, 120s));
         Cell.run(2s);
         isolate(Cell, Name, Worker, 1300ms);
@@ -94,7 +95,8 @@
     const auto Info = *Cell.workers().info(Worker);
     EmulatedWorkers::Handle Other(Cell.workers(), "other");
     Other.heartbeat({Info.Incarnation, Info.Address, 1'000'040},
-                    cell::HeartbeatRequest{}, [](cell::HeartbeatResult) {});
+                    cell::HeartbeatRequest{},
+                    [](const cell::HeartbeatResult &) {});
     Cell.run(100ms);
     Cell.workers().Cut.insert(Worker);
     Cell.run(10s);
