--- a/review/standin/case.cpp
+++ b/review/standin/case.cpp
@@ -3,6 +3,7 @@
 /// broken, 0 if it held, 2 if the case could not run.
 #include "cell.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -111,16 +112,25 @@
     Site.addExecutor("i-000000000" + std::to_string(I), "planner");
   if (!Site.startEntries())
     return CouldNotRun;
-  const std::string Path = "/sweep/" + jobId(1);
-  if (!Site.submit(Path, job(1000, {step(600, 50, 1000)})))
-    return CouldNotRun;
-  if (!waitFor(5000, [&] { return Site.running() >= 600; }))
+  std::vector<std::thread> Clients;
+  std::atomic<int> Accepted = 0;
+  for (int I = 0; I < 10; ++I)
+    Clients.emplace_back([&, I] {
+      const std::string Path = "/sweep/" + jobId(I);
+      Accepted += Site.submit(Path, job(1000, {step(60, 50, 1000)})) ? 1 : 0;
+    });
+  for (std::thread &One : Clients)
+    One.join();
+  if (Accepted != 10 || !waitFor(5000, [&] { return Site.running() >= 600; }))
     return CouldNotRun;
   if (Trouble && !killLeader(Site, 3500))
     return CouldNotRun;
   waitFor(30'000, [&] {
     sleepMs(500);
-    return Site.state(Path) == "completed";
+    for (int I = 0; I < 10; ++I)
+      if (Site.state("/sweep/" + jobId(I)) != "completed")
+        return false;
+    return true;
   });
   sleepMs(2000);
   return verdict(Site, ranTwice(Site.record().runs()));
@@ -213,6 +223,46 @@
   return verdict(Site, Findings);
 }
 
+/// A task that lasts fails while a gang waits for room.
+int lastingTask(Cell &Site, bool Trouble) {
+  Site.configure(json::array({Cell::route("service", "planner", 4),
+                              Cell::route("plan", "planner", 4)}));
+  for (int I = 0; I < 4; ++I)
+    Site.addExecutor("i-000000000" + std::to_string(I), "planner");
+  if (!Site.startEntries())
+    return CouldNotRun;
+  json Lasting = step(1, 7000, 0);
+  Lasting["long_running"] = true;
+  if (!Site.submit("/service/" + jobId(1),
+                   job(600'000, json::array({Lasting}))) ||
+      !Site.submit("/plan/" + jobId(2),
+                   job(45'000, json::array({step(12, 6000, 45'000)}))) ||
+      !waitFor(5000, [&] { return Site.running() == 13; }))
+    return CouldNotRun;
+  if (Trouble) {
+    json Gang = step(8, 8000, 3000);
+    Gang["gang_scheduled"] = true;
+    if (!Site.submit("/plan/" + jobId(3), job(3000, json::array({Gang}))))
+      return CouldNotRun;
+  }
+  sleepMs(4000);
+  const std::string Task = jobId(1) + ".0.0.0";
+  Site.fail(Task);
+  const std::int64_t Ended = nowMs();
+  const bool Runs = waitFor(25'000, [&] {
+    const auto All = Site.record().runs();
+    return std::any_of(All.begin(), All.end(), [&](const Recorder::Run &One) {
+      return One.Task == Task && One.Ended < 0;
+    });
+  });
+  std::vector<std::string> Findings;
+  if (!Runs || nowMs() - Ended > 13'000)
+    Findings.push_back("the task that lasts, " + Task + ", has not run for " +
+                       std::to_string(nowMs() - Ended) +
+                       " ms since its last end");
+  return verdict(Site, Findings);
+}
+
 } // namespace
 
 int main(int Count, char **Words) {
@@ -227,7 +277,8 @@
       {"removed-route", removedRoute},
       {"many-ends", manyEnds},
       {"large-job", largeJob},
-      {"crashes", crashes}};
+      {"crashes", crashes},
+      {"lasting-task", lastingTask}};
   const auto Found = Cases.find(Name);
   if (Found == Cases.end())
     return CouldNotRun;
--- a/review/standin/cell.cpp
+++ b/review/standin/cell.cpp
@@ -114,6 +114,11 @@
   Log.line("executor " + Id + " is up again");
 }
 
+void Cell::fail(const std::string &Task) {
+  for (const auto &[Id, One] : Executors)
+    One->fail(Task);
+}
+
 void Cell::startEntry(int Index) {
   const std::string Name = "frontend-zone-a-" + std::to_string(Index + 1);
   const std::string Ip = ipOf(Index);
--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -32,6 +32,8 @@
   /// Ends the process of an executor / starts one with the same id and address.
   void killExecutor(const std::string &Id);
   void restartExecutor(const std::string &Id);
+  /// Lets the run of a task end as failed.
+  void fail(const std::string &Task);
 
   /// Starts all entries and waits until they say that they are ready.
   bool startEntries();
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -302,6 +302,12 @@
   return Running.size();
 }
 
+void Executor::fail(const std::string &Task) {
+  const std::lock_guard Lock(Mutex);
+  if (Running.contains(Task))
+    finish(Task, "failed");
+}
+
 void Executor::beat() {
   json Entry{
       {"service", Chosen.Service},
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -109,6 +109,8 @@
   /// Ends the process: what runs there ends, connections break.
   void kill();
   std::size_t running();
+  /// Lets the run of a task end as failed, if it runs here.
+  void fail(const std::string &Task);
 
 private:
   struct Active {
