--- a/review/standin/case.cpp
+++ b/review/standin/case.cpp
@@ -263,6 +263,70 @@
   return verdict(Site, Findings);
 }
 
+/// The leading machine freezes. Clients whose submissions get no answer give up
+/// and cancel their jobs at other machines.
+int cancelledUnanswered(Cell &Site, bool Trouble) {
+  Site.configure(json::array({Cell::route("plan", "planner")}));
+  for (int I = 0; I < 8; ++I)
+    Site.addExecutor("i-000000000" + std::to_string(I), "planner");
+  if (!Site.startEntries(6))
+    return CouldNotRun;
+  const int Leader = Site.leader();
+  if (Leader < 0)
+    return CouldNotRun;
+  // One client for each pair of machines but the leader's: one for the
+  // submission and one for the cancelling.
+  std::vector<std::pair<int, int>> Pairs;
+  for (int First = 0; First < Site.entries(); ++First)
+    for (int Second = 0; Second < Site.entries(); ++Second)
+      if (First != Second && First != Leader && Second != Leader)
+        Pairs.emplace_back(First, Second);
+  if (Trouble)
+    Site.freeze(Leader, true);
+  struct Cancelled {
+    std::string Id;
+    std::int64_t At = -1;
+    int Status = 0;
+  };
+  std::vector<Cancelled> Jobs(Pairs.size());
+  std::vector<std::thread> Clients;
+  for (std::size_t I = 0; I < Pairs.size(); ++I)
+    Clients.emplace_back([&, I] {
+      const auto [First, Second] = Pairs[I];
+      Jobs[I].Id = jobId(int(I));
+      const std::string Path = "/plan/" + Jobs[I].Id;
+      // The client leaves after 0.9 s, well before its deadline of 3 s.
+      Site.client(First, "POST", Path,
+                  job(30'000, json::array({step(2, 1000, 30'000)})), 3000, 900);
+      for (int Try = 0; Try < 4; ++Try) {
+        Jobs[I].Status = Site.client(Second, "DELETE", Path, nullptr).Status;
+        if (Jobs[I].Status / 100 != 2 && Jobs[I].Status != 410)
+          continue;
+        Jobs[I].At = nowMs();
+        return;
+      }
+    });
+  sleepMs(3500);
+  if (Trouble)
+    Site.freeze(Leader, false);
+  for (std::thread &One : Clients)
+    One.join();
+  // contact_timeout_ms, cancel_ms and stop_timeout_ms after the last
+  // disturbance and the last acknowledgement, and some more.
+  sleepMs(12'000);
+  const std::int64_t Now = nowMs();
+  std::vector<std::string> Findings;
+  for (const Cancelled &One : Jobs)
+    for (const Recorder::Run &Run : Site.record().runs())
+      if (One.At >= 0 && Run.Ended < 0 && Run.Task.starts_with(One.Id))
+        Findings.push_back(
+            Run.Task + " runs since " + std::to_string(Run.Started) +
+            " ms and still " + std::to_string(Now - One.At) +
+            " ms after the cancelling of its job was acknowledged with " +
+            std::to_string(One.Status));
+  return verdict(Site, Findings);
+}
+
 } // namespace
 
 int main(int Count, char **Words) {
@@ -278,7 +342,8 @@
       {"many-ends", manyEnds},
       {"large-job", largeJob},
       {"crashes", crashes},
-      {"lasting-task", lastingTask}};
+      {"lasting-task", lastingTask},
+      {"cancelled-unanswered", cancelledUnanswered}};
   const auto Found = Cases.find(Name);
   if (Found == Cases.end())
     return CouldNotRun;
--- a/review/standin/cell.cpp
+++ b/review/standin/cell.cpp
@@ -207,7 +207,16 @@
              .Status == 200;
 }
 
-bool Cell::startEntries() {
+void Cell::freeze(int Index, bool Frozen) {
+  const pid_t Pid = Pids[std::size_t(Index)];
+  if (Pid > 0)
+    kill(Pid, Frozen ? SIGSTOP : SIGCONT);
+  Log.line("entry " + std::to_string(Index + 1) +
+           (Frozen ? " is frozen" : " goes on"));
+}
+
+bool Cell::startEntries(int Wanted) {
+  Count = Wanted;
   for (int Index = 0; Index < entries(); ++Index)
     startEntry(Index);
   for (const std::int64_t Until = nowMs() + ReadyTimeoutMs; nowMs() < Until;
@@ -246,15 +255,15 @@
 }
 
 Response Cell::client(int Index, const std::string &Method,
-                      const std::string &Path, const json &Body,
-                      int TimeoutMs) {
-  Response Answer =
-      call(ipOf(Index), ClientPort, Method, Path,
-           {{"Host", "cell.example"},
-            {"Content-Type", "application/json"},
-            {"Authorization", "Bearer " + ClientKey},
-            {"X-Apricotwing-Deadline-Ms", std::to_string(TimeoutMs)}},
-           Body.is_null() ? "" : Body.dump(), TimeoutMs);
+                      const std::string &Path, const json &Body, int DeadlineMs,
+                      int LeavesMs) {
+  const Response Answer = call(
+      ipOf(Index), ClientPort, Method, Path,
+      {{"Host", "cell.example"},
+       {"Content-Type", "application/json"},
+       {"Authorization", "Bearer " + ClientKey},
+       {"X-Apricotwing-Deadline-Ms", std::to_string(DeadlineMs)}},
+      Body.is_null() ? "" : Body.dump(), LeavesMs > 0 ? LeavesMs : DeadlineMs);
   Log.line("client: " + Method + " " + Path + " at entry " +
            std::to_string(Index + 1) + " -> " + std::to_string(Answer.Status) +
            " " + Answer.Body);
--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -36,17 +36,20 @@
   void fail(const std::string &Task);
 
   /// Starts all entries and waits until they say that they are ready.
-  bool startEntries();
+  bool startEntries(int Wanted = 3);
   void killEntry(int Index);
   void startEntry(int Index);
+  /// Freezes the process of an entry, or lets it go on.
+  void freeze(int Index, bool Frozen);
   /// Index of the entry whose process wrote last to the store under a
   /// condition; -1 if there is none.
   int leader();
   bool isReady(int Index);
 
-  /// A call of a client at an entry.
+  /// A call of a client at an entry. The client waits for DeadlineMs, or
+  /// leaves after LeavesMs.
   Response client(int Index, const std::string &Method, const std::string &Path,
-                  const json &Body, int TimeoutMs = 3000);
+                  const json &Body, int DeadlineMs = 3000, int LeavesMs = 0);
   /// Submits a job as the clients of PROTOCOL.md do: again, at the next entry,
   /// after no answer, 502 or 504. Returns true if it was accepted.
   bool submit(const std::string &Path, const json &Job);
@@ -56,7 +59,7 @@
 
   Store &store() { return *PlatformStore; }
   Recorder &record() { return Log; }
-  int entries() const { return int(Pids.size()); }
+  int entries() const { return Count; }
   /// Total number of tasks that run on executors.
   std::size_t running();
 
@@ -69,7 +72,8 @@
   std::unique_ptr<Store> PlatformStore;
   std::map<std::string, Executor::Settings> Known;
   std::map<std::string, std::unique_ptr<Executor>> Executors;
-  std::array<std::atomic<pid_t>, 3> Pids{};
+  std::array<std::atomic<pid_t>, 6> Pids{};
+  int Count = 3;
   int Version = 0;
   std::atomic<bool> Ending = false;
   std::thread Watchdog;
