Do not take refused connections for the end of a worker

Cause: a session took two refused connections in a row for the end of the worker's process, and the leader started its tasks elsewhere at once, while the worker held a lease and worked on. Evidence: in a trace of the grown site a run is lost with cause process_ended 7 ms after the line "worker process ended refused=2", run 2 starts 50 ms later, run 1 ends as done. Ruled out for it: an early end of the lease, and an order that was sent twice.

Now a refused connection means that the call was not sent. What ends runs at once is an answer of another process, a row with a later start, or the row of a draining worker that is dropped sooner than that of a silent one would be. Everything else waits for the lease. Refusals until the end of the lease count as a crash in the history of tasks, until the worker answers again.

With the former rule these fail: HazardsTest.KeepsTheWorkOf*WhoseConnections AreRefused (2), WorkerSessionTest.RefusedConnectionsDoNotEndTheSession, WorkerCrashTest.ARefusingWorkerCostsNoTaskItsJob. Without the dropped rows: HazardsTest.RepeatsTheWorkOfAWorkerThatHasLeftAtOnce.

HazardsTest.AWorkerThatLeftIsNotUsedAfterARestart covers a worker that has left and one that has crashed; the latter is gone after its lease only. The emulated registry drops rows as the platform does.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -372,6 +372,7 @@
   To["token"] = Value.Token;
   putList(To, "running", Value.Running);
   putList(To, "ended", Value.Ended);
+  put(To, "refused", Value.ConnectionRefused);
 }
 static void from_json(const json &From, WorkerReport &Value) {
   takeEnum(From, "event", Value.Event);
@@ -379,6 +380,7 @@
   From.at("token").get_to(Value.Token);
   take(From, "running", Value.Running);
   take(From, "ended", Value.Ended);
+  take(From, "refused", Value.ConnectionRefused);
 }
 
 static void to_json(json &To, const RefusedStart &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -480,11 +480,37 @@
 }
 
 void Leader::onRegistryChanges(const std::vector<StoredRow> &Rows) {
-  for (const StoredRow &Row : Rows)
-    applyRegistryRow(Row);
+  for (const StoredRow &Row : Rows) {
+    if (Row.Deleted && isOwnWorker(Row.Key))
+      onRegistryRowDropped(Row.Key);
+    else
+      applyRegistryRow(Row, Registry.changesSince());
+  }
 }
 
-void Leader::applyRegistryRow(const StoredRow &Row) {
+void Leader::onRegistryRowDropped(const std::string &Id) {
+  const auto Found = WorkerStates.find(Id);
+  if (Found == WorkerStates.end() || !Found->second.Registered)
+    return;
+  markUnregistered(Found->second);
+  if (!hasLeft(Found->second))
+    return;
+  Deps.Log.event("worker has left", Id, {});
+  removeWorker(Id, jobs::WorkerLoss::Announced);
+}
+
+// A worker removes its row when it leaves. Otherwise the row is dropped after a
+// time in which the worker has not written it.
+bool Leader::hasLeft(const WorkerState &Worker) const {
+  const Duration Margin = RegistryWatchInterval * 2;
+  return Worker.StopAnnounced && Worker.RowWrittenSince &&
+         *Worker.RowWrittenSince >= Registry.uninterruptedSince() &&
+         Deps.Time.now() - *Worker.RowWrittenSince <
+             Deps.Times.RegistryTimeout - Margin;
+}
+
+void Leader::applyRegistryRow(const StoredRow &Row,
+                              std::optional<TimePoint> WrittenSince) {
   if (!isOwnWorker(Row.Key)) {
     if (Row.Deleted)
       ForeignRows.erase(Row.Key);
@@ -493,17 +519,14 @@
     return;
   }
   const auto Found = WorkerStates.find(Row.Key);
-  if (Row.Deleted) {
-    if (Found != WorkerStates.end() && Found->second.Registered)
-      markUnregistered(Found->second);
-    return;
-  }
   const auto Info = Deps.Records.decodeWorker(Row);
   if (!Info)
     return; // The row describes no usable worker.
   if (Found != WorkerStates.end() && Found->second.Registered &&
-      Found->second.Info == *Info)
+      Found->second.Info == *Info) {
+    Found->second.RowWrittenSince = WrittenSince;
     return;
+  }
   if (Found != WorkerStates.end() &&
       Found->second.Info.Incarnation.StartedUnixMs >
           Info->Incarnation.StartedUnixMs)
@@ -529,6 +552,7 @@
                    {{"draining", Info->Draining ? "1" : "0"}});
   Worker.Info = *Info;
   Worker.Registered = true;
+  Worker.RowWrittenSince = WrittenSince;
   Worker.StopAnnounced = Worker.StopAnnounced || Info->Draining;
   Scheduler.updateWorker(*Info, Deps.Time.now());
   DecisionNeeded = true;
@@ -557,8 +581,15 @@
       Gone.push_back(Id);
   }
   for (const std::string &Id : Gone) {
-    Deps.Log.event("worker removed", Id, {});
-    removeWorker(Id, WorkerStates.at(Id).causeOfLoss(jobs::WorkerLoss::Gone));
+    const WorkerState &Worker = WorkerStates.at(Id);
+    // A machine that responds, but has no process that listens or registers, is
+    // not cut off.
+    const jobs::WorkerLoss Unannounced = Worker.RefusedAtExpiry
+                                             ? jobs::WorkerLoss::ProcessEnded
+                                             : jobs::WorkerLoss::Gone;
+    Deps.Log.event("worker removed", Id,
+                   {{"refused", Worker.RefusedAtExpiry ? "1" : "0"}});
+    removeWorker(Id, Worker.causeOfLoss(Unannounced));
   }
 }
 
@@ -749,7 +780,12 @@
     return;
   case WorkerEvent::LeaseExpired:
     Worker.Resolved = true;
-    Scheduler.loseRuns(Report.Incarnation, jobs::WorkerLoss::LeaseExpired, Now);
+    Worker.RefusedAtExpiry = Report.ConnectionRefused;
+    Scheduler.loseRuns(Report.Incarnation,
+                       Report.ConnectionRefused && !Worker.StopAnnounced
+                           ? jobs::WorkerLoss::Refused
+                           : jobs::WorkerLoss::LeaseExpired,
+                       Now);
     logLostRuns();
     Scheduler.setReachable(Report.Incarnation, false);
     return;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -133,6 +133,8 @@
     jobs::WorkerInfo Info;
     bool Registered = false; ///< The registry contains it.
     TimePoint UnregisteredSince;
+    /// Its registry row was written then or later; empty: not known.
+    std::optional<TimePoint> RowWrittenSince;
     bool InRoster = false; ///< The stored roster contains it.
     bool RosterPending = false;
     std::string Member; ///< Name of the supervising member; empty: none.
@@ -142,6 +144,8 @@
     TimePoint AssignAfter; ///< Earliest reassignment after its process ended.
     bool Resolved = false; ///< Synced in this term, or its lease expired.
     bool StopAnnounced = false; ///< The registry has shown it as draining.
+    /// Its machine refused connections when its lease expired.
+    bool RefusedAtExpiry = false;
 
     /// Why its runs are over if its process is; \p Unannounced unless it had
     /// announced that.
@@ -164,8 +168,11 @@
 
   void onRegistrySnapshot(const std::vector<StoredRow> &Rows);
   void onRegistryChanges(const std::vector<StoredRow> &Rows);
-  void applyRegistryRow(const StoredRow &Row);
+  void applyRegistryRow(const StoredRow &Row,
+                        std::optional<TimePoint> WrittenSince = {});
+  void onRegistryRowDropped(const std::string &Id);
   void markUnregistered(WorkerState &Worker);
+  bool hasLeft(const WorkerState &Worker) const;
   void removeUnregistered();
   void removeWorker(const std::string &Id, jobs::WorkerLoss Cause);
   void logLostRuns();
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -117,6 +117,8 @@
   std::int64_t Token = 0;
   std::vector<jobs::ActiveRun> Running;
   std::vector<jobs::EndedRun> Ended;
+  /// If LeaseExpired: the last call was refused a connection.
+  bool ConnectionRefused = false;
 };
 
 /// A start order that was not executed and never will be.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -127,8 +127,8 @@
   NotSent,   ///< No connection; the call was not and will not be executed.
   Fenced,    ///< The worker has seen a higher fencing token.
   OtherLife, ///< The worker process has been restarted since.
-  NoProcess, ///< The machine refuses connections: no process listens on the
-             ///< port.
+  ConnectionRefused, ///< Like NotSent. Either no process listens on the port,
+                     ///< or the network rejects connections to it.
   NoRoom,
   NoTicket,
   Expired, ///< The deadline of the call has passed, or the worker knows a newer
@@ -143,7 +143,7 @@
     {WorkerOutcome::NotSent, "not_sent"},
     {WorkerOutcome::Fenced, "fenced"},
     {WorkerOutcome::OtherLife, "other_life"},
-    {WorkerOutcome::NoProcess, "no_process"},
+    {WorkerOutcome::ConnectionRefused, "connection_refused"},
     {WorkerOutcome::NoRoom, "no_room"},
     {WorkerOutcome::NoTicket, "no_ticket"},
     {WorkerOutcome::Expired, "expired"},
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -20,11 +20,6 @@
 /// unresponsive worker only after the deadline of the order.
 constexpr int MaxStartSends = 2;
 
-/// Number of consecutive refused connections after which the process of a
-/// worker is considered ended. A process listens on its port until it ends; the
-/// second attempt covers a machine whose network is still being set up.
-constexpr int RefusalsUntilEnded = 2;
-
 /// Safety margin for rounding and for the delay until the worker acts on the
 /// expiry of its lease.
 constexpr Duration ExpiryMargin{100};
@@ -76,8 +71,9 @@
     PendingStarts.clear();
     PendingStops.clear();
     Log.event("worker lease lapsed", Worker.Incarnation.Id,
-              {{"token", std::to_string(Worker.Token)}});
-    report(WorkerEvent::LeaseExpired);
+              {{"token", std::to_string(Worker.Token)},
+               {"refused", ConnectionRefused ? "1" : "0"}});
+    reportExpiry();
   }
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
     sendHeartbeat();
@@ -116,6 +112,7 @@
   if (Ended)
     return;
   const TimePoint Now = Time.now();
+  ConnectionRefused = Result.Outcome == WorkerOutcome::ConnectionRefused;
   if (endIfTerminal(Result.Outcome))
     return;
   if (Result.Outcome != WorkerOutcome::Done) {
@@ -123,7 +120,6 @@
     NextHeartbeat = Now + UnreachableRetryDelay;
     return;
   }
-  ConsecutiveRefusals = 0;
   updateClock(Result.ClockMs);
   // Runs that ended before an expiry of the lease do not count, so the owner
   // must be told of the expiry before it gets the list.
@@ -279,7 +275,7 @@
     endIfTerminal(Answer.Outcome);
     return;
   case WorkerOutcome::NoAnswer:
-  case WorkerOutcome::NoProcess:
+  case WorkerOutcome::ConnectionRefused:
   case WorkerOutcome::NotSent:
     if (Answer.Outcome != WorkerOutcome::NoAnswer && Conclusive) {
       reportRefused(Key, jobs::StartRefusal::Unhealthy);
@@ -355,7 +351,7 @@
     endIfTerminal(Answer.Outcome);
     return;
   case WorkerOutcome::NoAnswer:
-  case WorkerOutcome::NoProcess:
+  case WorkerOutcome::ConnectionRefused:
   case WorkerOutcome::NotSent:
   case WorkerOutcome::Unhealthy:
     return; // pump() sends the order again.
@@ -381,10 +377,9 @@
     end(WorkerEvent::Fenced, "worker fenced by another session");
     return true;
   }
-  if (Outcome == WorkerOutcome::NoProcess)
-    ++ConsecutiveRefusals;
-  if (Outcome != WorkerOutcome::OtherLife &&
-      ConsecutiveRefusals < RefusalsUntilEnded)
+  // A refused connection does not show that the process has ended: a firewall
+  // may reject connections to a worker that is still running its tasks.
+  if (Outcome != WorkerOutcome::OtherLife)
     return false;
   end(WorkerEvent::ProcessEnded, "worker process ended");
   return true;
@@ -397,8 +392,7 @@
   PendingStarts.clear();
   PendingStops.clear();
   Log.event(LogEvent, Worker.Incarnation.Id,
-            {{"token", std::to_string(Worker.Token)},
-             {"refused", std::to_string(ConsecutiveRefusals)}});
+            {{"token", std::to_string(Worker.Token)}});
   report(Event);
 }
 
@@ -410,4 +404,13 @@
   Owner.Report(std::move(Report));
 }
 
+void WorkerSession::reportExpiry() {
+  WorkerReport Report;
+  Report.Event = WorkerEvent::LeaseExpired;
+  Report.Incarnation = Worker.Incarnation;
+  Report.Token = Worker.Token;
+  Report.ConnectionRefused = ConnectionRefused;
+  Owner.Report(std::move(Report));
+}
+
 } // namespace apricotwing::cell
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -88,6 +88,7 @@
   bool endIfTerminal(WorkerOutcome Outcome);
   void end(WorkerEvent Event, std::string_view LogEvent);
   void report(WorkerEvent Event);
+  void reportExpiry();
   void updateClock(std::int64_t ClockMs);
   std::int64_t estimatedClockMs() const;
   TimePoint leaseEnd() const;
@@ -111,10 +112,9 @@
   TimePoint NextHeartbeat;
   bool Synced = false;
   bool Reachable = true;
+  bool ConnectionRefused = false; ///< The last heartbeat was refused.
   bool ExpiryReported = false;
   bool Ended = false; ///< Fenced, or the worker process has ended.
-  /// Calls in a row for which no process listened.
-  int ConsecutiveRefusals = 0;
   std::int64_t LastReportedEnd = 0; ///< Highest number of a reported ended run.
   /// Highest number of an ended run that the worker may drop.
   std::int64_t AckedEnd = 0;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -36,6 +36,11 @@
 /// Time after which a worker that refused a start is used again.
 constexpr Duration RefusalPause{500};
 
+/// True if a worker that was lost for this reason may answer again.
+bool isSilence(WorkerLoss Cause) {
+  return Cause == WorkerLoss::LeaseExpired || Cause == WorkerLoss::Refused;
+}
+
 } // namespace
 
 JobScheduler::JobScheduler(std::int64_t Term) : Term(Term) {}
@@ -415,7 +420,7 @@
     return;
   Host->setSynced(false);
   releaseAll(*Host, Cause, Now);
-  if (Cause != WorkerLoss::LeaseExpired)
+  if (!isSilence(Cause))
     resolveSilence(Incarnation, Cause, Now);
 }
 
@@ -461,7 +466,7 @@
       Task->Crashes.clear();
     Task->Crashes.add({Lost, Run.Run, Cause, Run.IsApart});
     Owner->Steps[Step].HasCrashes = true;
-    if (Cause == WorkerLoss::LeaseExpired) {
+    if (isSilence(Cause)) {
       if (!SilentWorkers.contains(Lost))
         removeEndedSilence();
       SilentWorkers[Lost].insert(Name);
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -72,14 +72,17 @@
   Gone,         ///< It never responded again and is no longer in the registry.
   Announced,    ///< Its process ended after it had announced that.
   Transferred,  ///< Another shard uses it; it had no runs.
+  Refused, ///< Like LeaseExpired, but its machine refused connections, so its
+           ///< process has probably ended.
 };
 
-inline constexpr NameTable<WorkerLoss, 5> WorkerLossNames = {{
+inline constexpr NameTable<WorkerLoss, 6> WorkerLossNames = {{
     {WorkerLoss::ProcessEnded, "process_ended"},
     {WorkerLoss::LeaseExpired, "lease_expired"},
     {WorkerLoss::Gone, "gone"},
     {WorkerLoss::Announced, "announced"},
     {WorkerLoss::Transferred, "transferred"},
+    {WorkerLoss::Refused, "refused"},
 }};
 
 /// Description of a worker from the platform's registry.
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -63,6 +63,75 @@
   EXPECT_EQ(Cell.workers().startedRuns(), 12);
 }
 
+// Guards against work that is started again because a firewall rejects
+// connections to its workers for less than their lease.
+TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseConnectionsAreRefused) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  Cell.workers().Rejected = {"w0", "w1", "w2", "w3"};
+  Cell.run(4500ms);
+  Cell.workers().Rejected.clear();
+  Cell.run(6s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against the same while the workers are draining: an announced shutdown
+// does not turn a refused connection into the end of the process.
+TEST_F(HazardsTest, KeepsTheWorkOfDrainingWorkersWhoseConnectionsAreRefused) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
+  Cell.run(1s);
+  for (const std::string Name : {"w0", "w1", "w2"})
+    Cell.workers().drain(Name);
+  Cell.run(2s);
+  Cell.workers().Rejected = {"w0", "w1", "w2"};
+  Cell.run(4s);
+  Cell.workers().Rejected.clear();
+  Cell.run(6s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against taking a draining worker for one that has left because its row
+// was dropped: it was only silent.
+TEST_F(HazardsTest, KeepsTheWorkOfADrainingWorkerWhoseRowIsDropped) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
+  Cell.run(1s);
+  for (const std::string Name : {"w0", "w1", "w2"})
+    Cell.workers().drain(Name);
+  Cell.run(2s);
+  Cell.workers().Cut = {"w0", "w1", "w2"};
+  Cell.run(5s);
+  Cell.workers().Cut.clear();
+  Cell.run(4s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against tasks that wait for the lease of a worker that has left.
+TEST_F(HazardsTest, RepeatsTheWorkOfAWorkerThatHasLeftAtOnce) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 2s));
+  Cell.run(200ms);
+  for (const std::string Name : {"w0", "w1"})
+    Cell.workers().drain(Name);
+  Cell.run(1700ms);
+  for (const std::string Name : {"w0", "w1"})
+    Cell.workers().crash(Name);
+  Cell.run(4500ms);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+}
+
+// Guards against tasks that stay on a worker whose process has ended for good,
+// if nothing but refused connections and the end of its lease shows that.
+TEST_F(HazardsTest, StartsTheWorkOfAnEndedWorkerAgainAfterItsLease) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 2s));
+  Cell.run(1s);
+  Cell.workers().crash("w0");
+  Cell.run(12s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+}
+
 // Guards against answers that are late for seconds on all calls to workers.
 TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseAnswersAreLost) {
   const std::string Id = Cell.submit("n0", stepOf(12, 6s));
@@ -157,9 +226,13 @@
   EXPECT_EQ(Cell.workers().doneRuns() % 2, 0);
 }
 
-// Guards against a worker that has left and is used again after a restart.
+// Guards against a worker that has left, or has crashed, and is used again
+// after a restart.
 TEST_F(HazardsTest, AWorkerThatLeftIsNotUsedAfterARestart) {
+  Cell.workers().drain("w0");
+  Cell.run(1600ms);
   Cell.workers().crash("w0");
+  Cell.workers().crash("w1");
   Cell.run(5s);
   for (const std::string &Name : Cell.names())
     Cell.kill(Name);
@@ -173,6 +246,9 @@
   EXPECT_EQ(Leader->scheduler().worker("w0"), nullptr);
   for (const std::string &Id : Ids)
     EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  // Only the end of its lease shows that a crashed worker is gone.
+  Cell.run(5s);
+  EXPECT_EQ(Leader->scheduler().worker("w1"), nullptr);
 }
 
 // Guards against a withdrawn key that is accepted again after a restart.
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -230,6 +230,22 @@
   EXPECT_EQ(viewOf(Id), JobView::Completed);
 }
 
+// Guards against the same if a firewall rejects the connections to them.
+TEST_F(WorkerCrashTest, ARefusingWorkerCostsNoTaskItsJob) {
+  const std::string Id = Cell.submit("n0", stepOf(1, 30s));
+  Cell.run(1s);
+  for (int Cut = 0; Cut < 6; ++Cut) {
+    const std::string Host = hostOf(firstTask(Id));
+    ASSERT_NE(Host, "");
+    Cell.workers().Rejected = {Host};
+    Cell.run(11s);
+    Cell.workers().Rejected.clear();
+    Cell.run(3s);
+  }
+  Cell.run(35s);
+  EXPECT_EQ(viewOf(Id), JobView::Completed);
+}
+
 // Guards against starts on a worker whose capacity has shrunk, and against
 // resources that stay unused after it has grown again.
 TEST_F(WorkerCrashTest, FollowsACapacityThatShrinksAndGrows) {
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -160,6 +160,33 @@
   EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Fenced}));
 }
 
+// Guards against taking a process for ended that a firewall cuts off.
+TEST_F(WorkerSessionTest, RefusedConnectionsDoNotEndTheSession) {
+  synchronize({Run});
+  for (int Call = 0; Call < 8; ++Call) {
+    answerHeartbeat({}, WorkerOutcome::ConnectionRefused);
+    Time.advanceTo(Time.now() + 300ms);
+    Session.pump();
+  }
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+  answerHeartbeat({Run});
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::Reachable}));
+}
+
+TEST_F(WorkerSessionTest, AnAnswerOfAnotherProcessEndsTheSession) {
+  synchronize({Run});
+  answerHeartbeat({}, WorkerOutcome::ConnectionRefused);
+  Time.advanceTo(Time.now() + 300ms);
+  Session.pump();
+  answerHeartbeat({}, WorkerOutcome::OtherLife);
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::ProcessEnded}));
+}
+
 TEST_F(WorkerSessionTest, RepeatsAStopWithoutAnAnswer) {
   synchronize({Run});
   Session.stop(Stop);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -200,6 +200,7 @@
   std::map<std::string, std::string> QueueOf;
   std::map<std::string, std::size_t> AccountIndex; ///< By job id.
   std::map<std::string, int> Messages;             ///< Received, by instance.
+  std::map<std::string, TimePoint> PublishedAt;    ///< By worker id.
   std::map<cell::ClientStatus, int> Answers;
   std::uint64_t LastId = 0;
 };
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -55,6 +55,9 @@
   std::set<std::string> Cut; ///< Ids of workers that no instance can reach.
   std::set<std::pair<std::string, std::string>>
       CutPairs; ///< Pairs of an instance and a worker that it cannot reach.
+  /// Ids of workers to which the network rejects connections. Their processes
+  /// go on and keep their registry entries.
+  std::set<std::string> Rejected;
   /// How workers return RestartDelay after a task has ended their process.
   Comeback AfterCrash = Comeback::SameId;
   Duration RestartDelay = UsualRestartDelay;
@@ -85,9 +88,19 @@
   /// Changes the capacity of a worker while its process runs.
   void resize(const std::string &Id, Resources Capacity);
 
+  /// Announces the shutdown of a worker in its registry entry.
+  void drain(const std::string &Id) { Processes.at(Id).Info.Draining = true; }
+
   /// Registry entry of a worker; empty if the worker has crashed.
   std::optional<jobs::WorkerInfo> info(const std::string &Id) const;
 
+  /// True if the process of a worker has ended after it had announced that. Its
+  /// registry entry is then removed at once.
+  bool hasLeft(const std::string &Id) const {
+    const Process &Entry = Processes.at(Id);
+    return !Entry.Up && Entry.Info.Draining;
+  }
+
   /// Ids of all workers ever added.
   std::vector<std::string> ids() const;
 
--- a/tests/platform/nodefile_test.cpp
+++ b/tests/platform/nodefile_test.cpp
@@ -19,6 +19,7 @@
     "internal_port_range": [7420, 7435],
     "limits": {"cpu_share": 0.25, "cores": 1},
     "contracts": ["base", "sched"], "orders": "invocation",
+    "heartbeat_interval_ms": 1500,
     "recommendation": "10.200.1.9:8182",
     "bounds": {"grace_period_s": 6, "max_hold_ms": 10000, "status_s": 120},
     "platform": {"address": "10.200.1.7:8182"},
@@ -51,6 +52,15 @@
   EXPECT_EQ(File.StoreAddress, "10.200.1.7:8182");
   EXPECT_EQ(File.Times.WorkerLease, Duration{6500});
   EXPECT_EQ(File.Times.StatusRetention, Duration{120'000});
+  EXPECT_EQ(File.Times.RegistryTimeout, Duration{4500});
+}
+
+// Guards against an assumed interval if the file does not state any.
+TEST(NodeFileTest, KnowsNoRegistryTimeoutWithoutTheInterval) {
+  EXPECT_EQ(
+      parseNodeFile(makeSettings(R"("heartbeat_interval_ms": 1500,)", ""), "f")
+          .Times.RegistryTimeout,
+      Duration{0});
 }
 
 TEST(NodeFileTest, NamesFileFieldAndProblem) {
