Remember the cancellation of an unknown job

A client that got no answer to its submission cancelled the job at another instance and was told 410, "no such job".

Cause: an instance sends a submission to the next leader, also after its caller has left. The leader that got the cancellation first answered that there is no such job, kept nothing, and accepted the submission that came next. Dropping the submissions of callers that have left was ruled out as the fix: a batch may be on its way already, and the caller's repetition may be at a third instance.

The leader now stores the cancellation before it answers. A later submission is accepted as one of a cancelled job, and starts nothing, also if another leader gets it. The row is kept for as long as the state of ended jobs and longer than an instance keeps a call open. A shard remembers 10,000 of them; a cancellation beyond that is refused with 429, as 410 could not be kept.

UnknownJobTest (3 tests) fails without the change.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -11,9 +11,6 @@
 /// Time reserved for sending the answer back to the caller.
 constexpr Duration ResponseMargin{150};
 
-/// Longest time for which a call is kept open, whatever its caller states.
-constexpr Duration MaxCallTime{60'000};
-
 /// Limits of Retry-After while there is no leader. A takeover takes up to 2 s
 /// and an outage of the store longer, and a caller retries only a few times.
 /// Jobs that may take longer are therefore retried later.
@@ -21,6 +18,9 @@
 constexpr Duration MaxNoLeaderRetryAfter{4000};
 constexpr int RetriesInAllowedTime = 4;
 
+/// Retry-After of a cancellation that the leader cannot remember.
+constexpr Duration CancelRetryAfter{2000};
+
 /// Length of a job id in hexadecimal digits.
 constexpr std::size_t JobIdLength = 16;
 
@@ -60,8 +60,8 @@
   NewCall.Respond = std::move(Respond);
   NewCall.ArrivedAt = Deps.Time.now();
   NewCall.Deadline =
-      NewCall.ArrivedAt +
-      std::clamp(Call.Deadline - ResponseMargin, Duration{100}, MaxCallTime);
+      NewCall.ArrivedAt + std::clamp(Call.Deadline - ResponseMargin,
+                                     Duration{100}, Deps.Times.MaxCallTime);
   if (Policy.Version == 0) {
     finish(NewCall, unavailable(Duration{0}));
     return;
@@ -184,6 +184,12 @@
   if (Call.Awaited.erase(Shard) == 0)
     return;
   Deps.Channel(Shard).drop(Result.Tag);
+  if (Result.Refused) {
+    ClientAnswer Refusal{ClientStatus::Busy};
+    Refusal.RetryAfter = CancelRetryAfter;
+    answer(Result.Tag, Refusal);
+    return;
+  }
   const QueryKind Kind = Call.QueryRequest->Kind;
   Call.Count += Result.Count;
   const bool Unknown =
--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -1,6 +1,7 @@
 #include "cell/callservice.h"
 
 #include "cell/codec.h"
+#include "cell/stateloader.h"
 
 namespace apricotwing::cell {
 
@@ -63,8 +64,13 @@
     Waiting->second.push_back(Accept);
     return;
   }
-  if (Deps.Scheduler.find(Id)) {
-    Accept();
+  if (const jobs::Job *Known = Deps.Scheduler.find(Id)) {
+    if (Known->Phase != jobs::JobPhase::Withdrawn) {
+      Accept();
+      return;
+    }
+    JobsBeingStored[Id].push_back(Accept);
+    acceptWithdrawn(Id);
     return;
   }
   if (const SubmitAnswer *Earlier = earlierRefusal(Batch, Tag)) {
@@ -92,13 +98,29 @@
                     {"steps", std::to_string(Job.Steps.size())},
                     {"tasks", std::to_string(Job.Steps.front().Count)}});
     Owner.RequestDecision();
-    const auto Waiting = JobsBeingStored.extract(Job.Id);
-    if (!Waiting.empty())
-      for (const auto &Callback : Waiting.mapped())
-        Callback();
+    onJobStored(Job.Id);
   }));
 }
 
+// Accepts a job whose cancellation arrived first.
+void CallService::acceptWithdrawn(const std::string &Id) {
+  Deps.Scheduler.submitWithdrawn(Id, Deps.Time.now());
+  Deps.StateJournal.put(EndedTable, Id,
+                        encodeEndPhase(jobs::JobPhase::Cancelled));
+  Deps.StateJournal.whenCommitted(Guard.wrap([this, Id] {
+    Deps.Log.event("job submitted after its cancellation", Id, {});
+    Deps.Scheduler.markPhaseStored(Id);
+    onJobStored(Id);
+  }));
+}
+
+void CallService::onJobStored(const std::string &Id) {
+  const auto Waiting = JobsBeingStored.extract(Id);
+  if (!Waiting.empty())
+    for (const auto &Callback : Waiting.mapped())
+      Callback();
+}
+
 // Returns the time after which the caller should try again if the job must be
 // refused.
 std::optional<Duration> CallService::refusal(const jobs::JobSpec &Job,
@@ -154,12 +176,13 @@
     Waiting->second.push_back(AskAgain);
     return;
   }
-  if (Request.Kind == QueryKind::Cancel && Deps.StateJournal.isLeaseValid() &&
-      Deps.Scheduler.find(Request.Subject)) {
-    Deps.Scheduler.cancel(Request.Subject, Deps.Time.now());
-    Deps.Log.event("job cancelled", Request.Subject, {});
-    Owner.RequestDecision();
-    Owner.StoreChanges();
+  if (Request.Kind == QueryKind::Cancel && Deps.StateJournal.isLeaseValid()) {
+    if (!cancel(Request.Subject)) {
+      QueryAnswer Refusal{Request.Tag, jobs::JobView::Unknown, 0};
+      Refusal.Refused = true;
+      Batch->Reply.Answers.push_back(Refusal);
+      return;
+    }
     Deps.StateJournal.whenCommitted(
         Guard.wrap([this, Batch, Request] { answerQuery(Batch, Request); }));
     return;
@@ -167,6 +190,27 @@
   answerQuery(Batch, Request);
 }
 
+// Returns false if the job is unknown and too many such cancellations are
+// remembered.
+bool CallService::cancel(const std::string &Id) {
+  if (Deps.Scheduler.cancel(Id, Deps.Time.now())) {
+    Deps.Log.event("job cancelled", Id, {});
+    Owner.RequestDecision();
+    Owner.StoreChanges();
+    return true;
+  }
+  if (!Deps.Scheduler.withdraw(Id, Deps.Time.now())) {
+    Deps.Log.event("cancellation refused", Id,
+                   {{"withdrawn_jobs",
+                     std::to_string(jobs::JobScheduler::MaxWithdrawnJobs)}});
+    return false;
+  }
+  Deps.Log.event("unknown job cancelled", Id, {});
+  Deps.StateJournal.put(EndedTable, Id,
+                        encodeEndPhase(jobs::JobPhase::Withdrawn));
+  return true;
+}
+
 void CallService::answerQuery(const BatchPointer &Batch, const Query &Request) {
   if (!Deps.StateJournal.isLeaseValid())
     return; // The sender repeats the call.
--- a/src/cell/callservice.h
+++ b/src/cell/callservice.h
@@ -28,7 +28,9 @@
 
 /// Accepts or refuses submissions, cancels jobs and tells their states. An
 /// answer is given only while the leader's lease is valid, and a write is
-/// confirmed only once it is stored. Owned by the leader and used on its thread
+/// confirmed only once it is stored. The cancellation of an unknown job is
+/// stored as well: a submission of the job may still be on its way, at another
+/// instance or to a later leader. Owned by the leader and used on its thread
 /// only.
 class CallService {
 public:
@@ -84,6 +86,9 @@
   };
 
   void submit(const BatchPointer &Batch, const Submission &NewSubmission);
+  void acceptWithdrawn(const std::string &Id);
+  void onJobStored(const std::string &Id);
+  bool cancel(const std::string &Id);
   void query(const BatchPointer &Batch, const Query &Request);
   void answerQuery(const BatchPointer &Batch, const Query &Request);
   std::optional<Duration> refusal(const jobs::JobSpec &Job,
--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -357,12 +357,14 @@
 }
 
 static void to_json(json &To, const QueryAnswer &Value) {
-  To = json::array({Value.Tag, int(Value.View), Value.Count});
+  To = json::array({Value.Tag, int(Value.View), Value.Count, Value.Refused});
 }
 static void from_json(const json &From, QueryAnswer &Value) {
   From.at(0).get_to(Value.Tag);
   Value.View = jobs::JobView(From.at(1).get<int>());
   From.at(2).get_to(Value.Count);
+  // Instances of earlier versions do not send it.
+  Value.Refused = From.size() > 3 && From.at(3).get<bool>();
 }
 
 static void to_json(json &To, const WorkerReport &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -65,6 +65,10 @@
 /// expire without an event.
 constexpr Duration MaxDecisionInterval{100};
 
+/// Time for which a submission may be delayed by the network before or after
+/// an instance keeps it open.
+constexpr Duration SubmissionDelayMargin{30'000};
+
 /// Interval of the removal of expired ended jobs.
 constexpr Duration JobExpiryInterval{5000};
 
@@ -1313,8 +1317,12 @@
   if (Now < NextJobExpiry)
     return;
   NextJobExpiry = Now + JobExpiryInterval;
-  for (const std::string &Id :
-       Scheduler.endedBefore(Now - Deps.Times.StatusRetention)) {
+  // The cancellation of an unknown job is kept until no submission of it can be
+  // on its way any more.
+  const Duration Retention =
+      std::max(Deps.Times.StatusRetention,
+               Deps.Times.MaxCallTime + SubmissionDelayMargin);
+  for (const std::string &Id : Scheduler.endedBefore(Now - Retention)) {
     Scheduler.forget(Id);
     StateJournal.remove(EndedTable, Id);
   }
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -76,6 +76,9 @@
   std::uint64_t Tag = 0;
   jobs::JobView View = jobs::JobView::Unknown;
   int Count = 0; ///< If Pending.
+  /// If Cancel: too many cancellations of unknown jobs are remembered, so this
+  /// one was not carried out.
+  bool Refused = false;
 };
 
 /// Calls of callers that an instance sends to the leader of a shard.
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -14,7 +14,7 @@
 
 /// Stored code of the final phase of a job, indexed by JobPhase. The code of
 /// an active job is never stored.
-constexpr std::string_view PhaseLetters = "acfx";
+constexpr std::string_view PhaseLetters = "acfxw";
 
 } // namespace
 
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -72,6 +72,9 @@
   /// leader.
   Duration NoLeaderTimeout{700};
 
+  /// Longest time for which a call is kept open, whatever its caller states.
+  Duration MaxCallTime{60'000};
+
   /// How long the state of ended jobs can be queried.
   Duration StatusRetention{120'000};
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -22,13 +22,20 @@
 namespace apricotwing::jobs {
 
 /// State of a job as a whole.
-enum class JobPhase { Active, Completed, Failed, Cancelled };
+enum class JobPhase {
+  Active,
+  Completed,
+  Failed,
+  Cancelled,
+  Withdrawn, ///< Cancelled before it was submitted; unknown to callers.
+};
 
-inline constexpr NameTable<JobPhase, 4> JobPhaseNames = {{
+inline constexpr NameTable<JobPhase, 5> JobPhaseNames = {{
     {JobPhase::Active, "active"},
     {JobPhase::Completed, "completed"},
     {JobPhase::Failed, "failed"},
     {JobPhase::Cancelled, "cancelled"},
+    {JobPhase::Withdrawn, "withdrawn"},
 }};
 
 /// State of a task.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -263,6 +263,7 @@
   Added.Due = Added.AcceptedAt + Allowed;
   Added.FirmDeadline = Added.AcceptedAt + FirmDeadlineFactor * Allowed;
   Jobs.emplace(Added.Spec.Id, std::move(NewJob));
+  WithdrawnJobs += Added.Phase == JobPhase::Withdrawn ? 1 : 0;
   if (Added.Phase != JobPhase::Active)
     return;
   ++Active;
@@ -285,10 +286,33 @@
   return true;
 }
 
+bool JobScheduler::withdraw(const std::string &Id, TimePoint Now) {
+  if (WithdrawnJobs >= MaxWithdrawnJobs)
+    return false;
+  auto NewJob = std::make_unique<Job>();
+  NewJob->Spec.Id = Id;
+  NewJob->Phase = JobPhase::Withdrawn;
+  NewJob->StoredPhase = JobPhase::Withdrawn;
+  NewJob->EndedAt = Now;
+  addJob(std::move(NewJob));
+  return true;
+}
+
+void JobScheduler::submitWithdrawn(const std::string &Id, TimePoint Now) {
+  Job *CurrentJob = findJob(Id);
+  if (!CurrentJob || CurrentJob->Phase != JobPhase::Withdrawn)
+    return;
+  CurrentJob->Phase = JobPhase::Cancelled;
+  CurrentJob->EndedAt = Now;
+  --WithdrawnJobs;
+}
+
 void JobScheduler::forget(const std::string &Id) {
   const Job *CurrentJob = find(Id);
-  if (CurrentJob && CurrentJob->Phase != JobPhase::Active)
-    Jobs.erase(Id);
+  if (!CurrentJob || CurrentJob->Phase == JobPhase::Active)
+    return;
+  WithdrawnJobs -= CurrentJob->Phase == JobPhase::Withdrawn ? 1 : 0;
+  Jobs.erase(Id);
 }
 
 std::vector<std::string> JobScheduler::endedBefore(TimePoint Limit) const {
@@ -310,6 +334,8 @@
     return JobView::Failed;
   case JobPhase::Cancelled:
     return JobView::Cancelled;
+  case JobPhase::Withdrawn:
+    return JobView::Unknown;
   case JobPhase::Active:
     break;
   }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -120,6 +120,20 @@
   /// Cancels a job; false if it is unknown. No effect on a job that has ended.
   bool cancel(const std::string &Id, TimePoint Now);
 
+  /// Remembers the cancellation of a job that is not known, so that a
+  /// submission of it that is still on its way does not start it. Returns false
+  /// if MaxWithdrawnJobs such jobs are remembered. Precondition: the job is
+  /// unknown.
+  bool withdraw(const std::string &Id, TimePoint Now);
+
+  /// Makes a withdrawn job a cancelled one, because it has been submitted. No
+  /// effect on any other job.
+  void submitWithdrawn(const std::string &Id, TimePoint Now);
+
+  /// Maximum number of withdrawn jobs, which bounds the memory that
+  /// cancellations of unknown jobs take.
+  static constexpr std::size_t MaxWithdrawnJobs = 10'000;
+
   /// Removes a job that has ended. Precondition: all its runs have ended.
   void forget(const std::string &Id);
 
@@ -373,6 +387,7 @@
   std::map<std::string, Worker> Workers;
   std::map<std::string, Resources> Running; ///< By client account.
   std::map<std::string, int> PendingJobs;   ///< By queue.
+  std::size_t WithdrawnJobs = 0;
   /// Estimated work of all tasks that are ready or blocked, by priority, in
   /// thousandths of a core times milliseconds.
   std::map<int, double> WaitingWork;
--- a/tests/cell/cancel_test.cpp
+++ b/tests/cell/cancel_test.cpp
@@ -1,11 +1,13 @@
 /// \file
 /// Cancelled jobs on the emulated platform: an acknowledged cancellation ends
 /// all runs, whatever happens to the instances around it.
+#include "cell/codec.h"
 #include "core/nametable.h"
 #include "emulator/emulatedcell.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -104,6 +106,91 @@
           .append(std::get<2>(Info.param) ? "Gang" : "Tasks");
     });
 
+class UnknownJobTest : public testing::Test {
+protected:
+  UnknownJobTest() : Cell(1) {
+    Cell.run(2s);
+    Leader = Cell.leader();
+    First = Leader == "n0" ? "n1" : "n0";
+    Second = Leader == "n2" ? "n1" : "n2";
+  }
+
+  /// Submits a job at an instance that cannot reach the leader, and cancels it
+  /// at another one.
+  std::string cancelBeforeSubmission() {
+    Cell.cut(First);
+    const std::string Id = Cell.submit(First, stepOf(2, 30s));
+    Cell.run(200ms);
+    Cell.cancel(Second, Id);
+    Cell.run(300ms);
+    EXPECT_EQ(Cell.answers().at(cell::ClientStatus::NoSuchJob), 1);
+    return Id;
+  }
+
+  EmulatedCell Cell;
+  std::string Leader;
+  std::string First;
+  std::string Second;
+};
+
+// Guards against a job that runs although its caller was told that there is no
+// such job: its submission was on its way when the cancellation was answered.
+TEST_F(UnknownJobTest, ASubmissionOnItsWayStartsNothing) {
+  const std::string Id = cancelBeforeSubmission();
+  Cell.heal(First);
+  Cell.run(4s);
+  EXPECT_TRUE(Cell.jobs().at(Id).Accepted);
+  EXPECT_EQ(Cell.workers().startedRuns(), 0);
+  Cell.read(Second, Id);
+  Cell.run(300ms);
+  EXPECT_EQ(Cell.jobs().at(Id).View, jobs::JobView::Cancelled);
+}
+
+// Guards against a cancellation that only the leader of its time remembers.
+TEST_F(UnknownJobTest, ALaterSubmissionToAnotherLeaderStartsNothing) {
+  const std::string Id = cancelBeforeSubmission();
+  Cell.read(Second, Id);
+  Cell.run(100ms);
+  EXPECT_EQ(Cell.answers().at(cell::ClientStatus::NoSuchJob), 2);
+  Cell.kill(Leader);
+  Cell.heal(First);
+  Cell.run(4s);
+  Cell.submitAgain(First, Id);
+  Cell.run(2s);
+  EXPECT_TRUE(Cell.jobs().at(Id).Accepted);
+  EXPECT_EQ(Cell.workers().startedRuns(), 0);
+}
+
+// Guards against cancellations of unknown jobs that fill the memory, and
+// against an acknowledgement of one that is not remembered.
+TEST_F(UnknownJobTest, RefusesCancellationsBeyondTheLimit) {
+  constexpr std::size_t Excess = 5;
+  cell::CallBatch Batch;
+  Batch.Term = Cell.node(Leader).leader()->term();
+  Batch.Process = "x";
+  for (std::size_t Number = 0;
+       Number < jobs::JobScheduler::MaxWithdrawnJobs + Excess; ++Number)
+    Batch.Queries.push_back({Number, cell::QueryKind::Cancel,
+                             "00000000" + std::to_string(10'000'000 + Number)});
+  std::optional<cell::CallBatchReply> Reply;
+  Cell.node(Leader).receive(cell::encode(Batch),
+                            [&](const std::optional<std::string> &Text) {
+                              Reply = cell::decodeCallBatchReply(*Text);
+                            });
+  Cell.run(10s);
+  ASSERT_TRUE(Reply);
+  EXPECT_EQ(Reply->Answers.size(), Batch.Queries.size());
+  EXPECT_EQ(std::count_if(Reply->Answers.begin(), Reply->Answers.end(),
+                          [](const auto &Answer) { return Answer.Refused; }),
+            std::ptrdiff_t(Excess));
+  const std::string Id = Cell.submit(Second, stepOf(1, 1s));
+  Cell.run(500ms);
+  ASSERT_TRUE(Cell.jobs().at(Id).Accepted);
+  Cell.cancel(Second, Id);
+  Cell.run(500ms);
+  EXPECT_TRUE(Cell.jobs().at(Id).Cancelled);
+}
+
 // Guards against a run that cannot be stopped and that no metric shows.
 TEST(RunsToStopTest, ARunThatDoesNotStopIsCountedUntilItHasEnded) {
   EmulatedCell Cell(1);
