Read all ended runs of a worker before it counts as synced

Cause: a worker lists 500 ended runs at a time. The session took the first list for the complete one, and the leader took runs in neither list for runs that were never started. Starts without an answer were judged by the same list.

A list with as many ended runs as a response may have is now known to be possibly incomplete. From it the session only reports ends; once these are stored and acknowledged, the worker lists the next ones. A worker counts as synced, and a start as not carried out, only after a complete list.

--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -170,8 +170,12 @@
 struct HeartbeatResult {
   WorkerOutcome Outcome = WorkerOutcome::NoAnswer;
   std::int64_t ClockMs = 0; ///< The worker's clock when it responded.
-  std::vector<jobs::ActiveRun> Running;
+  std::vector<jobs::ActiveRun> Running; ///< All active runs.
+  /// The first ended runs that are not acknowledged, by number.
   std::vector<jobs::EndedRun> Ended;
+  /// Ended may leave runs out, which are returned once the listed ones are
+  /// acknowledged.
+  bool MayHaveMoreEnded = false;
 };
 
 struct WorkerAnswer {
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -157,8 +157,9 @@
   WorkerReport Report;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
+  const bool ReportsAll = !Synced && !Result.MayHaveMoreEnded;
   for (const jobs::EndedRun &End : Result.Ended)
-    if (!Synced || End.Number > LastReportedEnd)
+    if (ReportsAll || End.Number > LastReportedEnd)
       Report.Ended.push_back(End);
   for (const jobs::EndedRun &End : Result.Ended) {
     LastReportedEnd = std::max(LastReportedEnd, End.Number);
@@ -166,13 +167,16 @@
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
   }
-  resolvePendingStarts(Result);
-  if (!Synced) {
-    Synced = true;
-    Report.Event = WorkerEvent::Synced;
-    Report.Running = Result.Running;
-    Owner.Report(std::move(Report));
-    return;
+  // A run in neither list may be an ended one that is not listed yet.
+  if (!Result.MayHaveMoreEnded) {
+    resolvePendingStarts(Result);
+    if (!Synced) {
+      Synced = true;
+      Report.Event = WorkerEvent::Synced;
+      Report.Running = Result.Running;
+      Owner.Report(std::move(Report));
+      return;
+    }
   }
   if (Report.Ended.empty())
     return;
--- a/tests/cell/cell_fuzz_test.cpp
+++ b/tests/cell/cell_fuzz_test.cpp
@@ -118,6 +118,13 @@
     Cell.run(2s);
   }
 
+  /// Workers list few ended runs at a time, and reject the connections from
+  /// which they are cut off.
+  void useShortListsAndRefusals() {
+    Cell.workers().MaxListedEnds = 2;
+    RejectsConnections = true;
+  }
+
   void play(const Action &Step) {
     noteEnds();
     if (Cell.time().now() - LastRead >= 30s)
@@ -216,7 +223,8 @@
       Cell.store().compact();
       break;
     case ActionKind::CutWorker:
-      Cell.workers().Cut.insert(Worker);
+      (RejectsConnections ? Cell.workers().Rejected : Cell.workers().Cut)
+          .insert(Worker);
       break;
     case ActionKind::CutWorkerFromInstance:
       Cell.workers().CutPairs.insert({Any, Worker});
@@ -452,13 +460,15 @@
   std::map<std::string, TimePoint> SubmittedAt;
   std::map<std::string, jobs::JobView> Ends; ///< Of jobs, as callers saw them.
   TimePoint LastRead;
+  bool RejectsConnections = false;
 };
 
 /// Plays \p Count random sequences of the actions that \p Actions generates on
 /// cells with one shard or two. RC_PARAMS="seed=S max_success=N" selects the
 /// seed and a longer run.
 void playScenarios(const std::function<rc::Gen<Action>()> &Actions,
-                   bool HasTwoShards, int Count) {
+                   bool HasTwoShards, int Count,
+                   bool HasShortListsAndRefusals = false) {
   checkWithFixedSeeds(
       [&] {
         const auto Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
@@ -466,6 +476,8 @@
         FaultScenario Scenario =
             HasTwoShards ? FaultScenario(Seed, twoShards(), equalAccounts(4))
                          : FaultScenario(Seed);
+        if (HasShortListsAndRefusals)
+          Scenario.useShortListsAndRefusals();
         for (const Action &Step : Steps)
           Scenario.play(Step);
         Scenario.check();
@@ -484,6 +496,12 @@
   playScenarios([] { return anyAction(ActionKindsWithCrashes); }, false, 20);
 }
 
+// The same with lists that leave ended runs out, and with connections that the
+// network refuses.
+TEST(CellFuzzTest, KeepsItsPromisesWithShortListsAndRefusedConnections) {
+  playScenarios([] { return anyAction(); }, false, 20, true);
+}
+
 // The same with two shards, whose leaders are lost one by one or together.
 TEST(CellFuzzTest, KeepsItsPromisesWithTwoShards) {
   playScenarios([] { return anyAction(); }, true, 20);
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -132,6 +132,23 @@
   EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
 }
 
+// Guards against tasks that are started again because the worker's list of
+// ended runs, which the next leader reads first, was not complete.
+TEST_F(HazardsTest, StartsNothingAgainWhoseEndIsNotListedYet) {
+  Cell.workers().MaxListedEnds = 3;
+  const auto Ids = submitMany("n1", 4, stepOf(12, 1s));
+  Cell.run(500ms);
+  ASSERT_EQ(Cell.workers().activeRuns(), 48);
+  const std::string Leader = Cell.leader();
+  Cell.kill(Leader);
+  Cell.run(3s);
+  Cell.start(Leader);
+  Cell.run(10s);
+  for (const std::string &Id : Ids)
+    EXPECT_EQ(viewOf(otherThan(Leader), Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 48);
+}
+
 // Guards against answers that are late for seconds on all calls to workers.
 TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseAnswersAreLost) {
   const std::string Id = Cell.submit("n0", stepOf(12, 6s));
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -63,16 +63,26 @@
 
   /// Answers the heartbeat that is in flight and sends the next one.
   void answerHeartbeat(std::vector<jobs::ActiveRun> Running,
-                       WorkerOutcome Outcome = WorkerOutcome::Done) {
+                       WorkerOutcome Outcome = WorkerOutcome::Done,
+                       std::vector<jobs::EndedRun> Ended = {},
+                       bool MayHaveMoreEnded = false) {
     Time.advanceTo(Time.now() + 100ms);
     HeartbeatResult Result;
     Result.Outcome = Outcome;
     Result.ClockMs = Time.now().time_since_epoch().count();
     Result.Running = std::move(Running);
+    Result.Ended = std::move(Ended);
+    Result.MayHaveMoreEnded = MayHaveMoreEnded;
     std::exchange(Heartbeat, {})(Result);
     Session.pump();
   }
 
+  /// An ended run of another task.
+  static jobs::EndedRun endOf(std::int64_t Number) {
+    return {Number, "other.0.0." + std::to_string(Number), 1,
+            jobs::EndKind::Done, ""};
+  }
+
   void synchronize(std::vector<jobs::ActiveRun> Running) {
     Session.pump();
     answerHeartbeat(std::move(Running));
@@ -187,6 +197,38 @@
                          WorkerEvent::ProcessEnded}));
 }
 
+// Guards against taking a list of ended runs for complete that has as many
+// entries as a response may have.
+TEST_F(WorkerSessionTest, IsSyncedOnlyWithTheRestOfTheEndedRuns) {
+  Session.pump();
+  answerHeartbeat({Run}, WorkerOutcome::Done, {endOf(1), endOf(2)}, true);
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Ended});
+  Session.acknowledge(2);
+  Session.pump();
+  answerHeartbeat({Run}, WorkerOutcome::Done, {endOf(3)}, false);
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Ended, WorkerEvent::Synced}));
+  ASSERT_EQ(Reports.back().Ended.size(), 1U);
+  EXPECT_EQ(Reports.back().Ended[0].Number, 3);
+  EXPECT_EQ(Reports.back().Running.size(), 1U);
+}
+
+// Guards against taking a start without an answer for one that was not carried
+// out while the end of its run is not listed yet.
+TEST_F(WorkerSessionTest, RefusesNoStartWhileEndedRunsAreLeftOut) {
+  synchronize({});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::NoAnswer, std::nullopt});
+  StartAnswer({WorkerOutcome::NoAnswer, std::nullopt});
+  Time.advanceTo(Time.now() + 2 * Times.StartValidity);
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1), endOf(2)}, true);
+  EXPECT_TRUE(Refused.empty());
+  Session.acknowledge(2);
+  Session.pump();
+  answerHeartbeat({}, WorkerOutcome::Done,
+                  {{3, Start.Task, Start.Run, jobs::EndKind::Done, ""}}, false);
+  EXPECT_TRUE(Refused.empty());
+}
+
 TEST_F(WorkerSessionTest, RepeatsAStopWithoutAnAnswer) {
   synchronize({Run});
   Session.stop(Stop);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -37,7 +37,7 @@
   bool Unresolved = false;
   /// A cancellation was acknowledged, or answered that there is no such job.
   bool Cancelled = false;
-  TimePoint CancelledAt;  ///< Time of the first acknowledgement.
+  TimePoint CancelledAt; ///< Time of the first acknowledgement.
   jobs::JobView View = jobs::JobView::Unknown; ///< From the last answer.
   TimePoint ViewedAt; ///< Time of the last answer to a read.
 };
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -540,7 +540,10 @@
   Result.ClockMs = clockOf(Entry);
   for (const auto &[Task, Run] : Entry.Runs)
     Result.Running.push_back({Task, Run.Run, "", 0});
-  Result.Ended = Entry.Ended;
+  const std::size_t Listed = std::min(Entry.Ended.size(), MaxListedEnds);
+  Result.Ended.assign(Entry.Ended.begin(),
+                      Entry.Ended.begin() + std::ptrdiff_t(Listed));
+  Result.MayHaveMoreEnded = Listed >= MaxListedEnds;
   Answer();
 }
 
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -8,6 +8,7 @@
 #include "jobs/jobspec.h"
 #include "virtualtime.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -66,6 +67,9 @@
   /// connections.
   bool CrashesSilently = false;
 
+  /// Maximum number of ended runs in one response to a heartbeat.
+  std::size_t MaxListedEnds = 500;
+
   /// Ends all injected faults; crashed workers stay so.
   void endFaults();
 
--- a/tests/platform/executorresponse_test.cpp
+++ b/tests/platform/executorresponse_test.cpp
@@ -31,6 +31,24 @@
   EXPECT_EQ(Result.Ended[0].Kind, jobs::EndKind::Done);
 }
 
+// Guards against taking a list for complete that has as many ended runs as an
+// executor returns at a time.
+TEST(ExecutorResponseTest, AFullListMayLeaveEndedRunsOut) {
+  const auto HasMore = [](int Count) {
+    std::string Rows;
+    for (int Number = 1; Number <= Count; ++Number)
+      Rows += (Number > 1 ? ",[" : "[") + std::to_string(Number) +
+              R"(,"u",1,"done",""])";
+    return parseHeartbeatResult(
+               responseOf(200, R"({"clock_ms":5,"running":[],"finished":[)" +
+                                   Rows + "]}"),
+               Worker)
+        .MayHaveMoreEnded;
+  };
+  EXPECT_FALSE(HasMore(499));
+  EXPECT_TRUE(HasMore(500));
+}
+
 // Guards against a response with fields of another type that ends the process:
 // the exception was not caught on the thread of the HTTP client.
 TEST(ExecutorResponseTest, SurvivesMalformedResponses) {
