Reject rows of workers with values out of range

Cause: the fields of a row were checked for their type only, and the start time was believed whatever it was.

SurvivesDeeplyNestedRows passes with and without it: deep nesting did no harm.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -25,6 +25,10 @@
 constexpr Duration LoadExchangeInterval{400};
 constexpr Duration MaxLoadAge{1500};
 
+/// A row of the registry that names a start further in the future than the
+/// clocks of two machines can differ was not stored by the worker.
+constexpr Duration MaxClockDifference{3'600'000};
+
 /// A worker that is missing in the registry for this long is considered gone.
 constexpr Duration UnregisteredGracePeriod{2500};
 
@@ -348,7 +352,9 @@
     WorkerState &Known = WorkerStates[Entry.Incarnation.Id];
     if (Known.Info.Incarnation.StartedUnixMs > Entry.Incarnation.StartedUnixMs)
       continue; // The registry contains a newer process.
-    if (!Known.Registered) {
+    // The row of another incarnation is older than the worker.
+    if (!Known.Registered || Known.Info.Incarnation != Entry.Incarnation) {
+      Known.Registered = false;
       Known.Info.Incarnation = Entry.Incarnation;
       Known.Info.Address = Entry.Address;
       Known.Info.Zone = Entry.Zone;
@@ -526,6 +532,12 @@
   const auto Info = Deps.Records.decodeWorker(Row);
   if (!Info)
     return; // The row describes no usable worker.
+  if (Info->Incarnation.StartedUnixMs >
+      Deps.WallTime.unixMs() + MaxClockDifference.count()) {
+    Deps.Log.event("worker row ignored", Row.Key,
+                   {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
+    return;
+  }
   if (Found != WorkerStates.end() && Found->second.Registered &&
       Found->second.Info == *Info) {
     Found->second.RowWrittenSince = WrittenSince;
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -7,6 +7,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cstdint>
+#include <limits>
 #include <random>
 #include <set>
 #include <string>
@@ -149,6 +151,36 @@
   EXPECT_EQ(Cell.workers().startedRuns(), 48);
 }
 
+// Guards against a row of another writer that makes a worker appear restarted:
+// its tasks would be started elsewhere while they run.
+TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseRowsWereOverwritten) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 8s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  for (const std::string Name : {"w0", "w1", "w2", "w3"})
+    Cell.putForeignRow(Name, std::numeric_limits<std::int64_t>::max());
+  Cell.run(10s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against the same if the next leader reads a row without a start time
+// before it knows the workers that may have active runs.
+TEST_F(HazardsTest, ANewLeaderPrefersItsRosterToRowsWithoutAStartTime) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 8s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  Cell.kill(Cell.leader());
+  for (int Write = 0; Write < 40; ++Write) {
+    for (const std::string Name : {"w0", "w1", "w2", "w3"})
+      Cell.putForeignRow(Name, 0);
+    Cell.run(100ms);
+  }
+  Cell.run(10s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
 // Guards against answers that are late for seconds on all calls to workers.
 TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseAnswersAreLost) {
   const std::string Id = Cell.submit("n0", stepOf(12, 6s));
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -18,6 +18,10 @@
 constexpr Duration CrashDelay{60};
 constexpr const char *Host = "cell.example";
 
+/// Start of the value of a worker's row that another writer has stored. The
+/// start time that the row claims follows.
+constexpr std::string_view ForeignRowPrefix = "foreign ";
+
 /// Interval at which a caller repeats a cancellation, and for how long.
 constexpr Duration CancelInterval{500};
 constexpr Duration CancelTimeout{15'000};
@@ -48,7 +52,12 @@
 
   std::optional<jobs::WorkerInfo>
   decodeWorker(const cell::StoredRow &Row) const override {
-    const auto Info = Workers.info(Row.Key);
+    auto Info = Workers.info(Row.Key);
+    if (Info && Row.Value.starts_with(ForeignRowPrefix)) {
+      Info->Incarnation.StartedUnixMs =
+          std::stoll(Row.Value.substr(ForeignRowPrefix.size()));
+      return Info;
+    }
     const bool Current =
         Info && std::to_string(Info->Incarnation.StartedUnixMs) == Row.Value;
     return Current ? Info : std::nullopt;
@@ -239,6 +248,12 @@
   Time.after(HeartbeatPeriod, [this] { publishWorkers(); });
 }
 
+void EmulatedCell::putForeignRow(const std::string &Worker,
+                                 std::int64_t StartedUnixMs) {
+  Store.put("workers", "", Worker,
+            std::string(ForeignRowPrefix) + std::to_string(StartedUnixMs));
+}
+
 void EmulatedCell::putPolicy(std::int64_t Version) {
   Store.put("policy", "", "policy", std::to_string(Version));
 }
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -137,6 +137,10 @@
   /// Replaces the queues of the policy and publishes it with \p Version.
   void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
 
+  /// Overwrites the row of a worker with one that claims another start time,
+  /// until the worker writes its own again.
+  void putForeignRow(const std::string &Worker, std::int64_t StartedUnixMs);
+
   /// Submits a job of one step at an instance and returns the job id. All runs
   /// of a job with the payload "fails" fail; see also CrashingJob.
   std::string submit(const std::string &Instance, jobs::StepSpec Step,
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -4,7 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace apricotwing::platform {
 namespace {
@@ -109,5 +112,68 @@
   EXPECT_FALSE(JsonPlatformRecords().decodeWorker(makeRow("i-1", "\xff\x01")));
 }
 
+/// Returns the row of a worker with the field \p Name set to \p Value, or
+/// without it if \p Value is empty.
+std::string workerRow(const std::string &Name, const std::string &Value) {
+  std::string Row;
+  for (const auto &[Field, Usual] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"service", R"("s")"},
+           {"address", R"("10.1.0.9:80")"},
+           {"zone", R"("a")"},
+           {"state", R"("ready")"},
+           {"capacity", R"({"cpu":16000,"mem_mb":32768,"gpu":0})"},
+           {"labels", R"(["a"])"},
+           {"born", "5"},
+           {"remaining_ms", "0"}}) {
+    const std::string &Text = Field == Name ? Value : Usual;
+    if (!Text.empty())
+      Row += (Row.empty() ? "{\"" : ",\"") + Field + "\":" + Text;
+  }
+  return Row + "}";
+}
+
+// Guards against a row of another writer that replaces a worker, because its
+// numbers wrap around when they are converted.
+TEST(JsonPlatformRecordsTest, RejectsWorkersWithValuesOutOfRange) {
+  const auto Accepts = [](const std::string &Name, const std::string &Value) {
+    return JsonPlatformRecords()
+        .decodeWorker(makeRow("i-1", workerRow(Name, Value)))
+        .has_value();
+  };
+  EXPECT_TRUE(Accepts("", ""));
+  EXPECT_TRUE(Accepts("remaining_ms", "700.5"));
+  for (const std::string Value :
+       {"", "0", "-1", "9223372036854775807", "18446744073709551615", "1e300",
+        "null", R"("5")", "[]"})
+    EXPECT_FALSE(Accepts("born", Value)) << Value;
+  for (const std::string Value :
+       {"", "7", R"("10.1.0.9")", R"("10.1.0.9:0")", R"("10.1.0.9:65536")",
+        R"("10.1.0.9:-1")", R"("10.1.0.9:80/x")", R"("10.1.0.999:80")",
+        R"("host:80")", R"("10.1.0.9:99999999999999999999")", R"(":80")"})
+    EXPECT_FALSE(Accepts("address", Value)) << Value;
+  for (const std::string Value :
+       {"", "7", "[]", R"({"cpu":-1})", R"({"cpu":9223372036854775807})",
+        R"({"cpu":18446744073709551615})", R"({"mem_mb":1e300})",
+        R"({"gpu":"1"})"})
+    EXPECT_FALSE(Accepts("capacity", Value)) << Value;
+  for (const std::string Value : {"-1", "1e300", "1e18", "{}"})
+    EXPECT_FALSE(Accepts("remaining_ms", Value)) << Value;
+  for (const std::string Id : {"", "i 1", "i-1\r\nX: y", "i-\xc3\xa9"})
+    EXPECT_FALSE(
+        JsonPlatformRecords().decodeWorker(makeRow(Id, workerRow("", ""))))
+        << Id;
+}
+
+// Guards against a stack overflow while a row is parsed or released.
+TEST(JsonPlatformRecordsTest, SurvivesDeeplyNestedRows) {
+  constexpr std::size_t Depth = 1'000'000;
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  for (const std::string &Value :
+       {Nested, std::string(Depth, '['), workerRow("labels", Nested),
+        workerRow("capacity", Nested), workerRow("born", Nested)})
+    EXPECT_FALSE(JsonPlatformRecords().decodeWorker(makeRow("i-1", Value)));
+}
+
 } // namespace
 } // namespace apricotwing::platform
