Follow the instance list although one of its entries is malformed

apricotwingd kept its last instance list, without end, as long as one entry of a worker or an executor was malformed: a missing field, a number too large or a deeply nested value. New workers were not used and leaving executors went on to get requests.

Cause: a malformed element made the decoding of the whole list fail.

Entries of workers and executors that cannot be read are left out, and their number is logged when it changes. The entries of instances stay strict: the list decides about membership, and one that is left out would count as gone.

CodecTest.AMalformedEntryLeavesTheOtherWorkersListed fails without the change.

--- a/src/core/platform.h
+++ b/src/core/platform.h
@@ -70,6 +70,9 @@
   std::vector<ListedInstance> Instances;
   std::vector<ListedWorker> Workers;
   std::vector<ListedExecutor> Executors;
+  /// Number of entries of workers and executors that could not be read. They
+  /// are left out of the lists.
+  std::size_t SkippedEntries = 0;
 };
 
 /// The platform's instance list. Implementations are thread-safe.
--- a/src/daemon/instancelistservice.cpp
+++ b/src/daemon/instancelistservice.cpp
@@ -1,5 +1,8 @@
 #include "daemon/instancelistservice.h"
 
+#include <string>
+#include <utility>
+
 namespace apricotwing {
 
 namespace {
@@ -38,6 +41,11 @@
   const TimePoint End = Context.Time.now();
   LastContactMs.store(End.time_since_epoch().count());
   Context.Metrics.storeRead(StoreKind::List, End - Start);
+  const std::size_t Skipped = Latest.load()->SkippedEntries;
+  if (Skipped != std::exchange(LastSkipped, Skipped))
+    Context.Logger.warning(Component::List, "malformed entries are left out",
+                           std::to_string(Skipped) +
+                               " in the instance list; correct or remove them");
   OnSnapshot(*Latest.load());
 }
 
--- a/src/daemon/instancelistservice.h
+++ b/src/daemon/instancelistservice.h
@@ -7,6 +7,7 @@
 #include "daemon/periodicthread.h"
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -40,6 +41,7 @@
   Listener OnSnapshot;
   std::atomic<Snapshot> Latest;
   std::atomic<TimePoint::rep> LastContactMs;
+  std::size_t LastSkipped = 0; ///< Used on the polling thread only.
   PeriodicThread Thread;
 };
 
--- a/src/wire/jsonreader.h
+++ b/src/wire/jsonreader.h
@@ -3,8 +3,11 @@
 #ifndef APRICOTWING_WIRE_JSONREADER_H
 #define APRICOTWING_WIRE_JSONREADER_H
 
+#include "core/error.h"
+
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -108,6 +111,23 @@
     return Result;
   }
 
+  /// Like list(), but leaves out the elements that cannot be read and adds
+  /// their number to \p Skipped. Not thread-safe.
+  template <typename Reader>
+  auto validElements(const std::string &Field, const Reader &Read,
+                     std::size_t &Skipped) {
+    std::vector<decltype(Read(std::declval<JsonReader &>()))> Result;
+    for (const Json &Element : requiredList(Field)) {
+      try {
+        JsonReader Inner(Element, Policy, path(Field));
+        Result.push_back(Read(Inner));
+      } catch (const Error &) {
+        ++Skipped;
+      }
+    }
+    return Result;
+  }
+
   /// Reads a list of strings. Not thread-safe.
   std::vector<std::string> stringList(const std::string &Field);
 
--- a/src/wire/platformcodec.cpp
+++ b/src/wire/platformcodec.cpp
@@ -151,9 +151,14 @@
 
 InstanceSnapshot decodeInstanceSnapshot(const std::string &Text) {
   return decodeBody(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
-    return InstanceSnapshot{Reader.list("entries", readListedInstance),
-                            Reader.list("workers", readListedWorker),
-                            Reader.list("executors", readListedExecutor)};
+    InstanceSnapshot Result;
+    Result.Instances = Reader.list("entries", readListedInstance);
+    // One bad entry must not keep the others from being followed.
+    Result.Workers = Reader.validElements("workers", readListedWorker,
+                                          Result.SkippedEntries);
+    Result.Executors = Reader.validElements("executors", readListedExecutor,
+                                            Result.SkippedEntries);
+    return Result;
   });
 }
 
--- a/tests/wire/apicodec_test.cpp
+++ b/tests/wire/apicodec_test.cpp
@@ -122,6 +122,29 @@
 
 // Guards against damaged bodies that make a decoder crash or throw an exception
 // that the server does not convert to an answer.
+// Guards against an instance list that is not followed any more because one
+// entry of a worker or an executor is malformed.
+TEST(CodecTest, AMalformedEntryLeavesTheOtherWorkersListed) {
+  const ListedWorker Worker{"w", "a:1", "z", "r", {1, 2, 3}, {{"k", "v"}}, {}};
+  const ListedExecutor Executor{"e", "u", "a:2", "z"};
+  const std::string Nested =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string &Odd :
+       {std::string("7"), std::string("{}"), Nested,
+        std::string(R"({"id":"x","cpu_millis":18446744073709551615})"),
+        R"({"id":)" + Nested + "}"}) {
+    std::string List = encodeInstanceSnapshot({{}, {Worker}, {Executor}});
+    for (const std::string Field : {R"("workers":[)", R"("executors":[)"})
+      List.insert(List.find(Field) + Field.size(), Odd + ",");
+    const InstanceSnapshot Snapshot = decodeInstanceSnapshot(List);
+    ASSERT_EQ(Snapshot.Workers.size(), 1U);
+    EXPECT_EQ(Snapshot.Workers[0].Id, "w");
+    ASSERT_EQ(Snapshot.Executors.size(), 1U);
+    EXPECT_EQ(Snapshot.Executors[0].Id, "e");
+    EXPECT_EQ(Snapshot.SkippedEntries, 2U);
+  }
+}
+
 TEST(CodecTest, DamagedBodiesOnlyThrowErrors) {
   const RunSpec Spec = decodeRunSpec(Minimal);
   const ListedWorker Worker{"w", "a:1", "z", "r", {1, 2, 3}, {{"k", "v"}}, {}};
