--- a/tests/cell/cancel_test.cpp
+++ b/tests/cell/cancel_test.cpp
@@ -119,7 +119,7 @@
   /// at another one.
   std::string cancelBeforeSubmission() {
     Cell.cut(First);
-    const std::string Id = Cell.submit(First, stepOf(2, 30s));
+    std::string Id = Cell.submit(First, stepOf(2, 30s));
     Cell.run(200ms);
     Cell.cancel(Second, Id);
     Cell.run(300ms);
