--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -128,7 +128,10 @@
            {"remaining_ms", "0"}}) {
     const std::string &Text = Field == Name ? Value : Usual;
     if (!Text.empty())
-      Row += (Row.empty() ? "{\"" : ",\"") + Field + "\":" + Text;
+      Row.append(Row.empty() ? "{\"" : ",\"")
+          .append(Field)
+          .append("\":")
+          .append(Text);
   }
   return Row + "}";
 }
