--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -490,12 +490,8 @@
 }
 
 void Leader::onRegistryChanges(const std::vector<StoredRow> &Rows) {
-  for (const StoredRow &Row : Rows) {
-    if (Row.Deleted && isOwnWorker(Row.Key))
-      onRegistryRowDropped(Row.Key);
-    else
-      applyRegistryRow(Row, Registry.changesSince());
-  }
+  for (const StoredRow &Row : Rows)
+    applyRegistryRow(Row, Registry.changesSince());
 }
 
 void Leader::onRegistryRowDropped(const std::string &Id) {
@@ -528,6 +524,10 @@
       ForeignRows[Row.Key] = Row;
     return;
   }
+  if (Row.Deleted) {
+    onRegistryRowDropped(Row.Key);
+    return;
+  }
   const auto Found = WorkerStates.find(Row.Key);
   const auto Info = Deps.Records.decodeWorker(Row);
   if (!Info)
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -73,7 +73,7 @@
     Log.event("worker lease lapsed", Worker.Incarnation.Id,
               {{"token", std::to_string(Worker.Token)},
                {"refused", ConnectionRefused ? "1" : "0"}});
-    reportExpiry();
+    report(WorkerEvent::LeaseExpired);
   }
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
     sendHeartbeat();
@@ -405,15 +405,8 @@
   Report.Event = Event;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
-  Owner.Report(std::move(Report));
-}
-
-void WorkerSession::reportExpiry() {
-  WorkerReport Report;
-  Report.Event = WorkerEvent::LeaseExpired;
-  Report.Incarnation = Worker.Incarnation;
-  Report.Token = Worker.Token;
-  Report.ConnectionRefused = ConnectionRefused;
+  Report.ConnectionRefused =
+      Event == WorkerEvent::LeaseExpired && ConnectionRefused;
   Owner.Report(std::move(Report));
 }
 
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -88,7 +88,6 @@
   bool endIfTerminal(WorkerOutcome Outcome);
   void end(WorkerEvent Event, std::string_view LogEvent);
   void report(WorkerEvent Event);
-  void reportExpiry();
   void updateClock(std::int64_t ClockMs);
   std::int64_t estimatedClockMs() const;
   TimePoint leaseEnd() const;
--- a/src/daemon/instancelistservice.cpp
+++ b/src/daemon/instancelistservice.cpp
@@ -41,12 +41,13 @@
   const TimePoint End = Context.Time.now();
   LastContactMs.store(End.time_since_epoch().count());
   Context.Metrics.storeRead(StoreKind::List, End - Start);
-  const std::size_t Skipped = Latest.load()->SkippedEntries;
+  const auto Current = Latest.load();
+  const std::size_t Skipped = Current->SkippedEntries;
   if (Skipped != std::exchange(LastSkipped, Skipped))
     Context.Logger.warning(Component::List, "malformed entries are left out",
                            std::to_string(Skipped) +
                                " in the instance list; correct or remove them");
-  OnSnapshot(*Latest.load());
+  OnSnapshot(*Current);
 }
 
 } // namespace apricotwing
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -47,68 +47,67 @@
     return Name == "n0" ? "n1" : "n0";
   }
 
+  /// Starts the 12 tasks of a job, which take 9 s each.
+  void startWork() {
+    WorkStart = Cell.time().now();
+    WorkId = Cell.submit("n0", stepOf(12, 9s));
+    Cell.run(1s);
+    EXPECT_EQ(Cell.workers().activeRuns(), 12);
+  }
+
+  /// Lets workers announce their shutdown, and waits until it is known.
+  void drain(const std::set<std::string> &Names) {
+    for (const std::string &Name : Names)
+      Cell.workers().drain(Name);
+    Cell.run(2s);
+  }
+
+  /// Puts workers into \p Fault, a set of worker ids, for \p Length, and checks
+  /// that the work ends in time and that no task of it was started again.
+  void expectWorkOutlasts(std::set<std::string> &Fault,
+                          const std::set<std::string> &Names, Duration Length) {
+    Fault = Names;
+    Cell.run(Length);
+    Fault.clear();
+    Cell.time().advanceTo(WorkStart + 11'500ms);
+    EXPECT_EQ(viewOf("n1", WorkId), JobView::Completed);
+    EXPECT_EQ(Cell.workers().doneRuns(), 12);
+    EXPECT_EQ(Cell.workers().startedRuns(), 12);
+  }
+
   EmulatedCell Cell;
+  std::string WorkId;
+  TimePoint WorkStart;
 };
 
 // Guards against work that is started again, or given up, because its worker
 // was silent for less than its lease.
 TEST_F(HazardsTest, KeepsTheWorkOfAWorkerThatIsSilentForLessThanItsLease) {
-  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
-  Cell.run(1s);
-  ASSERT_EQ(Cell.workers().activeRuns(), 12);
-  Cell.workers().Cut = {"w0", "w1", "w2", "w3"};
-  Cell.run(4500ms);
-  Cell.workers().Cut.clear();
-  Cell.run(6s);
-  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
-  EXPECT_EQ(Cell.workers().doneRuns(), 12);
-  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+  startWork();
+  expectWorkOutlasts(Cell.workers().Cut, {"w0", "w1", "w2", "w3"}, 4500ms);
 }
 
 // Guards against work that is started again because a firewall rejects
 // connections to its workers for less than their lease.
 TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseConnectionsAreRefused) {
-  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
-  Cell.run(1s);
-  ASSERT_EQ(Cell.workers().activeRuns(), 12);
-  Cell.workers().Rejected = {"w0", "w1", "w2", "w3"};
-  Cell.run(4500ms);
-  Cell.workers().Rejected.clear();
-  Cell.run(6s);
-  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
-  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+  startWork();
+  expectWorkOutlasts(Cell.workers().Rejected, {"w0", "w1", "w2", "w3"}, 4500ms);
 }
 
 // Guards against the same while the workers are draining: an announced shutdown
 // does not turn a refused connection into the end of the process.
 TEST_F(HazardsTest, KeepsTheWorkOfDrainingWorkersWhoseConnectionsAreRefused) {
-  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
-  Cell.run(1s);
-  for (const std::string Name : {"w0", "w1", "w2"})
-    Cell.workers().drain(Name);
-  Cell.run(2s);
-  Cell.workers().Rejected = {"w0", "w1", "w2"};
-  Cell.run(4s);
-  Cell.workers().Rejected.clear();
-  Cell.run(6s);
-  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
-  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+  startWork();
+  drain({"w0", "w1", "w2"});
+  expectWorkOutlasts(Cell.workers().Rejected, {"w0", "w1", "w2"}, 4s);
 }
 
 // Guards against taking a draining worker for one that has left because its row
 // was dropped: it was only silent.
 TEST_F(HazardsTest, KeepsTheWorkOfADrainingWorkerWhoseRowIsDropped) {
-  const std::string Id = Cell.submit("n0", stepOf(12, 9s));
-  Cell.run(1s);
-  for (const std::string Name : {"w0", "w1", "w2"})
-    Cell.workers().drain(Name);
-  Cell.run(2s);
-  Cell.workers().Cut = {"w0", "w1", "w2"};
-  Cell.run(5s);
-  Cell.workers().Cut.clear();
-  Cell.run(4s);
-  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
-  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+  startWork();
+  drain({"w0", "w1", "w2"});
+  expectWorkOutlasts(Cell.workers().Cut, {"w0", "w1", "w2"}, 5s);
 }
 
 // Guards against tasks that wait for the lease of a worker that has left.
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,23 @@
     return {};
   }
 
+  /// Puts each worker of a task in turn into \p Fault, a set of worker ids, for
+  /// longer than its lease.
+  void expectJobOutlasts(std::set<std::string> &Fault) {
+    const std::string Id = Cell.submit("n0", stepOf(1, 30s));
+    Cell.run(1s);
+    for (int Cut = 0; Cut < 6; ++Cut) {
+      const std::string Host = hostOf(firstTask(Id));
+      ASSERT_NE(Host, "");
+      Fault = {Host};
+      Cell.run(11s);
+      Fault.clear();
+      Cell.run(3s);
+    }
+    Cell.run(35s);
+    EXPECT_EQ(viewOf(Id), JobView::Completed);
+  }
+
   EmulatedCell Cell;
 };
 
@@ -216,34 +234,12 @@
 // Guards against a job that fails because its workers were silent, one after
 // the other, for longer than their lease.
 TEST_F(WorkerCrashTest, ASilentWorkerCostsNoTaskItsJob) {
-  const std::string Id = Cell.submit("n0", stepOf(1, 30s));
-  Cell.run(1s);
-  for (int Cut = 0; Cut < 6; ++Cut) {
-    const std::string Host = hostOf(firstTask(Id));
-    ASSERT_NE(Host, "");
-    Cell.workers().Cut = {Host};
-    Cell.run(11s);
-    Cell.workers().Cut.clear();
-    Cell.run(3s);
-  }
-  Cell.run(35s);
-  EXPECT_EQ(viewOf(Id), JobView::Completed);
+  expectJobOutlasts(Cell.workers().Cut);
 }
 
 // Guards against the same if a firewall rejects the connections to them.
 TEST_F(WorkerCrashTest, ARefusingWorkerCostsNoTaskItsJob) {
-  const std::string Id = Cell.submit("n0", stepOf(1, 30s));
-  Cell.run(1s);
-  for (int Cut = 0; Cut < 6; ++Cut) {
-    const std::string Host = hostOf(firstTask(Id));
-    ASSERT_NE(Host, "");
-    Cell.workers().Rejected = {Host};
-    Cell.run(11s);
-    Cell.workers().Rejected.clear();
-    Cell.run(3s);
-  }
-  Cell.run(35s);
-  EXPECT_EQ(viewOf(Id), JobView::Completed);
+  expectJobOutlasts(Cell.workers().Rejected);
 }
 
 // Guards against starts on a worker whose capacity has shrunk, and against
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -129,9 +129,11 @@
   add(Id + "'", Entry.Info.Zone, Entry.Info.Capacity);
 }
 
-// How a call ends whose worker process has ended.
+// How a call ends that is rejected, or whose worker process has ended.
 cell::WorkerOutcome
-EmulatedWorkers::outcomeOfEnded(const std::string &Id) const {
+EmulatedWorkers::outcomeOfUnconnected(const std::string &Id) const {
+  if (Rejected.contains(Id))
+    return cell::WorkerOutcome::ConnectionRefused;
   const auto Found = Processes.find(Id);
   if (Found != Processes.end() && Found->second.Replaced)
     return cell::WorkerOutcome::OtherLife;
@@ -408,9 +410,7 @@
   }
   const auto Found = Processes.find(Id);
   if (Rejected.contains(Id) || Found == Processes.end() || !Found->second.Up) {
-    const cell::WorkerOutcome Outcome =
-        Rejected.contains(Id) ? cell::WorkerOutcome::ConnectionRefused
-                              : outcomeOfEnded(Id);
+    const cell::WorkerOutcome Outcome = outcomeOfUnconnected(Id);
     Time.after(Outcome == cell::WorkerOutcome::NoAnswer ? OrderTimeout
                                                         : Latency,
                [Callback, Outcome] {
@@ -468,7 +468,7 @@
   }
   if (Target.Rejected.contains(To.Incarnation.Id)) {
     cell::HeartbeatResult Refusal;
-    Refusal.Outcome = cell::WorkerOutcome::ConnectionRefused;
+    Refusal.Outcome = Target.outcomeOfUnconnected(To.Incarnation.Id);
     Target.Time.after(Latency, [Callback, Refusal] { Callback(Refusal); });
     return;
   }
@@ -492,7 +492,7 @@
     return;
   }
   if (Found == Processes.end() || !Found->second.Up) {
-    Result.Outcome = outcomeOfEnded(To.Incarnation.Id);
+    Result.Outcome = outcomeOfUnconnected(To.Incarnation.Id);
     if (Result.Outcome == cell::WorkerOutcome::NoAnswer)
       Time.after(OrderTimeout, [Callback] { Callback({}); });
     else
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -219,7 +219,7 @@
                   std::uint64_t Serial, Duration Delay);
   void comeBack(const std::string &Id);
   Resources allowedCapacity(const Process &Entry) const;
-  cell::WorkerOutcome outcomeOfEnded(const std::string &Id) const;
+  cell::WorkerOutcome outcomeOfUnconnected(const std::string &Id) const;
   void startGangIfComplete(const jobs::TaskId &Id, std::int64_t Run);
   void fail(const std::string &Text) { Violations.push_back(Text); }
 
--- a/tests/wire/apicodec_test.cpp
+++ b/tests/wire/apicodec_test.cpp
@@ -120,8 +120,6 @@
             runDigestInput(decodeRunSpec(Reordered)));
 }
 
-// Guards against damaged bodies that make a decoder crash or throw an exception
-// that the server does not convert to an answer.
 // Guards against an instance list that is not followed any more because one
 // entry of a worker or an executor is malformed.
 TEST(CodecTest, AMalformedEntryLeavesTheOtherWorkersListed) {
@@ -145,6 +143,8 @@
   }
 }
 
+// Guards against damaged bodies that make a decoder crash or throw an exception
+// that the server does not convert to an answer.
 TEST(CodecTest, DamagedBodiesOnlyThrowErrors) {
   const RunSpec Spec = decodeRunSpec(Minimal);
   const ListedWorker Worker{"w", "a:1", "z", "r", {1, 2, 3}, {{"k", "v"}}, {}};
