Log on which evidence a run was given up

A line 'run lost' named its cause only. The lines that tell the evidence name the worker, so a record cut to the lines of one request does not have them: the record shows cause=announced and nothing that tells an answer of another process from a dropped row.

The line now has the evidence, the start time of the process and of the other one, the age of the worker's last answer and of its row, and the supervising member.

No decision changes. HazardsTest.TheLossOfARunNamesItsEvidence fails without the fields.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -375,6 +375,8 @@
   putList(To, "running", Value.Running);
   putList(To, "ended", Value.Ended);
   put(To, "refused", Value.ConnectionRefused);
+  put(To, "answer_age", Value.AnswerAgeMs, std::int64_t(-1));
+  put(To, "other_start", Value.AnsweredStartUnixMs);
 }
 static void from_json(const json &From, WorkerReport &Value) {
   takeEnum(From, "event", Value.Event);
@@ -383,6 +385,8 @@
   take(From, "running", Value.Running);
   take(From, "ended", Value.Ended);
   take(From, "refused", Value.ConnectionRefused);
+  take(From, "answer_age", Value.AnswerAgeMs);
+  take(From, "other_start", Value.AnsweredStartUnixMs);
 }
 
 static void to_json(json &To, const RefusedStart &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -179,7 +179,7 @@
     if (!isOwnWorker(Id))
       Foreign.push_back(Id);
   for (const std::string &Id : Foreign)
-    removeWorker(Id, jobs::WorkerLoss::Transferred);
+    removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
   if (NewLayout.shardCount() > 1) {
     std::vector<std::string> Partitions;
     Partitions.reserve(std::size_t(NewLayout.shardCount()));
@@ -224,7 +224,7 @@
   // runs of a worker that has returned.
   for (const std::string &Id : Changed) {
     if (!isOwnWorker(Id)) {
-      removeWorker(Id, jobs::WorkerLoss::Transferred);
+      removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
       continue;
     }
     if (const auto Known = ForeignRows.extract(Id); !Known.empty()) {
@@ -300,7 +300,7 @@
       {{TransferTable, Id, encode(Transfer)}, {RosterTable, Id, std::nullopt}});
   Ownership->record(Id, Transfer);
   WorkerStates.at(Id).InRoster = false;
-  removeWorker(Id, jobs::WorkerLoss::Transferred);
+  removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
 }
 
 // A cell whose workers are just starting waits until they have registered,
@@ -502,7 +502,7 @@
   if (!hasLeft(Found->second))
     return;
   Deps.Log.event("worker has left", Id, {});
-  removeWorker(Id, jobs::WorkerLoss::Announced);
+  removeWorker(Id, jobs::WorkerLoss::Announced, LossEvidence::RowDropped);
 }
 
 // A worker removes its row when it leaves. Otherwise the row is dropped after a
@@ -551,8 +551,9 @@
       Found->second.Info.Incarnation != Info->Incarnation) {
     Deps.Log.event("worker restarted", Row.Key,
                    {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
-    removeWorker(Row.Key,
-                 Found->second.causeOfLoss(jobs::WorkerLoss::ProcessEnded));
+    removeWorker(
+        Row.Key, Found->second.causeOfLoss(jobs::WorkerLoss::ProcessEnded),
+        LossEvidence::LaterStartInRow, Info->Incarnation.StartedUnixMs);
   }
   const bool IsNew = Found == WorkerStates.end();
   WorkerState &Worker = WorkerStates[Row.Key];
@@ -605,18 +606,20 @@
                                              : jobs::WorkerLoss::Gone;
     Deps.Log.event("worker removed", Id,
                    {{"refused", Worker.RefusedAtExpiry ? "1" : "0"}});
-    removeWorker(Id, Worker.causeOfLoss(Unannounced));
+    removeWorker(Id, Worker.causeOfLoss(Unannounced), LossEvidence::NoRuns);
   }
 }
 
-void Leader::removeWorker(const std::string &Id, jobs::WorkerLoss Cause) {
+void Leader::removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
+                          LossEvidence Evidence,
+                          std::int64_t OtherStartUnixMs) {
   const auto Found = WorkerStates.find(Id);
   if (Found == WorkerStates.end())
     return;
-  releaseFromMember(Id);
   Scheduler.removeWorker(Found->second.Info.Incarnation, Cause,
                          Deps.Time.now());
-  logLostRuns();
+  logLostRuns(Found->second, Evidence, OtherStartUnixMs);
+  releaseFromMember(Id);
   if (Found->second.InRoster || Found->second.RosterPending)
     StateJournal.remove(RosterTable, Id);
   WorkerStates.erase(Found);
@@ -761,6 +764,11 @@
     return; // A report of an earlier session.
   WorkerState &Worker = Found->second;
   const TimePoint Now = Deps.Time.now();
+  const bool IsAnswer =
+      Report.Event == WorkerEvent::Synced || Report.Event == WorkerEvent::Ended;
+  if (IsAnswer || Report.AnswerAgeMs >= 0)
+    Worker.AnsweredAt =
+        Now - Duration(IsAnswer ? Duration::rep{0} : Report.AnswerAgeMs);
   DecisionNeeded = true;
   switch (Report.Event) {
   case WorkerEvent::Synced:
@@ -802,7 +810,7 @@
                            ? jobs::WorkerLoss::Refused
                            : jobs::WorkerLoss::LeaseExpired,
                        Now);
-    logLostRuns();
+    logLostRuns(Worker, LossEvidence::LeaseEnded);
     Scheduler.setReachable(Report.Incarnation, false);
     return;
   case WorkerEvent::Fenced:
@@ -819,7 +827,7 @@
     Worker.Resolved = true;
     Scheduler.loseRuns(Report.Incarnation,
                        Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
-    logLostRuns();
+    logLostRuns(Worker, LossEvidence::OtherProcess, Report.AnsweredStartUnixMs);
     Scheduler.setReachable(Report.Incarnation, false);
     From.Workers.erase(Report.Incarnation.Id);
     Worker.Member.clear();
@@ -828,7 +836,12 @@
   }
 }
 
-void Leader::logLostRuns() {
+void Leader::logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
+                         std::int64_t OtherStartUnixMs) {
+  const TimePoint Now = Deps.Time.now();
+  const auto AgeOf = [Now](const std::optional<TimePoint> &Since) {
+    return std::to_string(Since ? (Now - *Since).count() : -1);
+  };
   for (const jobs::LostRun &Lost : Scheduler.takeLostRuns()) {
     ++LostRuns;
     Deps.Log.event(
@@ -837,7 +850,13 @@
          {"worker", Lost.Worker.Id},
          {"cause", std::string(enumName(jobs::WorkerLossNames, Lost.Cause))},
          {"age_ms", std::to_string(Lost.Age.count())},
-         {"losses", std::to_string(Lost.Losses)}});
+         {"losses", std::to_string(Lost.Losses)},
+         {"evidence", std::string(enumName(LossEvidenceNames, Evidence))},
+         {"born", std::to_string(Lost.Worker.StartedUnixMs)},
+         {"other_born", std::to_string(OtherStartUnixMs)},
+         {"answer_age_ms", AgeOf(Worker.AnsweredAt)},
+         {"row_age_ms", AgeOf(Worker.RowWrittenSince)},
+         {"member", Worker.Member}});
   }
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -114,6 +114,22 @@
   }
 
 private:
+  /// What shows that the runs of a worker have ended.
+  enum class LossEvidence {
+    LeaseEnded,      ///< Its lease has ended on its own clock.
+    OtherProcess,    ///< Another process answered at its address.
+    LaterStartInRow, ///< Its row names a later start.
+    RowDropped,      ///< Its row was dropped sooner than that of a silent one.
+    NoRuns,          ///< It had none.
+  };
+  static constexpr NameTable<LossEvidence, 5> LossEvidenceNames = {{
+      {LossEvidence::LeaseEnded, "lease_ended"},
+      {LossEvidence::OtherProcess, "other_process"},
+      {LossEvidence::LaterStartInRow, "later_start_in_row"},
+      {LossEvidence::RowDropped, "row_dropped"},
+      {LossEvidence::NoRuns, "no_runs"},
+  }};
+
   struct MemberState {
     InstanceInfo Info;
     std::string Session;
@@ -135,6 +151,8 @@
     TimePoint UnregisteredSince;
     /// Its registry row was written then or later; empty: not known.
     std::optional<TimePoint> RowWrittenSince;
+    /// Time of its last response that is known here.
+    std::optional<TimePoint> AnsweredAt;
     bool InRoster = false; ///< The stored roster contains it.
     bool RosterPending = false;
     std::string Member; ///< Name of the supervising member; empty: none.
@@ -174,8 +192,10 @@
   void markUnregistered(WorkerState &Worker);
   bool hasLeft(const WorkerState &Worker) const;
   void removeUnregistered();
-  void removeWorker(const std::string &Id, jobs::WorkerLoss Cause);
-  void logLostRuns();
+  void removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
+                    LossEvidence Evidence, std::int64_t OtherStartUnixMs = 0);
+  void logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
+                   std::int64_t OtherStartUnixMs = 0);
 
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -122,6 +122,11 @@
   std::vector<jobs::EndedRun> Ended;
   /// If LeaseExpired: the last call was refused a connection.
   bool ConnectionRefused = false;
+  /// Age of the worker's last response at the time of the report; -1: none has
+  /// arrived in this session.
+  std::int64_t AnswerAgeMs = -1;
+  /// If ProcessEnded: start time that the answering process has named; 0: none.
+  std::int64_t AnsweredStartUnixMs = 0;
 };
 
 /// A start order that was not executed and never will be.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -176,12 +176,16 @@
   /// Ended may leave runs out, which are returned once the listed ones are
   /// acknowledged.
   bool MayHaveMoreEnded = false;
+  /// Unix time in ms at which the process that responded started; 0: not named.
+  std::int64_t StartedUnixMs = 0;
 };
 
 struct WorkerAnswer {
   WorkerOutcome Outcome = WorkerOutcome::NoAnswer;
   /// The worker's clock when it responded.
   std::optional<std::int64_t> ClockMs;
+  /// See HeartbeatResult::StartedUnixMs.
+  std::int64_t StartedUnixMs = 0;
 };
 
 /// Calls to workers.
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -41,7 +41,14 @@
   return LastClockMs + (Time.now() - LastClockAt).count();
 }
 
+void WorkerSession::noteAnswer(const WorkerAnswer &Answer) {
+  AnsweredStartUnixMs = Answer.StartedUnixMs;
+  if (Answer.ClockMs)
+    updateClock(*Answer.ClockMs);
+}
+
 void WorkerSession::updateClock(std::int64_t ClockMs) {
+  LastAnswerAt = Time.now();
   if (HasClock && ClockMs < LastClockMs)
     return; // A response that was overtaken by a later one.
   HasClock = true;
@@ -113,6 +120,7 @@
     return;
   const TimePoint Now = Time.now();
   ConnectionRefused = Result.Outcome == WorkerOutcome::ConnectionRefused;
+  AnsweredStartUnixMs = Result.StartedUnixMs;
   if (endIfTerminal(Result.Outcome))
     return;
   if (Result.Outcome != WorkerOutcome::Done) {
@@ -264,8 +272,7 @@
     return; // The outcome is already known from a list.
   PendingStart &Pending = Found->second;
   Pending.InFlight = false;
-  if (Answer.ClockMs)
-    updateClock(*Answer.ClockMs);
+  noteAnswer(Answer);
   // If the first send got no response, a rejection of the second one can mean
   // that the run was started and has already ended. The lists will show the
   // outcome.
@@ -347,8 +354,7 @@
        {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))}});
   if (Ended)
     return;
-  if (Answer.ClockMs)
-    updateClock(*Answer.ClockMs);
+  noteAnswer(Answer);
   switch (Answer.Outcome) {
   case WorkerOutcome::Fenced:
   case WorkerOutcome::OtherLife:
@@ -407,6 +413,10 @@
   Report.Token = Worker.Token;
   Report.ConnectionRefused =
       Event == WorkerEvent::LeaseExpired && ConnectionRefused;
+  if (LastAnswerAt)
+    Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
+  if (Event == WorkerEvent::ProcessEnded)
+    Report.AnsweredStartUnixMs = AnsweredStartUnixMs;
   Owner.Report(std::move(Report));
 }
 
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -88,6 +88,7 @@
   bool endIfTerminal(WorkerOutcome Outcome);
   void end(WorkerEvent Event, std::string_view LogEvent);
   void report(WorkerEvent Event);
+  void noteAnswer(const WorkerAnswer &Answer);
   void updateClock(std::int64_t ClockMs);
   std::int64_t estimatedClockMs() const;
   TimePoint leaseEnd() const;
@@ -101,6 +102,9 @@
   /// Latest end of leases that earlier sessions granted.
   const TimePoint AssumedLeaseEnd;
 
+  std::optional<TimePoint> LastAnswerAt;
+  /// Start time that the last answer named; 0: none.
+  std::int64_t AnsweredStartUnixMs = 0;
   bool HasClock = false;
   std::int64_t LastClockMs = 0;
   TimePoint LastClockAt;
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -133,6 +133,28 @@
   EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
 }
 
+// Guards against a record of a lost run that does not tell on which evidence it
+// was given up.
+TEST_F(HazardsTest, TheLossOfARunNamesItsEvidence) {
+  startWork();
+  Cell.workers().crash("w0");
+  Cell.run(500ms);
+  Cell.workers().restart("w0");
+  Cell.workers().crash("w1");
+  Cell.run(9s);
+  int Restarted = 0;
+  int Expired = 0;
+  for (const std::string &Line : Cell.linesOfLostRuns()) {
+    Restarted += Line.find("evidence=other_process") != std::string::npos;
+    Expired += Line.find("evidence=lease_ended") != std::string::npos;
+    EXPECT_EQ(Line.find("answer_age_ms=-1"), std::string::npos) << Line;
+    EXPECT_EQ(Line.find("member= "), std::string::npos) << Line;
+  }
+  EXPECT_GT(Restarted, 0);
+  EXPECT_GT(Expired, 0);
+  EXPECT_EQ(std::size_t(Restarted + Expired), Cell.linesOfLostRuns().size());
+}
+
 // Guards against tasks that are started again because the worker's list of
 // ended runs, which the next leader reads first, was not complete.
 TEST_F(HazardsTest, StartsNothingAgainWhoseEndIsNotListedYet) {
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -110,25 +110,32 @@
 
 } // namespace
 
-/// Discards all log lines, or prints them if APRICOTWING_TRACE is set.
+/// Keeps the log lines about lost runs. Prints all lines if APRICOTWING_TRACE
+/// is set.
 class EmulatedCell::TraceLog final : public cell::EventLog {
 public:
   explicit TraceLog(const VirtualTime &Time) : Time(Time) {}
   void event(std::string_view Name, std::string_view Subject,
              std::initializer_list<Field> Fields) override {
-    if (!Trace)
+    const bool IsLoss = Name == "run lost";
+    if (!Trace && !IsLoss)
       return;
-    std::printf(
-        "%lld %.*s %.*s", (long long)Time.now().time_since_epoch().count(),
-        int(Name.size()), Name.data(), int(Subject.size()), Subject.data());
+    std::string Line = std::to_string(Time.now().time_since_epoch().count());
+    Line.append(" ").append(Name).append(" ").append(Subject);
     for (const auto &[Key, Value] : Fields)
-      std::printf(" %.*s=%s", int(Key.size()), Key.data(), Value.c_str());
-    std::printf("\n");
+      Line.append(" ").append(Key).append("=").append(Value);
+    if (Trace)
+      std::printf("%s\n", Line.c_str());
+    if (IsLoss)
+      LostRuns.push_back(std::move(Line));
   }
 
+  const std::vector<std::string> &lostRuns() const { return LostRuns; }
+
 private:
   const VirtualTime &Time;
   const bool Trace = std::getenv("APRICOTWING_TRACE") != nullptr;
+  std::vector<std::string> LostRuns;
 };
 
 /// Delivers messages between instances. They are lost if either end is
@@ -233,6 +240,10 @@
 
 EmulatedCell::~EmulatedCell() = default;
 
+const std::vector<std::string> &EmulatedCell::linesOfLostRuns() const {
+  return Log->lostRuns();
+}
+
 void EmulatedCell::publishWorkers() {
   for (const std::string &Id : Workers.ids()) {
     const auto Info = Workers.info(Id);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -165,6 +165,9 @@
   /// was acknowledged.
   std::vector<std::string> activeTasksOfCancelledJobs() const;
 
+  /// The log lines about runs that were lost, of all instances.
+  const std::vector<std::string> &linesOfLostRuns() const;
+
   /// Number of answers by status.
   const std::map<cell::ClientStatus, int> &answers() const { return Answers; }
 
