Reproduce workers that are taken for ended while they run

Four tests in the emulator fail on the current code, each by one of the ways to give a worker's runs up at once:

- its row is dropped early while it drains ('run lost ... cause=announced evidence=row_dropped': the line of the record),
- another worker responds at its address (evidence=other_process; announced if it drains),
- its row names a later, plausible start time (evidence=later_start_in_row),
- a new leader reads such a row before its own roster.

In each case all tasks of the workers run twice. The registry may drop rows early while the store is away, an address may be in use again, and rows may come from another writer, so none of these shows that a process has ended.

The emulator can now drop a row early and let another worker respond at an address.

--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -110,6 +110,25 @@
   expectWorkOutlasts(Cell.workers().Cut, {"w0", "w1", "w2"}, 5s);
 }
 
+// Guards against the same if the registry drops the row early, as it may while
+// the store is away for the worker only.
+TEST_F(HazardsTest, KeepsTheWorkOfADrainingWorkerWhoseRowIsDroppedEarly) {
+  startWork();
+  drain({"w0", "w1", "w2"});
+  for (const std::string Name : {"w0", "w1", "w2"})
+    Cell.dropRow(Name);
+  std::set<std::string> None;
+  expectWorkOutlasts(None, {}, 3s);
+}
+
+// Guards against taking an answer of another worker, at an address that is in
+// use again, for the end of the one that was called.
+TEST_F(HazardsTest, KeepsTheWorkOfWorkersAtWhoseAddressAnotherResponds) {
+  startWork();
+  drain({"w0", "w1"});
+  expectWorkOutlasts(Cell.workers().Displaced, {"w0", "w1", "w2", "w3"}, 4s);
+}
+
 // Guards against tasks that wait for the lease of a worker that has left.
 TEST_F(HazardsTest, RepeatsTheWorkOfAWorkerThatHasLeftAtOnce) {
   const std::string Id = Cell.submit("n0", stepOf(12, 2s));
@@ -185,6 +204,36 @@
   EXPECT_EQ(Cell.workers().startedRuns(), 12);
 }
 
+// Guards against the same if the row names a plausible start time.
+TEST_F(HazardsTest, KeepsTheWorkOfWorkersWhoseRowsNameALaterStart) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 8s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  for (const std::string Name : {"w0", "w1", "w2", "w3"})
+    Cell.putForeignRow(Name, Cell.time().now().time_since_epoch().count());
+  Cell.run(10s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
+// Guards against the same if the next leader reads such rows before it knows
+// the workers that may have active runs.
+TEST_F(HazardsTest, ANewLeaderPrefersItsRosterToRowsThatNameALaterStart) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 8s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  Cell.kill(Cell.leader());
+  const std::int64_t Start = Cell.time().now().time_since_epoch().count();
+  for (int Write = 0; Write < 40; ++Write) {
+    for (const std::string Name : {"w0", "w1", "w2", "w3"})
+      Cell.putForeignRow(Name, Start);
+    Cell.run(100ms);
+  }
+  Cell.run(10s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+  EXPECT_EQ(Cell.workers().startedRuns(), 12);
+}
+
 // Guards against the same if the next leader reads a row without a start time
 // before it knows the workers that may have active runs.
 TEST_F(HazardsTest, ANewLeaderPrefersItsRosterToRowsWithoutAStartTime) {
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -259,6 +259,10 @@
   Time.after(HeartbeatPeriod, [this] { publishWorkers(); });
 }
 
+void EmulatedCell::dropRow(const std::string &Worker) {
+  Store.remove("workers", "", Worker);
+}
+
 void EmulatedCell::putForeignRow(const std::string &Worker,
                                  std::int64_t StartedUnixMs) {
   Store.put("workers", "", Worker,
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -137,6 +137,10 @@
   /// Replaces the queues of the policy and publishes it with \p Version.
   void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
 
+  /// Drops the row of a worker, which goes on and writes it again at its next
+  /// update.
+  void dropRow(const std::string &Worker);
+
   /// Overwrites the row of a worker with one that claims another start time,
   /// until the worker writes its own again.
   void putForeignRow(const std::string &Worker, std::int64_t StartedUnixMs);
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -38,6 +38,7 @@
   Cut.clear();
   CutPairs.clear();
   Rejected.clear();
+  Displaced.clear();
   LateOrders = 0;
   LostAnswers = 0;
   CrashesSilently = false;
@@ -47,7 +48,7 @@
 
 bool EmulatedWorkers::hasFaults() const {
   return !Cut.empty() || !CutPairs.empty() || !Rejected.empty() ||
-         LateOrders > 0 || LostAnswers > 0;
+         !Displaced.empty() || LateOrders > 0 || LostAnswers > 0;
 }
 
 std::optional<TimePoint>
@@ -129,11 +130,20 @@
   add(Id + "'", Entry.Info.Zone, Entry.Info.Capacity);
 }
 
-// How a call ends that is rejected, or whose worker process has ended.
+// True if calls do not reach the process of a worker although its address
+// responds.
+bool EmulatedWorkers::isUnconnected(const std::string &Id) const {
+  return Rejected.contains(Id) || Displaced.contains(Id);
+}
+
+// How a call ends that is rejected or reaches another worker, or whose worker
+// process has ended.
 cell::WorkerOutcome
 EmulatedWorkers::outcomeOfUnconnected(const std::string &Id) const {
   if (Rejected.contains(Id))
     return cell::WorkerOutcome::ConnectionRefused;
+  if (Displaced.contains(Id))
+    return cell::WorkerOutcome::OtherLife;
   const auto Found = Processes.find(Id);
   if (Found != Processes.end() && Found->second.Replaced)
     return cell::WorkerOutcome::OtherLife;
@@ -409,7 +419,7 @@
     return;
   }
   const auto Found = Processes.find(Id);
-  if (Rejected.contains(Id) || Found == Processes.end() || !Found->second.Up) {
+  if (isUnconnected(Id) || Found == Processes.end() || !Found->second.Up) {
     const cell::WorkerOutcome Outcome = outcomeOfUnconnected(Id);
     Time.after(Outcome == cell::WorkerOutcome::NoAnswer ? OrderTimeout
                                                         : Latency,
@@ -466,7 +476,7 @@
                       [Callback] { Callback({}); });
     return;
   }
-  if (Target.Rejected.contains(To.Incarnation.Id)) {
+  if (Target.isUnconnected(To.Incarnation.Id)) {
     cell::HeartbeatResult Refusal;
     Refusal.Outcome = Target.outcomeOfUnconnected(To.Incarnation.Id);
     Target.Time.after(Latency, [Callback, Refusal] { Callback(Refusal); });
@@ -487,7 +497,7 @@
     Time.after(Latency, [Callback, Result] { Callback(Result); });
   };
   // A call that was waiting is reset.
-  if (Rejected.contains(To.Incarnation.Id)) {
+  if (isUnconnected(To.Incarnation.Id)) {
     Answer();
     return;
   }
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -59,6 +59,9 @@
   /// Ids of workers to which the network rejects connections. Their processes
   /// go on and keep their registry entries.
   std::set<std::string> Rejected;
+  /// Ids of workers at whose address another worker responds, while their own
+  /// processes go on.
+  std::set<std::string> Displaced;
   /// How workers return RestartDelay after a task has ended their process.
   Comeback AfterCrash = Comeback::SameId;
   Duration RestartDelay = UsualRestartDelay;
@@ -219,6 +222,7 @@
                   std::uint64_t Serial, Duration Delay);
   void comeBack(const std::string &Id);
   Resources allowedCapacity(const Process &Entry) const;
+  bool isUnconnected(const std::string &Id) const;
   cell::WorkerOutcome outcomeOfUnconnected(const std::string &Id) const;
   void startGangIfComplete(const jobs::TaskId &Id, std::int64_t Run);
   void fail(const std::string &Text) { Violations.push_back(Text); }
