Do not take a dropped row for the end of a draining worker

The platform drops rows early at times while the store is away, possibly for the worker only, and the row of a worker that goes on is back within seconds. Its runs were started elsewhere while it held a lease of 6.5 s.

Now a dropped row only keeps new work away; what runs there has ended once the lease has. RegistryTimeout and the times of the table watcher, which nothing else used, are removed.

Tests that demanded the wrong conclusion: HazardsTest.RepeatsTheWorkOfAWorkerThatHasLeftAtOnce had no evidence but the dropped row. It is replaced by StartsTheWorkOfAWorkerThatHasLeftAgainAfterIts Lease with the bound of the lease. AWorkerThatLeftIsNotUsedAfterARestart checks the worker that has left at the time at which it checked the crashed one. NodeFileTest no longer reads the removed setting.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -491,32 +491,10 @@
 
 void Leader::onRegistryChanges(const std::vector<StoredRow> &Rows) {
   for (const StoredRow &Row : Rows)
-    applyRegistryRow(Row, Registry.changesSince());
-}
-
-void Leader::onRegistryRowDropped(const std::string &Id) {
-  const auto Found = WorkerStates.find(Id);
-  if (Found == WorkerStates.end() || !Found->second.Registered)
-    return;
-  markUnregistered(Found->second);
-  if (!hasLeft(Found->second))
-    return;
-  Deps.Log.event("worker has left", Id, {});
-  removeWorker(Id, jobs::WorkerLoss::Announced, LossEvidence::RowDropped);
-}
-
-// A worker removes its row when it leaves. Otherwise the row is dropped after a
-// time in which the worker has not written it.
-bool Leader::hasLeft(const WorkerState &Worker) const {
-  const Duration Margin = RegistryWatchInterval * 2;
-  return Worker.StopAnnounced && Worker.RowWrittenSince &&
-         *Worker.RowWrittenSince >= Registry.uninterruptedSince() &&
-         Deps.Time.now() - *Worker.RowWrittenSince <
-             Deps.Times.RegistryTimeout - Margin;
+    applyRegistryRow(Row);
 }
 
-void Leader::applyRegistryRow(const StoredRow &Row,
-                              std::optional<TimePoint> WrittenSince) {
+void Leader::applyRegistryRow(const StoredRow &Row) {
   if (!isOwnWorker(Row.Key)) {
     if (Row.Deleted)
       ForeignRows.erase(Row.Key);
@@ -524,11 +502,13 @@
       ForeignRows[Row.Key] = Row;
     return;
   }
+  const auto Found = WorkerStates.find(Row.Key);
   if (Row.Deleted) {
-    onRegistryRowDropped(Row.Key);
+    // It may be dropped early while the worker goes on.
+    if (Found != WorkerStates.end() && Found->second.Registered)
+      markUnregistered(Found->second);
     return;
   }
-  const auto Found = WorkerStates.find(Row.Key);
   const auto Info = Deps.Records.decodeWorker(Row);
   if (!Info)
     return; // The row describes no usable worker.
@@ -539,10 +519,8 @@
     return;
   }
   if (Found != WorkerStates.end() && Found->second.Registered &&
-      Found->second.Info == *Info) {
-    Found->second.RowWrittenSince = WrittenSince;
+      Found->second.Info == *Info)
     return;
-  }
   if (Found != WorkerStates.end() &&
       Found->second.Info.Incarnation.StartedUnixMs >
           Info->Incarnation.StartedUnixMs)
@@ -569,7 +547,6 @@
                    {{"draining", Info->Draining ? "1" : "0"}});
   Worker.Info = *Info;
   Worker.Registered = true;
-  Worker.RowWrittenSince = WrittenSince;
   Worker.StopAnnounced = Worker.StopAnnounced || Info->Draining;
   Scheduler.updateWorker(*Info, Deps.Time.now());
   DecisionNeeded = true;
@@ -838,10 +815,8 @@
 
 void Leader::logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
                          std::int64_t OtherStartUnixMs) {
-  const TimePoint Now = Deps.Time.now();
-  const auto AgeOf = [Now](const std::optional<TimePoint> &Since) {
-    return std::to_string(Since ? (Now - *Since).count() : -1);
-  };
+  const Duration::rep AnswerAgeMs =
+      Worker.AnsweredAt ? (Deps.Time.now() - *Worker.AnsweredAt).count() : -1;
   for (const jobs::LostRun &Lost : Scheduler.takeLostRuns()) {
     ++LostRuns;
     Deps.Log.event(
@@ -854,8 +829,7 @@
          {"evidence", std::string(enumName(LossEvidenceNames, Evidence))},
          {"born", std::to_string(Lost.Worker.StartedUnixMs)},
          {"other_born", std::to_string(OtherStartUnixMs)},
-         {"answer_age_ms", AgeOf(Worker.AnsweredAt)},
-         {"row_age_ms", AgeOf(Worker.RowWrittenSince)},
+         {"answer_age_ms", std::to_string(AnswerAgeMs)},
          {"member", Worker.Member}});
   }
 }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -119,14 +119,12 @@
     LeaseEnded,      ///< Its lease has ended on its own clock.
     OtherProcess,    ///< Another process answered at its address.
     LaterStartInRow, ///< Its row names a later start.
-    RowDropped,      ///< Its row was dropped sooner than that of a silent one.
     NoRuns,          ///< It had none.
   };
-  static constexpr NameTable<LossEvidence, 5> LossEvidenceNames = {{
+  static constexpr NameTable<LossEvidence, 4> LossEvidenceNames = {{
       {LossEvidence::LeaseEnded, "lease_ended"},
       {LossEvidence::OtherProcess, "other_process"},
       {LossEvidence::LaterStartInRow, "later_start_in_row"},
-      {LossEvidence::RowDropped, "row_dropped"},
       {LossEvidence::NoRuns, "no_runs"},
   }};
 
@@ -149,8 +147,6 @@
     jobs::WorkerInfo Info;
     bool Registered = false; ///< The registry contains it.
     TimePoint UnregisteredSince;
-    /// Its registry row was written then or later; empty: not known.
-    std::optional<TimePoint> RowWrittenSince;
     /// Time of its last response that is known here.
     std::optional<TimePoint> AnsweredAt;
     bool InRoster = false; ///< The stored roster contains it.
@@ -186,11 +182,8 @@
 
   void onRegistrySnapshot(const std::vector<StoredRow> &Rows);
   void onRegistryChanges(const std::vector<StoredRow> &Rows);
-  void applyRegistryRow(const StoredRow &Row,
-                        std::optional<TimePoint> WrittenSince = {});
-  void onRegistryRowDropped(const std::string &Id);
+  void applyRegistryRow(const StoredRow &Row);
   void markUnregistered(WorkerState &Worker);
-  bool hasLeft(const WorkerState &Worker) const;
   void removeUnregistered();
   void removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
                     LossEvidence Evidence, std::int64_t OtherStartUnixMs = 0);
--- a/src/cell/tablewatcher.cpp
+++ b/src/cell/tablewatcher.cpp
@@ -42,10 +42,6 @@
 }
 
 void TableWatcher::readNextPage() {
-  if (NextPartition == 0 && NextKey.empty()) {
-    VersionSentAt = Time.now();
-    UninterruptedSince = VersionSentAt;
-  }
   Store.read(Table, Partitions[NextPartition], NextKey,
              Guard.wrap([this](const ReadResult &Page) {
                InFlight = false;
@@ -92,12 +88,8 @@
                   onFailure();
                   return;
                 }
-                if (!Healthy)
-                  UninterruptedSince = Sent;
                 Healthy = true;
                 LastAnswer = Time.now();
-                ChangesSince = VersionSentAt;
-                VersionSentAt = Sent;
                 NextCall = Sent + MinInterval;
                 Version = std::max(Version, Result.Version);
                 if (!Result.Rows.empty())
--- a/src/cell/tablewatcher.h
+++ b/src/cell/tablewatcher.h
@@ -44,13 +44,6 @@
   /// False if the last call failed.
   bool isHealthy() const { return Healthy; }
 
-  /// Time before which none of the changes was made that Callbacks::Changed is
-  /// being called with. Precondition: called from that callback.
-  TimePoint changesSince() const { return ChangesSince; }
-
-  /// Time since which no call has failed.
-  TimePoint uninterruptedSince() const { return UninterruptedSince; }
-
 private:
   void readNextPage();
   void onPage(const ReadResult &Page);
@@ -76,9 +69,6 @@
   bool Healthy = true;
   TimePoint NextCall;
   TimePoint LastAnswer;
-  TimePoint VersionSentAt; ///< When the call that returned Version was sent.
-  TimePoint ChangesSince;
-  TimePoint UninterruptedSince;
   CallbackGuard Guard;
 };
 
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -57,10 +57,6 @@
   /// expires.
   Duration WorkerLease{6500};
 
-  /// The registry drops the row of a worker that has not written it for this
-  /// long. Zero: not known.
-  Duration RegistryTimeout{4500};
-
   /// Maximum time that a worker may delay the response to a heartbeat.
   Duration HeartbeatWait{900};
 
