Do not take the answer of another worker for the end of the one called

Cause: a response that the address belongs to another worker (421), and one that names any other start time, counted as the end of the process that was called. An address can be given to another machine while the first one is cut off and works on, and a start time before the known one is that of no later process. Neither is certain evidence.

Now only an answer under the worker's own id that names a later start ends its runs at once. After any other answer the worker is unreachable until it answers itself or its lease has ended; then the loss counts like one with refused connections, as the process has probably ended. The clock in such an answer is ignored: it is that of another worker and would move the end of the lease (WorkerSessionTest.TheClockOfAnotherWorkerDoesNotMoveTheLease).

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -374,7 +374,7 @@
   To["token"] = Value.Token;
   putList(To, "running", Value.Running);
   putList(To, "ended", Value.Ended);
-  put(To, "refused", Value.ConnectionRefused);
+  put(To, "refused", Value.ProcessAbsent);
   put(To, "answer_age", Value.AnswerAgeMs, std::int64_t(-1));
   put(To, "other_start", Value.AnsweredStartUnixMs);
 }
@@ -384,7 +384,7 @@
   From.at("token").get_to(Value.Token);
   take(From, "running", Value.Running);
   take(From, "ended", Value.Ended);
-  take(From, "refused", Value.ConnectionRefused);
+  take(From, "refused", Value.ProcessAbsent);
   take(From, "answer_age", Value.AnswerAgeMs);
   take(From, "other_start", Value.AnsweredStartUnixMs);
 }
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -578,11 +578,11 @@
     const WorkerState &Worker = WorkerStates.at(Id);
     // A machine that responds, but has no process that listens or registers, is
     // not cut off.
-    const jobs::WorkerLoss Unannounced = Worker.RefusedAtExpiry
+    const jobs::WorkerLoss Unannounced = Worker.AbsentAtExpiry
                                              ? jobs::WorkerLoss::ProcessEnded
                                              : jobs::WorkerLoss::Gone;
     Deps.Log.event("worker removed", Id,
-                   {{"refused", Worker.RefusedAtExpiry ? "1" : "0"}});
+                   {{"refused", Worker.AbsentAtExpiry ? "1" : "0"}});
     removeWorker(Id, Worker.causeOfLoss(Unannounced), LossEvidence::NoRuns);
   }
 }
@@ -781,9 +781,9 @@
     return;
   case WorkerEvent::LeaseExpired:
     Worker.Resolved = true;
-    Worker.RefusedAtExpiry = Report.ConnectionRefused;
+    Worker.AbsentAtExpiry = Report.ProcessAbsent;
     Scheduler.loseRuns(Report.Incarnation,
-                       Report.ConnectionRefused && !Worker.StopAnnounced
+                       Report.ProcessAbsent && !Worker.StopAnnounced
                            ? jobs::WorkerLoss::Refused
                            : jobs::WorkerLoss::LeaseExpired,
                        Now);
@@ -804,7 +804,8 @@
     Worker.Resolved = true;
     Scheduler.loseRuns(Report.Incarnation,
                        Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
-    logLostRuns(Worker, LossEvidence::OtherProcess, Report.AnsweredStartUnixMs);
+    logLostRuns(Worker, LossEvidence::LaterStartAnswered,
+                Report.AnsweredStartUnixMs);
     Scheduler.setReachable(Report.Incarnation, false);
     From.Workers.erase(Report.Incarnation.Id);
     Worker.Member.clear();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -116,14 +116,14 @@
 private:
   /// What shows that the runs of a worker have ended.
   enum class LossEvidence {
-    LeaseEnded,      ///< Its lease has ended on its own clock.
-    OtherProcess,    ///< Another process answered at its address.
-    LaterStartInRow, ///< Its row names a later start.
-    NoRuns,          ///< It had none.
+    LeaseEnded,         ///< Its lease has ended on its own clock.
+    LaterStartAnswered, ///< It answered and named a later start.
+    LaterStartInRow,    ///< Its row names a later start.
+    NoRuns,             ///< It had none.
   };
   static constexpr NameTable<LossEvidence, 4> LossEvidenceNames = {{
       {LossEvidence::LeaseEnded, "lease_ended"},
-      {LossEvidence::OtherProcess, "other_process"},
+      {LossEvidence::LaterStartAnswered, "later_start_answered"},
       {LossEvidence::LaterStartInRow, "later_start_in_row"},
       {LossEvidence::NoRuns, "no_runs"},
   }};
@@ -158,8 +158,9 @@
     TimePoint AssignAfter; ///< Earliest reassignment after its process ended.
     bool Resolved = false; ///< Synced in this term, or its lease expired.
     bool StopAnnounced = false; ///< The registry has shown it as draining.
-    /// Its machine refused connections when its lease expired.
-    bool RefusedAtExpiry = false;
+    /// Its address refused connections, or another worker answered there, when
+    /// its lease expired.
+    bool AbsentAtExpiry = false;
 
     /// Why its runs are over if its process is; \p Unannounced unless it had
     /// announced that.
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -111,7 +111,7 @@
   LeaseExpired, ///< Its lease has definitely expired.
   Fenced, ///< The session is over: another one has a higher fencing token, or
           ///< the worker runs what no session should have started.
-  ProcessEnded, ///< Its process has ended and may have been restarted.
+  ProcessEnded, ///< Its process has ended and has been restarted.
 };
 
 struct WorkerReport {
@@ -120,12 +120,13 @@
   std::int64_t Token = 0;
   std::vector<jobs::ActiveRun> Running;
   std::vector<jobs::EndedRun> Ended;
-  /// If LeaseExpired: the last call was refused a connection.
-  bool ConnectionRefused = false;
+  /// If LeaseExpired: the last call was refused a connection or answered by
+  /// another worker.
+  bool ProcessAbsent = false;
   /// Age of the worker's last response at the time of the report; -1: none has
   /// arrived in this session.
   std::int64_t AnswerAgeMs = -1;
-  /// If ProcessEnded: start time that the answering process has named; 0: none.
+  /// If ProcessEnded: start time that the next process has named.
   std::int64_t AnsweredStartUnixMs = 0;
 };
 
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -126,7 +126,11 @@
   NoAnswer,  ///< No response; the call may have been or may still be executed.
   NotSent,   ///< No connection; the call was not and will not be executed.
   Fenced,    ///< The worker has seen a higher fencing token.
-  OtherLife, ///< The worker process has been restarted since.
+  Restarted, ///< The worker named a later start, so its process of before has
+             ///< ended.
+  OtherWorker, ///< Another worker responds at the address, or one that names an
+               ///< earlier start. The call was not executed by the process that
+               ///< it was meant for, which may go on.
   ConnectionRefused, ///< Like NotSent. Either no process listens on the port,
                      ///< or the network rejects connections to it.
   NoRoom,
@@ -137,12 +141,13 @@
   Malformed,
 };
 
-inline constexpr NameTable<WorkerOutcome, 11> WorkerOutcomeNames = {{
+inline constexpr NameTable<WorkerOutcome, 12> WorkerOutcomeNames = {{
     {WorkerOutcome::Done, "done"},
     {WorkerOutcome::NoAnswer, "no_answer"},
     {WorkerOutcome::NotSent, "not_sent"},
     {WorkerOutcome::Fenced, "fenced"},
-    {WorkerOutcome::OtherLife, "other_life"},
+    {WorkerOutcome::Restarted, "restarted"},
+    {WorkerOutcome::OtherWorker, "other_worker"},
     {WorkerOutcome::ConnectionRefused, "connection_refused"},
     {WorkerOutcome::NoRoom, "no_room"},
     {WorkerOutcome::NoTicket, "no_ticket"},
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -43,7 +43,8 @@
 
 void WorkerSession::noteAnswer(const WorkerAnswer &Answer) {
   AnsweredStartUnixMs = Answer.StartedUnixMs;
-  if (Answer.ClockMs)
+  // The clock of another worker would move the end of this one's lease.
+  if (Answer.ClockMs && Answer.Outcome != WorkerOutcome::OtherWorker)
     updateClock(*Answer.ClockMs);
 }
 
@@ -79,7 +80,7 @@
     PendingStops.clear();
     Log.event("worker lease lapsed", Worker.Incarnation.Id,
               {{"token", std::to_string(Worker.Token)},
-               {"refused", ConnectionRefused ? "1" : "0"}});
+               {"refused", ProcessAbsent ? "1" : "0"}});
     report(WorkerEvent::LeaseExpired);
   }
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
@@ -119,7 +120,8 @@
   if (Ended)
     return;
   const TimePoint Now = Time.now();
-  ConnectionRefused = Result.Outcome == WorkerOutcome::ConnectionRefused;
+  ProcessAbsent = Result.Outcome == WorkerOutcome::ConnectionRefused ||
+                  Result.Outcome == WorkerOutcome::OtherWorker;
   AnsweredStartUnixMs = Result.StartedUnixMs;
   if (endIfTerminal(Result.Outcome))
     return;
@@ -282,11 +284,12 @@
     PendingStarts.erase(Found);
     return;
   case WorkerOutcome::Fenced:
-  case WorkerOutcome::OtherLife:
+  case WorkerOutcome::Restarted:
     endIfTerminal(Answer.Outcome);
     return;
   case WorkerOutcome::NoAnswer:
   case WorkerOutcome::ConnectionRefused:
+  case WorkerOutcome::OtherWorker:
   case WorkerOutcome::NotSent:
     if (Answer.Outcome != WorkerOutcome::NoAnswer && Conclusive) {
       reportRefused(Key, jobs::StartRefusal::Unhealthy);
@@ -357,11 +360,12 @@
   noteAnswer(Answer);
   switch (Answer.Outcome) {
   case WorkerOutcome::Fenced:
-  case WorkerOutcome::OtherLife:
+  case WorkerOutcome::Restarted:
     endIfTerminal(Answer.Outcome);
     return;
   case WorkerOutcome::NoAnswer:
   case WorkerOutcome::ConnectionRefused:
+  case WorkerOutcome::OtherWorker:
   case WorkerOutcome::NotSent:
   case WorkerOutcome::Unhealthy:
     return; // pump() sends the order again.
@@ -387,9 +391,10 @@
     end(WorkerEvent::Fenced, "worker fenced by another session");
     return true;
   }
-  // A refused connection does not show that the process has ended: a firewall
-  // may reject connections to a worker that is still running its tasks.
-  if (Outcome != WorkerOutcome::OtherLife)
+  // Neither a refused connection nor an answer of another worker shows that the
+  // process has ended: a firewall may reject connections to a worker that still
+  // runs its tasks, and its address may have been given away.
+  if (Outcome != WorkerOutcome::Restarted)
     return false;
   end(WorkerEvent::ProcessEnded, "worker process ended");
   return true;
@@ -411,8 +416,7 @@
   Report.Event = Event;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
-  Report.ConnectionRefused =
-      Event == WorkerEvent::LeaseExpired && ConnectionRefused;
+  Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
   if (LastAnswerAt)
     Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
   if (Event == WorkerEvent::ProcessEnded)
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -115,7 +115,8 @@
   TimePoint NextHeartbeat;
   bool Synced = false;
   bool Reachable = true;
-  bool ConnectionRefused = false; ///< The last heartbeat was refused.
+  /// The last heartbeat was refused a connection or answered by another worker.
+  bool ProcessAbsent = false;
   bool ExpiryReported = false;
   bool Ended = false; ///< Fenced, or the worker process has ended.
   std::int64_t LastReportedEnd = 0; ///< Highest number of a reported ended run.
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -72,8 +72,9 @@
   Gone,         ///< It never responded again and is no longer in the registry.
   Announced,    ///< Its process ended after it had announced that.
   Transferred,  ///< Another shard uses it; it had no runs.
-  Refused, ///< Like LeaseExpired, but its machine refused connections, so its
-           ///< process has probably ended.
+  Refused,      ///< Like LeaseExpired, but its machine refused connections, or
+                ///< another worker answered there, so its process has probably
+                ///< ended.
 };
 
 inline constexpr NameTable<WorkerLoss, 6> WorkerLossNames = {{
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -166,7 +166,8 @@
   int Restarted = 0;
   int Expired = 0;
   for (const std::string &Line : Cell.linesOfLostRuns()) {
-    Restarted += Line.find("evidence=other_process") != std::string::npos;
+    Restarted +=
+        Line.find("evidence=later_start_answered") != std::string::npos;
     Expired += Line.find("evidence=lease_ended") != std::string::npos;
     EXPECT_EQ(Line.find("answer_age_ms=-1"), std::string::npos) << Line;
     EXPECT_EQ(Line.find("member= "), std::string::npos) << Line;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -186,17 +186,49 @@
                          WorkerEvent::Reachable}));
 }
 
-TEST_F(WorkerSessionTest, AnAnswerOfAnotherProcessEndsTheSession) {
+TEST_F(WorkerSessionTest, AnAnswerWithALaterStartEndsTheSession) {
   synchronize({Run});
   answerHeartbeat({}, WorkerOutcome::ConnectionRefused);
   Time.advanceTo(Time.now() + 300ms);
   Session.pump();
-  answerHeartbeat({}, WorkerOutcome::OtherLife);
+  answerHeartbeat({}, WorkerOutcome::Restarted);
   EXPECT_EQ(events(),
             (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
                          WorkerEvent::ProcessEnded}));
 }
 
+// Guards against a lease that seems to have ended by the clock of another
+// worker that has the address by now.
+TEST_F(WorkerSessionTest, TheClockOfAnotherWorkerDoesNotMoveTheLease) {
+  synchronize({Run});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::OtherWorker,
+               Time.now().time_since_epoch().count() + 60'000});
+  answerHeartbeat({}, WorkerOutcome::OtherWorker);
+  Time.advanceTo(Time.now() + Times.WorkerLease / 2);
+  Session.pump();
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+}
+
+// Guards against taking a process for ended because its address was given to
+// another worker.
+TEST_F(WorkerSessionTest, AnAnswerOfAnotherWorkerDoesNotEndTheSession) {
+  synchronize({Run});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::OtherWorker, std::nullopt});
+  EXPECT_EQ(Refused.size(), 1U);
+  answerHeartbeat({}, WorkerOutcome::OtherWorker);
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+  Time.advanceTo(Time.now() + Times.WorkerLease * 2);
+  Session.pump();
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::LeaseExpired}));
+  EXPECT_TRUE(Reports.back().ProcessAbsent);
+}
+
 // Guards against taking a list of ended runs for complete that has as many
 // entries as a response may have.
 TEST_F(WorkerSessionTest, IsSyncedOnlyWithTheRestOfTheEndedRuns) {
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -143,10 +143,10 @@
   if (Rejected.contains(Id))
     return cell::WorkerOutcome::ConnectionRefused;
   if (Displaced.contains(Id))
-    return cell::WorkerOutcome::OtherLife;
+    return cell::WorkerOutcome::OtherWorker;
   const auto Found = Processes.find(Id);
   if (Found != Processes.end() && Found->second.Replaced)
-    return cell::WorkerOutcome::OtherLife;
+    return cell::WorkerOutcome::OtherWorker;
   return CrashesSilently ? cell::WorkerOutcome::NoAnswer
                          : cell::WorkerOutcome::ConnectionRefused;
 }
@@ -255,7 +255,7 @@
   Process &Entry = Found->second;
   checkLease(Entry);
   if (Entry.Info.Incarnation != Incarnation) {
-    Answer.Outcome = cell::WorkerOutcome::OtherLife;
+    Answer.Outcome = cell::WorkerOutcome::Restarted;
     return Answer;
   }
   Answer.ClockMs = clockOf(Entry);
@@ -392,7 +392,7 @@
   Process &Entry = Found->second;
   checkLease(Entry);
   if (Entry.Info.Incarnation != Incarnation) {
-    Answer.Outcome = cell::WorkerOutcome::OtherLife;
+    Answer.Outcome = cell::WorkerOutcome::Restarted;
     return Answer;
   }
   Answer.ClockMs = clockOf(Entry);
@@ -513,7 +513,7 @@
   checkLease(Entry);
   if (Entry.Info.Incarnation != To.Incarnation || To.Token < Entry.Token) {
     Result.Outcome = Entry.Info.Incarnation != To.Incarnation
-                         ? cell::WorkerOutcome::OtherLife
+                         ? cell::WorkerOutcome::Restarted
                          : cell::WorkerOutcome::Fenced;
     Answer();
     return;
