Do not take a registry row for the end of a worker's process

Cause: rows may come from another writer or be stored late, so a row says what somebody wrote, not what has become of the process. A new leader that read such a row before its roster dropped the process of the roster, which may have runs.

Now the row of another process is kept aside. If it is a later one, nothing new is started on the worker. The next process is used once the known one has no runs and does not answer: either it has answered with the later start, which takes one heartbeat, or its lease has ended. A worker whose clock was set back before it restarted is no longer ignored for good; the loss counts as no crash then.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -350,11 +350,10 @@
   // Restore workers first because the placements of jobs refer to them.
   for (const RosterEntry &Entry : Stored.Roster) {
     WorkerState &Known = WorkerStates[Entry.Incarnation.Id];
-    if (Known.Info.Incarnation.StartedUnixMs > Entry.Incarnation.StartedUnixMs)
-      continue; // The registry contains a newer process.
-    // The row of another incarnation is older than the worker.
+    // The process of the roster may have runs, whatever the registry names.
     if (!Known.Registered || Known.Info.Incarnation != Entry.Incarnation) {
-      Known.Registered = false;
+      if (Known.Registered)
+        Known.NextProcess = Known.Info;
       Known.Info.Incarnation = Entry.Incarnation;
       Known.Info.Address = Entry.Address;
       Known.Info.Zone = Entry.Zone;
@@ -518,42 +517,81 @@
                    {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
     return;
   }
-  if (Found != WorkerStates.end() && Found->second.Registered &&
-      Found->second.Info == *Info)
-    return;
-  if (Found != WorkerStates.end() &&
-      Found->second.Info.Incarnation.StartedUnixMs >
-          Info->Incarnation.StartedUnixMs)
-    return; // An outdated row of an earlier process.
   if (Found != WorkerStates.end() &&
       Found->second.Info.Incarnation != Info->Incarnation) {
-    Deps.Log.event("worker restarted", Row.Key,
-                   {{"born", std::to_string(Info->Incarnation.StartedUnixMs)}});
-    removeWorker(
-        Row.Key, Found->second.causeOfLoss(jobs::WorkerLoss::ProcessEnded),
-        LossEvidence::LaterStartInRow, Info->Incarnation.StartedUnixMs);
+    announceNextProcess(Found->second, *Info);
+    return;
   }
-  const bool IsNew = Found == WorkerStates.end();
-  WorkerState &Worker = WorkerStates[Row.Key];
+  if (Found != WorkerStates.end()) {
+    Found->second.NextProcess.reset();
+    if (Found->second.Registered && Found->second.Info == *Info)
+      return;
+  }
+  updateWorkerInfo(*Info);
+}
+
+void Leader::updateWorkerInfo(const jobs::WorkerInfo &Info) {
+  const std::string &Id = Info.Incarnation.Id;
+  const bool IsNew = !WorkerStates.contains(Id);
+  WorkerState &Worker = WorkerStates[Id];
   if (IsNew) {
     LastNewWorker = Deps.Time.now();
     // Another shard may have used the worker until now.
-    if (Ownership && Ownership->lastTransfer(Row.Key).Number > 0)
+    if (Ownership && Ownership->lastTransfer(Id).Number > 0)
       Worker.MaxLeaseEnd = LastNewWorker + Deps.Times.MemberLease +
                            Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
   }
-  if (Worker.Info.Draining != Info->Draining)
-    Deps.Log.event("worker drain state", Row.Key,
-                   {{"draining", Info->Draining ? "1" : "0"}});
-  Worker.Info = *Info;
+  if (Worker.Info.Draining != Info.Draining)
+    Deps.Log.event("worker drain state", Id,
+                   {{"draining", Info.Draining ? "1" : "0"}});
+  Worker.Info = Info;
   Worker.Registered = true;
-  Worker.StopAnnounced = Worker.StopAnnounced || Info->Draining;
-  Scheduler.updateWorker(*Info, Deps.Time.now());
+  Worker.StopAnnounced = Worker.StopAnnounced || Info.Draining;
+  Scheduler.updateWorker(Info, Deps.Time.now());
   DecisionNeeded = true;
 }
 
+// The row may be a delayed one or that of another writer, so the runs of the
+// known process go on until it is certain that they have ended.
+void Leader::announceNextProcess(WorkerState &Worker,
+                                 const jobs::WorkerInfo &Next) {
+  Worker.NextProcess = Next;
+  Worker.Registered = true;
+  const bool IsLater =
+      Next.Incarnation.StartedUnixMs > Worker.Info.Incarnation.StartedUnixMs;
+  if (!IsLater || Worker.Info.Draining)
+    return;
+  Deps.Log.event("worker seems restarted", Next.Incarnation.Id,
+                 {{"born", std::to_string(Next.Incarnation.StartedUnixMs)}});
+  Worker.Info.Draining = true;
+  Scheduler.updateWorker(Worker.Info, Deps.Time.now());
+}
+
+// Replaces processes that do not answer and have no runs by those that the
+// registry names.
+void Leader::replaceEndedProcesses() {
+  std::vector<jobs::WorkerInfo> Next;
+  for (const auto &[Id, Worker] : WorkerStates) {
+    const jobs::Worker *Known = Scheduler.worker(Id);
+    const bool Answers = Known && Known->isSynced() && Known->isReachable();
+    const bool HasRuns = !Worker.Resolved || (Known && !Known->runs().empty());
+    if (Worker.NextProcess && !Answers && !HasRuns)
+      Next.push_back(*Worker.NextProcess);
+  }
+  for (const jobs::WorkerInfo &Info : Next) {
+    const std::string &Id = Info.Incarnation.Id;
+    Deps.Log.event("worker restarted", Id,
+                   {{"born", std::to_string(Info.Incarnation.StartedUnixMs)}});
+    removeWorker(
+        Id, WorkerStates.at(Id).causeOfLoss(jobs::WorkerLoss::ProcessEnded),
+        LossEvidence::NoRuns);
+    updateWorkerInfo(Info);
+  }
+}
+
 void Leader::markUnregistered(WorkerState &Worker) {
   Worker.Registered = false;
+  Worker.NextProcess.reset();
   Worker.UnregisteredSince = Deps.Time.now();
   Deps.Log.event("worker left the registry", Worker.Info.Incarnation.Id, {});
 }
@@ -588,14 +626,13 @@
 }
 
 void Leader::removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
-                          LossEvidence Evidence,
-                          std::int64_t OtherStartUnixMs) {
+                          LossEvidence Evidence) {
   const auto Found = WorkerStates.find(Id);
   if (Found == WorkerStates.end())
     return;
   Scheduler.removeWorker(Found->second.Info.Incarnation, Cause,
                          Deps.Time.now());
-  logLostRuns(Found->second, Evidence, OtherStartUnixMs);
+  logLostRuns(Found->second, Evidence);
   releaseFromMember(Id);
   if (Found->second.InRoster || Found->second.RosterPending)
     StateJournal.remove(RosterTable, Id);
@@ -1359,6 +1396,7 @@
           stepDown();
           return;
         }
+        replaceEndedProcesses();
         removeUnregistered();
         for (const std::string &Step : Dispatcher.expireCalls(Now))
           Scheduler.adviceFailed(Step);
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -118,13 +118,11 @@
   enum class LossEvidence {
     LeaseEnded,         ///< Its lease has ended on its own clock.
     LaterStartAnswered, ///< It answered and named a later start.
-    LaterStartInRow,    ///< Its row names a later start.
     NoRuns,             ///< It had none.
   };
-  static constexpr NameTable<LossEvidence, 4> LossEvidenceNames = {{
+  static constexpr NameTable<LossEvidence, 3> LossEvidenceNames = {{
       {LossEvidence::LeaseEnded, "lease_ended"},
       {LossEvidence::LaterStartAnswered, "later_start_answered"},
-      {LossEvidence::LaterStartInRow, "later_start_in_row"},
       {LossEvidence::NoRuns, "no_runs"},
   }};
 
@@ -147,6 +145,8 @@
     jobs::WorkerInfo Info;
     bool Registered = false; ///< The registry contains it.
     TimePoint UnregisteredSince;
+    /// Another process that the registry names under its id, if any.
+    std::optional<jobs::WorkerInfo> NextProcess;
     /// Time of its last response that is known here.
     std::optional<TimePoint> AnsweredAt;
     bool InRoster = false; ///< The stored roster contains it.
@@ -184,10 +184,13 @@
   void onRegistrySnapshot(const std::vector<StoredRow> &Rows);
   void onRegistryChanges(const std::vector<StoredRow> &Rows);
   void applyRegistryRow(const StoredRow &Row);
+  void updateWorkerInfo(const jobs::WorkerInfo &Info);
+  void announceNextProcess(WorkerState &Worker, const jobs::WorkerInfo &Next);
+  void replaceEndedProcesses();
   void markUnregistered(WorkerState &Worker);
   void removeUnregistered();
   void removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
-                    LossEvidence Evidence, std::int64_t OtherStartUnixMs = 0);
+                    LossEvidence Evidence);
   void logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
                    std::int64_t OtherStartUnixMs = 0);
 
