Stop what a restarted worker carries out for its former process

Orders name a worker by its id. A start that is on its way while the worker restarts under its id is carried out by the next process, which has seen no fencing token and to whose clock the deadline lies far ahead. The first answer that named the later start ended the session: the task was started elsewhere while the next process ran it for up to the longest lease. An acknowledgement with a number of the former process could also drop an end of the next one.

The emulator hid this, as its workers compared the start time with each order. Now they compare the id only, as the platform does, and a heartbeat that waits is reset when the process ends.

Now a session that finds a later start stops each order on the next process that no list of the former one has shown, and every run that the next one lists. A stop also makes the worker refuse a start that comes later. Once a list that was read after the stops is empty, the session reports the end of the former process, with the ends of the next one, which count like its own. After a call without an answer no number is acknowledged until the worker answers again.

Tried and taken back: no acknowledgement while a start is in no list yet.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -582,9 +582,13 @@
     const std::string &Id = Info.Incarnation.Id;
     Deps.Log.event("worker restarted", Id,
                    {{"born", std::to_string(Info.Incarnation.StartedUnixMs)}});
-    removeWorker(
-        Id, WorkerStates.at(Id).causeOfLoss(jobs::WorkerLoss::ProcessEnded),
-        LossEvidence::NoRuns);
+    const WorkerState &Former = WorkerStates.at(Id);
+    // A row with an earlier start does not show that the process has crashed.
+    const bool IsLater = Former.Info.Incarnation < Info.Incarnation;
+    removeWorker(Id,
+                 Former.causeOfLoss(IsLater ? jobs::WorkerLoss::ProcessEnded
+                                            : jobs::WorkerLoss::LeaseExpired),
+                 LossEvidence::NoRuns);
     updateWorkerInfo(Info);
   }
 }
@@ -800,14 +804,7 @@
   case WorkerEvent::Ended:
     for (const jobs::ActiveRun &Run : Report.Running)
       Scheduler.runProgressed(Report.Incarnation, Run);
-    for (const jobs::EndedRun &End : Report.Ended) {
-      Scheduler.runEnded(Report.Incarnation, End, Now);
-      Deps.Log.event(
-          "run ended", End.Task,
-          {{"run", std::to_string(End.Run)},
-           {"worker", Report.Incarnation.Id},
-           {"how", std::string(enumName(jobs::EndKindNames, End.Kind))}});
-    }
+    recordEnds(Report);
     acknowledge(Report);
     return;
   case WorkerEvent::Reachable:
@@ -839,6 +836,7 @@
     // All runs of this process have ended with it. The registry will contain
     // the next process once that has registered.
     Worker.Resolved = true;
+    recordEnds(Report);
     Scheduler.loseRuns(Report.Incarnation,
                        Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
     logLostRuns(Worker, LossEvidence::LaterStartAnswered,
@@ -851,6 +849,17 @@
   }
 }
 
+void Leader::recordEnds(const WorkerReport &Report) {
+  for (const jobs::EndedRun &End : Report.Ended) {
+    Scheduler.runEnded(Report.Incarnation, End, Deps.Time.now());
+    Deps.Log.event(
+        "run ended", End.Task,
+        {{"run", std::to_string(End.Run)},
+         {"worker", Report.Incarnation.Id},
+         {"how", std::string(enumName(jobs::EndKindNames, End.Kind))}});
+  }
+}
+
 void Leader::logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
                          std::int64_t OtherStartUnixMs) {
   const Duration::rep AnswerAgeMs =
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -191,6 +191,7 @@
   void removeUnregistered();
   void removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
                     LossEvidence Evidence);
+  void recordEnds(const WorkerReport &Report);
   void logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
                    std::int64_t OtherStartUnixMs = 0);
 
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -111,7 +111,9 @@
   LeaseExpired, ///< Its lease has definitely expired.
   Fenced, ///< The session is over: another one has a higher fencing token, or
           ///< the worker runs what no session should have started.
-  ProcessEnded, ///< Its process has ended and has been restarted.
+  ProcessEnded, ///< Its process has ended and has been restarted. Ended has
+                ///< what the next one carried out of the orders to the former
+                ///< one.
 };
 
 struct WorkerReport {
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -127,7 +127,8 @@
   NotSent,   ///< No connection; the call was not and will not be executed.
   Fenced,    ///< The worker has seen a higher fencing token.
   Restarted, ///< The worker named a later start, so its process of before has
-             ///< ended.
+             ///< ended. The lists of a heartbeat are those of the next one,
+             ///< which carries out the calls.
   OtherWorker, ///< Another worker responds at the address, or one that names an
                ///< earlier start. The call was not executed by the process that
                ///< it was meant for, which may go on.
@@ -189,8 +190,6 @@
   WorkerOutcome Outcome = WorkerOutcome::NoAnswer;
   /// The worker's clock when it responded.
   std::optional<std::int64_t> ClockMs;
-  /// See HeartbeatResult::StartedUnixMs.
-  std::int64_t StartedUnixMs = 0;
 };
 
 /// Calls to workers.
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -57,6 +57,9 @@
   /// expires.
   Duration WorkerLease{6500};
 
+  /// Longest lease that a worker accepts, whatever it is asked for.
+  Duration MaxWorkerLease{10'000};
+
   /// Maximum time that a worker may delay the response to a heartbeat.
   Duration HeartbeatWait{900};
 
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -24,6 +24,9 @@
 /// expiry of its lease.
 constexpr Duration ExpiryMargin{100};
 
+/// Delay before the lists of a restarted worker are read again.
+constexpr Duration RestartPollDelay{50};
+
 } // namespace
 
 WorkerSession::WorkerSession(WorkerClient &Client, const Clock &Time,
@@ -41,8 +44,7 @@
   return LastClockMs + (Time.now() - LastClockAt).count();
 }
 
-void WorkerSession::noteAnswer(const WorkerAnswer &Answer) {
-  AnsweredStartUnixMs = Answer.StartedUnixMs;
+void WorkerSession::updateClock(const WorkerAnswer &Answer) {
   // The clock of another worker would move the end of this one's lease.
   if (Answer.ClockMs && Answer.Outcome != WorkerOutcome::OtherWorker)
     updateClock(*Answer.ClockMs);
@@ -73,7 +75,12 @@
   if (Ended)
     return;
   const TimePoint Now = Time.now();
-  if (!Reachable && !ExpiryReported && Now >= leaseEnd()) {
+  if (RestartResolvedBy && Now >= *RestartResolvedBy) {
+    end(WorkerEvent::ProcessEnded, "worker process ended");
+    return;
+  }
+  if (!RestartResolvedBy && !Reachable && !ExpiryReported &&
+      Now >= leaseEnd()) {
     ExpiryReported = true;
     Synced = false;
     PendingStarts.clear();
@@ -105,27 +112,34 @@
     Request.DeadlineMs = estimatedClockMs() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
   }
-  Request.AckCursor = AckedEnd;
+  // The numbers of ended runs start anew with each process.
+  Request.AckCursor = Reachable ? AckedEnd : 0;
   if (Synced && LastReportedEnd <= AckedEnd && Extend)
     Request.Wait = Times.HeartbeatWait;
   HeartbeatInFlight = true;
-  Client.heartbeat(Worker, Request,
-                   Guard.wrap([this, Extend](const HeartbeatResult &Result) {
-                     HeartbeatInFlight = false;
-                     onHeartbeat(Result, Extend);
-                   }));
+  Client.heartbeat(
+      Worker, Request,
+      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty()](
+                     const HeartbeatResult &Result) {
+        HeartbeatInFlight = false;
+        onHeartbeat(Result, Extend, StopsAnswered);
+      }));
 }
 
-void WorkerSession::onHeartbeat(const HeartbeatResult &Result, bool Extended) {
+void WorkerSession::onHeartbeat(const HeartbeatResult &Result, bool Extended,
+                                bool StopsAnswered) {
   if (Ended)
     return;
   const TimePoint Now = Time.now();
   ProcessAbsent = Result.Outcome == WorkerOutcome::ConnectionRefused ||
                   Result.Outcome == WorkerOutcome::OtherWorker;
-  AnsweredStartUnixMs = Result.StartedUnixMs;
-  if (endIfTerminal(Result.Outcome))
+  if (Result.Outcome == WorkerOutcome::Restarted) {
+    onRestart(Result, StopsAnswered);
+    return;
+  }
+  if (endIfFenced(Result.Outcome))
     return;
-  if (Result.Outcome != WorkerOutcome::Done) {
+  if (Result.Outcome != WorkerOutcome::Done || RestartResolvedBy) {
     markUnreachable(Result.Outcome);
     NextHeartbeat = Now + UnreachableRetryDelay;
     return;
@@ -176,7 +190,10 @@
     PendingStarts.erase({End.Task, End.Run});
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
+    UnlistedStarts.erase({End.Task, End.Run});
   }
+  for (const jobs::ActiveRun &Run : Result.Running)
+    UnlistedStarts.erase({Run.Task, Run.Run});
   // A run in neither list may be an ended one that is not listed yet.
   if (!Result.MayHaveMoreEnded) {
     resolvePendingStarts(Result);
@@ -245,7 +262,7 @@
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
   // The order may come late, or this process may have been paused.
-  const bool IsPermitted = Synced && Owner.MayExtend();
+  const bool IsPermitted = Synced && !RestartResolvedBy && Owner.MayExtend();
   if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
@@ -259,6 +276,7 @@
 void WorkerSession::send(const RunKey &Key) {
   PendingStart &Pending = PendingStarts.at(Key);
   ++Pending.Sends;
+  UnlistedStarts.insert(Key);
   Pending.InFlight = true;
   MaxDeadlineMs = std::max(MaxDeadlineMs, Pending.DeadlineMs);
   Client.start(Worker, Pending.Order, Pending.DeadlineMs,
@@ -274,7 +292,7 @@
     return; // The outcome is already known from a list.
   PendingStart &Pending = Found->second;
   Pending.InFlight = false;
-  noteAnswer(Answer);
+  updateClock(Answer);
   // If the first send got no response, a rejection of the second one can mean
   // that the run was started and has already ended. The lists will show the
   // outcome.
@@ -284,8 +302,9 @@
     PendingStarts.erase(Found);
     return;
   case WorkerOutcome::Fenced:
-  case WorkerOutcome::Restarted:
-    endIfTerminal(Answer.Outcome);
+    endIfFenced(Answer.Outcome);
+    return;
+  case WorkerOutcome::Restarted: // The heartbeats find out what it runs.
     return;
   case WorkerOutcome::NoAnswer:
   case WorkerOutcome::ConnectionRefused:
@@ -326,6 +345,7 @@
                                   jobs::StartRefusal Reason) {
   PendingStarts.erase(Key);
   ExpectedRuns.erase(Key);
+  UnlistedStarts.erase(Key);
   Owner.Refuse({Worker.Incarnation, Key.first, Key.second, Reason});
 }
 
@@ -357,12 +377,12 @@
        {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))}});
   if (Ended)
     return;
-  noteAnswer(Answer);
+  updateClock(Answer);
   switch (Answer.Outcome) {
   case WorkerOutcome::Fenced:
-  case WorkerOutcome::Restarted:
-    endIfTerminal(Answer.Outcome);
+    endIfFenced(Answer.Outcome);
     return;
+  case WorkerOutcome::Restarted:
   case WorkerOutcome::NoAnswer:
   case WorkerOutcome::ConnectionRefused:
   case WorkerOutcome::OtherWorker:
@@ -386,21 +406,46 @@
     NextHeartbeat = Time.now();
 }
 
-bool WorkerSession::endIfTerminal(WorkerOutcome Outcome) {
-  if (Outcome == WorkerOutcome::Fenced) {
-    end(WorkerEvent::Fenced, "worker fenced by another session");
-    return true;
-  }
-  // Neither a refused connection nor an answer of another worker shows that the
-  // process has ended: a firewall may reject connections to a worker that still
-  // runs its tasks, and its address may have been given away.
-  if (Outcome != WorkerOutcome::Restarted)
+bool WorkerSession::endIfFenced(WorkerOutcome Outcome) {
+  if (Outcome != WorkerOutcome::Fenced)
     return false;
-  end(WorkerEvent::ProcessEnded, "worker process ended");
+  end(WorkerEvent::Fenced, "worker fenced by another session");
   return true;
 }
 
-void WorkerSession::end(WorkerEvent Event, std::string_view LogEvent) {
+// Orders name a worker by its id, so the next process may have carried out some
+// that were sent to the former one, or may still do so. Each of these is
+// stopped there, which also makes the worker refuse a start that comes later.
+void WorkerSession::onRestart(const HeartbeatResult &Result,
+                              bool StopsAnswered) {
+  const TimePoint Now = Time.now();
+  const bool IsFirst = NextStartUnixMs != Result.StartedUnixMs;
+  NextStartUnixMs = Result.StartedUnixMs;
+  if (IsFirst) {
+    RestartResolvedBy =
+        Now + Duration(Duration::rep(double(Times.MaxWorkerLease.count()) /
+                                     Times.MinWorkerClockRate));
+    markUnreachable(WorkerOutcome::Restarted);
+    PendingStarts.clear();
+    PendingStops.clear();
+    for (const RunKey &Key : UnlistedStarts)
+      stop({Worker.Incarnation, Key.first, Key.second});
+  }
+  const bool IsStopDue = IsFirst || Now >= NextStop;
+  for (const jobs::ActiveRun &Run : Result.Running)
+    if (IsStopDue && !PendingStops.contains({Run.Task, Run.Run}))
+      stop({Worker.Incarnation, Run.Task, Run.Run});
+  // The lists tell the outcome if they were read after the stops.
+  if (Result.Running.empty() && PendingStops.empty() &&
+      (IsFirst || StopsAnswered)) {
+    end(WorkerEvent::ProcessEnded, "worker process ended", Result.Ended);
+    return;
+  }
+  NextHeartbeat = Now + RestartPollDelay;
+}
+
+void WorkerSession::end(WorkerEvent Event, std::string_view LogEvent,
+                        std::vector<jobs::EndedRun> EndedRuns) {
   if (Ended)
     return;
   Ended = true;
@@ -408,10 +453,11 @@
   PendingStops.clear();
   Log.event(LogEvent, Worker.Incarnation.Id,
             {{"token", std::to_string(Worker.Token)}});
-  report(Event);
+  report(Event, std::move(EndedRuns));
 }
 
-void WorkerSession::report(WorkerEvent Event) {
+void WorkerSession::report(WorkerEvent Event,
+                           std::vector<jobs::EndedRun> EndedRuns) {
   WorkerReport Report;
   Report.Event = Event;
   Report.Incarnation = Worker.Incarnation;
@@ -419,8 +465,9 @@
   Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
   if (LastAnswerAt)
     Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
+  Report.Ended = std::move(EndedRuns);
   if (Event == WorkerEvent::ProcessEnded)
-    Report.AnsweredStartUnixMs = AnsweredStartUnixMs;
+    Report.AnsweredStartUnixMs = NextStartUnixMs;
   Owner.Report(std::move(Report));
 }
 
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -73,22 +73,26 @@
   using RunKey = std::pair<std::string, std::int64_t>;
 
   void sendHeartbeat();
-  void onHeartbeat(const HeartbeatResult &Result, bool Extended);
+  /// \p StopsAnswered tells whether no stop was pending when it was sent.
+  void onHeartbeat(const HeartbeatResult &Result, bool Extended,
+                   bool StopsAnswered);
   void processRunLists(const HeartbeatResult &Result);
   void expectListed(const HeartbeatResult &Result);
   const jobs::ActiveRun *unexpectedRun(const HeartbeatResult &Result) const;
   void resolvePendingStarts(const HeartbeatResult &Result);
   void markUnreachable(WorkerOutcome Outcome);
+  void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
   void reportRefused(const RunKey &Key, jobs::StartRefusal Reason);
   void sendStop(const RunKey &Key);
   void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
-  /// Ends the session if \p Outcome is final for it; returns true in that case.
-  bool endIfTerminal(WorkerOutcome Outcome);
-  void end(WorkerEvent Event, std::string_view LogEvent);
-  void report(WorkerEvent Event);
-  void noteAnswer(const WorkerAnswer &Answer);
+  /// Ends the session if \p Outcome is Fenced; returns true in that case.
+  bool endIfFenced(WorkerOutcome Outcome);
+  void end(WorkerEvent Event, std::string_view LogEvent,
+           std::vector<jobs::EndedRun> EndedRuns = {});
+  void report(WorkerEvent Event, std::vector<jobs::EndedRun> EndedRuns = {});
+  void updateClock(const WorkerAnswer &Answer);
   void updateClock(std::int64_t ClockMs);
   std::int64_t estimatedClockMs() const;
   TimePoint leaseEnd() const;
@@ -103,8 +107,6 @@
   const TimePoint AssumedLeaseEnd;
 
   std::optional<TimePoint> LastAnswerAt;
-  /// Start time that the last answer named; 0: none.
-  std::int64_t AnsweredStartUnixMs = 0;
   bool HasClock = false;
   std::int64_t LastClockMs = 0;
   TimePoint LastClockAt;
@@ -125,6 +127,14 @@
   std::map<RunKey, PendingStart> PendingStarts;
   /// The runs that the lists may contain.
   std::set<RunKey> ExpectedRuns;
+  /// Runs whose start was sent and that no list has contained yet. If the
+  /// worker restarts, its next process may have carried out the order.
+  std::set<RunKey> UnlistedStarts;
+  /// Set once the worker has named a later start: time until which its next
+  /// process may still run what this session has started.
+  std::optional<TimePoint> RestartResolvedBy;
+  /// Start time of the next process; 0: not known.
+  std::int64_t NextStartUnixMs = 0;
   std::map<RunKey, jobs::StopCommand> PendingStops;
   std::set<RunKey> StopsInFlight;
   TimePoint NextStop;
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -373,6 +373,33 @@
     EXPECT_EQ(Leader->scheduler().worker(Name), nullptr) << Name;
 }
 
+// Guards against an order that the next process of a worker carries out, and
+// whose run counts as ended with the former process.
+TEST(RestartHazardsTest, NoRunIsTakenForOneOfTheFormerProcess) {
+  for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
+    EmulatedCell Cell(Seed);
+    Cell.run(2s);
+    std::mt19937_64 Random(Seed);
+    const auto Any = [&Random](int Low, int High) {
+      return std::uniform_int_distribution<int>(Low, High)(Random);
+    };
+    for (int Number = 0; Number < 150; ++Number) {
+      Cell.submit("n" + std::to_string(Any(0, 2)),
+                  stepOf(Any(4, 12), Duration(Any(300, 2500))));
+      Cell.run(Duration(Any(1, 60)));
+      if (Number % 5 != 0)
+        continue;
+      const std::string Worker = "w" + std::to_string(Any(0, 5));
+      Cell.workers().crash(Worker);
+      Cell.run(Duration(Any(0, 40)));
+      Cell.workers().restart(Worker);
+    }
+    Cell.run(15s);
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << "seed " << Seed << ": " << Violation;
+  }
+}
+
 // Guards against a withdrawn key that is accepted again after a restart.
 TEST_F(HazardsTest, AWithdrawnKeyStaysWithdrawnAfterARestart) {
   Cell.withdrawKeys(2);
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -44,8 +44,10 @@
 protected:
   WorkerSessionTest() {
     ON_CALL(Client, heartbeat)
-        .WillByDefault([this](const WorkerAddress &, const HeartbeatRequest &,
+        .WillByDefault([this](const WorkerAddress &,
+                              const HeartbeatRequest &Request,
                               std::function<void(HeartbeatResult)> Callback) {
+          AckCursor = Request.AckCursor;
           Heartbeat = std::move(Callback);
         });
     ON_CALL(Client, start)
@@ -65,9 +67,11 @@
   void answerHeartbeat(std::vector<jobs::ActiveRun> Running,
                        WorkerOutcome Outcome = WorkerOutcome::Done,
                        std::vector<jobs::EndedRun> Ended = {},
-                       bool MayHaveMoreEnded = false) {
+                       bool MayHaveMoreEnded = false,
+                       std::int64_t StartedUnixMs = 1) {
     Time.advanceTo(Time.now() + 100ms);
     HeartbeatResult Result;
+    Result.StartedUnixMs = StartedUnixMs;
     Result.Outcome = Outcome;
     Result.ClockMs = Time.now().time_since_epoch().count();
     Result.Running = std::move(Running);
@@ -77,6 +81,24 @@
     Session.pump();
   }
 
+  void waitForHeartbeat() {
+    for (int Step = 0; Step < 10 && !Heartbeat; ++Step) {
+      Time.advanceTo(Time.now() + 50ms);
+      Session.pump();
+    }
+    ASSERT_TRUE(Heartbeat);
+  }
+
+  /// Answers the next heartbeat as a process that has started at
+  /// \p StartedUnixMs since.
+  void answerRestarted(std::vector<jobs::ActiveRun> Running,
+                       std::vector<jobs::EndedRun> Ended = {},
+                       std::int64_t StartedUnixMs = 2) {
+    waitForHeartbeat();
+    answerHeartbeat(std::move(Running), WorkerOutcome::Restarted,
+                    std::move(Ended), false, StartedUnixMs);
+  }
+
   /// An ended run of another task.
   static jobs::EndedRun endOf(std::int64_t Number) {
     return {Number, "other.0.0." + std::to_string(Number), 1,
@@ -101,6 +123,7 @@
   SilentLog Log;
   NiceMock<MockWorkerClient> Client;
   std::function<void(HeartbeatResult)> Heartbeat;
+  std::int64_t AckCursor = 0; ///< Of the last heartbeat.
   std::function<void(WorkerAnswer)> StartAnswer;
   std::function<void(WorkerAnswer)> StopAnswer;
   std::vector<WorkerReport> Reports;
@@ -191,12 +214,79 @@
   answerHeartbeat({}, WorkerOutcome::ConnectionRefused);
   Time.advanceTo(Time.now() + 300ms);
   Session.pump();
-  answerHeartbeat({}, WorkerOutcome::Restarted);
+  answerRestarted({});
   EXPECT_EQ(events(),
             (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
                          WorkerEvent::ProcessEnded}));
 }
 
+// Guards against a start that the next process of a worker carries out, and
+// whose run counts as ended with the former one.
+TEST_F(WorkerSessionTest, StopsOnTheNextProcessWhatTheFormerOneWasTold) {
+  synchronize({});
+  Session.start(Start);
+  answerRestarted({});
+  ASSERT_TRUE(StopAnswer);
+  answerRestarted({});
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+  // The list of the heartbeat under way may have been read before the stop.
+  waitForHeartbeat();
+  StopAnswer({WorkerOutcome::Done, std::nullopt});
+  answerRestarted({});
+  EXPECT_EQ(Reports.size(), 2U);
+  answerRestarted({Run});
+  EXPECT_EQ(Reports.size(), 2U);
+  StopAnswer({WorkerOutcome::Done, std::nullopt});
+  answerRestarted({}, {{1, Start.Task, Start.Run, jobs::EndKind::Done, ""}});
+  ASSERT_EQ(Reports.size(), 3U);
+  EXPECT_EQ(Reports.back().Event, WorkerEvent::ProcessEnded);
+  ASSERT_EQ(Reports.back().Ended.size(), 1U);
+  EXPECT_EQ(Reports.back().Ended[0].Task, Start.Task);
+}
+
+// Guards against a stop on the second process that counts for the third one.
+TEST_F(WorkerSessionTest, RepeatsTheStopsAfterASecondRestart) {
+  synchronize({});
+  Session.start(Start);
+  answerRestarted({});
+  StopAnswer({WorkerOutcome::Done, std::nullopt});
+  EXPECT_CALL(Client, stop(_, _, _)).Times(1);
+  answerRestarted({}, {}, 3);
+  EXPECT_EQ(Reports.size(), 2U);
+}
+
+// Guards against a session that never ends because the next process is gone.
+TEST_F(WorkerSessionTest, EndsOnceTheLeasesOfTheNextProcessHaveEnded) {
+  synchronize({});
+  Session.start(Start);
+  answerRestarted({Run});
+  waitForHeartbeat();
+  answerHeartbeat({}, WorkerOutcome::NoAnswer);
+  Time.advanceTo(Time.now() + Times.MaxWorkerLease);
+  Session.pump();
+  EXPECT_EQ(Reports.size(), 2U);
+  Time.advanceTo(Time.now() + Times.MaxWorkerLease / 20);
+  Session.pump();
+  ASSERT_EQ(Reports.size(), 3U);
+  EXPECT_EQ(Reports.back().Event, WorkerEvent::ProcessEnded);
+}
+
+// Guards against an acknowledgement whose number means another run on the next
+// process.
+TEST_F(WorkerSessionTest, AcknowledgesNothingThatTheNextProcessMayHaveEnded) {
+  Session.pump();
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1)});
+  Session.acknowledge(1);
+  Session.pump();
+  answerHeartbeat({});
+  EXPECT_EQ(AckCursor, 1);
+  answerHeartbeat({}, WorkerOutcome::NoAnswer);
+  Time.advanceTo(Time.now() + 300ms);
+  Session.pump();
+  EXPECT_EQ(AckCursor, 0);
+}
+
 // Guards against a lease that seems to have ended by the clock of another
 // worker that has the address by now.
 TEST_F(WorkerSessionTest, TheClockOfAnotherWorkerDoesNotMoveTheLease) {
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -254,10 +254,7 @@
     return Answer;
   Process &Entry = Found->second;
   checkLease(Entry);
-  if (Entry.Info.Incarnation != Incarnation) {
-    Answer.Outcome = cell::WorkerOutcome::Restarted;
-    return Answer;
-  }
+  // An order names the worker by its id, so the next process accepts it.
   Answer.ClockMs = clockOf(Entry);
   if (Token < Entry.Token) {
     Answer.Outcome = cell::WorkerOutcome::Fenced;
@@ -391,10 +388,6 @@
     return Answer;
   Process &Entry = Found->second;
   checkLease(Entry);
-  if (Entry.Info.Incarnation != Incarnation) {
-    Answer.Outcome = cell::WorkerOutcome::Restarted;
-    return Answer;
-  }
   Answer.ClockMs = clockOf(Entry);
   if (Token < Entry.Token) {
     Answer.Outcome = cell::WorkerOutcome::Fenced;
@@ -490,7 +483,8 @@
 
 void EmulatedWorkers::pollHeartbeat(
     const cell::WorkerAddress &To, const cell::HeartbeatRequest &Request,
-    TimePoint Until, std::function<void(cell::HeartbeatResult)> Callback) {
+    TimePoint Until, std::function<void(cell::HeartbeatResult)> Callback,
+    std::int64_t AcceptedBy) {
   cell::HeartbeatResult Result;
   const auto Found = Processes.find(To.Incarnation.Id);
   const auto Answer = [&] {
@@ -511,13 +505,16 @@
   }
   Process &Entry = Found->second;
   checkLease(Entry);
-  if (Entry.Info.Incarnation != To.Incarnation || To.Token < Entry.Token) {
-    Result.Outcome = Entry.Info.Incarnation != To.Incarnation
-                         ? cell::WorkerOutcome::Restarted
-                         : cell::WorkerOutcome::Fenced;
+  const std::int64_t Start = Entry.Info.Incarnation.StartedUnixMs;
+  const bool IsReset = AcceptedBy != 0 && AcceptedBy != Start;
+  if (IsReset || To.Token < Entry.Token) {
+    Result.Outcome =
+        IsReset ? cell::WorkerOutcome::NoAnswer : cell::WorkerOutcome::Fenced;
     Answer();
     return;
   }
+  // The call names the worker by its id, so the next process carries it out.
+  const bool IsNext = Entry.Info.Incarnation != To.Incarnation;
   Entry.Token = To.Token;
   for (const jobs::EndedRun &End : Entry.Ended) {
     if (End.Number > Request.AckCursor || End.Number <= Entry.Acked ||
@@ -538,15 +535,18 @@
                  std::min(*Request.DeadlineMs, clockOf(Entry) + MaxLeaseMs));
     scheduleLeaseCheck(To.Incarnation.Id);
   }
-  if (Entry.Ended.empty() && Time.now() < Until) {
+  if (Entry.Ended.empty() && !IsNext && Time.now() < Until) {
     cell::HeartbeatRequest Waiting = Request;
     Waiting.DeadlineMs.reset();
-    Time.after(HeartbeatPollInterval, [this, To, Waiting, Until, Callback] {
-      pollHeartbeat(To, Waiting, Until, Callback);
-    });
+    Time.after(HeartbeatPollInterval,
+               [this, To, Waiting, Until, Callback, Start] {
+                 pollHeartbeat(To, Waiting, Until, Callback, Start);
+               });
     return;
   }
-  Result.Outcome = cell::WorkerOutcome::Done;
+  Result.Outcome =
+      IsNext ? cell::WorkerOutcome::Restarted : cell::WorkerOutcome::Done;
+  Result.StartedUnixMs = Start;
   Result.ClockMs = clockOf(Entry);
   for (const auto &[Task, Run] : Entry.Runs)
     Result.Running.push_back({Task, Run.Run, "", 0});
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -211,9 +211,12 @@
   void order(const std::string &Instance, const cell::WorkerAddress &To,
              const std::function<cell::WorkerAnswer()> &Execute,
              const std::function<void(cell::WorkerAnswer)> &Callback);
+  /// Answers a heartbeat once a run has ended or it is \p Until. \p AcceptedBy
+  /// is the start time of the process that has accepted the call; 0: none yet.
   void pollHeartbeat(const cell::WorkerAddress &To,
                      const cell::HeartbeatRequest &Request, TimePoint Until,
-                     std::function<void(cell::HeartbeatResult)> Callback);
+                     std::function<void(cell::HeartbeatResult)> Callback,
+                     std::int64_t AcceptedBy = 0);
   void begin(Process &Entry, const jobs::StartCommand &Order,
              const TaskTraits &Traits);
   void finishAfter(const std::string &Id, const std::string &Task,
--- a/tests/platform/executorresponse_test.cpp
+++ b/tests/platform/executorresponse_test.cpp
@@ -52,23 +52,33 @@
 // Guards against taking the answer of another executor at the same address, or
 // one that names an earlier start, for a restart of the one that was called.
 TEST(ExecutorResponseTest, OnlyALaterStartUnderTheSameIdShowsARestart) {
-  const std::string Lists = R"(,"running":[],"finished":[]})";
-  const auto OutcomeOf = [&Lists](int Status, const std::string &Start) {
-    const std::string Body = R"({"clock_ms":5)" + Start + Lists;
-    const auto Answer = parseWorkerAnswer(responseOf(Status, Body), Worker);
-    const auto Heartbeat =
-        parseHeartbeatResult(responseOf(Status, Body), Worker);
-    EXPECT_EQ(Answer.Outcome, Heartbeat.Outcome);
-    return Heartbeat.Outcome;
+  const auto OutcomeOf = [](int Status, const std::string &Start) {
+    return parseHeartbeatResult(
+               responseOf(Status, R"({"clock_ms":5)" + Start +
+                                      R"(,"running":[],"finished":[]})"),
+               Worker)
+        .Outcome;
   };
   EXPECT_EQ(OutcomeOf(200, R"(,"born":1001)"), cell::WorkerOutcome::Restarted);
-  EXPECT_EQ(OutcomeOf(409, R"(,"born":1001)"), cell::WorkerOutcome::Restarted);
   EXPECT_EQ(OutcomeOf(200, R"(,"born":1000)"), cell::WorkerOutcome::Done);
   EXPECT_EQ(OutcomeOf(200, ""), cell::WorkerOutcome::Done);
+  EXPECT_EQ(OutcomeOf(200, R"(,"born":999)"), cell::WorkerOutcome::OtherWorker);
   for (const std::string Start :
        {"", R"(,"born":999)", R"(,"born":1000)", R"(,"born":1001)"})
     EXPECT_EQ(OutcomeOf(421, Start), cell::WorkerOutcome::OtherWorker);
-  EXPECT_EQ(OutcomeOf(200, R"(,"born":999)"), cell::WorkerOutcome::OtherWorker);
+}
+
+// Guards against a lease that ends by the clock of another process.
+TEST(ExecutorResponseTest, IgnoresTheClockOfAnotherProcess) {
+  const auto ClockOf = [](const std::string &Start) {
+    return parseWorkerAnswer(responseOf(200, R"({"clock_ms":5)" + Start + "}"),
+                             Worker)
+        .ClockMs;
+  };
+  EXPECT_EQ(ClockOf(""), 5);
+  EXPECT_EQ(ClockOf(R"(,"born":1000)"), 5);
+  EXPECT_EQ(ClockOf(R"(,"born":999)"), std::nullopt);
+  EXPECT_EQ(ClockOf(R"(,"born":1001)"), std::nullopt);
 }
 
 // Guards against a response with fields of another type that ends the process:
