Start long-running tasks again however often their workers crash

Cause: CrashHistory bounds what one task may crash, and failIfExhausted applied that bound to all tasks.

Now a task that lasts is never given up for lost workers. It still runs apart from the second loss on, but without a probe for its step, and reserves its worker only while at most a quarter of the workers are reserved. Its starts are at least 1, 2, then 4 s apart. The interval counts from the start of the lost run, not from the loss, so that a loss noticed late (a lease of 6.6 s) adds nothing to it. Only the latest four losses of such a task are stored, as the history would otherwise grow with each crash.

Ruled out: a limit that only grows, or that a good run resets sooner; crashes for other reasons have no bound either. A delay from the moment of the loss: with a loss noticed at the end of the lease it would exceed the 6 s.

--- a/src/jobs/crashhistory.cpp
+++ b/src/jobs/crashhistory.cpp
@@ -11,6 +11,11 @@
     Records.push_back(Record);
 }
 
+void CrashHistory::keepLatest() {
+  if (Records.size() > std::size_t(MaxLosses))
+    Records.erase(Records.begin(), Records.end() - MaxLosses);
+}
+
 bool CrashHistory::update(const WorkerIncarnation &Worker, WorkerLoss Cause) {
   bool Found = false;
   for (CrashRecord &Record : Records)
@@ -55,6 +60,14 @@
   return (Ends >= MaxProcessEnds && WasApart) || losses() >= MaxLosses;
 }
 
+Duration CrashHistory::restartInterval() const {
+  const int Repeated = losses() - IsolationThreshold;
+  if (Repeated < 0)
+    return Duration{0};
+  return MaxRestartInterval /
+         (1 << std::max(MaxLosses - IsolationThreshold - Repeated, 0));
+}
+
 bool CrashHistory::includes(const std::string &Worker) const {
   return std::any_of(Records.begin(), Records.end(),
                      [&](const CrashRecord &Record) {
@@ -62,4 +75,10 @@
                      });
 }
 
+bool CrashHistory::mentions(const WorkerIncarnation &Worker) const {
+  return std::any_of(
+      Records.begin(), Records.end(),
+      [&](const CrashRecord &Record) { return Record.Worker == Worker; });
+}
+
 } // namespace apricotwing::jobs
--- a/src/jobs/crashhistory.h
+++ b/src/jobs/crashhistory.h
@@ -34,7 +34,9 @@
 /// be the cause. Answers a load of tasks that crash each worker that starts
 /// them, among many that only shared a worker with one of these. A worker whose
 /// lease expired may only have been silent, so that does not count until the
-/// worker is gone. A value type; stored with the job.
+/// worker is gone. A task that is done at some time is given up; one that lasts
+/// until its job is cancelled is started again, at growing intervals. A value
+/// type; stored with the job.
 class CrashHistory {
 public:
   /// Losses of workers under a task after which it is started on a worker of
@@ -54,9 +56,17 @@
   /// again.
   static constexpr Duration DangerTime{30'000};
 
+  /// Longest interval between two starts of a task that lasts. It must be at
+  /// work again 6 s after its last run, which includes the time until a crash
+  /// is noticed and a worker is found.
+  static constexpr Duration MaxRestartInterval{4000};
+
   /// Adds a loss. Ignores causes that the task cannot have.
   void add(const CrashRecord &Record);
 
+  /// Removes all but the latest losses, for a task that is never given up.
+  void keepLatest();
+
   /// Corrects the cause of losses of a worker. Returns whether there are any.
   bool update(const WorkerIncarnation &Worker, WorkerLoss Cause);
 
@@ -79,12 +89,18 @@
   /// True if the task must run on a worker of its own.
   bool needsIsolation() const { return losses() >= IsolationThreshold; }
 
-  /// True if the task must not be started again.
+  /// True if the task must not be started again, unless it lasts.
   bool isExhausted() const;
 
+  /// Minimum time from one start to the next of a task that lasts.
+  Duration restartInterval() const;
+
   /// True if a loss that counts was that of a worker with the id \p Worker.
   bool includes(const std::string &Worker) const;
 
+  /// True if there is a loss of \p Worker, whether it counts or not.
+  bool mentions(const WorkerIncarnation &Worker) const;
+
   const std::vector<CrashRecord> &records() const { return Records; }
 
 private:
--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -67,8 +67,12 @@
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
+  const bool IsHeldBack = std::any_of(
+      State.Tasks.begin(), State.Tasks.end(), [&](const TaskState &Task) {
+        return isHeldBack(CurrentJob, Step, Task, Current.Now);
+      });
   // Members of the previous run that are being stopped still count as placed.
-  if (State.ReadyCount != Spec.Count ||
+  if (State.ReadyCount != Spec.Count || IsHeldBack ||
       allowedByCap(CurrentJob, Spec) < Spec.Count) {
     releaseClaims(Name, State);
     return;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -114,6 +114,8 @@
   WorkerIncarnation Worker; ///< Valid if the phase is Placed.
   std::int64_t Run = 0; ///< Number of the last known run; 0 if there is none.
   TimePoint PlacedAt;   ///< Valid if the phase is Placed.
+  TimePoint ReadySince; ///< When this leader learned that its last run is over.
+  TimePoint LostRunAt; ///< Start of the last run that was lost with its worker.
   std::string Checkpoint;
   int Failures = 0;
   std::set<std::string> FailedOn; ///< Ids of workers on which a run failed.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -36,6 +36,10 @@
 /// Time after which a worker that refused a start is used again.
 constexpr Duration RefusalPause{500};
 
+/// Share of the workers that tasks that last may reserve for themselves. Others
+/// must be at work again some seconds after a crash as well.
+constexpr int MaxReservedPart = 4;
+
 /// True if a worker that was lost for this reason may answer again.
 bool isSilence(WorkerLoss Cause) {
   return Cause == WorkerLoss::LeaseExpired || Cause == WorkerLoss::Refused;
@@ -220,6 +224,8 @@
             {Task.Worker, Task.Run,
              HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone,
              false});
+        if (StepDescription.LongRunning)
+          Task.Crashes.keepLatest();
         Added.Steps[Step].HasCrashes = true;
         makeReady(Added, int(Step), Task, Now);
         Changed.insert(Spec.Id);
@@ -488,9 +494,13 @@
   const Duration Age = Now - Run.Since;
   if (Run.IsDispatched) {
     const std::size_t Step = std::size_t(Id->Step);
-    if (Owner->Spec.Steps[Step].LongRunning && Age >= SurvivalTime)
+    const bool Lasts = Owner->Spec.Steps[Step].LongRunning;
+    if (Lasts && Age >= SurvivalTime)
       Task->Crashes.clear();
     Task->Crashes.add({Lost, Run.Run, Cause, Run.IsApart});
+    if (Lasts)
+      Task->Crashes.keepLatest();
+    Task->LostRunAt = Run.Since;
     Owner->Steps[Step].HasCrashes = true;
     if (isSilence(Cause)) {
       if (!SilentWorkers.contains(Lost))
@@ -505,7 +515,8 @@
 }
 
 // A task that has been started again may still succeed, so its job does not
-// fail before that run has ended.
+// fail before that run has ended. One that lasts must be started again however
+// its runs end.
 void JobScheduler::failIfExhausted(const std::string &Name, TimePoint Now) {
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
@@ -514,6 +525,8 @@
       Task->Phase != TaskPhase::Ready)
     return;
   const std::size_t Step = std::size_t(Id->Step);
+  if (Owner->Spec.Steps[Step].LongRunning)
+    return;
   const CrashHistory Crashes =
       Owner->Steps[Step].crashesOf(*Task, Owner->Spec.Steps[Step].Gang);
   if (!Crashes.isExhausted())
@@ -551,14 +564,18 @@
   }
 }
 
-// Forgets silent workers all of whose tasks have ended since.
+// Forgets silent workers all of whose tasks have ended since, or have forgotten
+// them.
 void JobScheduler::removeEndedSilence() {
   std::erase_if(SilentWorkers, [this](const auto &Silent) {
     return std::none_of(Silent.second.begin(), Silent.second.end(),
-                        [this](const std::string &Name) {
+                        [this, &Silent](const std::string &Name) {
                           const auto Id = TaskId::parse(Name);
-                          const Job *Owner = Id ? find(Id->Job) : nullptr;
-                          return Owner && Owner->Phase == JobPhase::Active;
+                          Job *Owner = nullptr;
+                          const TaskState *Task =
+                              Id ? findTask(*Id, Owner) : nullptr;
+                          return Task && Owner->Phase == JobPhase::Active &&
+                                 Task->Crashes.mentions(Silent.first);
                         });
   });
 }
@@ -596,7 +613,35 @@
     return false;
   const bool Gang = CurrentJob.Spec.Steps[std::size_t(Step)].Gang;
   return State.crashesOf(Task, Gang).needsIsolation() ||
-         (!Gang && Task.Crashes.isSuspect() && State.needsProbe(Now));
+         (!Gang && Task.Crashes.isSuspect() && isProbed(CurrentJob, Step, Now));
+}
+
+// Each task that lasts must be at work again soon, whatever becomes of the
+// others.
+bool JobScheduler::isProbed(const Job &CurrentJob, int Step, TimePoint Now) {
+  return !CurrentJob.Spec.Steps[std::size_t(Step)].LongRunning &&
+         CurrentJob.Steps[std::size_t(Step)].needsProbe(Now);
+}
+
+// True if a task that lasts, and may crash its workers, must not be started
+// again yet. The time counts from the start of the lost run, so that it is over
+// if the loss was noticed late.
+bool JobScheduler::isHeldBack(const Job &CurrentJob, int Step,
+                              const TaskState &Task, TimePoint Now) {
+  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  return Spec.LongRunning && State.HasCrashes &&
+         Now < Task.LostRunAt +
+                   State.crashesOf(Task, Spec.Gang).restartInterval();
+}
+
+// True if another worker can be reserved for a task that lasts.
+bool JobScheduler::mayReserve(TimePoint Now) const {
+  const auto Reserved =
+      std::count_if(Workers.begin(), Workers.end(), [Now](const auto &Entry) {
+        return Entry.second.isReserved(Now);
+      });
+  return std::size_t(Reserved + 1) * MaxReservedPart <= Workers.size();
 }
 
 std::vector<LostRun> JobScheduler::takeLostRuns() {
@@ -642,7 +687,8 @@
       State.HasCrashes && State.crashesOf(Task, Spec.Gang).isSuspect();
   if (runsAlone(CurrentJob, Id.Step, Task, Now)) {
     New.IsApart = isApart(Host, Now);
-    New.AloneUntil = Now + CrashHistory::DangerTime;
+    if (!Spec.LongRunning || mayReserve(Now))
+      New.AloneUntil = Now + CrashHistory::DangerTime;
   }
   Host.allocate(Id.text(), std::move(New));
   Running[CurrentJob.Spec.Account] += Spec.Request;
@@ -783,6 +829,7 @@
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   Task.Phase = TaskPhase::Ready;
   Task.Worker = {};
+  Task.ReadySince = Now;
   ++State.ReadyCount;
   addWaitingWork(CurrentJob, Step, 1);
   // The other members of an incomplete gang make no progress and would occupy
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -320,6 +320,10 @@
   void removeEndedSilence();
   static bool runsAlone(const Job &CurrentJob, int Step, const TaskState &Task,
                         TimePoint Now);
+  static bool isProbed(const Job &CurrentJob, int Step, TimePoint Now);
+  static bool isHeldBack(const Job &CurrentJob, int Step, const TaskState &Task,
+                         TimePoint Now);
+  bool mayReserve(TimePoint Now) const;
   void restoreCrashes(Job &CurrentJob, int Step);
   void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
   void markUnstarted(Job &CurrentJob);
@@ -357,8 +361,8 @@
   static bool hasWaitedToRunAlone(const StepState &State, TimePoint Now);
   static Candidate *chooseHost(const Round &Current,
                                std::vector<Candidate> &Hosts,
-                               const StepState &State, const TaskState &Task,
-                               bool Alone);
+                               const TaskState &Task, bool Alone,
+                               bool MustBeApart);
   int place(Round &Current, Job &CurrentJob, int Step,
             std::vector<Candidate> &Hosts, int Wanted, std::int64_t GangRun);
   void startOn(Round &Current, Job &CurrentJob, int Step, int Index,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -218,7 +218,7 @@
   const bool IsLowSlack = JobQueue.SlackFactor < LowSlackFactor;
   const bool StartsAlone =
       Spec.Gang ? State.HasCrashes && State.gangCrashes().needsIsolation()
-                : State.needsProbe(Current.Now);
+                : isProbed(CurrentJob, Step, Current.Now);
   const bool MustBeApart =
       StartsAlone && !hasWaitedToRunAlone(State, Current.Now);
   const std::set<std::string> Yielding = Spec.Gang && State.Rank
@@ -326,9 +326,16 @@
                                  Candidates Found) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
-  int Wanted = std::min(State.ReadyCount, allowedByCap(CurrentJob, Spec));
+  int Startable = State.ReadyCount;
+  if (Spec.LongRunning && State.HasCrashes)
+    Startable = int(std::count_if(
+        State.Tasks.begin(), State.Tasks.end(), [&](const TaskState &Task) {
+          return Task.Phase == TaskPhase::Ready &&
+                 !isHeldBack(CurrentJob, Step, Task, Current.Now);
+        }));
+  int Wanted = std::min(Startable, allowedByCap(CurrentJob, Spec));
   // The other tasks wait for the result of the probe.
-  if (State.needsProbe(Current.Now))
+  if (isProbed(CurrentJob, Step, Current.Now))
     Wanted = State.isSuspectPlaced() ? 0 : std::min(Wanted, 1);
   if (Wanted == 0)
     return;
@@ -412,19 +419,26 @@
                         std::vector<Candidate> &Hosts, int Wanted,
                         std::int64_t GangRun) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const bool Gang = GangRun > 0;
   const std::optional<WaitRank> Rank = State.Rank; // Reset with the last start.
   const int Probe =
-      !Gang && State.needsProbe(Current.Now) ? State.nextProbe() : -1;
+      !Gang && isProbed(CurrentJob, Step, Current.Now) ? State.nextProbe() : -1;
   int Placed = 0;
   for (std::size_t Index = 0; Index < State.Tasks.size() && Placed < Wanted;
        ++Index) {
     TaskState &Task = State.Tasks[Index];
-    if (Task.Phase != TaskPhase::Ready || (Probe >= 0 && int(Index) != Probe))
+    if (Task.Phase != TaskPhase::Ready || (Probe >= 0 && int(Index) != Probe) ||
+        isHeldBack(CurrentJob, Step, Task, Current.Now))
       continue;
     // The workers of a gang that runs alone were selected before.
     const bool Alone = !Gang && runsAlone(CurrentJob, Step, Task, Current.Now);
-    Candidate *Chosen = chooseHost(Current, Hosts, State, Task, Alone);
+    // The starts of other tasks of the step must not delay one that lasts.
+    const bool HasWaited = Spec.LongRunning
+                               ? Current.Now - Task.ReadySince >= MaxApartWait
+                               : hasWaitedToRunAlone(State, Current.Now);
+    Candidate *Chosen =
+        chooseHost(Current, Hosts, Task, Alone, Alone && !HasWaited);
     if (!Chosen && Alone)
       continue;
     if (!Chosen)
@@ -454,15 +468,12 @@
 
 // Returns the first worker with a free slot, but if possible none on which the
 // task has failed or which crashed under it, and no two suspects on one worker.
-// A task that is to run alone gets a worker on which it is apart from others,
-// and null if there is none, but any worker once it has waited.
-JobScheduler::Candidate *JobScheduler::chooseHost(const Round &Current,
-                                                  std::vector<Candidate> &Hosts,
-                                                  const StepState &State,
-                                                  const TaskState &Task,
-                                                  bool Alone) {
+// A task that must be apart from others gets a worker on which it is, and null
+// if there is none.
+JobScheduler::Candidate *
+JobScheduler::chooseHost(const Round &Current, std::vector<Candidate> &Hosts,
+                         const TaskState &Task, bool Alone, bool MustBeApart) {
   const bool IsSuspect = Task.Crashes.isSuspect();
-  const bool MustBeApart = Alone && !hasWaitedToRunAlone(State, Current.Now);
   Candidate *Chosen = nullptr;
   std::tuple<bool, bool, std::size_t> Lowest;
   for (Candidate &Option : Hosts) {
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 #include <set>
 #include <string>
@@ -16,6 +17,10 @@
 using namespace std::chrono_literals;
 using jobs::JobView;
 
+/// A task that lasts must be at work again 6 s after its last run, and may be
+/// missed for another 3 s.
+constexpr Duration MaxAbsence{9000};
+
 class WorkerCrashTest : public testing::Test {
 protected:
   WorkerCrashTest() : Cell(1, 3, 12) { Cell.run(2s); }
@@ -51,6 +56,41 @@
       EXPECT_EQ(viewOf(Id), JobView::Completed) << Id;
   }
 
+  // A job whose runs were lost before any worker reported them is queued.
+  void expectActive(const std::string &Id) {
+    const JobView View = viewOf(Id);
+    EXPECT_TRUE(View == JobView::Queued || View == JobView::InProgress)
+        << Id << " is " << int(View);
+  }
+
+  static jobs::StepSpec lastingStepOf(int Count, bool Gang = false) {
+    jobs::StepSpec Step = stepOf(Count, 1s, Gang);
+    Step.LongRunning = true;
+    return Step;
+  }
+
+  int activeTasksOf(const std::string &Id) {
+    int Result = 0;
+    for (const std::string &Task : Cell.workers().activeTasks())
+      Result += jobs::TaskId::parse(Task)->Job == Id ? 1 : 0;
+    return Result;
+  }
+
+  /// Runs the cell for \p Length. Returns the longest time for which a task was
+  /// not at work.
+  Duration longestAbsence(const std::string &Task, Duration Length) {
+    const TimePoint Until = Cell.time().now() + Length;
+    TimePoint LastSeen = Cell.time().now();
+    Duration Longest{0};
+    while (Cell.time().now() < Until) {
+      Cell.run(20ms);
+      if (Cell.workers().activeTasks().contains(Task))
+        LastSeen = Cell.time().now();
+      Longest = std::max(Longest, Cell.time().now() - LastSeen);
+    }
+    return Longest;
+  }
+
   static std::string firstTask(const std::string &Id) { return Id + ".0.0.0"; }
 
   std::string hostOf(const std::string &Task) {
@@ -129,6 +169,18 @@
   expectCompleted(Healthy);
 }
 
+// Guards against a job that lasts and is shown as failed, or is not started
+// again, because its task crashes each of its workers.
+TEST_P(CrashingTaskTest, IsStartedAgainIfItLasts) {
+  const auto Healthy = submitHealthy(6, 6, 1500ms);
+  const std::string Id =
+      Cell.submit("n0", lastingStepOf(1), "/batch/", CrashingJob);
+  EXPECT_LE(longestAbsence(firstTask(Id), 40s), MaxAbsence);
+  EXPECT_GE(Cell.workers().taskCrashes(), 4);
+  expectActive(Id);
+  expectCompleted(Healthy);
+}
+
 INSTANTIATE_TEST_SUITE_P(Comebacks, CrashingTaskTest,
                          testing::Values(Comeback::SameId, Comeback::OtherId,
                                          Comeback::Never),
@@ -189,6 +241,64 @@
   expectCompleted(Healthy);
 }
 
+// Guards against a job that lasts and is shown as failed because three workers
+// crashed under its task for other reasons.
+TEST_F(WorkerCrashTest, KeepsAJobThatLastsAfterThreeCrashesOfItsWorkers) {
+  const std::string Id = Cell.submit("n0", lastingStepOf(1));
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    Cell.run(4s);
+    const std::string Host = hostOf(firstTask(Id));
+    ASSERT_NE(Host, "");
+    Cell.workers().crash(Host);
+    EXPECT_LE(longestAbsence(firstTask(Id), 4500ms), MaxAbsence);
+    Cell.workers().restart(Host);
+    Cell.run(4500ms);
+  }
+  EXPECT_EQ(activeTasksOf(Id), 1);
+  expectActive(Id);
+}
+
+// Guards against a task that lasts and crashes workers as fast as they start.
+TEST_F(WorkerCrashTest, LimitsTheRateOfCrashesUnderATaskThatLasts) {
+  Cell.workers().RestartDelay = 200ms;
+  const std::string Id =
+      Cell.submit("n0", lastingStepOf(1), "/batch/", CrashingJob);
+  Cell.run(10s);
+  const int Before = Cell.workers().taskCrashes();
+  Cell.run(40s);
+  const int Crashes = Cell.workers().taskCrashes() - Before;
+  EXPECT_GE(Crashes, 4);
+  EXPECT_LE(Crashes, 40s / jobs::CrashHistory::MaxRestartInterval + 1);
+  expectActive(Id);
+}
+
+// Guards against tasks that last and wait for others of their step to succeed
+// after two crashes.
+TEST_F(WorkerCrashTest, RestartsAllTasksThatLastAfterTwoCrashes) {
+  const std::string Id = Cell.submit("n0", lastingStepOf(8));
+  Cell.run(3s);
+  for (int Crash = 0; Crash < 2; ++Crash) {
+    const std::string Host = hostOf(firstTask(Id));
+    ASSERT_NE(Host, "");
+    Cell.workers().crash(Host);
+    Cell.run(MaxAbsence);
+    EXPECT_EQ(activeTasksOf(Id), 8);
+  }
+  expectActive(Id);
+}
+
+// Guards against a gang that lasts and is given up because it crashes its
+// workers.
+TEST_F(WorkerCrashTest, StartsAGangThatLastsAgain) {
+  const auto Healthy = submitHealthy(4, 4, 2s);
+  const std::string Id =
+      Cell.submit("n0", lastingStepOf(3, true), "/batch/", CrashingJob);
+  EXPECT_LE(longestAbsence(firstTask(Id), 60s), MaxAbsence);
+  EXPECT_GE(Cell.workers().taskCrashes(), 4);
+  expectActive(Id);
+  expectCompleted(Healthy);
+}
+
 // Guards against a gang that crashes its workers without end.
 TEST_F(WorkerCrashTest, GivesUpAGangThatCrashesItsWorkers) {
   const auto Healthy = submitHealthy(4, 4, 2s);
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -222,6 +222,7 @@
       Traits.CrashesWorkerAfter = CrashDelay;
     Traits.Gang = Step.Gang;
     Traits.GangSize = Step.Count;
+    Traits.Lasts = Step.LongRunning;
     return Traits;
   };
   for (int Number = 0; Number < WorkerCount; ++Number)
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -27,6 +27,7 @@
   bool Fails = false; ///< Each run ends as failed.
   bool Gang = false;
   int GangSize = 1;
+  bool Lasts = false; ///< It runs until it is stopped.
   /// Each run ends the process of its worker after this time.
   std::optional<Duration> CrashesWorkerAfter;
 };
--- a/tests/jobs/crashhistory_test.cpp
+++ b/tests/jobs/crashhistory_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 namespace apricotwing::jobs {
 namespace {
 
@@ -58,6 +61,36 @@
   EXPECT_TRUE(History.isExhausted());
 }
 
+// Guards against a task that lasts and crashes its workers as fast as it can be
+// started, and against one that is away for longer than is allowed.
+TEST(CrashHistoryTest, RestartIntervalGrowsUpToItsLimit) {
+  CrashHistory History;
+  std::vector<std::int64_t> Intervals;
+  for (int Run = 1; Run <= 12; ++Run) {
+    History.add(lossOf("a", Run));
+    Intervals.push_back(History.restartInterval().count());
+  }
+  EXPECT_EQ(Intervals,
+            (std::vector<std::int64_t>{0, 1000, 2000, 4000, 4000, 4000, 4000,
+                                       4000, 4000, 4000, 4000, 4000}));
+  EXPECT_LT(CrashHistory::MaxRestartInterval, Duration{6000});
+}
+
+// Guards against a stored history that grows with each crash of a task that is
+// never given up.
+TEST(CrashHistoryTest, KeepsTheLatestLosses) {
+  CrashHistory History;
+  for (int Run = 1; Run <= 50; ++Run) {
+    History.add(lossOf("w" + std::to_string(Run), Run));
+    History.keepLatest();
+  }
+  EXPECT_EQ(History.records().size(), 4U);
+  EXPECT_TRUE(History.includes("w50"));
+  EXPECT_TRUE(History.mentions({"w47", 1}));
+  EXPECT_FALSE(History.mentions({"w46", 1}));
+  EXPECT_EQ(History.restartInterval(), CrashHistory::MaxRestartInterval);
+}
+
 // Guards against a gang that is given up after a single run because several of
 // its workers crashed.
 TEST(CrashHistoryTest, CountsOneLossForEachRunOfAGang) {
