Refuse jobs of queues that the leader does not know

An instance that has not read the newest policy sends a job of a removed queue to a leader that has read only the newest. Callers saw the job accepted; no task of it was ever started (LOST).

Cause: CallService took a queue without settings for one without a limit. The scheduler then uses default settings, whose upstream is empty, so no worker matches.

Ruled out: to leave the call open until the leader knows the queue; it never will if the queue was removed. The caller gets 429 and a time for the next attempt, which promises that the job never runs. A job of a new queue is refused too until the leader has read the policy.

--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -126,8 +126,13 @@
 std::optional<Duration> CallService::refusal(const jobs::JobSpec &Job,
                                              jobs::AdmissionResult &Admitted) {
   const jobs::Queue *TargetQueue = Deps.Scheduler.queue(Job.Queue);
-  if (!TargetQueue)
-    return std::nullopt;
+  if (!TargetQueue) {
+    // The instance has another version of the policy. Without the settings of
+    // its queue the job might never run.
+    Deps.Log.event("job of unknown queue refused", Job.Id,
+                   {{"queue", Job.Queue}});
+    return jobs::AdmissionController::MinRetryAfter;
+  }
   const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue->Priority);
   Admitted = AdmissionControl.evaluate(Job, *TargetQueue,
                                        Deps.Scheduler.account(Job.Account),
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -280,6 +280,11 @@
   putPolicy(Version);
 }
 
+void EmulatedCell::removeAccounts(std::int64_t Version) {
+  PolicyAccounts.clear();
+  putPolicy(Version);
+}
+
 bool EmulatedCell::happens(double Probability) {
   return Probability > 0 &&
          std::uniform_real_distribution<double>(0, 1)(Random) < Probability;
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -137,6 +137,12 @@
   /// Replaces the queues of the policy and publishes it with \p Version.
   void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
 
+  /// The queues of the policy.
+  const std::vector<jobs::Queue> &queues() const { return Queues; }
+
+  /// Publishes a policy with the version \p Version that has no accounts.
+  void removeAccounts(std::int64_t Version);
+
   /// Drops the row of a worker, which goes on and writes it again at its next
   /// update.
   void dropRow(const std::string &Worker);
