Store the settings of queues and accounts for the next leader

A route is removed from the desired state while jobs of it run, and the leader changes. The remaining tasks of the accepted jobs were never started; a job of the route failed at its first failed run; and tasks of a removed account were started beyond its limit (8 at a time where 2 are allowed).

Cause: the scheduler kept the last settings of removed queues and accounts in memory only. A new leader has read only the newest policy and used defaults: no upstream, one attempt, no advice, no limit.

Ruled out: settings in the record of each job. The former leader used the last settings of the queue, not those at the acceptance; a queue whose service changed would be sent to the old one, or all records of its jobs would have to be written again.

Now the leader stores the settings that its scheduler uses in one row of its partition, without API keys, at its takeover and with each change of the policy. It accepts jobs only after that, so the row is in the store no later than the jobs that need it. The next leader reads it before the jobs; the policy takes precedence over it. Removed queues and accounts are forgotten, in memory and in the row, with the next policy or leader once no active job refers to them. A store of an earlier version has no such row: the first leader writes it. This does not help jobs of queues that were removed before. A takeover reads one more table.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -199,6 +199,59 @@
   take(From, "steps", Value.Steps);
 }
 
+static void to_json(json &To, const AdviceSettings &Value) {
+  To = json::array({Value.BaseMs, Value.PerWorkerMs, Value.Validity.count()});
+}
+static void from_json(const json &From, AdviceSettings &Value) {
+  From.at(0).get_to(Value.BaseMs);
+  From.at(1).get_to(Value.PerWorkerMs);
+  Value.Validity = Duration(From.at(2).get<Duration::rep>());
+}
+
+static void to_json(json &To, const Queue &Value) {
+  To = {{"name", Value.Name}};
+  put(To, "upstream", Value.Upstream);
+  put(To, "priority", Value.Priority);
+  To["attempts"] = Value.MaxAttempts;
+  To["slack"] = Value.SlackFactor;
+  put(To, "target", std::int64_t(Value.LatencyTarget.count()));
+  if (Value.Advice)
+    To["advice"] = *Value.Advice;
+}
+static void from_json(const json &From, Queue &Value) {
+  std::int64_t LatencyTarget = 0;
+  From.at("name").get_to(Value.Name);
+  take(From, "upstream", Value.Upstream);
+  take(From, "priority", Value.Priority);
+  take(From, "attempts", Value.MaxAttempts);
+  take(From, "slack", Value.SlackFactor);
+  take(From, "target", LatencyTarget);
+  Value.LatencyTarget = Duration(LatencyTarget);
+  if (From.contains("advice"))
+    Value.Advice = From.at("advice").get<AdviceSettings>();
+}
+
+static void to_json(json &To, const ClientAccount &Value) {
+  To = {{"name", Value.Name}};
+  To["weight"] = Value.Weight;
+  put(To, "cap", Value.Cap);
+}
+static void from_json(const json &From, ClientAccount &Value) {
+  From.at("name").get_to(Value.Name);
+  take(From, "weight", Value.Weight);
+  take(From, "cap", Value.Cap);
+}
+
+static void to_json(json &To, const ClusterPolicy &Value) {
+  To = json::object();
+  putList(To, "queues", Value.Queues);
+  putList(To, "accounts", Value.Accounts);
+}
+static void from_json(const json &From, ClusterPolicy &Value) {
+  take(From, "queues", Value.Queues);
+  take(From, "accounts", Value.Accounts);
+}
+
 static void to_json(json &To, const ActiveRun &Value) {
   To = json::array({Value.Task, Value.Run, Value.Checkpoint, Value.Percent});
 }
@@ -579,6 +632,7 @@
 std::string encode(const LeaderRecord &Value) { return toText(Value); }
 std::string encode(const jobs::JobSpec &Value) { return toText(Value); }
 std::string encode(const jobs::JobProgress &Value) { return toText(Value); }
+std::string encode(const jobs::ClusterPolicy &Value) { return toText(Value); }
 std::string encode(const std::vector<RosterEntry> &Value) {
   return toText(Value);
 }
@@ -603,6 +657,9 @@
 std::optional<jobs::JobProgress> decodeProgress(const std::string &Text) {
   return fromText<jobs::JobProgress>(Text);
 }
+std::optional<jobs::ClusterPolicy> decodeSettings(const std::string &Text) {
+  return fromText<jobs::ClusterPolicy>(Text);
+}
 std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &Text) {
   return fromText<std::vector<RosterEntry>>(Text);
 }
--- a/src/cell/codec.h
+++ b/src/cell/codec.h
@@ -6,6 +6,7 @@
 #include "cell/messages.h"
 #include "cell/ports.h"
 #include "cell/shardlayout.h"
+#include "jobs/clusterpolicy.h"
 
 #include <optional>
 #include <string>
@@ -20,6 +21,9 @@
 std::string encode(const LeaderRecord &Value);
 std::string encode(const jobs::JobSpec &Value);
 std::string encode(const jobs::JobProgress &Value);
+/// The queues and accounts, but only what scheduling needs of them. In
+/// particular no API keys.
+std::string encode(const jobs::ClusterPolicy &Value);
 std::string encode(const std::vector<RosterEntry> &Value);
 std::string encode(const Envelope &Value);
 std::string encode(const EnvelopeReply &Value);
@@ -34,6 +38,7 @@
 std::optional<LeaderRecord> decodeLeaderRecord(const std::string &Text);
 std::optional<jobs::JobSpec> decodeJobSpec(const std::string &Text);
 std::optional<jobs::JobProgress> decodeProgress(const std::string &Text);
+std::optional<jobs::ClusterPolicy> decodeSettings(const std::string &Text);
 std::optional<std::vector<RosterEntry>> decodeRoster(const std::string &Text);
 std::optional<EnvelopeReply> decodeEnvelopeReply(const std::string &Text);
 std::optional<CallBatchReply> decodeCallBatchReply(const std::string &Text);
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -21,7 +21,7 @@
 
 namespace apricotwing::cell {
 
-/// Names of the tables, and the keys of the leader record and of the layout.
+/// Names of the tables, and the keys of those with one row for each shard.
 /// All rows of a shard are in one partition; the layout is in that of shard 0.
 inline constexpr const char *LeaderTable = "leader";
 inline constexpr const char *LeaderKey = "leader";
@@ -33,6 +33,8 @@
 inline constexpr const char *TransferTable = "transfers";
 inline constexpr const char *LayoutTable = "layout";
 inline constexpr const char *LayoutKey = "layout";
+inline constexpr const char *SettingsTable = "settings";
+inline constexpr const char *SettingsKey = "settings";
 
 /// Returns the partition of the rows of a shard. Thread-safe.
 std::string partitionOf(int Shard);
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -337,6 +337,18 @@
   Scheduler.setPolicy(NewPolicy);
   PolicyKnown = PolicyKnown || NewPolicy.Version > 0;
   DecisionNeeded = true;
+  if (Loaded)
+    storeSettings();
+}
+
+// Stored no later than the first job that needs them, because no job is
+// accepted before the state is loaded.
+void Leader::storeSettings() {
+  std::string Settings = encode(Scheduler.settings());
+  if (Settings == StoredSettings)
+    return;
+  StoredSettings = std::move(Settings);
+  StateJournal.put(SettingsTable, SettingsKey, StoredSettings);
 }
 
 // State recovery after a takeover.
@@ -368,6 +380,7 @@
   for (auto &[Id, Worker] : WorkerStates)
     Worker.MaxLeaseEnd = TermStartedAt + Deps.Times.MemberLease +
                          Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
+  Scheduler.restoreSettings(Stored.Settings);
   const std::int64_t UnixNowMs = Deps.WallTime.unixMs();
   for (const auto &[Id, Spec] : Stored.Jobs) {
     const auto Progress = Stored.Progress.find(Id);
@@ -378,6 +391,9 @@
                                                         : Progress->second,
                       Age, Now);
   }
+  Scheduler.forgetUnusedSettings();
+  StoredSettings = encode(Stored.Settings);
+  storeSettings();
   Deps.Log.event("state loaded", Record.Instance.Name,
                  {{"shard", std::to_string(Shard)},
                   {"term", std::to_string(Record.Term)},
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -200,6 +200,7 @@
   void acknowledge(const WorkerReport &Report);
   void onAdviceAnswer(MemberState &From, const AdviceAnswer &Answer);
 
+  void storeSettings();
   void storeChangedJobs();
   void checkMembers();
   bool isLost(const MemberState &Member) const;
@@ -263,6 +264,7 @@
   bool Loaded = false;
   bool RegistryRead = false;
   bool PolicyKnown = false;
+  std::string StoredSettings; ///< Encoded, as last stored.
 
   /// Set once the layout is known.
   std::optional<WorkerOwnership> Ownership;
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -26,8 +26,8 @@
                          std::string Partition, Callbacks Owner)
     : Store(Store), Time(Time), Log(Log), Partition(std::move(Partition)),
       Owner(std::move(Owner)), Tables{EndedTable,    RosterTable, LayoutTable,
-                                      ProgressTable, JobTable,    PackedTable} {
-}
+                                      ProgressTable, JobTable,    SettingsTable,
+                                      PackedTable} {}
 
 void StateLoader::pump() {
   if (Tables.empty() || InFlight || Time.now() < RetryAt)
@@ -104,6 +104,12 @@
       State.Progress[Row.Key] = std::move(*Progress);
     return bool(Progress);
   }
+  if (Table == SettingsTable) {
+    auto Settings = decodeSettings(Row.Value);
+    if (Settings)
+      State.Settings = std::move(*Settings);
+    return bool(Settings);
+  }
   if (Table == LayoutTable) {
     State.Layout = decodeShardLayout(Row.Value);
     return bool(State.Layout);
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -8,6 +8,7 @@
 #include "cell/messages.h"
 #include "cell/ports.h"
 #include "cell/shardlayout.h"
+#include "jobs/clusterpolicy.h"
 #include "jobs/job.h"
 
 #include <cstdint>
@@ -26,13 +27,14 @@
   std::map<std::string, jobs::JobProgress> Progress;
   std::vector<RosterEntry> Roster;
   std::optional<ShardLayout> Layout; ///< Only in shard 0.
+  jobs::ClusterPolicy Settings; ///< Queues and accounts that the jobs refer to.
 };
 
 /// Encodes the final phase of a job for the table of ended jobs.
 std::string encodeEndPhase(jobs::JobPhase Phase);
 
 /// Reads the tables of a shard after a takeover: first packed changes, which it
-/// applies to the rows of the other tables, then the jobs, their
+/// applies to the rows of the other tables, then the settings, the jobs, their
 /// progress, the roster and the layout, then the ended jobs, which scheduling
 /// does not need. Owned by the leader and used on its thread only.
 class StateLoader {
@@ -40,7 +42,7 @@
   struct Callbacks {
     /// Called with the packed changes of the previous leader.
     std::function<void(ChangeLog)> PackedRead;
-    /// Called once jobs, progress and roster are read.
+    /// Called once all tables but the ended jobs are read.
     std::function<void(StoredState)> Loaded;
     /// Called for each ended job.
     std::function<void(const std::string &Id, jobs::JobPhase Phase)> EndedJob;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Default settings for a job whose queue was removed after the job's
-/// acceptance and is no longer known.
+/// Default settings for a job whose queue no leader knew. Leaders of earlier
+/// versions did not store the settings of removed queues.
 const Queue UnknownQueue;
 
 /// Weight of the latest answer in the learned approval rate.
@@ -50,12 +50,51 @@
 JobScheduler::JobScheduler(std::int64_t Term) : Term(Term) {}
 
 void JobScheduler::setPolicy(const ClusterPolicy &NewPolicy) {
-  for (const Queue &JobQueue : NewPolicy.Queues)
+  PolicyQueues.clear();
+  PolicyAccounts.clear();
+  for (const Queue &JobQueue : NewPolicy.Queues) {
     Queues[JobQueue.Name] = JobQueue;
-  for (const ClientAccount &Account : NewPolicy.Accounts)
+    PolicyQueues.insert(JobQueue.Name);
+  }
+  for (const ClientAccount &Account : NewPolicy.Accounts) {
     Accounts[Account.Name] = Account;
+    PolicyAccounts.insert(Account.Name);
+  }
   for (const Upstream &Service : NewPolicy.Upstreams)
     Upstreams[Service.Name] = Service;
+  forgetUnusedSettings();
+}
+
+ClusterPolicy JobScheduler::settings() const {
+  ClusterPolicy Result;
+  for (const auto &[Name, JobQueue] : Queues)
+    Result.Queues.push_back(JobQueue);
+  Result.Accounts = accounts();
+  return Result;
+}
+
+void JobScheduler::restoreSettings(const ClusterPolicy &Earlier) {
+  for (const Queue &JobQueue : Earlier.Queues)
+    Queues.try_emplace(JobQueue.Name, JobQueue);
+  for (const ClientAccount &Account : Earlier.Accounts)
+    Accounts.try_emplace(Account.Name, Account);
+}
+
+void JobScheduler::forgetUnusedSettings() {
+  std::set<std::string> UsedQueues = PolicyQueues;
+  std::set<std::string> UsedAccounts = PolicyAccounts;
+  for (const auto &[Id, CurrentJob] : Jobs) {
+    if (CurrentJob->Phase != JobPhase::Active)
+      continue;
+    UsedQueues.insert(CurrentJob->Spec.Queue);
+    UsedAccounts.insert(CurrentJob->Spec.Account);
+  }
+  std::erase_if(Queues, [&UsedQueues](const auto &Entry) {
+    return !UsedQueues.contains(Entry.first);
+  });
+  std::erase_if(Accounts, [&UsedAccounts](const auto &Entry) {
+    return !UsedAccounts.contains(Entry.first);
+  });
 }
 
 const Queue &JobScheduler::queueOf(const Job &CurrentJob) const {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -77,9 +77,21 @@
   explicit JobScheduler(std::int64_t Term);
 
   /// Applies a newer policy. Queues and accounts that it no longer contains
-  /// keep their last settings for the jobs that refer to them.
+  /// keep their last settings while active jobs refer to them.
   void setPolicy(const ClusterPolicy &NewPolicy);
 
+  /// The settings in use: those of the last policy, and the last ones of
+  /// removed queues and accounts to which active jobs refer. The next leader
+  /// needs them.
+  ClusterPolicy settings() const;
+
+  /// Adds the settings() of the last leader that the policy does not contain.
+  /// Call it before jobs are restored, and forgetUnusedSettings() after that.
+  void restoreSettings(const ClusterPolicy &Earlier);
+
+  /// Forgets the removed queues and accounts to which no active job refers.
+  void forgetUnusedSettings();
+
   /// Adds a job; false if the id is already known. Its tasks may be placed at
   /// once, even while the job is being stored, because the caller sends no
   /// start before the decision is stored. A job that is \p BeyondShare of its
@@ -87,13 +99,13 @@
   /// Precondition: \p Spec is well-formed.
   bool add(const JobSpec &Spec, bool BeyondShare, TimePoint Now);
 
-  /// The queue named \p Name; null if no policy has contained it.
+  /// The queue named \p Name; null if settings() does not contain it.
   const Queue *queue(const std::string &Name) const;
 
-  /// The client account named \p Name; null if no policy has contained it.
+  /// The client account named \p Name; null if settings() does not contain it.
   const ClientAccount *account(const std::string &Name) const;
 
-  /// All client accounts that any policy has contained.
+  /// All client accounts in settings().
   std::vector<ClientAccount> accounts() const;
 
   /// Time that the workers need for the waiting work of \p Priority and of
@@ -383,6 +395,9 @@
   const std::int64_t Term;
   std::map<std::string, Queue> Queues;
   std::map<std::string, ClientAccount> Accounts;
+  /// Names of those that the last policy contains.
+  std::set<std::string> PolicyQueues;
+  std::set<std::string> PolicyAccounts;
   std::map<std::string, Upstream> Upstreams;
   std::map<std::string, double> ApprovalRate; ///< Learned, by queue.
   /// Run time as a multiple of the estimate; learned, by queue.
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -596,5 +596,33 @@
   EXPECT_EQ(*Refused, Duration{2000});
 }
 
+// Guards against running jobs by the settings of the last leader although the
+// policy has newer ones.
+TEST_F(JobSchedulerTest, PrefersThePolicyToTheSettingsOfTheLastLeader) {
+  Queue Outdated = queueOf("batch", 2, 4);
+  Outdated.Upstream = "former service";
+  ClusterPolicy Earlier;
+  Earlier.Queues = {Outdated};
+  Scheduler.restoreSettings(Earlier);
+  addWorker("w");
+  addJob("batch", step(1, 1000));
+  EXPECT_EQ(decide().Starts.size(), 1U);
+}
+
+// Guards against forgetting the settings of a removed queue while one of its
+// jobs waits, and against keeping them for good.
+TEST_F(JobSchedulerTest, KeepsTheSettingsOfARemovedQueueWhileItHasActiveJobs) {
+  const std::string Id = addJob("batch", step(1, 1000));
+  Scheduler.setPolicy({});
+  ASSERT_NE(Scheduler.queue("batch"), nullptr);
+  EXPECT_EQ(Scheduler.queue("batch")->Upstream, "service");
+  EXPECT_NE(Scheduler.account("large"), nullptr);
+  EXPECT_EQ(Scheduler.queue("quick"), nullptr);
+  Scheduler.cancel(Id, Now);
+  Scheduler.setPolicy({});
+  EXPECT_EQ(Scheduler.queue("batch"), nullptr);
+  EXPECT_EQ(Scheduler.account("large"), nullptr);
+}
+
 } // namespace
 } // namespace apricotwing::jobs
