Log refusals by the policy with the age of the view they rest on

The line "refused by policy" has the caller's host and path, the version, for how long it has been in force and when the store last answered. The watch of the policy moves into a class of its own, which knows these ages. No change of behaviour.

The tests of the cell pass (179, without the fuzz and the soak).

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -29,6 +29,22 @@
          Text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
+/// Longest part of a caller's text in a log line.
+constexpr std::size_t MaxLoggedText = 120;
+
+/// Returns the start of a text that a caller has sent, with everything replaced
+/// that would break a log line apart.
+std::string printable(std::string Text) {
+  Text.resize(std::min(Text.size(), MaxLoggedText));
+  std::replace_if(
+      Text.begin(), Text.end(),
+      [](char Letter) {
+        return Letter <= ' ' || Letter > '~' || Letter == '"';
+      },
+      '?');
+  return Text;
+}
+
 /// Returns the answer to a call while there is no leader. \p AllowedTime is the
 /// time that the submitted job may take.
 ClientAnswer unavailable(Duration AllowedTime) {
@@ -40,15 +56,6 @@
 
 } // namespace
 
-void CallRouter::setPolicy(const jobs::ClusterPolicy &NewPolicy) {
-  if (NewPolicy.Version <= Policy.Version)
-    return;
-  Deps.Log.event("policy in force", "",
-                 {{"version", std::to_string(NewPolicy.Version)},
-                  {"before", std::to_string(Policy.Version)}});
-  Policy = NewPolicy;
-}
-
 void CallRouter::setLayout(const ShardLayout &NewLayout) {
   Layout = NewLayout;
   for (auto &[Tag, Call] : Open)
@@ -58,6 +65,8 @@
 void CallRouter::serve(ClientCall Call, ClientResponder Respond) {
   OpenCall NewCall;
   NewCall.Respond = std::move(Respond);
+  NewCall.Host = Call.Host;
+  NewCall.Path = Call.Path;
   NewCall.ArrivedAt = Deps.Time.now();
   NewCall.Deadline =
       NewCall.ArrivedAt + std::clamp(Call.Deadline - ResponseMargin,
@@ -228,20 +237,40 @@
 
 void CallRouter::finish(OpenCall &Call, ClientAnswer Answer) {
   ++Answers[Answer.Status];
-  const int Shard = Layout ? Layout->shardOfAccount(Call.Account) : -1;
-  if (Call.SubmitRequest || Answer.Status == ClientStatus::UnknownKey ||
-      Answer.Status == ClientStatus::Unavailable ||
-      Answer.Status == ClientStatus::Unresolved)
+  logAnswer(Call, Answer.Status);
+  Call.Respond(Answer);
+}
+
+void CallRouter::logAnswer(const OpenCall &Call, ClientStatus Status) const {
+  const auto After = std::to_string((Deps.Time.now() - Call.ArrivedAt).count());
+  const std::string Outcome(enumName(ClientStatusNames, Status));
+  if (Status == ClientStatus::NoSuchQueue ||
+      Status == ClientStatus::UnknownKey) {
+    const auto AnswerAge = Deps.Tracker.storeAnswerAge();
     Deps.Log.event(
-        "answered",
-        Call.SubmitRequest ? Call.SubmitRequest->Job.Id : std::string(),
-        {{"outcome", std::string(enumName(ClientStatusNames, Answer.Status))},
-         {"after_ms",
-          std::to_string((Deps.Time.now() - Call.ArrivedAt).count())},
+        "refused by policy", "",
+        {{"outcome", Outcome},
+         {"after_ms", After},
+         {"host", printable(Call.Host)},
+         {"path", printable(Call.Path)},
          {"policy", std::to_string(Policy.Version)},
-         {"shard", std::to_string(Shard)},
-         {"leader", Layout ? Deps.Channel(Shard).leaderName() : ""}});
-  Call.Respond(Answer);
+         {"policy_age_ms", std::to_string(Deps.Tracker.age().count())},
+         {"store_answer_age_ms",
+          std::to_string(AnswerAge ? AnswerAge->count() : -1)}});
+    return;
+  }
+  if (!Call.SubmitRequest && Status != ClientStatus::Unavailable &&
+      Status != ClientStatus::Unresolved)
+    return;
+  const int Shard = Layout ? Layout->shardOfAccount(Call.Account) : -1;
+  Deps.Log.event("answered",
+                 Call.SubmitRequest ? Call.SubmitRequest->Job.Id
+                                    : std::string(),
+                 {{"outcome", Outcome},
+                  {"after_ms", After},
+                  {"policy", std::to_string(Policy.Version)},
+                  {"shard", std::to_string(Shard)},
+                  {"leader", Layout ? Deps.Channel(Shard).leaderName() : ""}});
 }
 
 void CallRouter::pump() {
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -6,6 +6,7 @@
 #include "cell/clientcall.h"
 #include "cell/leaderchannel.h"
 #include "cell/messages.h"
+#include "cell/policytracker.h"
 #include "cell/ports.h"
 #include "cell/shardlayout.h"
 #include "cell/timing.h"
@@ -32,6 +33,7 @@
     const WallClock &WallTime;
     EventLog &Log;
     const Timing &Times;
+    const PolicyTracker &Tracker;
     /// The channel to the leader of a shard. Precondition: the layout is set
     /// and has the shard.
     std::function<LeaderChannel &(int Shard)> Channel;
@@ -39,8 +41,8 @@
 
   explicit CallRouter(Ports Deps) : Deps(std::move(Deps)) {}
 
-  /// Applies a policy if it is newer than the current one.
-  void setPolicy(const jobs::ClusterPolicy &NewPolicy);
+  /// Sets the policy. Precondition: it is newer than the current one.
+  void setPolicy(const jobs::ClusterPolicy &NewPolicy) { Policy = NewPolicy; }
   const jobs::ClusterPolicy &policy() const { return Policy; }
 
   /// Sets the layout. Calls that arrived before are sent now.
@@ -72,6 +74,8 @@
   struct OpenCall {
     std::optional<Submission> SubmitRequest;
     std::optional<Query> QueryRequest;
+    std::string Host;
+    std::string Path;
     std::string Account; ///< Its shard has the job.
     /// The job may belong to another account's shard, since the queue accepts
     /// calls without a key.
@@ -92,6 +96,7 @@
   ClientAnswer failureOf(std::uint64_t Tag, const OpenCall &Call) const;
   void answer(std::uint64_t Tag, ClientAnswer Answer);
   void finish(OpenCall &Call, ClientAnswer Answer);
+  void logAnswer(const OpenCall &Call, ClientStatus Status) const;
 
   const Ports Deps;
   jobs::ClusterPolicy Policy;
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -13,11 +13,6 @@
 /// Interval between two reads of the layout until it exists.
 constexpr Duration LayoutReadInterval{250};
 
-/// Maximum time that a watch of the policy waits for a change. A new policy
-/// must be in force within 2 s after it was written.
-constexpr Duration PolicyWatchTimeout{800};
-constexpr Duration PolicyWatchInterval{20};
-
 } // namespace
 
 void Node::LoopbackTransport::post(const std::string &Address, std::string Body,
@@ -41,12 +36,12 @@
            std::string Process)
     : Deps(Deps), Times(Times), Instance(std::move(Instance)),
       Process(std::move(Process)), Peers(*this, Deps.Peers),
-      PolicyWatcher(
-          Deps.Store, Deps.Time, Deps.Records.policyTable(), {""},
-          PolicyWatchInterval, PolicyWatchTimeout, this->Instance.Name,
-          {[this](const std::vector<StoredRow> &Rows) { onPolicyRows(Rows); },
-           [this](const std::vector<StoredRow> &Rows) { onPolicyRows(Rows); }}),
-      Router({Deps.Time, Deps.WallTime, Deps.Log, this->Times,
+      Policy({Deps.Store, Deps.Records, Deps.Time, Deps.Log},
+             this->Instance.Name,
+             [this](const jobs::ClusterPolicy &NewPolicy) {
+               applyPolicy(NewPolicy);
+             }),
+      Router({Deps.Time, Deps.WallTime, Deps.Log, this->Times, Policy,
               [this](int Shard) -> LeaderChannel & {
                 return Agents.at(std::size_t(Shard))->channel();
               }}) {
@@ -67,17 +62,10 @@
   Agents.back()->setPolicy(Router.policy());
 }
 
-void Node::onPolicyRows(const std::vector<StoredRow> &Rows) {
-  for (const StoredRow &Row : Rows) {
-    if (Row.Deleted)
-      continue;
-    const auto NewPolicy = Deps.Records.decodePolicy(Row);
-    if (!NewPolicy)
-      continue;
-    Router.setPolicy(*NewPolicy);
-    for (const auto &Agent : Agents)
-      Agent->setPolicy(Router.policy());
-  }
+void Node::applyPolicy(const jobs::ClusterPolicy &NewPolicy) {
+  Router.setPolicy(NewPolicy);
+  for (const auto &Agent : Agents)
+    Agent->setPolicy(NewPolicy);
 }
 
 // The leader of shard 0 stores the layout when the cell starts for the first
@@ -153,8 +141,7 @@
 
 ShardAgent::Surroundings Node::surroundingsOf(std::size_t Shard) const {
   ShardAgent::Surroundings Result;
-  if (PolicyWatcher.isHealthy())
-    Result.LastStoreResponse = PolicyWatcher.lastAnswer();
+  Result.LastStoreResponse = Policy.lastStoreResponse();
   for (std::size_t Other = 0; Other < Agents.size(); ++Other) {
     Result.LargestCpuShare =
         std::max(Result.LargestCpuShare, Agents[Other]->largestCpuShare());
@@ -170,7 +157,7 @@
 }
 
 void Node::pump() {
-  PolicyWatcher.pump();
+  Policy.pump();
   readLayout();
   for (std::size_t Shard = 0; Shard < Agents.size(); ++Shard)
     Agents[Shard]->pump(surroundingsOf(Shard));
--- a/src/cell/node.h
+++ b/src/cell/node.h
@@ -6,10 +6,10 @@
 #include "cell/callbackguard.h"
 #include "cell/callrouter.h"
 #include "cell/clientcall.h"
+#include "cell/policytracker.h"
 #include "cell/ports.h"
 #include "cell/shardagent.h"
 #include "cell/shardlayout.h"
-#include "cell/tablewatcher.h"
 #include "cell/timing.h"
 
 #include <cstdint>
@@ -73,6 +73,7 @@
   bool isIdle() const;
 
   const CallRouter &router() const { return Router; }
+  const PolicyTracker &policyTracker() const { return Policy; }
 
   /// Number of shards; 0 while the layout is not known.
   int shardCount() const { return Layout ? Layout->shardCount() : 0; }
@@ -99,7 +100,7 @@
     PeerTransport &Remote;
   };
 
-  void onPolicyRows(const std::vector<StoredRow> &Rows);
+  void applyPolicy(const jobs::ClusterPolicy &NewPolicy);
   void readLayout();
   void setLayout(const ShardLayout &NewLayout);
   void addAgent(int Shard);
@@ -111,7 +112,7 @@
   const std::string Process;
   LoopbackTransport Peers;
   std::deque<std::function<void()>> PendingDeliveries;
-  TableWatcher PolicyWatcher;
+  PolicyTracker Policy;
   CallRouter Router;
   std::optional<ShardLayout> Layout;
   /// Set by an agent while the agents are in use; applied afterwards.
