Reproduce calls that are decided by an outdated policy

The emulated store can let the open connections of an instance fall silent.

Seen on: with silent connections 165 calls of 300 get 404 after the queue was added; after a pause, or while the store turns the instance away, the first call does; a withdrawn key is accepted after a pause; jobs of an added queue are refused as busy while the leader is behind, and so are those of a removed queue while the instance is. In the HTTP client each of four silent connections costs a timeout.

--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -13,6 +13,9 @@
 /// Timeout of a call without a response.
 constexpr Duration CallTimeout{1300};
 
+/// Added to the time that a watch may wait; the sum is its timeout.
+constexpr Duration WatchMargin{1000};
+
 /// Maximum delay of a transaction that is applied late.
 constexpr int MaxLateMs = 6000;
 
@@ -29,7 +32,32 @@
   return Down || RefusedCallers.contains(Caller);
 }
 
+void EmulatedStore::silenceConnections(const std::string &Caller, int Idle) {
+  SilentConnections[Caller] = Idle;
+  ++TimesSilenced[Caller];
+}
+
+template <typename Result>
+std::function<void(Result)>
+EmulatedStore::overConnection(const std::string &Caller, Duration Timeout,
+                              std::function<void(Result)> Callback) {
+  int &Idle = SilentConnections[Caller];
+  const bool IsSilent = Idle > 0;
+  Idle -= IsSilent ? 1 : 0;
+  const int Before = TimesSilenced[Caller];
+  return [this, Caller, IsSilent, Before, Deadline = Time.now() + Timeout,
+          Callback = std::move(Callback)](const Result &Response) {
+    if (!IsSilent && TimesSilenced[Caller] == Before) {
+      Callback(Response);
+      return;
+    }
+    Time.after(std::max(Deadline - Time.now(), Duration::zero()),
+               [Callback] { Callback(Result{}); });
+  };
+}
+
 void EmulatedStore::endFaults() {
+  SilentConnections.clear();
   Down = false;
   RefusedCallers.clear();
   Cut.clear();
@@ -40,7 +68,9 @@
 
 bool EmulatedStore::hasFaults() const {
   return Down || !RefusedCallers.empty() || !Cut.empty() || LostAnswers > 0 ||
-         LateEffects > 0 || Latency != UsualLatency;
+         LateEffects > 0 || Latency != UsualLatency ||
+         std::any_of(SilentConnections.begin(), SilentConnections.end(),
+                     [](const auto &Entry) { return Entry.second > 0; });
 }
 
 void EmulatedStore::write(const Name &Key,
@@ -108,8 +138,10 @@
 
 void EmulatedStore::Handle::transact(
     const cell::Transaction &Changes,
-    std::function<void(cell::TransactionResult)> Callback) {
+    std::function<void(cell::TransactionResult)> OnResult) {
   EmulatedStore &Target = Store;
+  const auto Callback =
+      Target.overConnection(Name, CallTimeout, std::move(OnResult));
   const auto Fail = [&Target, Callback](cell::StoreOutcome Outcome,
                                         Duration After) {
     Target.Time.after(After, [Callback, Outcome] {
@@ -146,8 +178,10 @@
 
 void EmulatedStore::Handle::read(
     const std::string &Table, const std::string &Partition,
-    const std::string &From, std::function<void(cell::ReadResult)> Callback) {
+    const std::string &From, std::function<void(cell::ReadResult)> OnResult) {
   EmulatedStore &Target = Store;
+  const auto Callback =
+      Target.overConnection(Name, CallTimeout, std::move(OnResult));
   const bool Cut = Target.Cut.contains(Name);
   if (Cut || Target.isRefusing(Name)) {
     Target.Time.after(Cut ? CallTimeout : Target.Latency, [Callback, Cut] {
@@ -183,7 +217,9 @@
 void EmulatedStore::Handle::watch(
     const std::string &Table, std::int64_t After, Duration Wait,
     std::function<void(cell::ReadResult)> Callback) {
-  Store.pollWatch(Name, Table, After, Store.Time.now() + Wait, Callback);
+  Store.pollWatch(
+      Name, Table, After, Store.Time.now() + Wait,
+      Store.overConnection(Name, Wait + WatchMargin, std::move(Callback)));
 }
 
 void EmulatedStore::pollWatch(
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -39,6 +39,11 @@
   /// True if a fault is injected.
   bool hasFaults() const;
 
+  /// Lets the open connections of \p Caller deliver nothing more: its calls in
+  /// flight get no response, and neither do the next \p Idle ones, each of
+  /// which takes one of the idle connections.
+  void silenceConnections(const std::string &Caller, int Idle);
+
   /// Writes a row like an operator or a worker.
   void put(const std::string &Table, const std::string &Partition,
            const std::string &Key, const std::string &Value);
@@ -90,6 +95,12 @@
 
   bool randomChance(double Share);
   bool isRefusing(const std::string &Caller) const;
+  /// Wraps the callback of a call that \p Caller sends now, so that it reports
+  /// no response after \p Timeout if the call's connection falls silent.
+  template <typename Result>
+  std::function<void(Result)>
+  overConnection(const std::string &Caller, Duration Timeout,
+                 std::function<void(Result)> Callback);
   cell::TransactionResult apply(const cell::Transaction &Changes);
   void write(const Name &Key, const std::optional<std::string> &Value);
   void pollWatch(const std::string &Caller, const std::string &Table,
@@ -103,6 +114,8 @@
   std::int64_t Version = 0;
   std::int64_t Compacted = 0; ///< Changes up to this version are dropped.
   int Transactions = 0;
+  std::map<std::string, int> SilentConnections; ///< Idle ones, by caller.
+  std::map<std::string, int> TimesSilenced;     ///< By caller.
 };
 
 } // namespace apricotwing::emulator
