Refuse calls by the policy only once the store has confirmed it

Callers got 404 or 401, which they take for final, for queues and keys that had been added seconds before, and after a pause of the process a withdrawn key was accepted. Cause: an instance decided by the policy that it had, whatever its age. It could be behind because its watch waited on a silent connection, because the store turned it away, or because the process had been paused.

Now a refusal by the policy needs a response of the store to a read that was sent after the call arrived; calls that wait share one read. If the store cannot be asked within 0.7 s, the answer is 503, which is true: nothing was accepted. A call that the policy allows is confirmed in the same way if the view is older than 2 s and no call to the store has failed recently, which is the case after a pause. While the store is known to be unreachable, such calls are served by the last policy, as before. The read uses a new connection, so silent ones do not delay it.

Ruled out: a faster watch alone. Some time always passes until a change arrives, and a paused process does not run its watch.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -29,6 +29,9 @@
          Text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
+/// Longest time for which a call waits until the policy is confirmed.
+constexpr Duration MaxConfirmTime{700};
+
 /// Longest part of a caller's text in a log line.
 constexpr std::size_t MaxLoggedText = 120;
 
@@ -65,24 +68,31 @@
 void CallRouter::serve(ClientCall Call, ClientResponder Respond) {
   OpenCall NewCall;
   NewCall.Respond = std::move(Respond);
-  NewCall.Host = Call.Host;
-  NewCall.Path = Call.Path;
   NewCall.ArrivedAt = Deps.Time.now();
   NewCall.Deadline =
       NewCall.ArrivedAt + std::clamp(Call.Deadline - ResponseMargin,
                                      Duration{100}, Deps.Times.MaxCallTime);
+  NewCall.Call = std::move(Call);
   if (Policy.Version == 0) {
     finish(NewCall, unavailable(Duration{0}));
     return;
   }
+  if (Deps.Tracker.isUncertain())
+    confirmAndRoute(std::move(NewCall));
+  else
+    route(std::move(NewCall), PolicyView::Recent);
+}
+
+void CallRouter::route(OpenCall NewCall, PolicyView View) {
+  ClientCall &Call = NewCall.Call;
   const jobs::Queue *Queue = Policy.match(Call.Host, Call.Path);
   if (!Queue) {
-    finish(NewCall, {ClientStatus::NoSuchQueue});
+    refuse(std::move(NewCall), ClientStatus::NoSuchQueue, View);
     return;
   }
   const jobs::ClientAccount *KeyOwner = Policy.accountOfKey(Call.Key);
   if (!KeyOwner && !Queue->Public) {
-    finish(NewCall, {ClientStatus::UnknownKey});
+    refuse(std::move(NewCall), ClientStatus::UnknownKey, View);
     return;
   }
   if (KeyOwner)
@@ -129,6 +139,36 @@
   open(std::move(NewCall));
 }
 
+// A caller takes the refusal for final, so it must not rest on an old view.
+void CallRouter::refuse(OpenCall Call, ClientStatus Status, PolicyView View) {
+  switch (View) {
+  case PolicyView::Recent:
+    confirmAndRoute(std::move(Call));
+    return;
+  case PolicyView::Confirmed:
+    finish(Call, {Status});
+    return;
+  case PolicyView::Unconfirmed:
+    finish(Call, unavailable(Duration{0}));
+    return;
+  }
+}
+
+void CallRouter::confirmAndRoute(OpenCall Call) {
+  const std::uint64_t Tag = ++LastTag;
+  Unconfirmed.emplace(Tag, std::move(Call));
+  Deps.Tracker.confirm([this, Tag](bool Confirmed) {
+    onConfirmed(Tag,
+                Confirmed ? PolicyView::Confirmed : PolicyView::Unconfirmed);
+  });
+}
+
+void CallRouter::onConfirmed(std::uint64_t Tag, PolicyView View) {
+  auto Found = Unconfirmed.extract(Tag);
+  if (!Found.empty())
+    route(std::move(Found.mapped()), View);
+}
+
 void CallRouter::open(OpenCall Call) {
   const std::uint64_t Tag =
       Call.SubmitRequest ? Call.SubmitRequest->Tag : Call.QueryRequest->Tag;
@@ -251,8 +291,8 @@
         "refused by policy", "",
         {{"outcome", Outcome},
          {"after_ms", After},
-         {"host", printable(Call.Host)},
-         {"path", printable(Call.Path)},
+         {"host", printable(Call.Call.Host)},
+         {"path", printable(Call.Call.Path)},
          {"policy", std::to_string(Policy.Version)},
          {"policy_age_ms", std::to_string(Deps.Tracker.age().count())},
          {"store_answer_age_ms",
@@ -276,6 +316,11 @@
 void CallRouter::pump() {
   const TimePoint Now = Deps.Time.now();
   std::vector<std::uint64_t> Expired;
+  for (const auto &[Tag, Call] : Unconfirmed)
+    if (Now >= Call.ArrivedAt + MaxConfirmTime || Now >= Call.Deadline)
+      Expired.push_back(Tag);
+  for (const std::uint64_t Tag : std::exchange(Expired, {}))
+    onConfirmed(Tag, PolicyView::Unconfirmed);
   for (const auto &[Tag, Call] : Open) {
     const bool Late = Now >= Call.ArrivedAt + Deps.Times.NoLeaderTimeout;
     if (Now >= Call.Deadline || (Late && !wasSent(Tag, Call)))
@@ -286,6 +331,8 @@
 }
 
 void CallRouter::failOpenCalls() {
+  for (auto &[Tag, Call] : std::exchange(Unconfirmed, {}))
+    finish(Call, unavailable(Duration{0}));
   while (!Open.empty()) {
     const std::uint64_t Tag = Open.begin()->first;
     answer(Tag, failureOf(Tag, Open.begin()->second));
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -22,10 +22,11 @@
 namespace apricotwing::cell {
 
 /// Checks client calls against the policy, sends each to the leader of the
-/// shard that it concerns and answers its caller. Calls that concern the whole
-/// cell are sent to all shards, and their answers are combined. Holds no state
-/// that must survive the process. Owned by the Node and used on its thread
-/// only.
+/// shard that it concerns and answers its caller. A call is refused by the
+/// policy only once the store has confirmed that view after the call arrived.
+/// Calls that concern the whole cell are sent to all shards, and their answers
+/// are combined. Holds no state that must survive the process. Owned by the
+/// Node and used on its thread only.
 class CallRouter {
 public:
   struct Ports {
@@ -33,7 +34,7 @@
     const WallClock &WallTime;
     EventLog &Log;
     const Timing &Times;
-    const PolicyTracker &Tracker;
+    PolicyTracker &Tracker;
     /// The channel to the leader of a shard. Precondition: the layout is set
     /// and has the shard.
     std::function<LeaderChannel &(int Shard)> Channel;
@@ -62,7 +63,7 @@
   void failOpenCalls();
 
   /// Number of calls without an answer.
-  std::size_t openCalls() const { return Open.size(); }
+  std::size_t openCalls() const { return Open.size() + Unconfirmed.size(); }
 
   /// Number of answers by status, for metrics.
   const std::map<ClientStatus, std::uint64_t> &answers() const {
@@ -70,12 +71,11 @@
   }
 
 private:
-  /// A client call that waits for answers of leaders.
+  /// A client call without an answer.
   struct OpenCall {
+    ClientCall Call; ///< Its job is in SubmitRequest once the call is routed.
     std::optional<Submission> SubmitRequest;
     std::optional<Query> QueryRequest;
-    std::string Host;
-    std::string Path;
     std::string Account; ///< Its shard has the job.
     /// The job may belong to another account's shard, since the queue accepts
     /// calls without a key.
@@ -88,7 +88,17 @@
     bool AskedAll = false;
     int Count = 0; ///< Sum of the answers about waiting jobs.
   };
+  /// How well the policy in force is known.
+  enum class PolicyView {
+    Recent,      ///< It may be up to two seconds old.
+    Confirmed,   ///< It was in force after the call arrived.
+    Unconfirmed, ///< The store could not be asked.
+  };
 
+  void route(OpenCall Call, PolicyView View);
+  void refuse(OpenCall Call, ClientStatus Status, PolicyView View);
+  void confirmAndRoute(OpenCall Call);
+  void onConfirmed(std::uint64_t Tag, PolicyView View);
   void open(OpenCall Call);
   void sendToShards(OpenCall &Call);
   void sendTo(int Shard, OpenCall &Call);
@@ -102,7 +112,9 @@
   jobs::ClusterPolicy Policy;
   std::optional<ShardLayout> Layout;
   std::uint64_t LastTag = 0;
-  std::map<std::uint64_t, OpenCall> Open; ///< By tag.
+  std::map<std::uint64_t, OpenCall> Open; ///< Sent to leaders, by tag.
+  /// Calls that wait until the policy is confirmed, by tag.
+  std::map<std::uint64_t, OpenCall> Unconfirmed;
   std::map<ClientStatus, std::uint64_t> Answers;
 };
 
--- a/src/cell/policytracker.cpp
+++ b/src/cell/policytracker.cpp
@@ -1,5 +1,6 @@
 #include "cell/policytracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -11,16 +12,81 @@
 constexpr Duration PolicyWatchTimeout{800};
 constexpr Duration PolicyWatchInterval{20};
 
+/// Oldest view of the policy by which calls are decided without asking the
+/// store.
+constexpr Duration MaxViewAge{2000};
+
+/// How long a failed call to the store counts as a sign that it cannot be
+/// reached. Failed calls are repeated more often.
+constexpr Duration FailureRetention{1500};
+
+/// Minimum interval between two reads of changes.
+constexpr Duration MinReadInterval{20};
+
 } // namespace
 
 PolicyTracker::PolicyTracker(const Ports &Deps, std::string JitterSeed,
                              Receiver OnPolicy)
-    : Deps(Deps), OnPolicy(std::move(OnPolicy)), InForceSince(Deps.Time.now()),
-      Watcher(Deps.Store, Deps.Time, Deps.Records.policyTable(), {""},
-              PolicyWatchInterval, PolicyWatchTimeout, std::move(JitterSeed),
+    : Deps(Deps), OnPolicy(std::move(OnPolicy)),
+      Table(Deps.Records.policyTable()), InForceSince(Deps.Time.now()),
+      Watcher(Deps.Store, Deps.Time, Table, {""}, PolicyWatchInterval,
+              PolicyWatchTimeout, std::move(JitterSeed),
               {[this](const std::vector<StoredRow> &Rows) { onRows(Rows); },
                [this](const std::vector<StoredRow> &Rows) { onRows(Rows); }}) {}
 
+void PolicyTracker::pump() {
+  Watcher.pump();
+  if (!Waiting.empty())
+    readChanges();
+}
+
+bool PolicyTracker::isUncertain() const {
+  const TimePoint Now = Deps.Time.now();
+  const TimePoint Known = std::max(Watcher.knownUntil(), KnownUntil);
+  const TimePoint Failure = std::max(Watcher.lastFailure(), LastReadFailure);
+  return Now - Known > MaxViewAge && Now - Failure > FailureRetention;
+}
+
+void PolicyTracker::confirm(std::function<void(bool)> Callback) {
+  Waiting.push_back(std::move(Callback));
+  readChanges();
+}
+
+void PolicyTracker::readChanges() {
+  const TimePoint Now = Deps.Time.now();
+  if (Reading || Watcher.version() < 0 ||
+      Now < LastReadSentAt + MinReadInterval)
+    return;
+  Reading = true;
+  LastReadSentAt = Now;
+  WaitingInRead = std::exchange(Waiting, {});
+  Deps.Store.readChanges(Table, Watcher.version(),
+                         Guard.wrap([this, Now](const ReadResult &Result) {
+                           if (Result.Outcome != StoreOutcome::HistoryLost) {
+                             onRead(Result, Now);
+                             return;
+                           }
+                           Deps.Store.read(
+                               Table, "", "",
+                               Guard.wrap([this, Now](const ReadResult &Whole) {
+                                 onRead(Whole, Now);
+                               }));
+                         }));
+}
+
+void PolicyTracker::onRead(const ReadResult &Result, TimePoint SentAt) {
+  Reading = false;
+  const bool Done = Result.Outcome == StoreOutcome::Done && !Result.HasMore;
+  if (Done) {
+    KnownUntil = SentAt;
+    onRows(Result.Rows);
+  } else {
+    LastReadFailure = Deps.Time.now();
+  }
+  for (const auto &Callback : std::exchange(WaitingInRead, {}))
+    Callback(Done);
+}
+
 std::optional<Duration> PolicyTracker::storeAnswerAge() const {
   if (Watcher.lastAnswer() == TimePoint{})
     return std::nullopt;
@@ -35,10 +101,14 @@
 
 void PolicyTracker::onRows(const std::vector<StoredRow> &Rows) {
   for (const StoredRow &Row : Rows) {
-    if (Row.Deleted)
+    // The same change may be reported by the watch and by a read.
+    if (Row.Deleted || Row.Version <= RowVersion)
       continue;
     const auto NewPolicy = Deps.Records.decodePolicy(Row);
-    if (!NewPolicy || NewPolicy->Version <= Version)
+    if (!NewPolicy)
+      continue;
+    RowVersion = Row.Version;
+    if (NewPolicy->Version <= Version)
       continue;
     Deps.Log.event("policy in force", "",
                    {{"version", std::to_string(NewPolicy->Version)},
--- a/src/cell/policytracker.h
+++ b/src/cell/policytracker.h
@@ -3,10 +3,12 @@
 #ifndef APRICOTWING_CELL_POLICYTRACKER_H
 #define APRICOTWING_CELL_POLICYTRACKER_H
 
+#include "cell/callbackguard.h"
 #include "cell/ports.h"
 #include "cell/tablewatcher.h"
 #include "jobs/clusterpolicy.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,7 +17,9 @@
 namespace apricotwing::cell {
 
 /// Watches the row of the policy and knows how old the instance's view of it
-/// is. Owned by the Node and used on its thread only.
+/// is. Beside the watch it reads the changes at once if a caller must not be
+/// refused by an old view, if another instance has a newer policy, or if the
+/// watch gets no response. Owned by the Node and used on its thread only.
 class PolicyTracker {
 public:
   struct Ports {
@@ -31,7 +35,18 @@
   PolicyTracker(const Ports &Deps, std::string JitterSeed, Receiver OnPolicy);
 
   /// Starts the calls to the store that are due. Must be called frequently.
-  void pump() { Watcher.pump(); }
+  void pump();
+
+  /// True if a newer policy may have been in force for longer than callers
+  /// allow, and it is not known that the store cannot be reached. Calls should
+  /// then be decided only after confirm().
+  bool isUncertain() const;
+
+  /// Calls \p Callback with true once a response of the store to a call that
+  /// was sent after this one has been applied, and with false if that call
+  /// failed. It is called later, and not at all before the first policy was
+  /// read.
+  void confirm(std::function<void(bool)> Callback);
 
   /// Version of the policy in force; 0 if there is none yet.
   std::int64_t version() const { return Version; }
@@ -46,13 +61,26 @@
   std::optional<TimePoint> lastStoreResponse() const;
 
 private:
+  using Waiters = std::vector<std::function<void(bool)>>;
+
+  void readChanges();
+  void onRead(const ReadResult &Result, TimePoint SentAt);
   void onRows(const std::vector<StoredRow> &Rows);
 
   const Ports Deps;
   const Receiver OnPolicy;
+  const std::string Table;
   std::int64_t Version = 0;
+  std::int64_t RowVersion = 0; ///< Of the newest row of the policy.
   TimePoint InForceSince;
   TableWatcher Watcher;
+  Waiters Waiting;       ///< For the next read of changes.
+  Waiters WaitingInRead; ///< For the read of changes in flight.
+  bool Reading = false;
+  TimePoint LastReadSentAt;
+  TimePoint KnownUntil; ///< By the last read of changes.
+  TimePoint LastReadFailure;
+  CallbackGuard Guard;
 };
 
 } // namespace apricotwing::cell
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -97,6 +97,12 @@
   virtual void watch(const std::string &Table, std::int64_t After,
                      Duration Wait,
                      std::function<void(ReadResult)> Callback) = 0;
+
+  /// Returns the rows of \p Table that have changed since version \p After,
+  /// without waiting for a change. Uses a new connection, so the response does
+  /// not depend on open ones that have gone silent.
+  virtual void readChanges(const std::string &Table, std::int64_t After,
+                           std::function<void(ReadResult)> Callback) = 0;
 };
 
 /// Decodes the rows that the platform's operators and workers write.
--- a/src/cell/tablewatcher.cpp
+++ b/src/cell/tablewatcher.cpp
@@ -35,12 +35,20 @@
   if (InFlight || Time.now() < NextCall)
     return;
   InFlight = true;
+  SentAt = Time.now();
+  AllowedWait = Duration::zero();
   if (Version < 0)
     readNextPage();
   else
     watch();
 }
 
+Duration TableWatcher::overdue() const {
+  if (!InFlight)
+    return Duration::zero();
+  return std::max(Time.now() - SentAt - AllowedWait, Duration::zero());
+}
+
 void TableWatcher::readNextPage() {
   Store.read(Table, Partitions[NextPartition], NextKey,
              Guard.wrap([this](const ReadResult &Page) {
@@ -57,8 +65,10 @@
   Healthy = true;
   LastAnswer = Time.now();
   // Changes since the first page are reported by the watch.
-  if (NextPartition == 0 && NextKey.empty())
+  if (NextPartition == 0 && NextKey.empty()) {
     FirstPageVersion = Page.Version;
+    FirstPageSentAt = SentAt;
+  }
   PartialRows.insert(PartialRows.end(), Page.Rows.begin(), Page.Rows.end());
   if (Page.HasMore && !Page.Rows.empty()) {
     // The smallest key that sorts after the last key of this page.
@@ -70,15 +80,16 @@
     return;
   NextPartition = 0;
   Version = FirstPageVersion;
+  KnownUntil = FirstPageSentAt;
   const std::vector<StoredRow> All = std::move(PartialRows);
   PartialRows.clear();
   Owner.Replaced(All);
 }
 
 void TableWatcher::watch() {
-  const TimePoint Sent = Time.now();
-  Store.watch(Table, Version, nextWatchTimeout(),
-              Guard.wrap([this, Sent](const ReadResult &Result) {
+  AllowedWait = nextWatchTimeout();
+  Store.watch(Table, Version, AllowedWait,
+              Guard.wrap([this](const ReadResult &Result) {
                 InFlight = false;
                 if (Result.Outcome == StoreOutcome::HistoryLost) {
                   Version = -1;
@@ -90,7 +101,12 @@
                 }
                 Healthy = true;
                 LastAnswer = Time.now();
-                NextCall = Sent + MinInterval;
+                NextCall = SentAt + MinInterval;
+                // A response without changes that came after the whole wait
+                // holds for its end.
+                const bool Waited =
+                    Result.Rows.empty() && LastAnswer >= SentAt + AllowedWait;
+                KnownUntil = Waited ? SentAt + AllowedWait : SentAt;
                 Version = std::max(Version, Result.Version);
                 if (!Result.Rows.empty())
                   Owner.Changed(Result.Rows);
@@ -99,6 +115,7 @@
 
 void TableWatcher::onFailure() {
   Healthy = false;
+  LastFailure = Time.now();
   PartialRows.clear();
   NextPartition = 0;
   NextKey.clear();
--- a/src/cell/tablewatcher.h
+++ b/src/cell/tablewatcher.h
@@ -44,6 +44,22 @@
   /// False if the last call failed.
   bool isHealthy() const { return Healthy; }
 
+  /// Version up to which all changes are known; -1 while the whole table is
+  /// being read.
+  std::int64_t version() const { return Version; }
+
+  /// The latest time of which it is certain that all changes before it are
+  /// known. It may be long before lastAnswer(), because a response may have
+  /// waited while the process was paused.
+  TimePoint knownUntil() const { return KnownUntil; }
+
+  /// Time of the last failure of a call.
+  TimePoint lastFailure() const { return LastFailure; }
+
+  /// How much longer the call in flight has taken than it was allowed to wait
+  /// for a change; zero if none is in flight.
+  Duration overdue() const;
+
 private:
   void readNextPage();
   void onPage(const ReadResult &Page);
@@ -64,11 +80,16 @@
   std::size_t NextPartition = 0; ///< That is read next.
   std::string NextKey;
   std::int64_t FirstPageVersion = 0;
+  TimePoint FirstPageSentAt;
   std::int64_t Version = -1; ///< -1: the whole table must be read.
   bool InFlight = false;
   bool Healthy = true;
   TimePoint NextCall;
+  TimePoint SentAt;        ///< Of the call in flight.
+  Duration AllowedWait{0}; ///< Of the call in flight.
   TimePoint LastAnswer;
+  TimePoint KnownUntil;
+  TimePoint LastFailure;
   CallbackGuard Guard;
 };
 
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -13,6 +13,9 @@
 /// Timeout of a call without a response.
 constexpr Duration CallTimeout{1300};
 
+/// Timeout of a read of changes that does not wait for one.
+constexpr Duration ReadChangesTimeout{700};
+
 /// Added to the time that a watch may wait; the sum is its timeout.
 constexpr Duration WatchMargin{1000};
 
@@ -222,6 +225,17 @@
       Store.overConnection(Name, Wait + WatchMargin, std::move(Callback)));
 }
 
+void EmulatedStore::Handle::readChanges(
+    const std::string &Table, std::int64_t After,
+    std::function<void(cell::ReadResult)> Callback) {
+  if (Store.Cut.contains(Name)) {
+    Store.Time.after(ReadChangesTimeout,
+                     [Callback] { Callback(cell::ReadResult{}); });
+    return;
+  }
+  Store.pollWatch(Name, Table, After, Store.Time.now(), Callback);
+}
+
 void EmulatedStore::pollWatch(
     const std::string &Caller, const std::string &Table, std::int64_t After,
     TimePoint Until, const std::function<void(cell::ReadResult)> &Callback) {
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -76,6 +76,8 @@
               std::function<void(cell::ReadResult)> Callback) override;
     void watch(const std::string &Table, std::int64_t After, Duration Wait,
                std::function<void(cell::ReadResult)> Callback) override;
+    void readChanges(const std::string &Table, std::int64_t After,
+                     std::function<void(cell::ReadResult)> Callback) override;
 
   private:
     EmulatedStore &Store;
--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -35,6 +35,8 @@
             std::function<void(cell::ReadResult)>) override {}
   void watch(const std::string &, std::int64_t, Duration,
              std::function<void(cell::ReadResult)>) override {}
+  void readChanges(const std::string &, std::int64_t,
+                   std::function<void(cell::ReadResult)>) override {}
   std::string policyTable() const override { return "policy"; }
   std::optional<jobs::ClusterPolicy>
   decodePolicy(const cell::StoredRow &) const override {
