Tell the version of the policy with messages between instances

Callers were told to come back (429) with jobs of a queue that their instance knew and the leader did not, as long as the leader was behind, and with jobs of a removed queue as long as the instance was. Cause: each instance learned of a policy from the store alone, and a leader could not say that it did not know the queue.

Now messages of members, leaders and callers' instances have the version of the policy in force. An instance that hears of a newer one and has not received it after 0.15 s reads the changes. A leader refuses a job of a queue that it does not know with a result of its own. The caller's instance confirms its policy with the store then: it answers 404 if the queue is gone, and otherwise sends the job again as a new request after 0.1 s, for up to 0.7 s. The leader refuses the earlier request for good, so no late copy of it is accepted after the caller was refused. To an instance that names no version, as before this change, the leader answers busy.

Before: cell.OutdatedPolicyTest.AcceptsAJobOfAnAddedQueueThoughTheLeaderIsBehind and RefusesAJobOfARemovedQueueThoughTheInstanceIsBehind fail with busy. After: they pass.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -1,6 +1,7 @@
 #include "cell/callrouter.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,10 @@
 /// Longest time for which a call waits until the policy is confirmed.
 constexpr Duration MaxConfirmTime{700};
 
+/// Delay before a submission is sent again that the leader refused because it
+/// has another policy. The leader needs this long to read the newest one.
+constexpr Duration ResendDelay{100};
+
 /// Longest part of a caller's text in a log line.
 constexpr std::size_t MaxLoggedText = 120;
 
@@ -57,6 +62,12 @@
   return Result;
 }
 
+ClientAnswer busy(Duration RetryAfter) {
+  ClientAnswer Result{ClientStatus::Busy};
+  Result.RetryAfter = RetryAfter;
+  return Result;
+}
+
 } // namespace
 
 void CallRouter::setLayout(const ShardLayout &NewLayout) {
@@ -95,6 +106,10 @@
     refuse(std::move(NewCall), ClientStatus::UnknownKey, View);
     return;
   }
+  if (Deps.Time.now() < NewCall.NextSend) {
+    Postponed.push_back(std::move(NewCall));
+    return;
+  }
   if (KeyOwner)
     NewCall.Account = KeyOwner->Name;
   NewCall.PublicQueue = Queue->Public;
@@ -215,14 +230,35 @@
   const auto Found = Open.find(Result.Tag);
   if (Found == Open.end() || !Found->second.SubmitRequest)
     return;
-  ClientAnswer Answer{ClientStatus::Accepted};
-  if (Result.Result == SubmitResult::Malformed)
-    Answer.Status = ClientStatus::Malformed;
-  if (Result.Result == SubmitResult::Busy) {
-    Answer.Status = ClientStatus::Busy;
-    Answer.RetryAfter = Duration(Result.RetryAfterMs);
+  switch (Result.Result) {
+  case SubmitResult::Accepted:
+    answer(Result.Tag, {ClientStatus::Accepted});
+    return;
+  case SubmitResult::Malformed:
+    answer(Result.Tag, {ClientStatus::Malformed});
+    return;
+  case SubmitResult::Busy:
+    answer(Result.Tag, busy(Duration(Result.RetryAfterMs)));
+    return;
+  case SubmitResult::UnknownQueue:
+    onUnknownQueue(takeOpenCall(Result.Tag), Duration(Result.RetryAfterMs));
+    return;
   }
-  answer(Result.Tag, Answer);
+}
+
+// Either this instance or the leader is behind. The leader refuses the request
+// for good, so it is sent again as another one.
+void CallRouter::onUnknownQueue(OpenCall Call, Duration RetryAfter) {
+  const TimePoint Now = Deps.Time.now();
+  if (Now >= Call.ArrivedAt + MaxConfirmTime) {
+    finish(Call, busy(RetryAfter));
+    return;
+  }
+  Call.Call.Job = std::move(Call.SubmitRequest->Job);
+  Call.SubmitRequest.reset();
+  Call.Awaited.clear();
+  Call.NextSend = Now + ResendDelay;
+  confirmAndRoute(std::move(Call));
 }
 
 void CallRouter::onAnswered(int Shard, const QueryAnswer &Result) {
@@ -234,9 +270,7 @@
     return;
   Deps.Channel(Shard).drop(Result.Tag);
   if (Result.Refused) {
-    ClientAnswer Refusal{ClientStatus::Busy};
-    Refusal.RetryAfter = CancelRetryAfter;
-    answer(Result.Tag, Refusal);
+    answer(Result.Tag, busy(CancelRetryAfter));
     return;
   }
   const QueryKind Kind = Call.QueryRequest->Kind;
@@ -264,14 +298,18 @@
   answer(Result.Tag, Answer);
 }
 
-void CallRouter::answer(std::uint64_t Tag, ClientAnswer Answer) {
-  const auto Found = Open.find(Tag);
-  if (Found == Open.end())
-    return;
-  OpenCall Call = std::move(Found->second);
-  Open.erase(Found);
+// Precondition: the call is open.
+CallRouter::OpenCall CallRouter::takeOpenCall(std::uint64_t Tag) {
+  OpenCall Call = std::move(Open.extract(Tag).mapped());
   for (const int Shard : Call.Awaited)
     Deps.Channel(Shard).drop(Tag);
+  return Call;
+}
+
+void CallRouter::answer(std::uint64_t Tag, ClientAnswer Answer) {
+  if (!Open.contains(Tag))
+    return;
+  OpenCall Call = takeOpenCall(Tag);
   finish(Call, Answer);
 }
 
@@ -321,6 +359,14 @@
       Expired.push_back(Tag);
   for (const std::uint64_t Tag : std::exchange(Expired, {}))
     onConfirmed(Tag, PolicyView::Unconfirmed);
+  const auto FirstDue = std::partition(
+      Postponed.begin(), Postponed.end(),
+      [Now](const OpenCall &Call) { return Now < Call.NextSend; });
+  std::vector<OpenCall> Due(std::make_move_iterator(FirstDue),
+                            std::make_move_iterator(Postponed.end()));
+  Postponed.erase(FirstDue, Postponed.end());
+  for (OpenCall &Call : Due)
+    route(std::move(Call), PolicyView::Recent);
   for (const auto &[Tag, Call] : Open) {
     const bool Late = Now >= Call.ArrivedAt + Deps.Times.NoLeaderTimeout;
     if (Now >= Call.Deadline || (Late && !wasSent(Tag, Call)))
@@ -333,6 +379,8 @@
 void CallRouter::failOpenCalls() {
   for (auto &[Tag, Call] : std::exchange(Unconfirmed, {}))
     finish(Call, unavailable(Duration{0}));
+  for (OpenCall &Call : std::exchange(Postponed, {}))
+    finish(Call, unavailable(Duration{0}));
   while (!Open.empty()) {
     const std::uint64_t Tag = Open.begin()->first;
     answer(Tag, failureOf(Tag, Open.begin()->second));
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace apricotwing::cell {
 
@@ -63,7 +64,9 @@
   void failOpenCalls();
 
   /// Number of calls without an answer.
-  std::size_t openCalls() const { return Open.size() + Unconfirmed.size(); }
+  std::size_t openCalls() const {
+    return Open.size() + Unconfirmed.size() + Postponed.size();
+  }
 
   /// Number of answers by status, for metrics.
   const std::map<ClientStatus, std::uint64_t> &answers() const {
@@ -87,6 +90,9 @@
     std::set<int> Awaited;   ///< Shards whose answer is missing.
     bool AskedAll = false;
     int Count = 0; ///< Sum of the answers about waiting jobs.
+    /// When a submission that the leader refused because of another policy may
+    /// be sent again.
+    TimePoint NextSend;
   };
   /// How well the policy in force is known.
   enum class PolicyView {
@@ -99,11 +105,13 @@
   void refuse(OpenCall Call, ClientStatus Status, PolicyView View);
   void confirmAndRoute(OpenCall Call);
   void onConfirmed(std::uint64_t Tag, PolicyView View);
+  void onUnknownQueue(OpenCall Call, Duration RetryAfter);
   void open(OpenCall Call);
   void sendToShards(OpenCall &Call);
   void sendTo(int Shard, OpenCall &Call);
   bool wasSent(std::uint64_t Tag, const OpenCall &Call) const;
   ClientAnswer failureOf(std::uint64_t Tag, const OpenCall &Call) const;
+  OpenCall takeOpenCall(std::uint64_t Tag);
   void answer(std::uint64_t Tag, ClientAnswer Answer);
   void finish(OpenCall &Call, ClientAnswer Answer);
   void logAnswer(const OpenCall &Call, ClientStatus Status) const;
@@ -115,6 +123,7 @@
   std::map<std::uint64_t, OpenCall> Open; ///< Sent to leaders, by tag.
   /// Calls that wait until the policy is confirmed, by tag.
   std::map<std::uint64_t, OpenCall> Unconfirmed;
+  std::vector<OpenCall> Postponed; ///< Until OpenCall::NextSend.
   std::map<ClientStatus, std::uint64_t> Answers;
 };
 
--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -23,6 +23,7 @@
 void CallService::serve(const CallBatch &Batch, BatchResponder Respond) {
   const auto Open = std::make_shared<OpenBatch>(std::move(Respond));
   Open->Process = Batch.Process;
+  Open->PolicyVersion = Batch.PolicyVersion;
   for (const Submission &NewSubmission : Batch.Submissions)
     submit(Open, NewSubmission);
   for (const Query &Request : Batch.Queries)
@@ -82,8 +83,24 @@
     refuse(Batch, Tag, SubmitResult::Malformed, Duration{0});
     return;
   }
+  const jobs::Queue *TargetQueue =
+      Deps.Scheduler.queue(NewSubmission.Job.Queue);
+  if (!TargetQueue) {
+    // The sender has another version of the policy. Without the settings of its
+    // queue the job might never run.
+    Deps.Log.event("job of unknown queue refused", Id,
+                   {{"queue", NewSubmission.Job.Queue},
+                    {"sender_policy", std::to_string(Batch->PolicyVersion)}});
+    // A sender that names no version does not know this result.
+    refuse(Batch, Tag,
+           Batch->PolicyVersion > 0 ? SubmitResult::UnknownQueue
+                                    : SubmitResult::Busy,
+           jobs::AdmissionController::MinRetryAfter);
+    return;
+  }
   jobs::AdmissionResult Admitted;
-  if (const auto RetryAfter = refusal(NewSubmission.Job, Admitted)) {
+  if (const auto RetryAfter =
+          refusal(NewSubmission.Job, *TargetQueue, Admitted)) {
     refuse(Batch, Tag, SubmitResult::Busy, *RetryAfter);
     return;
   }
@@ -124,17 +141,10 @@
 // Returns the time after which the caller should try again if the job must be
 // refused.
 std::optional<Duration> CallService::refusal(const jobs::JobSpec &Job,
+                                             const jobs::Queue &TargetQueue,
                                              jobs::AdmissionResult &Admitted) {
-  const jobs::Queue *TargetQueue = Deps.Scheduler.queue(Job.Queue);
-  if (!TargetQueue) {
-    // The instance has another version of the policy. Without the settings of
-    // its queue the job might never run.
-    Deps.Log.event("job of unknown queue refused", Job.Id,
-                   {{"queue", Job.Queue}});
-    return jobs::AdmissionController::MinRetryAfter;
-  }
-  const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue->Priority);
-  Admitted = AdmissionControl.evaluate(Job, *TargetQueue,
+  const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue.Priority);
+  Admitted = AdmissionControl.evaluate(Job, TargetQueue,
                                        Deps.Scheduler.account(Job.Account),
                                        Wait, Deps.Time.now());
   if (Admitted.RetryAfter)
--- a/src/cell/callservice.h
+++ b/src/cell/callservice.h
@@ -72,6 +72,7 @@
     ~OpenBatch();
 
     std::string Process;
+    std::int64_t PolicyVersion = 0; ///< Of the sender; 0: not named.
     CallBatchReply Reply;
 
   private:
@@ -92,6 +93,7 @@
   void query(const BatchPointer &Batch, const Query &Request);
   void answerQuery(const BatchPointer &Batch, const Query &Request);
   std::optional<Duration> refusal(const jobs::JobSpec &Job,
+                                  const jobs::Queue &TargetQueue,
                                   jobs::AdmissionResult &Admitted);
   void refuse(const BatchPointer &Batch, std::uint64_t Tag, SubmitResult Result,
               Duration RetryAfter);
--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -529,6 +529,7 @@
         {"from", Value.From}};
   put(To, "shard", Value.Shard);
   put(To, "guest", Value.Guest);
+  put(To, "policy", Value.PolicyVersion);
   if (Value.ToLeader)
     To["to_leader"] = *Value.ToLeader;
   if (Value.ToMember)
@@ -542,6 +543,7 @@
   From.at("from").get_to(Value.From);
   take(From, "shard", Value.Shard);
   take(From, "guest", Value.Guest);
+  take(From, "policy", Value.PolicyVersion);
   if (From.contains("to_leader"))
     Value.ToLeader = From.at("to_leader").get<MemberMessage>();
   if (From.contains("to_member"))
@@ -563,6 +565,7 @@
 static void to_json(json &To, const CallBatch &Value) {
   To = {{"term", Value.Term}, {"process", Value.Process}};
   put(To, "shard", Value.Shard);
+  put(To, "policy", Value.PolicyVersion);
   putList(To, "submissions", Value.Submissions);
   putList(To, "queries", Value.Queries);
 }
@@ -570,6 +573,7 @@
   From.at("term").get_to(Value.Term);
   From.at("process").get_to(Value.Process);
   take(From, "shard", Value.Shard);
+  take(From, "policy", Value.PolicyVersion);
   take(From, "submissions", Value.Submissions);
   take(From, "queries", Value.Queries);
 }
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -335,7 +335,7 @@
 
 void Leader::setPolicy(const jobs::ClusterPolicy &NewPolicy) {
   Scheduler.setPolicy(NewPolicy);
-  PolicyKnown = PolicyKnown || NewPolicy.Version > 0;
+  PolicyVersion = NewPolicy.Version;
   DecisionNeeded = true;
   if (Loaded)
     storeSettings();
@@ -783,6 +783,7 @@
   Message.Term = Record.Term;
   Message.FromLeader = true;
   Message.From = Record.Instance;
+  Message.PolicyVersion = PolicyVersion;
   Message.ToMember = std::exchange(To.Outgoing, LeaderMessage{});
   return encode(Message);
 }
@@ -1377,7 +1378,7 @@
                   {"reading", Loader.currentTable()},
                   {"failed_reads", std::to_string(Loader.failedReads())},
                   {"registry", RegistryRead ? "1" : "0"},
-                  {"policy", PolicyKnown ? "1" : "0"},
+                  {"policy", PolicyVersion > 0 ? "1" : "0"},
                   {"layout", Ownership ? "1" : "0"}});
 }
 
@@ -1401,7 +1402,7 @@
     return;
   const TimePoint Now = Deps.Time.now();
   // Restoring jobs requires the settings of their queues.
-  if (PolicyKnown)
+  if (PolicyVersion > 0)
     Loader.pump();
   Registry.pump();
   if (Transfers)
@@ -1410,7 +1411,7 @@
   // trying to renew the lease.
   if (StateJournal.isLeaseValid()) {
     checkMembers();
-    if (Loaded && RegistryRead && PolicyKnown && !Ownership)
+    if (Loaded && RegistryRead && PolicyVersion > 0 && !Ownership)
       proposeLayout();
     if (Loaded && RegistryRead && mayUseWorkers()) {
       if (Now >= NextMaintenance) {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -263,8 +263,8 @@
 
   bool Loaded = false;
   bool RegistryRead = false;
-  bool PolicyKnown = false;
-  std::string StoredSettings; ///< Encoded, as last stored.
+  std::int64_t PolicyVersion = 0; ///< 0: no policy is known yet.
+  std::string StoredSettings;     ///< Encoded, as last stored.
 
   /// Set once the layout is known.
   std::optional<WorkerOwnership> Ownership;
--- a/src/cell/leaderchannel.cpp
+++ b/src/cell/leaderchannel.cpp
@@ -116,6 +116,7 @@
   Message.Shard = Shard;
   Message.Term = Leader->Term;
   Message.Process = Process;
+  Message.PolicyVersion = PolicyVersion;
   Batch NewBatch{Kind, Time.now(), {}};
   while (!State.Waiting.empty() && NewBatch.Tags.size() < MaxCallsPerBatch) {
     const std::uint64_t Tag = State.Waiting.front();
--- a/src/cell/leaderchannel.h
+++ b/src/cell/leaderchannel.h
@@ -37,6 +37,9 @@
   LeaderChannel(PeerTransport &Transport, const Clock &Time, int Shard,
                 std::string Process, Receivers Owner);
 
+  /// Sets the version of the policy in force, which is sent with the calls.
+  void setPolicyVersion(std::int64_t Version) { PolicyVersion = Version; }
+
   /// Adds a call. Precondition: its tag is in use for no other open call.
   void submit(Submission NewSubmission);
   void query(Query NewQuery);
@@ -105,6 +108,7 @@
   const std::string Process;
   const Receivers Owner;
   std::optional<LeaderRecord> Leader;
+  std::int64_t PolicyVersion = 0;
   bool Suspect = false;                ///< The last batch got no valid reply.
   std::map<std::uint64_t, Call> Calls; ///< Open calls by tag.
   std::map<std::uint64_t, Batch> Batches; ///< On their way, by number.
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -57,6 +57,7 @@
   Message.Sequence = Sequence;
   Message.Term = leaderTerm();
   Message.From = Instance;
+  Message.PolicyVersion = PolicyVersion;
   Message.ToLeader = std::exchange(Outgoing, MemberMessage{});
   Message.ToLeader->Leaving = Leaving;
   Message.ToLeader->OtherShardsLed = OtherShardsLed;
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -113,6 +113,9 @@
   /// reported to the leader.
   void setOtherShardsLed(int Count) { OtherShardsLed = Count; }
 
+  /// Sets the version of the policy in force, which is reported to the leader.
+  void setPolicyVersion(std::int64_t Version) { PolicyVersion = Version; }
+
   /// Asks the leader to reassign this member's workers before a shutdown.
   void leave() { Leaving = true; }
 
@@ -144,6 +147,7 @@
   bool Guest = false;
   bool RejectedAsGuest = false;
   int OtherShardsLed = 0;
+  std::int64_t PolicyVersion = 0;
   std::optional<TimePoint> LastStoreResponse;
   std::int64_t ResignedTerm = 0;
   MemberCounts Counts;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -56,7 +56,12 @@
   jobs::JobSpec Job;
 };
 
-enum class SubmitResult { Accepted, Malformed, Busy };
+enum class SubmitResult {
+  Accepted,
+  Malformed,
+  Busy,
+  UnknownQueue, ///< Not accepted: the policies of both instances differ.
+};
 
 struct SubmitAnswer {
   std::uint64_t Tag = 0;
@@ -84,8 +89,9 @@
 /// Calls of callers that an instance sends to the leader of a shard.
 struct CallBatch {
   int Shard = 0;
-  std::int64_t Term = 0; ///< Term of the leader that is addressed.
-  std::string Process;   ///< Identifies the sending process.
+  std::int64_t Term = 0;          ///< Term of the leader that is addressed.
+  std::string Process;            ///< Identifies the sending process.
+  std::int64_t PolicyVersion = 0; ///< In force at the sender.
   std::vector<Submission> Submissions;
   std::vector<Query> Queries;
 };
@@ -217,6 +223,7 @@
   /// The member belongs to another shard and only helps out in this one.
   bool Guest = false;
   InstanceInfo From;
+  std::int64_t PolicyVersion = 0; ///< In force at the sender.
   std::optional<MemberMessage> ToLeader;
   std::optional<LeaderMessage> ToMember;
 };
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -125,7 +125,11 @@
     return;
   }
   ShardAgent &Agent = *Agents[std::size_t(Shard)];
+  const auto *const Linked = std::get_if<Envelope>(&*Message);
+  if (Linked)
+    Policy.expect(Linked->PolicyVersion);
   if (const auto *Batch = std::get_if<CallBatch>(&*Message)) {
+    Policy.expect(Batch->PolicyVersion);
     Agent.serveCalls(*Batch, [Respond](std::optional<CallBatchReply> Reply) {
       Respond(Reply ? std::optional(encode(*Reply)) : std::nullopt);
     });
@@ -135,7 +139,7 @@
     Respond(encode(LeaderAnswer{Agent.knownLeader()}));
     return;
   }
-  const auto Reply = Agent.receive(std::get<Envelope>(*Message));
+  const auto Reply = Agent.receive(*Linked);
   Respond(Reply ? std::optional(encode(*Reply)) : std::nullopt);
 }
 
--- a/src/cell/policytracker.cpp
+++ b/src/cell/policytracker.cpp
@@ -20,6 +20,10 @@
 /// reached. Failed calls are repeated more often.
 constexpr Duration FailureRetention{1500};
 
+/// Time in which the watches of all instances usually report a new policy. An
+/// instance that is behind for longer reads the changes.
+constexpr Duration MaxPropagationTime{150};
+
 /// Minimum interval between two reads of changes.
 constexpr Duration MinReadInterval{20};
 
@@ -41,13 +45,22 @@
 
 void PolicyTracker::pump() {
   Watcher.pump();
-  const bool IsOverdue =
-      Watcher.overdue() > OverdueReadInterval &&
-      Deps.Time.now() >= LastReadSentAt + OverdueReadInterval;
-  if (IsOverdue || !Waiting.empty())
+  const TimePoint Now = Deps.Time.now();
+  const bool IsBehind =
+      ExpectedVersion > Version && Now >= ExpectedSince + MaxPropagationTime;
+  const bool IsOverdue = Watcher.overdue() > OverdueReadInterval;
+  const bool MayReadAgain = Now >= LastReadSentAt + OverdueReadInterval;
+  if (!Waiting.empty() || ((IsBehind || IsOverdue) && MayReadAgain))
     readChanges();
 }
 
+void PolicyTracker::expect(std::int64_t Newer) {
+  if (Newer <= std::max(Version, ExpectedVersion))
+    return;
+  ExpectedVersion = Newer;
+  ExpectedSince = Deps.Time.now();
+}
+
 bool PolicyTracker::isUncertain() const {
   const TimePoint Now = Deps.Time.now();
   const TimePoint Known = std::max(Watcher.knownUntil(), KnownUntil);
--- a/src/cell/policytracker.h
+++ b/src/cell/policytracker.h
@@ -60,6 +60,9 @@
   /// Time of the last answer of the store; empty if the last call failed.
   std::optional<TimePoint> lastStoreResponse() const;
 
+  /// Tells that another instance has the policy with \p Version.
+  void expect(std::int64_t Version);
+
 private:
   using Waiters = std::vector<std::function<void(bool)>>;
 
@@ -71,6 +74,8 @@
   const Receiver OnPolicy;
   const std::string Table;
   std::int64_t Version = 0;
+  std::int64_t ExpectedVersion = 0; ///< Newest one of any instance.
+  TimePoint ExpectedSince;
   std::int64_t RowVersion = 0; ///< Of the newest row of the policy.
   TimePoint InForceSince;
   TableWatcher Watcher;
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -68,6 +68,8 @@
 
 void ShardAgent::setPolicy(const jobs::ClusterPolicy &NewPolicy) {
   Policy = NewPolicy;
+  Channel.setPolicyVersion(Policy.Version);
+  LocalMember.setPolicyVersion(Policy.Version);
   if (LocalLeader)
     LocalLeader->setPolicy(Policy);
 }
