Do not reuse connections that are as old as a silent one

A call over a connection that delivers nothing more ends with a timeout, and the next call took another connection of the same age: with four idle ones, four calls in a row failed although new connections worked. Calls to the store, to workers and to other instances are concerned.

Now calls to an address use only connections that were opened after its last timeout. libcurl closes the older ones when it comes across them.

Before: httpclient.AsyncHttpClientTest.TriesNoSecondConnectionThatIsAsOldAsASilentOne fails, each of the four further calls waits for its timeout. After: it passes, the first of them succeeds.

--- a/src/httpclient/asynchttpclient.cpp
+++ b/src/httpclient/asynchttpclient.cpp
@@ -33,6 +33,14 @@
 /// calls.
 constexpr std::size_t MaxEventsPerWait = 64;
 
+/// libcurl compares the age of connections in whole seconds. Within this time
+/// after a timeout, calls therefore use new connections only.
+constexpr std::chrono::seconds MinComparableAge{2};
+
+/// How long a timeout counts against older connections. Those that stay idle
+/// are closed sooner.
+constexpr std::chrono::seconds TimeoutRetention{60};
+
 /// Interval of the TCP keep-alive probes, which detect an unreachable peer.
 constexpr long KeepAliveSeconds = 5;
 
@@ -59,6 +67,8 @@
   moodycamel::ConcurrentQueue<std::unique_ptr<PendingCall>> Submitted;
   std::map<CURL *, std::unique_ptr<PendingCall>> ActiveCalls;
   std::vector<CURL *> IdleHandles;
+  /// When a call to an address last had no response in time.
+  std::map<std::string, std::chrono::steady_clock::time_point> LastTimeouts;
 
   EventLoop() {
     epoll_event Event{};
@@ -116,6 +126,30 @@
     return 0;
   }
 
+  void noteTimeout(const std::string &Address) {
+    const auto Now = std::chrono::steady_clock::now();
+    std::erase_if(LastTimeouts, [Now](const auto &Entry) {
+      return Now - Entry.second >= TimeoutRetention;
+    });
+    LastTimeouts[Address] = Now;
+  }
+
+  // A firewall that forgets one connection has often forgotten all of them, so
+  // calls after a timeout use only connections that were opened later.
+  void avoidOlderConnections(CURL *Handle, const std::string &Address) {
+    const auto Found = LastTimeouts.find(Address);
+    if (Found == LastTimeouts.end())
+      return;
+    const auto Age = std::chrono::floor<std::chrono::seconds>(
+        std::chrono::steady_clock::now() - Found->second);
+    if (Age >= TimeoutRetention)
+      return;
+    if (Age < MinComparableAge)
+      curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
+    else
+      curl_easy_setopt(Handle, CURLOPT_MAXLIFETIME_CONN, long(Age.count()) - 1);
+  }
+
   void startTransfer(std::unique_ptr<PendingCall> Pending) {
     Pending->Result.State = TransferState::NotSent;
     if (!isWellFormed(Pending->Call)) {
@@ -135,6 +169,7 @@
         new Transfer{Pending->Call, Pending->Result});
     configureHandle(Handle, Pending->Call, *Pending->TransferContext,
                     Pending->Headers);
+    avoidOlderConnections(Handle, hostAndPort(Pending->Call.Url));
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPIDLE, KeepAliveSeconds);
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPINTVL, KeepAliveSeconds);
@@ -148,6 +183,8 @@
     IdleHandles.push_back(Handle);
     const std::unique_ptr<PendingCall> Pending = std::move(Found.mapped());
     finishTransfer(*Pending->TransferContext, Code, Handle);
+    if (Code == CURLE_OPERATION_TIMEDOUT)
+      noteTimeout(hostAndPort(Pending->Call.Url));
     Pending->OnComplete(std::move(Pending->Result));
   }
 
