Log calls that are refused because the policy was not confirmed

"answered" has no id for them, as the call was not routed. A gauge tells how old the instance's view of the policy is. A test covers a history that the store has dropped meanwhile.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -164,6 +164,7 @@
     finish(Call, {Status});
     return;
   case PolicyView::Unconfirmed:
+    logPolicyDecision("policy not confirmed", Call, Status);
     finish(Call, unavailable(Duration{0}));
     return;
   }
@@ -319,36 +320,39 @@
   Call.Respond(Answer);
 }
 
+void CallRouter::logPolicyDecision(std::string_view Name, const OpenCall &Call,
+                                   ClientStatus Status) const {
+  const auto AnswerAge = Deps.Tracker.storeAnswerAge();
+  Deps.Log.event(
+      Name, "",
+      {{"outcome", std::string(enumName(ClientStatusNames, Status))},
+       {"after_ms", std::to_string((Deps.Time.now() - Call.ArrivedAt).count())},
+       {"host", printable(Call.Call.Host)},
+       {"path", printable(Call.Call.Path)},
+       {"policy", std::to_string(Policy.Version)},
+       {"policy_age_ms", std::to_string(Deps.Tracker.age().count())},
+       {"store_answer_age_ms",
+        std::to_string(AnswerAge ? AnswerAge->count() : -1)}});
+}
+
 void CallRouter::logAnswer(const OpenCall &Call, ClientStatus Status) const {
-  const auto After = std::to_string((Deps.Time.now() - Call.ArrivedAt).count());
-  const std::string Outcome(enumName(ClientStatusNames, Status));
   if (Status == ClientStatus::NoSuchQueue ||
       Status == ClientStatus::UnknownKey) {
-    const auto AnswerAge = Deps.Tracker.storeAnswerAge();
-    Deps.Log.event(
-        "refused by policy", "",
-        {{"outcome", Outcome},
-         {"after_ms", After},
-         {"host", printable(Call.Call.Host)},
-         {"path", printable(Call.Call.Path)},
-         {"policy", std::to_string(Policy.Version)},
-         {"policy_age_ms", std::to_string(Deps.Tracker.age().count())},
-         {"store_answer_age_ms",
-          std::to_string(AnswerAge ? AnswerAge->count() : -1)}});
+    logPolicyDecision("refused by policy", Call, Status);
     return;
   }
   if (!Call.SubmitRequest && Status != ClientStatus::Unavailable &&
       Status != ClientStatus::Unresolved)
     return;
   const int Shard = Layout ? Layout->shardOfAccount(Call.Account) : -1;
-  Deps.Log.event("answered",
-                 Call.SubmitRequest ? Call.SubmitRequest->Job.Id
-                                    : std::string(),
-                 {{"outcome", Outcome},
-                  {"after_ms", After},
-                  {"policy", std::to_string(Policy.Version)},
-                  {"shard", std::to_string(Shard)},
-                  {"leader", Layout ? Deps.Channel(Shard).leaderName() : ""}});
+  Deps.Log.event(
+      "answered",
+      Call.SubmitRequest ? Call.SubmitRequest->Job.Id : std::string(),
+      {{"outcome", std::string(enumName(ClientStatusNames, Status))},
+       {"after_ms", std::to_string((Deps.Time.now() - Call.ArrivedAt).count())},
+       {"policy", std::to_string(Policy.Version)},
+       {"shard", std::to_string(Shard)},
+       {"leader", Layout ? Deps.Channel(Shard).leaderName() : ""}});
 }
 
 void CallRouter::pump() {
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace apricotwing::cell {
@@ -115,6 +116,8 @@
   void answer(std::uint64_t Tag, ClientAnswer Answer);
   void finish(OpenCall &Call, ClientAnswer Answer);
   void logAnswer(const OpenCall &Call, ClientStatus Status) const;
+  void logPolicyDecision(std::string_view Name, const OpenCall &Call,
+                         ClientStatus Status) const;
 
   const Ports Deps;
   jobs::ClusterPolicy Policy;
--- a/src/cell/policytracker.cpp
+++ b/src/cell/policytracker.cpp
@@ -62,10 +62,12 @@
 }
 
 bool PolicyTracker::isUncertain() const {
-  const TimePoint Now = Deps.Time.now();
-  const TimePoint Known = std::max(Watcher.knownUntil(), KnownUntil);
   const TimePoint Failure = std::max(Watcher.lastFailure(), LastReadFailure);
-  return Now - Known > MaxViewAge && Now - Failure > FailureRetention;
+  return viewAge() > MaxViewAge && Deps.Time.now() - Failure > FailureRetention;
+}
+
+Duration PolicyTracker::viewAge() const {
+  return Deps.Time.now() - std::max(Watcher.knownUntil(), KnownUntil);
 }
 
 void PolicyTracker::confirm(std::function<void(bool)> Callback) {
--- a/src/cell/policytracker.h
+++ b/src/cell/policytracker.h
@@ -54,6 +54,10 @@
   /// Time since the policy in force was received.
   Duration age() const { return Deps.Time.now() - InForceSince; }
 
+  /// Upper bound for the time since the store confirmed that the policy in
+  /// force is the newest one.
+  Duration viewAge() const;
+
   /// Time since the store last answered the watch; empty if it never has.
   std::optional<Duration> storeAnswerAge() const;
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -207,6 +207,9 @@
         double(WorkerSessions));
   Gauge("apricotwing_entry_policy_version", "Version of the policy in force",
         double(Node.router().policy().Version));
+  Gauge("apricotwing_entry_policy_view_age_seconds",
+        "Time since the store confirmed that this policy is the newest one",
+        std::chrono::duration<double>(Node.policyTracker().viewAge()).count());
   Gauge("apricotwing_entry_internal_errors",
         "Work that was abandoned because of an unexpected exception",
         double(InternalErrors));
--- a/tests/cell/outdatedpolicy_test.cpp
+++ b/tests/cell/outdatedpolicy_test.cpp
@@ -128,6 +128,16 @@
   EXPECT_EQ(*Answer, (Answers{{ClientStatus::Unavailable, 1}}));
 }
 
+// The same if the store has dropped the history that the instance lacks.
+TEST_F(OutdatedPolicyTest, RefusesNoAddedQueueAfterTheHistoryWasDropped) {
+  Cell.store().silenceConnections(Late, 0);
+  addQueue();
+  Cell.store().compact();
+  const auto Answer = call(Late, "/added/");
+  Cell.run(200ms);
+  EXPECT_EQ(*Answer, (Answers{{ClientStatus::NoSuchJob, 1}}));
+}
+
 // Guards against 401 for a key that was added meanwhile.
 TEST_F(OutdatedPolicyTest, RefusesNoAddedKeyWithoutTheStore) {
   Cell.store().RefusedCallers = {Late};
