--- a/tests/cell/outdatedpolicy_test.cpp
+++ b/tests/cell/outdatedpolicy_test.cpp
@@ -169,6 +169,19 @@
     EXPECT_EQ(Cell.node(Name).router().policy().Version, 2) << Name;
 }
 
+// Guards against an instance that waits for the store although the messages of
+// others show that its policy is outdated.
+TEST_F(OutdatedPolicyTest, LearnsOfANewerPolicyFromOtherInstances) {
+  for (int Version = 2; Version < 12; ++Version) {
+    const std::string Leader = Cell.leader();
+    Cell.store().silenceConnections(Leader, 0);
+    Cell.putPolicy(Version);
+    Cell.run(650ms);
+    EXPECT_EQ(Cell.node(Leader).router().policy().Version, Version);
+    Cell.run(2350ms);
+  }
+}
+
 // Guards against a key that is accepted after it was withdrawn because the
 // process was paused meanwhile.
 TEST_F(OutdatedPolicyTest, AcceptsNoWithdrawnKeyAfterAPause) {
