--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -83,7 +83,7 @@
   NewCall.Deadline =
       NewCall.ArrivedAt + std::clamp(Call.Deadline - ResponseMargin,
                                      Duration{100}, Deps.Times.MaxCallTime);
-  NewCall.Call = std::move(Call);
+  NewCall.Request = std::move(Call);
   if (Policy.Version == 0) {
     finish(NewCall, unavailable(Duration{0}));
     return;
@@ -95,7 +95,7 @@
 }
 
 void CallRouter::route(OpenCall NewCall, PolicyView View) {
-  ClientCall &Call = NewCall.Call;
+  ClientCall &Call = NewCall.Request;
   const jobs::Queue *Queue = Policy.match(Call.Host, Call.Path);
   if (!Queue) {
     refuse(std::move(NewCall), ClientStatus::NoSuchQueue, View);
@@ -255,7 +255,7 @@
     finish(Call, busy(RetryAfter));
     return;
   }
-  Call.Call.Job = std::move(Call.SubmitRequest->Job);
+  Call.Request.Job = std::move(Call.SubmitRequest->Job);
   Call.SubmitRequest.reset();
   Call.Awaited.clear();
   Call.NextSend = Now + ResendDelay;
@@ -327,8 +327,8 @@
       Name, "",
       {{"outcome", std::string(enumName(ClientStatusNames, Status))},
        {"after_ms", std::to_string((Deps.Time.now() - Call.ArrivedAt).count())},
-       {"host", printable(Call.Call.Host)},
-       {"path", printable(Call.Call.Path)},
+       {"host", printable(Call.Request.Host)},
+       {"path", printable(Call.Request.Path)},
        {"policy", std::to_string(Policy.Version)},
        {"policy_age_ms", std::to_string(Deps.Tracker.age().count())},
        {"store_answer_age_ms",
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -77,7 +77,7 @@
 private:
   /// A client call without an answer.
   struct OpenCall {
-    ClientCall Call; ///< Its job is in SubmitRequest once the call is routed.
+    ClientCall Request; ///< Its job is in SubmitRequest while that is set.
     std::optional<Submission> SubmitRequest;
     std::optional<Query> QueryRequest;
     std::string Account; ///< Its shard has the job.
@@ -97,8 +97,8 @@
   };
   /// How well the policy in force is known.
   enum class PolicyView {
-    Recent,      ///< It may be up to two seconds old.
-    Confirmed,   ///< It was in force after the call arrived.
+    Recent,      ///< It was not confirmed for this call.
+    Confirmed,   ///< It was still the newest one after the call arrived.
     Unconfirmed, ///< The store could not be asked.
   };
 
--- a/src/cell/policytracker.cpp
+++ b/src/cell/policytracker.cpp
@@ -24,8 +24,9 @@
 /// instance that is behind for longer reads the changes.
 constexpr Duration MaxPropagationTime{150};
 
-/// Minimum interval between two reads of changes.
-constexpr Duration MinReadInterval{20};
+/// Minimum interval between two reads of changes, so that many calls without a
+/// known queue or key do not use up the rate of the store.
+constexpr Duration MinReadInterval{50};
 
 /// The changes are read at this interval while the watch has no response, for
 /// the first time once it has been due for this long. A slow store responds
--- a/src/httpclient/asynchttpclient.cpp
+++ b/src/httpclient/asynchttpclient.cpp
@@ -67,7 +67,8 @@
   moodycamel::ConcurrentQueue<std::unique_ptr<PendingCall>> Submitted;
   std::map<CURL *, std::unique_ptr<PendingCall>> ActiveCalls;
   std::vector<CURL *> IdleHandles;
-  /// When a call to an address last had no response in time.
+  /// When a call with AvoidOldConnections last had no response in time, by
+  /// address.
   std::map<std::string, std::chrono::steady_clock::time_point> LastTimeouts;
 
   EventLoop() {
@@ -134,9 +135,7 @@
     LastTimeouts[Address] = Now;
   }
 
-  // A firewall that forgets one connection has often forgotten all of them, so
-  // calls after a timeout use only connections that were opened later.
-  void avoidOlderConnections(CURL *Handle, const std::string &Address) {
+  void avoidOldConnections(CURL *Handle, const std::string &Address) {
     const auto Found = LastTimeouts.find(Address);
     if (Found == LastTimeouts.end())
       return;
@@ -169,7 +168,8 @@
         new Transfer{Pending->Call, Pending->Result});
     configureHandle(Handle, Pending->Call, *Pending->TransferContext,
                     Pending->Headers);
-    avoidOlderConnections(Handle, hostAndPort(Pending->Call.Url));
+    if (Pending->Call.AvoidOldConnections)
+      avoidOldConnections(Handle, hostAndPort(Pending->Call.Url));
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPIDLE, KeepAliveSeconds);
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPINTVL, KeepAliveSeconds);
@@ -183,7 +183,7 @@
     IdleHandles.push_back(Handle);
     const std::unique_ptr<PendingCall> Pending = std::move(Found.mapped());
     finishTransfer(*Pending->TransferContext, Code, Handle);
-    if (Code == CURLE_OPERATION_TIMEDOUT)
+    if (Pending->Call.AvoidOldConnections && Code == CURLE_OPERATION_TIMEDOUT)
       noteTimeout(hostAndPort(Pending->Call.Url));
     Pending->OnComplete(std::move(Pending->Result));
   }
--- a/src/httpclient/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -58,6 +58,11 @@
   /// Whether libcurl may send the request a second time within this call. It
   /// does so when a reused connection closes without a response.
   bool MayResend = false;
+
+  /// After a call to the same address timed out, only connections that were
+  /// opened later are used: a firewall that forgets one connection has often
+  /// forgotten all of them. Only AsyncHttpClient does this.
+  bool AvoidOldConnections = false;
   std::size_t MaxResponseBytes = std::size_t(64) << 20;
 
   /// Called once the connection is open, immediately before the first byte is
--- a/tests/httpclient/asynchttpclient_test.cpp
+++ b/tests/httpclient/asynchttpclient_test.cpp
@@ -22,6 +22,7 @@
   HttpCall Call;
   Call.Url = "http://" + Server.address() + "/";
   Call.Timeout = Timeout;
+  Call.AvoidOldConnections = true;
   auto Promise = std::make_shared<std::promise<HttpResult>>();
   Client.start(std::move(Call), [Promise](HttpResult Result) {
     Promise->set_value(std::move(Result));
