Read the whole policy on a new connection if its history was dropped

Callers were served by a policy of before for more than 2 s when the store had dropped its history while connections were silent. Cause: the read of changes was not possible while the watch was reading the whole table, and without the history it read the rows over an open connection, which may be silent as well.

Now the read of changes returns the rows themselves, over a new connection, if the history is not there. Calls that wait for a confirmation share the read of the next pump().

--- a/src/cell/policytracker.cpp
+++ b/src/cell/policytracker.cpp
@@ -73,36 +73,33 @@
 
 void PolicyTracker::confirm(std::function<void(bool)> Callback) {
   Waiting.push_back(std::move(Callback));
-  readChanges();
 }
 
 void PolicyTracker::readChanges() {
   const TimePoint Now = Deps.Time.now();
-  if (Reading || Watcher.version() < 0 ||
-      Now < LastReadSentAt + MinReadInterval)
+  if (Reading || Now < LastReadSentAt + MinReadInterval)
     return;
   Reading = true;
   LastReadSentAt = Now;
   WaitingInRead = std::exchange(Waiting, {});
-  Deps.Store.readChanges(Table, Watcher.version(),
-                         Guard.wrap([this, Now](const ReadResult &Result) {
-                           if (Result.Outcome != StoreOutcome::HistoryLost) {
-                             onRead(Result, Now);
-                             return;
-                           }
-                           Deps.Store.read(
-                               Table, "", "",
-                               Guard.wrap([this, Now](const ReadResult &Whole) {
-                                 onRead(Whole, Now);
-                               }));
+  readSince(Watcher.version());
+}
+
+void PolicyTracker::readSince(std::int64_t After) {
+  Deps.Store.readChanges(Table, After,
+                         Guard.wrap([this](const ReadResult &Result) {
+                           if (Result.Outcome == StoreOutcome::HistoryLost)
+                             readSince(-1);
+                           else
+                             onRead(Result);
                          }));
 }
 
-void PolicyTracker::onRead(const ReadResult &Result, TimePoint SentAt) {
+void PolicyTracker::onRead(const ReadResult &Result) {
   Reading = false;
   const bool Done = Result.Outcome == StoreOutcome::Done && !Result.HasMore;
   if (Done) {
-    KnownUntil = SentAt;
+    KnownUntil = LastReadSentAt;
     onRows(Result.Rows);
   } else {
     LastReadFailure = Deps.Time.now();
--- a/src/cell/policytracker.h
+++ b/src/cell/policytracker.h
@@ -42,10 +42,9 @@
   /// then be decided only after confirm().
   bool isUncertain() const;
 
-  /// Calls \p Callback with true once a response of the store to a call that
-  /// was sent after this one has been applied, and with false if that call
-  /// failed. It is called later, and not at all before the first policy was
-  /// read.
+  /// Starts a read of the changes with the next pump(), which all calls until
+  /// then share. Calls \p Callback later: with true once the response of the
+  /// store to that read has been applied, and with false if it failed.
   void confirm(std::function<void(bool)> Callback);
 
   /// Version of the policy in force; 0 if there is none yet.
@@ -71,7 +70,8 @@
   using Waiters = std::vector<std::function<void(bool)>>;
 
   void readChanges();
-  void onRead(const ReadResult &Result, TimePoint SentAt);
+  void readSince(std::int64_t After);
+  void onRead(const ReadResult &Result);
   void onRows(const std::vector<StoredRow> &Rows);
 
   const Ports Deps;
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -99,8 +99,9 @@
                      std::function<void(ReadResult)> Callback) = 0;
 
   /// Returns the rows of \p Table that have changed since version \p After,
-  /// without waiting for a change. Uses a new connection, so the response does
-  /// not depend on open ones that have gone silent.
+  /// without waiting for a change, or the first page of the rows in its unnamed
+  /// partition if \p After is negative. Uses a new connection, so the response
+  /// does not depend on open ones that have gone silent.
   virtual void readChanges(const std::string &Table, std::int64_t After,
                            std::function<void(ReadResult)> Callback) = 0;
 };
--- a/tests/cell/outdatedpolicy_test.cpp
+++ b/tests/cell/outdatedpolicy_test.cpp
@@ -79,8 +79,7 @@
   std::string Late; ///< An instance that does not lead.
 };
 
-// Guards against 404 for a queue that was added while the instance could not
-// hear of it because its connections to the store fell silent.
+// Guards against 404 for a queue that was added while connections are silent.
 TEST_F(OutdatedPolicyTest, RefusesNoAddedQueueWhileConnectionsAreSilent) {
   for (const std::string &Name : Cell.names())
     Cell.store().silenceConnections(Name, 2);
@@ -107,8 +106,7 @@
   EXPECT_EQ(*Answer, (Answers{{ClientStatus::NoSuchJob, 1}}));
 }
 
-// Guards against 404 for a queue that was added while the store turned the
-// instance away.
+// Guards against 404 for a queue that was added while the store is refusing.
 TEST_F(OutdatedPolicyTest, RefusesNoAddedQueueWithoutTheStore) {
   Cell.store().RefusedCallers = {Late};
   addQueue();
@@ -148,8 +146,7 @@
   EXPECT_EQ(*Answer, (Answers{{ClientStatus::Unavailable, 1}}));
 }
 
-// Guards against callers that wait although it is clear that the policy has no
-// such queue or key.
+// Guards against callers that wait for a refusal although the store responds.
 TEST_F(OutdatedPolicyTest, RefusesUnknownQueuesAndKeysAtOnce) {
   const auto Queue = call(Late, "/none/");
   const auto Key = call(Late, "/batch/", "none");
@@ -158,8 +155,7 @@
   EXPECT_EQ(*Key, (Answers{{ClientStatus::UnknownKey, 1}}));
 }
 
-// Guards against a policy that is in force too late because the watch of it
-// waits for a response on one silent connection after the other.
+// Guards against a watch that waits on one silent connection after the other.
 TEST_F(OutdatedPolicyTest, IsInForceInTimeThoughConnectionsFellSilent) {
   for (const std::string &Name : Cell.names())
     Cell.store().silenceConnections(Name, 2);
@@ -169,8 +165,18 @@
     EXPECT_EQ(Cell.node(Name).router().policy().Version, 2) << Name;
 }
 
-// Guards against an instance that waits for the store although the messages of
-// others show that its policy is outdated.
+// The same if the store has dropped the history as well.
+TEST_F(OutdatedPolicyTest, IsInForceInTimeThoughTheHistoryWasDropped) {
+  for (const std::string &Name : Cell.names())
+    Cell.store().silenceConnections(Name, 20);
+  addQueue();
+  Cell.store().compact();
+  Cell.run(2s);
+  for (const std::string &Name : Cell.names())
+    EXPECT_EQ(Cell.node(Name).router().policy().Version, 2) << Name;
+}
+
+// Guards against waiting for the store although others have a newer policy.
 TEST_F(OutdatedPolicyTest, LearnsOfANewerPolicyFromOtherInstances) {
   for (int Version = 2; Version < 12; ++Version) {
     const std::string Leader = Cell.leader();
@@ -182,8 +188,7 @@
   }
 }
 
-// Guards against a key that is accepted after it was withdrawn because the
-// process was paused meanwhile.
+// Guards against a key that was withdrawn while the process was paused.
 TEST_F(OutdatedPolicyTest, AcceptsNoWithdrawnKeyAfterAPause) {
   pauseDuring(Late, [this] { Cell.withdrawKeys(2); });
   const auto Answer = call(Late, "/batch/", "key", true);
@@ -191,8 +196,7 @@
   EXPECT_EQ(*Answer, (Answers{{ClientStatus::UnknownKey, 1}}));
 }
 
-// Guards against jobs that are refused as long as the leader has not received
-// the policy by which the caller's instance knows the queue.
+// Guards against 429 for jobs of a queue that the leader does not know yet.
 TEST_F(OutdatedPolicyTest, AcceptsAJobOfAnAddedQueueThoughTheLeaderIsBehind) {
   Cell.store().silenceConnections(Cell.leader(), 0);
   addQueue();
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -181,40 +181,43 @@
 
 void EmulatedStore::Handle::read(
     const std::string &Table, const std::string &Partition,
-    const std::string &From, std::function<void(cell::ReadResult)> OnResult) {
-  EmulatedStore &Target = Store;
-  const auto Callback =
-      Target.overConnection(Name, CallTimeout, std::move(OnResult));
-  const bool Cut = Target.Cut.contains(Name);
-  if (Cut || Target.isRefusing(Name)) {
-    Target.Time.after(Cut ? CallTimeout : Target.Latency, [Callback, Cut] {
+    const std::string &From, std::function<void(cell::ReadResult)> Callback) {
+  Store.readPage(Name, Table, Partition, From,
+                 Store.overConnection(Name, CallTimeout, std::move(Callback)));
+}
+
+void EmulatedStore::readPage(
+    const std::string &Caller, const std::string &Table,
+    const std::string &Partition, const std::string &From,
+    const std::function<void(cell::ReadResult)> &Callback) {
+  const bool IsCut = Cut.contains(Caller);
+  if (IsCut || isRefusing(Caller)) {
+    Time.after(IsCut ? CallTimeout : Latency, [Callback, IsCut] {
       cell::ReadResult Result;
       Result.Outcome =
-          Cut ? cell::StoreOutcome::Unknown : cell::StoreOutcome::Refused;
+          IsCut ? cell::StoreOutcome::Unknown : cell::StoreOutcome::Refused;
       Callback(Result);
     });
     return;
   }
-  Target.Time.after(
-      Target.Latency / 2, [&Target, Table, Partition, From, Callback] {
-        cell::ReadResult Result;
-        Result.Outcome = cell::StoreOutcome::Done;
-        Result.Version = Target.Version;
-        for (auto Row = Target.Rows.lower_bound({Table, Partition, From});
-             Row != Target.Rows.end(); ++Row) {
-          const auto &[RowTable, RowPart, Key] = Row->first;
-          if (RowTable != Table || RowPart != Partition)
-            break;
-          if (Result.Rows.size() == PageRows) {
-            Result.HasMore = true;
-            break;
-          }
-          Result.Rows.push_back(
-              {Table, Key, Row->second.Value, Row->second.Version, false});
-        }
-        Target.Time.after(Target.Latency / 2,
-                          [Callback, Result] { Callback(Result); });
-      });
+  Time.after(Latency / 2, [this, Table, Partition, From, Callback] {
+    cell::ReadResult Result;
+    Result.Outcome = cell::StoreOutcome::Done;
+    Result.Version = Version;
+    for (auto Row = Rows.lower_bound({Table, Partition, From});
+         Row != Rows.end(); ++Row) {
+      const auto &[RowTable, RowPart, Key] = Row->first;
+      if (RowTable != Table || RowPart != Partition)
+        break;
+      if (Result.Rows.size() == PageRows) {
+        Result.HasMore = true;
+        break;
+      }
+      Result.Rows.push_back(
+          {Table, Key, Row->second.Value, Row->second.Version, false});
+    }
+    Time.after(Latency / 2, [Callback, Result] { Callback(Result); });
+  });
 }
 
 void EmulatedStore::Handle::watch(
@@ -228,12 +231,13 @@
 void EmulatedStore::Handle::readChanges(
     const std::string &Table, std::int64_t After,
     std::function<void(cell::ReadResult)> Callback) {
-  if (Store.Cut.contains(Name)) {
+  if (Store.Cut.contains(Name))
     Store.Time.after(ReadChangesTimeout,
                      [Callback] { Callback(cell::ReadResult{}); });
-    return;
-  }
-  Store.pollWatch(Name, Table, After, Store.Time.now(), Callback);
+  else if (After < 0)
+    Store.readPage(Name, Table, "", "", Callback);
+  else
+    Store.pollWatch(Name, Table, After, Store.Time.now(), Callback);
 }
 
 void EmulatedStore::pollWatch(
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -105,6 +105,9 @@
                  std::function<void(Result)> Callback);
   cell::TransactionResult apply(const cell::Transaction &Changes);
   void write(const Name &Key, const std::optional<std::string> &Value);
+  void readPage(const std::string &Caller, const std::string &Table,
+                const std::string &Partition, const std::string &From,
+                const std::function<void(cell::ReadResult)> &Callback);
   void pollWatch(const std::string &Caller, const std::string &Table,
                  std::int64_t After, TimePoint Until,
                  const std::function<void(cell::ReadResult)> &Callback);
