--- a/tests/httpclient/asynchttpclient_test.cpp
+++ b/tests/httpclient/asynchttpclient_test.cpp
@@ -51,6 +51,7 @@
   });
   AsyncHttpClient Client;
   std::vector<std::future<HttpResult>> First;
+  First.reserve(OpenConnections);
   for (int Number = 0; Number < OpenConnections; ++Number)
     First.push_back(startCall(Client, Server, LongTimeout));
   for (auto &Result : First)
