Remove an accessor of the policy tracker that nothing calls

The version in force is read from the router. No change of behaviour: the tests of the cell (without the fuzz and the soak of cancellations) and of the entry process pass.

--- a/src/cell/policytracker.h
+++ b/src/cell/policytracker.h
@@ -47,9 +47,6 @@
   /// store to that read has been applied, and with false if it failed.
   void confirm(std::function<void(bool)> Callback);
 
-  /// Version of the policy in force; 0 if there is none yet.
-  std::int64_t version() const { return Version; }
-
   /// Time since the policy in force was received.
   Duration age() const { return Deps.Time.now() - InForceSince; }
 
@@ -77,7 +74,7 @@
   const Ports Deps;
   const Receiver OnPolicy;
   const std::string Table;
-  std::int64_t Version = 0;
+  std::int64_t Version = 0; ///< Of the policy in force; 0: there is none yet.
   std::int64_t ExpectedVersion = 0; ///< Newest one of any instance.
   TimePoint ExpectedSince;
   std::int64_t RowVersion = 0; ///< Of the newest row of the policy.
