Log reads of the stored state that fail or are slow

A leader that cannot load its state wrote only how many reads had failed. A line for each failed or slow read now has the table, the size of the part that arrived and the time that it took, which tells a page that is too large for the link from a connection that is silent (no byte) and from a store that refuses.

The emulated store limits the size of a page to that of the platform's store and can deliver pages at a limited rate.

--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -63,6 +63,14 @@
                ///< for.
 };
 
+inline constexpr NameTable<StoreOutcome, 5> StoreOutcomeNames = {{
+    {StoreOutcome::Done, "done"},
+    {StoreOutcome::Conflict, "conflict"},
+    {StoreOutcome::Refused, "refused"},
+    {StoreOutcome::Unknown, "unknown"},
+    {StoreOutcome::HistoryLost, "history_lost"},
+}};
+
 struct TransactionResult {
   StoreOutcome Outcome = StoreOutcome::Unknown;
   std::int64_t Version = 0; ///< New version of the store, if Done.
@@ -75,6 +83,9 @@
   std::vector<StoredRow> Rows; ///< Sorted by key.
   bool HasMore = false;
   std::int64_t Version = 0; ///< Version of the store at the time of the read.
+  /// Size of the part of the response that has arrived, in bytes, also if the
+  /// read failed.
+  std::size_t ReceivedBytes = 0;
 };
 
 /// The platform's metadata store.
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -12,6 +12,9 @@
 /// Delay before a failed read is repeated.
 constexpr Duration RetryDelay{100};
 
+/// Reads that take longer than this are logged.
+constexpr Duration SlowRead{250};
+
 /// Stored code of the final phase of a job, indexed by JobPhase. The code of
 /// an active job is never stored.
 constexpr std::string_view PhaseLetters = "acfxw";
@@ -33,6 +36,7 @@
   if (Tables.empty() || InFlight || Time.now() < RetryAt)
     return;
   InFlight = true;
+  SentAt = Time.now();
   Store.read(Tables.back(), Partition, NextKey,
              Guard.wrap([this](const ReadResult &Page) {
                InFlight = false;
@@ -44,8 +48,11 @@
   if (Page.Outcome != StoreOutcome::Done) {
     ++FailedReads;
     RetryAt = Time.now() + RetryDelay;
+    logPage("state read failed", Page);
     return;
   }
+  if (Time.now() - SentAt >= SlowRead)
+    logPage("state read slow", Page);
   loadPage(Page.Rows);
   if (Page.HasMore && !Page.Rows.empty()) {
     // The smallest key that sorts after the last key of this page.
@@ -56,6 +63,18 @@
   finishTable();
 }
 
+void StateLoader::logPage(std::string_view Event,
+                          const ReadResult &Page) const {
+  Log.event(
+      Event, Partition,
+      {{"table", Tables.back()},
+       {"from", NextKey},
+       {"outcome", std::string(enumName(StoreOutcomeNames, Page.Outcome))},
+       {"rows", std::to_string(Page.Rows.size())},
+       {"bytes", std::to_string(Page.ReceivedBytes)},
+       {"took_ms", std::to_string((Time.now() - SentAt).count())}});
+}
+
 void StateLoader::loadPage(const std::vector<StoredRow> &Rows) {
   for (const StoredRow &Row : Rows) {
     if (PackedChanges.contains({Tables.back(), Row.Key}))
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -70,6 +70,7 @@
 
 private:
   void onPage(const ReadResult &Page);
+  void logPage(std::string_view Event, const ReadResult &Page) const;
   void finishTable();
   void loadPage(const std::vector<StoredRow> &Rows);
   bool loadRow(const StoredRow &Row);
@@ -84,6 +85,7 @@
   std::string NextKey;
   bool InFlight = false;
   std::uint64_t FailedReads = 0;
+  TimePoint SentAt; ///< Of the read in flight.
   TimePoint RetryAt;
   ChangeLog Packed;
   RowChanges PackedChanges; ///< Not yet applied.
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -10,6 +10,9 @@
 /// Maximum number of rows per response.
 constexpr std::size_t PageRows = 500;
 
+/// Maximum size of a response in bytes, with values in base64.
+constexpr std::size_t PageBytes = 1'000'000;
+
 /// Timeout of a call without a response.
 constexpr Duration CallTimeout{1300};
 
@@ -22,9 +25,16 @@
 /// Maximum delay of a transaction that is applied late.
 constexpr int MaxLateMs = 6000;
 
+/// Size of a row in a response without its key and value.
+constexpr std::size_t RowOverhead = 60;
+
 /// Interval at which a watch checks for changes.
 constexpr Duration WatchStep{20};
 
+std::size_t encodedSize(const std::string &Key, const std::string &Value) {
+  return RowOverhead + Key.size() + (Value.size() + 2) / 3 * 4;
+}
+
 } // namespace
 
 bool EmulatedStore::randomChance(double Share) {
@@ -67,11 +77,12 @@
   LostAnswers = 0;
   LateEffects = 0;
   Latency = UsualLatency;
+  BytesPerMs = 0;
 }
 
 bool EmulatedStore::hasFaults() const {
   return Down || !RefusedCallers.empty() || !Cut.empty() || LostAnswers > 0 ||
-         LateEffects > 0 || Latency != UsualLatency ||
+         LateEffects > 0 || Latency != UsualLatency || BytesPerMs > 0 ||
          std::any_of(SilentConnections.begin(), SilentConnections.end(),
                      [](const auto &Entry) { return Entry.second > 0; });
 }
@@ -200,7 +211,8 @@
     });
     return;
   }
-  Time.after(Latency / 2, [this, Table, Partition, From, Callback] {
+  const TimePoint Deadline = Time.now() + CallTimeout;
+  Time.after(Latency / 2, [this, Table, Partition, From, Deadline, Callback] {
     cell::ReadResult Result;
     Result.Outcome = cell::StoreOutcome::Done;
     Result.Version = Version;
@@ -209,14 +221,29 @@
       const auto &[RowTable, RowPart, Key] = Row->first;
       if (RowTable != Table || RowPart != Partition)
         break;
-      if (Result.Rows.size() == PageRows) {
+      const std::size_t Size = encodedSize(Key, Row->second.Value);
+      if (Result.Rows.size() == PageRows ||
+          Result.ReceivedBytes + Size > PageBytes) {
         Result.HasMore = true;
         break;
       }
+      Result.ReceivedBytes += Size;
       Result.Rows.push_back(
           {Table, Key, Row->second.Value, Row->second.Version, false});
     }
-    Time.after(Latency / 2, [Callback, Result] { Callback(Result); });
+    const TimePoint ArrivesAt =
+        Time.now() + Latency / 2 +
+        Duration(BytesPerMs > 0 ? Result.ReceivedBytes / BytesPerMs : 0);
+    if (BytesPerMs == 0 || ArrivesAt <= Deadline) {
+      Time.after(ArrivesAt - Time.now(),
+                 [Callback, Result] { Callback(Result); });
+      return;
+    }
+    cell::ReadResult Partial;
+    Partial.ReceivedBytes =
+        std::size_t((Deadline - Time.now()).count()) * BytesPerMs;
+    Time.after(Deadline - Time.now(),
+               [Callback, Partial] { Callback(Partial); });
   });
 }
 
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -32,6 +32,9 @@
                           ///< later, without a response.
   Duration Latency = UsualLatency;
   static constexpr Duration UsualLatency{5};
+  /// Rate at which the pages of a read arrive, in bytes per millisecond; 0: at
+  /// once.
+  std::size_t BytesPerMs = 0;
 
   /// Ends all injected faults.
   void endFaults();
