Read tables in pages that fit the link

What callers saw: after a takeover an accepted job was not worked on and no call was answered, for as long as a page of the state did not arrive within the timeout of a call (1.3 s).

Cause: a new leader asked for pages of up to 500 rows or 1 MB, and after a timeout for the same page again from its first byte. The time that a page takes depends on the work that waits and on the link; nothing adapted to it. The class: work that starts again from its beginning after each interruption never ends if the interruptions come more often than the work lasts. The same applied to the watchers of tables, which dropped all pages that they had after one failure.

Change: PageSize adapts the number of rows to the time that pages take; reads pass it to the store. A watcher goes on with the page that failed. Reads of a single row ask for one row.

--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -198,7 +198,7 @@
 // and each sequence number belongs to one batch.
 void Journal::readBack() {
   ReadingBack = true;
-  Store.read(LeaderTable, Partition, LeaderKey,
+  Store.read(LeaderTable, Partition, LeaderKey, 1,
              Guard.wrap([this](const ReadResult &Result) {
                ReadingBack = false;
                onReadBack(Result);
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -250,7 +250,7 @@
     if (Other == Shard)
       continue;
     Deps.Store.read(
-        LeaderTable, partitionOf(Other), LeaderKey,
+        LeaderTable, partitionOf(Other), LeaderKey, 1,
         Guard.wrap([this, Other](const ReadResult &Result) {
           if (Result.Outcome != StoreOutcome::Done || Result.Rows.empty())
             return;
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -74,7 +74,7 @@
   if (Layout || ReadingLayout || Deps.Time.now() < NextLayoutRead)
     return;
   ReadingLayout = true;
-  Deps.Store.read(LayoutTable, partitionOf(0), LayoutKey,
+  Deps.Store.read(LayoutTable, partitionOf(0), LayoutKey, 1,
                   Guard.wrap([this](const ReadResult &Result) {
                     ReadingLayout = false;
                     NextLayoutRead = Deps.Time.now() + LayoutReadInterval;
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -98,9 +98,10 @@
                         std::function<void(TransactionResult)> Callback) = 0;
 
   /// Reads one page of the rows in a partition of a table, starting at the key
-  /// \p From.
+  /// \p From. The page has at most \p MaxRows rows, which must be at least 1,
+  /// and may have fewer.
   virtual void read(const std::string &Table, const std::string &Partition,
-                    const std::string &From,
+                    const std::string &From, std::size_t MaxRows,
                     std::function<void(ReadResult)> Callback) = 0;
 
   /// Waits for up to \p Wait until rows of \p Table have changed since version
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -164,7 +164,7 @@
   StoreCallInFlight = true;
   StoreCallSentAt = Now;
   NextLeaderRead = Now + LeaderReadInterval;
-  Deps.Store.read(LeaderTable, partitionOf(Shard), LeaderKey,
+  Deps.Store.read(LeaderTable, partitionOf(Shard), LeaderKey, 1,
                   Guard.wrap([this, Others](const ReadResult &Result) {
                     StoreCallInFlight = false;
                     LeaderReadFailed = Result.Outcome != StoreOutcome::Done;
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -37,7 +37,7 @@
     return;
   InFlight = true;
   SentAt = Time.now();
-  Store.read(Tables.back(), Partition, NextKey,
+  Store.read(Tables.back(), Partition, NextKey, Pages.rows(),
              Guard.wrap([this](const ReadResult &Page) {
                InFlight = false;
                onPage(Page);
@@ -48,13 +48,18 @@
   if (Page.Outcome != StoreOutcome::Done) {
     ++FailedReads;
     RetryAt = Time.now() + RetryDelay;
+    if (Page.Outcome == StoreOutcome::Unknown)
+      Pages.onTimeout();
     logPage("state read failed", Page);
     return;
   }
-  if (Time.now() - SentAt >= SlowRead)
+  const Duration Elapsed = Time.now() - SentAt;
+  const bool IsLast = !Page.HasMore || Page.Rows.empty();
+  Pages.onPage(Page.Rows.size(), IsLast, Elapsed);
+  if (Elapsed >= SlowRead)
     logPage("state read slow", Page);
   loadPage(Page.Rows);
-  if (Page.HasMore && !Page.Rows.empty()) {
+  if (!IsLast) {
     // The smallest key that sorts after the last key of this page.
     NextKey = Page.Rows.back().Key + '\x01';
     return;
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -6,6 +6,7 @@
 #include "cell/callbackguard.h"
 #include "cell/changelog.h"
 #include "cell/messages.h"
+#include "cell/pagesize.h"
 #include "cell/ports.h"
 #include "cell/shardlayout.h"
 #include "jobs/clusterpolicy.h"
@@ -83,6 +84,7 @@
   const Callbacks Owner;
   std::vector<std::string> Tables; ///< Still to be read; the last one is next.
   std::string NextKey;
+  PageSize Pages;
   bool InFlight = false;
   std::uint64_t FailedReads = 0;
   TimePoint SentAt; ///< Of the read in flight.
--- a/src/cell/tablewatcher.cpp
+++ b/src/cell/tablewatcher.cpp
@@ -50,10 +50,12 @@
 }
 
 void TableWatcher::readNextPage() {
-  Store.read(Table, Partitions[NextPartition], NextKey,
+  Store.read(Table, Partitions[NextPartition], NextKey, Pages.rows(),
              Guard.wrap([this](const ReadResult &Page) {
                InFlight = false;
                if (Page.Outcome != StoreOutcome::Done) {
+                 if (Page.Outcome == StoreOutcome::Unknown)
+                   Pages.onTimeout();
                  onFailure();
                  return;
                }
@@ -69,8 +71,10 @@
     FirstPageVersion = Page.Version;
     FirstPageSentAt = SentAt;
   }
+  const bool IsLast = !Page.HasMore || Page.Rows.empty();
+  Pages.onPage(Page.Rows.size(), IsLast, LastAnswer - SentAt);
   PartialRows.insert(PartialRows.end(), Page.Rows.begin(), Page.Rows.end());
-  if (Page.HasMore && !Page.Rows.empty()) {
+  if (!IsLast) {
     // The smallest key that sorts after the last key of this page.
     NextKey = Page.Rows.back().Key + '\x01';
     return;
@@ -116,9 +120,6 @@
 void TableWatcher::onFailure() {
   Healthy = false;
   LastFailure = Time.now();
-  PartialRows.clear();
-  NextPartition = 0;
-  NextKey.clear();
   NextCall = Time.now() + RetryDelay;
 }
 
--- a/src/cell/tablewatcher.h
+++ b/src/cell/tablewatcher.h
@@ -4,6 +4,7 @@
 #define APRICOTWING_CELL_TABLEWATCHER_H
 
 #include "cell/callbackguard.h"
+#include "cell/pagesize.h"
 #include "cell/ports.h"
 
 #include <cstdint>
@@ -13,9 +14,10 @@
 
 namespace apricotwing::cell {
 
-/// Reads a whole table and then watches it for changes. Reads the whole table
-/// again if the store no longer has the change history that the watch needs.
-/// Owned by the user of the rows and used on its thread only.
+/// Reads a whole table and then watches it for changes. A read that fails goes
+/// on with the next page. Reads the whole table again if the store no longer
+/// has the change history that the watch needs. Owned by the user of the rows
+/// and used on its thread only.
 class TableWatcher {
 public:
   struct Callbacks {
@@ -79,6 +81,7 @@
   std::vector<StoredRow> PartialRows;
   std::size_t NextPartition = 0; ///< That is read next.
   std::string NextKey;
+  PageSize Pages;
   std::int64_t FirstPageVersion = 0;
   TimePoint FirstPageSentAt;
   std::int64_t Version = -1; ///< -1: the whole table must be read.
--- a/tests/cell/journal_test.cpp
+++ b/tests/cell/journal_test.cpp
@@ -20,7 +20,7 @@
     Record.Process = "n0#1";
     Record.Instance = {"n0", "n0", "zone", 1};
     Store.put(LeaderTable, partitionOf(0), LeaderKey, encode(Record));
-    Handle.read(LeaderTable, partitionOf(0), LeaderKey,
+    Handle.read(LeaderTable, partitionOf(0), LeaderKey, 1,
                 [this](const ReadResult &Result) {
                   Version = Result.Rows.front().Version;
                 });
--- /dev/null
+++ b/tests/cell/pagesize_test.cpp
@@ -0,0 +1,64 @@
+/// \file
+/// Adaptation of the size of pages.
+#include "cell/pagesize.h"
+
+#include <gtest/gtest.h>
+
+namespace apricotwing::cell {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Returns the size after \p Pages full pages, each row of which takes
+/// \p TimePerRow and each page \p Latency.
+PageSize sizeAfter(int Pages, Duration TimePerRow, Duration Latency) {
+  PageSize Result;
+  for (int Page = 0; Page < Pages; ++Page)
+    Result.onPage(Result.rows(), false,
+                  Latency + TimePerRow * Duration::rep(Result.rows()));
+  return Result;
+}
+
+// Guards against many calls for a table that arrives fast.
+TEST(PageSizeTest, GrowsToTheLargestPageOverAFastLink) {
+  EXPECT_EQ(sizeAfter(3, 0ms, 5ms).rows(), 500U);
+}
+
+// Guards against small pages from a store that is slow whatever they contain.
+TEST(PageSizeTest, GrowsWhileTheStoreIsSlow) {
+  EXPECT_GT(sizeAfter(8, 0ms, 300ms).rows(), 40U);
+}
+
+// Guards against pages that use up the timeout of a call.
+TEST(PageSizeTest, KeepsPagesShortOverANarrowLink) {
+  const PageSize Size = sizeAfter(10, 20ms, 5ms);
+  EXPECT_LE(20ms * Duration::rep(Size.rows()), 500ms);
+  EXPECT_GE(20ms * Duration::rep(Size.rows()), 200ms);
+}
+
+// Guards against a page of small rows that is followed by one of large rows.
+TEST(PageSizeTest, ShrinksAfterTimeoutsToASingleRow) {
+  PageSize Size = sizeAfter(3, 0ms, 5ms);
+  for (int Timeout = 0; Timeout < 6; ++Timeout)
+    Size.onTimeout();
+  EXPECT_EQ(Size.rows(), 1U);
+}
+
+// Guards against growth after the last page of a small table, which is fast
+// whatever the link is like.
+TEST(PageSizeTest, DoesNotGrowAfterALastPage) {
+  PageSize Size;
+  const std::size_t Before = Size.rows();
+  Size.onPage(1, true, 5ms);
+  EXPECT_EQ(Size.rows(), Before);
+}
+
+// Guards against a size of zero after an empty page.
+TEST(PageSizeTest, AsksForAtLeastOneRow) {
+  PageSize Size;
+  Size.onPage(0, true, 5000ms);
+  EXPECT_GE(Size.rows(), 1U);
+}
+
+} // namespace
+} // namespace apricotwing::cell
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -192,14 +192,15 @@
 
 void EmulatedStore::Handle::read(
     const std::string &Table, const std::string &Partition,
-    const std::string &From, std::function<void(cell::ReadResult)> Callback) {
-  Store.readPage(Name, Table, Partition, From,
+    const std::string &From, std::size_t MaxRows,
+    std::function<void(cell::ReadResult)> Callback) {
+  Store.readPage(Name, Table, Partition, From, MaxRows,
                  Store.overConnection(Name, CallTimeout, std::move(Callback)));
 }
 
 void EmulatedStore::readPage(
     const std::string &Caller, const std::string &Table,
-    const std::string &Partition, const std::string &From,
+    const std::string &Partition, const std::string &From, std::size_t MaxRows,
     const std::function<void(cell::ReadResult)> &Callback) {
   const bool IsCut = Cut.contains(Caller);
   if (IsCut || isRefusing(Caller)) {
@@ -212,39 +213,40 @@
     return;
   }
   const TimePoint Deadline = Time.now() + CallTimeout;
-  Time.after(Latency / 2, [this, Table, Partition, From, Deadline, Callback] {
-    cell::ReadResult Result;
-    Result.Outcome = cell::StoreOutcome::Done;
-    Result.Version = Version;
-    for (auto Row = Rows.lower_bound({Table, Partition, From});
-         Row != Rows.end(); ++Row) {
-      const auto &[RowTable, RowPart, Key] = Row->first;
-      if (RowTable != Table || RowPart != Partition)
-        break;
-      const std::size_t Size = encodedSize(Key, Row->second.Value);
-      if (Result.Rows.size() == PageRows ||
-          Result.ReceivedBytes + Size > PageBytes) {
-        Result.HasMore = true;
-        break;
-      }
-      Result.ReceivedBytes += Size;
-      Result.Rows.push_back(
-          {Table, Key, Row->second.Value, Row->second.Version, false});
-    }
-    const TimePoint ArrivesAt =
-        Time.now() + Latency / 2 +
-        Duration(BytesPerMs > 0 ? Result.ReceivedBytes / BytesPerMs : 0);
-    if (BytesPerMs == 0 || ArrivesAt <= Deadline) {
-      Time.after(ArrivesAt - Time.now(),
-                 [Callback, Result] { Callback(Result); });
-      return;
-    }
-    cell::ReadResult Partial;
-    Partial.ReceivedBytes =
-        std::size_t((Deadline - Time.now()).count()) * BytesPerMs;
-    Time.after(Deadline - Time.now(),
-               [Callback, Partial] { Callback(Partial); });
-  });
+  Time.after(
+      Latency / 2, [this, Table, Partition, From, MaxRows, Deadline, Callback] {
+        cell::ReadResult Result;
+        Result.Outcome = cell::StoreOutcome::Done;
+        Result.Version = Version;
+        for (auto Row = Rows.lower_bound({Table, Partition, From});
+             Row != Rows.end(); ++Row) {
+          const auto &[RowTable, RowPart, Key] = Row->first;
+          if (RowTable != Table || RowPart != Partition)
+            break;
+          const std::size_t Size = encodedSize(Key, Row->second.Value);
+          if (Result.Rows.size() == std::min(MaxRows, PageRows) ||
+              Result.ReceivedBytes + Size > PageBytes) {
+            Result.HasMore = true;
+            break;
+          }
+          Result.ReceivedBytes += Size;
+          Result.Rows.push_back(
+              {Table, Key, Row->second.Value, Row->second.Version, false});
+        }
+        const TimePoint ArrivesAt =
+            Time.now() + Latency / 2 +
+            Duration(BytesPerMs > 0 ? Result.ReceivedBytes / BytesPerMs : 0);
+        if (BytesPerMs == 0 || ArrivesAt <= Deadline) {
+          Time.after(ArrivesAt - Time.now(),
+                     [Callback, Result] { Callback(Result); });
+          return;
+        }
+        cell::ReadResult Partial;
+        Partial.ReceivedBytes =
+            std::size_t((Deadline - Time.now()).count()) * BytesPerMs;
+        Time.after(Deadline - Time.now(),
+                   [Callback, Partial] { Callback(Partial); });
+      });
 }
 
 void EmulatedStore::Handle::watch(
@@ -262,7 +264,7 @@
     Store.Time.after(ReadChangesTimeout,
                      [Callback] { Callback(cell::ReadResult{}); });
   else if (After < 0)
-    Store.readPage(Name, Table, "", "", Callback);
+    Store.readPage(Name, Table, "", "", PageRows, Callback);
   else
     Store.pollWatch(Name, Table, After, Store.Time.now(), Callback);
 }
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -75,7 +75,7 @@
     transact(const cell::Transaction &Changes,
              std::function<void(cell::TransactionResult)> Callback) override;
     void read(const std::string &Table, const std::string &Partition,
-              const std::string &From,
+              const std::string &From, std::size_t MaxRows,
               std::function<void(cell::ReadResult)> Callback) override;
     void watch(const std::string &Table, std::int64_t After, Duration Wait,
                std::function<void(cell::ReadResult)> Callback) override;
@@ -110,6 +110,7 @@
   void write(const Name &Key, const std::optional<std::string> &Value);
   void readPage(const std::string &Caller, const std::string &Table,
                 const std::string &Partition, const std::string &From,
+                std::size_t MaxRows,
                 const std::function<void(cell::ReadResult)> &Callback);
   void pollWatch(const std::string &Caller, const std::string &Table,
                  std::int64_t After, TimePoint Until,
--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -32,7 +32,7 @@
   void transact(const cell::Transaction &,
                 std::function<void(cell::TransactionResult)>) override {}
   void read(const std::string &, const std::string &, const std::string &,
-            std::function<void(cell::ReadResult)>) override {}
+            std::size_t, std::function<void(cell::ReadResult)>) override {}
   void watch(const std::string &, std::int64_t, Duration,
              std::function<void(cell::ReadResult)>) override {}
   void readChanges(const std::string &, std::int64_t,
