--- a/src/httpclient/asynchttpclient.cpp
+++ b/src/httpclient/asynchttpclient.cpp
@@ -53,6 +53,11 @@
   HttpResult Result;
   HeaderList Headers{nullptr, curl_slist_free_all};
   std::unique_ptr<Transfer> TransferContext;
+
+  /// When the call ends unless it makes progress. Requires a StallTimeout.
+  std::chrono::steady_clock::time_point stallDeadline() const {
+    return TransferContext->LastProgress + *Call.StallTimeout;
+  }
 };
 
 /// The event loop of the client's thread. libcurl reports the sockets to wait
@@ -67,6 +72,8 @@
   moodycamel::ConcurrentQueue<std::unique_ptr<PendingCall>> Submitted;
   std::map<CURL *, std::unique_ptr<PendingCall>> ActiveCalls;
   std::vector<CURL *> IdleHandles;
+  /// When to check the calls that have a StallTimeout, at the latest.
+  std::multimap<std::chrono::steady_clock::time_point, CURL *> StallChecks;
   /// When a call with AvoidOldConnections last had no response in time, by
   /// address.
   std::map<std::string, std::chrono::steady_clock::time_point> LastTimeouts;
@@ -173,6 +180,8 @@
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPIDLE, KeepAliveSeconds);
     curl_easy_setopt(Handle, CURLOPT_TCP_KEEPINTVL, KeepAliveSeconds);
+    if (Pending->Call.StallTimeout)
+      StallChecks.emplace(Pending->stallDeadline(), Handle);
     ActiveCalls.emplace(Handle, std::move(Pending));
     curl_multi_add_handle(Multi, Handle);
   }
@@ -180,6 +189,9 @@
   void completeCall(CURL *Handle, CURLcode Code) {
     curl_multi_remove_handle(Multi, Handle);
     auto Found = ActiveCalls.extract(Handle);
+    std::erase_if(StallChecks, [Handle](const auto &Check) {
+      return Check.second == Handle;
+    });
     IdleHandles.push_back(Handle);
     const std::unique_ptr<PendingCall> Pending = std::move(Found.mapped());
     finishTransfer(*Pending->TransferContext, Code, Handle);
@@ -195,15 +207,35 @@
         completeCall(Message->easy_handle, Message->data.result);
   }
 
-  /// Waits for a socket event, the timer or a new call, then lets libcurl
-  /// handle the events.
+  void endStalledCalls() {
+    const auto Now = std::chrono::steady_clock::now();
+    while (!StallChecks.empty() && StallChecks.begin()->first <= Now) {
+      CURL *Handle = StallChecks.begin()->second;
+      StallChecks.erase(StallChecks.begin());
+      const auto Deadline = ActiveCalls.at(Handle)->stallDeadline();
+      if (Deadline > Now)
+        StallChecks.emplace(Deadline, Handle);
+      else
+        completeCall(Handle, CURLE_OPERATION_TIMEDOUT);
+    }
+  }
+
+  /// Shortens \p WaitMs so that it ends at \p Deadline.
+  static void limitWait(int &WaitMs,
+                        std::chrono::steady_clock::time_point Deadline) {
+    const auto Remaining = std::chrono::ceil<std::chrono::milliseconds>(
+        Deadline - std::chrono::steady_clock::now());
+    WaitMs = int(std::clamp<std::int64_t>(Remaining.count(), 0, WaitMs));
+  }
+
+  /// Waits for a socket event, a timer or a new call, then lets libcurl handle
+  /// the events.
   void waitAndDispatch() {
     int WaitMs = MaxWaitMs;
-    if (TimerDeadline) {
-      const auto Remaining = std::chrono::ceil<std::chrono::milliseconds>(
-          *TimerDeadline - std::chrono::steady_clock::now());
-      WaitMs = int(std::clamp<std::int64_t>(Remaining.count(), 0, MaxWaitMs));
-    }
+    if (TimerDeadline)
+      limitWait(WaitMs, *TimerDeadline);
+    if (!StallChecks.empty())
+      limitWait(WaitMs, StallChecks.begin()->first);
     std::array<epoll_event, MaxEventsPerWait> ReadyEvents{};
     const int Count = epoll_wait(EpollFd, ReadyEvents.data(),
                                  int(ReadyEvents.size()), WaitMs);
@@ -261,6 +293,7 @@
       Loop->startTransfer(std::move(Next));
     Loop->waitAndDispatch();
     Loop->completeFinishedCalls();
+    Loop->endStalledCalls();
   }
 }
 
--- a/src/httpclient/httpclient.h
+++ b/src/httpclient/httpclient.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -53,6 +54,10 @@
   std::string Body;
   Duration ConnectTimeout{1000};
   Duration Timeout{2000}; ///< For the whole call, including the connect.
+  /// If set: the call also ends once no part of the request or response has
+  /// been transferred for this long, so that Timeout can leave time for large
+  /// ones. Only AsyncHttpClient does this.
+  std::optional<Duration> StallTimeout;
   ConnectionUse Connections = ConnectionUse::Reused;
 
   /// Whether libcurl may send the request a second time within this call. It
--- a/src/httpclient/transfer.cpp
+++ b/src/httpclient/transfer.cpp
@@ -27,6 +27,7 @@
 std::size_t onBodyData(char *Data, std::size_t, std::size_t Size,
                        void *Context) {
   auto &State = *static_cast<Transfer *>(Context);
+  State.LastProgress = std::chrono::steady_clock::now();
   if (State.Result.Body.size() + Size > State.Call.MaxResponseBytes) {
     State.Overflowed = true;
     return 0;
@@ -35,6 +36,16 @@
   return Size;
 }
 
+int onProgress(void *Context, curl_off_t, curl_off_t, curl_off_t,
+               curl_off_t Sent) {
+  auto &State = *static_cast<Transfer *>(Context);
+  if (Sent != State.SentBytes) {
+    State.SentBytes = Sent;
+    State.LastProgress = std::chrono::steady_clock::now();
+  }
+  return 0;
+}
+
 std::string_view trimWhitespace(std::string_view Text) {
   const auto IsSpace = [](char Letter) {
     return Letter == ' ' || Letter == '\t' || Letter == '\r' || Letter == '\n';
@@ -112,6 +123,11 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &State);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, onHeaderLine);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &State);
+  if (!State.Call.StallTimeout)
+    return;
+  curl_easy_setopt(Handle, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(Handle, CURLOPT_XFERINFOFUNCTION, onProgress);
+  curl_easy_setopt(Handle, CURLOPT_XFERINFODATA, &State);
 }
 
 } // namespace
--- a/src/httpclient/transfer.h
+++ b/src/httpclient/transfer.h
@@ -8,6 +8,7 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -23,6 +24,10 @@
   int SendCount = 0;
   bool SendDenied = false;
   bool Overflowed = false;
+  /// When a part of the request or response was last transferred.
+  std::chrono::steady_clock::time_point LastProgress =
+      std::chrono::steady_clock::now();
+  curl_off_t SentBytes = 0; ///< Of the request body.
 };
 
 /// False if the URL or a header contains a line break or a null character.
