--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -180,12 +180,17 @@
     return;
   }
   const bool Lost = Target.randomChance(Target.LostAnswers);
-  Target.Time.after(Target.Latency / 2, [&Target, Changes, Callback, Lost] {
-    const cell::TransactionResult Result = Target.apply(Changes);
-    if (!Lost)
-      Target.Time.after(Target.Latency / 2,
-                        [Callback, Result] { Callback(Result); });
-  });
+  std::size_t Size = 0;
+  for (const cell::RowChange &Row : Changes.Changes)
+    Size += encodedSize(Row.Key, Row.Value.value_or(""));
+  Target.Time.after(
+      Target.Latency / 2 + Target.transferTime(Size),
+      [&Target, Changes, Callback, Lost] {
+        const cell::TransactionResult Result = Target.apply(Changes);
+        if (!Lost)
+          Target.Time.after(Target.Latency / 2,
+                            [Callback, Result] { Callback(Result); });
+      });
   if (Lost)
     Fail(cell::StoreOutcome::Unknown, CallTimeout);
 }
@@ -213,40 +218,39 @@
     return;
   }
   const TimePoint Deadline = Time.now() + CallTimeout;
-  Time.after(
-      Latency / 2, [this, Table, Partition, From, MaxRows, Deadline, Callback] {
-        cell::ReadResult Result;
-        Result.Outcome = cell::StoreOutcome::Done;
-        Result.Version = Version;
-        for (auto Row = Rows.lower_bound({Table, Partition, From});
-             Row != Rows.end(); ++Row) {
-          const auto &[RowTable, RowPart, Key] = Row->first;
-          if (RowTable != Table || RowPart != Partition)
-            break;
-          const std::size_t Size = encodedSize(Key, Row->second.Value);
-          if (Result.Rows.size() == std::min(MaxRows, PageRows) ||
-              Result.ReceivedBytes + Size > PageBytes) {
-            Result.HasMore = true;
-            break;
-          }
-          Result.ReceivedBytes += Size;
-          Result.Rows.push_back(
-              {Table, Key, Row->second.Value, Row->second.Version, false});
-        }
-        const TimePoint ArrivesAt =
-            Time.now() + Latency / 2 +
-            Duration(BytesPerMs > 0 ? Result.ReceivedBytes / BytesPerMs : 0);
-        if (BytesPerMs == 0 || ArrivesAt <= Deadline) {
-          Time.after(ArrivesAt - Time.now(),
-                     [Callback, Result] { Callback(Result); });
-          return;
-        }
-        cell::ReadResult Partial;
-        Partial.ReceivedBytes =
-            std::size_t((Deadline - Time.now()).count()) * BytesPerMs;
-        Time.after(Deadline - Time.now(),
-                   [Callback, Partial] { Callback(Partial); });
-      });
+  Time.after(Latency / 2,
+             [this, Table, Partition, From, MaxRows, Deadline, Callback] {
+               cell::ReadResult Result;
+               Result.Outcome = cell::StoreOutcome::Done;
+               Result.Version = Version;
+               for (auto Row = Rows.lower_bound({Table, Partition, From});
+                    Row != Rows.end(); ++Row) {
+                 const auto &[RowTable, RowPart, Key] = Row->first;
+                 if (RowTable != Table || RowPart != Partition)
+                   break;
+                 const std::size_t Size = encodedSize(Key, Row->second.Value);
+                 if (Result.Rows.size() == std::min(MaxRows, PageRows) ||
+                     Result.ReceivedBytes + Size > PageBytes) {
+                   Result.HasMore = true;
+                   break;
+                 }
+                 Result.ReceivedBytes += Size;
+                 Result.Rows.push_back({Table, Key, Row->second.Value,
+                                        Row->second.Version, false});
+               }
+               const TimePoint ArrivesAt = Time.now() + Latency / 2 +
+                                           transferTime(Result.ReceivedBytes);
+               if (BytesPerMs == 0 || ArrivesAt <= Deadline) {
+                 Time.after(ArrivesAt - Time.now(),
+                            [Callback, Result] { Callback(Result); });
+                 return;
+               }
+               cell::ReadResult Partial;
+               Partial.ReceivedBytes =
+                   std::size_t((Deadline - Time.now()).count()) * BytesPerMs;
+               Time.after(Deadline - Time.now(),
+                          [Callback, Partial] { Callback(Partial); });
+             });
 }
 
 void EmulatedStore::Handle::watch(
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -32,8 +32,8 @@
                           ///< later, without a response.
   Duration Latency = UsualLatency;
   static constexpr Duration UsualLatency{5};
-  /// Rate at which the pages of a read arrive, in bytes per millisecond; 0: at
-  /// once.
+  /// Rate at which the pages of a read and the changes of a transaction arrive,
+  /// in bytes per millisecond; 0: at once.
   std::size_t BytesPerMs = 0;
 
   /// Ends all injected faults.
@@ -98,6 +98,10 @@
     cell::StoredRow Row;
   };
 
+  /// Time that \p Bytes take to arrive.
+  Duration transferTime(std::size_t Bytes) const {
+    return Duration(BytesPerMs > 0 ? Bytes / BytesPerMs : 0);
+  }
   bool randomChance(double Share);
   bool isRefusing(const std::string &Caller) const;
   /// Wraps the callback of a call that \p Caller sends now, so that it reports
