Write responses after the request handler has returned

RESTinio starts to read the next request twice if a handler responds before it returns: once when the handler returns and once when the response is written. The second start discards what was parsed of a pipelined request, or hands over a request for which the connection has no room. The client then got no response, status 400 or the response of a later request, and a request that was registered but never answered kept a stopping server waiting for 15 s, so that an entry process was killed at the end of its grace period. Such immediate responses are those to calls that cannot be decoded, and refusals.

A response to HEAD no longer has a body, which the client took for the start of the next response.

Before the change, KeepsAPartialRequestThatFollowsAnImmediateResponse failed with status 400, AnswersPipelinedRequestsInOrder with a closed connection after 15 s, and SendsNoBodyInResponseToHead with the body.

--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -123,17 +123,44 @@
 void writeResponse(const restinio::request_handle_t &Request,
                    HttpResponse Response, bool Close,
                    std::function<void()> OnWritten) {
-  auto Builder = Request->create_response(restinio::http_status_line_t{
+  const restinio::http_status_line_t Status{
       restinio::http_status_code_t{std::uint16_t(Response.Status)},
-      reasonPhrase(Response.Status)});
-  if (!Response.ContentType.empty())
-    Builder.append_header("Content-Type", std::move(Response.ContentType));
-  for (auto &[Name, Value] : Response.Headers)
-    Builder.append_header(Name, Value);
-  if (Close)
-    Builder.connection_close();
+      reasonPhrase(Response.Status)};
+  const auto AppendHeaders = [&](auto &Builder) {
+    if (!Response.ContentType.empty())
+      Builder.append_header("Content-Type", std::move(Response.ContentType));
+    for (auto &[Name, Value] : Response.Headers)
+      Builder.append_header(Name, Value);
+    if (Close)
+      Builder.connection_close();
+  };
+  const auto Done = [OnWritten = std::move(OnWritten)](const auto &) {
+    OnWritten();
+  };
+  if (Request->header().method() == restinio::http_method_head()) {
+    auto Builder =
+        Request->create_response<restinio::user_controlled_output_t>(Status);
+    AppendHeaders(Builder);
+    Builder.set_content_length(Response.Body.size());
+    Builder.done(Done);
+    return;
+  }
+  auto Builder = Request->create_response(Status);
+  AppendHeaders(Builder);
   Builder.set_body(std::move(Response.Body));
-  Builder.done([Done = std::move(OnWritten)](const auto &) { Done(); });
+  Builder.done(Done);
+}
+
+/// The same, for callers that cannot handle exceptions.
+void tryWriteResponse(const restinio::request_handle_t &Request,
+                      HttpResponse Response, bool Close,
+                      const std::function<void()> &OnWritten) noexcept {
+  try {
+    writeResponse(Request, std::move(Response), Close, OnWritten);
+  } catch (const std::exception &) {
+    // The connection is closed, so the response cannot be delivered.
+    OnWritten();
+  }
 }
 
 /// HttpServer on RESTinio; see core/httpserver.h. Runs its own I/O threads
@@ -226,7 +253,16 @@
       const bool Close = Stopping ||
                          Response.Status == httpStatus(ErrorKind::TooLarge) ||
                          !Request->header().should_keep_alive();
-      writeResponse(Request, std::move(Response), Close, std::move(OnWritten));
+      // RESTinio reads on twice if the response is written before its request
+      // handler returns, and discards what it has parsed of the next request.
+      if (IoContext.get_executor().running_in_this_thread())
+        asio::post(IoContext, [Request, Response = std::move(Response), Close,
+                               OnWritten = std::move(OnWritten)]() mutable {
+          tryWriteResponse(Request, std::move(Response), Close, OnWritten);
+        });
+      else
+        writeResponse(Request, std::move(Response), Close,
+                      std::move(OnWritten));
     });
     try {
       Handler(toHttpRequest(Request), [Pending](HttpResponse Response) {
--- a/tests/httpclient/httpserver_test.cpp
+++ b/tests/httpclient/httpserver_test.cpp
@@ -10,7 +10,9 @@
 #include <chrono>
 #include <future>
 #include <list>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace apricotwing {
 namespace {
@@ -36,15 +38,16 @@
 
   /// Returns the status of the next response and stores its head and body in
   /// Head and Body. Returns 0 if the server closed the connection and -1 after
-  /// the timeout Generous.
-  int readResponse() {
+  /// the timeout Generous. A response to HEAD has no body, whatever its
+  /// Content-Length is.
+  int readResponse(bool ToHead = false) {
     std::size_t End = 0;
     while ((End = Buffer.find("\r\n\r\n")) == std::string::npos)
       if (const int ReceivedBytes = receive(); ReceivedBytes <= 0)
         return ReceivedBytes;
     Head = Buffer.substr(0, End);
     const std::size_t Position = Head.find("Content-Length: ");
-    const std::size_t Length = Position == std::string::npos
+    const std::size_t Length = ToHead || Position == std::string::npos
                                    ? 0
                                    : std::stoul(Head.substr(Position + 16));
     while (Buffer.size() < End + 4 + Length)
@@ -124,6 +127,71 @@
   }
 }
 
+// Guards against a pipelined request whose first part is discarded after a
+// response that the handler sent before it returned. The client then got no
+// response, status 400, or the response of a later request.
+TEST(HttpServerTest, KeepsAPartialRequestThatFollowsAnImmediateResponse) {
+  const auto Server = startHttpServer(testServerOptions(), echo);
+  RawClient Client(Server->port());
+  for (int Index = 0; Index < 20; ++Index) {
+    const std::string First = "first " + std::to_string(Index);
+    const std::string Second = post("second " + std::to_string(Index));
+    const std::size_t Middle = Second.size() * std::size_t(Index + 1) / 21;
+    Client.send(post(First) + Second.substr(0, Middle));
+    ASSERT_EQ(Client.readResponse(), 200);
+    EXPECT_EQ(Client.Body, "POST /echo?a=1 V " + First);
+    std::this_thread::sleep_for(5ms);
+    Client.send(Second.substr(Middle));
+    ASSERT_EQ(Client.readResponse(), 200);
+    EXPECT_EQ(Client.Body, "POST /echo?a=1 V second " + std::to_string(Index));
+  }
+}
+
+// Guards against a connection that is closed, or requests that get no response,
+// when several pipelined requests are answered by the handler itself or later
+// by another thread.
+TEST(HttpServerTest, AnswersPipelinedRequestsInOrder) {
+  std::vector<std::future<void>> PendingResponses;
+  const auto Server = startHttpServer(
+      testServerOptions(), [&PendingResponses](const HttpRequest &Request,
+                                               const Responder &Respond) {
+        if (Request.Path == "/now") {
+          echo(Request, Respond);
+          return;
+        }
+        PendingResponses.push_back(
+            std::async(std::launch::async, [Request, Respond] {
+              std::this_thread::sleep_for(2ms);
+              echo(Request, Respond);
+            }));
+      });
+  RawClient Client(Server->port());
+  for (int Index = 0; Index < 20; ++Index) {
+    const std::vector<std::string> Paths{"/now", "/later", "/now", "/now",
+                                         "/later"};
+    std::string Text;
+    for (const std::string &Path : Paths)
+      Text += post(std::to_string(Index), Path);
+    Client.send(Text);
+    for (const std::string &Path : Paths) {
+      ASSERT_EQ(Client.readResponse(), 200);
+      EXPECT_EQ(Client.Body, "POST " + Path + "? V " + std::to_string(Index));
+    }
+  }
+}
+
+// Guards against a body in the response to HEAD, which a client takes for the
+// start of the next response.
+TEST(HttpServerTest, SendsNoBodyInResponseToHead) {
+  const auto Server = startHttpServer(testServerOptions(), echo);
+  RawClient Client(Server->port());
+  Client.send("HEAD /head HTTP/1.1\r\nHost: x\r\n\r\n" + post("x"));
+  ASSERT_EQ(Client.readResponse(/*ToHead=*/true), 200);
+  EXPECT_NE(Client.Head.find("Content-Length: 13"), std::string::npos);
+  ASSERT_EQ(Client.readResponse(), 200);
+  EXPECT_EQ(Client.Body, "POST /echo?a=1 V x");
+}
+
 // Guards against a client that waits forever because a handler dropped its
 // request, and against reporting such a request as "not run".
 TEST(HttpServerTest, DroppedResponderYieldsUnknownOutcome) {
