Answer calls and peers that arrive while an entry process ends

A call that was decoded while run() ended was queued after the last work had been performed. It got no answer, and the process was killed at the end of the grace period, 2.4 s later. A message of a peer that arrived while the client server was closed had the same effect. Such work is now refused once the queue is drained for the last time.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -89,6 +89,11 @@
     : Settings(std::move(Settings)), Control(Control), Node(Node), Log(Log),
       Time(Time), Codec(Codec) {}
 
+bool EntryProcess::postWork(ControlLoop::Work Item) {
+  const std::lock_guard Lock(IntakeMutex);
+  return !IntakeClosed && Control.tryPost(std::move(Item));
+}
+
 void EntryProcess::serveClient(const HttpRequest &Request,
                                const Responder &Respond) {
   if (RefusingCalls) {
@@ -104,20 +109,24 @@
     return;
   }
   const bool Queued =
-      Control.tryPost([this, Call = std::move(*Call), Respond]() mutable {
+      postWork([this, Call = std::move(*Call), Respond]() mutable {
         Node.serve(std::move(Call),
                    [this, Respond](const cell::ClientAnswer &Answer) {
                      Respond(Codec.encodeAnswer(Answer));
                    });
       });
-  if (!Queued)
-    Respond(Codec.encodeAnswer({cell::ClientStatus::Unavailable}));
+  if (!Queued) {
+    cell::ClientAnswer Refusal{cell::ClientStatus::Unavailable};
+    if (RefusingCalls)
+      Refusal.RetryAfter = ShutdownRetryAfter;
+    Respond(Codec.encodeAnswer(Refusal));
+  }
 }
 
 void EntryProcess::servePeer(HttpRequest Request, const Responder &Respond) {
   if (Request.Path == PeerMessagePath) {
     const bool Queued =
-        Control.tryPost([this, Body = std::move(Request.Body), Respond] {
+        postWork([this, Body = std::move(Request.Body), Respond] {
           Node.receive(Body, [Respond](std::optional<std::string> Reply) {
             HttpResponse Response = statusOnly(Reply ? 200 : 503);
             if (Reply)
@@ -139,7 +148,7 @@
     Respond(statusOnly(404));
     return;
   }
-  Control.tryPost([this, Metrics, Respond] {
+  postWork([this, Metrics, Respond] {
     HttpResponse Response;
     Response.Body = Metrics ? metrics() : stateDump();
     if (Metrics)
@@ -321,6 +330,10 @@
   // A call without an answer would keep its connection open, and with it the
   // server. Calls that are still queued are therefore served as well.
   RefusingCalls = true;
+  {
+    const std::lock_guard Lock(IntakeMutex);
+    IntakeClosed = true;
+  }
   Control.drain();
   Node.failOpenCalls();
   Log.event("stopped", Settings.Instance.Name, {});
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -63,6 +64,9 @@
 private:
   void serveClient(const HttpRequest &Request, const Responder &Respond);
   void servePeer(HttpRequest Request, const Responder &Respond);
+  /// Queues work for the control thread. Returns false if too much work is
+  /// waiting or run() no longer performs any. Thread-safe.
+  bool postWork(ControlLoop::Work Item);
   std::string metrics() const;
   std::string stateDump() const;
   void pump(const std::atomic<bool> &StopRequested);
@@ -75,6 +79,8 @@
   const ClientCodec &Codec;
   std::atomic<bool> Ready = false;
   std::atomic<bool> RefusingCalls = false; ///< New calls are refused at once.
+  std::mutex IntakeMutex;
+  bool IntakeClosed = false; ///< Guarded by IntakeMutex.
   bool WasReady = false;
   std::uint64_t InternalErrors = 0;
   std::optional<TimePoint> StoppingSince;
--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/entryprocess.h"
 
+#include "entry/httppeertransport.h"
 #include "httpclient/steadyclock.h"
 
 #include <gtest/gtest.h>
@@ -81,6 +82,27 @@
 
 constexpr std::size_t ConnectionCount = 250;
 
+/// Codec that takes a long time to decode calls below /slow/.
+class SlowClientCodec final : public ClientCodec {
+public:
+  explicit SlowClientCodec(Duration DecodeTime) : DecodeTime(DecodeTime) {}
+
+  std::optional<cell::ClientCall>
+  decodeCall(const HttpRequest &Request) const override {
+    if (Request.Path.starts_with("/slow/"))
+      std::this_thread::sleep_for(DecodeTime);
+    return Plain.decodeCall(Request);
+  }
+  HttpResponse encodeAnswer(const cell::ClientAnswer &Answer) const override {
+    return Plain.encodeAnswer(Answer);
+  }
+  std::string readyPath() const override { return Plain.readyPath(); }
+
+private:
+  const Duration DecodeTime;
+  const FakeClientCodec Plain;
+};
+
 /// Connects to a port on loopback. Returns the socket, or a negative number if
 /// the connection is refused.
 int connectTo(int Port) {
@@ -102,8 +124,8 @@
 /// Sends a request and waits for its response. Returns the number of bytes
 /// received, 0 if there is no response, or a negative number if the request
 /// could not be sent.
-int exchange(int Socket) {
-  const std::string Text = "GET /queue/1 HTTP/1.1\r\nHost: x\r\n\r\n";
+int exchange(int Socket, const std::string &Path = "/queue/1") {
+  const std::string Text = "GET " + Path + " HTTP/1.1\r\nHost: x\r\n\r\n";
   if (send(Socket, Text.data(), Text.size(), MSG_NOSIGNAL) < 0)
     return -1;
   std::array<char, 512> Answer{};
@@ -164,5 +186,96 @@
   EXPECT_LE(Unanswered, 1);
 }
 
+/// A process that is asked to stop when it starts. It refuses calls from 3.6 s
+/// on. Calls below /slow/ take 1.5 s to decode.
+class StoppingProcess {
+public:
+  StoppingProcess()
+      : Settings(makeSettings()), Codec(Duration{1500}), Log(Time, "n1"),
+        Node({Platform, Platform, Platform, Platform, Platform, Time, Platform,
+              Log},
+             cell::Timing{}, Settings.Instance, "n1#1"),
+        Process(Settings, Control, Node, Log, Time, Codec), Start(Time.now()),
+        Thread([this] { Process.run(Stop, Reload, [] {}); }) {}
+
+  /// Connects to a port of the process as soon as it listens.
+  int connect(int Port) const {
+    int Socket = -1;
+    while (Socket < 0 && age() < Duration{2000})
+      Socket = connectTo(Port);
+    return Socket;
+  }
+
+  void sleepUntil(Duration Age) const {
+    std::this_thread::sleep_for(Age - age());
+  }
+
+  /// Waits until the process has ended. Returns its lifetime.
+  Duration join() {
+    Thread.join();
+    return age();
+  }
+
+  static int clientPort() { return 20'000 + getpid() % 10'000; }
+  static int peerPort() { return 10'000 + getpid() % 10'000; }
+
+  const EntrySettings Settings;
+
+private:
+  static EntrySettings makeSettings() {
+    EntrySettings Result;
+    Result.Instance = {"n1", "127.0.0.1:" + std::to_string(peerPort()), "zone",
+                       1};
+    Result.ClientAddress = "127.0.0.1:" + std::to_string(clientPort());
+    Result.ReadyAddress = "127.0.0.1:0";
+    Result.GracePeriod = Duration{6000};
+    return Result;
+  }
+
+  Duration age() const { return Time.now() - Start; }
+
+  const SteadyClock Time;
+  UnresponsivePlatform Platform;
+  const SlowClientCodec Codec;
+  DecisionLog Log;
+  ControlLoop Control;
+  cell::Node Node;
+  EntryProcess Process;
+  const std::atomic<bool> Stop = true;
+  std::atomic<bool> Reload = false;
+  const TimePoint Start;
+  std::thread Thread;
+};
+
+// Guards against a call that was decoded while the process stopped taking
+// calls. It was queued after the last work had run, so its client got no answer
+// and the process was killed at the end of the grace period.
+TEST(EntryProcessTest, AnswersACallThatIsDecodedWhileTheProcessEnds) {
+  StoppingProcess Process;
+  const int Connection = Process.connect(StoppingProcess::clientPort());
+  Process.sleepUntil(Duration{2800});
+  EXPECT_GT(exchange(Connection, "/slow/1"), 0);
+  close(Connection);
+  EXPECT_LT(Process.join(), Process.Settings.GracePeriod);
+}
+
+// Guards against a message of another instance that arrives after the last work
+// has run. It got no reply and kept the process from ending.
+TEST(EntryProcessTest, AnswersPeersWhileTheProcessEnds) {
+  StoppingProcess Process;
+  const int Client = Process.connect(StoppingProcess::clientPort());
+  const int Peer = Process.connect(StoppingProcess::peerPort());
+  Process.sleepUntil(Duration{2800});
+  std::thread SlowCall([&] { exchange(Client, "/slow/1"); });
+  // The servers are closed one after the other; that for clients waits for the
+  // slow call until 4.3 s.
+  Process.sleepUntil(Duration{3950});
+  EXPECT_GT(exchange(Peer, PeerMessagePath), 0);
+  SlowCall.join();
+  close(Client);
+  close(Peer);
+  EXPECT_LT(Process.join(), Process.Settings.GracePeriod);
+}
+
 } // namespace
 } // namespace apricotwing::entry
