Reproduce sound jobs that fail because workers crash at random

In the log lines of lost runs and the crashes that the emulator counted:

- With one leader, three crashes hit each of the 6 tasks.
- With leaders that are killed, each of the traced tasks (4 of 7) has a run that was restored from the store and found lost by the next leader.
Only four of the seven tasks were hit three times; the others had ended, or had not begun, when one of these workers crashed.

--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -425,5 +427,89 @@
   }
 }
 
+/// Crashes of workers, and kills of leaders and other instances, for reasons
+/// that have nothing to do with the jobs.
+struct RandomKills {
+  int WorkerMs = 0; ///< Mean time between two crashes of workers.
+  int ReturnMs = 0; ///< Longest time until a worker is back.
+  int InstanceMs =
+      0; ///< Mean time between two kills; 0: no instance is killed.
+};
+
+/// Plays 48 s of short jobs among random kills. Reports each accepted job that
+/// is not completed half a minute later.
+void expectSoundJobsToEnd(std::uint64_t Seed, const RandomKills &Kills) {
+  EmulatedCell Cell(Seed, 3, 8);
+  Cell.run(2s);
+  std::mt19937_64 Random(Seed);
+  const auto Any = [&Random](int Low, int High) {
+    return std::uniform_int_distribution<int>(Low, High)(Random);
+  };
+  const auto AboutMs = [&Any](int Mean) { return Any(Mean / 2, Mean * 3 / 2); };
+  std::vector<std::string> Ids;
+  std::string Down;
+  int NextCrashMs = Any(0, Kills.WorkerMs);
+  int NextReturnMs = 0;
+  int NextKillMs = Kills.InstanceMs > 0 ? Any(0, Kills.InstanceMs)
+                                        : std::numeric_limits<int>::max();
+  std::multimap<int, std::string> Starts;
+  for (int AtMs = 0; AtMs < 48'000; AtMs += 50) {
+    if (!Down.empty() && AtMs >= NextReturnMs) {
+      Cell.workers().restart(Down);
+      Down.clear();
+    }
+    if (Down.empty() && AtMs >= NextCrashMs) {
+      Down = "w" + std::to_string(Any(0, 7));
+      Cell.workers().crash(Down);
+      NextReturnMs = AtMs + Any(Kills.ReturnMs / 2, Kills.ReturnMs);
+      NextCrashMs = AtMs + AboutMs(Kills.WorkerMs);
+    }
+    for (; !Starts.empty() && Starts.begin()->first <= AtMs;
+         Starts.erase(Starts.begin()))
+      Cell.start(Starts.begin()->second);
+    if (AtMs >= NextKillMs) {
+      const std::string Name =
+          Any(0, 1) == 1 ? Cell.leader() : "n" + std::to_string(Any(0, 2));
+      if (!Name.empty()) {
+        Cell.kill(Name);
+        Starts.emplace(AtMs + 1000, Name);
+      }
+      NextKillMs = AtMs + AboutMs(Kills.InstanceMs);
+    }
+    for (int Count = 0; Count < 5; ++Count) {
+      jobs::StepSpec Step = stepOf(1, 400ms);
+      Step.Request = {1000, 64, 0};
+      Ids.push_back(Cell.submit("n" + std::to_string(Any(0, 2)), Step));
+    }
+    Cell.run(50ms);
+  }
+  Cell.endFaults();
+  Cell.run(30s);
+  for (const std::string &Id : Ids)
+    Cell.read("n1", Id);
+  Cell.run(1s);
+  for (const std::string &Id : Ids)
+    EXPECT_TRUE(!Cell.jobs().at(Id).Accepted ||
+                Cell.jobs().at(Id).View == JobView::Completed)
+        << Id << " of seed " << Seed << " is " << int(Cell.jobs().at(Id).View)
+        << " after " << Cell.workers().crashesUnder(Id + ".0.0.0")
+        << " crashes";
+  for (const std::string &Violation : Cell.workers().violations())
+    ADD_FAILURE() << Violation;
+}
+
+// Guards against sound jobs that fail because workers crash at random and each
+// new leader finds runs whose ends it does not know.
+TEST(CrashLoadTest, SoundJobsEndWhileWorkersAndLeadersCrashAtRandom) {
+  for (const std::uint64_t Seed : {22, 47, 94, 104, 105, 130, 187})
+    expectSoundJobsToEnd(Seed, {3000, 2000, 3000});
+}
+
+// Guards against the same under one leader that sees all crashes.
+TEST(CrashLoadTest, SoundJobsEndWhileWorkersCrashAtRandom) {
+  for (const std::uint64_t Seed : {4, 6, 13, 14, 28})
+    expectSoundJobsToEnd(Seed, {1500, 1000, 0});
+}
+
 } // namespace
 } // namespace apricotwing::emulator
