Log whether a lost run was restored from the store

A run that a new leader knows only from the stored state may have ended long before its worker, and the age in the line "run lost" counts from the takeover. Neither could be told from the log, so a crash under a task could not be told from one after its end.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -273,9 +273,10 @@
       Task.PlacedAt = Now;
       allocateRun(*Host, Added, TaskId{Spec.Id, 0, int(Step), int(Index)},
                   Task.Run, StepDescription, Now);
-      Host->runs()
-          .at(TaskId{Spec.Id, 0, int(Step), int(Index)}.text())
-          .IsDispatched = true;
+      AllocatedRun &Restored =
+          Host->runs().at(TaskId{Spec.Id, 0, int(Step), int(Index)}.text());
+      Restored.IsDispatched = true;
+      Restored.IsRestored = true;
     }
     // The last leader may not have stopped the rest of an incomplete gang.
     if (StepDescription.Gang && Added.Steps[Step].ReadyCount > 0)
@@ -550,7 +551,8 @@
   // Stored even if nothing is counted, so that the next leader does not take
   // the placement for one whose worker was lost unnoticed.
   Changed.insert(Owner->Spec.Id);
-  LostRuns.push_back({Name, Run.Run, Lost, Cause, Age, Task->Crashes.losses()});
+  LostRuns.push_back({Name, Run.Run, Lost, Cause, Age, Task->Crashes.losses(),
+                      Run.IsRestored});
 }
 
 // A task that has been started again may still succeed, so its job does not
@@ -791,6 +793,7 @@
     Owner->HasRun = true;
   if (Allocated != Host.runs().end() && Allocated->second.Run == Run.Run) {
     Allocated->second.IsDispatched = true;
+    Allocated->second.IsRestored = false;
     runProgressed(Host.info().Incarnation, Run);
     return;
   }
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -106,8 +106,9 @@
   std::int64_t Run = 0;
   WorkerIncarnation Worker;
   WorkerLoss Cause = WorkerLoss::ProcessEnded;
-  Duration Age{0}; ///< Time since it was placed.
-  int Losses = 0;  ///< Of workers under its task that count so far.
+  Duration Age{0};       ///< Time since it was placed.
+  int Losses = 0;        ///< Of workers under its task that count so far.
+  bool Restored = false; ///< The leader knew it only from the stored state.
 };
 
 /// Command to start a run of a task.
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -29,6 +29,9 @@
   bool IsUnknown = false;
   /// The order to start it may have reached the worker.
   bool IsDispatched = false;
+  /// Known only from the stored state: the worker has not listed it yet, so it
+  /// may have ended long ago.
+  bool IsRestored = false;
   bool IsSuspect = false; ///< It may crash the worker.
   /// When it was placed, no other run was likely to crash the worker.
   bool IsApart = false;
