Do not fail sound jobs for crashes by chance

What callers saw: accepted jobs shown as failed ("workers crashed under ...") although nothing was wrong with them, while workers crashed at random and leaders changed.

Cause: three ended processes under a task counted as proof against it, whatever else crashed meanwhile, and whether or not the task was at work. A worker that crashes loses some ten short tasks, which wait for seconds for the worker or the next leader and are then spread over all others, so the next crashes at random meet the same tasks again. A run that a new leader knows only from the store may have ended before its worker; its end was lost with the worker and the crash was counted. The class: an outcome was blamed on its companion without asking how often it occurs without that.

Change: CrashRecord tells whether the leader knew that the run had been started (stored as a fifth element, which the former version ignores; it is false if it is missing). A task is given up after three ended processes only if it was known to be at work each time, was apart once, and no worker crashed without its job within a minute. Otherwise it is given up after five, the most that may crash under one task; still after four if one of the workers went silent, as that counts late. A history that has reached its limit also fails the job if the next leader completes it. Three losses at random are not rare, five are.

The price: where workers crash without it as well, a crashing task takes down five workers instead of three.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -157,7 +157,7 @@
 static void to_json(json &To, const CrashRecord &Value) {
   To = json::array({Value.Worker, Value.Run,
                     std::string(enumName(WorkerLossNames, Value.Cause)),
-                    Value.Apart});
+                    Value.Apart, Value.Witnessed});
 }
 static void from_json(const json &From, CrashRecord &Value) {
   From.at(0).get_to(Value.Worker);
@@ -165,6 +165,7 @@
   Value.Cause =
       parseEnum(WorkerLossNames, "cause", From.at(2).get<std::string>());
   From.at(3).get_to(Value.Apart);
+  Value.Witnessed = From.size() > 4 && From.at(4).get<bool>();
 }
 
 static void to_json(json &To, const StepProgress &Value) {
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -248,7 +248,7 @@
     return;
   for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step) {
     const StepSpec &StepDescription = Added.Spec.Steps[Step];
-    restoreCrashes(Added, int(Step));
+    restoreCrashes(Added, int(Step), Now);
     std::vector<TaskState> &Tasks = Added.Steps[Step].Tasks;
     for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
       TaskState &Task = Tasks[Index];
@@ -259,10 +259,10 @@
         // The worker was lost before this term, in which the loss was not
         // stored any more.
         const bool HasSuccessor = worker(Task.Worker.Id) != nullptr;
-        Task.Crashes.add(
-            {Task.Worker, Task.Run,
-             HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone,
-             false});
+        const WorkerLoss Cause =
+            HasSuccessor ? WorkerLoss::ProcessEnded : WorkerLoss::Gone;
+        noteCrash(Task.Worker, Cause, Now);
+        Task.Crashes.add({Task.Worker, Task.Run, Cause});
         if (StepDescription.LongRunning)
           Task.Crashes.keepLatest();
         Added.Steps[Step].HasCrashes = true;
@@ -282,14 +282,22 @@
     if (StepDescription.Gang && Added.Steps[Step].ReadyCount > 0)
       stopPlaced(Added, int(Step), StopCause::GangIncomplete, Now);
   }
+  // Not all crashes that the last leader knew of are known here.
+  for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step)
+    if (Added.Steps[Step].HasCrashes)
+      for (std::size_t Index = 0; Index < Added.Steps[Step].Tasks.size();
+           ++Index)
+        failIfExhausted(TaskId{Spec.Id, 0, int(Step), int(Index)}.text(), true,
+                        Now);
 }
 
 // A worker may have restarted since its loss was stored.
-void JobScheduler::restoreCrashes(Job &CurrentJob, int Step) {
+void JobScheduler::restoreCrashes(Job &CurrentJob, int Step, TimePoint Now) {
   std::vector<TaskState> &Tasks = CurrentJob.Steps[std::size_t(Step)].Tasks;
   for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
     const std::vector<CrashRecord> Records = Tasks[Index].Crashes.records();
     for (const CrashRecord &Record : Records) {
+      noteCrash(Record.Worker, Record.Cause, Now);
       if (Record.Cause == WorkerLoss::ProcessEnded)
         continue;
       const Worker *Known = worker(Record.Worker.Id);
@@ -480,6 +488,7 @@
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
+  noteCrash(Incarnation, Cause, Now);
   releaseAll(*Host, Cause, Now);
   Workers.erase(Incarnation.Id);
   resolveSilence(Incarnation, Cause, Now);
@@ -491,6 +500,7 @@
   if (!Host)
     return;
   Host->setSynced(false);
+  noteCrash(Incarnation, Cause, Now);
   releaseAll(*Host, Cause, Now);
   if (!isSilence(Cause))
     resolveSilence(Incarnation, Cause, Now);
@@ -512,7 +522,7 @@
   for (const auto &[Name, Run] : Allocated) {
     recordLoss(Host, Name, Run, Cause, Now);
     releaseWithoutResult(Host, Name, Run.Run, Now);
-    failIfExhausted(Name, Now);
+    failIfExhausted(Name, false, Now);
   }
   const WorkerIncarnation &Lost = Host.info().Incarnation;
   auto Stop = RunsToStop.lower_bound({Lost, {}, 0});
@@ -537,7 +547,7 @@
     const bool Lasts = Owner->Spec.Steps[Step].LongRunning;
     if (Lasts && Age >= SurvivalTime)
       Task->Crashes.clear();
-    Task->Crashes.add({Lost, Run.Run, Cause, Run.IsApart});
+    Task->Crashes.add({Lost, Run.Run, Cause, Run.IsApart, !Run.IsRestored});
     if (Lasts)
       Task->Crashes.keepLatest();
     Task->LostRunAt = Run.Since;
@@ -557,8 +567,9 @@
 
 // A task that has been started again may still succeed, so its job does not
 // fail before that run has ended. One that lasts must be started again however
-// its runs end.
-void JobScheduler::failIfExhausted(const std::string &Name, TimePoint Now) {
+// its runs end. MayBeChance: crashes without the job may be unknown here.
+void JobScheduler::failIfExhausted(const std::string &Name, bool MayBeChance,
+                                   TimePoint Now) {
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
   const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
@@ -570,7 +581,8 @@
     return;
   const CrashHistory Crashes =
       Owner->Steps[Step].crashesOf(*Task, Owner->Spec.Steps[Step].Gang);
-  if (!Crashes.isExhausted())
+  if (Crashes.losses() < CrashHistory::MaxUniqueEnds ||
+      !Crashes.isExhausted(MayBeChance || hasCrashesElsewhere(*Owner, Now)))
     return;
   Owner->FailureReason = "workers crashed under " + Name + ":";
   for (const CrashRecord &Record : Crashes.records())
@@ -578,6 +590,33 @@
   finishJob(*Owner, JobPhase::Failed, Now);
 }
 
+void JobScheduler::noteCrash(const WorkerIncarnation &Incarnation,
+                             WorkerLoss Cause, TimePoint Now) {
+  std::erase_if(CrashedAt, [Now](const auto &Entry) {
+    return Now - Entry.second >= CrashHistory::ChanceWindow;
+  });
+  if (CrashRecord{Incarnation, 0, Cause}.counts())
+    CrashedAt.try_emplace(Incarnation, Now);
+}
+
+// True if crashes by chance are known: a worker has ended lately that ran
+// nothing of the job.
+bool JobScheduler::hasCrashesElsewhere(const Job &CurrentJob,
+                                       TimePoint Now) const {
+  const auto RanJob = [&CurrentJob](const WorkerIncarnation &Crashed) {
+    for (const StepState &Step : CurrentJob.Steps)
+      for (const TaskState &Task : Step.Tasks)
+        if (Task.Crashes.mentions(Crashed))
+          return true;
+    return false;
+  };
+  return std::any_of(CrashedAt.begin(), CrashedAt.end(),
+                     [&](const auto &Entry) {
+                       return Now - Entry.second < CrashHistory::ChanceWindow &&
+                              !RanJob(Entry.first);
+                     });
+}
+
 // Corrects the history of the tasks on a worker that went silent, now that it
 // is known what has become of it.
 void JobScheduler::resolveSilence(const WorkerIncarnation &Incarnation,
@@ -601,7 +640,7 @@
         !Task->Crashes.update(Incarnation, Cause))
       continue;
     Changed.insert(Owner->Spec.Id);
-    failIfExhausted(Name, Now);
+    failIfExhausted(Name, false, Now);
   }
 }
 
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -323,7 +323,8 @@
                    std::int64_t Run, const StepSpec &Spec, TimePoint Now);
   void recordLoss(const Worker &Host, const std::string &Name,
                   const AllocatedRun &Run, WorkerLoss Cause, TimePoint Now);
-  void failIfExhausted(const std::string &Name, TimePoint Now);
+  void failIfExhausted(const std::string &Name, bool MayBeChance,
+                       TimePoint Now);
   void resolveSilence(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
                       TimePoint Now);
   void resolveSilenceBefore(const WorkerIncarnation &Incarnation,
@@ -338,8 +339,11 @@
   static bool isHeldBack(const Job &CurrentJob, int Step, const TaskState &Task,
                          TimePoint Now);
   bool mayReserve(TimePoint Now) const;
-  void restoreCrashes(Job &CurrentJob, int Step);
+  void restoreCrashes(Job &CurrentJob, int Step, TimePoint Now);
   void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
+  void noteCrash(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
+                 TimePoint Now);
+  bool hasCrashesElsewhere(const Job &CurrentJob, TimePoint Now) const;
   void markUnstarted(Job &CurrentJob);
   void makeReady(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
   void finishTask(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
@@ -424,6 +428,8 @@
   WaitRank ResumeAt;
   std::map<StopCommand, StopProgress> RunsToStop;
   std::vector<LostRun> LostRuns; ///< Since the last takeLostRuns().
+  /// When workers crashed, within CrashHistory::ChanceWindow.
+  std::map<WorkerIncarnation, TimePoint> CrashedAt;
   /// Names of the tasks on workers whose lease has expired, until it is known
   /// whether the worker still exists.
   std::map<WorkerIncarnation, std::set<std::string>> SilentWorkers;
