Reproduce an acknowledgement that reaches the next process

The numbers of a process that has started under the same id begin at 1, so it forgets ends that nobody has read, and their tasks stay placed without end.

--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -287,6 +287,22 @@
   EXPECT_EQ(AckCursor, 0);
 }
 
+// Guards against ends of the next process that are lost because this one was
+// paused while the worker restarted, and acknowledges numbers of the former.
+TEST_F(WorkerSessionTest, AcknowledgesNothingAfterAPause) {
+  synchronize({});
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1), endOf(2)});
+  ASSERT_FALSE(Heartbeat);
+  Session.acknowledge(2);
+  Time.advanceTo(Time.now() + 3s);
+  Session.pump();
+  ASSERT_TRUE(Heartbeat);
+  EXPECT_EQ(AckCursor, 0);
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1), endOf(2)});
+  ASSERT_TRUE(Heartbeat);
+  EXPECT_EQ(AckCursor, 2);
+}
+
 // Guards against a lease that seems to have ended by the clock of another
 // worker that has the address by now.
 TEST_F(WorkerSessionTest, TheClockOfAnotherWorkerDoesNotMoveTheLease) {
