Acknowledge no ends to a worker that may have restarted

Cause: the numbers of ended runs start at 1 in each process of a worker, and calls name a worker by its id. A session whose process was paused between two heartbeats noticed no restart and sent the number that it had acknowledged to the former process. The class: acting, after a pause, on what was known before it.

Change: a heartbeat more than a second after the last lists were read acknowledges nothing and does not wait; the answer tells whether the process is still the same, and the next heartbeat follows at once.

Calls can't name the process that they are meant for. A run that a worker lists neither as running nor as ended is still waited for without end.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -13,6 +13,10 @@
 /// Interval between two heartbeats while ended runs are not stored yet.
 constexpr Duration UnstoredRunsDelay{400};
 
+/// Time after the last lists of a worker for which its process is taken to be
+/// the same. A worker that has crashed is back later.
+constexpr Duration MaxListAge{1000};
+
 /// Delay before a stop order without a response is sent again.
 constexpr Duration StopRetryDelay{300};
 
@@ -112,9 +116,13 @@
     Request.DeadlineMs = estimatedClockMs() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
   }
-  // The numbers of ended runs start anew with each process.
-  Request.AckCursor = Reachable ? AckedEnd : 0;
-  if (Synced && LastReportedEnd <= AckedEnd && Extend)
+  // The numbers of ended runs start anew with each process, and the worker may
+  // have restarted while this process was paused.
+  const bool IsSameProcess =
+      Reachable && ListedAt && Time.now() - *ListedAt < MaxListAge;
+  Request.AckCursor = IsSameProcess ? AckedEnd : 0;
+  SentCursor = Request.AckCursor;
+  if (IsSameProcess && Synced && LastReportedEnd <= AckedEnd && Extend)
     Request.Wait = Times.HeartbeatWait;
   HeartbeatInFlight = true;
   Client.heartbeat(
@@ -159,9 +167,10 @@
     if (Synced)
       report(WorkerEvent::Reachable);
   }
+  ListedAt = Now;
   processRunLists(Result);
   NextHeartbeat = Now;
-  if (LastReportedEnd > AckedEnd)
+  if (LastReportedEnd > AckedEnd && SentCursor >= AckedEnd)
     NextHeartbeat = Now + UnstoredRunsDelay;
   else if (!Extended && HasClock && !Owner.MayExtend())
     NextHeartbeat = Now + UnreachableRetryDelay;
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -107,6 +107,8 @@
   const TimePoint AssumedLeaseEnd;
 
   std::optional<TimePoint> LastAnswerAt;
+  std::optional<TimePoint> ListedAt; ///< When its lists were last read.
+  std::int64_t SentCursor = 0;       ///< Acknowledged by the last heartbeat.
   bool HasClock = false;
   std::int64_t LastClockMs = 0;
   TimePoint LastClockAt;
