Store when the lease of a silent worker ends

What callers saw: accepted work that was not worked on although there was room, as long as leaders followed one another within seconds.

Cause: a new leader knows of a worker only that its lease may have been extended until MemberLease after the start of its own term. So it waits 8.65 s and more for each worker that does not answer, whatever its predecessors have waited, and a shorter term ends before that. The class: a wait that is measured from one's own start begins anew with each successor.

Ruled out: a shorter wait (the former members may have extended the lease); conclusions from the registry or from refused connections (they prove nothing); the store's clock and the wall clock (the product relies on neither, and wall clocks step); a lease limit stored for all workers at once (it goes on rising with the workers that answer).

Change: a session whose worker has not answered for 0.5 s freezes the lease and reports its longest rest. The leader stores the end in the roster's row, on a time that the leader record carries from term to term and that never runs ahead. The next leaders wait for the rest only. No session extends the lease again before a commit has removed that end. Members and leaders of earlier versions neither freeze nor release. The session tests list the new event where they listed all events before; nothing else in them has changed.

The fuzz was not run against these changes.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -354,6 +354,14 @@
   From.at(3).get_to(Value.Token);
 }
 
+static void to_json(json &To, const ShardTime &Value) {
+  To = json::array({Value.Epoch, Value.Ms});
+}
+static void from_json(const json &From, ShardTime &Value) {
+  From.at(0).get_to(Value.Epoch);
+  From.at(1).get_to(Value.Ms);
+}
+
 static void to_json(json &To, const LeaderRecord &Value) {
   To = {{"term", Value.Term},
         {"sequence", Value.Sequence},
@@ -363,6 +371,7 @@
   put(To, "largest", Value.LargestCpuShare);
   put(To, "members", Value.Members);
   put(To, "load", Value.Load);
+  put(To, "time", Value.Time);
 }
 static void from_json(const json &From, LeaderRecord &Value) {
   From.at("term").get_to(Value.Term);
@@ -373,15 +382,20 @@
   take(From, "largest", Value.LargestCpuShare);
   take(From, "members", Value.Members);
   take(From, "load", Value.Load);
+  take(From, "time", Value.Time);
 }
 
 static void to_json(json &To, const RosterEntry &Value) {
   To = json::array({Value.Incarnation, Value.Address, Value.Zone});
+  if (Value.LeaseEnd)
+    To.push_back(*Value.LeaseEnd);
 }
 static void from_json(const json &From, RosterEntry &Value) {
   From.at(0).get_to(Value.Incarnation);
   From.at(1).get_to(Value.Address);
   From.at(2).get_to(Value.Zone);
+  if (From.size() > 3)
+    Value.LeaseEnd = From.at(3).get<ShardTime>();
 }
 
 static void to_json(json &To, const Submission &Value) {
@@ -431,6 +445,7 @@
   put(To, "refused", Value.ProcessAbsent);
   put(To, "answer_age", Value.AnswerAgeMs, std::int64_t(-1));
   put(To, "other_start", Value.AnsweredStartUnixMs);
+  put(To, "lease", Value.RemainingLeaseMs);
 }
 static void from_json(const json &From, WorkerReport &Value) {
   takeEnum(From, "event", Value.Event);
@@ -441,6 +456,7 @@
   take(From, "refused", Value.ProcessAbsent);
   take(From, "answer_age", Value.AnswerAgeMs);
   take(From, "other_start", Value.AnsweredStartUnixMs);
+  take(From, "lease", Value.RemainingLeaseMs);
 }
 
 static void to_json(json &To, const RefusedStart &Value) {
@@ -472,6 +488,7 @@
   putList(To, "advice", Value.Advice);
   put(To, "leaving", Value.Leaving);
   put(To, "leads", Value.OtherShardsLed);
+  put(To, "freezes", Value.FreezesLeases);
   put(To, "store_age", Value.StoreResponseAgeMs, std::int64_t(-1));
 }
 static void from_json(const json &From, MemberMessage &Value) {
@@ -480,18 +497,32 @@
   take(From, "advice", Value.Advice);
   take(From, "leaving", Value.Leaving);
   take(From, "leads", Value.OtherShardsLed);
+  take(From, "freezes", Value.FreezesLeases);
   take(From, "store_age", Value.StoreResponseAgeMs);
 }
 
 static void to_json(json &To, const Assignment &Value) {
   To = json::array(
       {Value.Incarnation, Value.Address, Value.Token, Value.AssumedLeaseMs});
+  if (Value.LeaseFrozen)
+    To.push_back(*Value.LeaseFrozen);
 }
 static void from_json(const json &From, Assignment &Value) {
   From.at(0).get_to(Value.Incarnation);
   From.at(1).get_to(Value.Address);
   From.at(2).get_to(Value.Token);
   From.at(3).get_to(Value.AssumedLeaseMs);
+  Value.LeaseFrozen.reset();
+  if (From.size() > 4)
+    Value.LeaseFrozen = From.at(4).get<bool>();
+}
+
+static void to_json(json &To, const LeaseRelease &Value) {
+  To = json::array({Value.Incarnation, Value.Token});
+}
+static void from_json(const json &From, LeaseRelease &Value) {
+  From.at(0).get_to(Value.Incarnation);
+  From.at(1).get_to(Value.Token);
 }
 
 static void to_json(json &To, const EndedRunsAck &Value) {
@@ -509,6 +540,7 @@
   putList(To, "starts", Value.Starts);
   putList(To, "stops", Value.Stops);
   putList(To, "acks", Value.Acks);
+  putList(To, "released", Value.Released);
   putList(To, "advice", Value.Advice);
   putList(To, "contacts", Value.Contacts);
 }
@@ -518,6 +550,7 @@
   take(From, "starts", Value.Starts);
   take(From, "stops", Value.Stops);
   take(From, "acks", Value.Acks);
+  take(From, "released", Value.Released);
   take(From, "advice", Value.Advice);
   take(From, "contacts", Value.Contacts);
 }
--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -43,7 +43,8 @@
                  std::string Partition, LeaderRecord Record,
                  std::int64_t Version, TimePoint SentAt)
     : Store(Store), Time(Time), Times(Times), Partition(std::move(Partition)),
-      Record(std::move(Record)), Version(Version), LeaseStart(SentAt),
+      Record(std::move(Record)), FirstTime(this->Record.Time),
+      TermStart(SentAt), Version(Version), LeaseStart(SentAt),
       LastSent(SentAt) {}
 
 Journal::Batch &Journal::openBatch(std::size_t Rows, std::size_t Bytes) {
@@ -127,6 +128,7 @@
   ReadBackAnswered = false;
   LeaderRecord NewRecord = Record;
   NewRecord.Sequence = Record.Sequence + 1;
+  NewRecord.Time = timeAt(Now);
   ClearsLeader = SteppingDown && Batches.size() == 1;
   if (ClearsLeader)
     NewRecord.Instance = InstanceInfo{};
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -101,6 +101,11 @@
   /// commit succeeded.
   Duration failureDuration() const;
 
+  /// The shared time of the shard's leaders at \p At.
+  ShardTime timeAt(TimePoint At) const {
+    return {FirstTime.Epoch, FirstTime.Ms + (At - TermStart).count()};
+  }
+
   /// Number of commits and of rows written, for metrics.
   std::uint64_t commits() const { return Commits; }
   std::uint64_t rowsWritten() const { return RowsWritten; }
@@ -127,6 +132,8 @@
   const Timing &Times;
   const std::string Partition;
   LeaderRecord Record;
+  const ShardTime FirstTime; ///< At TermStart.
+  const TimePoint TermStart;
   std::int64_t Version;
   TimePoint LeaseStart;
   TimePoint LastSent;
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -380,6 +380,8 @@
   for (auto &[Id, Worker] : WorkerStates)
     Worker.MaxLeaseEnd = TermStartedAt + Deps.Times.MemberLease +
                          Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
+  for (const RosterEntry &Entry : Stored.Roster)
+    restoreLeaseEnd(Entry);
   Scheduler.restoreSettings(Stored.Settings);
   const std::int64_t UnixNowMs = Deps.WallTime.unixMs();
   for (const auto &[Id, Spec] : Stored.Jobs) {
@@ -406,6 +408,17 @@
   DecisionNeeded = true;
 }
 
+void Leader::restoreLeaseEnd(const RosterEntry &Entry) {
+  const TimePoint Now = Deps.Time.now();
+  const ShardTime SharedNow = StateJournal.timeAt(Now);
+  if (!Entry.LeaseEnd || Entry.LeaseEnd->Epoch != SharedNow.Epoch)
+    return;
+  WorkerState &Worker = WorkerStates.at(Entry.Incarnation.Id);
+  Worker.LeaseFrozen = true;
+  Worker.MaxLeaseEnd = std::min(
+      Worker.MaxLeaseEnd, Now + Duration(Entry.LeaseEnd->Ms - SharedNow.Ms));
+}
+
 void Leader::restoreEnded(const std::string &Id, jobs::JobPhase Phase) {
   jobs::JobSpec Ended;
   Ended.Id = Id;
@@ -663,6 +676,8 @@
 // The last member may extend the lease until it gets the revocation, or for as
 // long as it may without an acknowledgement.
 void Leader::assumeLeased(WorkerState &Worker) const {
+  if (Worker.LeaseFrozen)
+    return;
   Worker.MaxLeaseEnd =
       std::max(Worker.MaxLeaseEnd, Deps.Time.now() + Deps.Times.MemberLease +
                                        Deps.Times.WorkerLease +
@@ -747,6 +762,7 @@
   if (Content.StoreResponseAgeMs >= 0)
     From.StoreAnsweredAt = Now - Duration(Content.StoreResponseAgeMs);
   From.OtherShardsLed = Content.OtherShardsLed;
+  From.FreezesLeases = Content.FreezesLeases;
   for (const WorkerReport &Report : Content.Workers)
     onWorkerReport(From, Report);
   for (const RefusedStart &Refused : Content.Refused) {
@@ -805,9 +821,12 @@
     Worker.AnsweredAt =
         Now - Duration(IsAnswer ? Duration::rep{0} : Report.AnswerAgeMs);
   DecisionNeeded = true;
+  if (IsAnswer || Report.Event == WorkerEvent::Reachable)
+    releaseLease(Worker);
   switch (Report.Event) {
   case WorkerEvent::Synced:
     Worker.Resolved = true;
+    Worker.Answers = true;
     Scheduler.syncWorker(Report.Incarnation, Report.Running, Report.Ended, Now);
     Deps.Log.event("worker synced", Report.Incarnation.Id,
                    {{"member", From.Info.Name},
@@ -816,6 +835,7 @@
                     {"to_stop", std::to_string(runsToStopOn(Worker))},
                     {"ended", std::to_string(Report.Ended.size())}});
     ensureInRoster(Report, Worker);
+    updateReachable(Worker);
     acknowledge(Report);
     return;
   case WorkerEvent::Ended:
@@ -825,10 +845,17 @@
     acknowledge(Report);
     return;
   case WorkerEvent::Reachable:
-    Scheduler.setReachable(Report.Incarnation, Worker.InRoster);
+    Worker.Answers = true;
+    updateReachable(Worker);
     return;
   case WorkerEvent::Unreachable:
-    Scheduler.setReachable(Report.Incarnation, false);
+    Worker.Answers = false;
+    updateReachable(Worker);
+    return;
+  case WorkerEvent::LeaseFrozen:
+    Worker.Answers = false;
+    updateReachable(Worker);
+    freezeLease(Worker, Duration(Report.RemainingLeaseMs));
     return;
   case WorkerEvent::LeaseExpired:
     Worker.Resolved = true;
@@ -839,7 +866,8 @@
                            : jobs::WorkerLoss::LeaseExpired,
                        Now);
     logLostRuns(Worker, LossEvidence::LeaseEnded);
-    Scheduler.setReachable(Report.Incarnation, false);
+    Worker.Answers = false;
+    updateReachable(Worker);
     return;
   case WorkerEvent::Fenced:
     // The cause is an order of a later term or a delayed call of an earlier
@@ -858,7 +886,8 @@
                        Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
     logLostRuns(Worker, LossEvidence::LaterStartAnswered,
                 Report.AnsweredStartUnixMs);
-    Scheduler.setReachable(Report.Incarnation, false);
+    Worker.Answers = false;
+    updateReachable(Worker);
     From.Workers.erase(Report.Incarnation.Id);
     Worker.Member.clear();
     Worker.AssignAfter = Now + EndedProcessDelay;
@@ -900,18 +929,10 @@
 }
 
 void Leader::ensureInRoster(const WorkerReport &Report, WorkerState &Worker) {
-  if (Worker.InRoster)
-    return;
-  // The worker is not used before the roster contains it, because the next
-  // leader must know about it.
-  Scheduler.setReachable(Report.Incarnation, false);
-  if (Worker.RosterPending)
+  if (Worker.InRoster || Worker.RosterPending)
     return;
   Worker.RosterPending = true;
-  StateJournal.put(
-      RosterTable, Report.Incarnation.Id,
-      encode(std::vector<RosterEntry>{
-          {Report.Incarnation, Worker.Info.Address, Worker.Info.Zone}}));
+  storeRosterEntry(Worker);
   StateJournal.whenCommitted(
       Guard.wrap([this, Incarnation = Report.Incarnation] {
         const auto Found = WorkerStates.find(Incarnation.Id);
@@ -920,11 +941,71 @@
           return;
         Found->second.InRoster = true;
         Found->second.RosterPending = false;
-        Scheduler.setReachable(Incarnation, true);
+        updateReachable(Found->second);
         DecisionNeeded = true;
       }));
 }
 
+void Leader::storeRosterEntry(const WorkerState &Worker) {
+  RosterEntry Entry{Worker.Info.Incarnation, Worker.Info.Address,
+                    Worker.Info.Zone, std::nullopt};
+  if (Worker.LeaseFrozen && !Worker.ReleasePending)
+    Entry.LeaseEnd = StateJournal.timeAt(Worker.MaxLeaseEnd);
+  StateJournal.put(RosterTable, Entry.Incarnation.Id,
+                   encode(std::vector<RosterEntry>{Entry}));
+}
+
+// A worker is not used before the roster contains it, because the next leader
+// must know about it, nor while its lease is frozen.
+void Leader::updateReachable(const WorkerState &Worker) {
+  Scheduler.setReachable(Worker.Info.Incarnation, Worker.Answers &&
+                                                      Worker.InRoster &&
+                                                      !Worker.LeaseFrozen);
+}
+
+// Leases of workers that do not answer.
+
+// The next leaders wait only for the rest of the lease.
+void Leader::freezeLease(WorkerState &Worker, Duration Remaining) {
+  if (Worker.LeaseFrozen)
+    return;
+  Worker.LeaseFrozen = true;
+  Worker.MaxLeaseEnd = Deps.Time.now() + Remaining + Deps.Times.ClockSkewMargin;
+  Deps.Log.event("worker lease frozen", Worker.Info.Incarnation.Id,
+                 {{"member", Worker.Member},
+                  {"remaining_ms", std::to_string(Remaining.count())}});
+  if (Worker.InRoster || Worker.RosterPending)
+    storeRosterEntry(Worker);
+}
+
+// A next leader that still finds the end of the lease must be right, so the
+// lease is extended only after the commit.
+void Leader::releaseLease(WorkerState &Worker) {
+  if (!Worker.LeaseFrozen || Worker.ReleasePending)
+    return;
+  Worker.ReleasePending = true;
+  if (Worker.InRoster || Worker.RosterPending)
+    storeRosterEntry(Worker);
+  StateJournal.whenCommitted(
+      Guard.wrap([this, Incarnation = Worker.Info.Incarnation] {
+        onReleaseStored(Incarnation);
+      }));
+}
+
+void Leader::onReleaseStored(const jobs::WorkerIncarnation &Incarnation) {
+  const auto Found = WorkerStates.find(Incarnation.Id);
+  if (Found == WorkerStates.end() ||
+      Found->second.Info.Incarnation != Incarnation)
+    return;
+  WorkerState &Worker = Found->second;
+  Worker.ReleasePending = false;
+  Worker.LeaseFrozen = false;
+  if (MemberState *To = supervisorOf(Incarnation))
+    To->Outgoing.Released.push_back({Incarnation, Worker.Token});
+  updateReachable(Worker);
+  DecisionNeeded = true;
+}
+
 void Leader::acknowledge(const WorkerReport &Report) {
   if (Report.Ended.empty())
     return;
@@ -1089,10 +1170,11 @@
   for (const std::string &Id : Found->second.Workers) {
     WorkerState &Worker = WorkerStates.at(Id);
     Worker.Member.clear();
-    Worker.MaxLeaseEnd =
-        std::max(Worker.MaxLeaseEnd, LastReceived + Deps.Times.MemberLease +
-                                         Deps.Times.WorkerLease +
-                                         Deps.Times.ClockSkewMargin);
+    if (!Worker.LeaseFrozen)
+      Worker.MaxLeaseEnd =
+          std::max(Worker.MaxLeaseEnd, LastReceived + Deps.Times.MemberLease +
+                                           Deps.Times.WorkerLease +
+                                           Deps.Times.ClockSkewMargin);
     Scheduler.markUnsynced(Worker.Info.Incarnation);
   }
   Members.erase(Found);
@@ -1191,15 +1273,19 @@
     MemberState *To = selectSupervisor(Worker);
     if (!To)
       return;
+    if (Worker.LeaseFrozen && !To->FreezesLeases) {
+      releaseLease(Worker);
+      continue;
+    }
     Worker.Member = To->Info.Name;
     // Above all tokens of the shards that used the worker before.
     Worker.Token = Ownership->lastTransfer(Id).Token + ++LastToken;
     To->Workers.insert(Id);
     withdrawAssignment(To->Outgoing, Worker.Info.Incarnation);
     const Duration Assumed = std::max(Worker.MaxLeaseEnd - Now, Duration{0});
-    To->Outgoing.Assigned.push_back({Worker.Info.Incarnation,
-                                     Worker.Info.Address, Worker.Token,
-                                     std::int64_t(Assumed.count())});
+    To->Outgoing.Assigned.push_back(
+        {Worker.Info.Incarnation, Worker.Info.Address, Worker.Token,
+         std::int64_t(Assumed.count()), Worker.LeaseFrozen});
   }
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -138,7 +138,8 @@
     TimePoint JoinedAt;
     TimePoint StoreAnsweredAt; ///< Last store response to the member.
     bool Guest = false;        ///< Belongs to another shard.
-    int OtherShardsLed = 0;    ///< That its instance leads.
+    bool FreezesLeases = false;
+    int OtherShardsLed = 0; ///< That its instance leads.
   };
   /// State of a worker that the scheduler does not track.
   struct WorkerState {
@@ -155,6 +156,12 @@
     std::int64_t Token = 0;
     /// Latest end of leases granted by earlier sessions.
     TimePoint MaxLeaseEnd;
+    /// No session extends its lease beyond MaxLeaseEnd before it is released,
+    /// and the roster may have that time.
+    bool LeaseFrozen = false;
+    bool ReleasePending =
+        false;             ///< The commit before the release is under way.
+    bool Answers = false;  ///< It answered the last call of its session.
     TimePoint AssignAfter; ///< Earliest reassignment after its process ended.
     bool Resolved = false; ///< Synced in this term, or its lease expired.
     bool StopAnnounced = false; ///< The registry has shown it as draining.
@@ -197,6 +204,12 @@
 
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
+  void storeRosterEntry(const WorkerState &Worker);
+  void updateReachable(const WorkerState &Worker);
+  void restoreLeaseEnd(const RosterEntry &Entry);
+  void freezeLease(WorkerState &Worker, Duration Remaining);
+  void releaseLease(WorkerState &Worker);
+  void onReleaseStored(const jobs::WorkerIncarnation &Incarnation);
   void acknowledge(const WorkerReport &Report);
   void onAdviceAnswer(MemberState &From, const AdviceAnswer &Answer);
 
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -61,6 +61,7 @@
   Message.ToLeader = std::exchange(Outgoing, MemberMessage{});
   Message.ToLeader->Leaving = Leaving;
   Message.ToLeader->OtherShardsLed = OtherShardsLed;
+  Message.ToLeader->FreezesLeases = true;
   if (LastStoreResponse)
     Message.ToLeader->StoreResponseAgeMs =
         (Deps.Time.now() - *LastStoreResponse).count();
@@ -118,6 +119,11 @@
   for (const EndedRunsAck &Ack : Message.Acks)
     if (WorkerSession *To = SessionOf(Ack.Incarnation))
       To->acknowledge(Ack.UpTo);
+  for (const LeaseRelease &Release : Message.Released) {
+    WorkerSession *To = SessionOf(Release.Incarnation);
+    if (To && To->token() == Release.Token)
+      To->releaseLease();
+  }
   for (const jobs::StopCommand &Order : Message.Stops)
     if (WorkerSession *To = SessionOf(Order.Worker))
       To->stop(Order);
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -24,6 +24,18 @@
   double CpuShare = 1; ///< Fraction of a core that it may use.
 };
 
+/// A time on the clock that the leaders of a shard share. Each leader continues
+/// that of the former one from the last time that the former one stored, so the
+/// clock stands still between terms and never runs ahead.
+struct ShardTime {
+  /// Term in which the clock was started. Times of different epochs can't be
+  /// compared.
+  std::int64_t Epoch = 0;
+  std::int64_t Ms = 0; ///< Since the start of the epoch.
+
+  bool operator==(const ShardTime &) const = default;
+};
+
 /// Stored record that names the current leader. Rewritten by each commit of the
 /// leader.
 struct LeaderRecord {
@@ -40,6 +52,8 @@
   /// if unknown.
   int Members = 0;
   ShardLoad Load;
+  /// Not later than the commit. Epoch 0: stored by an earlier version.
+  ShardTime Time;
 };
 
 /// Stored record of a worker that may have active runs.
@@ -47,6 +61,9 @@
   jobs::WorkerIncarnation Incarnation;
   std::string Address;
   std::string Zone;
+  /// If set, no lease of the worker ends later, and none is extended before a
+  /// commit has removed this time.
+  std::optional<ShardTime> LeaseEnd;
 };
 
 /// A job that a caller submitted.
@@ -120,6 +137,8 @@
   ProcessEnded, ///< Its process has ended and has been restarted. Ended has
                 ///< what the next one carried out of the orders to the former
                 ///< one.
+  LeaseFrozen,  ///< The session does not extend the lease before it gets a
+                ///< LeaseRelease.
 };
 
 struct WorkerReport {
@@ -136,6 +155,8 @@
   std::int64_t AnswerAgeMs = -1;
   /// If ProcessEnded: start time that the next process has named.
   std::int64_t AnsweredStartUnixMs = 0;
+  /// If LeaseFrozen: time until the latest end of the lease.
+  std::int64_t RemainingLeaseMs = 0;
 };
 
 /// A start order that was not executed and never will be.
@@ -164,6 +185,9 @@
   std::int64_t StoreResponseAgeMs = -1;
   /// Number of other shards that the member's instance leads.
   int OtherShardsLed = 0;
+  /// The member respects Assignment::LeaseFrozen. Instances of earlier versions
+  /// do not send it.
+  bool FreezesLeases = false;
 
   bool isEmpty() const {
     return Workers.empty() && Refused.empty() && Advice.empty();
@@ -177,6 +201,15 @@
   std::int64_t Token = 0;
   std::int64_t AssumedLeaseMs = 0; ///< Longest remaining lease that an earlier
                                    ///< session may have granted, from now.
+  /// Whether the lease must not be extended before the session gets a
+  /// LeaseRelease. Empty: the leader is of an earlier version and sends none.
+  std::optional<bool> LeaseFrozen = false;
+};
+
+/// Allows a session to extend a frozen lease again.
+struct LeaseRelease {
+  jobs::WorkerIncarnation Incarnation;
+  std::int64_t Token = 0; ///< Of the session.
 };
 
 /// Acknowledges ended runs that are stored, so that the worker may drop them.
@@ -201,6 +234,7 @@
   std::vector<jobs::StartCommand> Starts;
   std::vector<jobs::StopCommand> Stops;
   std::vector<EndedRunsAck> Acks;
+  std::vector<LeaseRelease> Released;
   std::vector<jobs::AdviceRequest> Advice;
   /// Addresses of the instances to ask for the leader while the store does not
   /// answer; empty: unchanged.
@@ -208,7 +242,8 @@
 
   bool isEmpty() const {
     return Assigned.empty() && Revoked.empty() && Starts.empty() &&
-           Stops.empty() && Acks.empty() && Advice.empty() && Contacts.empty();
+           Stops.empty() && Acks.empty() && Released.empty() &&
+           Advice.empty() && Contacts.empty();
   }
 };
 
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -208,7 +208,7 @@
   }
   if (Result.Rows.empty()) {
     if (Now - ObservedSince >= electionDelay(Others) && isLinked(Others))
-      acquireLeadership(0, 0);
+      acquireLeadership(0, LeaderRecord{});
     return;
   }
   const auto Record = decodeLeaderRecord(Result.Rows.front().Value);
@@ -247,7 +247,7 @@
       Now - ObservedSince >=
       Deps.Times.LeaderLease + Deps.Times.ClockSkewMargin + Delay;
   if ((IsVacant || HasExpired) && isLinked(Others)) {
-    acquireLeadership(Version, Record->Term);
+    acquireLeadership(Version, *Record);
     return;
   }
   if (!HasNoLeader)
@@ -270,22 +270,29 @@
       Duration::rep(double(MaxElectionDelay.count()) * (1 - Relative)));
 }
 
-void ShardAgent::acquireLeadership(std::int64_t Version, std::int64_t Term) {
+void ShardAgent::acquireLeadership(std::int64_t Version,
+                                   const LeaderRecord &Former) {
   if (Leaving || LocalLeader)
     return;
   LeaderRecord NewRecord;
-  NewRecord.Term = Term + 1;
+  NewRecord.Term = Former.Term + 1;
   NewRecord.Sequence = 1;
   NewRecord.Process = Process;
   NewRecord.Instance = Instance;
   NewRecord.LargestCpuShare = largestCpuShare();
   NewRecord.Members = RecordedMembers;
+  const TimePoint SentAt = Deps.Time.now();
+  // The former record was stored before it was first read.
+  NewRecord.Time =
+      Former.Time.Epoch > 0
+          ? ShardTime{Former.Time.Epoch,
+                      Former.Time.Ms + (SentAt - ObservedSince).count()}
+          : ShardTime{NewRecord.Term, 0};
   Transaction Changes;
   Changes.Partition = partitionOf(Shard);
   Changes.Conditions.push_back({LeaderTable, LeaderKey, Version});
   Changes.Changes.push_back({LeaderTable, LeaderKey, encode(NewRecord)});
   StoreCallInFlight = true;
-  const TimePoint SentAt = Deps.Time.now();
   StoreCallSentAt = SentAt;
   Deps.Store.transact(Changes, Guard.wrap([this, NewRecord, SentAt](
                                               const TransactionResult &Result) {
--- a/src/cell/shardagent.h
+++ b/src/cell/shardagent.h
@@ -102,7 +102,8 @@
   void onLeaderRecord(const ReadResult &Result, const Surroundings &Others);
   void follow(const LeaderRecord &Record, const Surroundings &Others);
   Duration electionDelay(const Surroundings &Others) const;
-  void acquireLeadership(std::int64_t Version, std::int64_t Term);
+  /// Replaces the record \p Former, which was read with the version \p Version.
+  void acquireLeadership(std::int64_t Version, const LeaderRecord &Former);
   void becomeLeader(const LeaderRecord &Record, std::int64_t Version,
                     TimePoint SentAt);
 
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -10,6 +10,9 @@
 /// Delay before an unreachable worker is called again.
 constexpr Duration UnreachableRetryDelay{250};
 
+/// Time without an answer after which the lease is frozen.
+constexpr Duration FreezeDelay{500};
+
 /// Interval between two heartbeats while ended runs are not stored yet.
 constexpr Duration UnstoredRunsDelay{400};
 
@@ -42,7 +45,10 @@
       AssumedLeaseEnd(Time.now() +
                       Duration(Duration::rep(double(Assigned.AssumedLeaseMs) /
                                              Times.MinWorkerClockRate)) +
-                      ExpiryMargin) {}
+                      ExpiryMargin),
+      LeaderReleases(Assigned.LeaseFrozen.has_value()),
+      LeaseFrozen(Assigned.LeaseFrozen.value_or(false)),
+      FreezeAt(Time.now() + FreezeDelay) {}
 
 std::int64_t WorkerSession::estimatedClockMs() const {
   return LastClockMs + (Time.now() - LastClockAt).count();
@@ -83,6 +89,7 @@
     end(WorkerEvent::ProcessEnded, "worker process ended");
     return;
   }
+  freezeLeaseIfDue(Now);
   if (!RestartResolvedBy && !Reachable && !ExpiryReported &&
       Now >= leaseEnd()) {
     ExpiryReported = true;
@@ -111,7 +118,7 @@
   HeartbeatRequest Request;
   // The lease of an unreachable worker must not be extended, because it may be
   // dead and its lease must expire.
-  const bool Extend = HasClock && Reachable && Owner.MayExtend();
+  const bool Extend = HasClock && Reachable && mayExtend();
   if (Extend) {
     Request.DeadlineMs = estimatedClockMs() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
@@ -172,7 +179,7 @@
   NextHeartbeat = Now;
   if (LastReportedEnd > AckedEnd && SentCursor >= AckedEnd)
     NextHeartbeat = Now + UnstoredRunsDelay;
-  else if (!Extended && HasClock && !Owner.MayExtend())
+  else if (!Extended && HasClock && !mayExtend())
     NextHeartbeat = Now + UnreachableRetryDelay;
 }
 
@@ -261,17 +268,34 @@
   if (!Reachable)
     return;
   Reachable = false;
+  FreezeAt = Time.now() + FreezeDelay;
   Log.event("worker does not answer", Worker.Incarnation.Id,
             {{"outcome", std::string(enumName(WorkerOutcomeNames, Outcome))}});
   if (Synced)
     report(WorkerEvent::Unreachable);
 }
 
+// Once a next leader knows the end of the lease it need not wait for a whole
+// one.
+void WorkerSession::freezeLeaseIfDue(TimePoint Now) {
+  const bool IsSilent = !Reachable || !HasClock;
+  if (!LeaderReleases || LeaseFrozen || !IsSilent || RestartResolvedBy ||
+      Now < FreezeAt)
+    return;
+  LeaseFrozen = true;
+  report(WorkerEvent::LeaseFrozen);
+}
+
+void WorkerSession::releaseLease() {
+  LeaseFrozen = false;
+  NextHeartbeat = Time.now();
+}
+
 void WorkerSession::start(const jobs::StartCommand &Order) {
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
   // The order may come late, or this process may have been paused.
-  const bool IsPermitted = Synced && !RestartResolvedBy && Owner.MayExtend();
+  const bool IsPermitted = Synced && !RestartResolvedBy && mayExtend();
   if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
@@ -323,7 +347,7 @@
       reportRefused(Key, jobs::StartRefusal::Unhealthy);
       return;
     }
-    if (Pending.Sends < MaxStartSends && Owner.MayExtend() &&
+    if (Pending.Sends < MaxStartSends && mayExtend() &&
         estimatedClockMs() < Pending.DeadlineMs)
       send(Key);
     return;
@@ -471,6 +495,9 @@
   Report.Event = Event;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
+  if (Event == WorkerEvent::LeaseFrozen)
+    Report.RemainingLeaseMs =
+        std::max(leaseEnd() - Time.now(), Duration{0}).count();
   Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
   if (LastAnswerAt)
     Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -48,6 +48,9 @@
   /// responds.
   void stop(const jobs::StopCommand &Order);
 
+  /// Allows extensions of a frozen lease again.
+  void releaseLease();
+
   /// Notes that the ended runs up to number \p UpTo are stored.
   void acknowledge(std::int64_t UpTo);
 
@@ -81,6 +84,7 @@
   const jobs::ActiveRun *unexpectedRun(const HeartbeatResult &Result) const;
   void resolvePendingStarts(const HeartbeatResult &Result);
   void markUnreachable(WorkerOutcome Outcome);
+  void freezeLeaseIfDue(TimePoint Now);
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -95,6 +99,7 @@
   void updateClock(const WorkerAnswer &Answer);
   void updateClock(std::int64_t ClockMs);
   std::int64_t estimatedClockMs() const;
+  bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
 
   WorkerClient &Client;
@@ -115,6 +120,12 @@
   /// Latest deadline that was ever sent, on the worker's clock.
   std::int64_t MaxDeadlineMs = 0;
 
+  const bool LeaderReleases; ///< The leader releases frozen leases.
+  /// The leader may have stored when the lease ends, so nothing may extend it.
+  bool LeaseFrozen;
+  /// When the lease is frozen if the worker does not answer until then.
+  TimePoint FreezeAt;
+
   bool HeartbeatInFlight = false;
   TimePoint NextHeartbeat;
   bool Synced = false;
--- a/tests/cell/shortterms_test.cpp
+++ b/tests/cell/shortterms_test.cpp
@@ -1,15 +1,21 @@
 /// \file
 /// Workers that vanish, or seem to, while leaders follow one another within
 /// seconds, on the emulated platform.
+#include "cell/codec.h"
+#include "cell/journal.h"
 #include "emulator/emulatedcell.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
 #include <functional>
-#include <set>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace apricotwing::emulator {
 namespace {
@@ -19,6 +25,9 @@
 /// Work is at work again this long after the last disturbance of its workers.
 constexpr Duration RestartBound{14'000};
 
+/// Leases of workers that do not respond are frozen after this time.
+constexpr Duration TimeToFreeze{2500};
+
 /// A cell whose leader is replaced again and again.
 class CellWithShortTerms {
 public:
@@ -41,6 +50,9 @@
     EXPECT_EQ(Cell.workers().activeRuns(), 0);
   }
 
+  /// Cuts off the two workers that have all tasks, which go on.
+  void cutWorkers() { Cell.workers().Cut = {"w0", "w1"}; }
+
   /// Runs the cell for \p Length and replaces the leader by \p End each
   /// \p Interval, for the first time after \p First. Returns the longest time
   /// for which fewer than \p Needed tasks were at work.
@@ -126,5 +138,250 @@
   }
 }
 
+// Guards against a lease that is extended while there is no leader, although
+// the next leader has read when it ends.
+TEST(ShortTermsTest, NoMemberExtendsAFrozenLeaseWithoutALeader) {
+  CellWithShortTerms Run;
+  Run.cutWorkers();
+  Run.Cell.run(TimeToFreeze);
+  Run.Cell.kill(Run.Cell.leader());
+  Run.Cell.workers().Cut.clear();
+  Run.Cell.run(1200ms);
+  Run.cutWorkers();
+  Run.Cell.run(RestartBound);
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
+}
+
+// Guards against the same while the leader can't store that the worker answers.
+TEST(ShortTermsTest, NoMemberExtendsAFrozenLeaseBeforeItsReleaseIsStored) {
+  CellWithShortTerms Run;
+  const std::string Leader = Run.Cell.leader();
+  Run.cutWorkers();
+  Run.Cell.run(TimeToFreeze);
+  Run.Cell.store().Cut = {Leader};
+  Run.Cell.workers().Cut.clear();
+  Run.Cell.run(900ms);
+  Run.cutWorkers();
+  Run.Cell.kill(Leader);
+  Run.Cell.store().Cut.clear();
+  Run.Cell.run(RestartBound);
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
+}
+
+// Guards against the same if the next leader can't store it.
+TEST(ShortTermsTest, NoMemberExtendsALeaseThatWasFrozenInAnEarlierTerm) {
+  CellWithShortTerms Run;
+  Run.cutWorkers();
+  Run.Cell.run(TimeToFreeze);
+  Run.Cell.kill(Run.Cell.leader());
+  const auto IsLoaded = [&Run] {
+    const std::string Leader = Run.Cell.leader();
+    return !Leader.empty() && Run.Cell.node(Leader).leader(0)->isLoaded();
+  };
+  while (!IsLoaded())
+    Run.Cell.run(1ms);
+  const std::string Leader = Run.Cell.leader();
+  Run.Cell.store().RefusedCallers = {Leader};
+  Run.Cell.workers().Cut.clear();
+  Run.Cell.run(1000ms);
+  Run.cutWorkers();
+  Run.Cell.kill(Leader);
+  Run.Cell.store().RefusedCallers.clear();
+  Run.Cell.run(RestartBound);
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
+}
+
+// Guards against a lease that counts as ended although the members of an
+// earlier leader have extended it.
+TEST(ShortTermsTest, AFrozenLeaseIncludesWhatEarlierMembersHaveGranted) {
+  CellWithShortTerms Run;
+  const std::string First = Run.Cell.leader();
+  Run.Cell.kill(First);
+  Run.Cell.run(1200ms);
+  Run.cutWorkers();
+  Run.Cell.run(1800ms);
+  const std::string Second = Run.Cell.leader();
+  ASSERT_NE(Second, "");
+  Run.Cell.kill(Second);
+  Run.Cell.start(First);
+  Run.Cell.run(RestartBound);
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
+}
+
+// Guards against a leader that goes by an end of a lease that was extended
+// since.
+TEST(ShortTermsTest, TheEndOfALeaseIsForgottenAtItsRelease) {
+  CellWithShortTerms Run;
+  Run.cutWorkers();
+  Run.Cell.run(TimeToFreeze + 1s);
+  Run.Cell.workers().Cut.clear();
+  Run.Cell.run(5s);
+  Run.Cell.kill(Run.Cell.leader());
+  Run.cutWorkers();
+  Run.Cell.run(RestartBound);
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
+}
+
+// Guards against a lease that ends because it is never extended again.
+TEST(ShortTermsTest, KeepsTheWorkOfWorkersThatAnswerAgain) {
+  CellWithShortTerms Run;
+  for (int Round = 0; Round < 4; ++Round) {
+    Run.cutWorkers();
+    Run.Cell.run(TimeToFreeze + 1s);
+    Run.Cell.workers().Cut.clear();
+    Run.Cell.run(8s);
+  }
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), Run.Tasks);
+}
+
+// Guards against the same if they answer the next leader's members.
+TEST(ShortTermsTest, KeepsTheWorkOfWorkersThatAnswerTheNextMember) {
+  CellWithShortTerms Run;
+  for (int Round = 0; Round < 4; ++Round) {
+    Run.cutWorkers();
+    Run.Cell.run(TimeToFreeze);
+    const std::string Leader = Run.Cell.leader();
+    Run.Cell.kill(Leader);
+    Run.Cell.run(500ms);
+    Run.Cell.workers().Cut.clear();
+    Run.Cell.run(500ms);
+    Run.Cell.start(Leader);
+    Run.Cell.run(8s);
+  }
+  EXPECT_EQ(Run.Cell.workers().activeRuns(), Run.Tasks);
+  EXPECT_EQ(Run.Cell.workers().startedRuns(), Run.Tasks);
+}
+
+// Guards against a next leader that counts time twice, or goes on with a time
+// that the former one did not reach.
+TEST(ShortTermsTest, TheTimeThatLeadersShareNeverRunsAhead) {
+  CellWithShortTerms Run;
+  const auto Stored = [&Run] {
+    return cell::decodeLeaderRecord(Run.Cell.store().value(
+        cell::LeaderTable, cell::partitionOf(0), cell::LeaderKey));
+  };
+  const TimePoint Begin = Run.Cell.time().now();
+  const cell::ShardTime First = Stored()->Time;
+  EXPECT_GT(First.Epoch, 0);
+  Run.replaceLeaders(1s, 4s, 20s, 0, [&](const std::string &Leader) {
+    Run.Cell.freeze(Leader);
+    EXPECT_EQ(Stored()->Time.Epoch, First.Epoch);
+    EXPECT_LE(Stored()->Time.Ms - First.Ms,
+              (Run.Cell.time().now() - Begin).count());
+  });
+  for (const std::string &Name : Run.Cell.names())
+    Run.Cell.kill(Name);
+  Run.Cell.run(10s);
+  for (const std::string &Name : Run.Cell.names())
+    Run.Cell.start(Name);
+  Run.Cell.run(5s);
+  EXPECT_EQ(Stored()->Time.Epoch, First.Epoch);
+  EXPECT_LE(Stored()->Time.Ms - First.Ms,
+            (Run.Cell.time().now() - Begin).count());
+}
+
+/// Cuts workers off from some or all instances while leaders are killed, step
+/// down or are suspended, and orders and messages come late.
+void playCuts(std::uint64_t Seed) {
+  SCOPED_TRACE("seed " + std::to_string(Seed));
+  EmulatedCell Cell(Seed, 4, 8);
+  std::mt19937_64 Random(Seed);
+  const auto Roll = [&Random](int Sides) {
+    return std::uniform_int_distribution<>(0, Sides - 1)(Random);
+  };
+  Cell.run(2s);
+  std::vector<std::string> Ids;
+  std::vector<std::string> Names = Cell.names();
+  const std::vector<std::string> Workers = Cell.workers().ids();
+  for (int Step = 0; Step < 60; ++Step) {
+    if (Step % 4 == 0 && Step < 40)
+      Ids.push_back(Cell.submit(Names[std::size_t(Roll(4))],
+                                stepOf(6, Duration{1000 * (1 + Roll(12))})));
+    const std::string Leader = Cell.leader();
+    switch (Roll(8)) {
+    case 0:
+    case 1:
+      if (!Leader.empty())
+        Cell.kill(Leader);
+      break;
+    case 2:
+      if (!Leader.empty() && Cell.isRunning(Leader))
+        Cell.node(Leader).leave();
+      break;
+    case 3:
+      if (!Leader.empty() && Cell.isRunning(Leader))
+        Cell.freeze(Leader);
+      break;
+    case 4:
+      for (const std::string &Worker : Workers)
+        if (Roll(3) == 0)
+          Cell.workers().Cut.insert(Worker);
+      break;
+    case 5:
+      for (const std::string &Worker : Workers)
+        for (const std::string &Name : Names)
+          if (Roll(3) == 0)
+            Cell.workers().CutPairs.insert({Name, Worker});
+      break;
+    case 6:
+      Cell.workers().Cut.clear();
+      Cell.workers().CutPairs.clear();
+      break;
+    case 7:
+      Cell.workers().LateOrders = Roll(2) * 0.2;
+      Cell.workers().LostAnswers = Roll(2) * 0.2;
+      Cell.DelayedMessages = Roll(2) * 0.05;
+      Cell.LostReplies = Roll(2) * 0.05;
+      Cell.store().LostAnswers = Roll(2) * 0.2;
+      Cell.store().LateEffects = Roll(2) * 0.1;
+      break;
+    }
+    Cell.run(Duration{200 + Roll(2500)});
+    for (const std::string &Name : Names)
+      if (!Cell.isRunning(Name) && Roll(2) == 0) {
+        Cell.thaw(Name);
+        Cell.start(Name);
+      }
+    for (const std::string &Name : Names)
+      if (Cell.isRunning(Name) && Name != Cell.leader() && Roll(12) == 0) {
+        Cell.kill(Name); // Also ends one that has stepped down.
+        Cell.start(Name);
+      }
+  }
+  Cell.endFaults();
+  for (const std::string &Name : Names) {
+    Cell.kill(Name);
+    Cell.start(Name);
+  }
+  Cell.run(120s);
+  for (const std::string &Violation : Cell.workers().violations())
+    ADD_FAILURE() << Violation;
+  for (const std::string &Id : Ids) {
+    if (!Cell.jobs().at(Id).Accepted)
+      continue;
+    Cell.read("n0", Id);
+    Cell.run(300ms);
+    EXPECT_EQ(Cell.jobs().at(Id).View, jobs::JobView::Completed) << Id;
+  }
+}
+
+// Guards against runs that are started again while the former ones go on.
+TEST(ShortTermsTest, RunsNoTaskTwiceWhileCutsAndLeadersChange) {
+  unsigned long long First = 1;
+  unsigned long long Last = 20;
+  if (const char *Range = std::getenv("APRICOTWING_SOAK_SEEDS")) {
+    ASSERT_EQ(std::sscanf(Range, "%llu-%llu", &First, &Last), 2)
+        << "APRICOTWING_SOAK_SEEDS must be FIRST-LAST";
+  }
+  for (std::uint64_t Seed = First; Seed <= Last; ++Seed)
+    playCuts(Seed);
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,7 @@
                               const HeartbeatRequest &Request,
                               std::function<void(HeartbeatResult)> Callback) {
           AckCursor = Request.AckCursor;
+          Extends = Request.DeadlineMs.has_value();
           Heartbeat = std::move(Callback);
         });
     ON_CALL(Client, start)
@@ -124,6 +126,7 @@
   NiceMock<MockWorkerClient> Client;
   std::function<void(HeartbeatResult)> Heartbeat;
   std::int64_t AckCursor = 0; ///< Of the last heartbeat.
+  bool Extends = false;       ///< The last heartbeat extends the lease.
   std::function<void(WorkerAnswer)> StartAnswer;
   std::function<void(WorkerAnswer)> StopAnswer;
   std::vector<WorkerReport> Reports;
@@ -202,11 +205,12 @@
     Session.pump();
   }
   EXPECT_EQ(events(),
-            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::LeaseFrozen}));
   answerHeartbeat({Run});
   EXPECT_EQ(events(),
             (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
-                         WorkerEvent::Reachable}));
+                         WorkerEvent::LeaseFrozen, WorkerEvent::Reachable}));
 }
 
 TEST_F(WorkerSessionTest, AnAnswerWithALaterStartEndsTheSession) {
@@ -314,7 +318,8 @@
   Time.advanceTo(Time.now() + Times.WorkerLease / 2);
   Session.pump();
   EXPECT_EQ(events(),
-            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::LeaseFrozen}));
 }
 
 // Guards against taking a process for ended because its address was given to
@@ -331,10 +336,85 @@
   Session.pump();
   EXPECT_EQ(events(),
             (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
-                         WorkerEvent::LeaseExpired}));
+                         WorkerEvent::LeaseFrozen, WorkerEvent::LeaseExpired}));
   EXPECT_TRUE(Reports.back().ProcessAbsent);
 }
 
+// Guards against a lease that is extended beyond the end that was reported.
+TEST_F(WorkerSessionTest, AFrozenLeaseIsNotExtendedBeforeItsRelease) {
+  synchronize({});
+  const TimePoint Sent = Time.now();
+  EXPECT_TRUE(Extends);
+  answerHeartbeat({}, WorkerOutcome::NoAnswer);
+  Time.advanceTo(Time.now() + 600ms);
+  Session.pump();
+  ASSERT_EQ(Reports.back().Event, WorkerEvent::LeaseFrozen);
+  EXPECT_GE(Time.now() + Duration(Reports.back().RemainingLeaseMs),
+            Sent + Times.WorkerLease);
+  answerHeartbeat({});
+  ASSERT_EQ(Reports.back().Event, WorkerEvent::Reachable);
+  for (int Call = 0; Call < 3; ++Call) {
+    waitForHeartbeat();
+    EXPECT_FALSE(Extends);
+    answerHeartbeat({});
+  }
+  EXPECT_CALL(Client, start(_, _, _, _)).Times(0);
+  Session.start(Start);
+  EXPECT_EQ(Refused.size(), 1U);
+  Session.releaseLease();
+  Session.pump();
+  waitForHeartbeat();
+  EXPECT_TRUE(Extends);
+}
+
+// Guards against a session that is never released because its worker answers
+// late for the first time.
+TEST_F(WorkerSessionTest, ALeaseIsFrozenIfTheFirstAnswerIsLate) {
+  Session.pump();
+  Time.advanceTo(Time.now() + 600ms);
+  Session.pump();
+  answerHeartbeat({});
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::LeaseFrozen, WorkerEvent::Synced}));
+  waitForHeartbeat();
+  EXPECT_FALSE(Extends);
+}
+
+// Guards against a lease that a leader of an earlier version never releases.
+TEST_F(WorkerSessionTest, NoLeaseIsFrozenForALeaderThatReleasesNone) {
+  WorkerSession Next(
+      Client, Time, Times, Log, {Worker, "address", 8, 3000, std::nullopt},
+      {[this](WorkerReport Report) { Reports.push_back(std::move(Report)); },
+       [this](const RefusedStart &Start) { Refused.push_back(Start); },
+       [this] { return MayExtend; }});
+  Next.pump();
+  Time.advanceTo(Time.now() + 1s);
+  Next.pump();
+  EXPECT_EQ(events(), std::vector<WorkerEvent>{});
+}
+
+// Guards against a session that extends a lease that an earlier one has frozen.
+TEST_F(WorkerSessionTest, ALeaseThatWasFrozenBeforeIsNotExtended) {
+  WorkerSession Next(
+      Client, Time, Times, Log, {Worker, "address", 8, 3000, true},
+      {[this](WorkerReport Report) { Reports.push_back(std::move(Report)); },
+       [this](const RefusedStart &Start) { Refused.push_back(Start); },
+       [this] { return MayExtend; }});
+  for (int Call = 0; Call < 3; ++Call) {
+    Time.advanceTo(Time.now() + 300ms);
+    Next.pump();
+    EXPECT_FALSE(Extends);
+    HeartbeatResult Result;
+    Result.Outcome = WorkerOutcome::Done;
+    Result.ClockMs = Time.now().time_since_epoch().count();
+    std::exchange(Heartbeat, {})(Result);
+  }
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  Next.releaseLease();
+  Next.pump();
+  EXPECT_TRUE(Extends);
+}
+
 // Guards against taking a list of ended runs for complete that has as many
 // entries as a response may have.
 TEST_F(WorkerSessionTest, IsSyncedOnlyWithTheRestOfTheEndedRuns) {
