Count the age of a worker's lists from the request for them

Found by the review: the answer may have waited in the socket while this process was paused, and the worker may have restarted meanwhile.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -16,9 +16,9 @@
 /// Interval between two heartbeats while ended runs are not stored yet.
 constexpr Duration UnstoredRunsDelay{400};
 
-/// Time after the last lists of a worker for which its process is taken to be
-/// the same. A worker that has crashed is back later.
-constexpr Duration MaxListAge{1000};
+/// Time after the request for the last lists of a worker, for most of which the
+/// worker may delay them, for which its process is taken to be the same.
+constexpr Duration MaxListAge{1500};
 
 /// Delay before a stop order without a response is sent again.
 constexpr Duration StopRetryDelay{300};
@@ -132,6 +132,7 @@
   if (IsSameProcess && Synced && LastReportedEnd <= AckedEnd && Extend)
     Request.Wait = Times.HeartbeatWait;
   HeartbeatInFlight = true;
+  HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
       Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty()](
@@ -174,7 +175,7 @@
     if (Synced)
       report(WorkerEvent::Reachable);
   }
-  ListedAt = Now;
+  ListedAt = HeartbeatSentAt;
   processRunLists(Result);
   NextHeartbeat = Now;
   if (LastReportedEnd > AckedEnd && SentCursor >= AckedEnd)
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -112,7 +112,8 @@
   const TimePoint AssumedLeaseEnd;
 
   std::optional<TimePoint> LastAnswerAt;
-  std::optional<TimePoint> ListedAt; ///< When its lists were last read.
+  TimePoint HeartbeatSentAt;         ///< Of the last heartbeat.
+  std::optional<TimePoint> ListedAt; ///< When its last lists were asked for.
   std::int64_t SentCursor = 0;       ///< Acknowledged by the last heartbeat.
   bool HasClock = false;
   std::int64_t LastClockMs = 0;
