Reproduce a job whose progress outgrows a row of the store

The emulated store now has the limits of the platform's: rows of 65,536 bytes, 100 entries and 1 MB a transaction. Like the real one it answers 400 to anything beyond them, however often it is sent, which the adapter reports as an unknown outcome.

--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -28,6 +28,12 @@
 /// Size of a row in a response without its key and value.
 constexpr std::size_t RowOverhead = 60;
 
+/// Limits of a transaction; the store answers 400 to anything beyond them.
+constexpr std::size_t MaxEntries = 100;
+constexpr std::size_t MaxTransactionBytes = 1'000'000;
+constexpr std::size_t MaxRowBytes = 65'536;
+constexpr std::size_t MaxNameBytes = 200;
+
 /// Interval at which a watch checks for changes.
 constexpr Duration WatchStep{20};
 
@@ -35,6 +41,19 @@
   return RowOverhead + Key.size() + (Value.size() + 2) / 3 * 4;
 }
 
+/// True if the store refuses the transaction for good.
+bool isTooLarge(const cell::Transaction &Changes) {
+  std::size_t Bytes = 0;
+  for (const cell::RowChange &Row : Changes.Changes) {
+    if (Row.Key.size() > MaxNameBytes ||
+        (Row.Value && Row.Value->size() > MaxRowBytes))
+      return true;
+    Bytes += encodedSize(Row.Key, Row.Value.value_or(""));
+  }
+  return Bytes > MaxTransactionBytes ||
+         Changes.Conditions.size() + Changes.Changes.size() > MaxEntries;
+}
+
 } // namespace
 
 bool EmulatedStore::randomChance(double Share) {
@@ -172,6 +191,11 @@
     Fail(cell::StoreOutcome::Refused, Target.Latency);
     return;
   }
+  if (isTooLarge(Changes)) {
+    ++Target.TooLarge;
+    Fail(cell::StoreOutcome::Unknown, Target.Latency);
+    return;
+  }
   if (Target.randomChance(Target.LateEffects)) {
     const Duration Late(
         std::uniform_int_distribution<int>(1000, MaxLateMs)(Target.Random));
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -66,6 +66,10 @@
   /// Number of applied transactions.
   int transactions() const { return Transactions; }
 
+  /// Number of transactions that were beyond the limits of the store, which
+  /// answers 400 to them, however often they are sent.
+  int tooLarge() const { return TooLarge; }
+
   /// Client of the store for the caller \p Name.
   class Handle final : public cell::MetadataStore {
   public:
@@ -127,6 +131,7 @@
   std::int64_t Version = 0;
   std::int64_t Compacted = 0; ///< Changes up to this version are dropped.
   int Transactions = 0;
+  int TooLarge = 0;
   std::map<std::string, int> SilentConnections; ///< Idle ones, by caller.
   std::map<std::string, int> TimesSilenced;     ///< By caller.
 };
