Divide the progress of a job among rows that fit the store

Callers saw an accepted job of 12,000 tasks that came to a halt, and all jobs handed in after it wait (LOST). Its row of the table progress grows with the tasks that are placed or done.

Now a job of more than 256 tasks has a row for each 256 tasks with progress, halved until it has at most 16 kB; finished tasks are stored as ranges, and only changed rows are written. Each new leader merges the rows in any order. Smaller jobs keep the former format, and the former row of a larger job is read and replaced; an instance of the former version does not read the new rows. A write too large for a commit is divided. - A checkpoint that fits in no row is left out. - A commit that the store refuses for good (400, 413) is logged with the largest row and sent again only every second.

--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -83,6 +83,15 @@
     refuse(Batch, Tag, SubmitResult::Malformed, Duration{0});
     return;
   }
+  std::string Row = encode(NewSubmission.Job);
+  if (Row.size() > MaxValueBytes) {
+    Deps.Log.event("job too large", Id,
+                   {{"row_bytes", std::to_string(Row.size())},
+                    {"limit", std::to_string(MaxValueBytes)},
+                    {"steps", std::to_string(NewSubmission.Job.Steps.size())}});
+    refuse(Batch, Tag, SubmitResult::Malformed, Duration{0});
+    return;
+  }
   const jobs::Queue *TargetQueue =
       Deps.Scheduler.queue(NewSubmission.Job.Queue);
   if (!TargetQueue) {
@@ -107,7 +116,7 @@
   JobsBeingStored[Id].push_back(Accept);
   Deps.Scheduler.add(NewSubmission.Job, Admitted.BeyondShare, Deps.Time.now());
   Owner.RequestDecision();
-  Deps.StateJournal.put(JobTable, Id, encode(NewSubmission.Job));
+  Deps.StateJournal.put(JobTable, Id, std::move(Row));
   Deps.StateJournal.whenCommitted(Guard.wrap([this, Job = NewSubmission.Job] {
     Deps.Log.event("job accepted", Job.Id,
                    {{"queue", Job.Queue},
--- a/src/cell/changelog.cpp
+++ b/src/cell/changelog.cpp
@@ -10,10 +10,12 @@
 
 namespace {
 
-/// Maximum size of the changes in a packed row. The store accepts rows of up to
-/// 64 KB, and the encoding may add half of the size.
+/// Size of the changes in a packed row, which holds at least one.
 constexpr std::size_t MaxPackedBytes = 40'000;
 
+/// Brackets, quotes and commas around a change in a packed row.
+constexpr std::size_t PackedOverhead = 12;
+
 /// Limits of the rows that one transaction brings up to date.
 constexpr std::size_t MaxUpdatedRows = 70;
 constexpr std::size_t MaxUpdatedBytes = 120'000;
@@ -26,6 +28,13 @@
   return Name.first.size() + Name.second.size() + (Value ? Value->size() : 0);
 }
 
+/// Number of bytes that \p Text has as a JSON string. Precondition: it has no
+/// control characters.
+std::size_t quotedSize(const std::string &Text) {
+  return Text.size() + std::size_t(std::count(Text.begin(), Text.end(), '"') +
+                                   std::count(Text.begin(), Text.end(), '\\'));
+}
+
 /// Returns a key that sorts by the number of the commit and then by \p Index.
 std::string packedKey(std::uint64_t Number, std::size_t Index) {
   char Text[32];
@@ -36,6 +45,16 @@
 
 } // namespace
 
+std::size_t packedSize(const RowChange &Change) {
+  const std::size_t Name =
+      PackedOverhead + Change.Table.size() + Change.Key.size();
+  if (!Change.Value)
+    return Name;
+  return Name + (Change.Value->size() > MaxQuotedBytes
+                     ? Change.Value->size()
+                     : quotedSize(*Change.Value));
+}
+
 ChangeLog::Plan ChangeLog::plan(const RowChanges &Changes, std::uint64_t Number,
                                 bool MayUpdate) const {
   Plan Result;
@@ -95,10 +114,11 @@
       Result.Writes.push_back({Name.first, Name.second, Value});
       continue;
     }
-    const std::size_t Size = sizeOf(Name, Value);
+    RowChange Change{Name.first, Name.second, Value};
+    const std::size_t Size = packedSize(Change);
     if (Bytes + Size > MaxPackedBytes)
       FinishRow();
-    Row.push_back({Name.first, Name.second, Value});
+    Row.push_back(std::move(Change));
     Bytes += Size;
     Result.Packed.emplace(Name, Value);
   }
--- a/src/cell/changelog.h
+++ b/src/cell/changelog.h
@@ -23,6 +23,9 @@
 /// New values of rows; empty: the row is removed.
 using RowChanges = std::map<RowName, std::optional<std::string>>;
 
+/// Size that \p Change has in a packed row, in bytes. Thread-safe.
+std::size_t packedSize(const RowChange &Change);
+
 /// Decides how the changes of a commit are written. A transaction of the store
 /// has a limited number of rows, so a commit with more changes writes them to
 /// packed rows, hundreds of changes in each. While packed rows exist, all
--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -398,6 +398,53 @@
     Value.LeaseEnd = From.at(3).get<ShardTime>();
 }
 
+/// Encodes ascending numbers as the first and the last of each range.
+static json encodeRanges(const std::vector<int> &Numbers) {
+  std::vector<std::pair<int, int>> Ranges;
+  for (const int Number : Numbers) {
+    if (!Ranges.empty() && Ranges.back().second + 1 == Number)
+      Ranges.back().second = Number;
+    else
+      Ranges.emplace_back(Number, Number);
+  }
+  return Ranges;
+}
+static std::vector<int> decodeRanges(const json &From) {
+  std::vector<int> Numbers;
+  for (const auto &[First, Last] :
+       From.get<std::vector<std::pair<int, int>>>()) {
+    const int Previous = Numbers.empty() ? -1 : Numbers.back();
+    if (First <= Previous || Last < First || Last >= jobs::MaxTasksPerJob)
+      throw std::invalid_argument("ranges of tasks that no job has");
+    for (int Number = First; Number <= Last; ++Number)
+      Numbers.push_back(Number);
+  }
+  return Numbers;
+}
+
+static void to_json(json &To, const ProgressPart &Value) {
+  json Steps = json::array();
+  for (const jobs::StepProgress &Step : Value.Steps) {
+    jobs::StepProgress Rest = Step;
+    Rest.Done.clear();
+    json Entry = Rest;
+    if (!Step.Done.empty())
+      Entry["done_ranges"] = encodeRanges(Step.Done);
+    Steps.push_back(std::move(Entry));
+  }
+  To = {{"first_step", Value.FirstStep}, {"steps", std::move(Steps)}};
+}
+static void from_json(const json &From, ProgressPart &Value) {
+  From.at("first_step").get_to(Value.FirstStep);
+  if (Value.FirstStep < 0 || Value.FirstStep >= jobs::MaxTasksPerJob)
+    throw std::invalid_argument("a step that no job has");
+  for (const json &Entry : From.at("steps")) {
+    Value.Steps.push_back(Entry.get<jobs::StepProgress>());
+    if (Entry.contains("done_ranges"))
+      Value.Steps.back().Done = decodeRanges(Entry.at("done_ranges"));
+  }
+}
+
 static void to_json(json &To, const Submission &Value) {
   To = json::array({Value.Tag, Value.Job});
 }
@@ -656,20 +703,30 @@
 
 static void to_json(json &To, const RowChange &Value) {
   To = json::array({Value.Table, Value.Key});
-  if (Value.Value)
-    To.push_back(*Value.Value);
+  if (!Value.Value)
+    return;
+  if (Value.Value->size() > MaxQuotedBytes) {
+    json Parsed = json::parse(*Value.Value, nullptr, false);
+    if (Parsed.is_structured() && Parsed.dump() == *Value.Value) {
+      To.push_back(std::move(Parsed));
+      return;
+    }
+  }
+  To.push_back(*Value.Value);
 }
 static void from_json(const json &From, RowChange &Value) {
   From.at(0).get_to(Value.Table);
   From.at(1).get_to(Value.Key);
   if (From.size() > 2)
-    Value.Value = From.at(2).get<std::string>();
+    Value.Value = From.at(2).is_string() ? From.at(2).get<std::string>()
+                                         : From.at(2).dump();
 }
 // NOLINTEND(readability-identifier-naming)
 
 std::string encode(const LeaderRecord &Value) { return toText(Value); }
 std::string encode(const jobs::JobSpec &Value) { return toText(Value); }
 std::string encode(const jobs::JobProgress &Value) { return toText(Value); }
+std::string encode(const ProgressPart &Value) { return toText(Value); }
 std::string encode(const jobs::ClusterPolicy &Value) { return toText(Value); }
 std::string encode(const std::vector<RosterEntry> &Value) {
   return toText(Value);
@@ -695,6 +752,9 @@
 std::optional<jobs::JobProgress> decodeProgress(const std::string &Text) {
   return fromText<jobs::JobProgress>(Text);
 }
+std::optional<ProgressPart> decodeProgressPart(const std::string &Text) {
+  return fromText<ProgressPart>(Text);
+}
 std::optional<jobs::ClusterPolicy> decodeSettings(const std::string &Text) {
   return fromText<jobs::ClusterPolicy>(Text);
 }
--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -29,23 +29,26 @@
 /// a read for this long. A slow store answers within 0.7 s.
 constexpr Duration UnresponsiveAfter{900};
 
-/// Delay after a call that the store rejected. Rejected calls count towards the
-/// store's call limit, too.
+/// Delay after a call that the store rejected. Rejected calls count towards
+/// the store's call limit, too.
 constexpr Duration RetryDelay{60};
 
+/// Delay after a commit that the store will never accept.
+constexpr Duration InvalidCommitDelay{1000};
+
 } // namespace
 
 std::string partitionOf(int Shard) {
   return Shard == 0 ? "cell" : "cell-" + std::to_string(Shard);
 }
 
-Journal::Journal(MetadataStore &Store, const Clock &Time, const Timing &Times,
-                 std::string Partition, LeaderRecord Record,
-                 std::int64_t Version, TimePoint SentAt)
-    : Store(Store), Time(Time), Times(Times), Partition(std::move(Partition)),
-      Record(std::move(Record)), FirstTime(this->Record.Time),
-      TermStart(SentAt), Version(Version), LeaseStart(SentAt),
-      LastSent(SentAt) {}
+Journal::Journal(MetadataStore &Store, const Clock &Time, EventLog &Events,
+                 const Timing &Times, std::string Partition,
+                 LeaderRecord Record, std::int64_t Version, TimePoint SentAt)
+    : Store(Store), Time(Time), Events(Events), Times(Times),
+      Partition(std::move(Partition)), Record(std::move(Record)),
+      FirstTime(this->Record.Time), TermStart(SentAt), Version(Version),
+      LeaseStart(SentAt), LastSent(SentAt) {}
 
 Journal::Batch &Journal::openBatch(std::size_t Rows, std::size_t Bytes) {
   // A batch that was sent may still be applied, so nothing can be added to it.
@@ -60,13 +63,19 @@
 }
 
 void Journal::write(const std::vector<RowChange> &Changes) {
-  std::size_t Bytes = 0;
-  for (const RowChange &Row : Changes)
-    Bytes += Row.Key.size() + (Row.Value ? Row.Value->size() : 0);
-  Batch &Open = openBatch(Changes.size(), Bytes);
-  for (const RowChange &Row : Changes)
-    Open.Rows[{Row.Table, Row.Key}] = Row.Value;
-  Open.Bytes += Bytes;
+  for (auto Next = Changes.begin(); Next != Changes.end();) {
+    std::size_t Bytes = 0;
+    auto End = Next;
+    do {
+      Bytes += packedSize(*End);
+      ++End;
+    } while (End != Changes.end() && std::size_t(End - Next) < MaxChanges &&
+             Bytes + packedSize(*End) <= MaxBytes);
+    Batch &Open = openBatch(std::size_t(End - Next), Bytes);
+    for (; Next != End; ++Next)
+      Open.Rows[{Next->Table, Next->Key}] = Next->Value;
+    Open.Bytes += Bytes;
+  }
 }
 
 void Journal::put(const std::string &Table, const std::string &Key,
@@ -147,6 +156,7 @@
   InFlight = true;
   LastSent = Now;
   NextReadBack = Now + ReadBackDelay;
+  WasInvalid = false;
   Store.transact(Changes, Guard.wrap([this, ThisAttempt = ++Attempt](
                                          const TransactionResult &Result) {
     if (ThisAttempt != Attempt || !InFlight)
@@ -168,6 +178,14 @@
     if (!ReadingBack)
       readBack();
     return;
+  case StoreOutcome::Invalid:
+    Failing = true;
+    WasInvalid = true;
+    RetryAt = Time.now() + InvalidCommitDelay;
+    logInvalidCommit();
+    if (!ReadingBack)
+      readBack();
+    return;
   case StoreOutcome::Refused:
   case StoreOutcome::HistoryLost:
     Failing = true;
@@ -176,6 +194,27 @@
   }
 }
 
+// The shard stops until another leader continues with what is stored.
+void Journal::logInvalidCommit() const {
+  const std::vector<RowChange> &Writes = Batches.front().Sent->Writes;
+  std::size_t Bytes = 0;
+  RowChange Largest;
+  for (const RowChange &Row : Writes) {
+    const std::size_t Size = Row.Value ? Row.Value->size() : 0;
+    Bytes += Size;
+    if (Size >= (Largest.Value ? Largest.Value->size() : 0))
+      Largest = Row;
+  }
+  Events.event(
+      "commit refused for good", Largest.Key,
+      {{"table", Largest.Table},
+       {"row_bytes", std::to_string(Largest.Value.value_or("").size())},
+       {"partition", Partition},
+       {"rows", std::to_string(Writes.size())},
+       {"bytes", std::to_string(Bytes)},
+       {"failing_ms", std::to_string(failureDuration().count())}});
+}
+
 void Journal::onCommitted(std::int64_t NewVersion) {
   Version = NewVersion;
   ++Record.Sequence;
@@ -215,7 +254,7 @@
     return; // The response arrived during the read.
   if (Result.Outcome != StoreOutcome::Done || Result.Rows.empty()) {
     if (!InFlight)
-      RetryAt = Now + RetryDelay;
+      RetryAt = std::max(RetryAt, Now + RetryDelay);
     return;
   }
   const StoredRow &Row = Result.Rows.front();
@@ -236,7 +275,8 @@
   // Not applied yet. It is sent again on the condition of the version just
   // read, so that it is applied at most once.
   Version = Row.Version;
-  RetryAt = Now;
+  if (!WasInvalid)
+    RetryAt = Now;
   pump();
 }
 
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -51,11 +51,12 @@
   /// Starts a term in the shard of \p Partition, whose leader record \p Record
   /// was written with the version \p Version, by a transaction that was sent at
   /// \p SentAt.
-  Journal(MetadataStore &Store, const Clock &Time, const Timing &Times,
-          std::string Partition, LeaderRecord Record, std::int64_t Version,
-          TimePoint SentAt);
+  Journal(MetadataStore &Store, const Clock &Time, EventLog &Events,
+          const Timing &Times, std::string Partition, LeaderRecord Record,
+          std::int64_t Version, TimePoint SentAt);
 
-  /// Adds changes that must be part of the same commit.
+  /// Adds changes to the same commit, or to several in their order if they are
+  /// too large for one.
   void write(const std::vector<RowChange> &Changes);
 
   /// Inserts or replaces a row with the next commit.
@@ -123,12 +124,14 @@
   Batch &openBatch(std::size_t Rows, std::size_t Bytes);
   void commit(TimePoint Now);
   void onCommitResult(const TransactionResult &Result);
+  void logInvalidCommit() const;
   void onCommitted(std::int64_t NewVersion);
   void readBack();
   void onReadBack(const ReadResult &Result);
 
   MetadataStore &Store;
   const Clock &Time;
+  EventLog &Events;
   const Timing &Times;
   const std::string Partition;
   LeaderRecord Record;
@@ -154,6 +157,8 @@
   /// The commit in flight writes the leader record without an instance.
   bool ClearsLeader = false;
   bool Deposed = false;
+  /// The store will never accept the last attempt.
+  bool WasInvalid = false;
   bool Failing = false; ///< The last attempt to commit the first batch failed.
   std::uint64_t Commits = 0;
   std::uint64_t RowsWritten = 0;
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -4,6 +4,7 @@
 #include "cell/supervisorselection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -137,8 +138,8 @@
 Leader::Leader(const Ports &Deps, int Shard, const LeaderRecord &Record,
                std::int64_t Version, TimePoint SentAt)
     : Deps(Deps), Shard(Shard), Record(Record),
-      StateJournal(Deps.Store, Deps.Time, Deps.Times, partitionOf(Shard),
-                   Record, Version, SentAt),
+      StateJournal(Deps.Store, Deps.Time, Deps.Log, Deps.Times,
+                   partitionOf(Shard), Record, Version, SentAt),
       Scheduler(Record.Term),
       Calls(
           {Scheduler, StateJournal, Deps.Time, Deps.Log},
@@ -382,6 +383,7 @@
                          Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
   for (const RosterEntry &Entry : Stored.Roster)
     restoreLeaseEnd(Entry);
+  JobRows = Stored.JobRows;
   Scheduler.restoreSettings(Stored.Settings);
   const std::int64_t UnixNowMs = Deps.WallTime.unixMs();
   for (const auto &[Id, Spec] : Stored.Jobs) {
@@ -1032,9 +1034,11 @@
     const jobs::JobProgress Progress = Job->progress();
     FailedJobs += Progress.Phase == jobs::JobPhase::Failed ? 1 : 0;
     if (Progress.Phase != jobs::JobPhase::Active) {
-      StateJournal.write({{JobTable, Id, std::nullopt},
-                          {ProgressTable, Id, std::nullopt},
-                          {EndedTable, Id, encodeEndPhase(Progress.Phase)}});
+      std::vector<RowChange> Rows = {
+          {JobTable, Id, std::nullopt},
+          {EndedTable, Id, encodeEndPhase(Progress.Phase)}};
+      std::ranges::move(JobRows.remove(Id), std::back_inserter(Rows));
+      StateJournal.write(Rows);
       Deps.Log.event(
           "job ended", Id,
           {{"phase",
@@ -1048,7 +1052,7 @@
       StateJournal.whenCommitted(
           Guard.wrap([this, Id] { Scheduler.markPhaseStored(Id); }));
     else
-      StateJournal.put(ProgressTable, Id, encode(Progress));
+      StateJournal.write(JobRows.update(Job->Spec, Progress));
   }
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -10,6 +10,7 @@
 #include "cell/messagelink.h"
 #include "cell/messages.h"
 #include "cell/ports.h"
+#include "cell/progressrows.h"
 #include "cell/shardlayout.h"
 #include "cell/stateloader.h"
 #include "cell/tablewatcher.h"
@@ -278,6 +279,7 @@
   bool RegistryRead = false;
   std::int64_t PolicyVersion = 0; ///< 0: no policy is known yet.
   std::string StoredSettings;     ///< Encoded, as last stored.
+  ProgressRows JobRows;
 
   /// Set once the layout is known.
   std::optional<WorkerOwnership> Ownership;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -66,6 +66,14 @@
   std::optional<ShardTime> LeaseEnd;
 };
 
+/// Stored progress of some tasks of a job that has several such rows.
+struct ProgressPart {
+  int FirstStep = 0; ///< Index of the step that the first entry belongs to.
+  std::vector<jobs::StepProgress> Steps;
+
+  friend bool operator==(const ProgressPart &, const ProgressPart &) = default;
+};
+
 /// A job that a caller submitted.
 struct Submission {
   /// Correlation id that the sender chooses; echoed in the answer.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -10,6 +10,7 @@
 #include "jobs/clusterpolicy.h"
 #include "jobs/run.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -37,6 +38,10 @@
   std::int64_t Version = 0;
 };
 
+/// Maximum size of the value of a row in bytes. The store accepts 65,536, and a
+/// packed row also contains the name of the row that was changed.
+inline constexpr std::size_t MaxValueBytes = 65'000;
+
 /// Writes a row, or removes it if the value is empty.
 struct RowChange {
   std::string Table;
@@ -59,15 +64,18 @@
             ///< was done.
   Unknown, ///< No response; a transaction may have been applied or may still be
            ///< applied later.
+  Invalid, ///< The store will never accept the call, e.g. because a row is too
+           ///< large; nothing was done.
   HistoryLost, ///< The store no longer keeps the changes that a watch asked
                ///< for.
 };
 
-inline constexpr NameTable<StoreOutcome, 5> StoreOutcomeNames = {{
+inline constexpr NameTable<StoreOutcome, 6> StoreOutcomeNames = {{
     {StoreOutcome::Done, "done"},
     {StoreOutcome::Conflict, "conflict"},
     {StoreOutcome::Refused, "refused"},
     {StoreOutcome::Unknown, "unknown"},
+    {StoreOutcome::Invalid, "invalid"},
     {StoreOutcome::HistoryLost, "history_lost"},
 }};
 
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -122,12 +122,8 @@
       State.Jobs[Row.Key] = std::move(*Spec);
     return bool(Spec);
   }
-  if (Table == ProgressTable) {
-    auto Progress = decodeProgress(Row.Value);
-    if (Progress)
-      State.Progress[Row.Key] = std::move(*Progress);
-    return bool(Progress);
-  }
+  if (Table == ProgressTable)
+    return State.JobRows.restore(Row, State.Progress);
   if (Table == SettingsTable) {
     auto Settings = decodeSettings(Row.Value);
     if (Settings)
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -8,6 +8,7 @@
 #include "cell/messages.h"
 #include "cell/pagesize.h"
 #include "cell/ports.h"
+#include "cell/progressrows.h"
 #include "cell/shardlayout.h"
 #include "jobs/clusterpolicy.h"
 #include "jobs/job.h"
@@ -26,6 +27,7 @@
 struct StoredState {
   std::map<std::string, jobs::JobSpec> Jobs;
   std::map<std::string, jobs::JobProgress> Progress;
+  ProgressRows JobRows; ///< The rows that Progress was read from.
   std::vector<RosterEntry> Roster;
   std::optional<ShardLayout> Layout; ///< Only in shard 0.
   jobs::ClusterPolicy Settings; ///< Queues and accounts that the jobs refer to.
--- a/tests/cell/changelog_test.cpp
+++ b/tests/cell/changelog_test.cpp
@@ -88,6 +88,27 @@
     EXPECT_LE(Row.Value->size(), 65'536U);
 }
 
+// Guards against a packed row that the store refuses for good, as the quotes of
+// a value are escaped in it.
+TEST(ChangeLogTest, PacksTheLargestValueIntoARowThatFits) {
+  std::string Largest = "[\"";
+  while (Largest.size() < MaxValueBytes - 3)
+    Largest += "\\\"";
+  Largest += "\"]";
+  for (const std::size_t Size :
+       {Largest.size(), std::size_t(40'000), std::size_t(16'000)}) {
+    RowChanges Changes = changesOf(120, "v");
+    const std::string Value = "[\"" + Largest.substr(Largest.size() - Size + 2);
+    Changes[{"jobs", "large"}] = Value;
+    const auto Plan = ChangeLog().plan(Changes, 1, false);
+    Rows Store;
+    Store.write(Plan.Writes);
+    for (const RowChange &Row : Plan.Writes)
+      EXPECT_LE(Row.Value->size(), 65'536U);
+    EXPECT_EQ(Store.state().at({"jobs", "large"}), Value);
+  }
+}
+
 // Guards against packed rows that remain forever, so that each change is
 // written twice and a takeover takes longer and longer.
 TEST(ChangeLogTest, BringsAllRowsUpToDateOnceTheStoreIsFast) {
--- a/tests/cell/journal_test.cpp
+++ b/tests/cell/journal_test.cpp
@@ -4,15 +4,34 @@
 #include "emulator/emulatedstore.h"
 #include "emulator/virtualtime.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace apricotwing::cell {
 namespace {
 
 using namespace std::chrono_literals;
 
+/// Keeps the names and subjects of the log lines.
+class LineLog final : public EventLog {
+public:
+  void event(std::string_view Name, std::string_view Subject,
+             std::initializer_list<Field> Fields) override {
+    std::string Line = std::string(Name) + " " + std::string(Subject);
+    for (const auto &[Key, Value] : Fields)
+      Line += " " + std::string(Key) + "=" + Value;
+    Lines.push_back(std::move(Line));
+  }
+
+  std::vector<std::string> Lines;
+};
+
 class JournalTest : public testing::Test {
 protected:
   JournalTest() : Store(Time, 1), Handle(Store, "n0") {
@@ -35,6 +54,7 @@
   emulator::VirtualTime Time;
   emulator::EmulatedStore Store;
   emulator::EmulatedStore::Handle Handle;
+  LineLog Events;
   const Timing Times;
   LeaderRecord Record;
   std::int64_t Version = 0;
@@ -43,7 +63,7 @@
 // Guards against a leader that ends its term without having cleared its
 // record, so that the others wait for the end of its lease.
 TEST_F(JournalTest, StepsDownAfterTheCommitInFlight) {
-  Journal Leader(Handle, Time, Times, partitionOf(0), Record, Version,
+  Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
                  Time.now());
   Leader.put(JobTable, "job", "x");
   Leader.pump();
@@ -58,5 +78,63 @@
   EXPECT_EQ(storedRecord().Successor, "n1");
 }
 
+// Guards against a shard that stops and leaves no trace of the row that the
+// store refuses, and against calls without end.
+TEST_F(JournalTest, LogsTheRowThatTheStoreRefusesForGood) {
+  Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
+                 Time.now());
+  Leader.put(JobTable, "small", "x");
+  Leader.put(JobTable, "large", std::string(70'000, 'x'));
+  for (int Step = 0; Step < 2500; ++Step) {
+    Leader.pump();
+    Time.advanceTo(Time.now() + 1ms);
+  }
+  EXPECT_GT(Leader.failureDuration(), 2s);
+  EXPECT_LE(Store.tooLarge(), 3);
+  ASSERT_FALSE(Events.Lines.empty());
+  EXPECT_THAT(Events.Lines.front(),
+              testing::StartsWith("commit refused for good large table=jobs "
+                                  "row_bytes=70000 partition=cell rows=2"));
+}
+
+// Guards against a commit that no transaction can hold if a single write has
+// more changes.
+TEST_F(JournalTest, DividesAWriteThatIsTooLargeForOneCommit) {
+  Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
+                 Time.now());
+  std::vector<RowChange> Changes;
+  Changes.reserve(150);
+  for (int Number = 0; Number < 150; ++Number)
+    Changes.push_back(
+        {JobTable, std::to_string(Number), std::string(15'000, 'x')});
+  Leader.write(Changes);
+  bool Stored = false;
+  Leader.whenCommitted([&Stored] { Stored = true; });
+  for (int Step = 0; Step < 500 && !Stored; ++Step) {
+    Leader.pump();
+    Time.advanceTo(Time.now() + 1ms);
+  }
+  EXPECT_TRUE(Stored);
+  EXPECT_EQ(Store.tooLarge(), 0);
+}
+
+// Guards against a transaction of more than 1 MB, as changes take up to twice
+// their size in packed rows.
+TEST_F(JournalTest, DividesChangesThatArePackedIntoTransactionsThatFit) {
+  Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
+                 Time.now());
+  for (int Number = 0; Number < 150; ++Number)
+    Leader.put(JobTable, std::to_string(Number),
+               "[\"" + std::string(4000, '"') + "\"]");
+  bool Stored = false;
+  Leader.whenCommitted([&Stored] { Stored = true; });
+  for (int Step = 0; Step < 500 && !Stored; ++Step) {
+    Leader.pump();
+    Time.advanceTo(Time.now() + 1ms);
+  }
+  EXPECT_TRUE(Stored);
+  EXPECT_EQ(Store.tooLarge(), 0);
+}
+
 } // namespace
 } // namespace apricotwing::cell
--- a/tests/cell/largejob_test.cpp
+++ b/tests/cell/largejob_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
 namespace apricotwing::emulator {
@@ -84,5 +85,26 @@
   EXPECT_TRUE(completes(Large, 120s));
 }
 
+// Guards against rows of ended jobs that stay in the store.
+TEST_F(LargeJobTest, RemovesAllRowsOfALargeJobThatHasEnded) {
+  const std::string Large = Cell.submit("n0", smallTasks(2000));
+  Cell.run(600ms);
+  EXPECT_GT(Cell.store().rowCount("progress"), 3U);
+  ASSERT_TRUE(completes(Large, 60s));
+  Cell.run(1s);
+  EXPECT_EQ(Cell.store().rowCount("progress"), 0U);
+}
+
+// Guards against a job that is accepted although it cannot be stored.
+TEST_F(LargeJobTest, RefusesAJobWhoseOwnRowIsTooLargeAndGoesOn) {
+  Cell.submit("n0", smallTasks(1), "/batch/", std::string(66'000, 'x'));
+  Cell.run(500ms);
+  EXPECT_EQ(Cell.answers(), (std::map<cell::ClientStatus, int>{
+                                {cell::ClientStatus::Malformed, 1}}));
+  const std::string Next =
+      Cell.submit("n0", smallTasks(1), "/batch/", std::string(30'000, '"'));
+  EXPECT_TRUE(completes(Next, 5s));
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -142,6 +142,13 @@
   return Found == Rows.end() ? std::string() : Found->second.Value;
 }
 
+std::size_t EmulatedStore::rowCount(const std::string &Table) const {
+  return std::size_t(
+      std::count_if(Rows.begin(), Rows.end(), [&Table](const auto &Entry) {
+        return std::get<0>(Entry.first) == Table;
+      }));
+}
+
 cell::TransactionResult EmulatedStore::apply(const cell::Transaction &Changes) {
   cell::TransactionResult Result;
   bool ConditionsMet = true;
@@ -193,7 +200,7 @@
   }
   if (isTooLarge(Changes)) {
     ++Target.TooLarge;
-    Fail(cell::StoreOutcome::Unknown, Target.Latency);
+    Fail(cell::StoreOutcome::Invalid, Target.Latency);
     return;
   }
   if (Target.randomChance(Target.LateEffects)) {
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -63,6 +63,9 @@
   std::string value(const std::string &Table, const std::string &Partition,
                     const std::string &Key) const;
 
+  /// Number of rows of a table in all partitions.
+  std::size_t rowCount(const std::string &Table) const;
+
   /// Number of applied transactions.
   int transactions() const { return Transactions; }
 
--- a/tests/platform/storeclient_test.cpp
+++ b/tests/platform/storeclient_test.cpp
@@ -69,5 +69,26 @@
   EXPECT_GT(Page.ReceivedBytes, 0U);
 }
 
+// Guards against a transaction beyond the limits of the store that is taken for
+// one without an answer and sent again without end.
+TEST(StoreClientTest, TellsATransactionThatTheStoreWillNeverAccept) {
+  const RawServer Server([](RawServer &, RawConnection &Connection) {
+    while (Connection.readRequest())
+      Connection.write(
+          "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\n{}");
+  });
+  AsyncHttpClient Client;
+  entry::ControlLoop Control;
+  StoreClient Store(Client, Control, Server.address());
+  cell::TransactionResult Answer;
+  Store.transact({"cell", {}, {{"jobs", "a", "x"}}},
+                 [&](const cell::TransactionResult &Result) {
+                   Answer = Result;
+                   Control.stop();
+                 });
+  Control.run([] {}, Duration{10});
+  EXPECT_EQ(Answer.Outcome, cell::StoreOutcome::Invalid);
+}
+
 } // namespace
 } // namespace apricotwing::platform
