--- a/tests/cell/changelog_test.cpp
+++ b/tests/cell/changelog_test.cpp
@@ -88,8 +88,7 @@
     EXPECT_LE(Row.Value->size(), 65'536U);
 }
 
-// Guards against a packed row that the store refuses for good, as the quotes of
-// a value are escaped in it.
+// Guards against a packed row that outgrows the store by its escaped quotes.
 TEST(ChangeLogTest, PacksTheLargestValueIntoARowThatFits) {
   std::string Largest = "[\"";
   while (Largest.size() < MaxValueBytes - 3)
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -7,8 +7,7 @@
 namespace apricotwing::cell {
 namespace {
 
-// Guards against a stored history of crashes that an instance of the former
-// version has written and that cannot be read any more.
+// Guards against stored crashes of the former version that are not read.
 TEST(CodecTest, ReadsCrashesOfTheFormerFormat) {
   jobs::JobProgress Progress;
   Progress.Steps.resize(1);
--- a/tests/cell/journal_test.cpp
+++ b/tests/cell/journal_test.cpp
@@ -78,8 +78,7 @@
   EXPECT_EQ(storedRecord().Successor, "n1");
 }
 
-// Guards against a shard that stops and leaves no trace of the row that the
-// store refuses, and against calls without end.
+// Guards against a shard that stops without a trace and calls without end.
 TEST_F(JournalTest, LogsTheRowThatTheStoreRefusesForGood) {
   Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
                  Time.now());
@@ -97,8 +96,7 @@
                                   "row_bytes=70000 partition=cell rows=2"));
 }
 
-// Guards against a commit that no transaction can hold if a single write has
-// more changes.
+// Guards against a single write that no transaction can hold.
 TEST_F(JournalTest, DividesAWriteThatIsTooLargeForOneCommit) {
   Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
                  Time.now());
@@ -118,8 +116,7 @@
   EXPECT_EQ(Store.tooLarge(), 0);
 }
 
-// Guards against a transaction of more than 1 MB, as changes take up to twice
-// their size in packed rows.
+// Guards against packed changes that outgrow a transaction.
 TEST_F(JournalTest, DividesChangesThatArePackedIntoTransactionsThatFit) {
   Journal Leader(Handle, Time, Events, Times, partitionOf(0), Record, Version,
                  Time.now());
--- a/tests/cell/largejob_test.cpp
+++ b/tests/cell/largejob_test.cpp
@@ -56,8 +56,7 @@
   EmulatedCell Cell;
 };
 
-// Guards against a job that stops the whole cell once its row has outgrown the
-// store.
+// Guards against a job that stops the cell once its row has outgrown the store.
 TEST_F(LargeJobTest, CompletesAJobWhoseProgressOutgrowsARow) {
   const std::string Large = Cell.submit("n0", smallTasks(TaskCount));
   Cell.run(500ms);
@@ -70,8 +69,7 @@
   EXPECT_EQ(Cell.workers().doneRuns(), TaskCount + 12 * 5);
 }
 
-// Guards against a new leader that misses a part of the progress, so that tasks
-// run again or never.
+// Guards against a new leader that misses a part of the progress.
 TEST_F(LargeJobTest, GoesOnWithALargeJobAfterEachChangeOfTheLeader) {
   const std::string Large = Cell.submit("n0", smallTasks(TaskCount, 2s));
   for (int Change = 0; Change < 4; ++Change) {
--- a/tests/cell/narrowlink_test.cpp
+++ b/tests/cell/narrowlink_test.cpp
@@ -52,8 +52,7 @@
   EmulatedCell Cell;
 };
 
-// Guards against a cell that serves nobody because each leader asks again and
-// again for a page that does not arrive within the timeout of a call.
+// Guards against leaders that ask for the same page without end.
 TEST_F(NarrowLinkTest, ANewLeaderLoadsPagesThatTakeLongerThanACall) {
   Cell.store().BytesPerMs = 500;
   EXPECT_TRUE(acceptsJobsAfterATakeover(15s));
--- a/tests/cell/pagesize_test.cpp
+++ b/tests/cell/pagesize_test.cpp
@@ -24,8 +24,7 @@
   EXPECT_EQ(sizeAfter(3, 0ms, 5ms).rows(), 500U);
 }
 
-// Guards against a load that takes minutes because the store is slow, whatever
-// the size of a page is.
+// Guards against loads of minutes from a store that is slow for any page.
 TEST(PageSizeTest, LoadsALargeTableFromASlowStoreAfterTimeouts) {
   for (const Duration Latency : {210ms, 300ms, 410ms, 800ms})
     for (int Timeouts = 0; Timeouts <= 3; ++Timeouts) {
@@ -56,8 +55,7 @@
   EXPECT_EQ(Size.rows(), 1U);
 }
 
-// Guards against growth after the last page of a small table, which is fast
-// whatever the link is like.
+// Guards against growth after a page that shows nothing of the link.
 TEST(PageSizeTest, DoesNotGrowAfterALastPage) {
   PageSize Size;
   const std::size_t Before = Size.rows();
--- a/tests/cell/progressrows_test.cpp
+++ b/tests/cell/progressrows_test.cpp
@@ -105,8 +105,7 @@
   return Result;
 }
 
-// Random progress of jobs of all sizes: no row outgrows its limit, and a new
-// leader reads what was stored.
+// Guards against rows that outgrow the limit or are read differently.
 TEST(ProgressRowsTest, ANewLeaderReadsWhatWasStored) {
   const auto Counts = rc::gen::nonEmpty(
       rc::gen::container<std::vector<int>>(rc::gen::weightedOneOf<int>(
@@ -143,8 +142,7 @@
       12);
 }
 
-// Guards against an update that loses finished tasks if only a part of it was
-// stored when the leader was lost.
+// Guards against finished tasks that are lost with the rest of an update.
 TEST(ProgressRowsTest, KeepsFinishedTasksAfterEachPartOfAnUpdate) {
   std::mt19937 Random(1);
   const jobs::JobSpec Spec = specOf({200, 600});
@@ -181,8 +179,7 @@
   }
 }
 
-// Guards against progress that an instance of the former version has stored and
-// that is not read, so that finished tasks run again.
+// Guards against progress of the former version that is not read.
 TEST(ProgressRowsTest, ReadsAndReplacesTheRowOfTheFormerVersion) {
   std::mt19937 Random(1);
   const jobs::JobSpec Spec = specOf({1000});
@@ -199,8 +196,7 @@
   EXPECT_EQ(Store.read(Restored, Random).at(Spec.Id).Steps, Progress.Steps);
 }
 
-// Guards against small jobs that an instance of the former version cannot read
-// while a cell is updated.
+// Guards against small jobs that the former version cannot read.
 TEST(ProgressRowsTest, StoresSmallJobsInTheFormerFormat) {
   std::mt19937 Random(1);
   const jobs::JobSpec Spec = specOf({20, 30});
--- a/tests/cell/shortterms_test.cpp
+++ b/tests/cell/shortterms_test.cpp
@@ -101,8 +101,7 @@
   return "leader ended after " + std::to_string(First.count()) + " ms";
 }
 
-// Guards against runs on vanished workers that wait for a whole lease again
-// after each change of the leader.
+// Guards against leaders that each wait for a whole lease again.
 TEST(ShortTermsTest, KilledLeadersDoNotPostponeTheWorkOfVanishedWorkers) {
   for (const Duration First : {0ms, 500ms, 1000ms, 2000ms, 3000ms, 4000ms}) {
     SCOPED_TRACE(caseOf(First));
@@ -112,8 +111,7 @@
   }
 }
 
-// Guards against the same if the workers refuse connections. Their tasks may
-// have ended them, so the first one is started alone.
+// The same if connections are refused, so that the first task starts alone.
 TEST(ShortTermsTest, KilledLeadersDoNotPostponeTheWorkOfCrashedWorkers) {
   for (const Duration First : {0ms, 500ms, 1000ms, 2000ms, 3000ms, 4000ms}) {
     SCOPED_TRACE(caseOf(First));
@@ -138,8 +136,7 @@
   }
 }
 
-// Guards against a lease that is extended while there is no leader, although
-// the next leader has read when it ends.
+// Guards against extensions beyond the stored end while there is no leader.
 TEST(ShortTermsTest, NoMemberExtendsAFrozenLeaseWithoutALeader) {
   CellWithShortTerms Run;
   Run.cutWorkers();
@@ -194,8 +191,7 @@
   EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
 }
 
-// Guards against a lease that counts as ended although the members of an
-// earlier leader have extended it.
+// Guards against a stored end that leaves out what earlier members granted.
 TEST(ShortTermsTest, AFrozenLeaseIncludesWhatEarlierMembersHaveGranted) {
   CellWithShortTerms Run;
   const std::string First = Run.Cell.leader();
@@ -212,8 +208,7 @@
   EXPECT_EQ(Run.Cell.workers().startedRuns(), 2 * Run.Tasks);
 }
 
-// Guards against a leader that goes by an end of a lease that was extended
-// since.
+// Guards against a stored end that is used after the lease was extended.
 TEST(ShortTermsTest, TheEndOfALeaseIsForgottenAtItsRelease) {
   CellWithShortTerms Run;
   Run.cutWorkers();
@@ -258,8 +253,7 @@
   EXPECT_EQ(Run.Cell.workers().startedRuns(), Run.Tasks);
 }
 
-// Guards against a next leader that counts time twice, or goes on with a time
-// that the former one did not reach.
+// Guards against a shared time that counts a span twice.
 TEST(ShortTermsTest, TheTimeThatLeadersShareNeverRunsAhead) {
   CellWithShortTerms Run;
   const auto Stored = [&Run] {
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -498,8 +498,7 @@
     ADD_FAILURE() << Violation;
 }
 
-// Guards against sound jobs that fail because workers crash at random and each
-// new leader finds runs whose ends it does not know.
+// Guards against sound jobs that fail by chance while leaders change.
 TEST(CrashLoadTest, SoundJobsEndWhileWorkersAndLeadersCrashAtRandom) {
   for (const std::uint64_t Seed : {22, 47, 94, 104, 105, 130, 187})
     expectSoundJobsToEnd(Seed, {3000, 2000, 3000});
@@ -511,8 +510,7 @@
     expectSoundJobsToEnd(Seed, {1500, 1000, 0});
 }
 
-// Guards against a sound job that fails because it has tasks on each worker, so
-// that no crash seems to have happened without it.
+// Guards against a sound job on all workers that fails by crashes at random.
 TEST(CrashLoadTest, AWideSoundJobEndsWhileWorkersCrashAtRandom) {
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
     EmulatedCell Cell(Seed, 1, 8);
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -291,8 +291,7 @@
   EXPECT_EQ(AckCursor, 0);
 }
 
-// Guards against ends of the next process that are lost because this one was
-// paused while the worker restarted, and acknowledges numbers of the former.
+// Guards against ends that the next process of a worker forgets unread.
 TEST_F(WorkerSessionTest, AcknowledgesNothingAfterAPause) {
   synchronize({});
   answerHeartbeat({}, WorkerOutcome::Done, {endOf(1), endOf(2)});
@@ -367,8 +366,7 @@
   EXPECT_TRUE(Extends);
 }
 
-// Guards against a session that is never released because its worker answers
-// late for the first time.
+// Guards against a session that is never released after a late first answer.
 TEST_F(WorkerSessionTest, ALeaseIsFrozenIfTheFirstAnswerIsLate) {
   Session.pump();
   Time.advanceTo(Time.now() + 600ms);
--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -247,9 +247,7 @@
   std::thread Thread;
 };
 
-// Guards against a call that was decoded while the process stopped taking
-// calls. It was queued after the last work had run, so its client got no answer
-// and the process was killed at the end of the grace period.
+// Guards against a call that is queued after the last work has run.
 TEST(EntryProcessTest, AnswersACallThatIsDecodedWhileTheProcessEnds) {
   StoppingProcess Process;
   const int Connection = Process.connect(StoppingProcess::clientPort());
@@ -259,8 +257,7 @@
   EXPECT_LT(Process.join(), Process.Settings.GracePeriod);
 }
 
-// Guards against a message of another instance that arrives after the last work
-// has run. It got no reply and kept the process from ending.
+// The same for a message of another instance.
 TEST(EntryProcessTest, AnswersPeersWhileTheProcessEnds) {
   StoppingProcess Process;
   const int Client = Process.connect(StoppingProcess::clientPort());
--- a/tests/httpclient/httpserver_test.cpp
+++ b/tests/httpclient/httpserver_test.cpp
@@ -127,9 +127,7 @@
   }
 }
 
-// Guards against a pipelined request whose first part is discarded after a
-// response that the handler sent before it returned. The client then got no
-// response, status 400, or the response of a later request.
+// Guards against a pipelined request whose first part is discarded.
 TEST(HttpServerTest, KeepsAPartialRequestThatFollowsAnImmediateResponse) {
   const auto Server = startHttpServer(testServerOptions(), echo);
   RawClient Client(Server->port());
@@ -147,9 +145,7 @@
   }
 }
 
-// Guards against a connection that is closed, or requests that get no response,
-// when several pipelined requests are answered by the handler itself or later
-// by another thread.
+// Guards against pipelined requests without a response.
 TEST(HttpServerTest, AnswersPipelinedRequestsInOrder) {
   std::vector<std::future<void>> PendingResponses;
   const auto Server = startHttpServer(
@@ -180,8 +176,7 @@
   }
 }
 
-// Guards against a body in the response to HEAD, which a client takes for the
-// start of the next response.
+// Guards against a body that a client takes for the next response.
 TEST(HttpServerTest, SendsNoBodyInResponseToHead) {
   const auto Server = startHttpServer(testServerOptions(), echo);
   RawClient Client(Server->port());
--- a/tests/jobs/crashhistory_test.cpp
+++ b/tests/jobs/crashhistory_test.cpp
@@ -63,8 +63,7 @@
   EXPECT_TRUE(History.isExhausted(false));
 }
 
-// Guards against a sound task that is given up because one worker crashes again
-// and again.
+// Guards against a sound task that fails because one worker crashes repeatedly.
 TEST(CrashHistoryTest, IsNotExhaustedEarlyByCrashesOfOneWorker) {
   CrashHistory History;
   for (int Run = 1; Run <= 5; ++Run) {
@@ -75,8 +74,7 @@
   EXPECT_TRUE(History.isExhausted(false));
 }
 
-// Guards against a sound task that is given up while workers crash for other
-// reasons, and against one that crashes more workers than are accepted.
+// Guards against blame for crashes by chance, and against a sixth crash.
 TEST(CrashHistoryTest, IsExhaustedAfterFiveEndsIfWorkersCrashElsewhere) {
   CrashHistory History;
   for (int Run = 1; Run <= 5; ++Run) {
@@ -86,8 +84,7 @@
   EXPECT_TRUE(History.isExhausted(true));
 }
 
-// Guards against a task that is given up for crashes after its end, which the
-// next leader cannot tell from others.
+// Guards against blame for crashes after the end of a run.
 TEST(CrashHistoryTest, IsNotExhaustedEarlyByRunsThatMayHaveEnded) {
   CrashHistory History;
   for (int Run = 1; Run <= 4; ++Run) {
@@ -100,8 +97,7 @@
   EXPECT_TRUE(History.isExhausted(false));
 }
 
-// Guards against a task that is started again after four losses while a fifth,
-// of a silent worker, does not count yet.
+// Guards against a start while a fifth loss does not count yet.
 TEST(CrashHistoryTest, IsExhaustedAfterFourLossesIfAWorkerIsSilent) {
   CrashHistory History;
   for (int Run = 1; Run <= 4; ++Run) {
--- a/tests/platform/storeclient_test.cpp
+++ b/tests/platform/storeclient_test.cpp
@@ -69,8 +69,7 @@
   EXPECT_GT(Page.ReceivedBytes, 0U);
 }
 
-// Guards against a transaction beyond the limits of the store that is taken for
-// one without an answer and sent again without end.
+// Guards against a transaction beyond the limits that is sent without end.
 TEST(StoreClientTest, TellsATransactionThatTheStoreWillNeverAccept) {
   const RawServer Server([](RawServer &, RawConnection &Connection) {
     while (Connection.readRequest())
