Do not replace a worker that answers while its lease is frozen

Found by the review, by reading: a frozen worker counts as unreachable for starts, and so it also counted as one that does not answer where the leader replaces or removes workers without runs. A release that was stored for a worker that has been removed and is back is ignored.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -604,7 +604,7 @@
   std::vector<jobs::WorkerInfo> Next;
   for (const auto &[Id, Worker] : WorkerStates) {
     const jobs::Worker *Known = Scheduler.worker(Id);
-    const bool Answers = Known && Known->isSynced() && Known->isReachable();
+    const bool Answers = Known && Known->isSynced() && Worker.Answers;
     const bool HasRuns = !Worker.Resolved || (Known && !Known->runs().empty());
     if (Worker.NextProcess && !Answers && !HasRuns)
       Next.push_back(*Worker.NextProcess);
@@ -644,7 +644,7 @@
     }
     const jobs::Worker *Known = Scheduler.worker(Id);
     const bool Empty = Worker.Resolved && (!Known || Known->runs().empty());
-    if (Empty && (!Known || !Known->isSynced() || !Known->isReachable()))
+    if (Empty && (!Known || !Known->isSynced() || !Worker.Answers))
       Gone.push_back(Id);
   }
   for (const std::string &Id : Gone) {
@@ -997,7 +997,8 @@
 void Leader::onReleaseStored(const jobs::WorkerIncarnation &Incarnation) {
   const auto Found = WorkerStates.find(Incarnation.Id);
   if (Found == WorkerStates.end() ||
-      Found->second.Info.Incarnation != Incarnation)
+      Found->second.Info.Incarnation != Incarnation ||
+      !Found->second.ReleasePending)
     return;
   WorkerState &Worker = Found->second;
   Worker.ReleasePending = false;
