--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -160,8 +160,8 @@
     /// No session extends its lease beyond MaxLeaseEnd before it is released,
     /// and the roster may have that time.
     bool LeaseFrozen = false;
-    bool ReleasePending =
-        false;             ///< The commit before the release is under way.
+    /// The commit before the release is under way.
+    bool ReleasePending = false;
     bool Answers = false;  ///< It answered the last call of its session.
     TimePoint AssignAfter; ///< Earliest reassignment after its process ended.
     bool Resolved = false; ///< Synced in this term, or its lease expired.
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -16,8 +16,9 @@
 /// Interval between two heartbeats while ended runs are not stored yet.
 constexpr Duration UnstoredRunsDelay{400};
 
-/// Time after the request for the last lists of a worker, for most of which the
-/// worker may delay them, for which its process is taken to be the same.
+/// Age of the last lists, counted from their request, up to which the process
+/// of the worker is taken to be the same. The worker may delay them by
+/// Timing::HeartbeatWait.
 constexpr Duration MaxListAge{1500};
 
 /// Delay before a stop order without a response is sent again.
