Name different workers in two tests of the crash history

Found on reading the change again: since three crashes give a task up early only if they were those of three different workers, two tests that named one worker throughout no longer saw whether the run was witnessed and whether workers crash elsewhere. They name a worker for each crash now: without the check of Witnessed, IsNotExhaustedEarlyByRunsThatMayHaveEnded fails, and without that of CrashesElsewhere IsExhaustedAfterFiveEndsIfWorkersCrashElsewhere. The assertions are the same.

Nothing under src or platform changed.

--- a/tests/cell/journal_test.cpp
+++ b/tests/cell/journal_test.cpp
@@ -46,6 +46,18 @@
     Time.advanceTo(Time.now() + 100ms);
   }
 
+  /// Expects that all changes are stored without a refused transaction.
+  void expectStored(Journal &Leader) {
+    bool Stored = false;
+    Leader.whenCommitted([&Stored] { Stored = true; });
+    for (int Step = 0; Step < 500 && !Stored; ++Step) {
+      Leader.pump();
+      Time.advanceTo(Time.now() + 1ms);
+    }
+    EXPECT_TRUE(Stored);
+    EXPECT_EQ(Store.tooLarge(), 0);
+  }
+
   LeaderRecord storedRecord() const {
     return *decodeLeaderRecord(
         Store.value(LeaderTable, partitionOf(0), LeaderKey));
@@ -106,14 +118,7 @@
     Changes.push_back(
         {JobTable, std::to_string(Number), std::string(15'000, 'x')});
   Leader.write(Changes);
-  bool Stored = false;
-  Leader.whenCommitted([&Stored] { Stored = true; });
-  for (int Step = 0; Step < 500 && !Stored; ++Step) {
-    Leader.pump();
-    Time.advanceTo(Time.now() + 1ms);
-  }
-  EXPECT_TRUE(Stored);
-  EXPECT_EQ(Store.tooLarge(), 0);
+  expectStored(Leader);
 }
 
 // Guards against packed changes that outgrow a transaction.
@@ -123,14 +128,7 @@
   for (int Number = 0; Number < 150; ++Number)
     Leader.put(JobTable, std::to_string(Number),
                "[\"" + std::string(4000, '"') + "\"]");
-  bool Stored = false;
-  Leader.whenCommitted([&Stored] { Stored = true; });
-  for (int Step = 0; Step < 500 && !Stored; ++Step) {
-    Leader.pump();
-    Time.advanceTo(Time.now() + 1ms);
-  }
-  EXPECT_TRUE(Stored);
-  EXPECT_EQ(Store.tooLarge(), 0);
+  expectStored(Leader);
 }
 
 } // namespace
--- a/tests/jobs/crashhistory_test.cpp
+++ b/tests/jobs/crashhistory_test.cpp
@@ -79,7 +79,8 @@
   CrashHistory History;
   for (int Run = 1; Run <= 5; ++Run) {
     EXPECT_FALSE(History.isExhausted(true)) << Run;
-    History.add(lossOf("a", Run, WorkerLoss::ProcessEnded, true));
+    History.add(
+        lossOf("w" + std::to_string(Run), Run, WorkerLoss::ProcessEnded, true));
   }
   EXPECT_TRUE(History.isExhausted(true));
 }
@@ -88,7 +89,8 @@
 TEST(CrashHistoryTest, IsNotExhaustedEarlyByRunsThatMayHaveEnded) {
   CrashHistory History;
   for (int Run = 1; Run <= 4; ++Run) {
-    CrashRecord Record = lossOf("a", Run, WorkerLoss::ProcessEnded, true);
+    CrashRecord Record =
+        lossOf("w" + std::to_string(Run), Run, WorkerLoss::ProcessEnded, true);
     Record.Witnessed = Run <= 2;
     History.add(Record);
   }
