Log why steps wait for a start

`load` counts waiting steps by tier and priority only, and at most 60 lines a second are written of `run lost` and `run ended`, so that the lines of the job in question are missing after a wave of lost workers.

Each waiting step keeps what prevented its start when a round last considered it (WaitCause) and when a round last compared it with the workers. The leader writes `step waits` every 2 s for the two steps of each cause that have waited longest, from 3 s on, with the history of the step: its last run, the losses under it, the workers that are approved for it, their free slots and how many of these are on reserved workers, and the calls for advice that failed. `leader_waiting_steps` by cause and `leader_reserved_workers` are new metrics.

These tell the four hypotheses of the postmortem apart: reserved slots, the causes advice_budget and advice_pending with failed calls, a growing compared_ms, members_active. No decision changes: the early returns of a round are the same, in the same order for steps that may need advice.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -89,6 +89,12 @@
 constexpr Duration OverdueStopAge{2000};
 constexpr int MaxOverdueStopLines = 20;
 
+/// Time after which a step that waits is logged, in intervals of
+/// LoadLogInterval, and how many steps of each cause. Workers are noticed as
+/// lost within about this time, and calls for advice take up to 0.8 s.
+constexpr Duration LongWait{3000};
+constexpr std::size_t MaxWaitingLinesPerCause = 2;
+
 /// Delay before a worker whose process has ended is assigned again if the
 /// registry still contains the same process.
 constexpr Duration EndedProcessDelay{1500};
@@ -1380,6 +1386,34 @@
       logStop("run does not stop", Order);
 }
 
+// After a wave of lost workers most lines on single runs are left out, so each
+// line has the history of its step.
+void Leader::logWaitingSteps(TimePoint Now) {
+  if (Now < NextWaitingStepLog)
+    return;
+  NextWaitingStepLog = Now + LoadLogInterval;
+  for (const jobs::WaitingStep &Step :
+       Scheduler.longestWaiting(Now, LongWait, MaxWaitingLinesPerCause))
+    Deps.Log.event(
+        "step waits", Step.Name,
+        {{"cause", std::string(enumName(jobs::WaitCauseNames, Step.Cause))},
+         {"waited_ms", std::to_string(Step.Waited.count())},
+         {"compared_ms",
+          std::to_string(Step.SinceCompared ? Step.SinceCompared->count()
+                                            : -1)},
+         {"tier", std::to_string(Step.Tier)},
+         {"gang", Step.Gang ? "1" : "0"},
+         {"tasks", std::to_string(Step.Tasks)},
+         {"ready", std::to_string(Step.ReadyTasks)},
+         {"last_run", std::to_string(Step.LastRun)},
+         {"losses", std::to_string(Step.Losses)},
+         {"approved", std::to_string(Step.ApprovedWorkers)},
+         {"free_slots", std::to_string(Step.FreeSlots)},
+         {"reserved_slots", std::to_string(Step.ReservedSlots)},
+         {"advice_in_flight", Step.AdviceInFlight ? "1" : "0"},
+         {"failed_calls", std::to_string(Step.FailedAdviceCalls)}});
+}
+
 Duration Leader::longestStop() const {
   const TimePoint Now = Deps.Time.now();
   Duration Longest{0};
@@ -1448,6 +1482,7 @@
        {"members", std::to_string(Members.size())},
        {"supervisors", std::to_string(Supervisors.size())},
        {"unassigned", std::to_string(Unassigned)},
+       {"reserved", std::to_string(Scheduler.reservedWorkers(Now))},
        {"own_workers", std::to_string(workersOf(Record.Instance.Name))},
        {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
 }
@@ -1522,6 +1557,7 @@
         exchangeLoads(Now);
         logLoad(Now);
         logOverdueStops(Now);
+        logWaitingSteps(Now);
       }
       if (Now - TermStartedAt >= MinJoinPeriod)
         assignWorkers();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -242,6 +242,7 @@
   void logStop(std::string_view Event, const jobs::StopCommand &Order);
   std::size_t runsToStopOn(const WorkerState &Worker) const;
   void logOverdueStops(TimePoint Now);
+  void logWaitingSteps(TimePoint Now);
   void sendStart(const jobs::StartCommand &Order);
   void dispatchAdvice(const jobs::AdviceRequest &Request);
   void removeExpiredJobs(TimePoint Now);
@@ -309,6 +310,7 @@
   TimePoint NextLoadLog;
   TimePoint NextObstacleLog;
   TimePoint NextOverdueStopLog;
+  TimePoint NextWaitingStepLog;
   std::uint64_t LostRuns = 0;
   std::uint64_t FailedJobs = 0;
   int MovedWorkers = 0; ///< Moved to another member since the last log line.
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <map>
 #include <utility>
 
 namespace apricotwing::entry {
@@ -184,6 +185,8 @@
   double FailedJobs = 0;
   double RunsToStop = 0;
   Duration LongestStop{0};
+  double ReservedWorkers = 0;
+  std::map<jobs::WaitCause, int> WaitingSteps;
   for (const auto &Agent : Node.agents()) {
     Counts += Agent->member().counts();
     WorkerSessions += Agent->member().workerSessionCount();
@@ -199,6 +202,9 @@
     FailedJobs += double(Leader->failedJobs());
     RunsToStop += double(Leader->scheduler().runsToStop().size());
     LongestStop = std::max(LongestStop, Leader->longestStop());
+    ReservedWorkers += Leader->scheduler().reservedWorkers(Time.now());
+    for (const auto &[Cause, Count] : Leader->scheduler().waitCauses())
+      WaitingSteps[Cause] += Count;
   }
   Gauge("apricotwing_entry_starts", "Start commands sent to workers",
         double(Counts.Starts));
@@ -243,6 +249,15 @@
     Gauge("apricotwing_leader_longest_stop_seconds",
           "Longest time for which such a run has had to end",
           std::chrono::duration<double>(LongestStop).count());
+    Gauge("apricotwing_leader_reserved_workers",
+          "Workers on which nothing is started beside a suspect task",
+          ReservedWorkers);
+    auto &Waiting = prometheus::BuildGauge()
+                        .Name("apricotwing_leader_waiting_steps")
+                        .Help("Steps that wait for a start, by cause")
+                        .Register(Registry);
+    for (const auto &[Cause, CauseName] : jobs::WaitCauseNames)
+      Waiting.Add({{"cause", std::string(CauseName)}}).Set(WaitingSteps[Cause]);
   }
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -72,11 +72,15 @@
         return isHeldBack(CurrentJob, Step, Task, Current.Now);
       });
   // Members of the previous run that are being stopped still count as placed.
-  if (State.ReadyCount != Spec.Count || IsHeldBack ||
-      allowedByCap(CurrentJob, Spec) < Spec.Count) {
+  const bool IsOverLimit = allowedByCap(CurrentJob, Spec) < Spec.Count;
+  if (State.ReadyCount != Spec.Count || IsHeldBack || IsOverLimit) {
+    State.Cause = IsHeldBack    ? WaitCause::Suspect
+                  : IsOverLimit ? WaitCause::AccountLimit
+                                : WaitCause::MembersActive;
     releaseClaims(Name, State);
     return;
   }
+  State.Cause = WaitCause::NoSlots;
   Current.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
   const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
     const auto Rank = [](const Candidate &Option) {
@@ -114,8 +118,11 @@
                                      const std::vector<Candidate> &Approved,
                                      const std::vector<Candidate> &Unadvised) {
   const Queue &JobQueue = queueOf(CurrentJob);
-  if (!mayRequestAdvice(Current, JobQueue, CurrentJob.Steps[std::size_t(Step)]))
+  StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  if (!mayRequestAdvice(Current, JobQueue, State)) {
+    State.Cause = WaitCause::AdviceBudget;
     return; // Requested later, in this round or in a later one.
+  }
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const double ApprovalChance =
       std::max(approvalRate(JobQueue.Name), MinApprovalRate);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -122,6 +122,31 @@
   CrashHistory Crashes; ///< Of a gang's member: on which it was placed.
 };
 
+/// What kept a waiting step from being started when a round last considered it.
+enum class WaitCause {
+  NotConsidered, ///< No round has compared it with the workers yet.
+  AccountLimit,  ///< Its account may not use more resources.
+  RunActive,     ///< A run that is not placed must end first.
+  MembersActive, ///< Members of the last run of its gang have not ended.
+  Suspect,       ///< It may crash workers: a probe runs, or a pause lasts.
+  AdvicePending, ///< Its call for advice has not been answered.
+  AdviceBudget,  ///< The calls of other steps leave none for it.
+  ResourcesDue,  ///< The free resources are planned for steps before it.
+  NoSlots,       ///< The workers that may run it have too few free slots.
+};
+
+inline constexpr NameTable<WaitCause, 9> WaitCauseNames = {{
+    {WaitCause::NotConsidered, "not_considered"},
+    {WaitCause::AccountLimit, "account_limit"},
+    {WaitCause::RunActive, "run_active"},
+    {WaitCause::MembersActive, "members_active"},
+    {WaitCause::Suspect, "suspect"},
+    {WaitCause::AdvicePending, "advice_pending"},
+    {WaitCause::AdviceBudget, "advice_budget"},
+    {WaitCause::ResourcesDue, "resources_due"},
+    {WaitCause::NoSlots, "no_slots"},
+}};
+
 /// State of one step, kept in memory.
 struct StepState {
   std::vector<TaskState> Tasks;
@@ -133,9 +158,14 @@
   std::int64_t LastFailedRun = 0; ///< Of the gang; counts as one failure.
   std::map<std::string, WorkerAdvice> Advice; ///< By worker id.
   bool AdviceInFlight = false;
+  int FailedAdviceCalls = 0; ///< Since the last answer.
   /// Number of slots that the gang claims, by worker id.
   std::map<std::string, int> Claimed;
   std::optional<WaitRank> Rank; ///< Set while the step is waiting.
+  TimePoint QueuedAt;           ///< When it began to wait.
+  WaitCause Cause = WaitCause::NotConsidered; ///< Valid while it is waiting.
+  /// When a round last compared it with the workers while it was waiting.
+  std::optional<TimePoint> ComparedAt;
   /// When the step was first considered since its last start.
   std::optional<TimePoint> WaitingSince;
   /// A worker was lost under one of the tasks.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -216,6 +216,76 @@
   return Longest;
 }
 
+WaitingStep JobScheduler::describe(const StepRef &Ref, TimePoint Now) const {
+  const Job &Owner = *Ref.Owner;
+  const StepSpec &Spec = Owner.Spec.Steps[std::size_t(Ref.Step)];
+  const StepState &State = Owner.Steps[std::size_t(Ref.Step)];
+  WaitingStep Result;
+  Result.Name = stepName(Owner.Spec.Id, Ref.Step);
+  Result.Cause = State.Cause;
+  Result.Waited = Now - State.QueuedAt;
+  if (State.ComparedAt)
+    Result.SinceCompared = Now - *State.ComparedAt;
+  Result.Tier = State.Rank ? State.Rank->Tier : 0;
+  Result.Gang = Spec.Gang;
+  Result.Tasks = Spec.Count;
+  Result.ReadyTasks = State.ReadyCount;
+  for (const TaskState &Task : State.Tasks) {
+    Result.Losses =
+        std::max(Result.Losses, State.crashesOf(Task, Spec.Gang).losses());
+    Result.LastRun = std::max(Result.LastRun, Task.Run);
+  }
+  Result.AdviceInFlight = State.AdviceInFlight;
+  Result.FailedAdviceCalls = State.FailedAdviceCalls;
+  const Queue &JobQueue = queueOf(Owner);
+  for (const auto &[Id, Host] : Workers) {
+    if (Host.info().Upstream != JobQueue.Upstream || !Host.isSynced() ||
+        !Host.isReachable() || !Host.satisfies(Spec))
+      continue;
+    const auto Advice = State.Advice.find(Id);
+    if (JobQueue.Advice &&
+        (Advice == State.Advice.end() || !Advice->second.Approved ||
+         Advice->second.Worker != Host.info().Incarnation))
+      continue;
+    const int Slots = Host.slotsInFreeResources(Spec);
+    ++Result.ApprovedWorkers;
+    Result.FreeSlots += Slots;
+    Result.ReservedSlots += Host.isReserved(Now) ? Slots : 0;
+  }
+  return Result;
+}
+
+std::vector<WaitingStep>
+JobScheduler::longestWaiting(TimePoint Now, Duration MinWait,
+                             std::size_t PerCause) const {
+  std::multimap<TimePoint, StepRef> ByAge;
+  for (const auto &[Rank, Ref] : Waiting) {
+    const StepState &State = Ref.Owner->Steps[std::size_t(Ref.Step)];
+    if (Now - State.QueuedAt >= MinWait)
+      ByAge.emplace(State.QueuedAt, Ref);
+  }
+  std::map<WaitCause, std::size_t> Listed;
+  std::vector<WaitingStep> Result;
+  for (const auto &[QueuedAt, Ref] : ByAge)
+    if (Listed[Ref.Owner->Steps[std::size_t(Ref.Step)].Cause]++ < PerCause)
+      Result.push_back(describe(Ref, Now));
+  return Result;
+}
+
+std::map<WaitCause, int> JobScheduler::waitCauses() const {
+  std::map<WaitCause, int> Result;
+  for (const auto &[Rank, Ref] : Waiting)
+    ++Result[Ref.Owner->Steps[std::size_t(Ref.Step)].Cause];
+  return Result;
+}
+
+int JobScheduler::reservedWorkers(TimePoint Now) const {
+  return int(
+      std::count_if(Workers.begin(), Workers.end(), [Now](const auto &Entry) {
+        return Entry.second.isReserved(Now);
+      }));
+}
+
 double JobScheduler::freeShare() const {
   return UsableCpuMillis > 0 ? double(FreeCpuMillis) / double(UsableCpuMillis)
                              : 0;
@@ -229,7 +299,7 @@
   NewJob->AcceptedAt = Now;
   NewJob->BeyondShare = BeyondShare;
   NewJob->restore(JobProgress{});
-  addJob(std::move(NewJob));
+  addJob(std::move(NewJob), Now);
   return true;
 }
 
@@ -243,7 +313,7 @@
   NewJob->EndedAt = Now;
   NewJob->restore(Stored);
   Job &Added = *NewJob;
-  addJob(std::move(NewJob));
+  addJob(std::move(NewJob), Now);
   if (Added.Phase != JobPhase::Active)
     return;
   for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step) {
@@ -310,7 +380,7 @@
   }
 }
 
-void JobScheduler::addJob(std::unique_ptr<Job> NewJob) {
+void JobScheduler::addJob(std::unique_ptr<Job> NewJob, TimePoint Now) {
   Job &Added = *NewJob;
   Added.Sequence = ++LastSequence;
   const Duration Allowed = allowedTime(queueOf(Added), Added.Spec);
@@ -328,7 +398,7 @@
   }
   if (!Added.Started)
     ++PendingJobs[Added.Spec.Queue];
-  requeueSteps(Added);
+  requeueSteps(Added, Now);
 }
 
 bool JobScheduler::cancel(const std::string &Id, TimePoint Now) {
@@ -348,7 +418,7 @@
   NewJob->Phase = JobPhase::Withdrawn;
   NewJob->StoredPhase = JobPhase::Withdrawn;
   NewJob->EndedAt = Now;
-  addJob(std::move(NewJob));
+  addJob(std::move(NewJob), Now);
   return true;
 }
 
@@ -432,13 +502,16 @@
   return Late || CurrentJob.BeyondShare ? 1 : 0;
 }
 
-void JobScheduler::enqueue(Job &CurrentJob, int Step) {
+void JobScheduler::enqueue(Job &CurrentJob, int Step, TimePoint Now) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   if (State.Rank || State.ReadyCount == 0 ||
       CurrentJob.Phase != JobPhase::Active || !CurrentJob.isUnblocked(Step))
     return;
   State.Rank = WaitRank{0, queueOf(CurrentJob).Priority, CurrentJob.Due,
                         CurrentJob.Sequence, Step};
+  State.QueuedAt = Now;
+  State.Cause = WaitCause::NotConsidered;
+  State.ComparedAt.reset();
   Waiting.emplace(*State.Rank, StepRef{&CurrentJob, Step});
 }
 
@@ -450,9 +523,9 @@
   State.Rank.reset();
 }
 
-void JobScheduler::requeueSteps(Job &CurrentJob) {
+void JobScheduler::requeueSteps(Job &CurrentJob, TimePoint Now) {
   for (std::size_t Step = 0; Step < CurrentJob.Steps.size(); ++Step)
-    enqueue(CurrentJob, int(Step));
+    enqueue(CurrentJob, int(Step), Now);
 }
 
 void JobScheduler::updateRank(Job &CurrentJob, TimePoint Now) {
@@ -710,11 +783,8 @@
 
 // True if another worker can be reserved for a task that lasts.
 bool JobScheduler::mayReserve(TimePoint Now) const {
-  const auto Reserved =
-      std::count_if(Workers.begin(), Workers.end(), [Now](const auto &Entry) {
-        return Entry.second.isReserved(Now);
-      });
-  return std::size_t(Reserved + 1) * MaxReservedPart <= Workers.size();
+  return std::size_t(reservedWorkers(Now) + 1) * MaxReservedPart <=
+         Workers.size();
 }
 
 std::vector<LostRun> JobScheduler::takeLostRuns() {
@@ -910,7 +980,7 @@
   // resources.
   if (CurrentJob.Spec.Steps[std::size_t(Step)].Gang)
     stopPlaced(CurrentJob, Step, StopCause::GangIncomplete, Now);
-  enqueue(CurrentJob, Step);
+  enqueue(CurrentJob, Step, Now);
 }
 
 void JobScheduler::finishTask(Job &CurrentJob, int Step, TaskState &Task,
@@ -944,7 +1014,7 @@
   if (CurrentJob.isDone())
     finishJob(CurrentJob, JobPhase::Completed, Now);
   else
-    requeueSteps(CurrentJob);
+    requeueSteps(CurrentJob, Now);
 }
 
 void JobScheduler::recordFailure(Job &CurrentJob, int Step, TaskState &Task,
@@ -1083,6 +1153,7 @@
     return;
   StepState &State = Owner->Steps[std::size_t(Id->Step)];
   State.AdviceInFlight = false;
+  State.FailedAdviceCalls = 0;
   const Queue &JobQueue = queueOf(*Owner);
   if (!JobQueue.Advice)
     return;
@@ -1122,8 +1193,11 @@
 void JobScheduler::adviceFailed(const std::string &Step) {
   const auto Id = TaskId::parse(Step + ".0");
   Job *Owner = Id ? findJob(Id->Job) : nullptr;
-  if (Owner && std::size_t(Id->Step) < Owner->Steps.size())
-    Owner->Steps[std::size_t(Id->Step)].AdviceInFlight = false;
+  if (!Owner || std::size_t(Id->Step) >= Owner->Steps.size())
+    return;
+  StepState &State = Owner->Steps[std::size_t(Id->Step)];
+  State.AdviceInFlight = false;
+  ++State.FailedAdviceCalls;
 }
 
 std::string JobScheduler::summary() const {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -49,6 +49,25 @@
   Malformed, ///< The worker cannot parse the start.
 };
 
+/// A step that waits for a start, and what is known of the reason.
+struct WaitingStep {
+  std::string Name;
+  WaitCause Cause = WaitCause::NotConsidered;
+  Duration Waited{0};
+  std::optional<Duration> SinceCompared; ///< With the workers; empty: never.
+  int Tier = 0;
+  bool Gang = false;
+  int Tasks = 0;
+  int ReadyTasks = 0;
+  int Losses = 0;           ///< Of workers under its tasks, at most per task.
+  std::int64_t LastRun = 0; ///< Highest run number of its tasks.
+  int ApprovedWorkers = 0;  ///< That answer and may run it.
+  int FreeSlots = 0;        ///< On these workers.
+  int ReservedSlots = 0;    ///< Of these, on workers reserved for other runs.
+  bool AdviceInFlight = false;
+  int FailedAdviceCalls = 0; ///< Since the last answer.
+};
+
 /// State of a job as callers see it.
 enum class JobView {
   Unknown,
@@ -117,6 +136,18 @@
   /// count.
   Duration longestWait(TimePoint Now) const;
 
+  /// The steps that have waited for at least \p MinWait, longest first, at most
+  /// \p PerCause of each cause. Compares each of them with all workers, so it
+  /// is for the log.
+  std::vector<WaitingStep> longestWaiting(TimePoint Now, Duration MinWait,
+                                          std::size_t PerCause) const;
+
+  /// Number of waiting steps by cause.
+  std::map<WaitCause, int> waitCauses() const;
+
+  /// Number of workers on which nothing is started beside the runs there.
+  int reservedWorkers(TimePoint Now) const;
+
   /// Fraction of the processors of all usable workers that is free, and the
   /// number of these workers, in the last round.
   double freeShare() const;
@@ -306,13 +337,14 @@
   Worker *findWorker(const WorkerIncarnation &Incarnation);
   const Queue &queueOf(const Job &CurrentJob) const;
 
-  void addJob(std::unique_ptr<Job> NewJob);
+  void addJob(std::unique_ptr<Job> NewJob, TimePoint Now);
   void setLargestCapacity(const Resources &Largest);
   bool countsAsWaitingWork(const StepSpec &Spec) const;
   void addWaitingWork(const Job &CurrentJob, int Step, int Tasks);
-  void enqueue(Job &CurrentJob, int Step);
+  void enqueue(Job &CurrentJob, int Step, TimePoint Now);
   void dequeue(Job &CurrentJob, int Step);
-  void requeueSteps(Job &CurrentJob);
+  void requeueSteps(Job &CurrentJob, TimePoint Now);
+  WaitingStep describe(const StepRef &Ref, TimePoint Now) const;
   void updateRank(Job &CurrentJob, TimePoint Now);
   static int tierOf(const Job &CurrentJob, TimePoint Now);
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -289,8 +289,10 @@
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   if (!Current.StillAtWork.empty() &&
-      Current.StillAtWork.contains(stepName(CurrentJob.Spec.Id, Step)))
+      Current.StillAtWork.contains(stepName(CurrentJob.Spec.Id, Step))) {
+    State.Cause = WaitCause::RunActive;
     return;
+  }
   const int Fitting = allowedByCap(CurrentJob, Spec);
   if (Fitting == 0 || (Spec.Gang && Fitting < Spec.Count))
     State.WaitingSince.reset();
@@ -304,17 +306,24 @@
       Spec.Gang || queueOf(CurrentJob).SlackFactor < LowSlackFactor ||
       (Current.PrefetchesLeft > 0 && hasCheapAdvice(queueOf(CurrentJob)) &&
        !State.AdviceInFlight);
-  if (!FitsLargestFree && !PlansAhead)
+  if (!FitsLargestFree && !PlansAhead) {
+    State.Cause = WaitCause::NoSlots;
     return;
-  if (!Spec.Gang && Fitting == 0)
+  }
+  if (!Spec.Gang && Fitting == 0) {
+    State.Cause = WaitCause::AccountLimit;
     return;
+  }
   // While a request is in flight, nothing can be decided about a gang, or about
   // another step that has no advice yet.
-  if (State.AdviceInFlight && (Spec.Gang || State.Advice.empty()))
+  if (State.AdviceInFlight && (Spec.Gang || State.Advice.empty())) {
+    State.Cause = WaitCause::AdvicePending;
     return;
+  }
   if (Spec.Gang && Current.GangsLeft-- <= 0)
     return;
   --Current.StepsLeft;
+  State.ComparedAt = Current.Now;
   Candidates Found = candidatesFor(Current, CurrentJob, Step);
   if (Spec.Gang)
     scheduleGang(Current, CurrentJob, Step, std::move(Found));
@@ -337,8 +346,10 @@
   // The other tasks wait for the result of the probe.
   if (isProbed(CurrentJob, Step, Current.Now))
     Wanted = State.isSuspectPlaced() ? 0 : std::min(Wanted, 1);
+  State.Cause = WaitCause::Suspect;
   if (Wanted == 0)
     return;
+  State.Cause = WaitCause::NoSlots;
   const int Remaining =
       Wanted - place(Current, CurrentJob, Step, Found.Valid, Wanted, 0);
   if (Remaining == 0)
@@ -353,10 +364,20 @@
   Current.FreeCpuMillis -= Demand;
   const bool MayPrefetch =
       hasCheapAdvice(queueOf(CurrentJob)) && Current.PrefetchesLeft-- > 0;
-  if (State.AdviceInFlight ||
-      !mayRequestAdvice(Current, queueOf(CurrentJob), State) ||
-      (!IsCpuExpected && !MayPrefetch))
+  if (!queueOf(CurrentJob).Advice)
+    return;
+  if (State.AdviceInFlight) {
+    State.Cause = WaitCause::AdvicePending;
     return;
+  }
+  if (!IsCpuExpected && !MayPrefetch) {
+    State.Cause = WaitCause::ResourcesDue;
+    return;
+  }
+  if (!mayRequestAdvice(Current, queueOf(CurrentJob), State)) {
+    State.Cause = WaitCause::AdviceBudget;
+    return;
+  }
   std::vector<std::string> WorkerIds;
   double Slots = 0;
   const double EnoughSlots = AdvisedSlotsMargin * Remaining;
@@ -561,6 +582,7 @@
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const AdviceSettings &Settings = *queueOf(CurrentJob).Advice;
   State.AdviceInFlight = true;
+  State.Cause = WaitCause::AdvicePending;
   const double Cost =
       Settings.BaseMs + Settings.PerWorkerMs * double(WorkerIds.size());
   if (Cost >= AdviceBudget::SlowAdviceMs)
