Answer no held call by a newer policy than later calls

A call whose queue or key is unknown is held until the policy is confirmed. Calls that the last policy allows are answered at once while the store is known to fail. So a held call got the answer of the policy that came during its wait, and a call that arrived up to 0.7 s after it had been allowed by the one before. The class: order of arrival and order of decision differ.

Ruled out: the policy of an instance never gets older in one lifetime (PolicyTracker compares versions), and a refusal rests on a read that was sent after the call arrived.

Change: the router remembers the calls that it allowed while earlier ones may be held. If a new policy decides one of them otherwise, a held call that arrived before it and that the new policy decides otherwise as well is answered as unavailable: nothing was accepted, the caller tries again. Other held calls are answered as before, and no call waits longer. To hold all later calls, too, would delay each call by up to 0.7 s while the store is away and one caller asks for an unknown queue.

The emulator decoded each version of the policy with the newest queues and keys; now it keeps each version. That is stricter for all tests.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -37,6 +37,10 @@
 /// has another policy. The leader needs this long to read the newest one.
 constexpr Duration ResendDelay{100};
 
+/// Time for which an allowed call is remembered while no earlier one waits for
+/// its decision. A call may return from the leader to be decided again.
+constexpr Duration AllowedCallRetention{1000};
+
 /// Longest part of a caller's text in a log line.
 constexpr std::size_t MaxLoggedText = 120;
 
@@ -70,6 +74,47 @@
 
 } // namespace
 
+void CallRouter::setPolicy(const jobs::ClusterPolicy &NewPolicy) {
+  for (const AllowedCall &Call : Allowed) {
+    const Ruling Former = rulingOf(Policy, Call.Host, Call.Path, Call.Key);
+    if (Former != rulingOf(NewPolicy, Call.Host, Call.Path, Call.Key))
+      LastOutdatedArrival = std::max(LastOutdatedArrival, Call.ArrivedAt);
+  }
+  Policy = NewPolicy;
+}
+
+CallRouter::Ruling CallRouter::rulingOf(const jobs::ClusterPolicy &Policy,
+                                        const std::string &Host,
+                                        const std::string &Path,
+                                        const std::string &Key) {
+  Ruling Result;
+  if (const jobs::Queue *Queue = Policy.match(Host, Path)) {
+    Result.Queue = Queue->Name;
+    Result.Upstream = Queue->Upstream;
+  }
+  if (const jobs::ClientAccount *Owner = Policy.accountOfKey(Key))
+    Result.Account = Owner->Name;
+  return Result;
+}
+
+// True if the call would show a newer policy than a later call was decided by.
+bool CallRouter::isOvertaken(const OpenCall &Call) const {
+  const ClientCall &Request = Call.Request;
+  return Call.ArrivedAt < LastOutdatedArrival &&
+         Call.FirstRuling !=
+             rulingOf(Policy, Request.Host, Request.Path, Request.Key);
+}
+
+void CallRouter::forgetAllowedCalls() {
+  TimePoint Oldest = Deps.Time.now() - AllowedCallRetention;
+  for (const auto &[Tag, Call] : Unconfirmed)
+    Oldest = std::min(Oldest, Call.ArrivedAt);
+  for (const OpenCall &Call : Postponed)
+    Oldest = std::min(Oldest, Call.ArrivedAt);
+  while (!Allowed.empty() && Allowed.front().ArrivedAt < Oldest)
+    Allowed.pop_front();
+}
+
 void CallRouter::setLayout(const ShardLayout &NewLayout) {
   Layout = NewLayout;
   for (auto &[Tag, Call] : Open)
@@ -88,6 +133,8 @@
     finish(NewCall, unavailable(Duration{0}));
     return;
   }
+  NewCall.FirstRuling = rulingOf(Policy, NewCall.Request.Host,
+                                 NewCall.Request.Path, NewCall.Request.Key);
   if (Deps.Tracker.isUncertain())
     confirmAndRoute(std::move(NewCall));
   else
@@ -96,6 +143,12 @@
 
 void CallRouter::route(OpenCall NewCall, PolicyView View) {
   ClientCall &Call = NewCall.Request;
+  if (isOvertaken(NewCall)) {
+    logPolicyDecision("overtaken by a later call", NewCall,
+                      ClientStatus::Unavailable);
+    finish(NewCall, unavailable(Duration{0}));
+    return;
+  }
   const jobs::Queue *Queue = Policy.match(Call.Host, Call.Path);
   if (!Queue) {
     refuse(std::move(NewCall), ClientStatus::NoSuchQueue, View);
@@ -110,6 +163,7 @@
     Postponed.push_back(std::move(NewCall));
     return;
   }
+  Allowed.push_back({Call.Host, Call.Path, Call.Key, NewCall.ArrivedAt});
   if (KeyOwner)
     NewCall.Account = KeyOwner->Name;
   NewCall.PublicQueue = Queue->Public;
@@ -371,6 +425,7 @@
   Postponed.erase(FirstDue, Postponed.end());
   for (OpenCall &Call : Due)
     route(std::move(Call), PolicyView::Recent);
+  forgetAllowedCalls();
   for (const auto &[Tag, Call] : Open) {
     const bool Late = Now >= Call.ArrivedAt + Deps.Times.NoLeaderTimeout;
     if (Now >= Call.Deadline || (Late && !wasSent(Tag, Call)))
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -13,6 +13,7 @@
 #include "jobs/clusterpolicy.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -26,9 +27,10 @@
 /// Checks client calls against the policy, sends each to the leader of the
 /// shard that it concerns and answers its caller. A call is refused by the
 /// policy only once the store has confirmed that view after the call arrived.
-/// Calls that concern the whole cell are sent to all shards, and their answers
-/// are combined. Holds no state that must survive the process. Owned by the
-/// Node and used on its thread only.
+/// No call is decided by a newer policy than one that arrived later. Calls that
+/// concern the whole cell are sent to all shards, and their answers are
+/// combined. Holds no state that must survive the process. Owned by the Node
+/// and used on its thread only.
 class CallRouter {
 public:
   struct Ports {
@@ -45,7 +47,7 @@
   explicit CallRouter(Ports Deps) : Deps(std::move(Deps)) {}
 
   /// Sets the policy. Precondition: it is newer than the current one.
-  void setPolicy(const jobs::ClusterPolicy &NewPolicy) { Policy = NewPolicy; }
+  void setPolicy(const jobs::ClusterPolicy &NewPolicy);
   const jobs::ClusterPolicy &policy() const { return Policy; }
 
   /// Sets the layout. Calls that arrived before are sent now.
@@ -75,9 +77,18 @@
   }
 
 private:
+  /// What a policy says about a call.
+  struct Ruling {
+    std::string Queue; ///< Empty: there is none.
+    std::string Upstream;
+    std::string Account; ///< Of the key; empty: it is unknown.
+
+    bool operator==(const Ruling &) const = default;
+  };
   /// A client call without an answer.
   struct OpenCall {
     ClientCall Request; ///< Its job is in SubmitRequest while that is set.
+    Ruling FirstRuling; ///< By the policy in force when the call arrived.
     std::optional<Submission> SubmitRequest;
     std::optional<Query> QueryRequest;
     std::string Account; ///< Its shard has the job.
@@ -95,6 +106,13 @@
     /// be sent again.
     TimePoint NextSend;
   };
+  /// A call that the policy allowed.
+  struct AllowedCall {
+    std::string Host;
+    std::string Path;
+    std::string Key;
+    TimePoint ArrivedAt;
+  };
   /// How well the policy in force is known.
   enum class PolicyView {
     Recent,      ///< It was not confirmed for this call.
@@ -102,6 +120,11 @@
     Unconfirmed, ///< The store could not be asked.
   };
 
+  static Ruling rulingOf(const jobs::ClusterPolicy &Policy,
+                         const std::string &Host, const std::string &Path,
+                         const std::string &Key);
+  bool isOvertaken(const OpenCall &Call) const;
+  void forgetAllowedCalls();
   void route(OpenCall Call, PolicyView View);
   void refuse(OpenCall Call, ClientStatus Status, PolicyView View);
   void confirmAndRoute(OpenCall Call);
@@ -127,6 +150,12 @@
   /// Calls that wait until the policy is confirmed, by tag.
   std::map<std::uint64_t, OpenCall> Unconfirmed;
   std::vector<OpenCall> Postponed; ///< Until OpenCall::NextSend.
+  /// The calls that arrived while one without a decision was there, or shortly
+  /// before.
+  std::deque<AllowedCall> Allowed;
+  /// Latest arrival of a call that an older policy allowed and the one in force
+  /// decides otherwise.
+  TimePoint LastOutdatedArrival;
   std::map<ClientStatus, std::uint64_t> Answers;
 };
 
--- a/tests/cell/outdatedpolicy_test.cpp
+++ b/tests/cell/outdatedpolicy_test.cpp
@@ -196,6 +196,45 @@
   EXPECT_EQ(*Answer, (Answers{{ClientStatus::UnknownKey, 1}}));
 }
 
+// Guards against a key that is accepted although an earlier call is answered by
+// the policy without it, when an instance has the store again.
+TEST_F(OutdatedPolicyTest, GoesBackToNoOlderPolicyAfterACut) {
+  int Served = 0;
+  for (int Version = 2; Version < 22; ++Version) {
+    Cell.store().Cut = {Late};
+    const auto KeyOf = [](int Number) {
+      return "key" + std::to_string(Number);
+    };
+    Cell.putQueuesAndKeys(Cell.queues(), {KeyOf(Version)}, Version);
+    Cell.run(3s + Version * 50ms);
+    const auto Earlier = call(Late, "/batch/", KeyOf(Version));
+    Cell.run(400ms);
+    Cell.store().Cut.clear();
+    const auto Later = call(Late, "/batch/", KeyOf(Version - 1), true);
+    Cell.run(2s);
+    const bool IsNewShown = Earlier->contains(ClientStatus::NoSuchJob) ||
+                            Earlier->contains(ClientStatus::State);
+    const bool IsOldShown = Later->contains(ClientStatus::Accepted);
+    EXPECT_FALSE(IsNewShown && IsOldShown) << Version;
+    EXPECT_FALSE(Earlier->contains(ClientStatus::UnknownKey)) << Version;
+    Served += IsNewShown || IsOldShown ? 1 : 0;
+  }
+  EXPECT_GT(Served, 0);
+}
+
+// Guards against 503 for an earlier call if both policies allow the later one.
+TEST_F(OutdatedPolicyTest, AnswersACallOfAnAddedQueueAmongOthers) {
+  Cell.store().Latency = 450ms;
+  Cell.run(3s);
+  addQueue();
+  const auto Earlier = call(Late, "/added/");
+  Cell.run(300ms);
+  const auto Later = call(Late, "/batch/");
+  Cell.run(3s);
+  EXPECT_EQ(*Earlier, (Answers{{ClientStatus::NoSuchJob, 1}}));
+  EXPECT_EQ(*Later, (Answers{{ClientStatus::NoSuchJob, 1}}));
+}
+
 // Guards against 429 for jobs of a queue that the leader does not know yet.
 TEST_F(OutdatedPolicyTest, AcceptsAJobOfAnAddedQueueThoughTheLeaderIsBehind) {
   Cell.store().silenceConnections(Cell.leader(), 0);
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -30,22 +30,14 @@
 class EmulatedRecords final : public cell::PlatformRecords {
 public:
   EmulatedRecords(EmulatedWorkers &Workers,
-                  const std::vector<jobs::Queue> &Queues,
-                  const std::vector<jobs::ClientAccount> &Accounts)
-      : Workers(Workers), Queues(Queues), Accounts(Accounts) {}
+                  const std::map<std::int64_t, jobs::ClusterPolicy> &Policies)
+      : Workers(Workers), Policies(Policies) {}
 
   std::string policyTable() const override { return "policy"; }
 
   std::optional<jobs::ClusterPolicy>
   decodePolicy(const cell::StoredRow &Row) const override {
-    jobs::ClusterPolicy Result;
-    Result.Version = std::stoll(Row.Value);
-    Result.Queues = Queues;
-    Result.Accounts = Accounts;
-    jobs::Upstream Service;
-    Service.Name = "service";
-    Result.Upstreams = {Service};
-    return Result;
+    return Policies.at(std::stoll(Row.Value));
   }
 
   std::string workerTable() const override { return "workers"; }
@@ -65,8 +57,7 @@
 
 private:
   EmulatedWorkers &Workers;
-  const std::vector<jobs::Queue> &Queues;
-  const std::vector<jobs::ClientAccount> &Accounts;
+  const std::map<std::int64_t, jobs::ClusterPolicy> &Policies;
 };
 
 std::vector<jobs::ClientAccount> singleAccount() {
@@ -204,8 +195,8 @@
     : Store(Time, Seed), Workers(Time, Seed + 1), Queues(usualQueues()),
       Accounts(std::move(JobAccounts)),
       Shards(Layout ? Layout->shardCount() : 1), PolicyAccounts(Accounts),
-      Random(Seed + 2), RowCodec(std::make_unique<EmulatedRecords>(
-                            Workers, Queues, PolicyAccounts)),
+      Random(Seed + 2),
+      RowCodec(std::make_unique<EmulatedRecords>(Workers, Policies)),
       WallTime(std::make_unique<VirtualWallClock>(Time)),
       Log(std::make_unique<TraceLog>(Time)) {
   Workers.TraitsOf = [this](const jobs::TaskId &Id) {
@@ -271,6 +262,12 @@
 }
 
 void EmulatedCell::putPolicy(std::int64_t Version) {
+  jobs::ClusterPolicy &Policy = Policies[Version];
+  Policy.Version = Version;
+  Policy.Queues = Queues;
+  Policy.Accounts = PolicyAccounts;
+  Policy.Upstreams.resize(1);
+  Policy.Upstreams.front().Name = "service";
   Store.put("policy", "", "policy", std::to_string(Version));
 }
 
@@ -280,6 +277,13 @@
   putPolicy(Version);
 }
 
+void EmulatedCell::putQueuesAndKeys(std::vector<jobs::Queue> Next,
+                                    std::vector<std::string> Keys,
+                                    std::int64_t Version) {
+  PolicyAccounts.front().Keys = std::move(Keys);
+  putQueues(std::move(Next), Version);
+}
+
 void EmulatedCell::removeAccounts(std::int64_t Version) {
   PolicyAccounts.clear();
   putPolicy(Version);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -137,6 +137,11 @@
   /// Replaces the queues of the policy and publishes it with \p Version.
   void putQueues(std::vector<jobs::Queue> Queues, std::int64_t Version);
 
+  /// Replaces the queues of the policy and the keys of its first account and
+  /// publishes it with \p Version.
+  void putQueuesAndKeys(std::vector<jobs::Queue> Queues,
+                        std::vector<std::string> Keys, std::int64_t Version);
+
   /// The queues of the policy.
   const std::vector<jobs::Queue> &queues() const { return Queues; }
 
@@ -208,6 +213,7 @@
   const std::vector<jobs::ClientAccount> Accounts;
   const int Shards;
   std::vector<jobs::ClientAccount> PolicyAccounts; ///< As the policy has them.
+  std::map<std::int64_t, jobs::ClusterPolicy> Policies; ///< By version.
   std::mt19937_64 Random;
   std::unique_ptr<cell::PlatformRecords> RowCodec;
   std::unique_ptr<cell::WallClock> WallTime;
