Pause members whose calls for advice fail

Seen by callers: a gang never starts although its workers have room, while the calls for advice of one instance fail.

Cause: AdviceDispatcher selects the member that is free soonest. One whose calls fail at once is always that, so a step that is alone in asking makes all its calls there. And the largest third of the members takes no slow calls, also if the calls of all others fail. The emulated advice service never failed, so no test could show it.

EmulatedAdvice now has faults that a test switches while it runs: errors at once, no answer until the client's timeout, calls that take longer, and an error beyond 32 waiting calls. The emulated workers refuse starts whose ticket is not for the step and the process or has expired.

Change: a member whose call failed gets no calls for 250 ms, doubled with each failure up to 4 s. Then it gets one call at a time, and only if no other member has room, until one is answered. Calls that were open when the first failed count as one failure. Members whose calls fail are not counted in the budget without calls, of which half must be unused for steps past their deadline, and not when members are reserved for fast calls. So a lone member that answers takes slow calls.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -1,6 +1,7 @@
 #include "cell/advicedispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace apricotwing::cell {
 
@@ -23,6 +24,11 @@
 /// Time that an answer may take beyond the expected cost of the queued calls.
 constexpr Duration AnswerTimeout{2500};
 
+/// How long a member gets no calls after one has failed. Doubles with each
+/// failure in a row.
+constexpr Duration FirstPause{250};
+constexpr Duration MaxPause{4000};
+
 bool isSlow(const jobs::AdviceRequest &Request) {
   return Request.CostMs >= jobs::AdviceBudget::SlowAdviceMs;
 }
@@ -46,13 +52,24 @@
   return Lost;
 }
 
+bool AdviceDispatcher::Member::mayTake(bool SlowCall, TimePoint Now) const {
+  if (HasSlow || (SlowCall && !TakesSlow))
+    return false;
+  return isSound() || (Now >= PausedUntil && Deadlines.empty());
+}
+
 // Slow calls go to the smallest members because a slow call needs little CPU
-// time; the largest third of the members takes none. A single member takes all
-// calls.
+// time; the largest third of the sound members takes none. A single sound
+// member takes all calls. The others take calls of any kind as probes.
 void AdviceDispatcher::classifyMembers() {
   std::vector<Member *> Order;
-  for (auto &[Name, Entry] : Members)
-    Order.push_back(&Entry);
+  double Largest = 0;
+  for (auto &[Name, Entry] : Members) {
+    Largest = std::max(Largest, Entry.CpuShare);
+    Entry.TakesSlow = true;
+    if (Entry.isSound())
+      Order.push_back(&Entry);
+  }
   const auto Smaller = [](const Member *Left, const Member *Right) {
     return Left->CpuShare < Right->CpuShare;
   };
@@ -61,19 +78,22 @@
       std::max<std::size_t>(Order.size() / FastOnlyDivisor, 1);
   const std::size_t Slow =
       std::max<std::size_t>(Order.size() - std::min(FastOnly, Order.size()), 1);
-  for (std::size_t Index = 0; Index < Order.size(); ++Index) {
+  for (std::size_t Index = 0; Index < Order.size(); ++Index)
     Order[Index]->TakesSlow = Index < Slow;
-    Order[Index]->Small =
-        Order[Index]->CpuShare < Order.back()->CpuShare * SmallShareRatio;
-  }
+  for (auto &[Name, Entry] : Members)
+    Entry.Small = Entry.CpuShare < Largest * SmallShareRatio;
 }
 
+// Members that are not sound may never answer, so they do not count towards the
+// budget without calls.
 jobs::AdviceBudget AdviceDispatcher::budget(TimePoint Now) const {
   jobs::AdviceBudget Budget;
   for (const auto &[Name, Entry] : Members) {
-    Budget.MaxFastMs += double(MaxFastQueue.count());
-    Budget.MaxSlowCalls += Entry.TakesSlow ? 1 : 0;
-    if (Entry.HasSlow)
+    if (Entry.isSound()) {
+      Budget.MaxFastMs += double(MaxFastQueue.count());
+      Budget.MaxSlowCalls += Entry.TakesSlow ? 1 : 0;
+    }
+    if (!Entry.mayTake(false, Now))
       continue;
     const Duration Queued = Entry.BusyUntil - Now;
     Budget.FastMs += double(
@@ -91,14 +111,18 @@
         Entry.Small && !Slow ? SmallMemberDelay : Duration::zero();
     return std::max(Entry.BusyUntil, Now) + Delay;
   };
+  // No step has to wait for the result of a probe while another member has
+  // room.
+  const auto Cost = [&](const Member &Entry) {
+    const bool HasRoom =
+        Entry.isSound() && (Slow || Entry.BusyUntil - Now < MaxFastQueue);
+    return std::tuple(!HasRoom, Entry.isSound(), FreeAt(Entry));
+  };
   auto Best = Members.end();
-  for (auto Entry = Members.begin(); Entry != Members.end(); ++Entry) {
-    const Member &Candidate = Entry->second;
-    if (Candidate.HasSlow || (Slow && !Candidate.TakesSlow))
-      continue;
-    if (Best == Members.end() || FreeAt(Candidate) < FreeAt(Best->second))
+  for (auto Entry = Members.begin(); Entry != Members.end(); ++Entry)
+    if (Entry->second.mayTake(Slow, Now) &&
+        (Best == Members.end() || Cost(Entry->second) < Cost(Best->second)))
       Best = Entry;
-  }
   if (Best == Members.end())
     return std::nullopt;
   Member &Chosen = Best->second;
@@ -109,16 +133,41 @@
   return Best->first;
 }
 
+void AdviceDispatcher::removeCall(Member &Entry, const std::string &Step,
+                                  TimePoint Now) {
+  Entry.Deadlines.erase(Step);
+  if (!Entry.Deadlines.empty())
+    return;
+  Entry.BusyUntil = Now;
+  Entry.HasSlow = false;
+}
+
 void AdviceDispatcher::complete(const std::string &Name,
                                 const std::string &Step, TimePoint Now) {
   const auto Found = Members.find(Name);
   if (Found == Members.end())
     return;
-  Found->second.Deadlines.erase(Step);
-  if (!Found->second.Deadlines.empty())
+  removeCall(Found->second, Step, Now);
+  Found->second.Failures = 0;
+  Found->second.PausedUntil = TimePoint{};
+  classifyMembers();
+}
+
+// Several calls that were open when the first of them failed count as one
+// failure.
+void AdviceDispatcher::fail(const std::string &Name, const std::string &Step,
+                            TimePoint Now) {
+  const auto Found = Members.find(Name);
+  if (Found == Members.end())
+    return;
+  Member &Entry = Found->second;
+  removeCall(Entry, Step, Now);
+  if (Now < Entry.PausedUntil)
     return;
-  Found->second.BusyUntil = Now;
-  Found->second.HasSlow = false;
+  Entry.PausedUntil =
+      Now + std::min(FirstPause * (1 << std::min(Entry.Failures, 8)), MaxPause);
+  ++Entry.Failures;
+  classifyMembers();
 }
 
 std::vector<std::string> AdviceDispatcher::expireCalls(TimePoint Now) {
--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -16,8 +16,10 @@
 
 /// Tracks the open advice calls of each member. The advice service processes
 /// the calls of one instance sequentially, so a member with a slow call gets no
-/// other calls, and some members are reserved for fast calls. Owned by the
-/// leader and used on its thread only.
+/// other calls, and some members are reserved for fast calls. A member whose
+/// call has failed gets none for a while, and then one at a time, if the other
+/// members are occupied, until one is answered. Owned by the leader and used on
+/// its thread only.
 class AdviceDispatcher {
 public:
   /// Adds a member that may use the fraction \p CpuShare of a core, or updates
@@ -35,10 +37,13 @@
   std::optional<std::string> assign(const jobs::AdviceRequest &Request,
                                     TimePoint Now);
 
-  /// Records that the call for a step was answered or has failed.
+  /// Records that the call for a step was answered.
   void complete(const std::string &Member, const std::string &Step,
                 TimePoint Now);
 
+  /// Records that the call for a step has failed.
+  void fail(const std::string &Member, const std::string &Step, TimePoint Now);
+
   /// Drops calls whose deadline has passed and returns their steps.
   std::vector<std::string> expireCalls(TimePoint Now);
 
@@ -53,9 +58,15 @@
     double CpuShare = 1;
     bool TakesSlow = true;
     bool Small = false; ///< Has a far smaller CPU share than the largest.
+    int Failures = 0;   ///< Consecutive failed calls, those of a pause as one.
+    TimePoint PausedUntil;
+
+    bool isSound() const { return Failures == 0; }
+    bool mayTake(bool SlowCall, TimePoint Now) const;
   };
 
   void classifyMembers();
+  static void removeCall(Member &Entry, const std::string &Step, TimePoint Now);
 
   std::map<std::string, Member> Members;
 };
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1454,14 +1454,15 @@
 
 void Leader::onAdviceAnswer(MemberState &From, const AdviceAnswer &Answer) {
   const TimePoint Now = Deps.Time.now();
-  Dispatcher.complete(From.Info.Name, Answer.Step, Now);
   DecisionNeeded = true;
   if (!Answer.Answered) {
+    Dispatcher.fail(From.Info.Name, Answer.Step, Now);
     Deps.Log.event("advice call failed", Answer.Step,
                    {{"member", From.Info.Name}});
     Scheduler.adviceFailed(Answer.Step);
     return;
   }
+  Dispatcher.complete(From.Info.Name, Answer.Step, Now);
   Scheduler.adviceArrived(Answer.Step, Answer.RequestedWorkers, Answer.Approved,
                           Now);
 }
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -246,9 +246,13 @@
 public:
   virtual ~AdviceClient() = default;
 
+  /// Maximum duration of a call. It may be queued behind up to 32 others of
+  /// this instance.
+  static constexpr Duration Timeout{5000};
+
   /// Requests advice for a step; the callback gets an empty result if there was
-  /// no answer. The service spends Request.CostMs on each call that it
-  /// receives.
+  /// no answer within Timeout. The service spends Request.CostMs on each call
+  /// that it receives.
   virtual void
   ask(const jobs::AdviceRequest &Request,
       std::function<void(std::optional<std::vector<jobs::Approval>>)>
--- a/tests/cell/advicedispatcher_test.cpp
+++ b/tests/cell/advicedispatcher_test.cpp
@@ -1,5 +1,7 @@
 #include "cell/advicedispatcher.h"
 
+#include "cell/ports.h"
+
 #include <gtest/gtest.h>
 
 #include <string>
@@ -18,6 +20,20 @@
     return {Step, {"w"}, CostMs};
   }
 
+  /// Lets a call of "a" fail and returns for how long "a" gets no other while
+  /// all other members are occupied. Ends with an open call of "a".
+  Duration pauseAfterFailure(const std::string &Step) {
+    Dispatcher.fail("a", Step, Now);
+    const TimePoint Failed = Now;
+    while (Now - Failed < Duration{20'000}) {
+      const auto Name = Dispatcher.assign(request(Step, 500), Now);
+      if (Name == "a")
+        break;
+      Now += Duration{10};
+    }
+    return Now - Failed;
+  }
+
   AdviceDispatcher Dispatcher;
   TimePoint Now{Duration{1000}};
 };
@@ -59,6 +75,83 @@
   EXPECT_EQ(Dispatcher.remove(*Again), std::vector<std::string>{"s2"});
 }
 
+// Guards against a member whose calls fail at once, which is always free before
+// the others and so got all calls.
+TEST_F(AdviceDispatcherTest, PrefersMembersWhoseCallsDoNotFail) {
+  for (int Number = 0; Number < 20; ++Number) {
+    const std::string Step = "s" + std::to_string(Number);
+    const auto Name = Dispatcher.assign(request(Step, 500), Now);
+    ASSERT_TRUE(Name);
+    EXPECT_TRUE(Number == 0 || *Name != "a") << Number;
+    Now += Duration{500};
+    if (*Name == "a")
+      Dispatcher.fail(*Name, Step, Now);
+    else
+      Dispatcher.complete(*Name, Step, Now);
+  }
+}
+
+// The same for fast calls, of which a member takes several.
+TEST_F(AdviceDispatcherTest, QuickCallsPreferMembersWhoseCallsDoNotFail) {
+  ASSERT_EQ(Dispatcher.assign(request("f", 20), Now), "a");
+  Dispatcher.fail("a", "f", Now);
+  Now += Duration{10'000};
+  for (int Number = 0; Number < 10; ++Number)
+    EXPECT_NE(Dispatcher.assign(request("f" + std::to_string(Number), 20), Now),
+              "a");
+  EXPECT_EQ(Dispatcher.assign(request("full", 20), Now), "a");
+  EXPECT_NE(Dispatcher.assign(request("fuller", 20), Now), "a");
+}
+
+TEST_F(AdviceDispatcherTest, PausesGrowUpToABoundUntilACallIsAnswered) {
+  ASSERT_EQ(Dispatcher.assign(request("s", 500), Now), "a");
+  ASSERT_EQ(Dispatcher.assign(request("t", 500), Now), "b");
+  const Duration First = pauseAfterFailure("s");
+  EXPECT_GT(First, Duration{0});
+  Duration Last = First;
+  for (int Number = 0; Number < 10; ++Number) {
+    const Duration Next = pauseAfterFailure("s");
+    EXPECT_GE(Next, Last);
+    Last = Next;
+  }
+  EXPECT_GT(Last, First);
+  EXPECT_LT(Last, AdviceClient::Timeout);
+  Dispatcher.complete("a", "s", Now);
+  ASSERT_EQ(Dispatcher.assign(request("s", 500), Now), "a");
+  EXPECT_EQ(pauseAfterFailure("s"), First);
+}
+
+TEST_F(AdviceDispatcherTest, CallsThatFailTogetherCountAsOneFailure) {
+  for (int Number = 0; Number < 9; ++Number)
+    Dispatcher.assign(request("f" + std::to_string(Number), 20), Now);
+  for (int Number = 0; Number < 9; ++Number)
+    Dispatcher.fail("a", "f" + std::to_string(Number), Now);
+  EXPECT_LT(pauseAfterFailure("f"), Duration{1000});
+}
+
+// Guards against slow calls that no member takes: the calls of those that took
+// them fail, and the others are reserved for fast calls.
+TEST_F(AdviceDispatcherTest, TheOnlyMemberThatAnswersTakesSlowCalls) {
+  for (const std::string Failing : {"a", "b"}) {
+    ASSERT_EQ(Dispatcher.assign(request("s" + Failing, 500), Now), Failing);
+    Dispatcher.fail(Failing, "s" + Failing, Now);
+  }
+  EXPECT_EQ(Dispatcher.budget(Now).SlowCalls, 1);
+  EXPECT_EQ(Dispatcher.budget(Now).MaxSlowCalls, 1);
+  EXPECT_EQ(Dispatcher.assign(request("s", 500), Now), "c");
+}
+
+// Guards against steps past their deadline that may never ask because members
+// whose calls fail count as members that could take a call.
+TEST_F(AdviceDispatcherTest, FailingMembersAreNoPartOfTheBudgetWithoutCalls) {
+  ASSERT_EQ(Dispatcher.assign(request("s", 500), Now), "a");
+  Dispatcher.fail("a", "s", Now);
+  EXPECT_EQ(Dispatcher.budget(Now).MaxSlowCalls, 1);
+  Now += Duration{10'000};
+  EXPECT_EQ(Dispatcher.budget(Now).SlowCalls, 2);
+  EXPECT_EQ(Dispatcher.budget(Now).MaxSlowCalls, 1);
+}
+
 // Guards against fast calls at small instances, whose answers arrive late,
 // while the large instances are blocked by slow calls.
 TEST(AdviceDispatcherSizesTest, SlowCallsGoToSmallMembersAndQuickOnesToLarge) {
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -225,6 +225,15 @@
     Traits.Lasts = Step.LongRunning;
     return Traits;
   };
+  Workers.TicketValidityOf =
+      [this](const jobs::TaskId &Id) -> std::optional<Duration> {
+    const auto Prefix = QueueOf.find(Id.Job);
+    for (const jobs::Queue &Queue : Queues)
+      if (Prefix != QueueOf.end() && Queue.PathPrefix == Prefix->second &&
+          Queue.Advice)
+        return Queue.Advice->Validity;
+    return std::nullopt;
+  };
   for (int Number = 0; Number < WorkerCount; ++Number)
     Workers.add("w" + std::to_string(Number), "zone", {32'000, 65'536, 0});
   putPolicy(1);
@@ -304,7 +313,8 @@
   Entry.Frozen = false;
   Entry.Store = std::make_unique<EmulatedStore::Handle>(Store, Name);
   Entry.Workers = std::make_unique<EmulatedWorkers::Handle>(Workers, Name);
-  Entry.Advice = std::make_unique<EmulatedAdvice>(Time);
+  Entry.Advice =
+      std::make_unique<EmulatedAdvice>(Time, Workers, AdviceLinks[Name]);
   Entry.Peers = std::make_unique<Network>(*this, Name);
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
@@ -343,6 +353,8 @@
       Workers.restart(Id);
   DelayedMessages = 0;
   LostReplies = 0;
+  for (auto &[Name, Link] : AdviceLinks)
+    Link.endFaults();
   for (const std::string &Name : names()) {
     heal(Name);
     thaw(Name);
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -127,6 +127,9 @@
   double LostReplies = 0;
   static constexpr Duration DelayTime{2500};
 
+  /// What the advice service does with the calls of an instance.
+  AdviceLink &adviceLink(const std::string &Name) { return AdviceLinks[Name]; }
+
   /// Publishes a policy with the version \p Version in which the accounts have
   /// other keys than callers use.
   void withdrawKeys(std::int64_t Version);
@@ -212,6 +215,7 @@
   std::unique_ptr<cell::PlatformRecords> RowCodec;
   std::unique_ptr<cell::WallClock> WallTime;
   std::unique_ptr<TraceLog> Log;
+  std::map<std::string, AdviceLink> AdviceLinks; ///< By instance.
   std::map<std::string, Instance> Instances;
   std::set<std::string> CutInstances;
   std::map<std::string, JobRecord> Records;
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -28,6 +28,17 @@
 constexpr int AcceptedCrashes = 3;
 constexpr int AcceptedLaterStarts = 2;
 
+/// Time after which the advice service answers with an error.
+constexpr Duration AdviceErrorDelay{5};
+
+/// Start of a ticket; the time of its expiry follows.
+std::string ticketPrefix(const std::string &Step,
+                         const jobs::WorkerIncarnation &Worker) {
+  std::string Result = Step;
+  Result.append(" ").append(Worker.Id).append(" ");
+  return Result.append(std::to_string(Worker.StartedUnixMs)).append(" ");
+}
+
 } // namespace
 
 bool EmulatedWorkers::randomChance(double Share) {
@@ -279,11 +290,38 @@
     Answer.Outcome = cell::WorkerOutcome::Expired;
     return Answer;
   }
+  if (!hasValidTicket(Entry, Order)) {
+    ++TicketRefusals;
+    Answer.Outcome = cell::WorkerOutcome::NoTicket;
+    return Answer;
+  }
   begin(Entry, Order, TraitsOf(*jobs::TaskId::parse(Order.Task)));
   Answer.Outcome = cell::WorkerOutcome::Done;
   return Answer;
 }
 
+std::string EmulatedWorkers::ticketFor(const std::string &Step,
+                                       const std::string &Worker,
+                                       TimePoint Expires) const {
+  const auto Found = Processes.find(Worker);
+  if (Found == Processes.end())
+    return {};
+  return ticketPrefix(Step, Found->second.Info.Incarnation) +
+         std::to_string(Expires.time_since_epoch().count());
+}
+
+bool EmulatedWorkers::hasValidTicket(const Process &Entry,
+                                     const jobs::StartCommand &Order) const {
+  const jobs::TaskId Id = *jobs::TaskId::parse(Order.Task);
+  if (!TicketValidityOf || !TicketValidityOf(Id))
+    return true;
+  const std::string Prefix =
+      ticketPrefix(jobs::stepName(Id.Job, Id.Step), Entry.Info.Incarnation);
+  return Order.Ticket.starts_with(Prefix) &&
+         Time.now().time_since_epoch().count() <=
+             std::stoll(Order.Ticket.substr(Prefix.size()));
+}
+
 void EmulatedWorkers::begin(Process &Entry, const jobs::StartCommand &Order,
                             const TaskTraits &Traits) {
   const std::string &Id = Entry.Info.Incarnation.Id;
@@ -564,17 +602,50 @@
   return std::hash<std::string>()(Step + Worker) % 2 == 0;
 }
 
+std::vector<jobs::Approval>
+EmulatedAdvice::approvalsFor(const jobs::AdviceRequest &Request) const {
+  // The name of a step is that of a task without the task index.
+  const auto Id = jobs::TaskId::parse(Request.Step + ".0");
+  const auto Validity = Id && Workers.TicketValidityOf
+                            ? Workers.TicketValidityOf(*Id)
+                            : std::nullopt;
+  const TimePoint Expires = Time.now() + Validity.value_or(Duration{0});
+  std::vector<jobs::Approval> Result;
+  for (const std::string &Worker : Request.Workers)
+    if (approves(Request.Step, Worker))
+      Result.push_back(
+          {Worker, Workers.ticketFor(Request.Step, Worker, Expires)});
+  return Result;
+}
+
 void EmulatedAdvice::ask(
     const jobs::AdviceRequest &Request,
     std::function<void(std::optional<std::vector<jobs::Approval>>)> Callback) {
-  BusyUntil =
-      std::max(BusyUntil, Time.now()) + Duration(Duration::rep(Request.CostMs));
-  std::vector<jobs::Approval> Approved;
-  for (const std::string &Id : Request.Workers)
-    if (approves(Request.Step, Id))
-      Approved.push_back({Id, "ticket"});
-  Time.after(BusyUntil - Time.now(),
-             [Callback, Approved] { Callback(Approved); });
+  ++Link.Calls;
+  if (Link.Silent) {
+    Time.after(Timeout, [Callback] { Callback(std::nullopt); });
+    return;
+  }
+  if (Link.Fails || Link.Open > MaxWaiting) {
+    ++Link.Errors;
+    Time.after(AdviceErrorDelay, [Callback] { Callback(std::nullopt); });
+    return;
+  }
+  ++Link.Open;
+  BusyUntil = std::max(BusyUntil, Time.now()) +
+              Duration(Duration::rep(Request.CostMs)) + Link.Delay;
+  const Duration Length = BusyUntil - Time.now();
+  const bool IsInTime = Length <= Timeout;
+  Time.after(Length, [this, Request, Callback, IsInTime,
+                      Process = std::weak_ptr<bool>(Alive)] {
+    if (Process.expired())
+      return;
+    --Link.Open;
+    if (IsInTime)
+      Callback(approvalsFor(Request));
+  });
+  if (!IsInTime)
+    Time.after(Timeout, [Callback] { Callback(std::nullopt); });
 }
 
 } // namespace apricotwing::emulator
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -83,6 +84,15 @@
   /// Returns the traits of a task; must be set before the first start.
   std::function<TaskTraits(const jobs::TaskId &)> TraitsOf;
 
+  /// Returns for how long the tickets of a task's step are valid, or nothing if
+  /// its starts need none. If not set, none do.
+  std::function<std::optional<Duration>(const jobs::TaskId &)> TicketValidityOf;
+
+  /// Returns a ticket for the current process of a worker that is valid for all
+  /// tasks of a step until \p Expires. Empty if the worker is unknown.
+  std::string ticketFor(const std::string &Step, const std::string &Worker,
+                        TimePoint Expires) const;
+
   /// Adds a worker and returns its registry entry.
   jobs::WorkerInfo add(const std::string &Id, const std::string &Zone,
                        Resources Capacity);
@@ -115,6 +125,9 @@
   /// Descriptions of the violations found so far.
   const std::vector<std::string> &violations() const { return Violations; }
 
+  /// Number of starts that were refused because of their ticket.
+  int ticketRefusals() const { return TicketRefusals; }
+
   /// Number of runs that ended as done.
   int doneRuns() const { return DoneRuns; }
 
@@ -218,6 +231,8 @@
                      const cell::HeartbeatRequest &Request, TimePoint Until,
                      std::function<void(cell::HeartbeatResult)> Callback,
                      std::int64_t AcceptedBy = 0);
+  bool hasValidTicket(const Process &Entry,
+                      const jobs::StartCommand &Order) const;
   void begin(Process &Entry, const jobs::StartCommand &Order,
              const TaskTraits &Traits);
   void finishAfter(const std::string &Id, const std::string &Task,
@@ -244,12 +259,36 @@
   int DoneRuns = 0;
   int StartedRuns = 0;
   int TaskCrashes = 0;
+  int TicketRefusals = 0;
 };
 
-/// An advice service that approves about half of the workers for each step.
+/// What the advice service does with the calls of one instance. A test switches
+/// the faults while the cell runs.
+struct AdviceLink {
+  bool Fails = false;  ///< Calls are answered with an error at once.
+  bool Silent = false; ///< Calls get no answer until they time out.
+  Duration Delay{0};   ///< The service takes this much longer for a call.
+
+  int Calls = 0;  ///< Number of all calls.
+  int Errors = 0; ///< Number of those that were answered with an error.
+  int Open = 0;   ///< Calls that the service has accepted and not answered.
+
+  void endFaults() {
+    Fails = false;
+    Silent = false;
+    Delay = Duration{0};
+  }
+};
+
+/// An advice service that approves about half of the workers for each step. It
+/// handles one call of an instance at a time, in turn.
 class EmulatedAdvice final : public cell::AdviceClient {
 public:
-  explicit EmulatedAdvice(VirtualTime &Time) : Time(Time) {}
+  EmulatedAdvice(VirtualTime &Time, const EmulatedWorkers &Workers,
+                 AdviceLink &Link)
+      : Time(Time), Workers(Workers), Link(Link) {
+    Link.Open = 0;
+  }
 
   void ask(const jobs::AdviceRequest &Request,
            std::function<void(std::optional<std::vector<jobs::Approval>>)>
@@ -258,9 +297,20 @@
   /// True if the service lets a worker run a step.
   static bool approves(const std::string &Step, const std::string &Worker);
 
+  /// Maximum number of calls that wait behind the one that is handled. Further
+  /// ones are answered with an error.
+  static constexpr int MaxWaiting = 32;
+
 private:
+  std::vector<jobs::Approval>
+  approvalsFor(const jobs::AdviceRequest &Request) const;
+
   VirtualTime &Time;
+  const EmulatedWorkers &Workers;
+  AdviceLink &Link;
   TimePoint BusyUntil;
+  /// Expires with this object, when the process of the instance ends.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace apricotwing::emulator
