Keep a member occupied while its call for advice is overdue

Seen by callers: steps wait long for advice while the service is slow.

Cause: a call counts as lost 2.5 s after its answer was due, but its HTTP call lasts for up to 5 s. From then on the member counted as free and got a second call, which the service takes up only after the first. The answers to that call and all later ones came too late as well.

Change: an overdue call stays open until the member reports its end, or until it can't be open any more (the client's timeout and 2.5 s for the messages). Till then the member gets no other call and isn't counted as one that answers. The step may ask through another member, a late answer is still used, and the failure of the late call no longer ends the wait for the second one.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -1,7 +1,10 @@
 #include "cell/advicedispatcher.h"
 
+#include "cell/ports.h"
+
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace apricotwing::cell {
 
@@ -21,7 +24,8 @@
 /// Maximum total cost of the fast calls that are queued at one member.
 constexpr Duration MaxFastQueue{100};
 
-/// Time that an answer may take beyond the expected cost of the queued calls.
+/// Time that an answer may take beyond the expected cost of the queued calls,
+/// or a message about a call beyond the end of the call.
 constexpr Duration AnswerTimeout{2500};
 
 /// How long a member gets no calls after one has failed. Doubles with each
@@ -45,17 +49,23 @@
   const auto Found = Members.find(Name);
   if (Found == Members.end())
     return Lost;
-  for (const auto &[Step, Deadline] : Found->second.Deadlines)
-    Lost.push_back(Step);
+  for (const auto &[Step, Open] : Found->second.Calls)
+    if (!Open.Overdue)
+      Lost.push_back(Step);
   Members.erase(Found);
   classifyMembers();
   return Lost;
 }
 
+bool AdviceDispatcher::Member::hasOverdueCall() const {
+  return std::any_of(Calls.begin(), Calls.end(),
+                     [](const auto &Entry) { return Entry.second.Overdue; });
+}
+
 bool AdviceDispatcher::Member::mayTake(bool SlowCall, TimePoint Now) const {
   if (HasSlow || (SlowCall && !TakesSlow))
     return false;
-  return isSound() || (Now >= PausedUntil && Deadlines.empty());
+  return isSound() || (Now >= PausedUntil && Calls.empty());
 }
 
 // Slow calls go to the smallest members because a slow call needs little CPU
@@ -129,14 +139,16 @@
   Chosen.HasSlow = Slow;
   Chosen.BusyUntil = std::max(Chosen.BusyUntil, Now) +
                      Duration(Duration::rep(Request.CostMs) + 1);
-  Chosen.Deadlines[Request.Step] = Chosen.BusyUntil + AnswerTimeout;
+  const TimePoint Due = Chosen.BusyUntil + AnswerTimeout;
+  Chosen.Calls[Request.Step] = {
+      Due, std::max(Due, Now + AdviceClient::Timeout + AnswerTimeout), false};
   return Best->first;
 }
 
 void AdviceDispatcher::removeCall(Member &Entry, const std::string &Step,
                                   TimePoint Now) {
-  Entry.Deadlines.erase(Step);
-  if (!Entry.Deadlines.empty())
+  Entry.Calls.erase(Step);
+  if (!Entry.Calls.empty())
     return;
   Entry.BusyUntil = Now;
   Entry.HasSlow = false;
@@ -155,41 +167,54 @@
 
 // Several calls that were open when the first of them failed count as one
 // failure.
-void AdviceDispatcher::fail(const std::string &Name, const std::string &Step,
-                            TimePoint Now) {
-  const auto Found = Members.find(Name);
-  if (Found == Members.end())
-    return;
-  Member &Entry = Found->second;
-  removeCall(Entry, Step, Now);
+void AdviceDispatcher::recordFailure(Member &Entry, TimePoint Now) {
   if (Now < Entry.PausedUntil)
     return;
   Entry.PausedUntil =
       Now + std::min(FirstPause * (1 << std::min(Entry.Failures, 8)), MaxPause);
   ++Entry.Failures;
+}
+
+void AdviceDispatcher::fail(const std::string &Name, const std::string &Step,
+                            TimePoint Now) {
+  const auto Found = Members.find(Name);
+  if (Found == Members.end())
+    return;
+  removeCall(Found->second, Step, Now);
+  recordFailure(Found->second, Now);
   classifyMembers();
 }
 
 std::vector<std::string> AdviceDispatcher::expireCalls(TimePoint Now) {
   std::vector<std::string> Overdue;
   for (auto &[Name, Entry] : Members) {
-    const std::size_t Before = Entry.Deadlines.size();
-    std::erase_if(Entry.Deadlines, [&](const auto &Call) {
-      if (Now < Call.second)
-        return false;
-      Overdue.push_back(Call.first);
-      return true;
-    });
-    if (Before > 0 && Entry.Deadlines.empty())
-      Entry.HasSlow = false;
+    std::vector<std::string> Ended;
+    for (auto &[Step, Open] : Entry.Calls) {
+      if (Now >= Open.Due && !std::exchange(Open.Overdue, true))
+        Overdue.push_back(Step);
+      if (Now >= Open.OpenUntil)
+        Ended.push_back(Step);
+    }
+    for (const std::string &Step : Ended) {
+      removeCall(Entry, Step, Now);
+      recordFailure(Entry, Now);
+    }
   }
+  classifyMembers();
   return Overdue;
 }
 
+bool AdviceDispatcher::isAsked(const std::string &Step) const {
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
+    const auto Found = Entry.second.Calls.find(Step);
+    return Found != Entry.second.Calls.end() && !Found->second.Overdue;
+  });
+}
+
 std::size_t AdviceDispatcher::openCalls() const {
   std::size_t Sum = 0;
   for (const auto &[Name, Entry] : Members)
-    Sum += Entry.Deadlines.size();
+    Sum += Entry.Calls.size();
   return Sum;
 }
 
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1459,7 +1459,8 @@
     Dispatcher.fail(From.Info.Name, Answer.Step, Now);
     Deps.Log.event("advice call failed", Answer.Step,
                    {{"member", From.Info.Name}});
-    Scheduler.adviceFailed(Answer.Step);
+    if (!Dispatcher.isAsked(Answer.Step))
+      Scheduler.adviceFailed(Answer.Step);
     return;
   }
   Dispatcher.complete(From.Info.Name, Answer.Step, Now);
--- a/tests/cell/advice_test.cpp
+++ b/tests/cell/advice_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 #include <string>
 #include <vector>
@@ -98,5 +99,22 @@
   expectEnd(Ids, 20s);
 }
 
+// Guards against a second call of an instance while the service still works on
+// its first, which lets the answers to all later ones come too late.
+TEST_F(AdviceTest, CallsDoNotQueueUpAtASlowService) {
+  for (const std::string &Name : Cell.names())
+    Cell.adviceLink(Name).Delay = 3500ms;
+  for (int Number = 0; Number < 12; ++Number)
+    Cell.submit("n4", stepOf(any(2, 6), 1s, true), "/slow/");
+  const TimePoint Until = Cell.time().now() + 30s;
+  int MostOpen = 0;
+  while (Cell.time().now() < Until) {
+    Cell.run(20ms);
+    for (const std::string &Name : Cell.names())
+      MostOpen = std::max(MostOpen, Cell.adviceLink(Name).Open);
+  }
+  EXPECT_EQ(MostOpen, 1);
+}
+
 } // namespace
 } // namespace apricotwing::emulator
