Let steps past their deadline make calls for advice in turn

Seen by callers: steps past their firm deadline have nothing running for tens of seconds although approved workers have free slots.

Cause: such a step asked only while half of both budgets was unused, so a quick one made no call while only the slow ones were short. Among those that need slow calls, a gang at the front that asks again and again without starting took each place that became free, and the gangs behind it never asked.

Change: the check looks at the budget of its own kind of call. A step past its firm deadline that has asked before leaves the slow call to the one that has waited for its call longest, counted from its own last call. Only a step that has named workers and was refused counts as waiting, and for 1 s after a round has last refused it, so one that no longer needs a call holds nothing up. For this the check moved behind the selection of workers. Half of each budget still remains to the other tiers: ExpiredJobsLeaveHalfOfTheAdviceBudgetToOthers is untouched.

--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -118,11 +118,6 @@
                                      const std::vector<Candidate> &Approved,
                                      const std::vector<Candidate> &Unadvised) {
   const Queue &JobQueue = queueOf(CurrentJob);
-  StepState &State = CurrentJob.Steps[std::size_t(Step)];
-  if (!mayRequestAdvice(Current, JobQueue, State)) {
-    State.Cause = WaitCause::AdviceBudget;
-    return; // Requested later, in this round or in a later one.
-  }
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const double ApprovalChance =
       std::max(approvalRate(JobQueue.Name), MinApprovalRate);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -4,6 +4,10 @@
 
 namespace apricotwing::jobs {
 
+TimePoint StepState::waitsForCallSince() const {
+  return LastCallAt ? std::max(*LastCallAt, QueuedAt) : QueuedAt;
+}
+
 bool StepState::hasAllClaims() const {
   std::size_t Slots = 0;
   for (const auto &[Worker, Count] : Claimed)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -158,7 +158,8 @@
   std::int64_t LastFailedRun = 0; ///< Of the gang; counts as one failure.
   std::map<std::string, WorkerAdvice> Advice; ///< By worker id.
   bool AdviceInFlight = false;
-  int FailedAdviceCalls = 0; ///< Since the last answer.
+  int FailedAdviceCalls = 0;           ///< Since the last answer.
+  std::optional<TimePoint> LastCallAt; ///< When it last asked for advice.
   /// Number of slots that the gang claims, by worker id.
   std::map<std::string, int> Claimed;
   std::optional<WaitRank> Rank; ///< Set while the step is waiting.
@@ -173,6 +174,9 @@
   /// A suspect task has succeeded, so the step as a whole is not the cause.
   bool SuspectSucceeded = false;
 
+  /// Since when a waiting step has waited for its next call for advice.
+  TimePoint waitsForCallSince() const;
+
   /// True if the gang claims a slot for each of its tasks, so that it starts as
   /// soon as its tickets are valid.
   bool hasAllClaims() const;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -289,6 +289,11 @@
     Job *Owner = nullptr;
     int Step = 0;
   };
+  /// A step that may not make the call for advice that it needs.
+  struct RefusedCall {
+    TimePoint WaitsSince;
+    TimePoint At; ///< When a round last refused the call.
+  };
   /// A worker that is usable in a round, with values computed once per round.
   struct UsableWorker {
     const std::string *Id = nullptr;
@@ -420,8 +425,9 @@
   void requestAdvice(Round &Current, Job &CurrentJob, int Step,
                      std::vector<std::string> WorkerIds);
   double approvalRate(const std::string &Queue) const;
-  static bool mayRequestAdvice(const Round &Current, const Queue &JobQueue,
-                               const StepState &State);
+  bool mayRequestAdvice(Round &Current, const Queue &JobQueue,
+                        const StepState &State);
+  bool mustYieldCall(const StepState &State, TimePoint Now) const;
   void requestGangAdvice(Round &Current, Job &CurrentJob, int Step,
                          const std::vector<Candidate> &Approved,
                          const std::vector<Candidate> &Unadvised);
@@ -456,6 +462,9 @@
   int UsableWorkers = 0;
   std::map<WaitRank, StepRef> Waiting;
   std::map<std::string, StepRef> Claimants; ///< Gangs with claims, by step.
+  /// Of the steps past their firm deadline that may make no slow call for
+  /// advice, the one that has waited longest.
+  std::optional<RefusedCall> Refused;
   /// First step that the next round considers after the front of the order.
   WaitRank ResumeAt;
   std::map<StopCommand, StopProgress> RunsToStop;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -75,6 +75,10 @@
 /// time.
 constexpr Duration TicketMargin{150};
 
+/// How long a step whose call for advice was refused is remembered, if no round
+/// has considered it again.
+constexpr Duration RefusalMemory{1000};
+
 /// Weights that combine several criteria into one cost of a worker: a step of
 /// slowdown outweighs any difference in free processors, and a distant rack or
 /// the claim of a gang outweighs any slowdown.
@@ -374,10 +378,6 @@
     State.Cause = WaitCause::ResourcesDue;
     return;
   }
-  if (!mayRequestAdvice(Current, queueOf(CurrentJob), State)) {
-    State.Cause = WaitCause::AdviceBudget;
-    return;
-  }
   std::vector<std::string> WorkerIds;
   double Slots = 0;
   const double EnoughSlots = AdvisedSlotsMargin * Remaining;
@@ -563,24 +563,48 @@
 // Jobs past their firm deadline leave half of the advice budget to all other
 // jobs. After an outage there can be hundreds of them, and each would request
 // advice again whenever its tickets expire.
-bool JobScheduler::mayRequestAdvice(const Round &Current, const Queue &JobQueue,
+bool JobScheduler::mayRequestAdvice(Round &Current, const Queue &JobQueue,
                                     const StepState &State) {
-  const bool IsExpired = State.Rank && State.Rank->Tier == ExpiredTier;
-  if (IsExpired &&
-      (Current.Advice.FastMs * 2 < Current.FullAdvice.FastMs ||
-       Current.Advice.SlowCalls * 2 < Current.FullAdvice.SlowCalls))
-    return false;
   // The cost of the named workers is small compared with the fixed cost, so it
   // does not change the kind of call.
   const bool Slow =
       JobQueue.Advice && JobQueue.Advice->BaseMs >= AdviceBudget::SlowAdviceMs;
-  return Slow ? Current.Advice.SlowCalls > 0 : Current.Advice.FastMs > 0;
+  const double Left = Slow ? Current.Advice.SlowCalls : Current.Advice.FastMs;
+  const double Full =
+      Slow ? Current.FullAdvice.SlowCalls : Current.FullAdvice.FastMs;
+  const bool IsExpired = State.Rank && State.Rank->Tier == ExpiredTier;
+  if (!Slow || !IsExpired)
+    return Left > 0 && (!IsExpired || Left * 2 >= Full);
+  if (Left > 0 && Left * 2 >= Full && !mustYieldCall(State, Current.Now))
+    return true;
+  const TimePoint Since = State.waitsForCallSince();
+  const bool IsRecent = Refused && Current.Now - Refused->At < RefusalMemory;
+  if (!IsRecent || Since <= Refused->WaitsSince)
+    Refused = RefusedCall{Since, Current.Now};
+  return false;
 }
 
+// True if a step that has asked before would take the slow call of one past its
+// firm deadline that has waited for one longer. Otherwise steps at the front
+// that cannot start ask again and again, and those behind them never do.
+bool JobScheduler::mustYieldCall(const StepState &State, TimePoint Now) const {
+  return State.LastCallAt && Refused && Now - Refused->At < RefusalMemory &&
+         Refused->WaitsSince < State.waitsForCallSince();
+}
+
+// If the budget does not allow the call, the step makes it in a later round.
 void JobScheduler::requestAdvice(Round &Current, Job &CurrentJob, int Step,
                                  std::vector<std::string> WorkerIds) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  if (!mayRequestAdvice(Current, queueOf(CurrentJob), State)) {
+    State.Cause = WaitCause::AdviceBudget;
+    return;
+  }
   const AdviceSettings &Settings = *queueOf(CurrentJob).Advice;
+  const TimePoint Since = State.waitsForCallSince();
+  if (Refused && Since <= Refused->WaitsSince)
+    Refused.reset();
+  State.LastCallAt = Current.Now;
   State.AdviceInFlight = true;
   State.Cause = WaitCause::AdvicePending;
   const double Cost =
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -118,6 +118,48 @@
   EXPECT_TRUE(Idle.Advice[0].Step.starts_with(Old));
 }
 
+// Guards against quick steps past their firm deadline that never ask because
+// only the slow calls are short.
+TEST_F(GangPlacementTest, ExpiredJobsAskWhileOnlyTheOtherKindOfCallIsShort) {
+  addWorker("w1");
+  const std::string Cheap = addJob("cheap", step(1, 9000));
+  const std::string Slow = addJob("advised", step(1, 9000));
+  Now += Duration{60'000}; // Beyond their firm deadlines.
+  Budget = AdviceBudget{0, 0, 4, 500};
+  decide(); // Ranks them among the expired steps.
+  Budget = AdviceBudget{1, 500, 4, 500};
+  const Decisions FastOnly = decide();
+  ASSERT_EQ(FastOnly.Advice.size(), 1U);
+  EXPECT_TRUE(FastOnly.Advice[0].Step.starts_with(Cheap));
+  Budget = AdviceBudget{4, 100, 4, 500};
+  const Decisions SlowOnly = decide();
+  ASSERT_EQ(SlowOnly.Advice.size(), 1U);
+  EXPECT_TRUE(SlowOnly.Advice[0].Step.starts_with(Slow));
+}
+
+// Guards against gangs at the front that ask about each worker that appears,
+// never start, and keep those behind them from ever asking.
+TEST_F(GangPlacementTest, ExpiredGangsAskInTurn) {
+  std::map<std::string, int> Calls;
+  for (int Number = 0; Number < 6; ++Number)
+    Calls[addJob("advised", gang(4, 16'000))] = 0;
+  Now += Duration{60'000}; // Beyond their firm deadlines.
+  Budget = AdviceBudget{0, 500, 2, 500};
+  decide(); // Ranks them among the expired steps.
+  Budget.SlowCalls = 1;
+  for (int Number = 0; Number < 30; ++Number) {
+    for (const std::string Part : {"a", "b", "c", "d"})
+      addWorker("w" + std::to_string(Number) + Part);
+    for (const AdviceRequest &Request : decide().Advice) {
+      ++Calls[Request.Step.substr(0, Request.Step.find('.'))];
+      Now += Duration{600};
+      Scheduler.adviceArrived(Request.Step, Request.Workers, {}, Now);
+    }
+  }
+  for (const auto &[Id, Count] : Calls)
+    EXPECT_GE(Count, 3) << Id;
+}
+
 // Guards against gangs that each hold part of what the other needs: in an empty
 // cell, both waited for ever.
 TEST_F(GangPlacementTest, TakesTheClaimsOfGangsBehindIt) {
