Collect the new workers about which a waiting gang asks

Seen by callers: gangs that can't start make calls of half a second about one or two workers, one after the other, and keep the places for slow calls from others.

Cause: a gang whose approved workers, when empty, have less than five times the slots that it needs asks at once about any worker that it has no advice about, also if it could not start with that worker approved. Each worker that comes back after a crash is one, and each that is no longer reserved, for which this was read and not run. A worker that stays is asked about only once.

Change: if a gang could not start with all named workers approved, a call that names fewer workers than usual is followed by a pause of 1 s, doubled with each up to 4 s, until the next such call. Workers that appear meanwhile are named together. A gang that could start asks at once, and a call that failed is repeated at once.

--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -36,6 +36,11 @@
 /// provide this share of the slots that it needs now.
 constexpr double WorthwhileFreeShare = 0.25;
 
+/// How long a gang that cannot start waits after a call that names only a few
+/// workers, before it makes another such call. Doubles with each of them.
+constexpr Duration FirstFewWorkersPause{1000};
+constexpr Duration MaxFewWorkersPause{4000};
+
 /// Lower bound of the approval rate in estimates, so that the number of workers
 /// named for a gang stays finite while none has been approved.
 constexpr double MinApprovalRate = 0.05;
@@ -114,10 +119,12 @@
 // further workers is requested in advance, until the approved workers, when
 // empty, have several times the slots that the gang needs. This matters for
 // gangs in a cell where only a few resources are free on each of many workers.
+// Workers that appear one by one are collected for such a call.
 void JobScheduler::requestGangAdvice(Round &Current, Job &CurrentJob, int Step,
                                      const std::vector<Candidate> &Approved,
                                      const std::vector<Candidate> &Unadvised) {
   const Queue &JobQueue = queueOf(CurrentJob);
+  StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const double ApprovalChance =
       std::max(approvalRate(JobQueue.Name), MinApprovalRate);
@@ -144,6 +151,7 @@
       ExpectedSlots += Option.Slots * ApprovalChance;
       WorkerIds.push_back(Option.Host->info().Incarnation.Id);
     }
+  bool NamesFewInAdvance = false;
   if (ExpectedSlots < Spec.Count) {
     int PotentialSlots = 0;
     for (const Candidate &Option : Approved)
@@ -169,8 +177,17 @@
       MissingSlots -= Option.Host->slotsIfEmpty(Spec) * ApprovalChance;
       WorkerIds.push_back(Option.Host->info().Incarnation.Id);
     }
+    const bool MayStart = ApprovedSlots + totalSlots(Unadvised) >= Spec.Count;
+    NamesFewInAdvance = !MayStart && WorkerIds.size() < UsualCount;
+    if (NamesFewInAdvance && Current.Now < State.NextFewWorkersCall)
+      return;
   }
   requestAdvice(Current, CurrentJob, Step, std::move(WorkerIds));
+  if (!State.AdviceInFlight || !NamesFewInAdvance)
+    return;
+  State.FewWorkersPause = std::clamp(2 * State.FewWorkersPause,
+                                     FirstFewWorkersPause, MaxFewWorkersPause);
+  State.NextFewWorkersCall = Current.Now + State.FewWorkersPause;
 }
 
 // Claims free resources on approved workers, so that a gang accumulates slots
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -160,6 +160,9 @@
   bool AdviceInFlight = false;
   int FailedAdviceCalls = 0;           ///< Since the last answer.
   std::optional<TimePoint> LastCallAt; ///< When it last asked for advice.
+  /// When the gang may next ask about a few workers although it cannot start.
+  TimePoint NextFewWorkersCall;
+  Duration FewWorkersPause{0}; ///< The last pause between two such calls.
   /// Number of slots that the gang claims, by worker id.
   std::map<std::string, int> Claimed;
   std::optional<WaitRank> Rank; ///< Set while the step is waiting.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -1197,6 +1197,7 @@
     return;
   StepState &State = Owner->Steps[std::size_t(Id->Step)];
   State.AdviceInFlight = false;
+  State.NextFewWorkersCall = TimePoint{};
   ++State.FailedAdviceCalls;
 }
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -545,6 +545,8 @@
   allocateRun(Host, CurrentJob, TaskId{CurrentJob.Spec.Id, 0, Step, Index}, Run,
               Spec, Current.Now);
   State.WaitingSince.reset();
+  State.NextFewWorkersCall = TimePoint{};
+  State.FewWorkersPause = Duration{0};
   Changed.insert(CurrentJob.Spec.Id);
   if (!Spec.BestEffort)
     Current.FreeCpuMillis -= Spec.Request.CpuMillis;
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobschedulertest.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -160,6 +161,86 @@
     EXPECT_GE(Count, 3) << Id;
 }
 
+// Guards against slow calls about one worker each for a gang that cannot start,
+// while workers come and go.
+TEST_F(GangPlacementTest, AsksAboutWorkersThatComeAndGoTogether) {
+  fillWorkers();
+  addJob("advised", gang(12, 16'000));
+  const Decisions First = decide();
+  ASSERT_EQ(First.Advice.size(), 1U);
+  Scheduler.adviceArrived(First.Advice[0].Step, First.Advice[0].Workers, {},
+                          Now);
+  constexpr int Arrivals = 40;
+  int Calls = 0;
+  for (int Number = 1; Number <= Arrivals; ++Number) {
+    const WorkerIncarnation Host = addWorker("new" + std::to_string(Number));
+    for (const AdviceRequest &Request : decide().Advice) {
+      ++Calls;
+      Scheduler.adviceArrived(Request.Step, Request.Workers, {}, Now);
+    }
+    Now += Duration{490};
+    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
+  }
+  EXPECT_GT(Calls, 0);
+  EXPECT_LE(Calls, Arrivals / 4);
+  // With enough free slots it asks at once.
+  for (int Number = 1; Number <= 6; ++Number)
+    addWorker("last" + std::to_string(Number));
+  const Decisions Last = decide();
+  ASSERT_EQ(Last.Advice.size(), 1U);
+  EXPECT_EQ(Last.Advice[0].Workers.size(), 6U);
+}
+
+// Guards against a gang past its firm deadline that never asks because gangs
+// that cannot start keep most places for slow calls.
+TEST_F(GangPlacementTest, GangsThatCannotStartLeaveCallsToAnExpiredOne) {
+  fillWorkers();
+  const std::string Expired = addJob("advised", gang(12, 16'000));
+  Budget = AdviceBudget{0, 500, 4, 500};
+  Now += Duration{60'000}; // Beyond its firm deadline.
+  decide();
+  StepSpec OnTime = gang(12, 16'000);
+  OnTime.Estimate = Duration{60'000};
+  for (int Number = 0; Number < 3; ++Number)
+    addJob("advised", OnTime);
+  std::map<std::string, TimePoint> Open; // When the calls end, by step.
+  std::map<std::string, std::vector<std::string>> Named;
+  std::optional<WorkerIncarnation> Last;
+  int ExpiredCalls = 0;
+  const TimePoint Start = Now;
+  for (int Round = 0; Now - Start < Duration{20'000}; ++Round) {
+    if (Round % 10 == 0) { // About every 0.5 s.
+      if (Last)
+        Scheduler.removeWorker(*Last, WorkerLoss::ProcessEnded, Now);
+      Last = addWorker("new" + std::to_string(Round));
+    }
+    Now += Duration{40};
+    std::erase_if(Open, [this, &Named](const auto &Call) {
+      if (Now < Call.second)
+        return false;
+      Scheduler.adviceArrived(Call.first, Named[Call.first], {}, Now);
+      return true;
+    });
+    Budget.SlowCalls = 4 - int(Open.size());
+    for (const AdviceRequest &Request : decide().Advice) {
+      Open[Request.Step] = Now + Duration{600};
+      Named[Request.Step] = Request.Workers;
+      ExpiredCalls += Request.Step.starts_with(Expired) ? 1 : 0;
+    }
+  }
+  EXPECT_GT(ExpiredCalls, 0);
+}
+
+TEST_F(GangPlacementTest, RepeatsAFailedCallAboutAFewWorkersAtOnce) {
+  fillWorkers();
+  addJob("advised", gang(12, 16'000));
+  for (int Number = 0; Number < 5; ++Number) {
+    const Decisions Made = decide();
+    ASSERT_EQ(Made.Advice.size(), 1U);
+    Scheduler.adviceFailed(Made.Advice[0].Step);
+  }
+}
+
 // Guards against gangs that each hold part of what the other needs: in an empty
 // cell, both waited for ever.
 TEST_F(GangPlacementTest, TakesTheClaimsOfGangsBehindIt) {
