Count the validity of tickets from when the service may have answered

Seen by callers: workers refuse all starts of a gang because its tickets have expired, and it must ask again.

Cause: the leader counted the validity from the arrival of the answer. On the way back the answer waits at the member for the message before it to be acknowledged, and takes the time of the link.

Change: the member reports how long its call took (unknown in the messages of an older instance). What has passed since the leader assigned the call, beyond that, is the maximum age of the answer, by the leader's clock alone. It includes the way to the member, which a start takes as well. At most half of the validity is taken off, so that a step whose answers always take long starts with tickets that have just arrived instead of never.

Ruled out: a member that reports only for how long it held the answer. That leaves out the link and messages that are sent again.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -141,7 +141,8 @@
                      Duration(Duration::rep(Request.CostMs) + 1);
   const TimePoint Due = Chosen.BusyUntil + AnswerTimeout;
   Chosen.Calls[Request.Step] = {
-      Due, std::max(Due, Now + AdviceClient::Timeout + AnswerTimeout), false};
+      Now, Due, std::max(Due, Now + AdviceClient::Timeout + AnswerTimeout),
+      false};
   return Best->first;
 }
 
@@ -204,6 +205,18 @@
   return Overdue;
 }
 
+std::optional<TimePoint>
+AdviceDispatcher::askedAt(const std::string &Name,
+                          const std::string &Step) const {
+  const auto Found = Members.find(Name);
+  if (Found == Members.end())
+    return std::nullopt;
+  const auto Open = Found->second.Calls.find(Step);
+  if (Open == Found->second.Calls.end())
+    return std::nullopt;
+  return Open->second.AskedAt;
+}
+
 bool AdviceDispatcher::isAsked(const std::string &Step) const {
   return std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
     const auto Found = Entry.second.Calls.find(Step);
--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -50,6 +50,11 @@
   /// Other members may be asked for them; their calls stay open.
   std::vector<std::string> expireCalls(TimePoint Now);
 
+  /// When the open call for a step was assigned to a member; empty if there is
+  /// none.
+  std::optional<TimePoint> askedAt(const std::string &Member,
+                                   const std::string &Step) const;
+
   /// True if a call for the step is open at any member and not overdue.
   bool isAsked(const std::string &Step) const;
 
@@ -58,6 +63,7 @@
 
 private:
   struct Call {
+    TimePoint AskedAt;
     TimePoint Due;
     TimePoint OpenUntil; ///< The call has ended by then, and so has its report.
     bool Overdue = false;
--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -518,14 +518,16 @@
 }
 
 static void to_json(json &To, const AdviceAnswer &Value) {
-  To = json::array(
-      {Value.Step, Value.RequestedWorkers, Value.Answered, Value.Approved});
+  To = json::array({Value.Step, Value.RequestedWorkers, Value.Answered,
+                    Value.Approved, Value.CallMs});
 }
 static void from_json(const json &From, AdviceAnswer &Value) {
   From.at(0).get_to(Value.Step);
   From.at(1).get_to(Value.RequestedWorkers);
   From.at(2).get_to(Value.Answered);
   From.at(3).get_to(Value.Approved);
+  if (From.size() > 4)
+    From.at(4).get_to(Value.CallMs);
 }
 
 static void to_json(json &To, const MemberMessage &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1463,9 +1463,16 @@
       Scheduler.adviceFailed(Answer.Step);
     return;
   }
+  // The call began after it was assigned. So the answer is at most as old as
+  // all that passed since then beyond the call itself: the time at the member
+  // and on the link, which a start takes as well.
+  const auto AskedAt = Dispatcher.askedAt(From.Info.Name, Answer.Step);
+  const Duration MaxAge = AskedAt && Answer.CallMs >= 0
+                              ? Now - *AskedAt - Duration(Answer.CallMs)
+                              : Duration{0};
   Dispatcher.complete(From.Info.Name, Answer.Step, Now);
   Scheduler.adviceArrived(Answer.Step, Answer.RequestedWorkers, Answer.Approved,
-                          Now);
+                          Now, std::max(MaxAge, Duration{0}));
 }
 
 void Leader::logLoad(TimePoint Now) {
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -172,16 +172,21 @@
 void Member::requestAdvice(const jobs::AdviceRequest &Request) {
   ++Counts.AdviceCalls;
   Deps.Advice.ask(
-      Request, Guard.wrap([this, Request, RequestSession = Session](
-                              const std::optional<std::vector<jobs::Approval>>
-                                  &Approved) {
-        if (RequestSession != Session)
-          return;
-        AdviceAnswer Answer{Request.Step, Request.Workers, bool(Approved), {}};
-        if (Approved)
-          Answer.Approved = *Approved;
-        Outgoing.Advice.push_back(std::move(Answer));
-      }));
+      Request,
+      Guard.wrap(
+          [this, Request, RequestSession = Session, AskedAt = Deps.Time.now()](
+              const std::optional<std::vector<jobs::Approval>> &Approved) {
+            if (RequestSession != Session)
+              return;
+            AdviceAnswer Answer{Request.Step,
+                                Request.Workers,
+                                bool(Approved),
+                                {},
+                                (Deps.Time.now() - AskedAt).count()};
+            if (Approved)
+              Answer.Approved = *Approved;
+            Outgoing.Advice.push_back(std::move(Answer));
+          }));
 }
 
 void Member::pump() {
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -180,6 +180,8 @@
   std::vector<std::string> RequestedWorkers;
   bool Answered = false;
   std::vector<jobs::Approval> Approved;
+  /// How long the member's call took; negative if unknown.
+  std::int64_t CallMs = -1;
 };
 
 /// Message from a member to its leader.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -1145,7 +1145,7 @@
 void JobScheduler::adviceArrived(const std::string &Step,
                                  const std::vector<std::string> &Requested,
                                  const std::vector<Approval> &Approved,
-                                 TimePoint Now) {
+                                 TimePoint Now, Duration MaxAge) {
   // The name of a step is that of a task without the task index.
   const auto Id = TaskId::parse(Step + ".0");
   Job *Owner = Id ? findJob(Id->Job) : nullptr;
@@ -1157,6 +1157,10 @@
   const Queue &JobQueue = queueOf(*Owner);
   if (!JobQueue.Advice)
     return;
+  // If the answers to a step always take long, it would never start if it did
+  // not use tickets that have just arrived.
+  const Duration Validity = JobQueue.Advice->Validity;
+  const TimePoint Expires = Now + Validity - std::min(MaxAge, Validity / 2);
   std::size_t FirstAnswers = 0;
   std::size_t FirstApprovals = 0;
   for (const std::string &Name : Requested) {
@@ -1172,7 +1176,7 @@
         continue;
       Advice.Approved = true;
       Advice.Ticket = Answer.Ticket;
-      Advice.Expires = Now + JobQueue.Advice->Validity;
+      Advice.Expires = Expires;
     }
     FirstAnswers += IsFirstAnswer ? 1 : 0;
     FirstApprovals += IsFirstAnswer && Advice.Approved ? 1 : 0;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -245,10 +245,12 @@
                     StartRefusal Reason, TimePoint Now);
 
   /// Processes the answer to an AdviceRequest. \p Requested are the workers
-  /// that the request named. The validity of tickets starts at \p Now.
+  /// that the request named. The service answered at most \p MaxAge before
+  /// \p Now, and the validity of the tickets began then.
   void adviceArrived(const std::string &Step,
                      const std::vector<std::string> &Requested,
-                     const std::vector<Approval> &Approved, TimePoint Now);
+                     const std::vector<Approval> &Approved, TimePoint Now,
+                     Duration MaxAge = Duration{0});
 
   /// Records that an AdviceRequest got no answer.
   void adviceFailed(const std::string &Step);
--- a/tests/cell/advice_test.cpp
+++ b/tests/cell/advice_test.cpp
@@ -31,12 +31,13 @@
 
   void publishQueue(Duration Validity) {
     std::vector<jobs::Queue> Queues = Cell.queues();
+    std::erase_if(Queues, [](const auto &Each) { return Each.Name == "slow"; });
     jobs::Queue Slow = Queues.front();
     Slow.Name = "slow";
     Slow.PathPrefix = "/slow/";
     Slow.Advice = jobs::AdviceSettings{520, 7.4, Validity};
     Queues.push_back(Slow);
-    Cell.putQueues(Queues, 2);
+    Cell.putQueues(Queues, ++PolicyVersion);
   }
 
   /// Submits gangs at intervals of 1 to 4 s.
@@ -65,6 +66,7 @@
     return std::uniform_int_distribution<int>(Low, High)(Random);
   }
 
+  std::int64_t PolicyVersion = 1;
   EmulatedCell Cell;
   std::mt19937_64 Random{1};
 };
@@ -116,5 +118,25 @@
   EXPECT_EQ(MostOpen, 1);
 }
 
+// Guards against starts with tickets that have expired on the way, because
+// their validity was counted from the arrival of the answer at the leader.
+TEST_F(AdviceTest, TicketsDoNotExpireOnSlowLinks) {
+  publishQueue(1500ms);
+  Cell.run(1s);
+  Cell.LinkDelay = 190ms;
+  std::vector<std::string> Gangs;
+  for (int Number = 0; Number < 400; ++Number) {
+    Cell.submit("n4", stepOf(any(7, 20), Duration(any(500, 3000))));
+    if (Number % 6 == 0)
+      Gangs.push_back(
+          Cell.submit("n4", stepOf(any(3, 10), 2s, true), "/slow/"));
+    Cell.run(100ms);
+  }
+  Cell.run(40s);
+  EXPECT_EQ(Cell.workers().ticketRefusals(), 0);
+  Cell.LinkDelay = 0ms;
+  expectEnd(Gangs, 20s);
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace apricotwing::cell {
 namespace {
@@ -23,5 +25,31 @@
   EXPECT_EQ(decodeProgress(Text), Progress);
 }
 
+// Guards against answers of an instance of the former version that are not
+// read.
+TEST(CodecTest, ReadsAnswersOfTheAdviceServiceWithoutTheDuration) {
+  const auto Decode = [](const std::string &Text) {
+    const auto Message = decodePeerMessage(Text);
+    const Envelope *Result =
+        Message ? std::get_if<Envelope>(&*Message) : nullptr;
+    return Result && Result->ToLeader ? Result->ToLeader->Advice
+                                      : std::vector<AdviceAnswer>();
+  };
+  Envelope Message;
+  Message.ToLeader = MemberMessage{};
+  Message.ToLeader->Advice = {{"step", {"w"}, true, {{"w", "ticket"}}, 520}};
+  std::string Text = encode(Message);
+  const auto Current = Decode(Text);
+  ASSERT_EQ(Current.size(), 1U) << Text;
+  EXPECT_EQ(Current[0].CallMs, 520);
+  const std::size_t At = Text.find(",520]");
+  ASSERT_NE(At, std::string::npos) << Text;
+  Text.erase(At, 4);
+  const auto Former = Decode(Text);
+  ASSERT_EQ(Former.size(), 1U) << Text;
+  EXPECT_TRUE(Former[0].Answered);
+  EXPECT_LT(Former[0].CallMs, 0);
+}
+
 } // namespace
 } // namespace apricotwing::cell
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -162,22 +162,24 @@
     World.Time.after(Timeout, [Finish] { Finish({}); });
     if (Cut())
       return;
+    const Duration Latency =
+        PeerLatency + (Name == Address ? Duration{0} : World.LinkDelay);
     const Duration Delay =
-        World.happens(World.DelayedMessages) ? DelayTime : PeerLatency;
-    World.Time.after(Delay, [&World, Address, Body, Finish, Cut] {
+        World.happens(World.DelayedMessages) ? DelayTime : Latency;
+    World.Time.after(Delay, [&World, Address, Body, Finish, Cut, Latency] {
       const auto Found = World.Instances.find(Address);
       if (Found == World.Instances.end() || !Found->second.Node ||
           Found->second.Frozen || Cut())
         return;
       Instance &To = Found->second;
       ++World.Messages[Address];
-      To.Node->receive(
-          Body, [&World, Finish](const std::optional<std::string> &Reply) {
-            if (!World.happens(World.LostReplies))
-              World.Time.after(PeerLatency, [Finish, Reply] {
-                Finish({Reply, false});
-              });
+      To.Node->receive(Body, [&World, Finish, Latency](
+                                 const std::optional<std::string> &Reply) {
+        if (!World.happens(World.LostReplies))
+          World.Time.after(Latency, [Finish, Reply] {
+            Finish({Reply, false});
           });
+      });
     });
   }
 
@@ -353,6 +355,7 @@
       Workers.restart(Id);
   DelayedMessages = 0;
   LostReplies = 0;
+  LinkDelay = Duration{0};
   for (auto &[Name, Link] : AdviceLinks)
     Link.endFaults();
   for (const std::string &Name : names()) {
@@ -368,7 +371,8 @@
       std::all_of(Instances.begin(), Instances.end(),
                   [this](const auto &Entry) { return isRunning(Entry.first); });
   return !AllRun || !CutInstances.empty() || DelayedMessages > 0 ||
-         LostReplies > 0 || Store.hasFaults() || Workers.hasFaults();
+         LostReplies > 0 || LinkDelay > Duration{0} || Store.hasFaults() ||
+         Workers.hasFaults();
 }
 
 bool EmulatedCell::isLed() const {
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -127,6 +127,9 @@
   double LostReplies = 0;
   static constexpr Duration DelayTime{2500};
 
+  /// How much longer each message between two instances, and each reply, takes.
+  Duration LinkDelay{0};
+
   /// What the advice service does with the calls of an instance.
   AdviceLink &adviceLink(const std::string &Name) { return AdviceLinks[Name]; }
 
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -241,6 +241,38 @@
   }
 }
 
+// Guards against starts that a worker refuses because the ticket has expired:
+// an answer took long to reach the leader.
+TEST_F(GangPlacementTest, UsesNoTicketThatMayHaveExpiredSinceTheAnswer) {
+  const auto InitialStarts = fillWorkers();
+  addJob("advised", gang(2, 16'000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  std::vector<Approval> Approved;
+  for (const std::string &Id : Made.Advice[0].Workers)
+    Approved.push_back({Id, "ticket"});
+  Scheduler.adviceArrived(Made.Advice[0].Step, Made.Advice[0].Workers, Approved,
+                          Now, Duration{700});
+  Now += Duration{1400}; // The tickets are valid for 2 s.
+  for (const StartCommand &Start : InitialStarts.at("w1"))
+    end(Start, EndKind::Done);
+  const Decisions Later = decide();
+  EXPECT_TRUE(Later.Starts.empty());
+  EXPECT_EQ(Later.Advice.size(), 1U);
+}
+
+// Guards against a gang that never starts because each answer takes longer to
+// arrive than its tickets are valid.
+TEST_F(GangPlacementTest, UsesTicketsThatHaveJustArrivedHoweverLongTheyTook) {
+  addWorker("w1");
+  addJob("advised", gang(2, 16'000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  Scheduler.adviceArrived(Made.Advice[0].Step, Made.Advice[0].Workers,
+                          {{"w1", "ticket"}}, Now, Duration{60'000});
+  EXPECT_EQ(decide().Starts.size(), 2U);
+}
+
 // Guards against gangs that each hold part of what the other needs: in an empty
 // cell, both waited for ever.
 TEST_F(GangPlacementTest, TakesTheClaimsOfGangsBehindIt) {
