--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -1,6 +1,10 @@
 #include "cell/advicedispatcher.h"
 
+#include "cell/ports.h"
+
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace apricotwing::cell {
 
@@ -20,9 +24,15 @@
 /// Maximum total cost of the fast calls that are queued at one member.
 constexpr Duration MaxFastQueue{100};
 
-/// Time that an answer may take beyond the expected cost of the queued calls.
+/// Time that an answer may take beyond the expected cost of the queued calls,
+/// or a message about a call beyond the end of the call.
 constexpr Duration AnswerTimeout{2500};
 
+/// How long a member gets no calls after one has failed. Doubles with each
+/// failure in a row.
+constexpr Duration FirstPause{250};
+constexpr Duration MaxPause{4000};
+
 bool isSlow(const jobs::AdviceRequest &Request) {
   return Request.CostMs >= jobs::AdviceBudget::SlowAdviceMs;
 }
@@ -39,20 +49,37 @@
   const auto Found = Members.find(Name);
   if (Found == Members.end())
     return Lost;
-  for (const auto &[Step, Deadline] : Found->second.Deadlines)
-    Lost.push_back(Step);
+  for (const auto &[Step, Open] : Found->second.Calls)
+    if (!Open.Overdue)
+      Lost.push_back(Step);
   Members.erase(Found);
   classifyMembers();
   return Lost;
 }
 
+bool AdviceDispatcher::Member::hasOverdueCall() const {
+  return std::any_of(Calls.begin(), Calls.end(),
+                     [](const auto &Entry) { return Entry.second.Overdue; });
+}
+
+bool AdviceDispatcher::Member::mayTake(bool SlowCall, TimePoint Now) const {
+  if (HasSlow || (SlowCall && !TakesSlow))
+    return false;
+  return isSound() || (Now >= PausedUntil && Calls.empty());
+}
+
 // Slow calls go to the smallest members because a slow call needs little CPU
-// time; the largest third of the members takes none. A single member takes all
-// calls.
+// time; the largest third of the sound members takes none. A single sound
+// member takes all calls. The others take calls of any kind as probes.
 void AdviceDispatcher::classifyMembers() {
   std::vector<Member *> Order;
-  for (auto &[Name, Entry] : Members)
-    Order.push_back(&Entry);
+  double Largest = 0;
+  for (auto &[Name, Entry] : Members) {
+    Largest = std::max(Largest, Entry.CpuShare);
+    Entry.TakesSlow = true;
+    if (Entry.isSound())
+      Order.push_back(&Entry);
+  }
   const auto Smaller = [](const Member *Left, const Member *Right) {
     return Left->CpuShare < Right->CpuShare;
   };
@@ -61,19 +88,22 @@
       std::max<std::size_t>(Order.size() / FastOnlyDivisor, 1);
   const std::size_t Slow =
       std::max<std::size_t>(Order.size() - std::min(FastOnly, Order.size()), 1);
-  for (std::size_t Index = 0; Index < Order.size(); ++Index) {
+  for (std::size_t Index = 0; Index < Order.size(); ++Index)
     Order[Index]->TakesSlow = Index < Slow;
-    Order[Index]->Small =
-        Order[Index]->CpuShare < Order.back()->CpuShare * SmallShareRatio;
-  }
+  for (auto &[Name, Entry] : Members)
+    Entry.Small = Entry.CpuShare < Largest * SmallShareRatio;
 }
 
+// Members that are not sound may never answer, so they do not count towards the
+// budget without calls.
 jobs::AdviceBudget AdviceDispatcher::budget(TimePoint Now) const {
   jobs::AdviceBudget Budget;
   for (const auto &[Name, Entry] : Members) {
-    Budget.MaxFastMs += double(MaxFastQueue.count());
-    Budget.MaxSlowCalls += Entry.TakesSlow ? 1 : 0;
-    if (Entry.HasSlow)
+    if (Entry.isSound()) {
+      Budget.MaxFastMs += double(MaxFastQueue.count());
+      Budget.MaxSlowCalls += Entry.TakesSlow ? 1 : 0;
+    }
+    if (!Entry.mayTake(false, Now))
       continue;
     const Duration Queued = Entry.BusyUntil - Now;
     Budget.FastMs += double(
@@ -91,56 +121,113 @@
         Entry.Small && !Slow ? SmallMemberDelay : Duration::zero();
     return std::max(Entry.BusyUntil, Now) + Delay;
   };
+  // No step has to wait for the result of a probe while another member has
+  // room.
+  const auto Cost = [&](const Member &Entry) {
+    const bool HasRoom =
+        Entry.isSound() && (Slow || Entry.BusyUntil - Now < MaxFastQueue);
+    return std::tuple(!HasRoom, Entry.isSound(), FreeAt(Entry));
+  };
   auto Best = Members.end();
-  for (auto Entry = Members.begin(); Entry != Members.end(); ++Entry) {
-    const Member &Candidate = Entry->second;
-    if (Candidate.HasSlow || (Slow && !Candidate.TakesSlow))
-      continue;
-    if (Best == Members.end() || FreeAt(Candidate) < FreeAt(Best->second))
+  for (auto Entry = Members.begin(); Entry != Members.end(); ++Entry)
+    if (Entry->second.mayTake(Slow, Now) &&
+        (Best == Members.end() || Cost(Entry->second) < Cost(Best->second)))
       Best = Entry;
-  }
   if (Best == Members.end())
     return std::nullopt;
   Member &Chosen = Best->second;
   Chosen.HasSlow = Slow;
   Chosen.BusyUntil = std::max(Chosen.BusyUntil, Now) +
                      Duration(Duration::rep(Request.CostMs) + 1);
-  Chosen.Deadlines[Request.Step] = Chosen.BusyUntil + AnswerTimeout;
+  const TimePoint Due = Chosen.BusyUntil + AnswerTimeout;
+  Chosen.Calls[Request.Step] = {
+      Now, Due, std::max(Due, Now + AdviceClient::Timeout + AnswerTimeout),
+      false};
   return Best->first;
 }
 
+void AdviceDispatcher::removeCall(Member &Entry, const std::string &Step,
+                                  TimePoint Now) {
+  Entry.Calls.erase(Step);
+  if (!Entry.Calls.empty())
+    return;
+  Entry.BusyUntil = Now;
+  Entry.HasSlow = false;
+}
+
 void AdviceDispatcher::complete(const std::string &Name,
                                 const std::string &Step, TimePoint Now) {
   const auto Found = Members.find(Name);
   if (Found == Members.end())
     return;
-  Found->second.Deadlines.erase(Step);
-  if (!Found->second.Deadlines.empty())
+  removeCall(Found->second, Step, Now);
+  Found->second.Failures = 0;
+  Found->second.PausedUntil = TimePoint{};
+  classifyMembers();
+}
+
+// Several calls that were open when the first of them failed count as one
+// failure.
+void AdviceDispatcher::recordFailure(Member &Entry, TimePoint Now) {
+  if (Now < Entry.PausedUntil)
     return;
-  Found->second.BusyUntil = Now;
-  Found->second.HasSlow = false;
+  Entry.PausedUntil =
+      Now + std::min(FirstPause * (1 << std::min(Entry.Failures, 8)), MaxPause);
+  ++Entry.Failures;
+}
+
+void AdviceDispatcher::fail(const std::string &Name, const std::string &Step,
+                            TimePoint Now) {
+  const auto Found = Members.find(Name);
+  if (Found == Members.end())
+    return;
+  removeCall(Found->second, Step, Now);
+  recordFailure(Found->second, Now);
+  classifyMembers();
 }
 
 std::vector<std::string> AdviceDispatcher::expireCalls(TimePoint Now) {
   std::vector<std::string> Overdue;
   for (auto &[Name, Entry] : Members) {
-    const std::size_t Before = Entry.Deadlines.size();
-    std::erase_if(Entry.Deadlines, [&](const auto &Call) {
-      if (Now < Call.second)
-        return false;
-      Overdue.push_back(Call.first);
-      return true;
-    });
-    if (Before > 0 && Entry.Deadlines.empty())
-      Entry.HasSlow = false;
+    std::vector<std::string> Ended;
+    for (auto &[Step, Open] : Entry.Calls) {
+      if (Now >= Open.Due && !std::exchange(Open.Overdue, true))
+        Overdue.push_back(Step);
+      if (Now >= Open.OpenUntil)
+        Ended.push_back(Step);
+    }
+    for (const std::string &Step : Ended) {
+      removeCall(Entry, Step, Now);
+      recordFailure(Entry, Now);
+    }
   }
+  classifyMembers();
   return Overdue;
 }
 
+std::optional<TimePoint>
+AdviceDispatcher::askedAt(const std::string &Name,
+                          const std::string &Step) const {
+  const auto Found = Members.find(Name);
+  if (Found == Members.end())
+    return std::nullopt;
+  const auto Open = Found->second.Calls.find(Step);
+  if (Open == Found->second.Calls.end())
+    return std::nullopt;
+  return Open->second.AskedAt;
+}
+
+bool AdviceDispatcher::isAsked(const std::string &Step) const {
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
+    const auto Found = Entry.second.Calls.find(Step);
+    return Found != Entry.second.Calls.end() && !Found->second.Overdue;
+  });
+}
+
 std::size_t AdviceDispatcher::openCalls() const {
   std::size_t Sum = 0;
   for (const auto &[Name, Entry] : Members)
-    Sum += Entry.Deadlines.size();
+    Sum += Entry.Calls.size();
   return Sum;
 }
 
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobschedulertest.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -118,6 +119,160 @@
   EXPECT_TRUE(Idle.Advice[0].Step.starts_with(Old));
 }
 
+// Guards against quick steps past their firm deadline that never ask because
+// only the slow calls are short.
+TEST_F(GangPlacementTest, ExpiredJobsAskWhileOnlyTheOtherKindOfCallIsShort) {
+  addWorker("w1");
+  const std::string Cheap = addJob("cheap", step(1, 9000));
+  const std::string Slow = addJob("advised", step(1, 9000));
+  Now += Duration{60'000}; // Beyond their firm deadlines.
+  Budget = AdviceBudget{0, 0, 4, 500};
+  decide(); // Ranks them among the expired steps.
+  Budget = AdviceBudget{1, 500, 4, 500};
+  const Decisions FastOnly = decide();
+  ASSERT_EQ(FastOnly.Advice.size(), 1U);
+  EXPECT_TRUE(FastOnly.Advice[0].Step.starts_with(Cheap));
+  Budget = AdviceBudget{4, 100, 4, 500};
+  const Decisions SlowOnly = decide();
+  ASSERT_EQ(SlowOnly.Advice.size(), 1U);
+  EXPECT_TRUE(SlowOnly.Advice[0].Step.starts_with(Slow));
+}
+
+// Guards against gangs at the front that ask about each worker that appears,
+// never start, and keep those behind them from ever asking.
+TEST_F(GangPlacementTest, ExpiredGangsAskInTurn) {
+  std::map<std::string, int> Calls;
+  for (int Number = 0; Number < 6; ++Number)
+    Calls[addJob("advised", gang(4, 16'000))] = 0;
+  Now += Duration{60'000}; // Beyond their firm deadlines.
+  Budget = AdviceBudget{0, 500, 2, 500};
+  decide(); // Ranks them among the expired steps.
+  Budget.SlowCalls = 1;
+  for (int Number = 0; Number < 30; ++Number) {
+    for (const std::string Part : {"a", "b", "c", "d"})
+      addWorker("w" + std::to_string(Number) + Part);
+    for (const AdviceRequest &Request : decide().Advice) {
+      ++Calls[Request.Step.substr(0, Request.Step.find('.'))];
+      Now += Duration{600};
+      Scheduler.adviceArrived(Request.Step, Request.Workers, {}, Now);
+    }
+  }
+  for (const auto &[Id, Count] : Calls)
+    EXPECT_GE(Count, 3) << Id;
+}
+
+// Guards against slow calls about one worker each for a gang that cannot start,
+// while workers come and go.
+TEST_F(GangPlacementTest, AsksAboutWorkersThatComeAndGoTogether) {
+  fillWorkers();
+  addJob("advised", gang(12, 16'000));
+  const Decisions First = decide();
+  ASSERT_EQ(First.Advice.size(), 1U);
+  Scheduler.adviceArrived(First.Advice[0].Step, First.Advice[0].Workers, {},
+                          Now);
+  constexpr int Arrivals = 40;
+  int Calls = 0;
+  for (int Number = 1; Number <= Arrivals; ++Number) {
+    const WorkerIncarnation Host = addWorker("new" + std::to_string(Number));
+    for (const AdviceRequest &Request : decide().Advice) {
+      ++Calls;
+      Scheduler.adviceArrived(Request.Step, Request.Workers, {}, Now);
+    }
+    Now += Duration{490};
+    Scheduler.removeWorker(Host, WorkerLoss::ProcessEnded, Now);
+  }
+  EXPECT_GT(Calls, 0);
+  EXPECT_LE(Calls, Arrivals / 4);
+  // With enough free slots it asks at once.
+  for (int Number = 1; Number <= 6; ++Number)
+    addWorker("last" + std::to_string(Number));
+  const Decisions Last = decide();
+  ASSERT_EQ(Last.Advice.size(), 1U);
+  EXPECT_EQ(Last.Advice[0].Workers.size(), 6U);
+}
+
+// Guards against a gang past its firm deadline that never asks because gangs
+// that cannot start keep most places for slow calls.
+TEST_F(GangPlacementTest, GangsThatCannotStartLeaveCallsToAnExpiredOne) {
+  fillWorkers();
+  const std::string Expired = addJob("advised", gang(12, 16'000));
+  Budget = AdviceBudget{0, 500, 4, 500};
+  Now += Duration{60'000}; // Beyond its firm deadline.
+  decide();
+  StepSpec OnTime = gang(12, 16'000);
+  OnTime.Estimate = Duration{60'000};
+  for (int Number = 0; Number < 3; ++Number)
+    addJob("advised", OnTime);
+  std::map<std::string, TimePoint> Open; // When the calls end, by step.
+  std::map<std::string, std::vector<std::string>> Named;
+  std::optional<WorkerIncarnation> Last;
+  int ExpiredCalls = 0;
+  const TimePoint Start = Now;
+  for (int Round = 0; Now - Start < Duration{20'000}; ++Round) {
+    if (Round % 10 == 0) { // About every 0.5 s.
+      if (Last)
+        Scheduler.removeWorker(*Last, WorkerLoss::ProcessEnded, Now);
+      Last = addWorker("new" + std::to_string(Round));
+    }
+    Now += Duration{40};
+    std::erase_if(Open, [this, &Named](const auto &Call) {
+      if (Now < Call.second)
+        return false;
+      Scheduler.adviceArrived(Call.first, Named[Call.first], {}, Now);
+      return true;
+    });
+    Budget.SlowCalls = 4 - int(Open.size());
+    for (const AdviceRequest &Request : decide().Advice) {
+      Open[Request.Step] = Now + Duration{600};
+      Named[Request.Step] = Request.Workers;
+      ExpiredCalls += Request.Step.starts_with(Expired) ? 1 : 0;
+    }
+  }
+  EXPECT_GT(ExpiredCalls, 0);
+}
+
+TEST_F(GangPlacementTest, RepeatsAFailedCallAboutAFewWorkersAtOnce) {
+  fillWorkers();
+  addJob("advised", gang(12, 16'000));
+  for (int Number = 0; Number < 5; ++Number) {
+    const Decisions Made = decide();
+    ASSERT_EQ(Made.Advice.size(), 1U);
+    Scheduler.adviceFailed(Made.Advice[0].Step);
+  }
+}
+
+// Guards against starts that a worker refuses because the ticket has expired:
+// an answer took long to reach the leader.
+TEST_F(GangPlacementTest, UsesNoTicketThatMayHaveExpiredSinceTheAnswer) {
+  const auto InitialStarts = fillWorkers();
+  addJob("advised", gang(2, 16'000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  std::vector<Approval> Approved;
+  for (const std::string &Id : Made.Advice[0].Workers)
+    Approved.push_back({Id, "ticket"});
+  Scheduler.adviceArrived(Made.Advice[0].Step, Made.Advice[0].Workers, Approved,
+                          Now, Duration{700});
+  Now += Duration{1400}; // The tickets are valid for 2 s.
+  for (const StartCommand &Start : InitialStarts.at("w1"))
+    end(Start, EndKind::Done);
+  const Decisions Later = decide();
+  EXPECT_TRUE(Later.Starts.empty());
+  EXPECT_EQ(Later.Advice.size(), 1U);
+}
+
+// Guards against a gang that never starts because each answer takes longer to
+// arrive than its tickets are valid.
+TEST_F(GangPlacementTest, UsesTicketsThatHaveJustArrivedHoweverLongTheyTook) {
+  addWorker("w1");
+  addJob("advised", gang(2, 16'000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  Scheduler.adviceArrived(Made.Advice[0].Step, Made.Advice[0].Workers,
+                          {{"w1", "ticket"}}, Now, Duration{60'000});
+  EXPECT_EQ(decide().Starts.size(), 2U);
+}
+
 // Guards against gangs that each hold part of what the other needs: in an empty
 // cell, both waited for ever.
 TEST_F(GangPlacementTest, TakesTheClaimsOfGangsBehindIt) {
