Reach each waiting step within a bounded number of rounds

Callers saw gangs that wait although there is room for them.

A round compared at most twelve gangs from the front of the order. Those whose account is at its limit, or whose members have not ended, counted among these although no room helps them, and the gangs beyond the twelve were skipped. The second part of the round began only after the first 96 steps, and skipped gangs in the same way. So twelve gangs that cannot start kept all later ones from being compared, in each round anew.

Gangs that may not start, whatever room there is, are recognized before they are compared and count no more. The gangs that the front leaves out are compared in the rest of the round, which the next round continues where this one ended, so that each step has its turn. Tasks behind such gangs are still scheduled with the front. The limits of a round are the same.

Ruled out: an end of the front at the thirteenth gang, which would have delayed the tasks behind it.

--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -62,24 +62,30 @@
 
 } // namespace
 
+// Why a gang may not start, whatever room there is; empty if it may.
+std::optional<WaitCause> JobScheduler::obstacleOfGang(const Job &CurrentJob,
+                                                      int Step,
+                                                      TimePoint Now) const {
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
+  if (std::any_of(State.Tasks.begin(), State.Tasks.end(),
+                  [&](const TaskState &Task) {
+                    return isHeldBack(CurrentJob, Step, Task, Now);
+                  }))
+    return WaitCause::Suspect;
+  // Members of the previous run that are being stopped still count as placed.
+  if (allowedByCap(CurrentJob, Spec) < Spec.Count)
+    return WaitCause::AccountLimit;
+  if (State.ReadyCount != Spec.Count)
+    return WaitCause::MembersActive;
+  return std::nullopt;
+}
+
 void JobScheduler::scheduleGang(Round &Current, Job &CurrentJob, int Step,
                                 Candidates Found) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
-  const bool IsHeldBack = std::any_of(
-      State.Tasks.begin(), State.Tasks.end(), [&](const TaskState &Task) {
-        return isHeldBack(CurrentJob, Step, Task, Current.Now);
-      });
-  // Members of the previous run that are being stopped still count as placed.
-  const bool IsOverLimit = allowedByCap(CurrentJob, Spec) < Spec.Count;
-  if (State.ReadyCount != Spec.Count || IsHeldBack || IsOverLimit) {
-    State.Cause = IsHeldBack    ? WaitCause::Suspect
-                  : IsOverLimit ? WaitCause::AccountLimit
-                                : WaitCause::MembersActive;
-    releaseClaims(Name, State);
-    return;
-  }
   State.Cause = WaitCause::NoSlots;
   Current.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
   const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -317,9 +317,11 @@
     std::int64_t FreeCpuMillis = 0; ///< Not yet planned for a step.
     /// What waiting gangs may still claim.
     std::int64_t ClaimableCpuMillis = 0;
-    Resources LargestFree;  ///< Maximum of each resource on any usable worker.
-    int StepsLeft = 0;      ///< Steps that may still be compared with workers.
-    int GangsLeft = 0;      ///< Gangs that may still be compared.
+    Resources LargestFree; ///< Maximum of each resource on any usable worker.
+    int StepsLeft = 0;     ///< Steps that may still be compared with workers.
+    int GangsLeft = 0;     ///< Gangs that may still be compared.
+    /// The first gang at the front that GangsLeft kept from being compared.
+    std::optional<WaitRank> SkippedGang;
     int PrefetchesLeft = 0; ///< Steps that may request advice in advance.
     /// Names of steps of which a run is at work that is not placed; it must end
     /// before its task is started again.
@@ -394,13 +396,18 @@
   std::set<std::string> yieldingTo(const WaitRank &Rank) const;
   void takeClaims(Round &Current, Worker &Host, const WaitRank &Rank);
 
-  std::optional<WaitRank> scheduleFrom(Round &Current, const WaitRank &First,
-                                       std::size_t Limit);
+  std::optional<WaitRank> scheduleFront(Round &Current);
+  std::optional<WaitRank> scheduleRest(Round &Current, const WaitRank &First,
+                                       const std::optional<WaitRank> &FrontEnd);
+  std::vector<std::pair<WaitRank, StepRef>> stepsFrom(const WaitRank &First,
+                                                      std::size_t Limit) const;
   Candidates candidatesFor(Round &Current, Job &CurrentJob, int Step);
   static std::int64_t costOf(const UsableWorker &Usable, const StepSpec &Spec,
                              bool IsLowSlack);
   int allowedByCap(const Job &CurrentJob, const StepSpec &Spec) const;
-  void scheduleStep(Round &Current, Job &CurrentJob, int Step);
+  bool scheduleStep(Round &Current, const WaitRank &Rank, const StepRef &Ref);
+  std::optional<WaitCause> obstacleOfGang(const Job &CurrentJob, int Step,
+                                          TimePoint Now) const;
   void scheduleTasks(Round &Current, Job &CurrentJob, int Step,
                      Candidates Found);
   void reserveForLargeTasks(Round &Current, const Queue &JobQueue,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -24,7 +24,7 @@
 constexpr int MaxComparisonsPerRound = 24;
 
 /// Maximum number of gangs among the compared steps. Gangs are compared even if
-/// there are no free resources for them.
+/// there are no free resources for them, unless they may not start anyway.
 constexpr int MaxGangsPerRound = 12;
 
 /// Maximum number of workers named in a call for a step without a gang. More
@@ -106,8 +106,6 @@
       std::max(Advice.SlowCalls, Advice.MaxSlowCalls);
   Current.FullAdvice.FastMs = std::max(Advice.FastMs, Advice.MaxFastMs);
   Current.PrefetchesLeft = MaxPrefetchesPerRound;
-  Current.StepsLeft = MaxComparisonsPerRound;
-  Current.GangsLeft = MaxGangsPerRound;
   std::int64_t TotalCpuMillis = 0;
   UsableCpuMillis = 0;
   UsableWorkers = 0;
@@ -132,40 +130,65 @@
   FreeCpuMillis = Current.FreeCpuMillis;
   Current.ClaimableCpuMillis +=
       std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
-  const std::optional<WaitRank> FrontLimit =
-      scheduleFrom(Current, WaitRank{}, FrontStepsPerRound);
-  if (FrontLimit) {
-    Current.StepsLeft = MaxComparisonsPerRound;
-    Current.GangsLeft = MaxGangsPerRound;
-    ResumeAt = scheduleFrom(Current, std::max(*FrontLimit, ResumeAt),
-                            FurtherStepsPerRound)
-                   .value_or(WaitRank{});
-  }
+  const std::optional<WaitRank> FrontEnd = scheduleFront(Current);
+  const std::optional<WaitRank> Next =
+      Current.SkippedGang ? Current.SkippedGang : FrontEnd;
+  ResumeAt = Next ? scheduleRest(Current, std::max(*Next, ResumeAt), FrontEnd)
+                        .value_or(WaitRank{})
+                  : WaitRank{};
   Current.Result.Stops = dueStops(Now);
   return std::move(Current.Result);
 }
 
-// Schedules up to Limit waiting steps, starting at First. Returns the rank at
-// which to continue; empty at the end of the order.
-std::optional<WaitRank> JobScheduler::scheduleFrom(Round &Current,
-                                                   const WaitRank &First,
-                                                   std::size_t Limit) {
-  std::vector<std::pair<WaitRank, StepRef>> Order;
-  auto Next = Waiting.lower_bound(First);
-  for (; Next != Waiting.end() && Order.size() < Limit; ++Next)
-    Order.push_back(*Next);
-  std::optional<WaitRank> End;
-  if (Next != Waiting.end())
-    End = Next->first;
-  for (const auto &[Rank, Ref] : Order) {
+// Up to Limit waiting steps from First on, and the one after them.
+std::vector<std::pair<WaitRank, JobScheduler::StepRef>>
+JobScheduler::stepsFrom(const WaitRank &First, std::size_t Limit) const {
+  std::vector<std::pair<WaitRank, StepRef>> Result;
+  for (auto Next = Waiting.lower_bound(First);
+       Next != Waiting.end() && Result.size() <= Limit; ++Next)
+    Result.push_back(*Next);
+  return Result;
+}
+
+// Schedules the steps at the front of the order. Returns the rank of the first
+// one that was not considered; empty if all were. Gangs beyond the limit are
+// left to scheduleRest(), so that they do not delay the tasks behind them.
+std::optional<WaitRank> JobScheduler::scheduleFront(Round &Current) {
+  Current.StepsLeft = MaxComparisonsPerRound;
+  Current.GangsLeft = MaxGangsPerRound;
+  std::size_t Considered = 0;
+  for (const auto &[Rank, Ref] : stepsFrom(WaitRank{}, FrontStepsPerRound)) {
+    if (Considered++ == FrontStepsPerRound)
+      return Rank;
+    if (scheduleStep(Current, Rank, Ref))
+      continue;
     if (Current.StepsLeft <= 0)
       return Rank;
-    if (tierOf(*Ref.Owner, Current.Now) != Rank.Tier)
-      updateRank(*Ref.Owner, Current.Now);
-    else
-      scheduleStep(Current, *Ref.Owner, Ref.Step);
+    if (!Current.SkippedGang)
+      Current.SkippedGang = Rank;
   }
-  return End;
+  return std::nullopt;
+}
+
+// Schedules the steps from First on that scheduleFront() has left out, which
+// ended at FrontEnd. Returns the rank at which the next round continues; empty
+// at the end of the order.
+std::optional<WaitRank>
+JobScheduler::scheduleRest(Round &Current, const WaitRank &First,
+                           const std::optional<WaitRank> &FrontEnd) {
+  Current.StepsLeft = MaxComparisonsPerRound;
+  Current.GangsLeft = MaxGangsPerRound;
+  std::size_t Considered = 0;
+  for (const auto &[Rank, Ref] : stepsFrom(First, FurtherStepsPerRound)) {
+    if (Considered++ == FurtherStepsPerRound)
+      return Rank;
+    const bool IsFront = !FrontEnd || Rank < *FrontEnd;
+    if (IsFront && !Ref.Owner->Spec.Steps[std::size_t(Ref.Step)].Gang)
+      continue;
+    if (!scheduleStep(Current, Rank, Ref))
+      return Rank;
+  }
+  return std::nullopt;
 }
 
 int JobScheduler::allowedByCap(const Job &CurrentJob,
@@ -285,19 +308,37 @@
   return Result;
 }
 
-void JobScheduler::scheduleStep(Round &Current, Job &CurrentJob, int Step) {
+// Returns false if the step has yet to be compared with the workers, for which
+// the limits of the pass leave no room.
+bool JobScheduler::scheduleStep(Round &Current, const WaitRank &Rank,
+                                const StepRef &Ref) {
+  Job &CurrentJob = *Ref.Owner;
+  const int Step = Ref.Step;
+  if (tierOf(CurrentJob, Current.Now) != Rank.Tier) {
+    updateRank(CurrentJob, Current.Now);
+    return true;
+  }
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   if (!Current.StillAtWork.empty() &&
       Current.StillAtWork.contains(stepName(CurrentJob.Spec.Id, Step))) {
     State.Cause = WaitCause::RunActive;
-    return;
+    return true;
   }
   const int Fitting = allowedByCap(CurrentJob, Spec);
   if (Fitting == 0 || (Spec.Gang && Fitting < Spec.Count))
     State.WaitingSince.reset();
   else if (!State.WaitingSince)
     State.WaitingSince = Current.Now;
+  if (Spec.Gang) {
+    const auto Obstacle = obstacleOfGang(CurrentJob, Step, Current.Now);
+    if (Obstacle) {
+      State.Cause = *Obstacle;
+      Current.ClaimableCpuMillis +=
+          releaseClaims(stepName(CurrentJob.Spec.Id, Step), State);
+      return true;
+    }
+  }
   // Free resources only shrink during a round, so a step that did not fit at
   // its start need not be compared. Gangs, steps with low slack and the first
   // steps that need advice plan ahead and are compared anyway.
@@ -308,27 +349,29 @@
        !State.AdviceInFlight);
   if (!FitsLargestFree && !PlansAhead) {
     State.Cause = WaitCause::NoSlots;
-    return;
+    return true;
   }
   if (!Spec.Gang && Fitting == 0) {
     State.Cause = WaitCause::AccountLimit;
-    return;
+    return true;
   }
   // While a request is in flight, nothing can be decided about a gang, or about
   // another step that has no advice yet.
   if (State.AdviceInFlight && (Spec.Gang || State.Advice.empty())) {
     State.Cause = WaitCause::AdvicePending;
-    return;
+    return true;
   }
-  if (Spec.Gang && Current.GangsLeft-- <= 0)
-    return;
+  if (Current.StepsLeft <= 0 || (Spec.Gang && Current.GangsLeft <= 0))
+    return false;
   --Current.StepsLeft;
+  Current.GangsLeft -= Spec.Gang ? 1 : 0;
   State.ComparedAt = Current.Now;
   Candidates Found = candidatesFor(Current, CurrentJob, Step);
   if (Spec.Gang)
     scheduleGang(Current, CurrentJob, Step, std::move(Found));
   else
     scheduleTasks(Current, CurrentJob, Step, std::move(Found));
+  return true;
 }
 
 void JobScheduler::scheduleTasks(Round &Current, Job &CurrentJob, int Step,
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -27,8 +27,52 @@
     Step.Gang = true;
     return Step;
   }
+
+  /// Adds \p Count gangs that no worker may run.
+  void addGangsWithoutWorkers(int Count) {
+    StepSpec Step = gang(2, 2000);
+    Step.RequiredLabel = "none";
+    for (int Number = 0; Number < Count; ++Number)
+      addJob("batch", Step);
+  }
 };
 
+// Guards against a gang that no round compares with the workers, because those
+// before it, which may not start, use up the comparisons.
+TEST_F(GangPlacementTest, StartsAGangBehindManyOfAnAccountAtItsLimit) {
+  addWorker("w1");
+  addJob("batch", step(4, 2000), "small");
+  ASSERT_EQ(decide().Starts.size(), 4U);
+  for (int Number = 0; Number < 20; ++Number)
+    addJob("batch", gang(2, 2000), "small");
+  const std::string Id = addJob("batch", gang(2, 4000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 2U);
+  EXPECT_EQ(TaskId::parse(Made.Starts[0].Task)->Job, Id);
+}
+
+// Guards against the same if the gangs before it find no room.
+TEST_F(GangPlacementTest, StartsAGangBehindManyThatFindNoRoom) {
+  addWorker("w1");
+  addGangsWithoutWorkers(40);
+  EXPECT_TRUE(startsInTime(addJob("batch", gang(2, 4000))));
+}
+
+// Guards against the same among more steps than the front of the order has.
+TEST_F(GangPlacementTest, StartsAGangBehindMoreGangsThanOneRoundConsiders) {
+  addWorker("w1");
+  addGangsWithoutWorkers(250);
+  EXPECT_TRUE(startsInTime(addJob("batch", gang(2, 4000))));
+}
+
+// Guards against tasks that wait for the comparisons of gangs before them.
+TEST_F(GangPlacementTest, StartsATaskBehindManyGangsAtOnce) {
+  addWorker("w1");
+  addGangsWithoutWorkers(40);
+  addJob("batch", step(1, 4000));
+  EXPECT_EQ(decide().Starts.size(), 1U);
+}
+
 // Guards against a gang that waits until whole workers are empty, although free
 // slots on several partly used workers are enough for it.
 TEST_F(GangPlacementTest, AccumulatesFreeSlotsOnWorkersInUse) {
--- a/tests/jobs/jobschedulertest.h
+++ b/tests/jobs/jobschedulertest.h
@@ -96,6 +96,23 @@
     return Scheduler.decide(Now, Budget);
   }
 
+  /// A job must not stand still for 3 s, and two rounds are at most 100 ms
+  /// apart.
+  static constexpr int MaxStartRounds = 30;
+  static constexpr Duration MaxRoundInterval{100};
+
+  /// Runs rounds until a task of job \p Id is started; false if none is within
+  /// MaxStartRounds.
+  bool startsInTime(const std::string &Id) {
+    for (int Round = 0; Round < MaxStartRounds; ++Round) {
+      Now += MaxRoundInterval;
+      for (const StartCommand &Start : Scheduler.decide(Now, Budget).Starts)
+        if (TaskId::parse(Start.Task)->Job == Id)
+          return true;
+    }
+    return false;
+  }
+
   void end(const StartCommand &Start, EndKind Kind) {
     Scheduler.runEnded(Start.Worker,
                        {++LastEnd, Start.Task, Start.Run, Kind, ""}, Now);
