Plan free resources only for the steps that can get them

Callers saw steps of tasks that wait for tens of seconds with approved workers that have free slots, and make no call for advice (the cause in the log is resources_due).

A round plans the free resources for the steps in their order, and a step for which none are left requests no advice. The whole request of each compared gang was planned, also of one that could neither start nor claim anything, and for a gang that did start twice. Steps of tasks planned all their waiting tasks, also those for which none of their workers had a free slot, and those that could make no call because only slow ones were used up. So one wide step at the front that no free worker may run kept all steps behind it, except a few with cheap advice, from ever asking.

What a gang claims, what starts, and what a step of tasks is asking for now, at most its free slots on the workers it may ask about, is planned. That cannot exceed what is free, and ends when it can't be used.

--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -53,13 +53,6 @@
       std::size_t(Settings.BaseMs * NamingCostShare / Settings.PerWorkerMs));
 }
 
-template <typename Container> int totalSlots(const Container &Items) {
-  int Sum = 0;
-  for (const auto &Item : Items)
-    Sum += Item.Slots;
-  return Sum;
-}
-
 } // namespace
 
 // Why a gang may not start, whatever room there is; empty if it may.
@@ -87,7 +80,6 @@
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
   State.Cause = WaitCause::NoSlots;
-  Current.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
   const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
     const auto Rank = [](const Candidate &Option) {
       return std::tuple(Option.Slots == 0,
@@ -98,7 +90,7 @@
   };
   for (auto *Group : {&Found.Valid, &Found.Expired, &Found.Unadvised})
     std::stable_sort(Group->begin(), Group->end(), Preferred);
-  if (totalSlots(Found.Valid) >= Spec.Count) {
+  if (freeSlots(Found.Valid) >= Spec.Count) {
     std::int64_t Last = 0;
     for (const TaskState &Task : State.Tasks)
       Last = std::max(Last, Task.Run);
@@ -216,6 +208,7 @@
     Claimants[Name] = StepRef{&CurrentJob, Step};
     takeClaims(Current, *Option.Host, *State.Rank);
     Current.ClaimableCpuMillis -= Spec.Request.CpuMillis * Slots;
+    Current.FreeCpuMillis -= Spec.Request.CpuMillis * Slots;
     MissingSlots -= Slots;
   }
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -408,6 +408,7 @@
   bool scheduleStep(Round &Current, const WaitRank &Rank, const StepRef &Ref);
   std::optional<WaitCause> obstacleOfGang(const Job &CurrentJob, int Step,
                                           TimePoint Now) const;
+  static int freeSlots(const std::vector<Candidate> &Group);
   void scheduleTasks(Round &Current, Job &CurrentJob, int Step,
                      Candidates Found);
   void reserveForLargeTasks(Round &Current, const Queue &JobQueue,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <functional>
 #include <limits>
+#include <numeric>
 #include <tuple>
 
 namespace apricotwing::jobs {
@@ -374,6 +375,12 @@
   return true;
 }
 
+int JobScheduler::freeSlots(const std::vector<Candidate> &Group) {
+  return std::accumulate(
+      Group.begin(), Group.end(), 0,
+      [](int Sum, const Candidate &Option) { return Sum + Option.Slots; });
+}
+
 void JobScheduler::scheduleTasks(Round &Current, Job &CurrentJob, int Step,
                                  Candidates Found) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
@@ -400,16 +407,20 @@
   if (State.Rank && State.Rank->Tier == 0)
     reserveForLargeTasks(Current, queueOf(CurrentJob), Found, Remaining);
   // Free resources go to the steps in their order, so only as many steps
-  // request advice as can use them.
-  const std::int64_t Demand =
-      Spec.BestEffort ? 0 : Spec.Request.CpuMillis * Remaining;
+  // request advice as can use them. Planned are those that a step is asking
+  // for.
   const bool IsCpuExpected = Current.FreeCpuMillis > 0;
-  Current.FreeCpuMillis -= Demand;
   const bool MayPrefetch =
       hasCheapAdvice(queueOf(CurrentJob)) && Current.PrefetchesLeft-- > 0;
   if (!queueOf(CurrentJob).Advice)
     return;
+  const std::int64_t Demand =
+      Spec.BestEffort ? 0
+                      : Spec.Request.CpuMillis *
+                            std::min(Remaining, freeSlots(Found.Expired) +
+                                                    freeSlots(Found.Unadvised));
   if (State.AdviceInFlight) {
+    Current.FreeCpuMillis -= Demand;
     State.Cause = WaitCause::AdvicePending;
     return;
   }
@@ -421,6 +432,7 @@
     State.Cause = WaitCause::AdviceBudget;
     return;
   }
+  Current.FreeCpuMillis -= Demand;
   std::vector<std::string> WorkerIds;
   double Slots = 0;
   const double EnoughSlots = AdvisedSlotsMargin * Remaining;
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -28,6 +28,15 @@
     return Step;
   }
 
+  /// True if job \p Id requests advice within MaxStartRounds.
+  bool asksInTime(const std::string &Id) {
+    for (int Round = 0; Round < MaxStartRounds; ++Round)
+      for (const AdviceRequest &Request : decide().Advice)
+        if (Request.Step == stepName(Id, 0))
+          return true;
+    return false;
+  }
+
   /// Adds \p Count gangs that no worker may run.
   void addGangsWithoutWorkers(int Count) {
     StepSpec Step = gang(2, 2000);
@@ -223,5 +232,52 @@
   EXPECT_TRUE(Made.Starts[0].Task.starts_with(Id));
 }
 
+// Guards against tasks that never request advice, because all free resources
+// are planned for gangs that cannot use them.
+TEST_F(GangPlacementTest, AGangWithoutWorkersKeepsNoTaskFromItsAdvice) {
+  addWorker("w1");
+  addWorker("w2");
+  StepSpec Large = gang(20, 16'000);
+  Large.RequiredLabel = "none";
+  addJob("advised", Large);
+  EXPECT_TRUE(asksInTime(addJob("advised", step(1, 4000))));
+}
+
+// Guards against the same if tasks cannot use the free resources.
+TEST_F(GangPlacementTest, TasksWithoutWorkersKeepNoOtherFromItsAdvice) {
+  addWorker("w1");
+  addWorker("w2");
+  StepSpec Large = step(20, 16'000);
+  Large.RequiredLabel = "none";
+  addJob("advised", Large);
+  EXPECT_TRUE(asksInTime(addJob("advised", step(1, 4000))));
+}
+
+// Guards against steps that wait for fast calls because those before them wait
+// for slow ones.
+TEST_F(GangPlacementTest, TasksWithoutSlowCallsKeepNoOtherFromItsAdvice) {
+  addWorker("w1");
+  addWorker("w2");
+  ClusterPolicy Policy = Scheduler.settings();
+  Queue Fast = queueOf("fast", 1, 2.2);
+  Fast.Advice = AdviceSettings{130, 1.8, Duration{2000}};
+  Policy.Queues.push_back(Fast);
+  Scheduler.setPolicy(Policy);
+  Budget = AdviceBudget{0, 500, 4, 500};
+  addJob("advised", step(20, 16'000));
+  EXPECT_TRUE(asksInTime(addJob("fast", step(1, 4000))));
+}
+
+// Guards against calls for advice about resources that steps before have been
+// promised: the calls would be in vain.
+TEST_F(GangPlacementTest, RequestsNoAdviceForWhatEarlierStepsAskFor) {
+  addWorker("w1");
+  const std::string First = addJob("advised", step(2, 16'000));
+  addJob("advised", step(1, 4000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  EXPECT_EQ(Made.Advice[0].Step, stepName(First, 0));
+}
+
 } // namespace
 } // namespace apricotwing::jobs
