Let gangs claim nothing that waits for tasks that last

Callers could see tasks that wait although their workers have free resources: a gang had claimed these, and waited for the rest of its room on workers that are full of tasks that last until their job is cancelled.

A gang claims free resources on its approved workers if it would fit these workers when they are empty. Tasks that last don't end, so it now has to fit beside them. Otherwise it claims nothing, as a gang that does not fit at all.

Failed before, passes now (build/bin/jobs_tests): ClaimsTest .AGangThatNeedsTheRoomOfTasksThatLastHasNone.

--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -179,7 +179,8 @@
 // Claims free resources on approved workers, so that a gang accumulates slots
 // while tasks of other steps end. Reserving whole workers instead left them
 // idle until the last of their tasks had ended. Only a limited share of the
-// processors can be claimed; gangs that rank first get theirs first. Of the
+// processors can be claimed; gangs that rank first get theirs first. A gang for
+// which there is no room beside the tasks that last claims nothing. Of the
 // waiting gangs that fit the approved workers, the first one can always
 // complete its claims: a gang that does not fit has none, and one that lacks
 // some yields to those before it. Otherwise gangs that each hold a part of what
@@ -192,7 +193,7 @@
   Current.ClaimableCpuMillis += releaseClaims(Name, State);
   int PotentialSlots = 0;
   for (const Candidate &Option : Approved)
-    PotentialSlots += Option.Host->slotsIfEmpty(Spec);
+    PotentialSlots += Option.Host->slotsBesideLasting(Spec);
   if (PotentialSlots < Spec.Count)
     return;
   int MissingSlots = Spec.Count;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -828,6 +828,7 @@
   const TaskState &Task = State.Tasks[std::size_t(Id.Index)];
   New.IsSuspect =
       State.HasCrashes && State.crashesOf(Task, Spec.Gang).isSuspect();
+  New.IsLasting = Spec.LongRunning;
   if (runsAlone(CurrentJob, Id.Step, Task, Now)) {
     New.IsApart = isApart(Host, Now);
     if (!Spec.LongRunning || mayReserve(Now))
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -40,6 +40,8 @@
 
 void Worker::allocate(const std::string &Task, AllocatedRun Run) {
   Used += chargedResources(Run);
+  if (Run.IsLasting)
+    UsedByLasting += chargedResources(Run);
   if (Run.BestEffort)
     FillingCpuMillis += Run.Request.CpuMillis;
   AllocatedRun &Entry = Runs[Task];
@@ -56,6 +58,8 @@
   if (Found == Runs.end() || Found->second.Run != Run)
     return false;
   Used -= chargedResources(Found->second);
+  if (Found->second.IsLasting)
+    UsedByLasting -= chargedResources(Found->second);
   if (Found->second.BestEffort)
     FillingCpuMillis -= Found->second.Request.CpuMillis;
   UnknownRuns -= int(Found->second.IsUnknown);
@@ -119,6 +123,10 @@
   return slotsIn(Info.Capacity, Step);
 }
 
+int Worker::slotsBesideLasting(const StepSpec &Step) const {
+  return slotsIn(Info.Capacity - UsedByLasting, Step);
+}
+
 int Worker::slotsIn(const Resources &Room, const StepSpec &Step) const {
   int Slots = std::numeric_limits<int>::max();
   const auto Limit = [&Slots](std::int64_t Free, std::int64_t Required) {
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -33,6 +33,7 @@
   /// may have ended long ago.
   bool IsRestored = false;
   bool IsSuspect = false; ///< It may crash the worker.
+  bool IsLasting = false; ///< It runs until its job is cancelled.
   /// When it was placed, no other run was likely to crash the worker.
   bool IsApart = false;
   /// Nothing else is started on the worker until then; empty: no such limit.
@@ -125,6 +126,9 @@
   /// How many tasks of \p Step would fit if the worker were empty.
   int slotsIfEmpty(const StepSpec &Step) const;
 
+  /// How many would fit if all runs but those that last had ended.
+  int slotsBesideLasting(const StepSpec &Step) const;
+
   /// True if the worker has the label that \p Step requires.
   bool satisfies(const StepSpec &Step) const;
 
@@ -157,6 +161,7 @@
   int ConsecutiveFailures = 0;
   double Slowdown = 1;
   Resources Used;
+  Resources UsedByLasting;
   std::int64_t FillingCpuMillis = 0;
   std::map<std::string, AllocatedRun> Runs;
   int UnknownRuns = 0;
