Release the claims of a gang of which a lost run is at work

A gang whose worker lists a run that had been given up may not start before that run has ended, which takes as long as a lease if the worker goes silent again. It kept its claims on other workers meanwhile, and so the free resources there from all others. It releases them now, as a gang does whose account is at its limit.

Failed before, passes now (build/bin/jobs_tests): ClaimsTest .AGangOfWhichALostRunIsAtWorkHasNone.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -324,6 +324,8 @@
   if (!Current.StillAtWork.empty() &&
       Current.StillAtWork.contains(stepName(CurrentJob.Spec.Id, Step))) {
     State.Cause = WaitCause::RunActive;
+    Current.ClaimableCpuMillis +=
+        releaseClaims(stepName(CurrentJob.Spec.Id, Step), State);
     return true;
   }
   const int Fitting = allowedByCap(CurrentJob, Spec);
--- a/tests/jobs/claims_test.cpp
+++ b/tests/jobs/claims_test.cpp
@@ -52,5 +52,35 @@
   EXPECT_EQ(Scheduler.worker("w1")->claimed(), Resources{});
 }
 
+// Guards against claims of a gang that must not start before a lost run of it
+// has ended.
+TEST_F(ClaimsTest, AGangOfWhichALostRunIsAtWorkHasNone) {
+  const WorkerIncarnation First = addWorker("w1");
+  const WorkerIncarnation Second = addWorker("w2");
+  addJob("batch", gang(4, 16'000));
+  const auto Starts = decide().Starts;
+  ASSERT_EQ(Starts.size(), 4U);
+  std::vector<ActiveRun> Lost;
+  for (const StartCommand &Start : Starts)
+    if (Start.Worker == Second)
+      Lost.push_back({Start.Task, Start.Run, "", 0});
+  Scheduler.loseRuns(Second, WorkerLoss::LeaseExpired, Now);
+  for (const StartCommand &Start : Starts)
+    if (Start.Worker == First)
+      end(Start, EndKind::Stopped);
+  addWorker("w3");
+  addJob("quick", step(1, 20'000));
+  EXPECT_EQ(decide().Starts.size(), 1U);
+  decide();
+  EXPECT_GT(Scheduler.worker("w1")->claimed().CpuMillis +
+                Scheduler.worker("w3")->claimed().CpuMillis,
+            0);
+  Scheduler.syncWorker(Second, Lost, {}, Now);
+  decide();
+  EXPECT_EQ(Scheduler.waitCauses().count(WaitCause::RunActive), 1U);
+  for (const auto &[Id, Host] : Scheduler.workers())
+    EXPECT_EQ(Host.claimed(), Resources{}) << Id;
+}
+
 } // namespace
 } // namespace apricotwing::jobs
