Bound the time for which claims keep others from starting

The same holds for other jobs: as long as a gang waits for tasks on some of its workers to end, whatever it has claimed on the others is kept from steps that may run only there, even if most of the cell is free.

Claims let gangs accumulate slots in a full cell. So they keep a step from starting for 1.5 s at most where more than half of the processors of its upstream is free, and a task that lasts in any case: such a step then uses claimed resources if no others are free on a worker, at a higher cost, as steps with low slack have done, and requests advice about them. In a full cell other steps still leave them to the gangs.

Ruled out: claims that expire when they stop growing. Gangs in a full cell would lose what they have accumulated whenever tasks are long.

Failed before, pass now (build/bin/jobs_tests): ClaimsTest .ATaskThatLastsUsesThemAfterAShortWait, .ATaskThatLastsAsksForAdvice- AboutThem, .ATaskUsesThemIfHalfOfTheCellIsFree, .AGangUsesThemIfHalfOf- TheCellIsFree. ATaskLeavesThemToTheGangInAFullCell passes with both.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -308,6 +308,7 @@
     std::vector<Candidate> Valid;     ///< Can be used now.
     std::vector<Candidate> Expired;   ///< Approved, but need a new ticket.
     std::vector<Candidate> Unadvised; ///< No advice was requested yet.
+    bool UseClaims = false; ///< Their slots include what gangs have claimed.
   };
   /// State of one scheduling round.
   struct Round {
@@ -323,6 +324,8 @@
     /// The first gang at the front that GangsLeft kept from being compared.
     std::optional<WaitRank> SkippedGang;
     int PrefetchesLeft = 0; ///< Steps that may request advice in advance.
+    /// Free processors beyond half of all, by upstream.
+    std::map<std::string, std::int64_t> FreeBeyondHalf;
     /// Names of steps of which a run is at work that is not placed; it must end
     /// before its task is started again.
     std::set<std::string> StillAtWork;
@@ -402,6 +405,8 @@
   std::vector<std::pair<WaitRank, StepRef>> stepsFrom(const WaitRank &First,
                                                       std::size_t Limit) const;
   Candidates candidatesFor(Round &Current, Job &CurrentJob, int Step);
+  bool mayUseClaims(const Round &Current, const Job &CurrentJob,
+                    int Step) const;
   static std::int64_t costOf(const UsableWorker &Usable, const StepSpec &Spec,
                              bool IsLowSlack);
   int allowedByCap(const Job &CurrentJob, const StepSpec &Spec) const;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -64,6 +64,10 @@
 constexpr double LowSlackFactor = 2;
 constexpr int FineSlowdownSteps = 6;
 
+/// Time for which a step leaves resources to the gangs that have claimed them,
+/// unless the cell is full. A job must not stand still for 3 s.
+constexpr Duration MaxClaimWait{1500};
+
 /// A run that has lasted for this long has not crashed its worker, or the crash
 /// has been noticed: two refused connections and the report take 0.5 to 1 s.
 constexpr Duration FreshTime{1500};
@@ -126,6 +130,8 @@
           Resources::max(Current.LargestFree, Host.freeResources());
     }
     Current.ClaimableCpuMillis -= Host.claimed().CpuMillis;
+    Current.FreeBeyondHalf[Host.info().Upstream] +=
+        Host.freeResources().CpuMillis - Host.info().Capacity.CpuMillis / 2;
   }
   setLargestCapacity(Largest);
   FreeCpuMillis = Current.FreeCpuMillis;
@@ -232,6 +238,27 @@
   return (IsDistant ? DistanceCost : 0) + Slowdown * SlowdownCost + Fit;
 }
 
+// Claims are for gangs that accumulate slots in a full cell. Where most of it
+// is free, they must not keep a job from starting for long, and never a task
+// that lasts.
+bool JobScheduler::mayUseClaims(const Round &Current, const Job &CurrentJob,
+                                int Step) const {
+  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const auto HasWaited = [&Current](TimePoint Since) {
+    return Current.Now - Since >= MaxClaimWait;
+  };
+  if (Spec.LongRunning)
+    return std::any_of(
+        State.Tasks.begin(), State.Tasks.end(), [&](const TaskState &Task) {
+          return Task.Phase == TaskPhase::Ready &&
+                 HasWaited(std::max(Task.ReadySince, State.QueuedAt));
+        });
+  const auto Free = Current.FreeBeyondHalf.find(queueOf(CurrentJob).Upstream);
+  return State.WaitingSince && HasWaited(*State.WaitingSince) &&
+         Free != Current.FreeBeyondHalf.end() && Free->second > 0;
+}
+
 JobScheduler::Candidates
 JobScheduler::candidatesFor(Round &Current, Job &CurrentJob, int Step) {
   Candidates Result;
@@ -245,6 +272,7 @@
                 : isProbed(CurrentJob, Step, Current.Now);
   const bool MustBeApart =
       StartsAlone && !hasWaitedToRunAlone(State, Current.Now);
+  Result.UseClaims = mayUseClaims(Current, CurrentJob, Step);
   const std::set<std::string> Yielding = Spec.Gang && State.Rank
                                              ? yieldingTo(*State.Rank)
                                              : std::set<std::string>();
@@ -276,8 +304,9 @@
     int Slots = Host.slotsFor(Spec, Name, Yielding);
     // If nothing else is free, steps with low slack use resources that gangs
     // have claimed. Such steps are short, so the gangs get them back soon.
-    const bool TakesClaimed =
-        Slots == 0 && IsLowSlack && !Host.claims().empty();
+    const bool MayTake = Slots == 0 ? IsLowSlack || Result.UseClaims
+                                    : Spec.Gang && Result.UseClaims;
+    const bool TakesClaimed = MayTake && !Host.claims().empty();
     if (TakesClaimed)
       Slots = Host.slotsInFreeResources(Spec);
     if (Spec.MaxPerWorker > 0)
@@ -411,7 +440,7 @@
   // Free resources go to the steps in their order, so only as many steps
   // request advice as can use them. Planned are those that a step is asking
   // for.
-  const bool IsCpuExpected = Current.FreeCpuMillis > 0;
+  const bool IsCpuExpected = Current.FreeCpuMillis > 0 || Found.UseClaims;
   const bool MayPrefetch =
       hasCheapAdvice(queueOf(CurrentJob)) && Current.PrefetchesLeft-- > 0;
   if (!queueOf(CurrentJob).Advice)
--- a/tests/jobs/claims_test.cpp
+++ b/tests/jobs/claims_test.cpp
@@ -45,6 +45,25 @@
   }
 };
 
+// Guards against a task that lasts and is not started again as long as a gang
+// waits for room.
+TEST_F(ClaimsTest, ATaskThatLastsUsesThemAfterAShortWait) {
+  for (const std::string Id : {"w1", "w2", "w3", "w4"})
+    addWorker(Id);
+  StepSpec Lasting = step(1, 7000);
+  Lasting.LongRunning = true;
+  const std::string Id = addJob("batch", Lasting);
+  const auto Started = decide().Starts;
+  ASSERT_EQ(Started.size(), 1U);
+  addJob("batch", step(4, 18'000));
+  ASSERT_EQ(decide().Starts.size(), 4U);
+  Now += Duration{20'000}; // The job is past its firm deadline.
+  addJob("batch", gang(12, 7000));
+  EXPECT_TRUE(decide().Starts.empty());
+  end(Started[0], EndKind::Failed);
+  EXPECT_TRUE(startsInTime(Id));
+}
+
 // Guards against a gang that waits for room which a task that lasts never
 // frees, and whose claims keep others from starting.
 TEST_F(ClaimsTest, AGangThatNeedsTheRoomOfTasksThatLastHasNone) {
@@ -52,6 +71,21 @@
   EXPECT_EQ(Scheduler.worker("w1")->claimed(), Resources{});
 }
 
+// Guards against claims that keep a task from starting for as long as others
+// run, while most of the cell is free.
+TEST_F(ClaimsTest, ATaskUsesThemIfHalfOfTheCellIsFree) {
+  addGangThatNeedsAFullWorker(false);
+  ASSERT_NE(Scheduler.worker("w1")->claimed(), Resources{});
+  EXPECT_TRUE(startsInTime(addJob("batch", onWorkers(step(1, 4000), "first"))));
+}
+
+// Guards against the same for a gang.
+TEST_F(ClaimsTest, AGangUsesThemIfHalfOfTheCellIsFree) {
+  addGangThatNeedsAFullWorker(false);
+  ASSERT_NE(Scheduler.worker("w1")->claimed(), Resources{});
+  EXPECT_TRUE(startsInTime(addJob("batch", onWorkers(gang(2, 4000), "first"))));
+}
+
 // Guards against claims of a gang that must not start before a lost run of it
 // has ended.
 TEST_F(ClaimsTest, AGangOfWhichALostRunIsAtWorkHasNone) {
@@ -82,5 +116,45 @@
     EXPECT_EQ(Host.claimed(), Resources{}) << Id;
 }
 
+// Guards against tasks that take what gangs accumulate in a full cell.
+TEST_F(ClaimsTest, ATaskLeavesThemToTheGangInAFullCell) {
+  for (const std::string Id : {"w1", "w2", "w3", "w4"})
+    addWorker(Id);
+  addJob("batch", step(4, 18'000));
+  ASSERT_EQ(decide().Starts.size(), 4U);
+  addJob("batch", gang(12, 7000));
+  EXPECT_TRUE(decide().Starts.empty());
+  EXPECT_FALSE(startsInTime(addJob("batch", step(1, 7000))));
+}
+
+// Guards against a task that lasts and asks for no advice, because all free
+// resources are planned for gangs.
+TEST_F(ClaimsTest, ATaskThatLastsAsksForAdviceAboutThem) {
+  for (const std::string Id : {"w1", "w2", "w3", "w4"})
+    addWorker(Id);
+  addJob("batch", step(4, 18'000));
+  ASSERT_EQ(decide().Starts.size(), 4U);
+  StepSpec Lasting = step(1, 7000);
+  Lasting.LongRunning = true;
+  Lasting.RequiredLabel = "later";
+  const std::string Id = addJob("advised", Lasting);
+  Now += Duration{20'000}; // The job is past its firm deadline.
+  decide();
+  addJob("batch", gang(12, 7000));
+  EXPECT_TRUE(decide().Starts.empty());
+  for (const std::string Worker : {"w1", "w2", "w3", "w4"}) {
+    WorkerInfo Info = Scheduler.worker(Worker)->info();
+    Info.Labels = {"later"};
+    Scheduler.updateWorker(Info, Now);
+  }
+  bool HasAsked = false;
+  for (int Round = 0; Round < MaxStartRounds && !HasAsked; ++Round) {
+    Now += MaxRoundInterval;
+    for (const AdviceRequest &Request : Scheduler.decide(Now, Budget).Advice)
+      HasAsked = HasAsked || Request.Step == stepName(Id, 0);
+  }
+  EXPECT_TRUE(HasAsked);
+}
+
 } // namespace
 } // namespace apricotwing::jobs
