--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -411,6 +411,14 @@
   return Accounts[AccountIndex.at(Id)].Name;
 }
 
+bool EmulatedCell::isAdvised(const std::string &Id) const {
+  const std::string &Path = QueueOf.at(Id);
+  return std::any_of(Queues.begin(), Queues.end(),
+                     [&Path](const jobs::Queue &Entry) {
+                       return Entry.PathPrefix == Path && Entry.Advice;
+                     });
+}
+
 void EmulatedCell::read(const std::string &Instance, const std::string &Id) {
   call(Instance, Id, cell::ClientVerb::Read);
 }
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -107,6 +107,9 @@
   /// Name of the account that a job belongs to.
   const std::string &accountOf(const std::string &Id) const;
 
+  /// True if a job's queue requires placement advice.
+  bool isAdvised(const std::string &Id) const;
+
   /// Number of messages that an instance has received from others.
   int messagesReceived(const std::string &Name) const {
     const auto Found = Messages.find(Name);
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -177,6 +177,21 @@
   return Result;
 }
 
+Resources EmulatedWorkers::used(const std::string &Id) const {
+  Resources Sum;
+  for (const auto &[Task, Run] : Processes.at(Id).Runs)
+    Sum += Run.Traits.Request;
+  return Sum;
+}
+
+Resources EmulatedWorkers::usedByLasting(const std::string &Id) const {
+  Resources Sum;
+  for (const auto &[Task, Run] : Processes.at(Id).Runs)
+    if (Run.Traits.Lasts)
+      Sum += Run.Traits.Request;
+  return Sum;
+}
+
 int EmulatedWorkers::activeRuns() const {
   int Sum = 0;
   for (const auto &[Id, Entry] : Processes)
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -124,6 +124,10 @@
   /// Time of the last start of a task; empty if it was never started.
   std::optional<TimePoint> lastStart(const std::string &Task) const;
 
+  /// Resources that the active runs on a worker use, and those that last.
+  Resources used(const std::string &Id) const;
+  Resources usedByLasting(const std::string &Id) const;
+
   /// Number of active runs.
   int activeRuns() const;
 
