--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -58,35 +58,33 @@
       std::size_t(Settings.BaseMs * NamingCostShare / Settings.PerWorkerMs));
 }
 
-template <typename Container> int totalSlots(const Container &Items) {
-  int Sum = 0;
-  for (const auto &Item : Items)
-    Sum += Item.Slots;
-  return Sum;
-}
-
 } // namespace
 
+// Why a gang may not start, whatever room there is; empty if it may.
+std::optional<WaitCause> JobScheduler::obstacleOfGang(const Job &CurrentJob,
+                                                      int Step,
+                                                      TimePoint Now) const {
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
+  if (std::any_of(State.Tasks.begin(), State.Tasks.end(),
+                  [&](const TaskState &Task) {
+                    return isHeldBack(CurrentJob, Step, Task, Now);
+                  }))
+    return WaitCause::Suspect;
+  // Members of the previous run that are being stopped still count as placed.
+  if (allowedByCap(CurrentJob, Spec) < Spec.Count)
+    return WaitCause::AccountLimit;
+  if (State.ReadyCount != Spec.Count)
+    return WaitCause::MembersActive;
+  return std::nullopt;
+}
+
 void JobScheduler::scheduleGang(Round &Current, Job &CurrentJob, int Step,
                                 Candidates Found) {
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
-  const bool IsHeldBack = std::any_of(
-      State.Tasks.begin(), State.Tasks.end(), [&](const TaskState &Task) {
-        return isHeldBack(CurrentJob, Step, Task, Current.Now);
-      });
-  // Members of the previous run that are being stopped still count as placed.
-  const bool IsOverLimit = allowedByCap(CurrentJob, Spec) < Spec.Count;
-  if (State.ReadyCount != Spec.Count || IsHeldBack || IsOverLimit) {
-    State.Cause = IsHeldBack    ? WaitCause::Suspect
-                  : IsOverLimit ? WaitCause::AccountLimit
-                                : WaitCause::MembersActive;
-    releaseClaims(Name, State);
-    return;
-  }
   State.Cause = WaitCause::NoSlots;
-  Current.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
   const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
     const auto Rank = [](const Candidate &Option) {
       return std::tuple(Option.Slots == 0,
@@ -97,7 +95,7 @@
   };
   for (auto *Group : {&Found.Valid, &Found.Expired, &Found.Unadvised})
     std::stable_sort(Group->begin(), Group->end(), Preferred);
-  if (totalSlots(Found.Valid) >= Spec.Count) {
+  if (freeSlots(Found.Valid) >= Spec.Count) {
     std::int64_t Last = 0;
     for (const TaskState &Task : State.Tasks)
       Last = std::max(Last, Task.Run);
@@ -177,7 +175,7 @@
       MissingSlots -= Option.Host->slotsIfEmpty(Spec) * ApprovalChance;
       WorkerIds.push_back(Option.Host->info().Incarnation.Id);
     }
-    const bool MayStart = ApprovedSlots + totalSlots(Unadvised) >= Spec.Count;
+    const bool MayStart = ApprovedSlots + freeSlots(Unadvised) >= Spec.Count;
     NamesFewInAdvance = !MayStart && WorkerIds.size() < UsualCount;
     if (NamesFewInAdvance && Current.Now < State.NextFewWorkersCall)
       return;
@@ -193,7 +191,8 @@
 // Claims free resources on approved workers, so that a gang accumulates slots
 // while tasks of other steps end. Reserving whole workers instead left them
 // idle until the last of their tasks had ended. Only a limited share of the
-// processors can be claimed; gangs that rank first get theirs first. Of the
+// processors can be claimed; gangs that rank first get theirs first. A gang for
+// which there is no room beside the tasks that last claims nothing. Of the
 // waiting gangs that fit the approved workers, the first one can always
 // complete its claims: a gang that does not fit has none, and one that lacks
 // some yields to those before it. Otherwise gangs that each hold a part of what
@@ -206,7 +205,7 @@
   Current.ClaimableCpuMillis += releaseClaims(Name, State);
   int PotentialSlots = 0;
   for (const Candidate &Option : Approved)
-    PotentialSlots += Option.Host->slotsIfEmpty(Spec);
+    PotentialSlots += Option.Host->slotsBesideLasting(Spec);
   if (PotentialSlots < Spec.Count)
     return;
   int MissingSlots = Spec.Count;
@@ -222,6 +221,7 @@
     Claimants[Name] = StepRef{&CurrentJob, Step};
     takeClaims(Current, *Option.Host, *State.Rank);
     Current.ClaimableCpuMillis -= Spec.Request.CpuMillis * Slots;
+    Current.FreeCpuMillis -= Spec.Request.CpuMillis * Slots;
     MissingSlots -= Slots;
   }
 }
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -28,8 +28,61 @@
     Step.Gang = true;
     return Step;
   }
+
+  /// True if job \p Id requests advice within MaxStartRounds.
+  bool asksInTime(const std::string &Id) {
+    for (int Round = 0; Round < MaxStartRounds; ++Round)
+      for (const AdviceRequest &Request : decide().Advice)
+        if (Request.Step == stepName(Id, 0))
+          return true;
+    return false;
+  }
+
+  /// Adds \p Count gangs that no worker may run.
+  void addGangsWithoutWorkers(int Count) {
+    StepSpec Step = gang(2, 2000);
+    Step.RequiredLabel = "none";
+    for (int Number = 0; Number < Count; ++Number)
+      addJob("batch", Step);
+  }
 };
 
+// Guards against a gang that no round compares with the workers, because those
+// before it, which may not start, use up the comparisons.
+TEST_F(GangPlacementTest, StartsAGangBehindManyOfAnAccountAtItsLimit) {
+  addWorker("w1");
+  addJob("batch", step(4, 2000), "small");
+  ASSERT_EQ(decide().Starts.size(), 4U);
+  for (int Number = 0; Number < 20; ++Number)
+    addJob("batch", gang(2, 2000), "small");
+  const std::string Id = addJob("batch", gang(2, 4000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Starts.size(), 2U);
+  EXPECT_EQ(TaskId::parse(Made.Starts[0].Task)->Job, Id);
+}
+
+// Guards against the same if the gangs before it find no room.
+TEST_F(GangPlacementTest, StartsAGangBehindManyThatFindNoRoom) {
+  addWorker("w1");
+  addGangsWithoutWorkers(40);
+  EXPECT_TRUE(startsInTime(addJob("batch", gang(2, 4000))));
+}
+
+// Guards against the same among more steps than the front of the order has.
+TEST_F(GangPlacementTest, StartsAGangBehindMoreGangsThanOneRoundConsiders) {
+  addWorker("w1");
+  addGangsWithoutWorkers(250);
+  EXPECT_TRUE(startsInTime(addJob("batch", gang(2, 4000))));
+}
+
+// Guards against tasks that wait for the comparisons of gangs before them.
+TEST_F(GangPlacementTest, StartsATaskBehindManyGangsAtOnce) {
+  addWorker("w1");
+  addGangsWithoutWorkers(40);
+  addJob("batch", step(1, 4000));
+  EXPECT_EQ(decide().Starts.size(), 1U);
+}
+
 // Guards against a gang that waits until whole workers are empty, although free
 // slots on several partly used workers are enough for it.
 TEST_F(GangPlacementTest, AccumulatesFreeSlotsOnWorkersInUse) {
@@ -334,5 +387,52 @@
   EXPECT_TRUE(Made.Starts[0].Task.starts_with(Id));
 }
 
+// Guards against tasks that never request advice, because all free resources
+// are planned for gangs that cannot use them.
+TEST_F(GangPlacementTest, AGangWithoutWorkersKeepsNoTaskFromItsAdvice) {
+  addWorker("w1");
+  addWorker("w2");
+  StepSpec Large = gang(20, 16'000);
+  Large.RequiredLabel = "none";
+  addJob("advised", Large);
+  EXPECT_TRUE(asksInTime(addJob("advised", step(1, 4000))));
+}
+
+// Guards against the same if tasks cannot use the free resources.
+TEST_F(GangPlacementTest, TasksWithoutWorkersKeepNoOtherFromItsAdvice) {
+  addWorker("w1");
+  addWorker("w2");
+  StepSpec Large = step(20, 16'000);
+  Large.RequiredLabel = "none";
+  addJob("advised", Large);
+  EXPECT_TRUE(asksInTime(addJob("advised", step(1, 4000))));
+}
+
+// Guards against steps that wait for fast calls because those before them wait
+// for slow ones.
+TEST_F(GangPlacementTest, TasksWithoutSlowCallsKeepNoOtherFromItsAdvice) {
+  addWorker("w1");
+  addWorker("w2");
+  ClusterPolicy Policy = Scheduler.settings();
+  Queue Fast = queueOf("fast", 1, 2.2);
+  Fast.Advice = AdviceSettings{130, 1.8, Duration{2000}};
+  Policy.Queues.push_back(Fast);
+  Scheduler.setPolicy(Policy);
+  Budget = AdviceBudget{0, 500, 4, 500};
+  addJob("advised", step(20, 16'000));
+  EXPECT_TRUE(asksInTime(addJob("fast", step(1, 4000))));
+}
+
+// Guards against calls for advice about resources that steps before have been
+// promised: the calls would be in vain.
+TEST_F(GangPlacementTest, RequestsNoAdviceForWhatEarlierStepsAskFor) {
+  addWorker("w1");
+  const std::string First = addJob("advised", step(2, 16'000));
+  addJob("advised", step(1, 4000));
+  const Decisions Made = decide();
+  ASSERT_EQ(Made.Advice.size(), 1U);
+  EXPECT_EQ(Made.Advice[0].Step, stepName(First, 0));
+}
+
 } // namespace
 } // namespace apricotwing::jobs
