Let reserved workers yield to jobs that would stand still

Cause: from the second lost worker on, a task or gang has its workers to itself for up to 30 s, and only tasks that last are bounded in how many they reserve. Reserved workers were left out of all placing: gangs with few approved workers, steps with a required label and other suspects had no room, were not even advised about these workers, and gangs counted them as missing when they looked whether they fit.

Weighed and not chosen: a bound on the number of reserved workers for all (the isolation fails in small cells, and sound tasks share more crashes); suspects that wait beyond a bound for their turn (then these stand still themselves); reservations that end after a shorter time (a deadly task is not always quick).

Change: suspects reserve workers as before. A reserved worker yields to a step that has waited for 1.5 s and whose job has nothing at work: first those with the fewest losses, then those whose suspect has run longest, and until 2.5 s only those that have run for 1.5 s. A gang gets what it needs, another job one task, as it no longer stands still then. Advice about reserved workers is requested before. Nothing yields while six tenths of the processors are allocated (the rule holds under half in use), so a backlog cannot end all isolation; tasks that last have no such limit. A suspect with company is no longer apart, so that a crash it shares does not convict it; one that joins another reserves nothing, so reservations do not go on without end. Waits and ages that begin anew with a new leader only delay this by the same bound.

Leaders that change faster than every 1.5 s begin the waits anew.

--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -84,7 +84,7 @@
   Current.FreeCpuMillis -= Spec.Request.CpuMillis * Spec.Count;
   const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
     const auto Rank = [](const Candidate &Option) {
-      return std::tuple(Option.Slots == 0,
+      return std::tuple(Option.Slots == 0, Option.ReservedFor,
                         Option.Host->slowdown() > SlowWorkerThreshold,
                         -Option.Slots);
     };
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -72,6 +72,14 @@
   return true;
 }
 
+bool Job::hasPlacedTask() const {
+  return std::any_of(Steps.begin(), Steps.end(), [](const StepState &Step) {
+    return std::any_of(
+        Step.Tasks.begin(), Step.Tasks.end(),
+        [](const TaskState &Task) { return Task.Phase == TaskPhase::Placed; });
+  });
+}
+
 void Job::updateEstimate() {
   std::vector<Duration> EndOf;
   Duration Longest{0};
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -225,6 +225,9 @@
   /// True if every task is done.
   bool isDone() const;
 
+  /// True if a task is assigned to a worker.
+  bool hasPlacedTask() const;
+
   /// Recomputes RemainingEstimate after a step has finished.
   void updateEstimate();
 
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -826,11 +826,14 @@
                    Now};
   const StepState &State = CurrentJob.Steps[std::size_t(Id.Step)];
   const TaskState &Task = State.Tasks[std::size_t(Id.Index)];
-  New.IsSuspect =
-      State.HasCrashes && State.crashesOf(Task, Spec.Gang).isSuspect();
+  if (State.HasCrashes)
+    New.Losses = State.crashesOf(Task, Spec.Gang).losses();
+  New.IsSuspect = New.Losses > 0;
   if (runsAlone(CurrentJob, Id.Step, Task, Now)) {
     New.IsApart = isApart(Host, Now);
-    if (!Spec.LongRunning || mayReserve(Now))
+    const std::string Step = stepName(CurrentJob.Spec.Id, Id.Step);
+    if (!Host.isReservedForOthers(Step, Now) &&
+        (!Spec.LongRunning || mayReserve(Now)))
       New.AloneUntil = Now + CrashHistory::DangerTime;
   }
   Host.allocate(Id.text(), std::move(New));
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -289,7 +289,8 @@
     Job *Owner = nullptr;
     int Step = 0;
   };
-  /// A worker that is usable in a round, with values computed once per round.
+  /// A worker that is available in a round, with values computed once per
+  /// round.
   struct UsableWorker {
     const std::string *Id = nullptr;
     Worker *Host = nullptr;
@@ -302,12 +303,21 @@
     int Slots = 0;
     const WorkerAdvice *Advice = nullptr; ///< Null if none was requested.
     std::int64_t Cost = 0;                ///< Lower is better.
+    /// Empty if the worker is not reserved for other runs.
+    std::optional<Isolation> ReservedFor = std::nullopt;
   };
   /// The workers of an upstream that match a waiting step.
   struct Candidates {
     std::vector<Candidate> Valid;     ///< Can be used now.
     std::vector<Candidate> Expired;   ///< Approved, but need a new ticket.
     std::vector<Candidate> Unadvised; ///< No advice was requested yet.
+    bool MayShare = false;            ///< Reserved workers yield to the step.
+  };
+  /// Processors of the available workers of an upstream, in thousandths of a
+  /// core.
+  struct CpuUse {
+    std::int64_t Capacity = 0;
+    std::int64_t Allocated = 0;
   };
   /// State of one scheduling round.
   struct Round {
@@ -317,7 +327,9 @@
     std::int64_t FreeCpuMillis = 0; ///< Not yet planned for a step.
     /// What waiting gangs may still claim.
     std::int64_t ClaimableCpuMillis = 0;
-    Resources LargestFree;  ///< Maximum of each resource on any usable worker.
+    Resources LargestFree; ///< Maximum of each resource on any usable worker.
+    Resources LargestReserved;         ///< The same of the reserved workers.
+    std::map<std::string, CpuUse> Use; ///< By upstream.
     int StepsLeft = 0;      ///< Steps that may still be compared with workers.
     int GangsLeft = 0;      ///< Gangs that may still be compared.
     int PrefetchesLeft = 0; ///< Steps that may request advice in advance.
@@ -327,7 +339,7 @@
     /// Workers that are reserved in this round for urgent waiting steps, with
     /// the priority of those steps.
     std::map<const Worker *, int> ReservedHosts;
-    /// The usable workers by upstream, ordered by id.
+    /// The available workers by upstream, ordered by id.
     std::map<std::string, std::vector<UsableWorker>> Usable;
     Decisions Result;
   };
@@ -407,6 +419,8 @@
                             const Candidates &Found, int Tasks);
   void scheduleGang(Round &Current, Job &CurrentJob, int Step,
                     Candidates Found);
+  std::optional<Duration> yieldingAge(const Round &Current,
+                                      const Job &CurrentJob, int Step) const;
   static bool isApart(const Worker &Host, TimePoint Now);
   static bool hasWaitedToRunAlone(const StepState &State, TimePoint Now);
   static Candidate *chooseHost(const Round &Current,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -71,6 +71,17 @@
 /// which it is apart from others.
 constexpr Duration MaxApartWait{1500};
 
+/// Time after which a step of a job that has nothing at work uses workers that
+/// have been reserved for FreshTime, and after which it uses any reserved one.
+/// A job may stand still for 3 s, and advice takes over half a second.
+constexpr Duration MaxReservedWait{1500};
+constexpr Duration MaxFreshReservedWait{2500};
+
+/// Reserved workers yield only while a lower share of the processors is
+/// allocated, so that a backlog does not end all isolation. A job may stand
+/// still if half are in use, and fewer are in use than are allocated.
+constexpr double MaxYieldingUse = 0.6;
+
 /// Minimum remaining validity of a ticket that is used, because the start takes
 /// time.
 constexpr Duration TicketMargin{150};
@@ -115,10 +126,19 @@
   for (auto &[Id, Host] : Workers) {
     TotalCpuMillis += Host.info().Capacity.CpuMillis;
     Largest = Resources::max(Largest, Host.info().Capacity);
-    if (Host.isUsable(Now)) {
+    if (Host.isAvailable(Now)) {
       Current.Usable[Host.info().Upstream].push_back(
           {&Id, &Host, int(std::lround(Host.slowdown())),
            int(std::lround(Host.slowdown() * FineSlowdownSteps))});
+      CpuUse &Use = Current.Use[Host.info().Upstream];
+      Use.Capacity += Host.info().Capacity.CpuMillis;
+      Use.Allocated +=
+          Host.info().Capacity.CpuMillis - Host.freeResources().CpuMillis;
+    }
+    if (Host.isReserved(Now))
+      Current.LargestReserved =
+          Resources::max(Current.LargestReserved, Host.freeResources());
+    if (Host.isUsable(Now)) {
       UsableCpuMillis += Host.info().Capacity.CpuMillis;
       ++UsableWorkers;
       Current.FreeCpuMillis +=
@@ -224,6 +244,9 @@
   const std::set<std::string> Yielding = Spec.Gang && State.Rank
                                              ? yieldingTo(*State.Rank)
                                              : std::set<std::string>();
+  const std::optional<Duration> YieldingAge =
+      yieldingAge(Current, CurrentJob, Step);
+  Result.MayShare = YieldingAge.has_value();
   std::map<std::string, int> PlacedOnWorker;
   if (Spec.MaxPerWorker > 0)
     for (const TaskState &Task : State.Tasks)
@@ -237,8 +260,7 @@
     Worker &Host = *Usable.Host;
     while (Advice != State.Advice.end() && Advice->first < Id)
       ++Advice;
-    if (!Spec.Request.fitsIn(Host.info().Capacity) || !Host.satisfies(Spec) ||
-        Host.isReserved(Current.Now))
+    if (!Spec.Request.fitsIn(Host.info().Capacity) || !Host.satisfies(Spec))
       continue;
     const auto Reservation = Current.ReservedHosts.find(&Host);
     if (Reservation != Current.ReservedHosts.end() &&
@@ -260,11 +282,22 @@
       Slots = std::min(Slots, Spec.MaxPerWorker - PlacedOnWorker[Id]);
     if (MustBeApart && !isApart(Host, Current.Now))
       Slots = 0;
+    const bool IsValid =
+        !JobQueue.Advice ||
+        (HasAdvice && Advice->second.Expires > Current.Now + TicketMargin);
+    std::optional<Isolation> ReservedFor;
+    if (Host.isReserved(Current.Now)) {
+      ReservedFor = Host.isolation();
+      // Advice takes time, so it is requested before the reservation yields.
+      if (!YieldingAge ||
+          (IsValid && Current.Now - ReservedFor->Since < *YieldingAge))
+        Slots = 0;
+    }
     const Candidate Option{
         &Host, std::max(Slots, 0), HasAdvice ? &Advice->second : nullptr,
-        costOf(Usable, Spec, IsLowSlack) + (TakesClaimed ? ClaimedCost : 0)};
-    if (!JobQueue.Advice ||
-        (HasAdvice && Advice->second.Expires > Current.Now + TicketMargin))
+        costOf(Usable, Spec, IsLowSlack) + (TakesClaimed ? ClaimedCost : 0),
+        ReservedFor};
+    if (IsValid)
       Result.Valid.push_back(Option);
     else
       (HasAdvice ? Result.Expired : Result.Unadvised).push_back(Option);
@@ -278,13 +311,46 @@
                                    Result.Unadvised.size()),
                 Result.Unadvised.end());
   const auto Better = [](const Candidate &Left, const Candidate &Right) {
-    return Left.Cost < Right.Cost;
+    return std::tuple(Left.ReservedFor, Left.Cost) <
+           std::tuple(Right.ReservedFor, Right.Cost);
   };
   for (auto *Group : {&Result.Valid, &Result.Expired, &Result.Unadvised})
     std::stable_sort(Group->begin(), Group->end(), Better);
+  // The job does not stand still once one of its tasks is at work.
+  if (!Spec.Gang && !Spec.LongRunning) {
+    bool HasSlot = false;
+    for (Candidate &Option : Result.Valid) {
+      if (Option.ReservedFor)
+        Option.Slots = HasSlot ? 0 : std::min(Option.Slots, 1);
+      HasSlot = HasSlot || Option.Slots > 0;
+    }
+  }
   return Result;
 }
 
+// Time for which reserved workers must have been reserved to yield to a step;
+// empty if they don't. They yield to a step whose job would stand still
+// otherwise.
+std::optional<Duration> JobScheduler::yieldingAge(const Round &Current,
+                                                  const Job &CurrentJob,
+                                                  int Step) const {
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  if (!State.WaitingSince ||
+      Current.Now - *State.WaitingSince < MaxReservedWait)
+    return std::nullopt;
+  if (!CurrentJob.Spec.Steps[std::size_t(Step)].LongRunning) {
+    const auto Use = Current.Use.find(queueOf(CurrentJob).Upstream);
+    if (Use == Current.Use.end() ||
+        double(Use->second.Allocated) >=
+            MaxYieldingUse * double(Use->second.Capacity) ||
+        CurrentJob.hasPlacedTask())
+      return std::nullopt;
+  }
+  const bool HasWaitedLong =
+      Current.Now - *State.WaitingSince >= MaxFreshReservedWait;
+  return HasWaitedLong ? Duration{0} : FreshTime;
+}
+
 void JobScheduler::scheduleStep(Round &Current, Job &CurrentJob, int Step) {
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
@@ -306,7 +372,9 @@
       Spec.Gang || queueOf(CurrentJob).SlackFactor < LowSlackFactor ||
       (Current.PrefetchesLeft > 0 && hasCheapAdvice(queueOf(CurrentJob)) &&
        !State.AdviceInFlight);
-  if (!FitsLargestFree && !PlansAhead) {
+  const bool MayShare = Spec.Request.fitsIn(Current.LargestReserved) &&
+                        yieldingAge(Current, CurrentJob, Step);
+  if (!FitsLargestFree && !PlansAhead && !MayShare) {
     State.Cause = WaitCause::NoSlots;
     return;
   }
@@ -370,7 +438,7 @@
     State.Cause = WaitCause::AdvicePending;
     return;
   }
-  if (!IsCpuExpected && !MayPrefetch) {
+  if (!IsCpuExpected && !MayPrefetch && !Found.MayShare) {
     State.Cause = WaitCause::ResourcesDue;
     return;
   }
@@ -425,7 +493,8 @@
     return;
   std::vector<const Worker *> Hosts;
   for (const Candidate &Option : Found.Valid)
-    if (Option.Slots == 0 && !Current.ReservedHosts.contains(Option.Host))
+    if (Option.Slots == 0 && !Option.ReservedFor &&
+        !Current.ReservedHosts.contains(Option.Host))
       Hosts.push_back(Option.Host);
   const auto HasMoreFree = [](const Worker *Left, const Worker *Right) {
     return Left->freeResources().CpuMillis > Right->freeResources().CpuMillis;
@@ -488,7 +557,8 @@
 }
 
 // Returns the first worker with a free slot, but if possible none on which the
-// task has failed or which crashed under it, and no two suspects on one worker.
+// task has failed or which crashed under it, and no two suspects on one worker,
+// and last of all one that is reserved for other runs.
 // A task that must be apart from others gets a worker on which it is, and null
 // if there is none.
 JobScheduler::Candidate *
@@ -496,7 +566,7 @@
                          const TaskState &Task, bool Alone, bool MustBeApart) {
   const bool IsSuspect = Task.Crashes.isSuspect();
   Candidate *Chosen = nullptr;
-  std::tuple<bool, bool, std::size_t> Lowest;
+  std::tuple<bool, bool, bool, std::size_t> Lowest;
   for (Candidate &Option : Hosts) {
     const Worker &Host = *Option.Host;
     const std::string &Id = Host.info().Incarnation.Id;
@@ -510,8 +580,10 @@
         Host.hasSuspectSince(Current.Now - CrashHistory::DangerTime);
     const bool IsAvoided = Task.FailedOn.contains(Id) || HasSuspects ||
                            (IsSuspect && Task.Crashes.includes(Id));
-    const std::tuple Cost(!IsApart, IsAvoided,
-                          Alone ? Host.runs().size() : std::size_t(0));
+    const bool IsReserved = Option.ReservedFor.has_value();
+    const std::tuple Cost(IsReserved, !IsApart, IsAvoided,
+                          Alone && !IsReserved ? Host.runs().size()
+                                               : std::size_t(0));
     if (!Chosen || Cost < Lowest) {
       Chosen = &Option;
       Lowest = Cost;
@@ -542,12 +614,16 @@
   Task.Worker = Host.info().Incarnation;
   Task.Run = Run;
   Task.PlacedAt = Current.Now;
+  if (Option.ReservedFor)
+    Host.endApartness();
   allocateRun(Host, CurrentJob, TaskId{CurrentJob.Spec.Id, 0, Step, Index}, Run,
               Spec, Current.Now);
   State.WaitingSince.reset();
   Changed.insert(CurrentJob.Spec.Id);
-  if (!Spec.BestEffort)
+  if (!Spec.BestEffort) {
     Current.FreeCpuMillis -= Spec.Request.CpuMillis;
+    Current.Use[Host.info().Upstream].Allocated += Spec.Request.CpuMillis;
+  }
   if (!CurrentJob.Started) {
     CurrentJob.Started = true;
     --PendingJobs[CurrentJob.Spec.Queue];
--- a/src/jobs/worker.cpp
+++ b/src/jobs/worker.cpp
@@ -66,6 +66,29 @@
   return true;
 }
 
+bool Worker::isReservedForOthers(const std::string &Step, TimePoint Now) const {
+  return isReserved(Now) &&
+         std::any_of(Runs.begin(), Runs.end(), [&](const auto &Entry) {
+           return Entry.second.AloneUntil && Now < *Entry.second.AloneUntil &&
+                  !Entry.first.starts_with(Step + ".");
+         });
+}
+
+Isolation Worker::isolation() const {
+  Isolation Result;
+  for (const auto &[Task, Run] : Runs)
+    if (Run.AloneUntil) {
+      Result.Losses = std::max(Result.Losses, Run.Losses);
+      Result.Since = std::max(Result.Since, Run.Since);
+    }
+  return Result;
+}
+
+void Worker::endApartness() {
+  for (auto &[Task, Run] : Runs)
+    Run.IsApart = false;
+}
+
 bool Worker::hasSuspectSince(TimePoint Since) const {
   return std::any_of(Runs.begin(), Runs.end(), [Since](const auto &Entry) {
     return Entry.second.IsSuspect && Entry.second.Since >= Since;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -33,12 +33,25 @@
   /// may have ended long ago.
   bool IsRestored = false;
   bool IsSuspect = false; ///< It may crash the worker.
+  int Losses = 0;         ///< Of workers under its task so far.
   /// When it was placed, no other run was likely to crash the worker.
   bool IsApart = false;
   /// Nothing else is started on the worker until then; empty: no such limit.
   std::optional<TimePoint> AloneUntil = std::nullopt;
 };
 
+/// What a worker is reserved for. Those that sort first yield first: few losses
+/// are weak suspicion, and a suspect that has run for long is little danger.
+struct Isolation {
+  int Losses = 0;  ///< Of the most suspect of the runs.
+  TimePoint Since; ///< When the last of the runs was placed.
+
+  // The name that clang-tidy reports belongs to the generated comparison.
+  // NOLINTBEGIN(readability-identifier-naming)
+  friend auto operator<=>(const Isolation &, const Isolation &) = default;
+  // NOLINTEND(readability-identifier-naming)
+};
+
 /// One incarnation of a worker. Owned by a JobScheduler and used on its thread
 /// only.
 class Worker {
@@ -59,11 +72,16 @@
   bool isReachable() const { return Reachable; }
   void setReachable(bool Value) { Reachable = Value; }
 
-  /// True if new runs may be started on it at \p Now. Nothing is started beside
-  /// a run of unknown size.
-  bool isUsable(TimePoint Now) const {
+  /// True if new runs may be started on it at \p Now, unless it is reserved.
+  /// Nothing is started beside a run of unknown size.
+  bool isAvailable(TimePoint Now) const {
     return Synced && Reachable && !Info.Draining && Now >= AvoidedUntil &&
-           UnknownRuns == 0 && !isReserved(Now);
+           UnknownRuns == 0;
+  }
+
+  /// True if it is available and not reserved.
+  bool isUsable(TimePoint Now) const {
+    return isAvailable(Now) && !isReserved(Now);
   }
 
   /// True if a run on it is to have no company.
@@ -71,6 +89,15 @@
     return LoneRuns > 0 && Now < ReservedUntil;
   }
 
+  /// True if it is reserved for a run that is not one of step \p Step.
+  bool isReservedForOthers(const std::string &Step, TimePoint Now) const;
+
+  /// The runs that are to have no company. Precondition: it is reserved.
+  Isolation isolation() const;
+
+  /// Records that the runs on it get company that may crash it as well.
+  void endApartness();
+
   /// True if a suspect has been started on it since \p Since.
   bool hasSuspectSince(TimePoint Since) const;
 
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -543,5 +543,129 @@
   }
 }
 
+/// Watches for jobs that stand still: nothing of the job is at work, the
+/// workers that it may use have room for its tasks twice over, and under half
+/// of all processors are in use.
+class StandstillMonitor {
+public:
+  explicit StandstillMonitor(EmulatedCell &Cell) : Cell(Cell) {}
+
+  /// Runs the cell for \p Length; returns the longest standstill of each job.
+  std::map<std::string, Duration> watch(Duration Length) {
+    std::map<std::string, Duration> Longest;
+    std::map<std::string, TimePoint> Since;
+    for (const TimePoint Until = Cell.time().now() + Length;
+         Cell.time().now() < Until; Cell.run(100ms)) {
+      for (const auto &[Id, Record] : Cell.jobs())
+        if (Record.Accepted && Record.View != JobView::Completed)
+          Cell.read("n1", Id);
+      const std::set<std::string> Still = jobsStandingStill();
+      std::erase_if(Since, [&Still](const auto &Entry) {
+        return !Still.contains(Entry.first);
+      });
+      for (const std::string &Id : Still) {
+        const TimePoint From =
+            Since.try_emplace(Id, Cell.time().now()).first->second;
+        Longest[Id] = std::max(Longest[Id], Cell.time().now() - From);
+      }
+    }
+    return Longest;
+  }
+
+private:
+  std::set<std::string> jobsStandingStill() {
+    std::int64_t Capacity = 0;
+    std::int64_t Free = 0;
+    for (const std::string &Id : Cell.workers().ids())
+      if (const auto Info = Cell.workers().info(Id)) {
+        Capacity += Info->Capacity.CpuMillis;
+        Free += Cell.workers().freeResources(Id).CpuMillis;
+      }
+    std::set<std::string> Result;
+    if (Free * 2 <= Capacity)
+      return Result;
+    std::set<std::string> AtWork;
+    for (const std::string &Task : Cell.workers().activeTasks())
+      AtWork.insert(jobs::TaskId::parse(Task)->Job);
+    for (const auto &[Id, Record] : Cell.jobs())
+      if (Record.Accepted && !AtWork.contains(Id) &&
+          Record.View != JobView::Completed && hasRoomTwice(Record))
+        Result.insert(Id);
+    return Result;
+  }
+
+  bool hasRoomTwice(const JobRecord &Record) {
+    const jobs::StepSpec &Step = Record.Spec.Steps[0];
+    const bool NeedsAdvice = Cell.queueOf(Record.Spec.Id) == "/quick/";
+    std::int64_t Slots = 0;
+    for (const std::string &Id : Cell.workers().ids()) {
+      if (NeedsAdvice &&
+          !EmulatedAdvice::approves(jobs::stepName(Record.Spec.Id, 0), Id))
+        continue;
+      const Resources Free = Cell.workers().freeResources(Id);
+      Slots += std::min(Free.CpuMillis / Step.Request.CpuMillis,
+                        Free.MemoryMib / Step.Request.MemoryMib);
+    }
+    return Slots >= std::int64_t(2) * (Step.Gang ? Step.Count : 1);
+  }
+
+  EmulatedCell &Cell;
+};
+
+// Guards against jobs that stand still for 3 s beside free processors, because
+// suspects have most of the workers to themselves.
+TEST(CrashLoadTest, NoJobStandsStillAfterWorkersCrashedInSeries) {
+  for (std::uint64_t Seed = 1; Seed <= 4; ++Seed) {
+    EmulatedCell Cell(Seed, 3, 48);
+    Cell.run(2s);
+    std::mt19937_64 Random(Seed);
+    const auto Any = [&Random](int Low, int High) {
+      return std::uniform_int_distribution<int>(Low, High)(Random);
+    };
+    const auto SubmitSome = [&] {
+      const bool IsGang = Any(1, 2) == 1;
+      jobs::StepSpec Step = stepOf(IsGang ? Any(3, 8) : Any(1, 12),
+                                   Duration(Any(4000, 20'000)), IsGang);
+      Step.Request.CpuMillis = IsGang ? Any(8000, 24'000) : Any(1000, 4000);
+      Cell.submit("n" + std::to_string(Any(0, 2)), Step,
+                  Any(1, 2) == 1 ? "/quick/" : "/batch/");
+    };
+    const auto RunUnderLoad = [&](Duration Length) {
+      for (Duration Past{0}; Past < Length; Past += 400ms) {
+        SubmitSome();
+        Cell.run(400ms);
+      }
+    };
+    for (int Wave = 1; Wave <= 4; ++Wave) {
+      RunUnderLoad(3s);
+      std::set<std::string> Down;
+      while (Down.size() < 24)
+        Down.insert("w" + std::to_string(Any(0, 47)));
+      for (const std::string &Id : Down)
+        Cell.workers().crash(Id);
+      const bool KillsLeader = Wave == 4 && Seed % 2 == 0;
+      const std::string Leader = KillsLeader ? Cell.leader() : "";
+      if (!Leader.empty())
+        Cell.kill(Leader);
+      RunUnderLoad(1s);
+      for (const std::string &Id : Down)
+        Cell.workers().restart(Id);
+      if (!Leader.empty())
+        Cell.start(Leader);
+    }
+    RunUnderLoad(3s);
+    for (const auto &[Id, Longest] : StandstillMonitor(Cell).watch(60s))
+      EXPECT_LT(Longest, 3s) << Id << " of seed " << Seed;
+    for (const auto &[Id, Record] : Cell.jobs())
+      Cell.read("n1", Id);
+    Cell.run(1s);
+    for (const auto &[Id, Record] : Cell.jobs())
+      EXPECT_TRUE(!Record.Accepted || Record.View == JobView::Completed)
+          << Id << " of seed " << Seed << " is " << int(Record.View);
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << Violation;
+  }
+}
+
 } // namespace
 } // namespace apricotwing::emulator
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -107,6 +107,11 @@
   /// Name of the account that a job belongs to.
   const std::string &accountOf(const std::string &Id) const;
 
+  /// Path of the queue that a job was submitted to.
+  const std::string &queueOf(const std::string &Id) const {
+    return QueueOf.at(Id);
+  }
+
   /// Number of messages that an instance has received from others.
   int messagesReceived(const std::string &Name) const {
     const auto Found = Messages.find(Name);
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -170,6 +170,16 @@
   return Found->second.Info;
 }
 
+Resources EmulatedWorkers::freeResources(const std::string &Id) const {
+  const Process &Entry = Processes.at(Id);
+  if (!Entry.Up)
+    return {};
+  Resources Result = Entry.Info.Capacity;
+  for (const auto &[Task, Run] : Entry.Runs)
+    Result -= Run.Traits.Request;
+  return Result;
+}
+
 std::vector<std::string> EmulatedWorkers::ids() const {
   std::vector<std::string> Result;
   for (const auto &[Id, Entry] : Processes)
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -109,6 +109,9 @@
     return !Entry.Up && Entry.Info.Draining;
   }
 
+  /// Resources of a worker that no run uses; none if the worker has crashed.
+  Resources freeResources(const std::string &Id) const;
+
   /// Ids of all workers ever added.
   std::vector<std::string> ids() const;
 
