--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -87,7 +87,7 @@
   State.Cause = WaitCause::NoSlots;
   const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
     const auto Rank = [](const Candidate &Option) {
-      return std::tuple(Option.Slots == 0,
+      return std::tuple(Option.Slots == 0, Option.ReservedFor,
                         Option.Host->slowdown() > SlowWorkerThreshold,
                         -Option.Slots);
     };
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -109,6 +109,10 @@
 
   /// True if a job's queue requires placement advice.
   bool isAdvised(const std::string &Id) const;
+  /// Path of the queue that a job was submitted to.
+  const std::string &queueOf(const std::string &Id) const {
+    return QueueOf.at(Id);
+  }
 
   /// Number of messages that an instance has received from others.
   int messagesReceived(const std::string &Name) const {
