Count one call for each member that is probed for advice

A member whose calls fail takes one call at a time, but added 100 ms to the budget of fast calls.

The budget of such a member is that of one call.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -28,6 +28,9 @@
 /// or a message about a call beyond the end of the call.
 constexpr Duration AnswerTimeout{2500};
 
+/// Cost assumed for the one fast call that a member takes as a probe.
+constexpr Duration ProbeCost{10};
+
 /// How long a member gets no calls after one has failed. Doubles with each
 /// failure in a row.
 constexpr Duration FirstPause{250};
@@ -105,9 +108,10 @@
     }
     if (!Entry.mayTake(false, Now))
       continue;
+    const Duration Room = Entry.isSound() ? MaxFastQueue : ProbeCost;
     const Duration Queued = Entry.BusyUntil - Now;
-    Budget.FastMs += double(
-        std::clamp(MaxFastQueue - Queued, Duration{0}, MaxFastQueue).count());
+    Budget.FastMs +=
+        double(std::clamp(Room - Queued, Duration{0}, Room).count());
     Budget.SlowCalls += Entry.TakesSlow ? 1 : 0;
   }
   return Budget;
--- a/tests/cell/advicedispatcher_test.cpp
+++ b/tests/cell/advicedispatcher_test.cpp
@@ -4,7 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
+#include <vector>
 
 namespace apricotwing::cell {
 namespace {
@@ -199,6 +201,29 @@
   EXPECT_EQ(Dispatcher.budget(Now).MaxSlowCalls, 1);
 }
 
+// Guards against more calls at the only member that answers than the service
+// lets wait, as each failing member counts for several.
+TEST(AdviceDispatcherProbesTest, AFailingMemberAddsOneCallToTheBudget) {
+  AdviceDispatcher Dispatcher;
+  TimePoint Now{Duration{1000}};
+  const std::vector<std::string> Names = {"a", "b", "c", "d", "e",
+                                          "f", "g", "h", "i"};
+  for (const std::string &Name : Names)
+    Dispatcher.add(Name, 0.25);
+  for (std::size_t Number = 0; Number + 1 < Names.size(); ++Number)
+    Dispatcher.fail(Names[Number], "s", Now);
+  Now += Duration{10'000};
+  std::map<std::string, int> Calls;
+  for (double Left = Dispatcher.budget(Now).FastMs; Left > 0; Left -= 20) {
+    const std::string Step = "f" + std::to_string(Dispatcher.openCalls());
+    ++Calls[Dispatcher.assign({Step, {"w"}, 20}, Now).value()];
+  }
+  constexpr int MaxWaitingCalls = 32;
+  EXPECT_LE(Calls["i"], MaxWaitingCalls);
+  for (std::size_t Number = 0; Number + 1 < Names.size(); ++Number)
+    EXPECT_LE(Calls[Names[Number]], 1);
+}
+
 // Guards against fast calls at small instances, whose answers arrive late,
 // while the large instances are blocked by slow calls.
 TEST(AdviceDispatcherSizesTest, SlowCallsGoToSmallMembersAndQuickOnesToLarge) {
