Count the wait of a task that lasts by the task, not by its step

A task that lasts and may run only on a worker that is reserved for a suspect was not started for 25 s: each start of another task of its step began the wait anew, after which the reservation yields. And claims of gangs ended in a full cell while most of the other workers were draining, as these counted as free.

The wait counts from when the task became ready. What is free is counted among the workers that may be used, with the same figures as for reserved workers. Failed before, pass now (build/bin/jobs_tests): IsolationTest .ATaskThatLastsStartsWhileAnotherIsStartedAgainAndAgain, ClaimsTest .ATaskLeavesThemToTheGangWhileOtherWorkersDrain.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -343,8 +343,6 @@
     /// The first gang at the front that GangsLeft kept from being compared.
     std::optional<WaitRank> SkippedGang;
     int PrefetchesLeft = 0; ///< Steps that may request advice in advance.
-    /// Free processors beyond half of all, by upstream.
-    std::map<std::string, std::int64_t> FreeBeyondHalf;
     /// Names of steps of which a run is at work that is not placed; it must end
     /// before its task is started again.
     std::set<std::string> StillAtWork;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -154,8 +154,6 @@
           Resources::max(Current.LargestFree, Host.freeResources());
     }
     Current.ClaimableCpuMillis -= Host.claimed().CpuMillis;
-    Current.FreeBeyondHalf[Host.info().Upstream] +=
-        Host.freeResources().CpuMillis - Host.info().Capacity.CpuMillis / 2;
   }
   setLargestCapacity(Largest);
   FreeCpuMillis = Current.FreeCpuMillis;
@@ -278,9 +276,10 @@
           return Task.Phase == TaskPhase::Ready &&
                  HasWaited(std::max(Task.ReadySince, State.QueuedAt));
         });
-  const auto Free = Current.FreeBeyondHalf.find(queueOf(CurrentJob).Upstream);
+  const auto Use = Current.Use.find(queueOf(CurrentJob).Upstream);
   return State.WaitingSince && HasWaited(*State.WaitingSince) &&
-         Free != Current.FreeBeyondHalf.end() && Free->second > 0;
+         Use != Current.Use.end() &&
+         Use->second.Allocated * 2 < Use->second.Capacity;
 }
 
 JobScheduler::Candidates
@@ -392,10 +391,16 @@
                                                   const Job &CurrentJob,
                                                   int Step) const {
   const StepState &State = CurrentJob.Steps[std::size_t(Step)];
-  if (!State.WaitingSince ||
-      Current.Now - *State.WaitingSince < MaxReservedWait)
+  const bool Lasts = CurrentJob.Spec.Steps[std::size_t(Step)].LongRunning;
+  std::optional<TimePoint> Since = State.WaitingSince;
+  // The starts of other tasks of the step must not delay one that lasts.
+  if (Lasts && Since)
+    for (const TaskState &Task : State.Tasks)
+      if (Task.Phase == TaskPhase::Ready)
+        Since = std::min(*Since, std::max(Task.ReadySince, State.QueuedAt));
+  if (!Since || Current.Now - *Since < MaxReservedWait)
     return std::nullopt;
-  if (!CurrentJob.Spec.Steps[std::size_t(Step)].LongRunning) {
+  if (!Lasts) {
     const auto Use = Current.Use.find(queueOf(CurrentJob).Upstream);
     if (Use == Current.Use.end() ||
         double(Use->second.Allocated) >=
@@ -403,8 +408,7 @@
         CurrentJob.hasPlacedTask())
       return std::nullopt;
   }
-  const bool HasWaitedLong =
-      Current.Now - *State.WaitingSince >= MaxFreshReservedWait;
+  const bool HasWaitedLong = Current.Now - *Since >= MaxFreshReservedWait;
   return HasWaitedLong ? Duration{0} : FreshTime;
 }
 
--- a/tests/jobs/claims_test.cpp
+++ b/tests/jobs/claims_test.cpp
@@ -156,5 +156,23 @@
   EXPECT_TRUE(HasAsked);
 }
 
+// Guards against workers that leave, and count as free ones, so that claims end
+// in a full cell.
+TEST_F(ClaimsTest, ATaskLeavesThemToTheGangWhileOtherWorkersDrain) {
+  for (const std::string Id : {"w1", "w2", "w3", "w4"})
+    addWorker(Id);
+  addJob("batch", step(4, 18'000));
+  ASSERT_EQ(decide().Starts.size(), 4U);
+  for (const std::string Id : {"d1", "d2", "d3", "d4", "d5"}) {
+    addWorker(Id);
+    WorkerInfo Info = Scheduler.worker(Id)->info();
+    Info.Draining = true;
+    Scheduler.updateWorker(Info, Now);
+  }
+  addJob("batch", gang(12, 7000));
+  EXPECT_TRUE(decide().Starts.empty());
+  EXPECT_FALSE(startsInTime(addJob("batch", step(1, 7000))));
+}
+
 } // namespace
 } // namespace apricotwing::jobs
--- a/tests/jobs/isolation_test.cpp
+++ b/tests/jobs/isolation_test.cpp
@@ -216,5 +216,36 @@
   EXPECT_FALSE(Records.back().Apart);
 }
 
+// Guards against a task that lasts and finds no worker, because each start of
+// another task of its step begins the wait anew.
+TEST_F(IsolationTest, ATaskThatLastsStartsWhileAnotherIsStartedAgainAndAgain) {
+  reserveWorkers(1);
+  addWorker("w1");
+  for (const std::string Id : {"w2", "w3", "w4", "w5"})
+    addWorker(Id);
+  setLabel("w0", "x");
+  setLabel("w1", "x");
+  StepSpec Lasting = step(2, 4000);
+  Lasting.LongRunning = true;
+  Lasting.MaxPerWorker = 1;
+  Lasting.RequiredLabel = "x";
+  const std::string Id = addJob("batch", Lasting);
+  StepSpec Sound = step(1, 1000); // So that w1 does not seem to be faulty.
+  Sound.RequiredLabel = "x";
+  const TimePoint Limit = Now + Duration{6000} + MaxStandstill;
+  std::set<std::string> Hosts;
+  while (Now < Limit && Hosts.size() < 2) {
+    addJob("batch", Sound);
+    for (const StartCommand &Start : startsWithin(Duration{1000})) {
+      const bool Lasts = Start.Task.starts_with(Id + ".");
+      if (Lasts)
+        Hosts.insert(Start.Worker.Id);
+      if (!Lasts || Start.Worker.Id == "w1")
+        end(Start, Lasts ? EndKind::Failed : EndKind::Done);
+    }
+  }
+  EXPECT_EQ(Hosts.size(), 2U);
+}
+
 } // namespace
 } // namespace apricotwing::jobs
