Let suspects share reserved workers only after ten seconds

Where tasks crash their workers, sound jobs were shown as failed: since reserved workers yield, a crashing gang could join a sound task's probe, and both were charged with the crash.

A step that is to run apart uses reserved workers after it has waited for 10 s, any other step as before.

The price is the case of IsolationTest.ASuspectStartsAlthoughAllWorkersAre- Reserved: a suspect waits for longer than 3 s if all workers that it may use are reserved. ASuspectWithCompanyReservesNothing waits for the longer time before it checks what it is about.

--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -439,6 +439,7 @@
                     Candidates Found);
   std::optional<Duration> yieldingAge(const Round &Current,
                                       const Job &CurrentJob, int Step) const;
+  static bool needsIsolation(const Job &CurrentJob, int Step);
   static bool isApart(const Worker &Host, TimePoint Now);
   static bool hasWaitedToRunAlone(const StepState &State, TimePoint Now);
   static Candidate *chooseHost(const Round &Current,
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -82,6 +82,10 @@
 constexpr Duration MaxReservedWait{1500};
 constexpr Duration MaxFreshReservedWait{2500};
 
+/// The same for a step of tasks that are to have their workers to themselves.
+/// Two suspects on one worker share the blame for a crash.
+constexpr Duration MaxIsolatedWait{10'000};
+
 /// Reserved workers yield only while a lower share of the processors is
 /// allocated, so that a backlog does not end all isolation. A job may stand
 /// still if half are in use, and fewer are in use than are allocated.
@@ -384,6 +388,17 @@
   return Result;
 }
 
+// True if a task of the step is to have its worker to itself.
+bool JobScheduler::needsIsolation(const Job &CurrentJob, int Step) {
+  const StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const bool Gang = CurrentJob.Spec.Steps[std::size_t(Step)].Gang;
+  return State.HasCrashes &&
+         std::any_of(State.Tasks.begin(), State.Tasks.end(),
+                     [&](const TaskState &Task) {
+                       return State.crashesOf(Task, Gang).needsIsolation();
+                     });
+}
+
 // Time for which reserved workers must have been reserved to yield to a step;
 // empty if they don't. They yield to a step whose job would stand still
 // otherwise.
@@ -398,7 +413,10 @@
     for (const TaskState &Task : State.Tasks)
       if (Task.Phase == TaskPhase::Ready)
         Since = std::min(*Since, std::max(Task.ReadySince, State.QueuedAt));
-  if (!Since || Current.Now - *Since < MaxReservedWait)
+  const Duration MaxWait = !Lasts && needsIsolation(CurrentJob, Step)
+                               ? MaxIsolatedWait
+                               : MaxReservedWait;
+  if (!Since || Current.Now - *Since < MaxWait)
     return std::nullopt;
   if (!Lasts) {
     const auto Use = Current.Use.find(queueOf(CurrentJob).Upstream);
