Merge the losses of a gang once for the wait of its step

The check is now made once for a gang, by one function, and only if the step has waited for 1.5 s and less than 10 s, where its result matters.

Behaviour stays the same: a gang's members are all judged by the losses of the whole gang, and 10 s are longer than 1.5 s.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -294,9 +294,8 @@
   StepState &State = CurrentJob.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
   const bool IsLowSlack = JobQueue.SlackFactor < LowSlackFactor;
-  const bool StartsAlone =
-      Spec.Gang ? State.HasCrashes && State.gangCrashes().needsIsolation()
-                : isProbed(CurrentJob, Step, Current.Now);
+  const bool StartsAlone = Spec.Gang ? needsIsolation(CurrentJob, Step)
+                                     : isProbed(CurrentJob, Step, Current.Now);
   const bool MustBeApart =
       StartsAlone && !hasWaitedToRunAlone(State, Current.Now);
   Result.UseClaims = mayUseClaims(Current, CurrentJob, Step);
@@ -391,12 +390,13 @@
 // True if a task of the step is to have its worker to itself.
 bool JobScheduler::needsIsolation(const Job &CurrentJob, int Step) {
   const StepState &State = CurrentJob.Steps[std::size_t(Step)];
-  const bool Gang = CurrentJob.Spec.Steps[std::size_t(Step)].Gang;
-  return State.HasCrashes &&
-         std::any_of(State.Tasks.begin(), State.Tasks.end(),
-                     [&](const TaskState &Task) {
-                       return State.crashesOf(Task, Gang).needsIsolation();
-                     });
+  if (!State.HasCrashes)
+    return false;
+  if (CurrentJob.Spec.Steps[std::size_t(Step)].Gang)
+    return State.gangCrashes().needsIsolation();
+  return std::any_of(
+      State.Tasks.begin(), State.Tasks.end(),
+      [](const TaskState &Task) { return Task.Crashes.needsIsolation(); });
 }
 
 // Time for which reserved workers must have been reserved to yield to a step;
@@ -413,10 +413,10 @@
     for (const TaskState &Task : State.Tasks)
       if (Task.Phase == TaskPhase::Ready)
         Since = std::min(*Since, std::max(Task.ReadySince, State.QueuedAt));
-  const Duration MaxWait = !Lasts && needsIsolation(CurrentJob, Step)
-                               ? MaxIsolatedWait
-                               : MaxReservedWait;
-  if (!Since || Current.Now - *Since < MaxWait)
+  if (!Since || Current.Now - *Since < MaxReservedWait)
+    return std::nullopt;
+  if (!Lasts && Current.Now - *Since < MaxIsolatedWait &&
+      needsIsolation(CurrentJob, Step))
     return std::nullopt;
   if (!Lasts) {
     const auto Use = Current.Use.find(queueOf(CurrentJob).Upstream);
