Log how a session knows when the lease of its worker ends

The lines at the end of a session or of a lease now name the basis, the ages of the last grant and of the first and the last answer, and the calls without an answer. Answers to stops show the clock beside the expected one, and a worker that runs what was given up leaves a line of its own. No decision changes.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -836,12 +836,15 @@
     Worker.Resolved = true;
     Worker.Answers = true;
     Scheduler.syncWorker(Report.Incarnation, Report.Running, Report.Ended, Now);
-    Deps.Log.event("worker synced", Report.Incarnation.Id,
-                   {{"member", From.Info.Name},
-                    {"token", std::to_string(Report.Token)},
-                    {"running", std::to_string(Report.Running.size())},
-                    {"to_stop", std::to_string(runsToStopOn(Worker))},
-                    {"ended", std::to_string(Report.Ended.size())}});
+    Deps.Log.event(
+        "worker synced", Report.Incarnation.Id,
+        {{"member", From.Info.Name},
+         {"token", std::to_string(Report.Token)},
+         {"running", std::to_string(Report.Running.size())},
+         {"to_stop", std::to_string(runsToStopOn(Worker))},
+         {"ended", std::to_string(Report.Ended.size())},
+         {"assumed_lease_ms", std::to_string(std::max<Duration::rep>(
+                                  (Worker.MaxLeaseEnd - Now).count(), 0))}});
     ensureInRoster(Report, Worker);
     updateReachable(Worker);
     acknowledge(Report);
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -63,6 +63,8 @@
 
 void WorkerSession::updateClock(std::int64_t ClockMs) {
   LastAnswerAt = Time.now();
+  if (!FirstAnswerAt)
+    FirstAnswerAt = LastAnswerAt;
   if (HasClock && ClockMs < LastClockMs)
     return; // A response that was overtaken by a later one.
   HasClock = true;
@@ -82,6 +84,21 @@
   return std::max(GrantedLeaseEnd, AssumedLeaseEnd);
 }
 
+// Tells how the end of the lease was determined.
+void WorkerSession::logLeaseEnd(std::string_view LogEvent) const {
+  const auto AgeOf = [this](const std::optional<TimePoint> &At) {
+    return std::to_string(At ? (Time.now() - *At).count() : -1);
+  };
+  Log.event(LogEvent, Worker.Incarnation.Id,
+            {{"token", std::to_string(Worker.Token)},
+             {"refused", ProcessAbsent ? "1" : "0"},
+             {"basis", leaseEnd() == AssumedLeaseEnd ? "assumed" : "granted"},
+             {"grant_age_ms", AgeOf(LastGrantAt)},
+             {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
+             {"answer_age_ms", AgeOf(LastAnswerAt)},
+             {"unanswered", std::to_string(UnansweredCalls)}});
+}
+
 void WorkerSession::pump() {
   if (Ended)
     return;
@@ -97,9 +114,7 @@
     Synced = false;
     PendingStarts.clear();
     PendingStops.clear();
-    Log.event("worker lease lapsed", Worker.Incarnation.Id,
-              {{"token", std::to_string(Worker.Token)},
-               {"refused", ProcessAbsent ? "1" : "0"}});
+    logLeaseEnd("worker lease lapsed");
     report(WorkerEvent::LeaseExpired);
   }
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
@@ -123,6 +138,7 @@
   if (Extend) {
     Request.DeadlineMs = estimatedClockMs() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
+    LastGrantAt = Time.now();
   }
   // The numbers of ended runs start anew with each process, and the worker may
   // have restarted while this process was paused.
@@ -148,6 +164,7 @@
   if (Ended)
     return;
   const TimePoint Now = Time.now();
+  UnansweredCalls += Result.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
   ProcessAbsent = Result.Outcome == WorkerOutcome::ConnectionRefused ||
                   Result.Outcome == WorkerOutcome::OtherWorker;
   if (Result.Outcome == WorkerOutcome::Restarted) {
@@ -169,7 +186,12 @@
     Synced = false;
     report(WorkerEvent::LeaseExpired);
   }
+  if (ExpiryReported && !Result.Running.empty())
+    Log.event("runs outlived the lease", Worker.Incarnation.Id,
+              {{"token", std::to_string(Worker.Token)},
+               {"running", std::to_string(Result.Running.size())}});
   ExpiryReported = false;
+  UnansweredCalls = 0;
   if (!Reachable) {
     Reachable = true;
     Log.event("worker answers again", Worker.Incarnation.Id, {});
@@ -314,6 +336,7 @@
   UnlistedStarts.insert(Key);
   Pending.InFlight = true;
   MaxDeadlineMs = std::max(MaxDeadlineMs, Pending.DeadlineMs);
+  LastGrantAt = Time.now();
   Client.start(Worker, Pending.Order, Pending.DeadlineMs,
                Guard.wrap([this, Key](const WorkerAnswer &Answer) {
                  onStartAnswer(Key, Answer);
@@ -327,6 +350,7 @@
     return; // The outcome is already known from a list.
   PendingStart &Pending = Found->second;
   Pending.InFlight = false;
+  UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
   updateClock(Answer);
   // If the first send got no response, a rejection of the second one can mean
   // that the run was started and has already ended. The lists will show the
@@ -409,9 +433,12 @@
       "stop answered", Key.first,
       {{"run", std::to_string(Key.second)},
        {"worker", Worker.Incarnation.Id},
-       {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))}});
+       {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))},
+       {"clock_ms", std::to_string(Answer.ClockMs.value_or(-1))},
+       {"expected_clock_ms", std::to_string(estimatedClockMs())}});
   if (Ended)
     return;
+  UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
   updateClock(Answer);
   switch (Answer.Outcome) {
   case WorkerOutcome::Fenced:
@@ -486,8 +513,7 @@
   Ended = true;
   PendingStarts.clear();
   PendingStops.clear();
-  Log.event(LogEvent, Worker.Incarnation.Id,
-            {{"token", std::to_string(Worker.Token)}});
+  logLeaseEnd(LogEvent);
   report(Event, std::move(EndedRuns));
 }
 
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -101,6 +101,7 @@
   std::int64_t estimatedClockMs() const;
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
+  void logLeaseEnd(std::string_view LogEvent) const;
 
   WorkerClient &Client;
   const Clock &Time;
@@ -111,7 +112,11 @@
   /// Latest end of leases that earlier sessions granted.
   const TimePoint AssumedLeaseEnd;
 
+  std::optional<TimePoint> FirstAnswerAt;
   std::optional<TimePoint> LastAnswerAt;
+  /// When the last call that may extend the lease was sent.
+  std::optional<TimePoint> LastGrantAt;
+  int UnansweredCalls = 0;           ///< Since the last lists.
   TimePoint HeartbeatSentAt;         ///< Of the last heartbeat.
   std::optional<TimePoint> ListedAt; ///< When its last lists were asked for.
   std::int64_t SentCursor = 0;       ///< Acknowledged by the last heartbeat.
