Reproduce tasks that run twice after a restart and a cut

The emulated workers could not show it: a heartbeat that the former process had accepted was reset, one that was on its way while the worker was silent was carried out by nobody, and all clocks began at zero. Now calls to a silent machine are transmitted again until they time out, so that the next process may carry them out, heartbeats may be late like orders, a reset heartbeat may be repeated, and each process has a clock of its own.

--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -415,6 +415,43 @@
   }
 }
 
+// Guards against a lease that the next process of a worker has extended for a
+// call to the former one, and that nobody counts.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfARestartedWorkerIsCutOff) {
+  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    EmulatedCell Cell(Seed, 4, 9);
+    std::mt19937_64 Random(Seed);
+    const auto Any = [&Random](int Low, int High) {
+      return std::uniform_int_distribution<int>(Low, High)(Random);
+    };
+    EmulatedWorkers &Workers = Cell.workers();
+    Workers.CrashesSilently = true;
+    Workers.RepeatsHeartbeats = true;
+    const std::vector<std::string> Affected{"w0", "w1", "w2"};
+    Cell.run(3s);
+    for (int Round = 0; Round < 3; ++Round) {
+      for (int Step = 0; Step < 140; ++Step) {
+        if (Step % 4 == 0)
+          Cell.submit("n" + std::to_string(Any(0, 3)),
+                      stepOf(Any(1, 3), Any(0, 2) == 0 ? 12s : 500ms));
+        for (const std::string &Id : Affected) {
+          if (Step == 20)
+            Workers.crash(Id);
+          if (Step == 26)
+            Workers.restart(Id);
+          if (Step == 46)
+            Workers.Cut.insert(Id);
+          if (Step == 136)
+            Workers.Cut.erase(Id);
+        }
+        Cell.run(100ms);
+      }
+    }
+    for (const std::string &Violation : Workers.violations())
+      ADD_FAILURE() << "seed " << Seed << ": " << Violation;
+  }
+}
+
 // Guards against a withdrawn key that is accepted again after a restart.
 TEST_F(HazardsTest, AWithdrawnKeyStaysWithdrawnAfterARestart) {
   Cell.withdrawKeys(2);
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -16,6 +16,13 @@
 
 constexpr std::int64_t MaxLeaseMs = 10'000;
 
+/// Times after a call was sent at which it is transmitted again.
+constexpr Duration Retransmissions[] = {Duration{200}, Duration{600},
+                                        Duration{1400}};
+
+/// A process may have any clock when it starts.
+constexpr std::int64_t MaxClockAtStart = 60'000;
+
 /// How long a gang member waits for the others.
 constexpr Duration GangTimeout{3000};
 
@@ -31,6 +38,16 @@
 /// Time after which the advice service answers with an error.
 constexpr Duration AdviceErrorDelay{5};
 
+/// Returns a function that calls \p Callback the first time it is called.
+template <typename Argument>
+std::function<void(Argument)> onlyOnce(std::function<void(Argument)> Callback) {
+  return [Callback = std::move(Callback),
+          IsDone = std::make_shared<bool>(false)](const Argument &Value) {
+    if (!std::exchange(*IsDone, true))
+      Callback(Value);
+  };
+}
+
 /// Start of a ticket; the time of its expiry follows.
 std::string ticketPrefix(const std::string &Step,
                          const jobs::WorkerIncarnation &Worker) {
@@ -51,6 +68,7 @@
   Rejected.clear();
   Displaced.clear();
   LateOrders = 0;
+  LateHeartbeats = 0;
   LostAnswers = 0;
   CrashesSilently = false;
   RestartDelay = UsualRestartDelay;
@@ -59,7 +77,8 @@
 
 bool EmulatedWorkers::hasFaults() const {
   return !Cut.empty() || !CutPairs.empty() || !Rejected.empty() ||
-         !Displaced.empty() || LateOrders > 0 || LostAnswers > 0;
+         !Displaced.empty() || LateOrders > 0 || LateHeartbeats > 0 ||
+         LostAnswers > 0;
 }
 
 std::optional<TimePoint>
@@ -76,7 +95,7 @@
 }
 
 std::int64_t EmulatedWorkers::clockOf(const Process &Entry) const {
-  return (Time.now() - Entry.Started).count();
+  return Entry.ClockAtStart + (Time.now() - Entry.Started).count();
 }
 
 jobs::WorkerInfo EmulatedWorkers::add(const std::string &Id,
@@ -89,6 +108,8 @@
   Entry.Info.Upstream = "service";
   Entry.Info.Capacity = Capacity;
   Entry.Started = Time.now();
+  Entry.ClockAtStart = std::uniform_int_distribution<std::int64_t>(
+      0, MaxClockAtStart)(ClockRandom);
   return Entry.Info;
 }
 
@@ -467,6 +488,29 @@
   return Answer;
 }
 
+void EmulatedWorkers::transmitAgain(const std::string &Instance,
+                                    const std::string &Id, Duration Timeout,
+                                    const std::function<void()> &Deliver) {
+  const auto IsDelivered = std::make_shared<bool>(false);
+  for (const Duration Delay : Retransmissions) {
+    if (Delay >= Timeout)
+      continue;
+    Time.after(Delay, [this, Instance, Id, Deliver, IsDelivered] {
+      const auto Found = Processes.find(Id);
+      const bool Arrives = !isCut(Instance, Id) && !isUnconnected(Id) &&
+                           Found != Processes.end() && Found->second.Up;
+      if (Arrives && !std::exchange(*IsDelivered, true))
+        Deliver();
+    });
+  }
+}
+
+std::optional<Duration> EmulatedWorkers::randomLateness(double Share) {
+  if (!randomChance(Share))
+    return std::nullopt;
+  return Duration(std::uniform_int_distribution<int>(2000, 12'000)(Random));
+}
+
 void EmulatedWorkers::order(
     const std::string &Instance, const cell::WorkerAddress &To,
     const std::function<cell::WorkerAnswer()> &Execute,
@@ -479,17 +523,20 @@
   const auto Found = Processes.find(Id);
   if (isUnconnected(Id) || Found == Processes.end() || !Found->second.Up) {
     const cell::WorkerOutcome Outcome = outcomeOfUnconnected(Id);
-    Time.after(Outcome == cell::WorkerOutcome::NoAnswer ? OrderTimeout
-                                                        : Latency,
-               [Callback, Outcome] {
-                 Callback({Outcome, std::nullopt});
-               });
+    if (Outcome == cell::WorkerOutcome::NoAnswer) {
+      const auto CallBackOnce = onlyOnce(Callback);
+      transmitAgain(Instance, Id, OrderTimeout,
+                    [Execute, CallBackOnce] { CallBackOnce(Execute()); });
+      Time.after(OrderTimeout, [CallBackOnce] { CallBackOnce({}); });
+      return;
+    }
+    Time.after(Latency, [Callback, Outcome] {
+      Callback({Outcome, std::nullopt});
+    });
     return;
   }
-  if (randomChance(LateOrders)) {
-    const Duration Late(
-        std::uniform_int_distribution<int>(2000, 12'000)(Random));
-    Time.after(Late, [Execute] { Execute(); });
+  if (const auto Late = randomLateness(LateOrders)) {
+    Time.after(*Late, [Execute] { Execute(); });
     Time.after(OrderTimeout, [Callback] { Callback({}); });
     return;
   }
@@ -540,20 +587,45 @@
     Target.Time.after(Latency, [Callback, Refusal] { Callback(Refusal); });
     return;
   }
-  Target.Time.after(Latency, [&Target, To, Request, Callback] {
-    Target.pollHeartbeat(To, Request, Target.Time.now() + Request.Wait,
-                         Callback);
+  HeartbeatCall Call{Name, To, Request, Target.Time.now() + Request.Wait,
+                     Callback};
+  if (const auto Late = Target.randomLateness(Target.LateHeartbeats)) {
+    Target.Time.after(Request.Wait + OrderTimeout,
+                      [Callback] { Callback({}); });
+    Call.Callback = [](const cell::HeartbeatResult &) {};
+    Target.Time.after(*Late, [&Target, Call] { Target.pollHeartbeat(Call); });
+    return;
+  }
+  const auto Found = Target.Processes.find(To.Incarnation.Id);
+  const bool IsDown = Found != Target.Processes.end() && !Found->second.Up;
+  if (IsDown && Target.outcomeOfUnconnected(To.Incarnation.Id) ==
+                    cell::WorkerOutcome::NoAnswer) {
+    Target.sendToNextProcess(std::move(Call));
+    return;
+  }
+  Target.Time.after(Latency, [&Target, Call] { Target.pollHeartbeat(Call); });
+}
+
+void EmulatedWorkers::sendToNextProcess(HeartbeatCall Call) {
+  const Duration Timeout = Call.Until + OrderTimeout - Time.now();
+  Call.Callback = onlyOnce(std::move(Call.Callback));
+  Time.after(Timeout, [Call] { Call.Callback({}); });
+  transmitAgain(Call.Instance, Call.To.Incarnation.Id, Timeout, [this, Call] {
+    HeartbeatCall Again = Call;
+    Again.Until = Time.now() + Call.Request.Wait;
+    pollHeartbeat(Again);
   });
 }
 
-void EmulatedWorkers::pollHeartbeat(
-    const cell::WorkerAddress &To, const cell::HeartbeatRequest &Request,
-    TimePoint Until, std::function<void(cell::HeartbeatResult)> Callback,
-    std::int64_t AcceptedBy) {
+void EmulatedWorkers::pollHeartbeat(const HeartbeatCall &Call,
+                                    std::int64_t AcceptedBy) {
+  const cell::WorkerAddress &To = Call.To;
+  const cell::HeartbeatRequest &Request = Call.Request;
   cell::HeartbeatResult Result;
   const auto Found = Processes.find(To.Incarnation.Id);
   const auto Answer = [&] {
-    Time.after(Latency, [Callback, Result] { Callback(Result); });
+    Time.after(Latency,
+               [Callback = Call.Callback, Result] { Callback(Result); });
   };
   // A call that was waiting is reset.
   if (isUnconnected(To.Incarnation.Id)) {
@@ -562,16 +634,22 @@
   }
   if (Found == Processes.end() || !Found->second.Up) {
     Result.Outcome = outcomeOfUnconnected(To.Incarnation.Id);
-    if (Result.Outcome == cell::WorkerOutcome::NoAnswer)
-      Time.after(OrderTimeout, [Callback] { Callback({}); });
-    else
+    if (Result.Outcome != cell::WorkerOutcome::NoAnswer)
       Answer();
+    else if (RepeatsHeartbeats)
+      sendToNextProcess(Call);
+    else
+      Time.after(OrderTimeout, [Callback = Call.Callback] { Callback({}); });
     return;
   }
   Process &Entry = Found->second;
   checkLease(Entry);
   const std::int64_t Start = Entry.Info.Incarnation.StartedUnixMs;
   const bool IsReset = AcceptedBy != 0 && AcceptedBy != Start;
+  if (IsReset && RepeatsHeartbeats) {
+    pollHeartbeat(Call);
+    return;
+  }
   if (IsReset || To.Token < Entry.Token) {
     Result.Outcome =
         IsReset ? cell::WorkerOutcome::NoAnswer : cell::WorkerOutcome::Fenced;
@@ -594,19 +672,15 @@
   std::erase_if(Entry.Ended, [&](const jobs::EndedRun &End) {
     return End.Number <= Entry.Acked;
   });
-  if (Request.DeadlineMs) {
+  if (Request.DeadlineMs && AcceptedBy == 0) {
     Entry.DeadlineMs =
         std::max(Entry.DeadlineMs,
                  std::min(*Request.DeadlineMs, clockOf(Entry) + MaxLeaseMs));
     scheduleLeaseCheck(To.Incarnation.Id);
   }
-  if (Entry.Ended.empty() && !IsNext && Time.now() < Until) {
-    cell::HeartbeatRequest Waiting = Request;
-    Waiting.DeadlineMs.reset();
+  if (Entry.Ended.empty() && Time.now() < Call.Until) {
     Time.after(HeartbeatPollInterval,
-               [this, To, Waiting, Until, Callback, Start] {
-                 pollHeartbeat(To, Waiting, Until, Callback, Start);
-               });
+               [this, Call, Start] { pollHeartbeat(Call, Start); });
     return;
   }
   Result.Outcome =
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -48,13 +48,15 @@
 class EmulatedWorkers {
 public:
   EmulatedWorkers(VirtualTime &Time, std::uint64_t Seed)
-      : Time(Time), Random(Seed) {}
+      : Time(Time), Random(Seed), ClockRandom(Seed) {}
 
   // Injected faults.
   double LateOrders = 0;  ///< Fraction of orders that get no response and are
                           ///< executed 2 to 12 s later.
   double LostAnswers = 0; ///< Fraction of orders that are executed immediately
                           ///< but get no response.
+  double LateHeartbeats = 0; ///< Fraction of heartbeats that get no response
+                             ///< and are carried out 2 to 12 s later.
   std::set<std::string> Cut; ///< Ids of workers that no instance can reach.
   std::set<std::pair<std::string, std::string>>
       CutPairs; ///< Pairs of an instance and a worker that it cannot reach.
@@ -69,8 +71,12 @@
   Duration RestartDelay = UsualRestartDelay;
   static constexpr Duration UsualRestartDelay{3000};
   /// Machines whose process has ended do not respond, instead of refusing
-  /// connections.
+  /// connections. Calls are transmitted again until they time out, so the next
+  /// process may get those that were sent meanwhile.
   bool CrashesSilently = false;
+  /// Heartbeats that a process has accepted and not answered are transmitted
+  /// again when it ends.
+  bool RepeatsHeartbeats = false;
 
   /// Maximum number of ended runs in one response to a heartbeat.
   std::size_t MaxListedEnds = 500;
@@ -196,6 +202,7 @@
     jobs::WorkerInfo Info;
     bool Up = true;
     TimePoint Started;
+    std::int64_t ClockAtStart = 0; ///< Differs from process to process.
     std::int64_t Token = 0;
     std::int64_t DeadlineMs = 0;
     std::map<std::string, Active> Runs;
@@ -229,15 +236,27 @@
   cell::WorkerAnswer executeStop(const jobs::WorkerIncarnation &Incarnation,
                                  const jobs::StopCommand &Order,
                                  std::int64_t Token);
+  /// Transmits a call to a worker that is down again until \p Timeout. Calls
+  /// \p Deliver if the next process of the worker gets it.
+  void transmitAgain(const std::string &Instance, const std::string &Id,
+                     Duration Timeout, const std::function<void()> &Deliver);
+  /// How late a call of which \p Share are late is carried out, if it is one.
+  std::optional<Duration> randomLateness(double Share);
   void order(const std::string &Instance, const cell::WorkerAddress &To,
              const std::function<cell::WorkerAnswer()> &Execute,
              const std::function<void(cell::WorkerAnswer)> &Callback);
-  /// Answers a heartbeat once a run has ended or it is \p Until. \p AcceptedBy
-  /// is the start time of the process that has accepted the call; 0: none yet.
-  void pollHeartbeat(const cell::WorkerAddress &To,
-                     const cell::HeartbeatRequest &Request, TimePoint Until,
-                     std::function<void(cell::HeartbeatResult)> Callback,
-                     std::int64_t AcceptedBy = 0);
+  struct HeartbeatCall {
+    std::string Instance; ///< That calls.
+    cell::WorkerAddress To;
+    cell::HeartbeatRequest Request;
+    TimePoint Until; ///< When it is answered, unless a run ends before.
+    std::function<void(cell::HeartbeatResult)> Callback;
+  };
+
+  /// Carries out a heartbeat and answers it once a run has ended. \p AcceptedBy
+  /// is the start time of the process that has carried it out; 0: none yet.
+  void pollHeartbeat(const HeartbeatCall &Call, std::int64_t AcceptedBy = 0);
+  void sendToNextProcess(HeartbeatCall Call);
   bool hasValidTicket(const Process &Entry,
                       const jobs::StartCommand &Order) const;
   void begin(Process &Entry, const jobs::StartCommand &Order,
@@ -255,6 +274,7 @@
 
   VirtualTime &Time;
   std::mt19937_64 Random;
+  std::mt19937_64 ClockRandom;
   std::map<std::string, Process> Processes;
   std::set<std::string> Done; ///< Tasks with an acknowledged successful run.
   std::map<std::string, TimePoint> LastStarts; ///< By task.
