Count the lease that calls to a former process may have set

Cause: a call names a worker by its id, so a heartbeat that was on its way while the worker was down is carried out by its next process. The deadline is on the clock of the former process; the next one shortens it to the longest lease (10 s) from then on. The session of the next process counted only what it had granted itself (6.5 s), so its runs were given up while they went on.

Ruled out: another session that extends the lease (all instances were connected, and no session but the last one called the worker), and a mix-up of the runs of both processes (the next one was synced without any).

Change: once the next process has answered a call with the token of its own session, nothing with a lower token has any effect. So its lease ends at most the longest lease after that first answer, whatever came before, and each session that may be the first one to get an answer counts that. The leader stores the end with the roster, so that a next leader, other members and frozen leases count it too. Rows without it are from an earlier version; for these it is counted from the beginning of the term. Earlier versions ignore the added element. Workers whose id nobody can have called within the last 15 s, and takeovers later than ten seconds after the first answer, wait as before.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -386,9 +386,11 @@
 }
 
 static void to_json(json &To, const RosterEntry &Value) {
-  To = json::array({Value.Incarnation, Value.Address, Value.Zone});
-  if (Value.LeaseEnd)
-    To.push_back(*Value.LeaseEnd);
+  // Earlier versions ignore an end of epoch 0, and what follows it.
+  To = json::array({Value.Incarnation, Value.Address, Value.Zone,
+                    Value.LeaseEnd.value_or(ShardTime{})});
+  if (Value.FormerLeaseEnd)
+    To.push_back(*Value.FormerLeaseEnd);
 }
 static void from_json(const json &From, RosterEntry &Value) {
   From.at(0).get_to(Value.Incarnation);
@@ -396,6 +398,10 @@
   From.at(2).get_to(Value.Zone);
   if (From.size() > 3)
     Value.LeaseEnd = From.at(3).get<ShardTime>();
+  if (Value.LeaseEnd == ShardTime{})
+    Value.LeaseEnd.reset();
+  if (From.size() > 4)
+    Value.FormerLeaseEnd = From.at(4).get<ShardTime>();
 }
 
 /// Encodes ascending numbers as the first and the last of each range.
@@ -554,7 +560,7 @@
   To = json::array(
       {Value.Incarnation, Value.Address, Value.Token, Value.AssumedLeaseMs});
   if (Value.LeaseFrozen)
-    To.push_back(*Value.LeaseFrozen);
+    To.insert(To.end(), {*Value.LeaseFrozen, Value.FirstContact});
 }
 static void from_json(const json &From, Assignment &Value) {
   From.at(0).get_to(Value.Incarnation);
@@ -562,8 +568,11 @@
   From.at(2).get_to(Value.Token);
   From.at(3).get_to(Value.AssumedLeaseMs);
   Value.LeaseFrozen.reset();
+  Value.FirstContact = true; // Leaders of earlier versions do not tell.
   if (From.size() > 4)
     Value.LeaseFrozen = From.at(4).get<bool>();
+  if (From.size() > 5)
+    From.at(5).get_to(Value.FirstContact);
 }
 
 static void to_json(json &To, const LeaseRelease &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -419,12 +419,43 @@
 void Leader::restoreLeaseEnd(const RosterEntry &Entry) {
   const TimePoint Now = Deps.Time.now();
   const ShardTime SharedNow = StateJournal.timeAt(Now);
-  if (!Entry.LeaseEnd || Entry.LeaseEnd->Epoch != SharedNow.Epoch)
-    return;
+  const auto LocalTimeOf =
+      [&](const std::optional<ShardTime> &Stored) -> std::optional<TimePoint> {
+    if (!Stored || Stored->Epoch != SharedNow.Epoch)
+      return std::nullopt;
+    return Now + Duration(Stored->Ms - SharedNow.Ms);
+  };
   WorkerState &Worker = WorkerStates.at(Entry.Incarnation.Id);
-  Worker.LeaseFrozen = true;
-  Worker.MaxLeaseEnd = std::min(
-      Worker.MaxLeaseEnd, Now + Duration(Entry.LeaseEnd->Ms - SharedNow.Ms));
+  // The roster has only processes that had answered before this term.
+  const TimePoint Latest = longestLeaseFrom(TermStartedAt);
+  Worker.FormerLeaseEnd =
+      std::min(LocalTimeOf(Entry.FormerLeaseEnd).value_or(Latest), Latest);
+  Worker.MaxLeaseEnd = std::max(Worker.MaxLeaseEnd, *Worker.FormerLeaseEnd);
+  if (const auto FrozenEnd = LocalTimeOf(Entry.LeaseEnd)) {
+    Worker.LeaseFrozen = true;
+    Worker.MaxLeaseEnd = std::min(Worker.MaxLeaseEnd, *FrozenEnd);
+  }
+}
+
+TimePoint Leader::longestLeaseFrom(TimePoint Answer) const {
+  return Answer + Deps.Times.onWorkerClock(Deps.Times.MaxWorkerLease) +
+         Deps.Times.ClockSkewMargin;
+}
+
+// Whether calls to a former process of a new worker may be on their way.
+bool Leader::mayHaveBeenCalled(const std::string &Id) const {
+  const TimePoint Now = Deps.Time.now();
+  const bool IsEarlierTermOver =
+      Record.Term == 1 || Now - TermStartedAt >= Deps.Times.MaxCallDelay;
+  return !IsEarlierTermOver || RemovedAt.contains(Id) ||
+         (Ownership && Ownership->lastTransfer(Id).Number > 0);
+}
+
+void Leader::noteContact(WorkerState &Worker) {
+  if (Worker.FormerLeaseEnd)
+    return;
+  Worker.FormerLeaseEnd = longestLeaseFrom(Deps.Time.now());
+  Worker.MaxLeaseEnd = std::max(Worker.MaxLeaseEnd, *Worker.FormerLeaseEnd);
 }
 
 void Leader::restoreEnded(const std::string &Id, jobs::JobPhase Phase) {
@@ -577,6 +608,8 @@
     if (Ownership && Ownership->lastTransfer(Id).Number > 0)
       Worker.MaxLeaseEnd = LastNewWorker + Deps.Times.MemberLease +
                            Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
+    if (!mayHaveBeenCalled(Id))
+      Worker.FormerLeaseEnd = LastNewWorker;
   }
   if (Worker.Info.Draining != Info.Draining)
     Deps.Log.event("worker drain state", Id,
@@ -677,6 +710,7 @@
   releaseFromMember(Id);
   if (Found->second.InRoster || Found->second.RosterPending)
     StateJournal.remove(RosterTable, Id);
+  RemovedAt[Id] = Deps.Time.now();
   WorkerStates.erase(Found);
   DecisionNeeded = true;
 }
@@ -828,6 +862,8 @@
   if (IsAnswer || Report.AnswerAgeMs >= 0)
     Worker.AnsweredAt =
         Now - Duration(IsAnswer ? Duration::rep{0} : Report.AnswerAgeMs);
+  if (Worker.AnsweredAt)
+    noteContact(Worker);
   DecisionNeeded = true;
   if (IsAnswer || Report.Event == WorkerEvent::Reachable)
     releaseLease(Worker);
@@ -959,7 +995,9 @@
 
 void Leader::storeRosterEntry(const WorkerState &Worker) {
   RosterEntry Entry{Worker.Info.Incarnation, Worker.Info.Address,
-                    Worker.Info.Zone, std::nullopt};
+                    Worker.Info.Zone, std::nullopt, std::nullopt};
+  if (Worker.FormerLeaseEnd)
+    Entry.FormerLeaseEnd = StateJournal.timeAt(*Worker.FormerLeaseEnd);
   if (Worker.LeaseFrozen && !Worker.ReleasePending)
     Entry.LeaseEnd = StateJournal.timeAt(Worker.MaxLeaseEnd);
   StateJournal.put(RosterTable, Entry.Incarnation.Id,
@@ -1299,7 +1337,8 @@
     const Duration Assumed = std::max(Worker.MaxLeaseEnd - Now, Duration{0});
     To->Outgoing.Assigned.push_back(
         {Worker.Info.Incarnation, Worker.Info.Address, Worker.Token,
-         std::int64_t(Assumed.count()), Worker.LeaseFrozen});
+         std::int64_t(Assumed.count()), Worker.LeaseFrozen,
+         !Worker.FormerLeaseEnd.has_value()});
   }
 }
 
@@ -1563,6 +1602,9 @@
         }
         replaceEndedProcesses();
         removeUnregistered();
+        std::erase_if(RemovedAt, [&](const auto &Entry) {
+          return Now - Entry.second >= Deps.Times.MaxCallDelay;
+        });
         for (const std::string &Step : Dispatcher.expireCalls(Now))
           Scheduler.adviceFailed(Step);
         removeExpiredJobs(Now);
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -155,8 +155,13 @@
     bool RosterPending = false;
     std::string Member; ///< Name of the supervising member; empty: none.
     std::int64_t Token = 0;
-    /// Latest end of leases granted by earlier sessions.
+    /// Latest end of leases granted by earlier sessions, or set by calls to a
+    /// former process.
     TimePoint MaxLeaseEnd;
+    /// Latest end of a lease that calls to a former process may have set. Empty
+    /// if there may be such calls and no session has had an answer of this
+    /// process yet: they have no effect after it.
+    std::optional<TimePoint> FormerLeaseEnd;
     /// No session extends its lease beyond MaxLeaseEnd before it is released,
     /// and the roster may have that time.
     bool LeaseFrozen = false;
@@ -208,6 +213,9 @@
   void storeRosterEntry(const WorkerState &Worker);
   void updateReachable(const WorkerState &Worker);
   void restoreLeaseEnd(const RosterEntry &Entry);
+  TimePoint longestLeaseFrom(TimePoint Answer) const;
+  void noteContact(WorkerState &Worker);
+  bool mayHaveBeenCalled(const std::string &Id) const;
   void freezeLease(WorkerState &Worker, Duration Remaining);
   void releaseLease(WorkerState &Worker);
   void onReleaseStored(const jobs::WorkerIncarnation &Incarnation);
@@ -273,6 +281,8 @@
   /// Names of members that make calls for advice.
   std::set<std::string> Advisers;
   std::map<std::string, WorkerState> WorkerStates; ///< By worker id.
+  /// When workers were removed, by id; for Timing::MaxCallDelay.
+  std::map<std::string, TimePoint> RemovedAt;
   std::int64_t LastToken = 0;
   const TimePoint TermStartedAt;
 
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -64,6 +64,9 @@
   /// If set, no lease of the worker ends later, and none is extended before a
   /// commit has removed this time.
   std::optional<ShardTime> LeaseEnd;
+  /// Latest end of a lease that calls to a former process of the worker may
+  /// have set. Empty: stored by an earlier version.
+  std::optional<ShardTime> FormerLeaseEnd;
 };
 
 /// Stored progress of some tasks of a job that has several such rows.
@@ -214,6 +217,9 @@
   /// Whether the lease must not be extended before the session gets a
   /// LeaseRelease. Empty: the leader is of an earlier version and sends none.
   std::optional<bool> LeaseFrozen = false;
+  /// No session is known to have had an answer of this process. Until its first
+  /// one, it may carry out calls to a former process of the worker.
+  bool FirstContact = false;
 };
 
 /// Allows a session to extend a frozen lease again.
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -77,8 +77,17 @@
   /// How long the state of ended jobs can be queried.
   Duration StatusRetention{120'000};
 
+  /// Time after which a worker carries out no call that it has not answered.
+  /// The platform says "seconds" and has been seen to take up to 12.
+  Duration MaxCallDelay{15'000};
+
   /// Lower bound for the rate of a worker's clock relative to the local clock.
   double MinWorkerClockRate = 0.98;
+
+  /// Longest local time that \p Length takes on a worker's clock.
+  Duration onWorkerClock(Duration Length) const {
+    return Duration(Duration::rep(double(Length.count()) / MinWorkerClockRate));
+  }
 };
 
 } // namespace apricotwing::cell
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -44,9 +44,9 @@
       Log(Log), Worker{Assigned.Incarnation, Assigned.Address, Assigned.Token},
       Owner(std::move(Owner)),
       AssumedLeaseEnd(Time.now() +
-                      Duration(Duration::rep(double(Assigned.AssumedLeaseMs) /
-                                             Times.MinWorkerClockRate)) +
+                      Times.onWorkerClock(Duration(Assigned.AssumedLeaseMs)) +
                       ExpiryMargin),
+      FirstContact(Assigned.FirstContact),
       LeaderReleases(Assigned.LeaseFrozen.has_value()),
       LeaseFrozen(Assigned.LeaseFrozen.value_or(false)),
       FreezeAt(Time.now() + FreezeDelay) {}
@@ -72,14 +72,22 @@
   LastClockAt = Time.now();
 }
 
+// Until it answers a call with the token of this session, the worker carries
+// out calls to a former process, whose deadlines it shortens to the longest
+// lease.
+void WorkerSession::assumeFormerCalls() {
+  AssumedLeaseEnd = std::max(
+      AssumedLeaseEnd,
+      Time.now() + Times.onWorkerClock(Times.MaxWorkerLease) + ExpiryMargin);
+}
+
 TimePoint WorkerSession::leaseEnd() const {
   if (!HasClock)
     return AssumedLeaseEnd;
-  const auto RemainingMs = double(MaxDeadlineMs - LastClockMs);
+  const std::int64_t RemainingMs = MaxDeadlineMs - LastClockMs;
   const TimePoint GrantedLeaseEnd =
       LastClockAt +
-      Duration(Duration::rep(std::max(RemainingMs, 0.0) /
-                             Times.MinWorkerClockRate)) +
+      Times.onWorkerClock(Duration(std::max<Duration::rep>(RemainingMs, 0))) +
       ExpiryMargin;
   return std::max(GrantedLeaseEnd, AssumedLeaseEnd);
 }
@@ -178,6 +186,8 @@
     NextHeartbeat = Now + UnreachableRetryDelay;
     return;
   }
+  if (FirstContact && !HasClock)
+    assumeFormerCalls();
   updateClock(Result.ClockMs);
   // Runs that ended before an expiry of the lease do not count, so the owner
   // must be told of the expiry before it gets the list.
@@ -484,9 +494,7 @@
   const bool IsFirst = NextStartUnixMs != Result.StartedUnixMs;
   NextStartUnixMs = Result.StartedUnixMs;
   if (IsFirst) {
-    RestartResolvedBy =
-        Now + Duration(Duration::rep(double(Times.MaxWorkerLease.count()) /
-                                     Times.MinWorkerClockRate));
+    RestartResolvedBy = Now + Times.onWorkerClock(Times.MaxWorkerLease);
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -98,6 +98,7 @@
   void report(WorkerEvent Event, std::vector<jobs::EndedRun> EndedRuns = {});
   void updateClock(const WorkerAnswer &Answer);
   void updateClock(std::int64_t ClockMs);
+  void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
@@ -109,8 +110,10 @@
   EventLog &Log;
   const WorkerAddress Worker;
   const Callbacks Owner;
-  /// Latest end of leases that earlier sessions granted.
-  const TimePoint AssumedLeaseEnd;
+  /// Latest end of leases that earlier sessions granted, and that calls to a
+  /// former process of the worker may have set.
+  TimePoint AssumedLeaseEnd;
+  const bool FirstContact; ///< No earlier session had an answer.
 
   std::optional<TimePoint> FirstAnswerAt;
   std::optional<TimePoint> LastAnswerAt;
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -25,6 +25,26 @@
   EXPECT_EQ(decodeProgress(Text), Progress);
 }
 
+// Guards against rows of workers that one version stores and the other can't
+// read during an update.
+TEST(CodecTest, ReadsRosterRowsOfTheFormerFormat) {
+  RosterEntry Entry{{"w", 5}, "address", "zone", {}, ShardTime{2, 700}};
+  const auto Read = [](const std::string &Text) {
+    const auto Result = decodeRoster(Text);
+    return Result && Result->size() == 1 ? Result->front() : RosterEntry{};
+  };
+  const std::string Text = encode(std::vector{Entry});
+  EXPECT_EQ(Read(Text).FormerLeaseEnd, Entry.FormerLeaseEnd);
+  EXPECT_EQ(Read(Text).LeaseEnd, std::nullopt);
+  // The former version takes the fourth element for the end of the lease, and
+  // compares its epoch with that of its own clock, which is never 0.
+  EXPECT_NE(Text.find(R"("address","zone",[0,0],[2,700]])"), std::string::npos)
+      << Text;
+  const RosterEntry Former = Read(R"([[["w",5],"address","zone",[2,600]]])");
+  EXPECT_EQ(Former.LeaseEnd, (ShardTime{2, 600}));
+  EXPECT_EQ(Former.FormerLeaseEnd, std::nullopt);
+}
+
 // Guards against answers of an instance of the former version that are not
 // read.
 TEST(CodecTest, ReadsAnswersOfTheAdviceServiceWithoutTheDuration) {
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -415,9 +415,10 @@
   }
 }
 
-// Guards against a lease that the next process of a worker has extended for a
-// call to the former one, and that nobody counts.
-TEST(RestartHazardsTest, NoTaskRunsTwiceIfARestartedWorkerIsCutOff) {
+/// Plays long tasks on workers that restart under their ids and are cut off
+/// soon after. \p AfterRestart is called once they are back.
+void expectNothingTwiceAfterRestartsAndCuts(
+    const std::function<void(EmulatedCell &)> &AfterRestart) {
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
     EmulatedCell Cell(Seed, 4, 9);
     std::mt19937_64 Random(Seed);
@@ -434,6 +435,8 @@
         if (Step % 4 == 0)
           Cell.submit("n" + std::to_string(Any(0, 3)),
                       stepOf(Any(1, 3), Any(0, 2) == 0 ? 12s : 500ms));
+        if (Step == 40)
+          AfterRestart(Cell);
         for (const std::string &Id : Affected) {
           if (Step == 20)
             Workers.crash(Id);
@@ -452,6 +455,23 @@
   }
 }
 
+// Guards against a lease that the next process of a worker has extended for a
+// call to the former one, and that nobody counts.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfARestartedWorkerIsCutOff) {
+  expectNothingTwiceAfterRestartsAndCuts([](EmulatedCell &) {});
+}
+
+// Guards against the same if the next leader doesn't know of the restart.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheLeaderIsLostBeforeTheCut) {
+  expectNothingTwiceAfterRestartsAndCuts([](EmulatedCell &Cell) {
+    const std::string Leader = Cell.leader();
+    if (Leader.empty())
+      return;
+    Cell.kill(Leader);
+    Cell.time().after(1s, [&Cell, Leader] { Cell.start(Leader); });
+  });
+}
+
 // Guards against a withdrawn key that is accepted again after a restart.
 TEST_F(HazardsTest, AWithdrawnKeyStaysWithdrawnAfterARestart) {
   Cell.withdrawKeys(2);
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -213,6 +213,39 @@
                          WorkerEvent::LeaseFrozen, WorkerEvent::Reachable}));
 }
 
+// Guards against a lease that outlasts its estimate because the worker carried
+// out a call to its former process before the first one of this session.
+TEST_F(WorkerSessionTest, ALeaseIsNotOverBeforeThatOfCallsToAFormerProcess) {
+  Assignment Assigned{Worker, "address", 8, 0};
+  Assigned.FirstContact = true;
+  WorkerSession Next{
+      Client,
+      Time,
+      Times,
+      Log,
+      Assigned,
+      {[this](WorkerReport Report) { Reports.push_back(std::move(Report)); },
+       [](const RefusedStart &) {}, [] { return true; }}};
+  Next.pump();
+  HeartbeatResult Answer;
+  Answer.Outcome = WorkerOutcome::Done;
+  Answer.ClockMs = 5000;
+  std::exchange(Heartbeat, {})(Answer);
+  const TimePoint LongestLeaseEnd = Time.now() + Times.MaxWorkerLease;
+  const auto IsOver = [this] {
+    return !Reports.empty() &&
+           Reports.back().Event == WorkerEvent::LeaseExpired;
+  };
+  while (Time.now() < LongestLeaseEnd + 1s) {
+    Time.advanceTo(Time.now() + 50ms);
+    Next.pump();
+    if (Heartbeat)
+      std::exchange(Heartbeat, {})({});
+    EXPECT_FALSE(IsOver() && Time.now() < LongestLeaseEnd);
+  }
+  EXPECT_TRUE(IsOver());
+}
+
 TEST_F(WorkerSessionTest, AnAnswerWithALaterStartEndsTheSession) {
   synchronize({Run});
   answerHeartbeat({}, WorkerOutcome::ConnectionRefused);
