Ignore the clock in answers to orders

A start that the next process has carried out would be started again elsewhere.

Cause: answers to starts and stops don't name the process. The next process of a worker carries out orders to the former one, and its clock may be far ahead, so the granted lease seemed to be over.

Change: only the answers to heartbeats, which name the process, set the clock of a session and the time of the worker's last answer.

Evidence: the new test fails without the change.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -55,12 +55,7 @@
   return LastClockMs + (Time.now() - LastClockAt).count();
 }
 
-void WorkerSession::updateClock(const WorkerAnswer &Answer) {
-  // The clock of another worker would move the end of this one's lease.
-  if (Answer.ClockMs && Answer.Outcome != WorkerOutcome::OtherWorker)
-    updateClock(*Answer.ClockMs);
-}
-
+// Only the answer to a heartbeat names the process whose clock it has.
 void WorkerSession::updateClock(std::int64_t ClockMs) {
   LastAnswerAt = Time.now();
   if (!FirstAnswerAt)
@@ -361,7 +356,6 @@
   PendingStart &Pending = Found->second;
   Pending.InFlight = false;
   UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
-  updateClock(Answer);
   // If the first send got no response, a rejection of the second one can mean
   // that the run was started and has already ended. The lists will show the
   // outcome.
@@ -449,7 +443,6 @@
   if (Ended)
     return;
   UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
-  updateClock(Answer);
   switch (Answer.Outcome) {
   case WorkerOutcome::Fenced:
     endIfFenced(Answer.Outcome);
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -96,7 +96,6 @@
   void end(WorkerEvent Event, std::string_view LogEvent,
            std::vector<jobs::EndedRun> EndedRuns = {});
   void report(WorkerEvent Event, std::vector<jobs::EndedRun> EndedRuns = {});
-  void updateClock(const WorkerAnswer &Answer);
   void updateClock(std::int64_t ClockMs);
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -213,6 +213,24 @@
                          WorkerEvent::LeaseFrozen, WorkerEvent::Reachable}));
 }
 
+// Guards against runs that are given up early because the next process of the
+// worker has answered an order, and its clock is ahead of the former one's.
+TEST_F(WorkerSessionTest, AClockInAnAnswerToAnOrderDoesNotEndTheLease) {
+  synchronize({Run});
+  Session.stop(Stop);
+  StopAnswer(
+      {WorkerOutcome::Done, Time.now().time_since_epoch().count() + 60'000});
+  const TimePoint GrantedLeaseEnd = Time.now() + Times.WorkerLease;
+  while (Time.now() + 200ms < GrantedLeaseEnd) {
+    Time.advanceTo(Time.now() + 100ms);
+    Session.pump();
+    if (Heartbeat)
+      std::exchange(Heartbeat, {})({});
+  }
+  for (const WorkerReport &Report : Reports)
+    EXPECT_NE(Report.Event, WorkerEvent::LeaseExpired);
+}
+
 // Guards against a lease that outlasts its estimate because the worker carried
 // out a call to its former process before the first one of this session.
 TEST_F(WorkerSessionTest, ALeaseIsNotOverBeforeThatOfCallsToAFormerProcess) {
