Wait for starts that a next process may have carried out

What callers would see: a task at work twice. A worker restarts under its id, gets a start order that was sent while it was down, and is cut off before any session reaches the next process. At the end of the former lease (6.5 s) all runs counted as over, while that run goes on for the longest lease (10 s) from its start.

The deadline of an order is on the clock of the former process, so it does not bound the lease of the next one.

Change: when the lease of an unreachable worker ends, starts that no list has shown are left out. They count as over once the worker is reached, or the longest lease after they can have arrived (2 s after the last send). All other runs are repeated as before.

Not covered: a next leader or another member does not know which starts were never listed; orders that a worker holds back for more than 2 s.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -911,7 +911,7 @@
                        Report.ProcessAbsent && !Worker.StopAnnounced
                            ? jobs::WorkerLoss::Refused
                            : jobs::WorkerLoss::LeaseExpired,
-                       Now);
+                       Now, Report.Running);
     logLostRuns(Worker, LossEvidence::LeaseEnded);
     Worker.Answers = false;
     updateReachable(Worker);
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -142,7 +142,8 @@
   Ended,  ///< Newly ended runs.
   Reachable,
   Unreachable,
-  LeaseExpired, ///< Its lease has definitely expired.
+  LeaseExpired, ///< Its lease has definitely expired. Running has the runs that
+                ///< its next process may have, if there is one.
   Fenced, ///< The session is over: another one has a higher fencing token, or
           ///< the worker runs what no session should have started.
   ProcessEnded, ///< Its process has ended and has been restarted. Ended has
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -67,6 +67,10 @@
   /// effect of an order without a response is known afterwards.
   Duration StartValidity{1500};
 
+  /// Longest time for which the network holds a start order back that gets no
+  /// answer.
+  Duration StartTransit{2000};
+
   /// How long a member delays the response to a caller while there is no
   /// leader.
   Duration NoLeaderTimeout{700};
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -99,7 +99,29 @@
              {"grant_age_ms", AgeOf(LastGrantAt)},
              {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
              {"answer_age_ms", AgeOf(LastAnswerAt)},
-             {"unanswered", std::to_string(UnansweredCalls)}});
+             {"unanswered", std::to_string(UnansweredCalls)},
+             {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
+}
+
+// The lease ends all runs of this process. A start that no list has shown may
+// have reached its next one, whose lease begins anew.
+void WorkerSession::reportExpiryIfDue(TimePoint Now) {
+  const bool IsDue = !ExpiryReported || ExpiryIsPartial;
+  if (RestartResolvedBy || Reachable || !IsDue || Now < leaseEnd())
+    return;
+  std::erase_if(UnlistedStarts, [&](const auto &Start) {
+    return Now >= Start.second + Times.StartTransit +
+                      Times.onWorkerClock(Times.MaxWorkerLease) + ExpiryMargin;
+  });
+  if (ExpiryIsPartial && !UnlistedStarts.empty())
+    return;
+  ExpiryReported = true;
+  ExpiryIsPartial = !UnlistedStarts.empty();
+  Synced = false;
+  PendingStarts.clear();
+  PendingStops.clear();
+  logLeaseEnd("worker lease lapsed");
+  report(WorkerEvent::LeaseExpired);
 }
 
 void WorkerSession::pump() {
@@ -111,15 +133,7 @@
     return;
   }
   freezeLeaseIfDue(Now);
-  if (!RestartResolvedBy && !Reachable && !ExpiryReported &&
-      Now >= leaseEnd()) {
-    ExpiryReported = true;
-    Synced = false;
-    PendingStarts.clear();
-    PendingStops.clear();
-    logLeaseEnd("worker lease lapsed");
-    report(WorkerEvent::LeaseExpired);
-  }
+  reportExpiryIfDue(Now);
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
     sendHeartbeat();
   if (!PendingStops.empty() && Now >= NextStop) {
@@ -196,6 +210,7 @@
               {{"token", std::to_string(Worker.Token)},
                {"running", std::to_string(Result.Running.size())}});
   ExpiryReported = false;
+  ExpiryIsPartial = false;
   UnansweredCalls = 0;
   if (!Reachable) {
     Reachable = true;
@@ -338,7 +353,7 @@
 void WorkerSession::send(const RunKey &Key) {
   PendingStart &Pending = PendingStarts.at(Key);
   ++Pending.Sends;
-  UnlistedStarts.insert(Key);
+  UnlistedStarts[Key] = Time.now();
   Pending.InFlight = true;
   MaxDeadlineMs = std::max(MaxDeadlineMs, Pending.DeadlineMs);
   LastGrantAt = Time.now();
@@ -491,7 +506,7 @@
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
-    for (const RunKey &Key : UnlistedStarts)
+    for (const auto &[Key, SentAt] : UnlistedStarts)
       stop({Worker.Incarnation, Key.first, Key.second});
   }
   const bool IsStopDue = IsFirst || Now >= NextStop;
@@ -527,6 +542,9 @@
   if (Event == WorkerEvent::LeaseFrozen)
     Report.RemainingLeaseMs =
         std::max(leaseEnd() - Time.now(), Duration{0}).count();
+  if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
+    for (const auto &[Key, SentAt] : UnlistedStarts)
+      Report.Running.push_back({Key.first, Key.second, "", 0});
   Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
   if (LastAnswerAt)
     Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -101,6 +101,7 @@
   std::int64_t estimatedClockMs() const;
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
+  void reportExpiryIfDue(TimePoint Now);
   void logLeaseEnd(std::string_view LogEvent) const;
 
   WorkerClient &Client;
@@ -141,6 +142,8 @@
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
   bool ExpiryReported = false;
+  /// The runs of UnlistedStarts were left out of the reported expiry.
+  bool ExpiryIsPartial = false;
   bool Ended = false; ///< Fenced, or the worker process has ended.
   std::int64_t LastReportedEnd = 0; ///< Highest number of a reported ended run.
   /// Highest number of an ended run that the worker may drop.
@@ -148,9 +151,10 @@
   std::map<RunKey, PendingStart> PendingStarts;
   /// The runs that the lists may contain.
   std::set<RunKey> ExpectedRuns;
-  /// Runs whose start was sent and that no list has contained yet. If the
-  /// worker restarts, its next process may have carried out the order.
-  std::set<RunKey> UnlistedStarts;
+  /// Runs whose start was sent and that no list has contained yet, and when it
+  /// was sent last. If the worker restarts, its next process may have carried
+  /// out the order.
+  std::map<RunKey, TimePoint> UnlistedStarts;
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
   std::optional<TimePoint> RestartResolvedBy;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -568,13 +568,14 @@
 }
 
 void JobScheduler::loseRuns(const WorkerIncarnation &Incarnation,
-                            WorkerLoss Cause, TimePoint Now) {
+                            WorkerLoss Cause, TimePoint Now,
+                            const std::vector<ActiveRun> &Undecided) {
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
   Host->setSynced(false);
   noteCrash(Incarnation, Cause, Now);
-  releaseAll(*Host, Cause, Now);
+  releaseAll(*Host, Cause, Now, Undecided);
   if (!isSilence(Cause))
     resolveSilence(Incarnation, Cause, Now);
 }
@@ -590,9 +591,15 @@
     Host->setSynced(false);
 }
 
-void JobScheduler::releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now) {
+void JobScheduler::releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now,
+                              const std::vector<ActiveRun> &Undecided) {
+  std::set<std::pair<std::string, std::int64_t>> Kept;
+  for (const ActiveRun &Run : Undecided)
+    Kept.emplace(Run.Task, Run.Run);
   const auto Allocated = Host.runs();
   for (const auto &[Name, Run] : Allocated) {
+    if (Kept.contains({Name, Run.Run}))
+      continue;
     recordLoss(Host, Name, Run, Cause, Now);
     releaseWithoutResult(Host, Name, Run.Run, Now);
     failIfExhausted(Name, false, Now);
@@ -600,7 +607,9 @@
   const WorkerIncarnation &Lost = Host.info().Incarnation;
   auto Stop = RunsToStop.lower_bound({Lost, {}, 0});
   while (Stop != RunsToStop.end() && Stop->first.Worker == Lost)
-    Stop = RunsToStop.erase(Stop);
+    Stop = Kept.contains({Stop->first.Task, Stop->first.Run})
+               ? std::next(Stop)
+               : RunsToStop.erase(Stop);
 }
 
 void JobScheduler::recordLoss(const Worker &Host, const std::string &Name,
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -211,10 +211,11 @@
                   const std::vector<ActiveRun> &Running,
                   const std::vector<EndedRun> &Ended, TimePoint Now);
 
-  /// Ends all runs of a worker, which must be synced before it gets new ones.
-  /// Precondition: it is certain that none of them is active.
+  /// Ends all runs of a worker but those in \p Undecided, which it may still
+  /// have. It must be synced before it gets new ones. Precondition: it is
+  /// certain that no other run is active.
   void loseRuns(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
-                TimePoint Now);
+                TimePoint Now, const std::vector<ActiveRun> &Undecided = {});
 
   /// Runs that were lost together with their workers since the last call.
   std::vector<LostRun> takeLostRuns();
@@ -394,7 +395,8 @@
                          TimePoint Now);
   bool mayReserve(TimePoint Now) const;
   void restoreCrashes(Job &CurrentJob, int Step, TimePoint Now);
-  void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now);
+  void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now,
+                  const std::vector<ActiveRun> &Undecided = {});
   void noteCrash(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
                  TimePoint Now);
   bool hasCrashesWithout(const CrashHistory &Crashes, TimePoint Now) const;
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -415,10 +415,14 @@
   }
 }
 
-/// Plays long tasks on workers that restart under their ids and are cut off
-/// soon after. \p AfterRestart is called once they are back.
+/// Plays long tasks on workers that restart under their ids \p Absence after
+/// their end and are cut off \p Contact later. \p BeforeCut is called shortly
+/// before.
 void expectNothingTwiceAfterRestartsAndCuts(
-    const std::function<void(EmulatedCell &)> &AfterRestart) {
+    Duration Absence, Duration Contact,
+    const std::function<void(EmulatedCell &)> &BeforeCut) {
+  const int RestartStep = 20 + int(Absence / 100ms);
+  const int CutStep = RestartStep + int(Contact / 100ms);
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
     EmulatedCell Cell(Seed, 4, 9);
     std::mt19937_64 Random(Seed);
@@ -435,14 +439,14 @@
         if (Step % 4 == 0)
           Cell.submit("n" + std::to_string(Any(0, 3)),
                       stepOf(Any(1, 3), Any(0, 2) == 0 ? 12s : 500ms));
-        if (Step == 40)
-          AfterRestart(Cell);
+        if (Step == CutStep - 6)
+          BeforeCut(Cell);
         for (const std::string &Id : Affected) {
           if (Step == 20)
             Workers.crash(Id);
-          if (Step == 26)
+          if (Step == RestartStep)
             Workers.restart(Id);
-          if (Step == 46)
+          if (Step == CutStep)
             Workers.Cut.insert(Id);
           if (Step == 136)
             Workers.Cut.erase(Id);
@@ -458,12 +462,18 @@
 // Guards against a lease that the next process of a worker has extended for a
 // call to the former one, and that nobody counts.
 TEST(RestartHazardsTest, NoTaskRunsTwiceIfARestartedWorkerIsCutOff) {
-  expectNothingTwiceAfterRestartsAndCuts([](EmulatedCell &) {});
+  expectNothingTwiceAfterRestartsAndCuts(600ms, 2s, [](EmulatedCell &) {});
+}
+
+// Guards against a start that the next process of a worker has carried out, and
+// that is taken for over at the end of the former lease.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheNextProcessIsNeverReached) {
+  expectNothingTwiceAfterRestartsAndCuts(200ms, 100ms, [](EmulatedCell &) {});
 }
 
 // Guards against the same if the next leader doesn't know of the restart.
 TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheLeaderIsLostBeforeTheCut) {
-  expectNothingTwiceAfterRestartsAndCuts([](EmulatedCell &Cell) {
+  expectNothingTwiceAfterRestartsAndCuts(600ms, 2s, [](EmulatedCell &Cell) {
     const std::string Leader = Cell.leader();
     if (Leader.empty())
       return;
