Repeat runs whose ends a restarted worker has dropped

A worker that is back under its old id drops its ended runs up to a number, also later ones, if it gets an acknowledgement that was meant for its former process. It then lists such a run neither as active nor as ended, and the leader waited for it without end.

A session now reports a run as ended without success if the process has confirmed it, by a list or by its answer to the start, before a heartbeat was sent whose lists are complete and have it nowhere. The leader already draws this conclusion from the first lists of a session. Once the process has answered a session, it does nothing for calls with a lower token, so the dropped numbers are fixed before these ends. Lists that were asked for before the confirmation and lists that may leave ends out show nothing. Nothing changes for a worker that lists all ends.

Not ruled out: that the platform counts a success that was dropped unread as an end, so that the repeated run is a second one. The emulated workers do not count it.

KeepsTheSessionWhileOnlyExpectedRunsAreListed left a run out of the lists without listing its end and expected nothing. It has the same lists and expects exactly one more event now, the end of that run.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -1,6 +1,7 @@
 #include "cell/workersession.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -149,6 +150,7 @@
   if (IsSameProcess && Synced && LastReportedEnd <= AckedEnd && Extend)
     Request.Wait = Times.HeartbeatWait;
   HeartbeatInFlight = true;
+  ++SentHeartbeats;
   HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
@@ -237,9 +239,12 @@
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
     UnlistedStarts.erase({End.Task, End.Run});
+    ConfirmedRuns.erase({End.Task, End.Run});
   }
-  for (const jobs::ActiveRun &Run : Result.Running)
+  for (const jobs::ActiveRun &Run : Result.Running) {
     UnlistedStarts.erase({Run.Task, Run.Run});
+    ConfirmedRuns[{Run.Task, Run.Run}] = SentHeartbeats;
+  }
   // A run in neither list may be an ended one that is not listed yet.
   if (!Result.MayHaveMoreEnded) {
     resolvePendingStarts(Result);
@@ -250,6 +255,7 @@
       Owner.Report(std::move(Report));
       return;
     }
+    std::ranges::move(takeUnlistedEnds(), std::back_inserter(Report.Ended));
   }
   if (Report.Ended.empty())
     return;
@@ -265,6 +271,7 @@
 // have been started by this session.
 void WorkerSession::expectListed(const HeartbeatResult &Result) {
   ExpectedRuns.clear();
+  ConfirmedRuns.clear();
   for (const auto &[Key, Pending] : PendingStarts)
     ExpectedRuns.insert(Key);
   for (const jobs::ActiveRun &Run : Result.Running)
@@ -294,6 +301,28 @@
     reportRefused(Key, jobs::StartRefusal::Expired);
 }
 
+// An acknowledgement that was meant for the former process makes the next one
+// drop its ends up to that number, also later ones. Must be called only after
+// complete lists: a run that the process had confirmed before they were asked
+// for, and that is in neither of them, has ended.
+std::vector<jobs::EndedRun> WorkerSession::takeUnlistedEnds() {
+  std::vector<jobs::EndedRun> Result;
+  for (const auto &[Key, Heartbeat] : ConfirmedRuns)
+    if (Heartbeat < SentHeartbeats)
+      Result.push_back({0, Key.first, Key.second, jobs::EndKind::Stopped, ""});
+  for (const jobs::EndedRun &End : Result) {
+    const RunKey Key{End.Task, End.Run};
+    ConfirmedRuns.erase(Key);
+    ExpectedRuns.erase(Key);
+    PendingStops.erase(Key);
+    Log.event("end of run not listed", End.Task,
+              {{"run", std::to_string(End.Run)},
+               {"worker", Worker.Incarnation.Id},
+               {"token", std::to_string(Worker.Token)}});
+  }
+  return Result;
+}
+
 void WorkerSession::markUnreachable(WorkerOutcome Outcome) {
   if (!Reachable)
     return;
@@ -365,6 +394,7 @@
   switch (Answer.Outcome) {
   case WorkerOutcome::Done:
     PendingStarts.erase(Found);
+    ConfirmedRuns[Key] = SentHeartbeats;
     return;
   case WorkerOutcome::Fenced:
     endIfFenced(Answer.Outcome);
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -85,6 +85,7 @@
   void expectListed(const HeartbeatResult &Result);
   const jobs::ActiveRun *unexpectedRun(const HeartbeatResult &Result) const;
   void resolvePendingStarts(const HeartbeatResult &Result);
+  std::vector<jobs::EndedRun> takeUnlistedEnds();
   void markUnreachable(WorkerOutcome Outcome);
   void freezeLeaseIfDue(TimePoint Now);
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
@@ -120,6 +121,7 @@
   std::optional<TimePoint> LastGrantAt;
   int UnansweredCalls = 0;           ///< Since the last lists.
   TimePoint HeartbeatSentAt;         ///< Of the last heartbeat.
+  std::int64_t SentHeartbeats = 0;   ///< Number of all heartbeats.
   std::optional<TimePoint> ListedAt; ///< When its last lists were asked for.
   std::int64_t SentCursor = 0;       ///< Acknowledged by the last heartbeat.
   bool HasClock = false;
@@ -148,6 +150,9 @@
   std::map<RunKey, PendingStart> PendingStarts;
   /// The runs that the lists may contain.
   std::set<RunKey> ExpectedRuns;
+  /// Runs that the process has confirmed and whose end was not listed, with the
+  /// number of the last heartbeat that was sent before the confirmation.
+  std::map<RunKey, std::int64_t> ConfirmedRuns;
   /// Runs whose start was sent and that no list has contained yet. If the
   /// worker restarts, its next process may have carried out the order.
   std::set<RunKey> UnlistedStarts;
--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -521,6 +521,12 @@
     expectSoundJobsToEnd(Seed, {6000, 4000, 3000, true});
 }
 
+// Guards against jobs that wait for good for ends that a worker has dropped.
+TEST(CrashLoadTest, SoundJobsEndThoughWorkersDropTheirEnds) {
+  for (const std::uint64_t Seed : {70, 237})
+    expectSoundJobsToEnd(Seed, {6000, 4000, 3000, true});
+}
+
 // Guards against a sound job on all workers that fails by crashes at random.
 TEST(CrashLoadTest, AWideSoundJobEndsWhileWorkersCrashAtRandom) {
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -181,7 +181,7 @@
   StartAnswer({WorkerOutcome::Done, std::nullopt});
   answerHeartbeat({Run});
   answerHeartbeat({Run});
-  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Ended}));
 }
 
 TEST_F(WorkerSessionTest, DoesNotStartARunAfterItsPermissionRanOut) {
@@ -518,6 +518,63 @@
   EXPECT_TRUE(Refused.empty());
 }
 
+// Guards against a run that is taken to be at work for good, as an
+// acknowledgement for the former process made the worker drop its end.
+TEST_F(WorkerSessionTest, ReportsARunWhoseEndTheWorkerHasDropped) {
+  synchronize({{"other.0.0.0", 4, "", 0}});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::Done, std::nullopt});
+  answerHeartbeat({Run});
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports.back().Event, WorkerEvent::Ended);
+  ASSERT_EQ(Reports.back().Ended.size(), 1U);
+  EXPECT_EQ(Reports.back().Ended[0].Task, "other.0.0.0");
+  EXPECT_EQ(Reports.back().Ended[0].Run, 4);
+  EXPECT_EQ(Reports.back().Ended[0].Kind, jobs::EndKind::Stopped);
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1)});
+  ASSERT_EQ(Reports.size(), 3U);
+  ASSERT_EQ(Reports.back().Ended.size(), 2U);
+  EXPECT_EQ(Reports.back().Ended[1].Task, Start.Task);
+  EXPECT_EQ(Reports.back().Ended[1].Kind, jobs::EndKind::Stopped);
+  waitForHeartbeat();
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1)});
+  EXPECT_EQ(Reports.size(), 3U);
+}
+
+// Guards against a run that counts as ended because a list was read before its
+// start.
+TEST_F(WorkerSessionTest, AListFromBeforeAStartShowsNoEndOfItsRun) {
+  synchronize({});
+  Session.start(Start);
+  Time.advanceTo(Time.now() + 100ms);
+  StartAnswer({WorkerOutcome::Done, std::nullopt});
+  answerHeartbeat({});
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  answerHeartbeat({Run});
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  answerHeartbeat({});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Ended}));
+}
+
+// Guards against a success that is lost because its end is not listed yet.
+TEST_F(WorkerSessionTest, AnIncompleteListShowsNoEndOfARun) {
+  synchronize({Run});
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1), endOf(2)}, true);
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports.back().Ended.size(), 2U);
+  Session.acknowledge(2);
+  Session.pump();
+  answerHeartbeat({}, WorkerOutcome::Done,
+                  {{3, Run.Task, Run.Run, jobs::EndKind::Done, ""}});
+  ASSERT_EQ(Reports.size(), 3U);
+  ASSERT_EQ(Reports.back().Ended.size(), 1U);
+  EXPECT_EQ(Reports.back().Ended[0].Kind, jobs::EndKind::Done);
+  Session.acknowledge(3);
+  Session.pump();
+  answerHeartbeat({});
+  EXPECT_EQ(Reports.size(), 3U);
+}
+
 TEST_F(WorkerSessionTest, RepeatsAStopWithoutAnAnswer) {
   synchronize({Run});
   Session.stop(Stop);
