--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -1,6 +1,7 @@
 #include "cell/workersession.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -147,11 +148,11 @@
   }
 }
 
-void WorkerSession::sendHeartbeat() {
+void WorkerSession::sendHeartbeat(bool IsPlain) {
   HeartbeatRequest Request;
   // The lease of an unreachable worker must not be extended, because it may be
   // dead and its lease must expire.
-  const bool Extend = HasClock && Reachable && mayExtend();
+  const bool Extend = !IsPlain && HasClock && Reachable && mayExtend();
   if (Extend) {
     Request.DeadlineMs = estimatedClockMs() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
@@ -161,11 +162,12 @@
   // have restarted while this process was paused.
   const bool IsSameProcess =
       Reachable && ListedAt && Time.now() - *ListedAt < MaxListAge;
-  Request.AckCursor = IsSameProcess ? AckedEnd : 0;
+  Request.AckCursor = IsSameProcess && !IsPlain ? AckedEnd : 0;
   SentCursor = Request.AckCursor;
   if (IsSameProcess && Synced && LastReportedEnd <= AckedEnd && Extend)
     Request.Wait = Times.HeartbeatWait;
   HeartbeatInFlight = true;
+  ++SentHeartbeats;
   HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
@@ -190,6 +192,12 @@
   }
   if (endIfFenced(Result.Outcome))
     return;
+  // Idle connections also close. If the process has ended, the next one must
+  // not get the deadline and the acknowledgement.
+  if (Result.ConnectionClosed && (Extended || SentCursor > 0)) {
+    sendHeartbeat(true);
+    return;
+  }
   if (Result.Outcome != WorkerOutcome::Done || RestartResolvedBy) {
     markUnreachable(Result.Outcome);
     NextHeartbeat = Now + UnreachableRetryDelay;
@@ -251,9 +259,12 @@
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
     UnlistedStarts.erase({End.Task, End.Run});
+    ConfirmedRuns.erase({End.Task, End.Run});
   }
-  for (const jobs::ActiveRun &Run : Result.Running)
+  for (const jobs::ActiveRun &Run : Result.Running) {
     UnlistedStarts.erase({Run.Task, Run.Run});
+    ConfirmedRuns[{Run.Task, Run.Run}] = SentHeartbeats;
+  }
   // A run in neither list may be an ended one that is not listed yet.
   if (!Result.MayHaveMoreEnded) {
     resolvePendingStarts(Result);
@@ -264,6 +275,7 @@
       Owner.Report(std::move(Report));
       return;
     }
+    std::ranges::move(takeUnlistedEnds(), std::back_inserter(Report.Ended));
   }
   if (Report.Ended.empty())
     return;
@@ -279,6 +291,7 @@
 // have been started by this session.
 void WorkerSession::expectListed(const HeartbeatResult &Result) {
   ExpectedRuns.clear();
+  ConfirmedRuns.clear();
   for (const auto &[Key, Pending] : PendingStarts)
     ExpectedRuns.insert(Key);
   for (const jobs::ActiveRun &Run : Result.Running)
@@ -308,6 +321,28 @@
     reportRefused(Key, jobs::StartRefusal::Expired);
 }
 
+// An acknowledgement that was meant for the former process makes the next one
+// drop its ends up to that number, also later ones. Must be called only after
+// complete lists: a run that the process had confirmed before they were asked
+// for, and that is in neither of them, has ended.
+std::vector<jobs::EndedRun> WorkerSession::takeUnlistedEnds() {
+  std::vector<jobs::EndedRun> Result;
+  for (const auto &[Key, Heartbeat] : ConfirmedRuns)
+    if (Heartbeat < SentHeartbeats)
+      Result.push_back({0, Key.first, Key.second, jobs::EndKind::Stopped, ""});
+  for (const jobs::EndedRun &End : Result) {
+    const RunKey Key{End.Task, End.Run};
+    ConfirmedRuns.erase(Key);
+    ExpectedRuns.erase(Key);
+    PendingStops.erase(Key);
+    Log.event("end of run not listed", End.Task,
+              {{"run", std::to_string(End.Run)},
+               {"worker", Worker.Incarnation.Id},
+               {"token", std::to_string(Worker.Token)}});
+  }
+  return Result;
+}
+
 void WorkerSession::markUnreachable(WorkerOutcome Outcome) {
   if (!Reachable)
     return;
@@ -378,6 +413,7 @@
   switch (Answer.Outcome) {
   case WorkerOutcome::Done:
     PendingStarts.erase(Found);
+    ConfirmedRuns[Key] = SentHeartbeats;
     return;
   case WorkerOutcome::Fenced:
     endIfFenced(Answer.Outcome);
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -75,7 +75,9 @@
   };
   using RunKey = std::pair<std::string, std::int64_t>;
 
-  void sendHeartbeat();
+  /// Sends a heartbeat; if \p IsPlain, without deadline, acknowledgement and
+  /// wait.
+  void sendHeartbeat(bool IsPlain = false);
   /// \p StopsAnswered tells whether no stop was pending when it was sent.
   void onHeartbeat(const HeartbeatResult &Result, bool Extended,
                    bool StopsAnswered);
@@ -83,6 +85,7 @@
   void expectListed(const HeartbeatResult &Result);
   const jobs::ActiveRun *unexpectedRun(const HeartbeatResult &Result) const;
   void resolvePendingStarts(const HeartbeatResult &Result);
+  std::vector<jobs::EndedRun> takeUnlistedEnds();
   void markUnreachable(WorkerOutcome Outcome);
   void freezeLeaseIfDue(TimePoint Now);
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
@@ -121,6 +124,7 @@
   std::optional<TimePoint> LastGrantAt;
   int UnansweredCalls = 0;           ///< Since the last lists.
   TimePoint HeartbeatSentAt;         ///< Of the last heartbeat.
+  std::int64_t SentHeartbeats = 0;   ///< Number of all heartbeats.
   std::optional<TimePoint> ListedAt; ///< When its last lists were asked for.
   std::int64_t SentCursor = 0;       ///< Acknowledged by the last heartbeat.
   bool HasClock = false;
@@ -151,6 +155,9 @@
   std::map<RunKey, PendingStart> PendingStarts;
   /// The runs that the lists may contain.
   std::set<RunKey> ExpectedRuns;
+  /// Runs that the process has confirmed and whose end was not listed, with the
+  /// number of the last heartbeat that was sent before the confirmation.
+  std::map<RunKey, std::int64_t> ConfirmedRuns;
   /// Runs whose start was sent and that no list has contained yet, and when it
   /// was sent last. If the worker restarts, its next process may have carried
   /// out the order.
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -629,6 +629,7 @@
   };
   // A call that was waiting is reset.
   if (isUnconnected(To.Incarnation.Id)) {
+    Result.ConnectionClosed = true;
     Answer();
     return;
   }
@@ -653,6 +654,7 @@
   if (IsReset || To.Token < Entry.Token) {
     Result.Outcome =
         IsReset ? cell::WorkerOutcome::NoAnswer : cell::WorkerOutcome::Fenced;
+    Result.ConnectionClosed = IsReset;
     Answer();
     return;
   }
