Confirm starts by the clock in their answers

A start that its worker has answered with the clock that the session expects was carried out by this process, so it need not wait for a next one. Without this, tasks that last and whose worker crashes right after their start stayed away for longer than 9 s (CrashingTaskTest.IsStartedAgainIfItLasts, OtherId and Never).

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -1,6 +1,7 @@
 #include "cell/workersession.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
 #include <utility>
 
@@ -33,6 +34,10 @@
 /// expiry of its lease.
 constexpr Duration ExpiryMargin{100};
 
+/// Maximum error of the estimate of a worker's clock between two heartbeats, in
+/// ms: its rate, and the transit of the last answer.
+constexpr std::int64_t MaxClockError = 200;
+
 /// Delay before the lists of a restarted worker are read again.
 constexpr Duration RestartPollDelay{50};
 
@@ -56,6 +61,12 @@
   return LastClockMs + (Time.now() - LastClockAt).count();
 }
 
+// Answers to orders don't name the process, but each has a clock of its own.
+bool WorkerSession::isOwnClock(const WorkerAnswer &Answer) const {
+  return Answer.ClockMs &&
+         std::abs(*Answer.ClockMs - estimatedClockMs()) <= MaxClockError;
+}
+
 // Only the answer to a heartbeat names the process whose clock it has.
 void WorkerSession::updateClock(std::int64_t ClockMs) {
   LastAnswerAt = Time.now();
@@ -104,8 +115,8 @@
              {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
 }
 
-// The lease ends all runs of this process. A start that no list has shown may
-// have reached its next one, whose lease begins anew.
+// The lease ends all runs of this process. A start that it has not confirmed
+// may have reached its next one, whose lease begins anew.
 void WorkerSession::reportExpiryIfDue(TimePoint Now) {
   const bool IsDue = !ExpiryReported || ExpiryIsPartial;
   if (RestartResolvedBy || Reachable || !IsDue || Now < leaseEnd())
@@ -413,6 +424,8 @@
   switch (Answer.Outcome) {
   case WorkerOutcome::Done:
     PendingStarts.erase(Found);
+    if (isOwnClock(Answer))
+      UnlistedStarts.erase(Key);
     ConfirmedRuns[Key] = SentHeartbeats;
     return;
   case WorkerOutcome::Fenced:
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -102,6 +102,7 @@
   void updateClock(std::int64_t ClockMs);
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
+  bool isOwnClock(const WorkerAnswer &Answer) const;
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
   void reportExpiryIfDue(TimePoint Now);
@@ -158,9 +159,9 @@
   /// Runs that the process has confirmed and whose end was not listed, with the
   /// number of the last heartbeat that was sent before the confirmation.
   std::map<RunKey, std::int64_t> ConfirmedRuns;
-  /// Runs whose start was sent and that no list has contained yet, and when it
-  /// was sent last. If the worker restarts, its next process may have carried
-  /// out the order.
+  /// Runs whose start was sent and that this process has not confirmed yet, and
+  /// when it was sent last. If the worker restarts, its next process may have
+  /// carried out the order.
   std::map<RunKey, TimePoint> UnlistedStarts;
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -468,7 +468,10 @@
 // Guards against a start that the next process of a worker has carried out, and
 // that is taken for over at the end of the former lease.
 TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheNextProcessIsNeverReached) {
-  expectNothingTwiceAfterRestartsAndCuts(200ms, 100ms, [](EmulatedCell &) {});
+  for (const Duration Absence : {100ms, 200ms, 600ms})
+    for (const Duration Contact : {100ms, 300ms, 700ms})
+      expectNothingTwiceAfterRestartsAndCuts(Absence, Contact,
+                                             [](EmulatedCell &) {});
 }
 
 // Guards against the same if the next leader doesn't know of the restart.
