Show in virtual time that waves of crashes fail sound jobs

The test plays such waves on 48 emulated workers with single tasks and gangs and asks that each accepted job is completed. A trace shows five losses of each given-up task or gang, all witnessed, each in another wave and noticed within 120 ms of it. MaxProcessEnds counts them although 23 other workers crashed with each. No leader is lost in the test, and no worker was only silent.

--- a/tests/cell/workercrash_test.cpp
+++ b/tests/cell/workercrash_test.cpp
@@ -667,5 +667,50 @@
   }
 }
 
+// Guards against sound jobs that are given up because half of the workers crash
+// again and again.
+TEST(CrashLoadTest, SoundJobsEndAfterSixWavesOfCrashes) {
+  for (std::uint64_t Seed = 1; Seed <= 6; ++Seed) {
+    EmulatedCell Cell(Seed, 3, 48);
+    Cell.run(2s);
+    std::mt19937_64 Random(Seed);
+    const auto Any = [&Random](int Low, int High) {
+      return std::uniform_int_distribution<int>(Low, High)(Random);
+    };
+    const auto RunUnderLoad = [&](Duration Length) {
+      for (Duration Past{0}; Past < Length; Past += 250ms) {
+        const bool IsGang = Any(1, 2) == 1;
+        jobs::StepSpec Step = stepOf(IsGang ? Any(3, 8) : Any(1, 12),
+                                     Duration(Any(2000, 12'000)), IsGang);
+        Step.Request.CpuMillis = IsGang ? Any(4000, 12'000) : Any(1000, 4000);
+        Cell.submit("n" + std::to_string(Any(0, 2)), Step,
+                    Any(1, 2) == 1 ? "/quick/" : "/batch/");
+        Cell.run(250ms);
+      }
+    };
+    RunUnderLoad(4s);
+    for (int Wave = 1; Wave <= 6; ++Wave) {
+      std::set<std::string> Down;
+      while (Down.size() < 24)
+        Down.insert("w" + std::to_string(Any(0, 47)));
+      for (const std::string &Id : Down)
+        Cell.workers().crash(Id);
+      RunUnderLoad(1s);
+      for (const std::string &Id : Down)
+        Cell.workers().restart(Id);
+      RunUnderLoad(3s);
+    }
+    Cell.run(60s);
+    for (const auto &[Id, Record] : Cell.jobs())
+      Cell.read("n1", Id);
+    Cell.run(1s);
+    for (const auto &[Id, Record] : Cell.jobs())
+      EXPECT_TRUE(!Record.Accepted || Record.View == JobView::Completed)
+          << Id << " of seed " << Seed << " is " << int(Record.View);
+    for (const std::string &Violation : Cell.workers().violations())
+      ADD_FAILURE() << Violation;
+  }
+}
+
 } // namespace
 } // namespace apricotwing::emulator
