--- a/tests/cell/policyorder_test.cpp
+++ b/tests/cell/policyorder_test.cpp
@@ -2,12 +2,12 @@
 /// Calls at one instance while queues and keys are replaced amid faults.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <map>
@@ -294,8 +294,8 @@
   std::vector<std::string> Violations;
 };
 
-void playSeed(int Seed) {
-  PolicyOrderSoak Soak{std::uint64_t(Seed)};
+void playSeed(std::uint64_t Seed) {
+  PolicyOrderSoak Soak{Seed};
   for (const std::string &Violation : Soak.play())
     ADD_FAILURE() << "seed " << Seed << ": " << Violation;
   EXPECT_GT(Soak.shown(), 0) << "seed " << Seed;
@@ -303,14 +303,7 @@
 
 // Guards against an instance that answers by an older policy than before.
 TEST(PolicyOrderTest, GoesBackToNoOlderPolicy) {
-  int First = 1;
-  int Last = 12;
-  if (const char *Range = std::getenv("APRICOTWING_SOAK_SEEDS")) {
-    ASSERT_EQ(std::sscanf(Range, "%d-%d", &First, &Last), 2)
-        << "APRICOTWING_SOAK_SEEDS must be FIRST-LAST";
-    std::printf("seeds %d to %d\n", First, Last);
-  }
-  for (int Seed = First; Seed <= Last; ++Seed)
+  for (const std::uint64_t Seed : soakSeeds(12))
     playSeed(Seed);
 }
 
--- a/tests/cell/policysoak_test.cpp
+++ b/tests/cell/policysoak_test.cpp
@@ -2,12 +2,12 @@
 /// Calls while queues are added and removed amid series of faults.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -316,28 +316,16 @@
   std::vector<std::string> Violations;
 };
 
-void playSeed(int Seed) {
-  for (const std::string &Violation : PolicySoak(std::uint64_t(Seed)).play())
+void playSeed(std::uint64_t Seed) {
+  for (const std::string &Violation : PolicySoak(Seed).play())
     ADD_FAILURE() << "seed " << Seed << ": " << Violation;
 }
 
 // Guards against answers that rest on a policy that is no longer in force.
 TEST(PolicySoakTest, DecidesNoCallByAnOutdatedPolicy) {
-  if (const char *Range = std::getenv("APRICOTWING_SOAK_SEEDS")) {
-    int First = 0;
-    int Last = 0;
-    ASSERT_EQ(std::sscanf(Range, "%d-%d", &First, &Last), 2)
-        << "APRICOTWING_SOAK_SEEDS must be FIRST-LAST";
-    std::printf("seeds %d to %d\n", First, Last);
-    for (int Seed = First; Seed <= Last; ++Seed)
-      playSeed(Seed);
-    return;
-  }
-  for (int Seed = 1; Seed <= 8; ++Seed)
+  // The last two: a history that was dropped beside silent connections.
+  for (const std::uint64_t Seed : soakSeeds(8, {185, 235}))
     playSeed(Seed);
-  // A history that was dropped beside silent connections.
-  playSeed(185);
-  playSeed(235);
 }
 
 } // namespace
--- a/tests/cell/shortterms_test.cpp
+++ b/tests/cell/shortterms_test.cpp
@@ -4,14 +4,13 @@
 #include "cell/codec.h"
 #include "cell/journal.h"
 #include "emulator/emulatedcell.h"
+#include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
-#include <cstdio>
-#include <cstdlib>
 #include <functional>
 #include <random>
 #include <string>
@@ -367,13 +366,7 @@
 
 // Guards against runs that are started again while the former ones go on.
 TEST(ShortTermsTest, RunsNoTaskTwiceWhileCutsAndLeadersChange) {
-  unsigned long long First = 1;
-  unsigned long long Last = 20;
-  if (const char *Range = std::getenv("APRICOTWING_SOAK_SEEDS")) {
-    ASSERT_EQ(std::sscanf(Range, "%llu-%llu", &First, &Last), 2)
-        << "APRICOTWING_SOAK_SEEDS must be FIRST-LAST";
-  }
-  for (std::uint64_t Seed = First; Seed <= Last; ++Seed)
+  for (const std::uint64_t Seed : soakSeeds(20))
     playCuts(Seed);
 }
 
--- a/tests/cell/standstillsoak_test.cpp
+++ b/tests/cell/standstillsoak_test.cpp
@@ -3,11 +3,11 @@
 /// still although there is room for it.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdio>
-#include <cstdlib>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <random>
@@ -344,16 +344,7 @@
 
 /// Plays the seeds 1 to \p LastSeed, or those of APRICOTWING_SOAK_SEEDS.
 void playSeeds(std::uint64_t LastSeed, bool HasCrashingJobs) {
-  unsigned long long First = 1;
-  unsigned long long Last = LastSeed;
-  const char *Range = std::getenv("APRICOTWING_SOAK_SEEDS");
-  if (Range != nullptr) {
-    ASSERT_EQ(std::sscanf(Range, "%llu-%llu", &First, &Last), 2)
-        << "APRICOTWING_SOAK_SEEDS must be FIRST-LAST";
-  }
-  for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
-    if (Range != nullptr)
-      std::printf("seed %llu\n", (unsigned long long)Seed);
+  for (const std::uint64_t Seed : soakSeeds(LastSeed)) {
     std::string Text;
     for (const std::string &Violation :
          StandstillSoak(Seed, HasCrashingJobs).play())
