Stop delayed copies of starts on the next process of a worker

Found by the new soak of restarts: a start got no answer, its second copy was carried out and ended, and the first copy, which the worker had delayed, began on its next process. The session stopped there only what no list had shown.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -416,7 +416,10 @@
     return; // The outcome is already known from a list.
   PendingStart &Pending = Found->second;
   Pending.InFlight = false;
-  UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
+  if (Answer.Outcome == WorkerOutcome::NoAnswer) {
+    ++UnansweredCalls;
+    UnansweredStarts[Key] = Time.now();
+  }
   // If the first send got no response, a rejection of the second one can mean
   // that the run was started and has already ended. The lists will show the
   // outcome.
@@ -542,6 +545,18 @@
   return true;
 }
 
+void WorkerSession::stopFormerStarts() {
+  std::erase_if(UnansweredStarts, [this](const auto &Start) {
+    return Time.now() - Start.second >= Times.MaxCallDelay;
+  });
+  std::set<RunKey> Keys;
+  for (const auto *Starts : {&UnlistedStarts, &UnansweredStarts})
+    for (const auto &[Key, SentAt] : *Starts)
+      Keys.insert(Key);
+  for (const RunKey &Key : Keys)
+    stop({Worker.Incarnation, Key.first, Key.second});
+}
+
 // Orders name a worker by its id, so the next process may have carried out some
 // that were sent to the former one, or may still do so. Each of these is
 // stopped there, which also makes the worker refuse a start that comes later.
@@ -555,8 +570,7 @@
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
-    for (const auto &[Key, SentAt] : UnlistedStarts)
-      stop({Worker.Incarnation, Key.first, Key.second});
+    stopFormerStarts();
   }
   const bool IsStopDue = IsFirst || Now >= NextStop;
   for (const jobs::ActiveRun &Run : Result.Running)
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -88,6 +88,7 @@
   std::vector<jobs::EndedRun> takeUnlistedEnds();
   void markUnreachable(WorkerOutcome Outcome);
   void freezeLeaseIfDue(TimePoint Now);
+  void stopFormerStarts();
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -163,6 +164,10 @@
   /// when it was sent last. If the worker restarts, its next process may have
   /// carried out the order.
   std::map<RunKey, TimePoint> UnlistedStarts;
+  /// Runs of which a start order got no answer, and when it was sent. The
+  /// worker may delay it, and its next process carry it out, whatever became of
+  /// others.
+  std::map<RunKey, TimePoint> UnansweredStarts;
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
   std::optional<TimePoint> RestartResolvedBy;
