--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -1,6 +1,8 @@
 #include "cell/workersession.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <iterator>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -32,6 +34,10 @@
 /// expiry of its lease.
 constexpr Duration ExpiryMargin{100};
 
+/// Maximum error of the estimate of a worker's clock between two heartbeats, in
+/// ms: its rate, and the transit of the last answer.
+constexpr std::int64_t MaxClockError = 200;
+
 /// Delay before the lists of a restarted worker are read again.
 constexpr Duration RestartPollDelay{50};
 
@@ -55,6 +61,12 @@
   return LastClockMs + (Time.now() - LastClockAt).count();
 }
 
+// Answers to orders don't name the process, but each has a clock of its own.
+bool WorkerSession::isOwnClock(const WorkerAnswer &Answer) const {
+  return Answer.ClockMs &&
+         std::abs(*Answer.ClockMs - estimatedClockMs()) <= MaxClockError;
+}
+
 // Only the answer to a heartbeat names the process whose clock it has.
 void WorkerSession::updateClock(std::int64_t ClockMs) {
   LastAnswerAt = Time.now();
@@ -99,7 +111,29 @@
              {"grant_age_ms", AgeOf(LastGrantAt)},
              {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
              {"answer_age_ms", AgeOf(LastAnswerAt)},
-             {"unanswered", std::to_string(UnansweredCalls)}});
+             {"unanswered", std::to_string(UnansweredCalls)},
+             {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
+}
+
+// The lease ends all runs of this process. A start that it has not confirmed
+// may have reached its next one, whose lease begins anew.
+void WorkerSession::reportExpiryIfDue(TimePoint Now) {
+  const bool IsDue = !ExpiryReported || ExpiryIsPartial;
+  if (RestartResolvedBy || Reachable || !IsDue || Now < leaseEnd())
+    return;
+  std::erase_if(UnlistedStarts, [&](const auto &Start) {
+    return Now >= Start.second + Times.StartTransit +
+                      Times.onWorkerClock(Times.MaxWorkerLease) + ExpiryMargin;
+  });
+  if (ExpiryIsPartial && !UnlistedStarts.empty())
+    return;
+  ExpiryReported = true;
+  ExpiryIsPartial = !UnlistedStarts.empty();
+  Synced = false;
+  PendingStarts.clear();
+  PendingStops.clear();
+  logLeaseEnd("worker lease lapsed");
+  report(WorkerEvent::LeaseExpired);
 }
 
 void WorkerSession::pump() {
@@ -111,15 +145,7 @@
     return;
   }
   freezeLeaseIfDue(Now);
-  if (!RestartResolvedBy && !Reachable && !ExpiryReported &&
-      Now >= leaseEnd()) {
-    ExpiryReported = true;
-    Synced = false;
-    PendingStarts.clear();
-    PendingStops.clear();
-    logLeaseEnd("worker lease lapsed");
-    report(WorkerEvent::LeaseExpired);
-  }
+  reportExpiryIfDue(Now);
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
     sendHeartbeat();
   if (!PendingStops.empty() && Now >= NextStop) {
@@ -133,11 +159,11 @@
   }
 }
 
-void WorkerSession::sendHeartbeat() {
+void WorkerSession::sendHeartbeat(bool IsPlain) {
   HeartbeatRequest Request;
   // The lease of an unreachable worker must not be extended, because it may be
   // dead and its lease must expire.
-  const bool Extend = HasClock && Reachable && mayExtend();
+  const bool Extend = !IsPlain && HasClock && Reachable && mayExtend();
   if (Extend) {
     Request.DeadlineMs = estimatedClockMs() + Times.WorkerLease.count();
     MaxDeadlineMs = std::max(MaxDeadlineMs, *Request.DeadlineMs);
@@ -147,11 +173,12 @@
   // have restarted while this process was paused.
   const bool IsSameProcess =
       Reachable && ListedAt && Time.now() - *ListedAt < MaxListAge;
-  Request.AckCursor = IsSameProcess ? AckedEnd : 0;
+  Request.AckCursor = IsSameProcess && !IsPlain ? AckedEnd : 0;
   SentCursor = Request.AckCursor;
   if (IsSameProcess && Synced && LastReportedEnd <= AckedEnd && Extend)
     Request.Wait = Times.HeartbeatWait;
   HeartbeatInFlight = true;
+  ++SentHeartbeats;
   HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
@@ -176,6 +203,12 @@
   }
   if (endIfFenced(Result.Outcome))
     return;
+  // Idle connections also close. If the process has ended, the next one must
+  // not get the deadline and the acknowledgement.
+  if (Result.ConnectionClosed && (Extended || SentCursor > 0)) {
+    sendHeartbeat(true);
+    return;
+  }
   if (Result.Outcome != WorkerOutcome::Done || RestartResolvedBy) {
     markUnreachable(Result.Outcome);
     NextHeartbeat = Now + UnreachableRetryDelay;
@@ -196,6 +229,7 @@
               {{"token", std::to_string(Worker.Token)},
                {"running", std::to_string(Result.Running.size())}});
   ExpiryReported = false;
+  ExpiryIsPartial = false;
   UnansweredCalls = 0;
   if (!Reachable) {
     Reachable = true;
@@ -236,9 +270,12 @@
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
     UnlistedStarts.erase({End.Task, End.Run});
+    ConfirmedRuns.erase({End.Task, End.Run});
   }
-  for (const jobs::ActiveRun &Run : Result.Running)
+  for (const jobs::ActiveRun &Run : Result.Running) {
     UnlistedStarts.erase({Run.Task, Run.Run});
+    ConfirmedRuns[{Run.Task, Run.Run}] = SentHeartbeats;
+  }
   // A run in neither list may be an ended one that is not listed yet.
   if (!Result.MayHaveMoreEnded) {
     resolvePendingStarts(Result);
@@ -249,6 +286,7 @@
       Owner.Report(std::move(Report));
       return;
     }
+    std::ranges::move(takeUnlistedEnds(), std::back_inserter(Report.Ended));
   }
   if (Report.Ended.empty())
     return;
@@ -264,6 +302,7 @@
 // have been started by this session.
 void WorkerSession::expectListed(const HeartbeatResult &Result) {
   ExpectedRuns.clear();
+  ConfirmedRuns.clear();
   for (const auto &[Key, Pending] : PendingStarts)
     ExpectedRuns.insert(Key);
   for (const jobs::ActiveRun &Run : Result.Running)
@@ -293,6 +332,28 @@
     reportRefused(Key, jobs::StartRefusal::Expired);
 }
 
+// An acknowledgement that was meant for the former process makes the next one
+// drop its ends up to that number, also later ones. Must be called only after
+// complete lists: a run that the process had confirmed before they were asked
+// for, and that is in neither of them, has ended.
+std::vector<jobs::EndedRun> WorkerSession::takeUnlistedEnds() {
+  std::vector<jobs::EndedRun> Result;
+  for (const auto &[Key, Heartbeat] : ConfirmedRuns)
+    if (Heartbeat < SentHeartbeats)
+      Result.push_back({0, Key.first, Key.second, jobs::EndKind::Stopped, ""});
+  for (const jobs::EndedRun &End : Result) {
+    const RunKey Key{End.Task, End.Run};
+    ConfirmedRuns.erase(Key);
+    ExpectedRuns.erase(Key);
+    PendingStops.erase(Key);
+    Log.event("end of run not listed", End.Task,
+              {{"run", std::to_string(End.Run)},
+               {"worker", Worker.Incarnation.Id},
+               {"token", std::to_string(Worker.Token)}});
+  }
+  return Result;
+}
+
 void WorkerSession::markUnreachable(WorkerOutcome Outcome) {
   if (!Reachable)
     return;
@@ -338,7 +399,7 @@
 void WorkerSession::send(const RunKey &Key) {
   PendingStart &Pending = PendingStarts.at(Key);
   ++Pending.Sends;
-  UnlistedStarts.insert(Key);
+  UnlistedStarts[Key] = Time.now();
   Pending.InFlight = true;
   MaxDeadlineMs = std::max(MaxDeadlineMs, Pending.DeadlineMs);
   LastGrantAt = Time.now();
@@ -355,7 +416,10 @@
     return; // The outcome is already known from a list.
   PendingStart &Pending = Found->second;
   Pending.InFlight = false;
-  UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
+  if (Answer.Outcome == WorkerOutcome::NoAnswer) {
+    ++UnansweredCalls;
+    UnansweredStarts[Key] = Time.now();
+  }
   // If the first send got no response, a rejection of the second one can mean
   // that the run was started and has already ended. The lists will show the
   // outcome.
@@ -363,6 +427,9 @@
   switch (Answer.Outcome) {
   case WorkerOutcome::Done:
     PendingStarts.erase(Found);
+    if (isOwnClock(Answer))
+      UnlistedStarts.erase(Key);
+    ConfirmedRuns[Key] = SentHeartbeats;
     return;
   case WorkerOutcome::Fenced:
     endIfFenced(Answer.Outcome);
@@ -478,6 +545,18 @@
   return true;
 }
 
+void WorkerSession::stopFormerStarts() {
+  std::erase_if(UnansweredStarts, [this](const auto &Start) {
+    return Time.now() - Start.second >= Times.MaxCallDelay;
+  });
+  std::set<RunKey> Keys;
+  for (const auto *Starts : {&UnlistedStarts, &UnansweredStarts})
+    for (const auto &[Key, SentAt] : *Starts)
+      Keys.insert(Key);
+  for (const RunKey &Key : Keys)
+    stop({Worker.Incarnation, Key.first, Key.second});
+}
+
 // Orders name a worker by its id, so the next process may have carried out some
 // that were sent to the former one, or may still do so. Each of these is
 // stopped there, which also makes the worker refuse a start that comes later.
@@ -491,8 +570,7 @@
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
-    for (const RunKey &Key : UnlistedStarts)
-      stop({Worker.Incarnation, Key.first, Key.second});
+    stopFormerStarts();
   }
   const bool IsStopDue = IsFirst || Now >= NextStop;
   for (const jobs::ActiveRun &Run : Result.Running)
@@ -527,6 +605,9 @@
   if (Event == WorkerEvent::LeaseFrozen)
     Report.RemainingLeaseMs =
         std::max(leaseEnd() - Time.now(), Duration{0}).count();
+  if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
+    for (const auto &[Key, SentAt] : UnlistedStarts)
+      Report.Running.push_back({Key.first, Key.second, "", 0});
   Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
   if (LastAnswerAt)
     Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -75,7 +75,9 @@
   };
   using RunKey = std::pair<std::string, std::int64_t>;
 
-  void sendHeartbeat();
+  /// Sends a heartbeat; if \p IsPlain, without deadline, acknowledgement and
+  /// wait.
+  void sendHeartbeat(bool IsPlain = false);
   /// \p StopsAnswered tells whether no stop was pending when it was sent.
   void onHeartbeat(const HeartbeatResult &Result, bool Extended,
                    bool StopsAnswered);
@@ -83,8 +85,10 @@
   void expectListed(const HeartbeatResult &Result);
   const jobs::ActiveRun *unexpectedRun(const HeartbeatResult &Result) const;
   void resolvePendingStarts(const HeartbeatResult &Result);
+  std::vector<jobs::EndedRun> takeUnlistedEnds();
   void markUnreachable(WorkerOutcome Outcome);
   void freezeLeaseIfDue(TimePoint Now);
+  void stopFormerStarts();
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -99,8 +103,10 @@
   void updateClock(std::int64_t ClockMs);
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
+  bool isOwnClock(const WorkerAnswer &Answer) const;
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
+  void reportExpiryIfDue(TimePoint Now);
   void logLeaseEnd(std::string_view LogEvent) const;
 
   WorkerClient &Client;
@@ -120,6 +126,7 @@
   std::optional<TimePoint> LastGrantAt;
   int UnansweredCalls = 0;           ///< Since the last lists.
   TimePoint HeartbeatSentAt;         ///< Of the last heartbeat.
+  std::int64_t SentHeartbeats = 0;   ///< Number of all heartbeats.
   std::optional<TimePoint> ListedAt; ///< When its last lists were asked for.
   std::int64_t SentCursor = 0;       ///< Acknowledged by the last heartbeat.
   bool HasClock = false;
@@ -141,6 +148,8 @@
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
   bool ExpiryReported = false;
+  /// The runs of UnlistedStarts were left out of the reported expiry.
+  bool ExpiryIsPartial = false;
   bool Ended = false; ///< Fenced, or the worker process has ended.
   std::int64_t LastReportedEnd = 0; ///< Highest number of a reported ended run.
   /// Highest number of an ended run that the worker may drop.
@@ -148,9 +157,17 @@
   std::map<RunKey, PendingStart> PendingStarts;
   /// The runs that the lists may contain.
   std::set<RunKey> ExpectedRuns;
-  /// Runs whose start was sent and that no list has contained yet. If the
-  /// worker restarts, its next process may have carried out the order.
-  std::set<RunKey> UnlistedStarts;
+  /// Runs that the process has confirmed and whose end was not listed, with the
+  /// number of the last heartbeat that was sent before the confirmation.
+  std::map<RunKey, std::int64_t> ConfirmedRuns;
+  /// Runs whose start was sent and that this process has not confirmed yet, and
+  /// when it was sent last. If the worker restarts, its next process may have
+  /// carried out the order.
+  std::map<RunKey, TimePoint> UnlistedStarts;
+  /// Runs of which a start order got no answer, and when it was sent. The
+  /// worker may delay it, and its next process carry it out, whatever became of
+  /// others.
+  std::map<RunKey, TimePoint> UnansweredStarts;
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
   std::optional<TimePoint> RestartResolvedBy;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -50,6 +50,7 @@
                               std::function<void(HeartbeatResult)> Callback) {
           AckCursor = Request.AckCursor;
           Extends = Request.DeadlineMs.has_value();
+          Wait = Request.Wait;
           Heartbeat = std::move(Callback);
         });
     ON_CALL(Client, start)
@@ -83,6 +84,16 @@
     Session.pump();
   }
 
+  /// Ends the heartbeat that is in flight without an answer, as its connection
+  /// closed, before \p Age has passed.
+  void closeConnection(Duration Age = 100ms) {
+    Time.advanceTo(Time.now() + Age);
+    HeartbeatResult Result;
+    Result.ConnectionClosed = true;
+    std::exchange(Heartbeat, {})(Result);
+    Session.pump();
+  }
+
   void waitForHeartbeat() {
     for (int Step = 0; Step < 10 && !Heartbeat; ++Step) {
       Time.advanceTo(Time.now() + 50ms);
@@ -127,6 +138,7 @@
   std::function<void(HeartbeatResult)> Heartbeat;
   std::int64_t AckCursor = 0; ///< Of the last heartbeat.
   bool Extends = false;       ///< The last heartbeat extends the lease.
+  Duration Wait{0};           ///< Of the last heartbeat.
   std::function<void(WorkerAnswer)> StartAnswer;
   std::function<void(WorkerAnswer)> StopAnswer;
   std::vector<WorkerReport> Reports;
@@ -169,7 +181,7 @@
   StartAnswer({WorkerOutcome::Done, std::nullopt});
   answerHeartbeat({Run});
   answerHeartbeat({Run});
-  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Ended}));
 }
 
 TEST_F(WorkerSessionTest, DoesNotStartARunAfterItsPermissionRanOut) {
@@ -342,6 +354,67 @@
   EXPECT_EQ(AckCursor, 0);
 }
 
+// Guards against a healthy worker that counts as unreachable because an idle
+// connection was closed.
+TEST_F(WorkerSessionTest, AClosedConnectionDoesNotMakeAWorkerUnreachable) {
+  Session.pump();
+  answerHeartbeat({Run}, WorkerOutcome::Done, {endOf(1)});
+  Session.acknowledge(1);
+  Session.pump();
+  ASSERT_TRUE(Extends);
+  ASSERT_EQ(AckCursor, 1);
+  closeConnection();
+  ASSERT_TRUE(Heartbeat);
+  EXPECT_FALSE(Extends);
+  EXPECT_EQ(AckCursor, 0);
+  EXPECT_EQ(Wait, 0ms);
+  answerHeartbeat({Run}, WorkerOutcome::Done, {endOf(1)});
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  ASSERT_TRUE(Heartbeat);
+  EXPECT_TRUE(Extends);
+  EXPECT_EQ(AckCursor, 1);
+  EXPECT_EQ(Wait, Times.HeartbeatWait);
+}
+
+// Guards against a lease that lapses unnoticed before a heartbeat is repeated.
+TEST_F(WorkerSessionTest, ARepeatedHeartbeatShowsThatTheLeaseHasLapsed) {
+  synchronize({Run});
+  ASSERT_TRUE(Extends);
+  closeConnection(Times.WorkerLease + 500ms);
+  answerHeartbeat({});
+  ASSERT_EQ(Reports.size(), 3U);
+  EXPECT_EQ(Reports[1].Event, WorkerEvent::LeaseExpired);
+  EXPECT_EQ(Reports[2].Event, WorkerEvent::Synced);
+}
+
+// Guards against a worker that closes all connections and seems reachable.
+TEST_F(WorkerSessionTest, ASecondClosedConnectionMakesAWorkerUnreachable) {
+  synchronize({Run});
+  closeConnection();
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  closeConnection();
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+  EXPECT_FALSE(Heartbeat);
+}
+
+// Guards against a deadline and an acknowledgement that the next process of a
+// worker carries out.
+TEST_F(WorkerSessionTest, TheNextProcessGetsNoHeartbeatOfTheFormerOneTwice) {
+  Session.pump();
+  answerHeartbeat({Run}, WorkerOutcome::Done, {endOf(1)});
+  Session.acknowledge(1);
+  Session.pump();
+  closeConnection();
+  ASSERT_TRUE(Heartbeat);
+  EXPECT_FALSE(Extends);
+  EXPECT_EQ(AckCursor, 0);
+  answerRestarted({});
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::ProcessEnded}));
+}
+
 // Guards against ends that the next process of a worker forgets unread.
 TEST_F(WorkerSessionTest, AcknowledgesNothingAfterAPause) {
   synchronize({});
@@ -496,6 +569,63 @@
   EXPECT_TRUE(Refused.empty());
 }
 
+// Guards against a run that is taken to be at work for good, as an
+// acknowledgement for the former process made the worker drop its end.
+TEST_F(WorkerSessionTest, ReportsARunWhoseEndTheWorkerHasDropped) {
+  synchronize({{"other.0.0.0", 4, "", 0}});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::Done, std::nullopt});
+  answerHeartbeat({Run});
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports.back().Event, WorkerEvent::Ended);
+  ASSERT_EQ(Reports.back().Ended.size(), 1U);
+  EXPECT_EQ(Reports.back().Ended[0].Task, "other.0.0.0");
+  EXPECT_EQ(Reports.back().Ended[0].Run, 4);
+  EXPECT_EQ(Reports.back().Ended[0].Kind, jobs::EndKind::Stopped);
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1)});
+  ASSERT_EQ(Reports.size(), 3U);
+  ASSERT_EQ(Reports.back().Ended.size(), 2U);
+  EXPECT_EQ(Reports.back().Ended[1].Task, Start.Task);
+  EXPECT_EQ(Reports.back().Ended[1].Kind, jobs::EndKind::Stopped);
+  waitForHeartbeat();
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1)});
+  EXPECT_EQ(Reports.size(), 3U);
+}
+
+// Guards against a run that counts as ended because a list was read before its
+// start.
+TEST_F(WorkerSessionTest, AListFromBeforeAStartShowsNoEndOfItsRun) {
+  synchronize({});
+  Session.start(Start);
+  Time.advanceTo(Time.now() + 100ms);
+  StartAnswer({WorkerOutcome::Done, std::nullopt});
+  answerHeartbeat({});
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  answerHeartbeat({Run});
+  EXPECT_EQ(events(), std::vector{WorkerEvent::Synced});
+  answerHeartbeat({});
+  EXPECT_EQ(events(), (std::vector{WorkerEvent::Synced, WorkerEvent::Ended}));
+}
+
+// Guards against a success that is lost because its end is not listed yet.
+TEST_F(WorkerSessionTest, AnIncompleteListShowsNoEndOfARun) {
+  synchronize({Run});
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1), endOf(2)}, true);
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports.back().Ended.size(), 2U);
+  Session.acknowledge(2);
+  Session.pump();
+  answerHeartbeat({}, WorkerOutcome::Done,
+                  {{3, Run.Task, Run.Run, jobs::EndKind::Done, ""}});
+  ASSERT_EQ(Reports.size(), 3U);
+  ASSERT_EQ(Reports.back().Ended.size(), 1U);
+  EXPECT_EQ(Reports.back().Ended[0].Kind, jobs::EndKind::Done);
+  Session.acknowledge(3);
+  Session.pump();
+  answerHeartbeat({});
+  EXPECT_EQ(Reports.size(), 3U);
+}
+
 TEST_F(WorkerSessionTest, RepeatsAStopWithoutAnAnswer) {
   synchronize({Run});
   Session.stop(Stop);
