Compute the latest grant of a member in one place

Four places of the leader added MemberLease, WorkerLease and the clock margin, and removeMember() repeated assumeLeased() for another time of the last contact. Both have one function now. Behaviour is unchanged.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -385,8 +385,7 @@
   // Members of the previous leader may have extended worker leases until their
   // own lease expired, which was last renewed before the previous term ended.
   for (auto &[Id, Worker] : WorkerStates)
-    Worker.MaxLeaseEnd = TermStartedAt + Deps.Times.MemberLease +
-                         Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
+    Worker.MaxLeaseEnd = latestGrantFrom(TermStartedAt);
   for (const RosterEntry &Entry : Stored.Roster)
     restoreLeaseEnd(Entry);
   JobRows = Stored.JobRows;
@@ -606,8 +605,7 @@
     LastNewWorker = Deps.Time.now();
     // Another shard may have used the worker until now.
     if (Ownership && Ownership->lastTransfer(Id).Number > 0)
-      Worker.MaxLeaseEnd = LastNewWorker + Deps.Times.MemberLease +
-                           Deps.Times.WorkerLease + Deps.Times.ClockSkewMargin;
+      Worker.MaxLeaseEnd = latestGrantFrom(LastNewWorker);
     if (!mayHaveBeenCalled(Id))
       Worker.FormerLeaseEnd = LastNewWorker;
   }
@@ -715,15 +713,17 @@
   DecisionNeeded = true;
 }
 
+TimePoint Leader::latestGrantFrom(TimePoint LastContact) const {
+  return LastContact + Deps.Times.MemberLease + Deps.Times.WorkerLease +
+         Deps.Times.ClockSkewMargin;
+}
+
 // The last member may extend the lease until it gets the revocation, or for as
 // long as it may without an acknowledgement.
-void Leader::assumeLeased(WorkerState &Worker) const {
-  if (Worker.LeaseFrozen)
-    return;
-  Worker.MaxLeaseEnd =
-      std::max(Worker.MaxLeaseEnd, Deps.Time.now() + Deps.Times.MemberLease +
-                                       Deps.Times.WorkerLease +
-                                       Deps.Times.ClockSkewMargin);
+void Leader::assumeLeased(WorkerState &Worker, TimePoint LastContact) const {
+  if (!Worker.LeaseFrozen)
+    Worker.MaxLeaseEnd =
+        std::max(Worker.MaxLeaseEnd, latestGrantFrom(LastContact));
 }
 
 // A message that has both an assignment and a revocation of a worker would not
@@ -820,7 +820,7 @@
     Deps.Log.event("member leaving", From.Info.Name, {});
     const std::set<std::string> Workers = From.Workers;
     for (const std::string &Id : Workers) {
-      assumeLeased(WorkerStates.at(Id));
+      assumeLeased(WorkerStates.at(Id), Deps.Time.now());
       Scheduler.markUnsynced(WorkerStates.at(Id).Info.Incarnation);
       releaseFromMember(Id);
     }
@@ -919,7 +919,7 @@
   case WorkerEvent::Fenced:
     // The cause is an order of a later term or a delayed call of an earlier
     // session of this term. A new token resolves both cases.
-    assumeLeased(Worker);
+    assumeLeased(Worker, Deps.Time.now());
     Scheduler.markUnsynced(Report.Incarnation);
     From.Workers.erase(Report.Incarnation.Id);
     Worker.Member.clear();
@@ -1222,11 +1222,7 @@
   for (const std::string &Id : Found->second.Workers) {
     WorkerState &Worker = WorkerStates.at(Id);
     Worker.Member.clear();
-    if (!Worker.LeaseFrozen)
-      Worker.MaxLeaseEnd =
-          std::max(Worker.MaxLeaseEnd, LastReceived + Deps.Times.MemberLease +
-                                           Deps.Times.WorkerLease +
-                                           Deps.Times.ClockSkewMargin);
+    assumeLeased(Worker, LastReceived);
     Scheduler.markUnsynced(Worker.Info.Incarnation);
   }
   Members.erase(Found);
@@ -1290,7 +1286,7 @@
   }
   if (!Chosen)
     return false;
-  assumeLeased(*Chosen);
+  assumeLeased(*Chosen, Deps.Time.now());
   Scheduler.markUnsynced(Chosen->Info.Incarnation);
   releaseFromMember(Chosen->Info.Incarnation.Id);
   return true;
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -238,7 +238,10 @@
   void removeMember(const std::string &Name);
   static void withdrawAssignment(LeaderMessage &Message,
                                  const jobs::WorkerIncarnation &Worker);
-  void assumeLeased(WorkerState &Worker) const;
+  /// Latest end of a lease that a member may extend without its leader, if they
+  /// were last in contact at \p LastContact.
+  TimePoint latestGrantFrom(TimePoint LastContact) const;
+  void assumeLeased(WorkerState &Worker, TimePoint LastContact) const;
   void releaseFromMember(const std::string &Worker);
   void assignWorkers();
   MemberState *selectSupervisor(const WorkerState &Worker);
