Forget old unanswered starts while a session goes on

UnansweredStarts was pruned only when the worker restarted, so a long session kept an entry for each start that ever got no answer. It is now pruned at each addition as well; entries that are old enough to be dropped were never used. The end of the longest lease is computed in one place.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -79,13 +79,15 @@
   LastClockAt = Time.now();
 }
 
+TimePoint WorkerSession::longestLeaseFrom(TimePoint Start) const {
+  return Start + Times.onWorkerClock(Times.MaxWorkerLease) + ExpiryMargin;
+}
+
 // Until it answers a call with the token of this session, the worker carries
 // out calls to a former process, whose deadlines it shortens to the longest
 // lease.
 void WorkerSession::assumeFormerCalls() {
-  AssumedLeaseEnd = std::max(
-      AssumedLeaseEnd,
-      Time.now() + Times.onWorkerClock(Times.MaxWorkerLease) + ExpiryMargin);
+  AssumedLeaseEnd = std::max(AssumedLeaseEnd, longestLeaseFrom(Time.now()));
 }
 
 TimePoint WorkerSession::leaseEnd() const {
@@ -122,8 +124,7 @@
   if (RestartResolvedBy || Reachable || !IsDue || Now < leaseEnd())
     return;
   std::erase_if(UnlistedStarts, [&](const auto &Start) {
-    return Now >= Start.second + Times.StartTransit +
-                      Times.onWorkerClock(Times.MaxWorkerLease) + ExpiryMargin;
+    return Now >= longestLeaseFrom(Start.second + Times.StartTransit);
   });
   if (ExpiryIsPartial && !UnlistedStarts.empty())
     return;
@@ -418,6 +419,7 @@
   Pending.InFlight = false;
   if (Answer.Outcome == WorkerOutcome::NoAnswer) {
     ++UnansweredCalls;
+    forgetOldStarts();
     UnansweredStarts[Key] = Time.now();
   }
   // If the first send got no response, a rejection of the second one can mean
@@ -545,10 +547,14 @@
   return true;
 }
 
-void WorkerSession::stopFormerStarts() {
+void WorkerSession::forgetOldStarts() {
   std::erase_if(UnansweredStarts, [this](const auto &Start) {
     return Time.now() - Start.second >= Times.MaxCallDelay;
   });
+}
+
+void WorkerSession::stopFormerStarts() {
+  forgetOldStarts();
   std::set<RunKey> Keys;
   for (const auto *Starts : {&UnlistedStarts, &UnansweredStarts})
     for (const auto &[Key, SentAt] : *Starts)
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -88,6 +88,7 @@
   std::vector<jobs::EndedRun> takeUnlistedEnds();
   void markUnreachable(WorkerOutcome Outcome);
   void freezeLeaseIfDue(TimePoint Now);
+  void forgetOldStarts();
   void stopFormerStarts();
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
@@ -101,6 +102,7 @@
            std::vector<jobs::EndedRun> EndedRuns = {});
   void report(WorkerEvent Event, std::vector<jobs::EndedRun> EndedRuns = {});
   void updateClock(std::int64_t ClockMs);
+  TimePoint longestLeaseFrom(TimePoint Start) const;
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool isOwnClock(const WorkerAnswer &Answer) const;
