Keep the ends of faults of the soaks in one class

Four soaks had the same list of pending ends and the same loop over it. FaultEnds in tests/emulator serves all of them; draws and order are as before, and no check changes.

--- a/tests/cell/cancelsoak_test.cpp
+++ b/tests/cell/cancelsoak_test.cpp
@@ -2,6 +2,7 @@
 /// Cells with tasks of minutes whose jobs are cancelled amid series of faults.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/faultends.h"
 #include "emulator/runmonitor.h"
 #include "emulator/soakseeds.h"
 
@@ -116,7 +117,7 @@
   void playFaults(Duration Length) {
     const TimePoint Until = Cell.time().now() + Length;
     while (Cell.time().now() < Until) {
-      endDueFaults();
+      Ends.endDue(Cell.time().now());
       if (happens(double(Step.count()) / double(FaultInterval.count())))
         begin(Fault(between(0, FaultKinds - 1)));
       playCallers();
@@ -171,18 +172,7 @@
   }
 
   void endLater(std::function<void()> End) {
-    Ends.emplace_back(Cell.time().now() + Duration(between(200, 6000)),
-                      std::move(End));
-  }
-
-  void endDueFaults() {
-    std::vector<std::pair<TimePoint, std::function<void()>>> Open;
-    for (const auto &[At, End] : std::exchange(Ends, {}))
-      if (At <= Cell.time().now())
-        End();
-      else
-        Open.emplace_back(At, End);
-    Ends = std::move(Open);
+    Ends.add(Cell.time().now() + Duration(between(200, 6000)), std::move(End));
   }
 
   void endFaults() {
@@ -322,7 +312,7 @@
   std::vector<LongJob> LongJobs;
   std::vector<std::string> ShortIds;
   /// Ends of the faults that have begun.
-  std::vector<std::pair<TimePoint, std::function<void()>>> Ends;
+  FaultEnds Ends;
 };
 
 /// Plays the seeds 1 to \p LastSeed, or those of APRICOTWING_SOAK_SEEDS.
--- a/tests/cell/policyorder_test.cpp
+++ b/tests/cell/policyorder_test.cpp
@@ -2,6 +2,7 @@
 /// Calls at one instance while queues and keys are replaced amid faults.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/faultends.h"
 #include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
@@ -66,7 +67,7 @@
     Cell.run(3s);
     const TimePoint Until = now() + 40s;
     while (now() < Until) {
-      endDueFaults();
+      Ends.endDue(now());
       if (happens(FaultInterval))
         begin(Fault(between(0, FaultKinds - 1)));
       if (happens(ChangeInterval))
@@ -216,17 +217,7 @@
   }
 
   void endLater(std::function<void()> End) {
-    Ends.emplace_back(now() + Duration(between(200, 6000)), std::move(End));
-  }
-
-  void endDueFaults() {
-    std::vector<std::pair<TimePoint, std::function<void()>>> Open;
-    for (auto &[At, End] : std::exchange(Ends, {}))
-      if (At <= now())
-        End();
-      else
-        Open.emplace_back(At, std::move(End));
-    Ends = std::move(Open);
+    Ends.add(now() + Duration(between(200, 6000)), std::move(End));
   }
 
   void killFor(const std::string &Name) {
@@ -289,7 +280,7 @@
   int LastJob = 0;
   int Shown = 0;
   std::map<std::string, int> Starts; ///< Number of kills, by instance.
-  std::vector<std::pair<TimePoint, std::function<void()>>> Ends;
+  FaultEnds Ends;
   std::vector<std::shared_ptr<Call>> Calls;
   std::vector<std::string> Violations;
 };
--- a/tests/cell/policysoak_test.cpp
+++ b/tests/cell/policysoak_test.cpp
@@ -2,6 +2,7 @@
 /// Calls while queues are added and removed amid series of faults.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/faultends.h"
 #include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
@@ -60,7 +61,7 @@
       BaseQueues.push_back(Queue);
     const TimePoint Until = now() + 40s;
     while (now() < Until) {
-      endDueFaults();
+      Ends.endDue(now());
       if (happens(FaultInterval))
         begin(Fault(between(0, FaultKinds - 1)));
       if (happens(ChangeInterval))
@@ -208,17 +209,7 @@
   }
 
   void endLater(std::function<void()> End) {
-    Ends.emplace_back(now() + Duration(between(200, 6000)), std::move(End));
-  }
-
-  void endDueFaults() {
-    std::vector<std::pair<TimePoint, std::function<void()>>> Open;
-    for (auto &[At, End] : std::exchange(Ends, {}))
-      if (At <= now())
-        End();
-      else
-        Open.emplace_back(At, std::move(End));
-    Ends = std::move(Open);
+    Ends.add(now() + Duration(between(200, 6000)), std::move(End));
   }
 
   void killFor(const std::string &Name) {
@@ -311,7 +302,7 @@
   std::vector<std::pair<TimePoint, bool>> Changes[ChangingQueues];
   /// When an instance last got the store back.
   std::map<std::string, TimePoint> NoStoreUntil;
-  std::vector<std::pair<TimePoint, std::function<void()>>> Ends;
+  FaultEnds Ends;
   std::vector<std::shared_ptr<Call>> Calls;
   std::vector<std::string> Violations;
 };
--- a/tests/cell/standstillsoak_test.cpp
+++ b/tests/cell/standstillsoak_test.cpp
@@ -3,6 +3,7 @@
 /// still although there is room for it.
 /// APRICOTWING_SOAK_SEEDS=FIRST-LAST selects the seeds of a longer run.
 #include "emulator/emulatedcell.h"
+#include "emulator/faultends.h"
 #include "emulator/soakseeds.h"
 
 #include <gtest/gtest.h>
@@ -54,7 +55,7 @@
     Cell.run(3s);
     const TimePoint FaultsEnd = Cell.time().now() + 25s;
     while (Cell.time().now() < FaultsEnd) {
-      endDueFaults();
+      Ends.endDue(Cell.time().now());
       if (happens(double(Step.count()) / double(FaultInterval.count())))
         begin(Fault(between(0, FaultKinds - 1)));
       if (happens(0.08))
@@ -232,18 +233,7 @@
   }
 
   void endLater(std::function<void()> End) {
-    Ends.emplace_back(Cell.time().now() + Duration(between(200, 6000)),
-                      std::move(End));
-  }
-
-  void endDueFaults() {
-    std::vector<std::pair<TimePoint, std::function<void()>>> Open;
-    for (const auto &[At, End] : std::exchange(Ends, {}))
-      if (At <= Cell.time().now())
-        End();
-      else
-        Open.emplace_back(At, End);
-    Ends = std::move(Open);
+    Ends.add(Cell.time().now() + Duration(between(200, 6000)), std::move(End));
   }
 
   void begin(Fault Kind) {
@@ -336,7 +326,7 @@
   const bool HasCrashingJobs;
   Duration FaultInterval{1000};
   /// Ends of the faults that have begun.
-  std::vector<std::pair<TimePoint, std::function<void()>>> Ends;
+  FaultEnds Ends;
   std::map<std::string, TimePoint> StillSince; ///< By job id.
   std::set<std::string> Reported;
   std::vector<std::string> Violations;
