Wait for late starts on the next process of a worker

A session that has read a later start in an answer of its worker stops there what it has started. If no stop was answered for 10.2 s (the longest lease from that answer on), all runs were given up. But the next process keeps the token of the session until another one calls it, so a copy of a start that the worker holds back may begin there up to MaxCallDelay after it was sent, and a late heartbeat may extend its lease just as late. The task then ran twice.

Now the session ends when the longest lease after the last moment at which one of its own calls can act has passed. Price: at 10.2 s all runs but those that the next process may have (listed there, or with a start that it hasn't confirmed or that a copy of got no answer) are reported as over, as before; only these wait longer, at most 15 s, and only if the next process has answered one call and no stop since. After a plain crash and restart nothing waits: the stops are answered at once.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -145,6 +145,7 @@
     end(WorkerEvent::ProcessEnded, "worker process ended");
     return;
   }
+  reportFormerRunsIfDue(Now);
   freezeLeaseIfDue(Now);
   reportExpiryIfDue(Now);
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
@@ -560,7 +561,20 @@
     for (const auto &[Key, SentAt] : *Starts)
       Keys.insert(Key);
   for (const RunKey &Key : Keys)
-    stop({Worker.Incarnation, Key.first, Key.second});
+    stopOnNextProcess(Key);
+}
+
+void WorkerSession::stopOnNextProcess(const RunKey &Key) {
+  NextProcessRuns.insert(Key);
+  stop({Worker.Incarnation, Key.first, Key.second});
+}
+
+// The next process can't have the other runs, whatever it still carries out.
+void WorkerSession::reportFormerRunsIfDue(TimePoint Now) {
+  if (!FormerRunsDue || Now < *FormerRunsDue)
+    return;
+  FormerRunsDue.reset();
+  report(WorkerEvent::LeaseExpired);
 }
 
 // Orders name a worker by its id, so the next process may have carried out some
@@ -572,7 +586,11 @@
   const bool IsFirst = NextStartUnixMs != Result.StartedUnixMs;
   NextStartUnixMs = Result.StartedUnixMs;
   if (IsFirst) {
-    RestartResolvedBy = Now + Times.onWorkerClock(Times.MaxWorkerLease);
+    // A late call of this session may begin a run, and extend the lease.
+    const TimePoint LastCallBy =
+        LastGrantAt ? std::max(Now, *LastGrantAt + Times.MaxCallDelay) : Now;
+    RestartResolvedBy = longestLeaseFrom(LastCallBy);
+    FormerRunsDue = longestLeaseFrom(Now);
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
@@ -581,7 +599,7 @@
   const bool IsStopDue = IsFirst || Now >= NextStop;
   for (const jobs::ActiveRun &Run : Result.Running)
     if (IsStopDue && !PendingStops.contains({Run.Task, Run.Run}))
-      stop({Worker.Incarnation, Run.Task, Run.Run});
+      stopOnNextProcess({Run.Task, Run.Run});
   // The lists tell the outcome if they were read after the stops.
   if (Result.Running.empty() && PendingStops.empty() &&
       (IsFirst || StopsAnswered)) {
@@ -611,7 +629,10 @@
   if (Event == WorkerEvent::LeaseFrozen)
     Report.RemainingLeaseMs =
         std::max(leaseEnd() - Time.now(), Duration{0}).count();
-  if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
+  if (Event == WorkerEvent::LeaseExpired && RestartResolvedBy)
+    for (const RunKey &Key : NextProcessRuns)
+      Report.Running.push_back({Key.first, Key.second, "", 0});
+  else if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
     for (const auto &[Key, SentAt] : UnlistedStarts)
       Report.Running.push_back({Key.first, Key.second, "", 0});
   Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -90,6 +90,8 @@
   void freezeLeaseIfDue(TimePoint Now);
   void forgetOldStarts();
   void stopFormerStarts();
+  void stopOnNextProcess(const RunKey &Key);
+  void reportFormerRunsIfDue(TimePoint Now);
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -173,6 +175,11 @@
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
   std::optional<TimePoint> RestartResolvedBy;
+  /// When all runs but those of NextProcessRuns are reported as over, if that
+  /// time is not known before.
+  std::optional<TimePoint> FormerRunsDue;
+  /// Runs that the next process has, or may have because of a late start.
+  std::set<RunKey> NextProcessRuns;
   /// Start time of the next process; 0: not known.
   std::int64_t NextStartUnixMs = 0;
   std::map<RunKey, jobs::StopCommand> PendingStops;
