Follow up a start that another process has answered

Traced: w9 crashes at 1055.870 and is back under its id at 1056.116 (s of virtual time). Starts that were sent meanwhile are transmitted again; the next process begins them and answers `done` at 1056.255 with its own clock. The session sees a foreign clock and does nothing: its heartbeat to the former process waits for an answer until 1056.666. At 1056.642 it sends two more starts, which run and end there. The worker is cut off at 1056.686, and a late heartbeat to the former process acknowledges their ends, unread. At 1063.268 they are given up and start elsewhere.

Now an answer to a start with a clock that can't be that of the supervised process makes the session send a heartbeat without deadline, acknowledgement and wait at once, beside the one that waits, whose answer then counts for nothing. Until an answer the session starts nothing. A slow answer is not taken for that of another process: its clock may be as old as the order.

AStartThatTheNextProcessAnswersShowsTheRestart fails without the change.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -184,8 +184,10 @@
   HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
-      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty()](
-                     const HeartbeatResult &Result) {
+      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty(),
+                  Number = SentHeartbeats](const HeartbeatResult &Result) {
+        if (Number != SentHeartbeats)
+          return; // checkClock() has sent a later one.
         HeartbeatInFlight = false;
         onHeartbeat(Result, Extend, StopsAnswered);
       }));
@@ -219,6 +221,7 @@
   if (FirstContact && !HasClock)
     assumeFormerCalls();
   updateClock(Result.ClockMs);
+  ProcessDoubted = false;
   // Runs that ended before an expiry of the lease do not count, so the owner
   // must be told of the expiry before it gets the list.
   if (!Extended && Synced && MaxDeadlineMs > 0 &&
@@ -387,7 +390,8 @@
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
   // The order may come late, or this process may have been paused.
-  const bool IsPermitted = Synced && !RestartResolvedBy && mayExtend();
+  const bool IsPermitted =
+      Synced && !RestartResolvedBy && !ProcessDoubted && mayExtend();
   if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
@@ -411,8 +415,32 @@
                }));
 }
 
+// A heartbeat that the former process had accepted gets its answer from the
+// next one late or never, so another one finds out at once.
+void WorkerSession::checkClock(const RunKey &Key, const WorkerAnswer &Answer) {
+  const auto Sent = UnlistedStarts.find(Key);
+  if (!Answer.ClockMs || Answer.Outcome == WorkerOutcome::OtherWorker ||
+      Sent == UnlistedStarts.end() || RestartResolvedBy || ProcessDoubted)
+    return;
+  // The answer may have taken all the time since the order was sent.
+  const std::int64_t MaxLag =
+      (Time.now() - Sent->second).count() + MaxClockError;
+  const std::int64_t Lag = estimatedClockMs() - *Answer.ClockMs;
+  if (Lag >= -MaxClockError && Lag <= MaxLag)
+    return;
+  Log.event("start answered by another process", Key.first,
+            {{"run", std::to_string(Key.second)},
+             {"worker", Worker.Incarnation.Id},
+             {"clock_ms", std::to_string(*Answer.ClockMs)},
+             {"expected_clock_ms", std::to_string(estimatedClockMs())}});
+  ProcessDoubted = true;
+  sendHeartbeat(true);
+}
+
 void WorkerSession::onStartAnswer(const RunKey &Key,
                                   const WorkerAnswer &Answer) {
+  if (!Ended)
+    checkClock(Key, Answer);
   const auto Found = PendingStarts.find(Key);
   if (Found == PendingStarts.end() || Ended)
     return; // The outcome is already known from a list.
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -108,6 +108,7 @@
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool isOwnClock(const WorkerAnswer &Answer) const;
+  void checkClock(const RunKey &Key, const WorkerAnswer &Answer);
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
   void reportExpiryIfDue(TimePoint Now);
@@ -151,6 +152,9 @@
   bool Reachable = true;
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
+  /// A start was answered with the clock of another process, and no heartbeat
+  /// since.
+  bool ProcessDoubted = false;
   bool ExpiryReported = false;
   /// The runs of UnlistedStarts were left out of the reported expiry.
   bool ExpiryIsPartial = false;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -323,6 +323,51 @@
   EXPECT_EQ(Reports.size(), 2U);
 }
 
+// Guards against runs that the next process begins and ends unseen while a
+// heartbeat to the former one waits for its answer.
+TEST_F(WorkerSessionTest, AStartThatTheNextProcessAnswersShowsTheRestart) {
+  Session.pump();
+  answerHeartbeat({}, WorkerOutcome::Done, {endOf(1)});
+  Session.acknowledge(1);
+  Session.pump();
+  const auto Waiting = std::exchange(Heartbeat, {});
+  Session.start(Start);
+  StartAnswer(
+      {WorkerOutcome::Done, Time.now().time_since_epoch().count() + 60'000});
+  ASSERT_TRUE(Heartbeat);
+  EXPECT_FALSE(Extends);
+  EXPECT_EQ(AckCursor, 0);
+  EXPECT_EQ(Wait, 0ms);
+  Session.start({Worker, "job.0.0.1", 1, "", "", ""});
+  EXPECT_EQ(Refused.size(), 1U);
+  answerRestarted({Run});
+  EXPECT_TRUE(StopAnswer);
+  Waiting({});
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable}));
+}
+
+// Guards against starts that are refused for good after a clock was in doubt.
+TEST_F(WorkerSessionTest, StartsAgainOnceTheProcessHasAnswered) {
+  synchronize({});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::Done, 0});
+  answerHeartbeat({Run});
+  Session.start({Worker, "job.0.0.1", 1, "", "", ""});
+  EXPECT_TRUE(Refused.empty());
+}
+
+// Guards against needless heartbeats to a worker whose answers are slow.
+TEST_F(WorkerSessionTest, ASlowAnswerIsNotTakenForThatOfTheNextProcess) {
+  synchronize({});
+  Heartbeat = {};
+  Session.start(Start);
+  const std::int64_t ClockMs = Time.now().time_since_epoch().count();
+  Time.advanceTo(Time.now() + 450ms);
+  StartAnswer({WorkerOutcome::Done, ClockMs});
+  EXPECT_FALSE(Heartbeat);
+}
+
 // Guards against a session that never ends because the next process is gone.
 TEST_F(WorkerSessionTest, EndsOnceTheLeasesOfTheNextProcessHaveEnded) {
   synchronize({});
