--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -145,6 +145,7 @@
     end(WorkerEvent::ProcessEnded, "worker process ended");
     return;
   }
+  reportFormerRunsIfDue(Now);
   freezeLeaseIfDue(Now);
   reportExpiryIfDue(Now);
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
@@ -183,8 +184,10 @@
   HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
-      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty()](
-                     const HeartbeatResult &Result) {
+      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty(),
+                  Number = SentHeartbeats](const HeartbeatResult &Result) {
+        if (Number != SentHeartbeats)
+          return; // checkClock() has sent a later one.
         HeartbeatInFlight = false;
         onHeartbeat(Result, Extend, StopsAnswered);
       }));
@@ -218,6 +221,7 @@
   if (FirstContact && !HasClock)
     assumeFormerCalls();
   updateClock(Result.ClockMs);
+  ProcessDoubted = false;
   // Runs that ended before an expiry of the lease do not count, so the owner
   // must be told of the expiry before it gets the list.
   if (!Extended && Synced && MaxDeadlineMs > 0 &&
@@ -386,7 +390,8 @@
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
   // The order may come late, or this process may have been paused.
-  const bool IsPermitted = Synced && !RestartResolvedBy && mayExtend();
+  const bool IsPermitted =
+      Synced && !RestartResolvedBy && !ProcessDoubted && mayExtend();
   if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
@@ -410,8 +415,32 @@
                }));
 }
 
+// A heartbeat that the former process had accepted gets its answer from the
+// next one late or never, so another one finds out at once.
+void WorkerSession::checkClock(const RunKey &Key, const WorkerAnswer &Answer) {
+  const auto Sent = UnlistedStarts.find(Key);
+  if (!Answer.ClockMs || Answer.Outcome == WorkerOutcome::OtherWorker ||
+      Sent == UnlistedStarts.end() || RestartResolvedBy || ProcessDoubted)
+    return;
+  // The answer may have taken all the time since the order was sent.
+  const std::int64_t MaxLag =
+      (Time.now() - Sent->second).count() + MaxClockError;
+  const std::int64_t Lag = estimatedClockMs() - *Answer.ClockMs;
+  if (Lag >= -MaxClockError && Lag <= MaxLag)
+    return;
+  Log.event("start answered by another process", Key.first,
+            {{"run", std::to_string(Key.second)},
+             {"worker", Worker.Incarnation.Id},
+             {"clock_ms", std::to_string(*Answer.ClockMs)},
+             {"expected_clock_ms", std::to_string(estimatedClockMs())}});
+  ProcessDoubted = true;
+  sendHeartbeat(true);
+}
+
 void WorkerSession::onStartAnswer(const RunKey &Key,
                                   const WorkerAnswer &Answer) {
+  if (!Ended)
+    checkClock(Key, Answer);
   const auto Found = PendingStarts.find(Key);
   if (Found == PendingStarts.end() || Ended)
     return; // The outcome is already known from a list.
@@ -560,7 +589,20 @@
     for (const auto &[Key, SentAt] : *Starts)
       Keys.insert(Key);
   for (const RunKey &Key : Keys)
-    stop({Worker.Incarnation, Key.first, Key.second});
+    stopOnNextProcess(Key);
+}
+
+void WorkerSession::stopOnNextProcess(const RunKey &Key) {
+  NextProcessRuns.insert(Key);
+  stop({Worker.Incarnation, Key.first, Key.second});
+}
+
+// The next process can't have the other runs, whatever it still carries out.
+void WorkerSession::reportFormerRunsIfDue(TimePoint Now) {
+  if (!FormerRunsDue || Now < *FormerRunsDue)
+    return;
+  FormerRunsDue.reset();
+  report(WorkerEvent::LeaseExpired);
 }
 
 // Orders name a worker by its id, so the next process may have carried out some
@@ -572,7 +614,11 @@
   const bool IsFirst = NextStartUnixMs != Result.StartedUnixMs;
   NextStartUnixMs = Result.StartedUnixMs;
   if (IsFirst) {
-    RestartResolvedBy = Now + Times.onWorkerClock(Times.MaxWorkerLease);
+    // A late call of this session may begin a run, and extend the lease.
+    const TimePoint LastCallBy =
+        LastGrantAt ? std::max(Now, *LastGrantAt + Times.MaxCallDelay) : Now;
+    RestartResolvedBy = longestLeaseFrom(LastCallBy);
+    FormerRunsDue = longestLeaseFrom(Now);
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
@@ -581,7 +627,7 @@
   const bool IsStopDue = IsFirst || Now >= NextStop;
   for (const jobs::ActiveRun &Run : Result.Running)
     if (IsStopDue && !PendingStops.contains({Run.Task, Run.Run}))
-      stop({Worker.Incarnation, Run.Task, Run.Run});
+      stopOnNextProcess({Run.Task, Run.Run});
   // The lists tell the outcome if they were read after the stops.
   if (Result.Running.empty() && PendingStops.empty() &&
       (IsFirst || StopsAnswered)) {
@@ -611,7 +657,10 @@
   if (Event == WorkerEvent::LeaseFrozen)
     Report.RemainingLeaseMs =
         std::max(leaseEnd() - Time.now(), Duration{0}).count();
-  if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
+  if (Event == WorkerEvent::LeaseExpired && RestartResolvedBy)
+    for (const RunKey &Key : NextProcessRuns)
+      Report.Running.push_back({Key.first, Key.second, "", 0});
+  else if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
     for (const auto &[Key, SentAt] : UnlistedStarts)
       Report.Running.push_back({Key.first, Key.second, "", 0});
   Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -90,6 +90,8 @@
   void freezeLeaseIfDue(TimePoint Now);
   void forgetOldStarts();
   void stopFormerStarts();
+  void stopOnNextProcess(const RunKey &Key);
+  void reportFormerRunsIfDue(TimePoint Now);
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -106,6 +108,7 @@
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool isOwnClock(const WorkerAnswer &Answer) const;
+  void checkClock(const RunKey &Key, const WorkerAnswer &Answer);
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
   void reportExpiryIfDue(TimePoint Now);
@@ -149,6 +152,9 @@
   bool Reachable = true;
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
+  /// A start was answered with the clock of another process, and no heartbeat
+  /// since.
+  bool ProcessDoubted = false;
   bool ExpiryReported = false;
   /// The runs of UnlistedStarts were left out of the reported expiry.
   bool ExpiryIsPartial = false;
@@ -173,6 +179,11 @@
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
   std::optional<TimePoint> RestartResolvedBy;
+  /// When all runs but those of NextProcessRuns are reported as over, if that
+  /// time is not known before.
+  std::optional<TimePoint> FormerRunsDue;
+  /// Runs that the next process has, or may have because of a late start.
+  std::set<RunKey> NextProcessRuns;
   /// Start time of the next process; 0: not known.
   std::int64_t NextStartUnixMs = 0;
   std::map<RunKey, jobs::StopCommand> PendingStops;
