--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -32,6 +32,7 @@
   Entries(const Entries &) = delete;
   Entries &operator=(const Entries &) = delete;
 
+  /// No effect if the process is up.
   void start(int Index);
   /// Waits until all are ready; false if they are not within 20 s.
   bool awaitReady();
--- a/tests/soak/http.cpp
+++ b/tests/soak/http.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <cstdlib>
 #include <stdexcept>
@@ -100,6 +101,12 @@
   return decode(All.substr(Value, All.find('&', Value) - Value));
 }
 
+bool Request::isReset() const {
+  char Next = 0;
+  return recv(Connection, &Next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         errno == ECONNRESET;
+}
+
 Server::Server(const std::string &Ip, int Port, Handler Serve)
     : Serve(std::move(Serve)) {
   ListenFd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -136,6 +143,7 @@
   std::string Buffer;
   while (!Closed) {
     Request Incoming;
+    Incoming.Connection = Fd;
     std::string Line;
     if (!readMessage(Fd, Buffer, Line, Incoming.Headers, Incoming.Body))
       break;
--- a/tests/soak/http.h
+++ b/tests/soak/http.h
@@ -17,6 +17,10 @@
 struct Request {
   std::string Method, Path, Query, Body;
   std::map<std::string, std::string> Headers;
+  int Connection = -1; ///< Open while the request is being served.
+  /// Whether the caller has reset the connection. One that was closed in the
+  /// usual way, or by a caller that gave up, has not been.
+  bool isReset() const;
   std::string query(const std::string &Name) const;
 };
 
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
+#include <ctime>
 
 namespace apricotwing::soak {
 
@@ -61,6 +63,18 @@
       .count();
 }
 
+std::string isoTime(std::int64_t UnixMs) {
+  const std::time_t Seconds = UnixMs / 1000;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  char Stamp[32];
+  const std::size_t Length =
+      std::strftime(Stamp, sizeof Stamp, "%Y-%m-%dT%H:%M:%S", &Parts);
+  std::snprintf(Stamp + Length, sizeof Stamp - Length, ".%03d",
+                int(UnixMs % 1000));
+  return Stamp;
+}
+
 void sleepMs(std::int64_t Milliseconds) {
   std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
 }
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -21,6 +21,8 @@
 /// Milliseconds of the steady clock since the first call.
 std::int64_t nowMs();
 std::int64_t unixMs();
+/// As in the logs of the entries, without the zone.
+std::string isoTime(std::int64_t UnixMs);
 void sleepMs(std::int64_t Milliseconds);
 
 /// Tables of rows with transactions and feeds. Each caller has an address of
--- a/tests/soak/workload.h
+++ b/tests/soak/workload.h
@@ -17,6 +17,10 @@
 /// What an account may use, relative to an equal share of all workers.
 inline constexpr double CapOfShare = 1.9;
 
+/// Zone of a worker, from 0 on.
+inline constexpr int ZoneCount = 3;
+constexpr int zoneOf(int Worker) { return Worker * ZoneCount / WorkerCount; }
+
 /// A lognormal quantity with a mean, cut at its ends.
 struct Spread {
   double Mean, Sigma, Min, Max;
