Add restarts, cuts and late calls to the soak's faults

- recut: a third of the workers, of one zone or drawn, goes dark for 0.6 s and is cut off for 9 s from 2 s after its return; three rounds (--rounds).
While it lasts, tasks of every third job take 9 to 12.5 s.
- recut-kill: SIGKILL of the leader 0.6 s before each cut, too.
- recut-drawn: drawn shares, times, rounds, late calls and kills.
- late-orders: some workers carry out a share of the calls late.

Lists joined by + run side by side; a name that is unknown ends the program instead of being passed over.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -5,6 +5,7 @@
 /// if nothing was found, 1 if something was, 2 if the deployment did not start.
 #include "soak/entrylogs.h"
 #include "soak/platform.h"
+#include "soak/restartseries.h"
 
 #include <boost/program_options.hpp>
 
@@ -30,6 +31,7 @@
 constexpr int ClientThreads = 32;
 constexpr int MaxSubmissions = 4;
 constexpr std::int64_t GraceMs = 6000;
+constexpr std::int64_t MsOfLongTasksBefore = 4000;
 
 struct Options {
   std::string Program, Folder, Faults = "none";
@@ -39,6 +41,7 @@
   int QuietSeconds = 28;  ///< At most, after the traffic.
   double Load = 1;
   bool Throttle = false;
+  int Rounds = 3; ///< Of restarts and cuts.
   bool OnlyStarts = false;
 };
 
@@ -85,6 +88,7 @@
   void submit(const JobPlan &Plan, std::mt19937_64 &Draw);
   std::string readState(const std::string &Id);
 
+  void planFaults();
   void playFaults();
   void crashSeries(std::mt19937_64 &);
   void crashLong(std::mt19937_64 &);
@@ -97,6 +101,11 @@
   void cutStore(std::mt19937_64 &);
   void cutLeader(std::mt19937_64 &);
   void freezeLeader(std::mt19937_64 &);
+  void recut(std::mt19937_64 &);
+  void recutAndKill(std::mt19937_64 &);
+  void recutDrawn(std::mt19937_64 &);
+  void playSeries(const RestartSeries &Series, bool KillsLeader);
+  void delayCalls(std::mt19937_64 &);
   void rollEntries(std::mt19937_64 &);
   void changePolicies(std::mt19937_64 &);
   void slowAdvice(std::mt19937_64 &);
@@ -114,6 +123,8 @@
   Store Registry;
   Platform Site;
   Entries Instances;
+  /// Faults that are played one after the other; the lists side by side.
+  std::vector<std::vector<Fault>> Lanes;
   int PolicyVersion = 0;
   std::int64_t TrafficStart = 0;
   std::int64_t CheckFrom = 0; ///< From here on a standstill is a finding.
@@ -121,7 +132,8 @@
   std::condition_variable Arrived;
   std::deque<JobPlan> Queue;
   bool TrafficEnded = false;
-  std::map<int, int> Statuses; ///< Of submissions, by HTTP status.
+  std::atomic<int> LongTasks = 0; ///< Faults that make tasks long.
+  std::map<int, int> Statuses;    ///< Of submissions, by HTTP status.
 };
 
 std::vector<int> Soak::someWorkers(std::mt19937_64 &Draw, double Share) {
@@ -151,6 +163,8 @@
     while (Pick > Kind->JobsPerSecond && Kind != &QueueKinds.back())
       Pick -= Kind++->JobsPerSecond;
     JobPlan Plan = drawJob(Draw, *Kind, ++Number);
+    if (LongTasks > 0 && Number % 3 == 0)
+      lengthen(Plan, Draw);
     sleepMs(
         std::max<std::int64_t>(0, TrafficStart + std::int64_t(Next) - nowMs()));
     Site.addJob(Plan);
@@ -340,6 +354,47 @@
   Instances.freeze(Index, false);
 }
 
+void Soak::recut(std::mt19937_64 &Draw) {
+  playSeries(RestartSeries::ofAThird(Draw, Chosen.Rounds), false);
+}
+
+void Soak::recutAndKill(std::mt19937_64 &Draw) {
+  playSeries(RestartSeries::ofAThird(Draw, Chosen.Rounds), true);
+}
+
+void Soak::recutDrawn(std::mt19937_64 &Draw) {
+  const RestartSeries Series = RestartSeries::drawn(Draw);
+  playSeries(Series, std::bernoulli_distribution(0.5)(Draw));
+}
+
+// Tasks outlast the lease while it lasts, so that a cut hits them at work.
+void Soak::playSeries(const RestartSeries &Series, bool KillsLeader) {
+  note(Series.describe());
+  ++LongTasks;
+  sleepMs(MsOfLongTasksBefore);
+  std::vector<std::thread> Restarts;
+  Series.play(Site, [&] {
+    if (KillsLeader)
+      Restarts.emplace_back([this] { killLeader(Random); });
+  });
+  --LongTasks;
+  for (std::thread &Restart : Restarts)
+    Restart.join();
+}
+
+void Soak::delayCalls(std::mt19937_64 &Draw) {
+  const std::vector<int> Hit =
+      someWorkers(Draw, std::uniform_real_distribution<double>(0.1, 0.5)(Draw));
+  const double Share = std::uniform_real_distribution<double>(0.1, 0.6)(Draw);
+  note(std::to_string(Hit.size()) + " workers carry out " +
+       std::to_string(int(100 * Share)) + "% of the calls late for 8 s");
+  for (const int Index : Hit)
+    Site.setLateCalls(Index, Share);
+  sleepMs(8000);
+  for (const int Index : Hit)
+    Site.setLateCalls(Index, 0);
+}
+
 void Soak::rollEntries(std::mt19937_64 &Draw) {
   const int First = int(Draw() % EntryCount);
   for (int Count = 0; Count < 4; ++Count) {
@@ -395,7 +450,7 @@
   setAllAdvice(AdviceMode::Sound);
 }
 
-void Soak::playFaults() {
+void Soak::planFaults() {
   const std::map<std::string, Fault> Known{
       {"crash-series", &Soak::crashSeries},
       {"crash-long", &Soak::crashLong},
@@ -408,6 +463,10 @@
       {"cut-store", &Soak::cutStore},
       {"cut-leader", &Soak::cutLeader},
       {"freeze-leader", &Soak::freezeLeader},
+      {"recut", &Soak::recut},
+      {"recut-kill", &Soak::recutAndKill},
+      {"recut-drawn", &Soak::recutDrawn},
+      {"late-orders", &Soak::delayCalls},
       {"roll", &Soak::rollEntries},
       {"policies", &Soak::changePolicies},
       {"advice-slow", &Soak::slowAdvice},
@@ -415,25 +474,40 @@
       {"advice-errors-zone", &Soak::failAdviceOfZone},
       {"advice-silent", &Soak::silentAdvice}};
   std::mt19937_64 Draw(Chosen.Seed * 104'729 + 3);
-  std::vector<Fault> Plan;
-  std::istringstream Names(Chosen.Faults);
-  for (std::string Name; std::getline(Names, Name, ',');) {
-    if (Name == "mix") {
-      for (int Count = 0; Count < 4; ++Count)
-        Plan.push_back(
-            std::next(Known.begin(), std::ptrdiff_t(Draw() % Known.size()))
-                ->second);
-    } else if (Known.contains(Name)) {
-      Plan.push_back(Known.at(Name));
+  std::istringstream Lists(Chosen.Faults);
+  for (std::string List; std::getline(Lists, List, '+');) {
+    std::vector<Fault> &Lane = Lanes.emplace_back();
+    std::istringstream Names(List);
+    for (std::string Name; std::getline(Names, Name, ',');) {
+      if (Name == "mix") {
+        for (int Count = 0; Count < 4; ++Count)
+          Lane.push_back(
+              std::next(Known.begin(), std::ptrdiff_t(Draw() % Known.size()))
+                  ->second);
+      } else if (Known.contains(Name)) {
+        Lane.push_back(Known.at(Name));
+      } else if (Name != "none") {
+        throw std::invalid_argument("no fault has the name " + Name);
+      }
     }
   }
+}
+
+void Soak::playFaults() {
+  std::mt19937_64 Draw(Chosen.Seed * 15'485'863 + 5);
   sleepMs(1000LL * Chosen.FaultsAtSecond);
-  for (const Fault One : Plan) {
-    (this->*One)(Draw);
-    sleepMs(1000);
-  }
-  if (!Plan.empty())
-    note("the faults are over");
+  std::vector<std::thread> Players;
+  for (const std::vector<Fault> &Lane : Lanes)
+    Players.emplace_back([this, &Lane, Seed = Draw()] {
+      std::mt19937_64 OfLane(Seed);
+      for (const Fault One : Lane) {
+        (this->*One)(OfLane);
+        sleepMs(1000);
+      }
+    });
+  for (std::thread &Player : Players)
+    Player.join();
+  note("the faults are over");
 }
 
 // The check.
@@ -498,6 +572,7 @@
 }
 
 int Soak::run() {
+  planFaults();
   configure();
   for (int Index = 0; Index < EntryCount; ++Index)
     Instances.start(Index);
@@ -547,9 +622,11 @@
                                    "for settings, logs and the record")(
       "seed", po::value(&Chosen.Seed)->default_value(Chosen.Seed),
       "")("faults", po::value(&Chosen.Faults)->default_value(Chosen.Faults),
-          "list of crash-series, crash-long, fail-runs, refuse-starts, burst, "
+          "list of faults in turn; lists joined by + run side by side: "
+          "crash-series, crash-long, fail-runs, refuse-starts, burst, "
           "hang, kill-leader, kill-all, cut-store, cut-leader, "
-          "freeze-leader, roll, policies, advice-slow, advice-errors, "
+          "freeze-leader, recut, recut-kill, recut-drawn, late-orders, roll, "
+          "policies, advice-slow, advice-errors, "
           "advice-errors-zone, advice-silent, mix, none")(
       "traffic",
       po::value(&Chosen.TrafficSeconds)->default_value(Chosen.TrafficSeconds),
@@ -564,6 +641,8 @@
       "relative to the usual jobs per second")(
       "throttle", po::bool_switch(&Chosen.Throttle),
       "each entry runs 10 ms of every 40 ms")(
+      "rounds", po::value(&Chosen.Rounds)->default_value(Chosen.Rounds),
+      "of recut and recut-kill")(
       "only-starts", po::bool_switch(&Chosen.OnlyStarts),
       "exit with 1 only for wrong starts, tasks that ran twice and entries "
       "that ended by themselves");
--- a/tests/soak/workload.cpp
+++ b/tests/soak/workload.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr std::int64_t MinLongMs = 9000;
+constexpr std::int64_t MaxLongMs = 12'500;
+
 double draw(std::mt19937_64 &Random, const Spread &Of) {
   std::normal_distribution<double> Normal;
   const double Value =
@@ -122,6 +125,13 @@
   return Job;
 }
 
+void lengthen(JobPlan &Job, std::mt19937_64 &Random) {
+  std::uniform_int_distribution<std::int64_t> Work(MinLongMs, MaxLongMs);
+  for (StepPlan &Step : Job.Steps)
+    for (std::int64_t &WorkMs : Step.WorkMs)
+      WorkMs = Work(Random);
+}
+
 std::string accountKey(int Account) {
   return "soak-key-" + std::to_string(Account);
 }
--- a/tests/soak/workload.h
+++ b/tests/soak/workload.h
@@ -64,6 +64,9 @@
 
 JobPlan drawJob(std::mt19937_64 &Random, const QueueKind &Queue, int Number);
 
+/// Makes the tasks of a job take longer than the caller expects.
+void lengthen(JobPlan &Job, std::mt19937_64 &Random);
+
 std::string accountKey(int Account);
 
 /// The operator's row; versions differ in a timeout.
