--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -34,7 +34,7 @@
 
   /// No effect if the process is up.
   void start(int Index);
-  /// Waits until all are ready; false if they are not within 20 s.
+  /// Waits until all are ready; false if they are not within 60 s.
   bool awaitReady();
   bool isReady(int Index);
   /// SIGKILL; returns when the process is gone.
