Name the reason of a refused start in the log

Change: a table of names for jobs::StartRefusal, used by the line of the member. The stored and sent numbers stay. The emulated cell keeps the lines of more than one event, so that tests can check them.

HazardsTest.ARefusedStartNamesItsReason fails without the change (every line has `reason=2`).

--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -159,11 +159,13 @@
             Outgoing.Workers.push_back(std::move(Report));
           },
           [this, Token](const RefusedStart &Refused) {
-            Deps.Log.event("start refused", Refused.Task,
-                           {{"run", std::to_string(Refused.Run)},
-                            {"worker", Refused.Incarnation.Id},
-                            {"token", std::to_string(Token)},
-                            {"reason", std::to_string(int(Refused.Reason))}});
+            Deps.Log.event(
+                "start refused", Refused.Task,
+                {{"run", std::to_string(Refused.Run)},
+                 {"worker", Refused.Incarnation.Id},
+                 {"token", std::to_string(Token)},
+                 {"reason", std::string(enumName(jobs::StartRefusalNames,
+                                                 Refused.Reason))}});
             Outgoing.Refused.push_back(Refused);
           },
           [this] { return canExtendLeases(); }});
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -3,6 +3,7 @@
 #ifndef APRICOTWING_JOBS_JOBSCHEDULER_H
 #define APRICOTWING_JOBS_JOBSCHEDULER_H
 
+#include "core/nametable.h"
 #include "core/time.h"
 #include "jobs/clusterpolicy.h"
 #include "jobs/job.h"
@@ -49,6 +50,14 @@
   Malformed, ///< The worker cannot parse the start.
 };
 
+inline constexpr NameTable<StartRefusal, 5> StartRefusalNames = {{
+    {StartRefusal::NoRoom, "no_room"},
+    {StartRefusal::NoTicket, "no_ticket"},
+    {StartRefusal::Unhealthy, "unhealthy"},
+    {StartRefusal::Expired, "expired"},
+    {StartRefusal::Malformed, "malformed"},
+}};
+
 /// A step that waits for a start, and what is known of the reason.
 struct WaitingStep {
   std::string Name;
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -177,6 +177,22 @@
   EXPECT_EQ(std::size_t(Restarted + Expired), Cell.linesOfLostRuns().size());
 }
 
+// Guards against a record of refused starts in which the reason is a number.
+TEST_F(HazardsTest, ARefusedStartNamesItsReason) {
+  // One of these delays lies between the decision and the order.
+  for (Duration Delay = 20ms; Delay < 40ms; Delay += 1ms) {
+    Cell.submit("n0", stepOf(12, 100ms));
+    Cell.run(Delay);
+    Cell.workers().Rejected = {"w0", "w1", "w2", "w3", "w4", "w5"};
+    Cell.run(20ms);
+    Cell.workers().Rejected.clear();
+    Cell.run(500ms);
+  }
+  ASSERT_FALSE(Cell.linesOf("start refused").empty());
+  for (const std::string &Line : Cell.linesOf("start refused"))
+    EXPECT_NE(Line.find(" reason=unhealthy"), std::string::npos) << Line;
+}
+
 // Guards against a task that is started again although the end of its run was
 // acknowledged: the run had been given up, and no other had replaced it yet.
 TEST_F(HazardsTest, CountsTheSuccessOfARunThatWasGivenUp) {
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -101,15 +101,15 @@
 
 } // namespace
 
-/// Keeps the log lines about lost runs. Prints all lines if APRICOTWING_TRACE
+/// Keeps the log lines of a few events. Prints all lines if APRICOTWING_TRACE
 /// is set.
 class EmulatedCell::TraceLog final : public cell::EventLog {
 public:
   explicit TraceLog(const VirtualTime &Time) : Time(Time) {}
   void event(std::string_view Name, std::string_view Subject,
              std::initializer_list<Field> Fields) override {
-    const bool IsLoss = Name == "run lost";
-    if (!Trace && !IsLoss)
+    const auto Lines = Kept.find(Name);
+    if (!Trace && Lines == Kept.end())
       return;
     std::string Line = std::to_string(Time.now().time_since_epoch().count());
     Line.append(" ").append(Name).append(" ").append(Subject);
@@ -117,16 +117,19 @@
       Line.append(" ").append(Key).append("=").append(Value);
     if (Trace)
       std::printf("%s\n", Line.c_str());
-    if (IsLoss)
-      LostRuns.push_back(std::move(Line));
+    if (Lines != Kept.end())
+      Lines->second.push_back(std::move(Line));
   }
 
-  const std::vector<std::string> &lostRuns() const { return LostRuns; }
+  const std::vector<std::string> &lines(std::string_view Event) const {
+    return Kept.at(Event);
+  }
 
 private:
   const VirtualTime &Time;
   const bool Trace = std::getenv("APRICOTWING_TRACE") != nullptr;
-  std::vector<std::string> LostRuns;
+  std::map<std::string_view, std::vector<std::string>> Kept = {
+      {"run lost", {}}, {"start refused", {}}};
 };
 
 /// Delivers messages between instances. They are lost if either end is
@@ -243,8 +246,9 @@
 
 EmulatedCell::~EmulatedCell() = default;
 
-const std::vector<std::string> &EmulatedCell::linesOfLostRuns() const {
-  return Log->lostRuns();
+const std::vector<std::string> &
+EmulatedCell::linesOf(std::string_view Event) const {
+  return Log->lines(Event);
 }
 
 void EmulatedCell::publishWorkers() {
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -193,8 +193,14 @@
   /// was acknowledged.
   std::vector<std::string> activeTasksOfCancelledJobs() const;
 
-  /// The log lines about runs that were lost, of all instances.
-  const std::vector<std::string> &linesOfLostRuns() const;
+  /// The log lines of all instances about lost runs.
+  const std::vector<std::string> &linesOfLostRuns() const {
+    return linesOf("run lost");
+  }
+
+  /// The log lines of all instances with the event \p Event. Precondition: it
+  /// is one of those that are kept.
+  const std::vector<std::string> &linesOf(std::string_view Event) const;
 
   /// Number of answers by status.
   const std::map<cell::ClientStatus, int> &answers() const { return Answers; }
