Tell in the log why a task runs again

An end that arrives after its run was given up left only `run ended`, or nothing if it came with the first lists of a session.

Change, for the log only: - The scheduler keeps for each task how its last run ended (allocated once a run has ended without success, dropped when the task is done, not stored). StartCommand has it as an optional field, and the line of the member shows it: last_run, last_worker, last_end, last_end_age_ms; for a lost run also cause, evidence, basis, grant_age_ms and answer_age_ms. After a takeover it is `unknown`. - The report of an expired lease has its basis and the age of the last grant, and `run lost` shows them.

Fields with their defaults are not sent, so that messages without them are those of the former version; that ignores the new keys.

Before the change HazardsTest.ARepeatedStartTellsWhatBecameOfTheRunBefore, TheEndOfAGivenUpRunHasALineOfItsOwn and the new lines of CountsTheSuccessOfARunThatWasGivenUp fail (the first then let a worker crash instead of cutting it off, which the crash history holds back). CodecTest.ReadsMessagesWithoutTheDetailsOfLostRuns and RunRecordTest use what is new and don't compile without it.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -37,6 +37,11 @@
     Found->get_to(Field);
 }
 
+template <typename Enum>
+void putEnum(json &To, const char *Name, Enum Field, Enum Default = Enum()) {
+  put(To, Name, int(Field), int(Default));
+}
+
 template <typename Enum>
 void takeEnum(const json &From, const char *Name, Enum &Field) {
   int Number = int(Field);
@@ -275,6 +280,32 @@
   From.at(4).get_to(Value.Checkpoint);
 }
 
+static void to_json(json &To, const PreviousRun &Value) {
+  To = json::object();
+  put(To, "run", Value.Run);
+  put(To, "worker", Value.Worker);
+  putEnum(To, "outcome", Value.Outcome);
+  put(To, "age", std::int64_t(Value.Age.count()));
+  putEnum(To, "cause", Value.Cause);
+  putEnum(To, "evidence", Value.Proof.Evidence);
+  putEnum(To, "basis", Value.Proof.Basis);
+  put(To, "grant_age", Value.Proof.GrantAgeMs, std::int64_t(-1));
+  put(To, "answer_age", Value.Proof.AnswerAgeMs, std::int64_t(-1));
+}
+static void from_json(const json &From, PreviousRun &Value) {
+  std::int64_t AgeMs = 0;
+  take(From, "run", Value.Run);
+  take(From, "worker", Value.Worker);
+  takeEnum(From, "outcome", Value.Outcome);
+  take(From, "age", AgeMs);
+  Value.Age = Duration(AgeMs);
+  takeEnum(From, "cause", Value.Cause);
+  takeEnum(From, "evidence", Value.Proof.Evidence);
+  takeEnum(From, "basis", Value.Proof.Basis);
+  take(From, "grant_age", Value.Proof.GrantAgeMs);
+  take(From, "answer_age", Value.Proof.AnswerAgeMs);
+}
+
 static void to_json(json &To, const StartCommand &Value) {
   To = json::object();
   To["worker"] = Value.Worker;
@@ -283,6 +314,8 @@
   put(To, "payload", Value.Payload);
   put(To, "ticket", Value.Ticket);
   put(To, "saved", Value.Checkpoint);
+  if (Value.Previous)
+    To["previous"] = *Value.Previous;
 }
 static void from_json(const json &From, StartCommand &Value) {
   From.at("worker").get_to(Value.Worker);
@@ -291,6 +324,8 @@
   take(From, "payload", Value.Payload);
   take(From, "ticket", Value.Ticket);
   take(From, "saved", Value.Checkpoint);
+  if (From.contains("previous"))
+    Value.Previous = From.at("previous").get<PreviousRun>();
 }
 
 static void to_json(json &To, const StopCommand &Value) {
@@ -497,6 +532,8 @@
   putList(To, "ended", Value.Ended);
   put(To, "refused", Value.ProcessAbsent);
   put(To, "answer_age", Value.AnswerAgeMs, std::int64_t(-1));
+  putEnum(To, "basis", Value.Basis);
+  put(To, "grant_age", Value.GrantAgeMs, std::int64_t(-1));
   put(To, "other_start", Value.AnsweredStartUnixMs);
   put(To, "lease", Value.RemainingLeaseMs);
 }
@@ -508,6 +545,8 @@
   take(From, "ended", Value.Ended);
   take(From, "refused", Value.ProcessAbsent);
   take(From, "answer_age", Value.AnswerAgeMs);
+  takeEnum(From, "basis", Value.Basis);
+  take(From, "grant_age", Value.GrantAgeMs);
   take(From, "other_start", Value.AnsweredStartUnixMs);
   take(From, "lease", Value.RemainingLeaseMs);
 }
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -186,7 +186,7 @@
     if (!isOwnWorker(Id))
       Foreign.push_back(Id);
   for (const std::string &Id : Foreign)
-    removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
+    removeWorker(Id, jobs::WorkerLoss::Transferred, jobs::LossEvidence::NoRuns);
   if (NewLayout.shardCount() > 1) {
     std::vector<std::string> Partitions;
     Partitions.reserve(std::size_t(NewLayout.shardCount()));
@@ -231,7 +231,8 @@
   // runs of a worker that has returned.
   for (const std::string &Id : Changed) {
     if (!isOwnWorker(Id)) {
-      removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
+      removeWorker(Id, jobs::WorkerLoss::Transferred,
+                   jobs::LossEvidence::NoRuns);
       continue;
     }
     if (const auto Known = ForeignRows.extract(Id); !Known.empty()) {
@@ -307,7 +308,7 @@
       {{TransferTable, Id, encode(Transfer)}, {RosterTable, Id, std::nullopt}});
   Ownership->record(Id, Transfer);
   WorkerStates.at(Id).InRoster = false;
-  removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
+  removeWorker(Id, jobs::WorkerLoss::Transferred, jobs::LossEvidence::NoRuns);
 }
 
 // A cell whose workers are just starting waits until they have registered,
@@ -656,7 +657,7 @@
     removeWorker(Id,
                  Former.causeOfLoss(IsLater ? jobs::WorkerLoss::ProcessEnded
                                             : jobs::WorkerLoss::LeaseExpired),
-                 LossEvidence::NoRuns);
+                 jobs::LossEvidence::NoRuns);
     updateWorkerInfo(Info);
   }
 }
@@ -693,18 +694,19 @@
                                              : jobs::WorkerLoss::Gone;
     Deps.Log.event("worker removed", Id,
                    {{"refused", Worker.AbsentAtExpiry ? "1" : "0"}});
-    removeWorker(Id, Worker.causeOfLoss(Unannounced), LossEvidence::NoRuns);
+    removeWorker(Id, Worker.causeOfLoss(Unannounced),
+                 jobs::LossEvidence::NoRuns);
   }
 }
 
 void Leader::removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
-                          LossEvidence Evidence) {
+                          jobs::LossEvidence Evidence) {
   const auto Found = WorkerStates.find(Id);
   if (Found == WorkerStates.end())
     return;
-  Scheduler.removeWorker(Found->second.Info.Incarnation, Cause,
-                         Deps.Time.now());
-  logLostRuns(Found->second, Evidence);
+  Scheduler.removeWorker(Found->second.Info.Incarnation, Cause, Deps.Time.now(),
+                         proofOf(Found->second, Evidence));
+  logLostRuns(Found->second);
   releaseFromMember(Id);
   if (Found->second.InRoster || Found->second.RosterPending)
     StateJournal.remove(RosterTable, Id);
@@ -872,6 +874,7 @@
     Worker.Resolved = true;
     Worker.Answers = true;
     Scheduler.syncWorker(Report.Incarnation, Report.Running, Report.Ended, Now);
+    logGivenUpEnds();
     Deps.Log.event(
         "worker synced", Report.Incarnation.Id,
         {{"member", From.Info.Name},
@@ -904,18 +907,22 @@
     updateReachable(Worker);
     freezeLease(Worker, Duration(Report.RemainingLeaseMs));
     return;
-  case WorkerEvent::LeaseExpired:
+  case WorkerEvent::LeaseExpired: {
     Worker.Resolved = true;
     Worker.AbsentAtExpiry = Report.ProcessAbsent;
+    jobs::LossProof Proof = proofOf(Worker, jobs::LossEvidence::LeaseEnded);
+    Proof.Basis = Report.Basis;
+    Proof.GrantAgeMs = Report.GrantAgeMs;
     Scheduler.loseRuns(Report.Incarnation,
                        Report.ProcessAbsent && !Worker.StopAnnounced
                            ? jobs::WorkerLoss::Refused
                            : jobs::WorkerLoss::LeaseExpired,
-                       Now, Report.Running);
-    logLostRuns(Worker, LossEvidence::LeaseEnded);
+                       Now, Report.Running, Proof);
+    logLostRuns(Worker);
     Worker.Answers = false;
     updateReachable(Worker);
     return;
+  }
   case WorkerEvent::Fenced:
     // The cause is an order of a later term or a delayed call of an earlier
     // session of this term. A new token resolves both cases.
@@ -929,10 +936,10 @@
     // the next process once that has registered.
     Worker.Resolved = true;
     recordEnds(Report);
-    Scheduler.loseRuns(Report.Incarnation,
-                       Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
-    logLostRuns(Worker, LossEvidence::LaterStartAnswered,
-                Report.AnsweredStartUnixMs);
+    Scheduler.loseRuns(
+        Report.Incarnation, Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded),
+        Now, {}, proofOf(Worker, jobs::LossEvidence::LaterStartAnswered));
+    logLostRuns(Worker, Report.AnsweredStartUnixMs);
     Worker.Answers = false;
     updateReachable(Worker);
     From.Workers.erase(Report.Incarnation.Id);
@@ -951,12 +958,34 @@
          {"worker", Report.Incarnation.Id},
          {"how", std::string(enumName(jobs::EndKindNames, End.Kind))}});
   }
+  logGivenUpEnds();
+}
+
+void Leader::logGivenUpEnds() {
+  for (const jobs::GivenUpEnd &End : Scheduler.takeGivenUpEnds())
+    Deps.Log.event(
+        "given-up run ended", End.Task,
+        {{"run", std::to_string(End.Run)},
+         {"worker", End.Worker.Id},
+         {"how", std::string(enumName(jobs::EndKindNames, End.Kind))},
+         {"believed",
+          std::string(enumName(jobs::RunOutcomeNames, End.Believed))},
+         {"newest_run", std::to_string(End.NewestRun)},
+         {"newest_worker", End.NewestWorker},
+         {"counts", End.Counts ? "1" : "0"}});
+}
+
+jobs::LossProof Leader::proofOf(const WorkerState &Worker,
+                                jobs::LossEvidence Evidence) const {
+  jobs::LossProof Result;
+  Result.Evidence = Evidence;
+  if (Worker.AnsweredAt)
+    Result.AnswerAgeMs = (Deps.Time.now() - *Worker.AnsweredAt).count();
+  return Result;
 }
 
-void Leader::logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
+void Leader::logLostRuns(const WorkerState &Worker,
                          std::int64_t OtherStartUnixMs) {
-  const Duration::rep AnswerAgeMs =
-      Worker.AnsweredAt ? (Deps.Time.now() - *Worker.AnsweredAt).count() : -1;
   for (const jobs::LostRun &Lost : Scheduler.takeLostRuns()) {
     ++LostRuns;
     Deps.Log.event(
@@ -967,10 +996,14 @@
          {"age_ms", std::to_string(Lost.Age.count())},
          {"losses", std::to_string(Lost.Losses)},
          {"restored", Lost.Restored ? "1" : "0"},
-         {"evidence", std::string(enumName(LossEvidenceNames, Evidence))},
+         {"evidence",
+          std::string(enumName(jobs::LossEvidenceNames, Lost.Proof.Evidence))},
+         {"basis",
+          std::string(enumName(jobs::LeaseBasisNames, Lost.Proof.Basis))},
+         {"grant_age_ms", std::to_string(Lost.Proof.GrantAgeMs)},
          {"born", std::to_string(Lost.Worker.StartedUnixMs)},
          {"other_born", std::to_string(OtherStartUnixMs)},
-         {"answer_age_ms", std::to_string(AnswerAgeMs)},
+         {"answer_age_ms", std::to_string(Lost.Proof.AnswerAgeMs)},
          {"member", Worker.Member}});
   }
 }
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -115,18 +115,6 @@
   }
 
 private:
-  /// What shows that the runs of a worker have ended.
-  enum class LossEvidence {
-    LeaseEnded,         ///< Its lease has ended on its own clock.
-    LaterStartAnswered, ///< It answered and named a later start.
-    NoRuns,             ///< It had none.
-  };
-  static constexpr NameTable<LossEvidence, 3> LossEvidenceNames = {{
-      {LossEvidence::LeaseEnded, "lease_ended"},
-      {LossEvidence::LaterStartAnswered, "later_start_answered"},
-      {LossEvidence::NoRuns, "no_runs"},
-  }};
-
   struct MemberState {
     InstanceInfo Info;
     std::string Session;
@@ -203,10 +191,13 @@
   void markUnregistered(WorkerState &Worker);
   void removeUnregistered();
   void removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
-                    LossEvidence Evidence);
+                    jobs::LossEvidence Evidence);
   void recordEnds(const WorkerReport &Report);
-  void logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
+  jobs::LossProof proofOf(const WorkerState &Worker,
+                          jobs::LossEvidence Evidence) const;
+  void logLostRuns(const WorkerState &Worker,
                    std::int64_t OtherStartUnixMs = 0);
+  void logGivenUpEnds();
 
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -129,9 +129,7 @@
       To->stop(Order);
   for (const jobs::StartCommand &Order : Message.Starts) {
     ++Counts.Starts;
-    Deps.Log.event(
-        "starting", Order.Task,
-        {{"run", std::to_string(Order.Run)}, {"worker", Order.Worker.Id}});
+    logStart(Order);
     if (WorkerSession *To = SessionOf(Order.Worker))
       To->start(Order);
     else
@@ -142,6 +140,45 @@
     requestAdvice(Request);
 }
 
+// The lines on the run before may be on other instances.
+void Member::logStart(const jobs::StartCommand &Order) {
+  const std::string Run = std::to_string(Order.Run);
+  const std::string &Worker = Order.Worker.Id;
+  if (!Order.Previous) {
+    Deps.Log.event("starting", Order.Task, {{"run", Run}, {"worker", Worker}});
+    return;
+  }
+  const jobs::PreviousRun &Last = *Order.Previous;
+  const std::string LastRun = std::to_string(Last.Run);
+  const std::string LastEnd(enumName(jobs::RunOutcomeNames, Last.Outcome));
+  const std::string EndAgeMs = std::to_string(Last.Age.count());
+  if (Last.Outcome != jobs::RunOutcome::Lost) {
+    Deps.Log.event("starting", Order.Task,
+                   {{"run", Run},
+                    {"worker", Worker},
+                    {"last_run", LastRun},
+                    {"last_worker", Last.Worker},
+                    {"last_end", LastEnd},
+                    {"last_end_age_ms", EndAgeMs}});
+    return;
+  }
+  const jobs::LossProof &Proof = Last.Proof;
+  Deps.Log.event(
+      "starting", Order.Task,
+      {{"run", Run},
+       {"worker", Worker},
+       {"last_run", LastRun},
+       {"last_worker", Last.Worker},
+       {"last_end", LastEnd},
+       {"last_end_age_ms", EndAgeMs},
+       {"cause", std::string(enumName(jobs::WorkerLossNames, Last.Cause))},
+       {"evidence",
+        std::string(enumName(jobs::LossEvidenceNames, Proof.Evidence))},
+       {"basis", std::string(enumName(jobs::LeaseBasisNames, Proof.Basis))},
+       {"grant_age_ms", std::to_string(Proof.GrantAgeMs)},
+       {"answer_age_ms", std::to_string(Proof.AnswerAgeMs)}});
+}
+
 // Workers.
 
 bool Member::canExtendLeases() const {
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -127,6 +127,7 @@
   std::string composeMessage(std::int64_t Sequence);
   bool canExtendLeases() const;
   void handle(const LeaderMessage &Message);
+  void logStart(const jobs::StartCommand &Order);
   void assign(const Assignment &NewAssignment);
   void requestAdvice(const jobs::AdviceRequest &Request);
 
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -165,6 +165,11 @@
   /// Age of the worker's last response at the time of the report; -1: none has
   /// arrived in this session.
   std::int64_t AnswerAgeMs = -1;
+  /// If LeaseExpired: what the end of the lease was determined by, and the time
+  /// since the last call that may extend it was sent; -1: none. Instances of
+  /// earlier versions do not send them.
+  jobs::LeaseBasis Basis = jobs::LeaseBasis::Unknown;
+  std::int64_t GrantAgeMs = -1;
   /// If ProcessEnded: start time that the next process has named.
   std::int64_t AnsweredStartUnixMs = 0;
   /// If LeaseFrozen: time until the latest end of the lease.
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -101,20 +101,30 @@
   return std::max(GrantedLeaseEnd, AssumedLeaseEnd);
 }
 
+jobs::LeaseBasis WorkerSession::leaseBasis() const {
+  return leaseEnd() == AssumedLeaseEnd ? jobs::LeaseBasis::Assumed
+                                       : jobs::LeaseBasis::Granted;
+}
+
+std::int64_t WorkerSession::ageMsOf(const std::optional<TimePoint> &At) const {
+  return At ? (Time.now() - *At).count() : -1;
+}
+
 // Tells how the end of the lease was determined.
 void WorkerSession::logLeaseEnd(std::string_view LogEvent) const {
   const auto AgeOf = [this](const std::optional<TimePoint> &At) {
-    return std::to_string(At ? (Time.now() - *At).count() : -1);
+    return std::to_string(ageMsOf(At));
   };
-  Log.event(LogEvent, Worker.Incarnation.Id,
-            {{"token", std::to_string(Worker.Token)},
-             {"refused", ProcessAbsent ? "1" : "0"},
-             {"basis", leaseEnd() == AssumedLeaseEnd ? "assumed" : "granted"},
-             {"grant_age_ms", AgeOf(LastGrantAt)},
-             {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
-             {"answer_age_ms", AgeOf(LastAnswerAt)},
-             {"unanswered", std::to_string(UnansweredCalls)},
-             {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
+  Log.event(
+      LogEvent, Worker.Incarnation.Id,
+      {{"token", std::to_string(Worker.Token)},
+       {"refused", ProcessAbsent ? "1" : "0"},
+       {"basis", std::string(enumName(jobs::LeaseBasisNames, leaseBasis()))},
+       {"grant_age_ms", AgeOf(LastGrantAt)},
+       {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
+       {"answer_age_ms", AgeOf(LastAnswerAt)},
+       {"unanswered", std::to_string(UnansweredCalls)},
+       {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
 }
 
 // The lease ends all runs of this process. A start that it has not confirmed
@@ -614,9 +624,12 @@
   if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
     for (const auto &[Key, SentAt] : UnlistedStarts)
       Report.Running.push_back({Key.first, Key.second, "", 0});
-  Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
-  if (LastAnswerAt)
-    Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
+  if (Event == WorkerEvent::LeaseExpired) {
+    Report.ProcessAbsent = ProcessAbsent;
+    Report.Basis = leaseBasis();
+    Report.GrantAgeMs = ageMsOf(LastGrantAt);
+  }
+  Report.AnswerAgeMs = ageMsOf(LastAnswerAt);
   Report.Ended = std::move(EndedRuns);
   if (Event == WorkerEvent::ProcessEnded)
     Report.AnsweredStartUnixMs = NextStartUnixMs;
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -108,6 +108,9 @@
   bool isOwnClock(const WorkerAnswer &Answer) const;
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
+  jobs::LeaseBasis leaseBasis() const;
+  /// Time since \p At in ms; -1 if it is empty.
+  std::int64_t ageMsOf(const std::optional<TimePoint> &At) const;
   void reportExpiryIfDue(TimePoint Now);
   void logLeaseEnd(std::string_view LogEvent) const;
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -120,6 +121,9 @@
   int Failures = 0;
   std::set<std::string> FailedOn; ///< Ids of workers on which a run failed.
   CrashHistory Crashes; ///< Of a gang's member: on which it was placed.
+  /// How its last run ended; null while it has its first one, and once it is
+  /// done.
+  std::shared_ptr<const PreviousRun> Previous;
 };
 
 /// What kept a waiting step from being started when a round last considered it.
@@ -213,6 +217,7 @@
   JobPhase StoredPhase = JobPhase::Active; ///< The phase that callers may see.
   bool Started = false;                    ///< A task is placed or has run.
   bool HasRun = false;           ///< A worker has reported a run of it.
+  bool Restored = false;         ///< Accepted by an earlier leader.
   bool BeyondShare = false;      ///< Scheduled after jobs within their share.
   Duration RemainingEstimate{0}; ///< Critical path of the unfinished steps.
   TimePoint AcceptedAt;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -311,6 +311,7 @@
   NewJob->Spec = Spec;
   NewJob->AcceptedAt = Now - Age;
   NewJob->EndedAt = Now;
+  NewJob->Restored = true;
   NewJob->restore(Stored);
   Job &Added = *NewJob;
   addJob(std::move(NewJob), Now);
@@ -336,6 +337,8 @@
         if (StepDescription.LongRunning)
           Task.Crashes.keepLatest();
         Added.Steps[Step].HasCrashes = true;
+        notePrevious(Task, {0, "", RunOutcome::Lost, Duration{0}, Cause,
+                            LossProof{LossEvidence::NotInRoster}});
         makeReady(Added, int(Step), Task, Now);
         Changed.insert(Spec.Id);
         continue;
@@ -557,25 +560,27 @@
 }
 
 void JobScheduler::removeWorker(const WorkerIncarnation &Incarnation,
-                                WorkerLoss Cause, TimePoint Now) {
+                                WorkerLoss Cause, TimePoint Now,
+                                const LossProof &Proof) {
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
   noteCrash(Incarnation, Cause, Now);
-  releaseAll(*Host, Cause, Now);
+  releaseAll(*Host, Cause, Now, Proof);
   Workers.erase(Incarnation.Id);
   resolveSilence(Incarnation, Cause, Now);
 }
 
 void JobScheduler::loseRuns(const WorkerIncarnation &Incarnation,
                             WorkerLoss Cause, TimePoint Now,
-                            const std::vector<ActiveRun> &Undecided) {
+                            const std::vector<ActiveRun> &Undecided,
+                            const LossProof &Proof) {
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
   Host->setSynced(false);
   noteCrash(Incarnation, Cause, Now);
-  releaseAll(*Host, Cause, Now, Undecided);
+  releaseAll(*Host, Cause, Now, Proof, Undecided);
   if (!isSilence(Cause))
     resolveSilence(Incarnation, Cause, Now);
 }
@@ -592,6 +597,7 @@
 }
 
 void JobScheduler::releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now,
+                              const LossProof &Proof,
                               const std::vector<ActiveRun> &Undecided) {
   std::set<std::pair<std::string, std::int64_t>> Kept;
   for (const ActiveRun &Run : Undecided)
@@ -600,8 +606,9 @@
   for (const auto &[Name, Run] : Allocated) {
     if (Kept.contains({Name, Run.Run}))
       continue;
-    recordLoss(Host, Name, Run, Cause, Now);
-    releaseWithoutResult(Host, Name, Run.Run, Now);
+    recordLoss(Host, Name, Run, Cause, Now, Proof);
+    releaseWithoutResult(Host, Name, Run.Run, Now,
+                         {0, "", RunOutcome::Lost, Duration{0}, Cause, Proof});
     failIfExhausted(Name, false, Now);
   }
   const WorkerIncarnation &Lost = Host.info().Incarnation;
@@ -614,7 +621,7 @@
 
 void JobScheduler::recordLoss(const Worker &Host, const std::string &Name,
                               const AllocatedRun &Run, WorkerLoss Cause,
-                              TimePoint Now) {
+                              TimePoint Now, const LossProof &Proof) {
   const WorkerIncarnation &Lost = Host.info().Incarnation;
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
@@ -644,7 +651,7 @@
   // the placement for one whose worker was lost unnoticed.
   Changed.insert(Owner->Spec.Id);
   LostRuns.push_back({Name, Run.Run, Lost, Cause, Age, Task->Crashes.losses(),
-                      Run.IsRestored});
+                      Run.IsRestored, Proof});
 }
 
 // A task that has been started again may still succeed, so its job does not
@@ -800,15 +807,44 @@
   return std::exchange(LostRuns, {});
 }
 
+std::vector<GivenUpEnd> JobScheduler::takeGivenUpEnds() {
+  return std::exchange(GivenUpEnds, {});
+}
+
+// Records how the last run of a task ended. Must be called while the task is
+// placed.
+void JobScheduler::notePrevious(TaskState &Task, PreviousRun How) {
+  How.Run = Task.Run;
+  How.Worker = Task.Worker.Id;
+  Task.Previous = std::make_shared<const PreviousRun>(std::move(How));
+}
+
+// A worker lists an end until that is acknowledged, so one that was recorded
+// before may be reported again, also to the next leader.
+void JobScheduler::noteGivenUpEnd(const WorkerIncarnation &Incarnation,
+                                  const TaskState &Task, const EndedRun &End,
+                                  bool Counts) {
+  const bool IsPrevious = Task.Previous && Task.Previous->Run == End.Run;
+  const RunOutcome Believed =
+      IsPrevious ? Task.Previous->Outcome : RunOutcome::Unknown;
+  if (Believed == outcomeOf(End.Kind))
+    return;
+  GivenUpEnds.push_back(
+      {End.Task, End.Run, Incarnation, End.Kind, Believed, Task.Run,
+       Task.Phase == TaskPhase::Placed ? Task.Worker.Id : "", Counts});
+}
+
 // Frees the resources of a run that ended without a result or never started.
 void JobScheduler::releaseWithoutResult(Worker &Host, const std::string &Name,
-                                        std::int64_t Run, TimePoint Now) {
+                                        std::int64_t Run, TimePoint Now,
+                                        PreviousRun How) {
   release(Host, Name, Run);
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
   if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run &&
       Task->Worker == Host.info().Incarnation) {
+    notePrevious(*Task, std::move(How));
     makeReady(*Owner, Id->Step, *Task, Now);
     markUnstarted(*Owner);
   }
@@ -877,7 +913,8 @@
   for (const auto &[Name, Run] : Allocated) {
     const auto Found = Listed.find(Name);
     if (Found == Listed.end() || Found->second != Run.Run)
-      releaseWithoutResult(*Host, Name, Run.Run, Now);
+      releaseWithoutResult(*Host, Name, Run.Run, Now,
+                           {0, "", RunOutcome::NotListed});
   }
   for (const ActiveRun &Run : RunList)
     reconcileRun(*Host, Run, Now);
@@ -1008,6 +1045,7 @@
     }
     Ended.Phase = TaskPhase::Done;
     Ended.Checkpoint.clear();
+    Ended.Previous.reset();
     State.SuspectSucceeded =
         State.SuspectSucceeded || Ended.Crashes.isSuspect();
     Ended.Crashes.clear();
@@ -1078,12 +1116,16 @@
     Owner->HasRun = true;
   if (End.Kind == EndKind::Done)
     Host->recordOutcome(true, Now);
+  if (Task && Task->Phase == TaskPhase::Done && Task->Run > End.Run)
+    noteGivenUpEnd(Incarnation, *Task, End, false);
   if (!Task || Owner->Phase != JobPhase::Active ||
       Task->Phase == TaskPhase::Done)
     return;
   if (Task->Phase != TaskPhase::Placed || Task->Worker != Incarnation ||
       Task->Run != End.Run) {
+    const TaskState Before = *Task;
     givenUpRunEnded(*Owner, Id->Step, *Task, End, Now);
+    noteGivenUpEnd(Incarnation, Before, End, Task->Phase == TaskPhase::Done);
     return;
   }
   const StepSpec &Spec = Owner->Spec.Steps[std::size_t(Id->Step)];
@@ -1101,6 +1143,7 @@
     if (!Spec.LongRunning)
       recordFailure(*Owner, Id->Step, *Task, End.Run, Now);
   }
+  notePrevious(*Task, {0, "", outcomeOf(End.Kind)});
   makeReady(*Owner, Id->Step, *Task, Now);
   Changed.insert(Owner->Spec.Id);
 }
@@ -1130,7 +1173,7 @@
     if (const auto Found = Advice.find(Incarnation.Id); Found != Advice.end())
       Found->second.Expires = Now;
   }
-  releaseWithoutResult(*Host, Name, Run, Now);
+  releaseWithoutResult(*Host, Name, Run, Now, {0, "", RunOutcome::Refused});
 }
 
 bool JobScheduler::isCurrent(const StartCommand &Order) const {
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -208,10 +208,10 @@
   /// ends all runs of the old incarnation.
   void updateWorker(const WorkerInfo &Info, TimePoint Now);
 
-  /// Ends all runs of a worker and removes the worker. Precondition: it is
-  /// certain that none of them is active.
+  /// Ends all runs of a worker and removes the worker. \p Proof is for the log.
+  /// Precondition: it is certain that none of them is active.
   void removeWorker(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
-                    TimePoint Now);
+                    TimePoint Now, const LossProof &Proof = {});
 
   /// Reconciles the state with the complete lists of runs on a worker. A run
   /// that was placed there and is in neither list has not started and never
@@ -221,14 +221,18 @@
                   const std::vector<EndedRun> &Ended, TimePoint Now);
 
   /// Ends all runs of a worker but those in \p Undecided, which it may still
-  /// have. It must be synced before it gets new ones. Precondition: it is
-  /// certain that no other run is active.
+  /// have. It must be synced before it gets new ones. \p Proof is for the log.
+  /// Precondition: it is certain that no other run is active.
   void loseRuns(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
-                TimePoint Now, const std::vector<ActiveRun> &Undecided = {});
+                TimePoint Now, const std::vector<ActiveRun> &Undecided = {},
+                const LossProof &Proof = {});
 
   /// Runs that were lost together with their workers since the last call.
   std::vector<LostRun> takeLostRuns();
 
+  /// Ends of given-up runs that were reported since the last call.
+  std::vector<GivenUpEnd> takeGivenUpEnds();
+
   /// Sets whether a worker can currently be reached.
   void setReachable(const WorkerIncarnation &Incarnation, bool Reachable);
 
@@ -382,11 +386,12 @@
 
   void release(Worker &Host, const std::string &Task, std::int64_t Run);
   void releaseWithoutResult(Worker &Host, const std::string &Name,
-                            std::int64_t Run, TimePoint Now);
+                            std::int64_t Run, TimePoint Now, PreviousRun How);
   void allocateRun(Worker &Host, const Job &CurrentJob, const TaskId &Id,
                    std::int64_t Run, const StepSpec &Spec, TimePoint Now);
   void recordLoss(const Worker &Host, const std::string &Name,
-                  const AllocatedRun &Run, WorkerLoss Cause, TimePoint Now);
+                  const AllocatedRun &Run, WorkerLoss Cause, TimePoint Now,
+                  const LossProof &Proof);
   void failIfExhausted(const std::string &Name, bool MayBeChance,
                        TimePoint Now);
   void resolveSilence(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
@@ -405,7 +410,11 @@
   bool mayReserve(TimePoint Now) const;
   void restoreCrashes(Job &CurrentJob, int Step, TimePoint Now);
   void releaseAll(Worker &Host, WorkerLoss Cause, TimePoint Now,
+                  const LossProof &Proof,
                   const std::vector<ActiveRun> &Undecided = {});
+  static void notePrevious(TaskState &Task, PreviousRun How);
+  void noteGivenUpEnd(const WorkerIncarnation &Incarnation,
+                      const TaskState &Task, const EndedRun &End, bool Counts);
   void noteCrash(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
                  TimePoint Now);
   bool hasCrashesWithout(const CrashHistory &Crashes, TimePoint Now) const;
@@ -507,7 +516,8 @@
   /// First step that the next round considers after the front of the order.
   WaitRank ResumeAt;
   std::map<StopCommand, StopProgress> RunsToStop;
-  std::vector<LostRun> LostRuns; ///< Since the last takeLostRuns().
+  std::vector<LostRun> LostRuns;       ///< Since the last takeLostRuns().
+  std::vector<GivenUpEnd> GivenUpEnds; ///< Since the last takeGivenUpEnds().
   /// When workers crashed, within CrashHistory::ChanceWindow.
   std::map<WorkerIncarnation, TimePoint> CrashedAt;
   /// Names of the tasks on workers whose lease has expired, until it is known
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -720,6 +720,11 @@
     for (TaskState &Member : State.Tasks)
       Member.Checkpoint = Checkpoint;
   }
+  std::optional<PreviousRun> Previous;
+  if (Task.Previous || CurrentJob.Restored) {
+    Previous = Task.Previous ? *Task.Previous : PreviousRun{};
+    Previous->Age = Current.Now - std::max(Task.ReadySince, State.QueuedAt);
+  }
   Task.Phase = TaskPhase::Placed;
   Task.Worker = Host.info().Incarnation;
   Task.Run = Run;
@@ -745,7 +750,8 @@
     dequeue(CurrentJob, Step);
   Current.Result.Starts.push_back(
       {Host.info().Incarnation, Name, Run, CurrentJob.Spec.Payload,
-       Option.Advice ? Option.Advice->Ticket : std::string(), Checkpoint});
+       Option.Advice ? Option.Advice->Ticket : std::string(), Checkpoint,
+       std::move(Previous)});
 }
 
 // Jobs past their firm deadline leave half of the advice budget to all other
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -86,6 +87,123 @@
     {WorkerLoss::Refused, "refused"},
 }};
 
+/// What shows that the runs of a lost worker have ended.
+enum class LossEvidence {
+  Unknown,
+  LeaseEnded,         ///< Its lease has ended on its own clock.
+  LaterStartAnswered, ///< It answered and named a later start.
+  NoRuns,             ///< It had none.
+  NotInRoster,        ///< At a takeover: the stored roster has no such process.
+};
+
+inline constexpr NameTable<LossEvidence, 5> LossEvidenceNames = {{
+    {LossEvidence::Unknown, "unknown"},
+    {LossEvidence::LeaseEnded, "lease_ended"},
+    {LossEvidence::LaterStartAnswered, "later_start_answered"},
+    {LossEvidence::NoRuns, "no_runs"},
+    {LossEvidence::NotInRoster, "not_in_roster"},
+}};
+
+/// What the end of a worker's lease was determined by.
+enum class LeaseBasis {
+  Unknown,
+  Assumed, ///< What earlier sessions, or calls to a former process, may have
+           ///< granted.
+  Granted, ///< The calls of the session itself.
+};
+
+inline constexpr NameTable<LeaseBasis, 3> LeaseBasisNames = {{
+    {LeaseBasis::Unknown, "unknown"},
+    {LeaseBasis::Assumed, "assumed"},
+    {LeaseBasis::Granted, "granted"},
+}};
+
+/// On what the loss of a worker's runs rests.
+struct LossProof {
+  LossEvidence Evidence = LossEvidence::Unknown;
+  LeaseBasis Basis = LeaseBasis::Unknown; ///< If LeaseEnded.
+  /// Time since the session sent its last call that may extend the lease, in
+  /// ms; -1: none, or unknown.
+  std::int64_t GrantAgeMs = -1;
+  /// Time since the worker's last answer, in ms; -1: none, or unknown.
+  std::int64_t AnswerAgeMs = -1;
+
+  friend bool operator==(const LossProof &, const LossProof &) = default;
+};
+
+/// How a run ended, as far as the scheduler knows.
+enum class RunOutcome {
+  Unknown, ///< Only an earlier leader may know.
+  Done,
+  Failed,
+  Stopped,
+  Lapsed,
+  Broken,
+  Alone,
+  Refused,   ///< It was not started.
+  NotListed, ///< The complete lists of its worker do not have it.
+  Lost,      ///< It was given up together with its worker.
+};
+
+inline constexpr NameTable<RunOutcome, 10> RunOutcomeNames = {{
+    {RunOutcome::Unknown, "unknown"},
+    {RunOutcome::Done, "done"},
+    {RunOutcome::Failed, "failed"},
+    {RunOutcome::Stopped, "stopped"},
+    {RunOutcome::Lapsed, "lapsed"},
+    {RunOutcome::Broken, "broken"},
+    {RunOutcome::Alone, "alone"},
+    {RunOutcome::Refused, "refused"},
+    {RunOutcome::NotListed, "not_listed"},
+    {RunOutcome::Lost, "lost"},
+}};
+
+/// The outcome of a run whose end was reported as \p Kind. Thread-safe.
+constexpr RunOutcome outcomeOf(EndKind Kind) {
+  switch (Kind) {
+  case EndKind::Done:
+    return RunOutcome::Done;
+  case EndKind::Failed:
+    return RunOutcome::Failed;
+  case EndKind::Stopped:
+    return RunOutcome::Stopped;
+  case EndKind::Lapsed:
+    return RunOutcome::Lapsed;
+  case EndKind::Broken:
+    return RunOutcome::Broken;
+  case EndKind::Alone:
+    return RunOutcome::Alone;
+  }
+  return RunOutcome::Unknown;
+}
+
+/// The last run of a task that runs again, for the log.
+struct PreviousRun {
+  std::int64_t Run = 0; ///< 0: unknown.
+  std::string Worker;   ///< Id; empty: unknown.
+  RunOutcome Outcome = RunOutcome::Unknown;
+  /// When the next run was placed: time since the scheduler learned the
+  /// outcome, or since it restored the job.
+  Duration Age{0};
+  WorkerLoss Cause = WorkerLoss::ProcessEnded; ///< If Lost.
+  LossProof Proof = {};                        ///< If Lost.
+
+  friend bool operator==(const PreviousRun &, const PreviousRun &) = default;
+};
+
+/// The reported end of a run that was taken for ended before, or that another
+/// run of its task has replaced.
+struct GivenUpEnd {
+  std::string Task;
+  std::int64_t Run = 0;
+  WorkerIncarnation Worker;
+  EndKind Kind = EndKind::Done;
+  RunOutcome Believed = RunOutcome::Unknown; ///< What it was taken for.
+  std::int64_t NewestRun = 0;                ///< Of its task; 0: none is known.
+  std::string NewestWorker; ///< On which that is placed; empty: on none.
+  bool Counts = false;      ///< The task is done by this end.
+};
+
 /// Description of a worker from the platform's registry.
 struct WorkerInfo {
   WorkerIncarnation Incarnation;
@@ -109,6 +227,7 @@
   Duration Age{0};       ///< Time since it was placed.
   int Losses = 0;        ///< Of workers under its task that count so far.
   bool Restored = false; ///< The leader knew it only from the stored state.
+  LossProof Proof = {};
 };
 
 /// Command to start a run of a task.
@@ -120,6 +239,9 @@
   std::string Ticket; ///< From the placement advice; empty if none is needed.
   std::string
       Checkpoint; ///< To resume from; empty to start from the beginning.
+  /// The run before; empty if this is the first one, or if the leader is of an
+  /// earlier version.
+  std::optional<PreviousRun> Previous = std::nullopt;
 };
 
 /// Command to stop a run of a task.
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -71,5 +72,60 @@
   EXPECT_LT(Former[0].CallMs, 0);
 }
 
+// Guards against messages that instances of the former version do not read, or
+// whose counterparts of that version are not read here, because of what is sent
+// for the log.
+TEST(CodecTest, ReadsMessagesWithoutTheDetailsOfLostRuns) {
+  const auto Decode = [](const std::string &Text) {
+    const auto Message = decodePeerMessage(Text);
+    const Envelope *Result =
+        Message ? std::get_if<Envelope>(&*Message) : nullptr;
+    return Result ? *Result : Envelope{};
+  };
+  const jobs::LossProof Proof{jobs::LossEvidence::LeaseEnded,
+                              jobs::LeaseBasis::Granted, 9800, 9700};
+  const jobs::PreviousRun Previous{1,
+                                   "w0",
+                                   jobs::RunOutcome::Lost,
+                                   Duration{130},
+                                   jobs::WorkerLoss::LeaseExpired,
+                                   Proof};
+  Envelope Message;
+  Message.ToMember = LeaderMessage{};
+  Message.ToMember->Starts = {
+      {{"w", 5}, "job.0.0.0", 1, "", "", "", std::nullopt},
+      {{"w", 5}, "job.0.0.0", 2, "", "", "", Previous}};
+  const std::string Text = encode(Message);
+  const Envelope Read = Decode(Text);
+  ASSERT_TRUE(Read.ToMember && Read.ToMember->Starts.size() == 2U) << Text;
+  EXPECT_EQ(Read.ToMember->Starts[1].Previous, Previous);
+  // What the former version sends.
+  EXPECT_EQ(Read.ToMember->Starts[0].Previous, std::nullopt);
+  EXPECT_NE(Text.find(R"({"run":1,"task":"job.0.0.0","worker":["w",5]})"),
+            std::string::npos)
+      << Text;
+
+  Envelope Answer;
+  Answer.ToLeader = MemberMessage{};
+  WorkerReport Report;
+  Report.Event = WorkerEvent::LeaseExpired;
+  Report.Incarnation = {"w", 5};
+  Answer.ToLeader->Workers.push_back(Report);
+  Report.Basis = jobs::LeaseBasis::Assumed;
+  Report.GrantAgeMs = 0;
+  Answer.ToLeader->Workers.push_back(Report);
+  const std::string Reports = encode(Answer);
+  const Envelope ReadAnswer = Decode(Reports);
+  ASSERT_TRUE(ReadAnswer.ToLeader && ReadAnswer.ToLeader->Workers.size() == 2U)
+      << Reports;
+  EXPECT_EQ(ReadAnswer.ToLeader->Workers[0].Basis, jobs::LeaseBasis::Unknown);
+  EXPECT_EQ(ReadAnswer.ToLeader->Workers[0].GrantAgeMs, -1);
+  EXPECT_EQ(ReadAnswer.ToLeader->Workers[1].Basis, jobs::LeaseBasis::Assumed);
+  EXPECT_EQ(ReadAnswer.ToLeader->Workers[1].GrantAgeMs, 0);
+  EXPECT_NE(Reports.find(R"({"event":4,"token":0,"worker":["w",5]})"),
+            std::string::npos)
+      << Reports;
+}
+
 } // namespace
 } // namespace apricotwing::cell
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace apricotwing::emulator {
@@ -193,6 +194,64 @@
     EXPECT_NE(Line.find(" reason=unhealthy"), std::string::npos) << Line;
 }
 
+// Guards against a record of a task that runs again which does not tell what
+// became of the run before, as the lines of that are on other instances.
+TEST_F(HazardsTest, ARepeatedStartTellsWhatBecameOfTheRunBefore) {
+  startWork();
+  EXPECT_TRUE(Cell.linesOf("starting").empty()) << "kept if there was a run";
+  Cell.workers().crash("w0");
+  Cell.run(500ms);
+  Cell.workers().restart("w0");
+  Cell.workers().Cut = {"w1"};
+  Cell.run(9s);
+  int Restarted = 0;
+  int Expired = 0;
+  for (const std::string &Line : Cell.linesOf("starting")) {
+    const auto Has = [&Line](std::string_view Text) {
+      return Line.find(Text) != std::string::npos;
+    };
+    EXPECT_TRUE(Has(" last_run=1 last_worker=w0 last_end=lost") ||
+                Has(" last_run=1 last_worker=w1 last_end=lost"))
+        << Line;
+    EXPECT_FALSE(Has("last_end_age_ms=-")) << Line;
+    const bool IsRestart = Has("evidence=later_start_answered");
+    const bool IsExpiry = Has("evidence=lease_ended basis=granted") &&
+                          !Has("grant_age_ms=-1") && !Has("answer_age_ms=-1");
+    Restarted += IsRestart;
+    Expired += IsExpiry;
+    EXPECT_TRUE(IsRestart || IsExpiry) << Line;
+  }
+  EXPECT_GT(Restarted, 0);
+  EXPECT_GT(Expired, 0);
+  for (const std::string &Line : Cell.linesOfLostRuns())
+    EXPECT_NE(Line.find("evidence=lease_ended") != std::string::npos,
+              Line.find("basis=unknown") != std::string::npos)
+        << Line;
+}
+
+// Guards against a record that does not show that a run outlived what was taken
+// for its end, nor whether its end counts.
+TEST_F(HazardsTest, TheEndOfAGivenUpRunHasALineOfItsOwn) {
+  const std::string Id = Cell.submit("n0", stepOf(12, 12s));
+  Cell.run(1s);
+  ASSERT_EQ(Cell.workers().activeRuns(), 12);
+  Cell.workers().Cut = {"w0", "w1", "w2"};
+  Cell.run(9s);
+  ASSERT_FALSE(Cell.linesOfLostRuns().empty());
+  EXPECT_TRUE(Cell.linesOf("given-up run ended").empty());
+  Cell.workers().Cut.clear();
+  Cell.run(2s);
+  EXPECT_EQ(Cell.linesOf("given-up run ended").size(),
+            Cell.linesOfLostRuns().size());
+  for (const std::string &Line : Cell.linesOf("given-up run ended"))
+    EXPECT_NE(
+        Line.find(" how=lapsed believed=lost newest_run=2 newest_worker=w"),
+        std::string::npos)
+        << Line;
+  Cell.run(15s);
+  EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
+}
+
 // Guards against a task that is started again although the end of its run was
 // acknowledged: the run had been given up, and no other had replaced it yet.
 TEST_F(HazardsTest, CountsTheSuccessOfARunThatWasGivenUp) {
@@ -206,6 +265,13 @@
   Cell.run(6s);
   EXPECT_EQ(viewOf("n1", Id), JobView::Completed);
   EXPECT_EQ(Cell.workers().startedRuns(), 12);
+  EXPECT_EQ(Cell.linesOf("given-up run ended").size(),
+            Cell.linesOfLostRuns().size());
+  for (const std::string &Line : Cell.linesOf("given-up run ended"))
+    EXPECT_NE(Line.find(" how=done believed=lost newest_run=1 newest_worker= "
+                        "counts=1"),
+              std::string::npos)
+        << Line;
 }
 
 // Guards against tasks that are started again because the worker's list of
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -101,8 +101,8 @@
 
 } // namespace
 
-/// Keeps the log lines of a few events. Prints all lines if APRICOTWING_TRACE
-/// is set.
+/// Keeps the log lines of a few events, and of repeated starts. Prints all
+/// lines if APRICOTWING_TRACE is set.
 class EmulatedCell::TraceLog final : public cell::EventLog {
 public:
   explicit TraceLog(const VirtualTime &Time) : Time(Time) {}
@@ -117,7 +117,9 @@
       Line.append(" ").append(Key).append("=").append(Value);
     if (Trace)
       std::printf("%s\n", Line.c_str());
-    if (Lines != Kept.end())
+    // First starts are left out, because there are many.
+    if (Lines != Kept.end() &&
+        (Name != "starting" || Line.find("last_run=") != std::string::npos))
       Lines->second.push_back(std::move(Line));
   }
 
@@ -129,7 +131,10 @@
   const VirtualTime &Time;
   const bool Trace = std::getenv("APRICOTWING_TRACE") != nullptr;
   std::map<std::string_view, std::vector<std::string>> Kept = {
-      {"run lost", {}}, {"start refused", {}}};
+      {"run lost", {}},
+      {"start refused", {}},
+      {"given-up run ended", {}},
+      {"starting", {}}};
 };
 
 /// Delivers messages between instances. They are lost if either end is
