Play crashes beside late orders in the soak for standstills

StandstillSoakTest left crashes and restarts of workers out in plays with late orders, so jobs that never end because a call for a former process reaches the next one could not be seen there. The new test plays both, with heartbeats that are late and repeated as well. The two other tests play what they did.

--- a/tests/cell/standstillsoak_test.cpp
+++ b/tests/cell/standstillsoak_test.cpp
@@ -39,14 +39,24 @@
 };
 constexpr int FaultKinds = int(Fault::StoreDown) + 1;
 
+/// What is played beside the other faults.
+enum class Setting {
+  CrashesOrLateOrders, ///< Late orders in every second seed, else crashes.
+  CrashingTasks,       ///< Some tasks crash their workers; no late orders.
+  CrashesAndLateOrders,
+};
+
 /// One play: a period of faults, then one without, in which the jobs have to
 /// end.
 class StandstillSoak {
 public:
-  StandstillSoak(std::uint64_t Seed, bool HasCrashingJobs)
+  StandstillSoak(std::uint64_t Seed, Setting Play)
       : Cell(Seed, std::vector<double>(4, 1.0), 12), Random(Seed),
-        HasLateOrders(!HasCrashingJobs && Seed % 2 == 0),
-        HasCrashingJobs(HasCrashingJobs) {
+        HasLateOrders(Play == Setting::CrashesAndLateOrders ||
+                      (Play == Setting::CrashesOrLateOrders && Seed % 2 == 0)),
+        HasCrashes(!HasLateOrders || Play == Setting::CrashesAndLateOrders),
+        HasCrashingJobs(Play == Setting::CrashingTasks) {
+    Cell.workers().RepeatsHeartbeats = HasLateOrders && HasCrashes;
     FaultInterval = Duration(between(300, 2500));
   }
 
@@ -238,10 +248,10 @@
 
   void begin(Fault Kind) {
     EmulatedWorkers &Workers = Cell.workers();
-    const bool IsLeftOut = HasLateOrders ? Kind == Fault::CrashWorkers ||
-                                               Kind == Fault::RestartWorkers
-                                         : Kind == Fault::WorkersApplyLate;
-    if (IsLeftOut)
+    const bool IsCrash =
+        Kind == Fault::CrashWorkers || Kind == Fault::RestartWorkers;
+    if ((IsCrash && !HasCrashes) ||
+        (Kind == Fault::WorkersApplyLate && !HasLateOrders))
       return;
     switch (Kind) {
     case Fault::KillInstance:
@@ -301,7 +311,8 @@
       break;
     case Fault::WorkersApplyLate:
       Workers.LateOrders = 0.2;
-      endLater([&Workers] { Workers.LateOrders = 0; });
+      Workers.LateHeartbeats = HasCrashes ? 0.2 : 0;
+      endLater([&Workers] { Workers.LateOrders = Workers.LateHeartbeats = 0; });
       break;
     case Fault::DelayMessages:
       Cell.DelayedMessages = 0.1 * between(1, 4);
@@ -320,9 +331,10 @@
 
   EmulatedCell Cell;
   std::mt19937_64 Random;
-  /// Orders are carried out late, and no worker starts again: its next process
-  /// would carry out those meant for the last one, which nothing can prevent.
-  const bool HasLateOrders;
+  const bool HasLateOrders; ///< Orders are carried out late.
+  /// Workers start again. The next process of one carries out late orders that
+  /// were meant for the last one.
+  const bool HasCrashes;
   const bool HasCrashingJobs;
   Duration FaultInterval{1000};
   /// Ends of the faults that have begun.
@@ -333,22 +345,29 @@
 };
 
 /// Plays the seeds 1 to \p LastSeed, or those of APRICOTWING_SOAK_SEEDS.
-void playSeeds(std::uint64_t LastSeed, bool HasCrashingJobs) {
+void playSeeds(std::uint64_t LastSeed, Setting Play) {
   for (const std::uint64_t Seed : soakSeeds(LastSeed)) {
     std::string Text;
-    for (const std::string &Violation :
-         StandstillSoak(Seed, HasCrashingJobs).play())
+    for (const std::string &Violation : StandstillSoak(Seed, Play).play())
       Text += Violation + "\n";
     EXPECT_TRUE(Text.empty()) << "seed " << Seed << "\n" << Text;
   }
 }
 
 // Guards against jobs that stand still for good after faults.
-TEST(StandstillSoakTest, NoJobStandsStillAfterFaults) { playSeeds(60, false); }
+TEST(StandstillSoakTest, NoJobStandsStillAfterFaults) {
+  playSeeds(60, Setting::CrashesOrLateOrders);
+}
+
+// Guards against the same, and against broken promises, if workers crash while
+// calls are carried out late.
+TEST(StandstillSoakTest, NoJobStandsStillIfWorkersCrashAmidLateOrders) {
+  playSeeds(60, Setting::CrashesAndLateOrders);
+}
 
 // Guards against the same while some tasks crash their workers.
 TEST(StandstillSoakTest, NoJobStandsStillBesideCrashingTasks) {
-  playSeeds(60, true);
+  playSeeds(60, Setting::CrashingTasks);
 }
 
 } // namespace
