Show that failures of replaced runs are not counted

A run that was given up and replaced ends as failed. The end is acknowledged and not counted (JobScheduler::givenUpRunEnded), so the task may be started after max_attempts failed runs that were taken note of (BUDGET).

Not fixed here: the same end may be listed to several sessions and leaders, and a failure that is counted twice shows a job as failed without cause. The stored progress has only the number of failed runs; it needs their run numbers (the gang has its last one), with rows of earlier versions read as today.

--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -176,6 +176,21 @@
   EXPECT_EQ(Scheduler.find("old")->Phase, JobPhase::Completed);
 }
 
+// Guards against a start beyond the attempts of a task: failures are
+// acknowledged too when another run has replaced theirs.
+TEST_F(JobSchedulerTest, CountsTheFailureOfARunThatAnotherHasReplaced) {
+  const auto [First, Second] = replaceRun("batch", step(1, 1000));
+  end(First, EndKind::Failed);
+  const std::string Id = TaskId::parse(First.Task)->Job;
+  EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Active);
+  // The end is listed again if its acknowledgement got lost.
+  end(First, EndKind::Failed);
+  EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Active);
+  end(Second, EndKind::Failed);
+  EXPECT_EQ(Scheduler.find(Id)->Phase, JobPhase::Failed);
+  expectOnlyStopped({});
+}
+
 // Guards against a start that is sent after the success of the task became
 // known: the placement was still being stored.
 TEST_F(JobSchedulerTest, SendsNoStartOfATaskWhoseFormerRunHasSucceeded) {
