Count unconfirmed starts beyond a member or a frozen lease

What callers saw: a task ran twice. A start that was on its way when a worker restarted under its id was begun by the next process, which nobody reached. Its session waits for such starts (StartTransit and the longest lease after the send), but only the session knew them. They were lost

- with the member of the session: the leader passed on only the lease;
- in a frozen row: its end is that of the former process's lease, so a next leader gave all runs up then.

Now the leader keeps, for each worker, the starts that it has sent and that are neither confirmed, refused nor ended, with the latest time at which they can have been sent. Members tell which starts the worker's process has confirmed with the next message that they send anyway. When a lease is frozen, the session names its unconfirmed starts exactly. The leader hands them to the next session with the assignment and stores them in the frozen row. The next session treats them like its own: the lease ends all other runs, and these once the wait is over.

Ruled out: a longer end of the lease for the whole worker, as confirmed runs of a dead worker would wait for it, too.

Earlier versions: an earlier member confirms nothing and names no starts, so the leader's own list, which is longer, counts. Earlier leaders and members ignore the new fields; what they send is read as before. A row frozen by an earlier leader has no starts and still shortens the wait.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -385,12 +385,23 @@
   take(From, "time", Value.Time);
 }
 
+static void to_json(json &To, const UnconfirmedStart &Value) {
+  To = json::array({Value.Task, Value.Run, Value.SentMs});
+}
+static void from_json(const json &From, UnconfirmedStart &Value) {
+  From.at(0).get_to(Value.Task);
+  From.at(1).get_to(Value.Run);
+  From.at(2).get_to(Value.SentMs);
+}
+
 static void to_json(json &To, const RosterEntry &Value) {
   // Earlier versions ignore an end of epoch 0, and what follows it.
   To = json::array({Value.Incarnation, Value.Address, Value.Zone,
                     Value.LeaseEnd.value_or(ShardTime{})});
-  if (Value.FormerLeaseEnd)
-    To.push_back(*Value.FormerLeaseEnd);
+  if (Value.FormerLeaseEnd || Value.UnconfirmedStarts)
+    To.push_back(Value.FormerLeaseEnd.value_or(ShardTime{}));
+  if (Value.UnconfirmedStarts)
+    To.push_back(*Value.UnconfirmedStarts);
 }
 static void from_json(const json &From, RosterEntry &Value) {
   From.at(0).get_to(Value.Incarnation);
@@ -402,6 +413,8 @@
     Value.LeaseEnd.reset();
   if (From.size() > 4)
     Value.FormerLeaseEnd = From.at(4).get<ShardTime>();
+  if (From.size() > 5)
+    Value.UnconfirmedStarts = From.at(5).get<std::vector<UnconfirmedStart>>();
 }
 
 /// Encodes ascending numbers as the first and the last of each range.
@@ -499,6 +512,8 @@
   put(To, "answer_age", Value.AnswerAgeMs, std::int64_t(-1));
   put(To, "other_start", Value.AnsweredStartUnixMs);
   put(To, "lease", Value.RemainingLeaseMs);
+  if (Value.UnconfirmedStarts)
+    To["starts"] = *Value.UnconfirmedStarts;
 }
 static void from_json(const json &From, WorkerReport &Value) {
   takeEnum(From, "event", Value.Event);
@@ -510,6 +525,18 @@
   take(From, "answer_age", Value.AnswerAgeMs);
   take(From, "other_start", Value.AnsweredStartUnixMs);
   take(From, "lease", Value.RemainingLeaseMs);
+  if (From.contains("starts"))
+    Value.UnconfirmedStarts =
+        From.at("starts").get<std::vector<UnconfirmedStart>>();
+}
+
+static void to_json(json &To, const ConfirmedStart &Value) {
+  To = json::array({Value.Incarnation, Value.Task, Value.Run});
+}
+static void from_json(const json &From, ConfirmedStart &Value) {
+  From.at(0).get_to(Value.Incarnation);
+  From.at(1).get_to(Value.Task);
+  From.at(2).get_to(Value.Run);
 }
 
 static void to_json(json &To, const RefusedStart &Value) {
@@ -540,6 +567,7 @@
   To = json::object();
   putList(To, "workers", Value.Workers);
   putList(To, "refused", Value.Refused);
+  putList(To, "confirmed", Value.Confirmed);
   putList(To, "advice", Value.Advice);
   put(To, "leaving", Value.Leaving);
   put(To, "leads", Value.OtherShardsLed);
@@ -549,6 +577,7 @@
 static void from_json(const json &From, MemberMessage &Value) {
   take(From, "workers", Value.Workers);
   take(From, "refused", Value.Refused);
+  take(From, "confirmed", Value.Confirmed);
   take(From, "advice", Value.Advice);
   take(From, "leaving", Value.Leaving);
   take(From, "leads", Value.OtherShardsLed);
@@ -561,6 +590,8 @@
       {Value.Incarnation, Value.Address, Value.Token, Value.AssumedLeaseMs});
   if (Value.LeaseFrozen)
     To.insert(To.end(), {*Value.LeaseFrozen, Value.FirstContact});
+  if (Value.LeaseFrozen && !Value.UnconfirmedStarts.empty())
+    To.push_back(Value.UnconfirmedStarts);
 }
 static void from_json(const json &From, Assignment &Value) {
   From.at(0).get_to(Value.Incarnation);
@@ -573,6 +604,8 @@
     Value.LeaseFrozen = From.at(4).get<bool>();
   if (From.size() > 5)
     From.at(5).get_to(Value.FirstContact);
+  if (From.size() > 6)
+    From.at(6).get_to(Value.UnconfirmedStarts);
 }
 
 static void to_json(json &To, const LeaseRelease &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -400,6 +400,8 @@
                                                         : Progress->second,
                       Age, Now);
   }
+  for (const RosterEntry &Entry : Stored.Roster)
+    restoreUnconfirmedStarts(Entry);
   Scheduler.forgetUnusedSettings();
   StoredSettings = encode(Stored.Settings);
   storeSettings();
@@ -436,6 +438,27 @@
   }
 }
 
+void Leader::restoreUnconfirmedStarts(const RosterEntry &Entry) {
+  WorkerState &Worker = WorkerStates.at(Entry.Incarnation.Id);
+  if (!Worker.LeaseFrozen || !Entry.UnconfirmedStarts)
+    return;
+  const TimePoint LastSend = TermStartedAt + Deps.Times.MemberLease;
+  const TimePoint Now = Deps.Time.now();
+  const std::int64_t SharedNowMs = StateJournal.timeAt(Now).Ms;
+  for (const UnconfirmedStart &Start : *Entry.UnconfirmedStarts)
+    Worker.UnconfirmedStarts[{Start.Task, Start.Run}] =
+        std::min(Now + Duration(Start.SentMs - SharedNowMs), LastSend);
+}
+
+std::vector<UnconfirmedStart> Leader::unconfirmedStarts(
+    const WorkerState &Worker,
+    const std::function<std::int64_t(TimePoint)> &Encode) const {
+  std::vector<UnconfirmedStart> Result;
+  for (const auto &[Key, SentAt] : Worker.UnconfirmedStarts)
+    Result.push_back({Key.first, Key.second, Encode(SentAt)});
+  return Result;
+}
+
 TimePoint Leader::longestLeaseFrom(TimePoint Answer) const {
   return Answer + Deps.Times.onWorkerClock(Deps.Times.MaxWorkerLease) +
          Deps.Times.ClockSkewMargin;
@@ -724,6 +747,8 @@
   if (!Worker.LeaseFrozen)
     Worker.MaxLeaseEnd =
         std::max(Worker.MaxLeaseEnd, latestGrantFrom(LastContact));
+  for (auto &[Key, SentAt] : Worker.UnconfirmedStarts)
+    SentAt = std::min(SentAt, LastContact + Deps.Times.MemberLease);
 }
 
 // A message that has both an assignment and a revocation of a worker would not
@@ -805,9 +830,12 @@
     From.StoreAnsweredAt = Now - Duration(Content.StoreResponseAgeMs);
   From.OtherShardsLed = Content.OtherShardsLed;
   From.FreezesLeases = Content.FreezesLeases;
+  for (const ConfirmedStart &Start : Content.Confirmed)
+    forgetStart(Start.Incarnation, Start.Task, Start.Run);
   for (const WorkerReport &Report : Content.Workers)
     onWorkerReport(From, Report);
   for (const RefusedStart &Refused : Content.Refused) {
+    forgetStart(Refused.Incarnation, Refused.Task, Refused.Run);
     Scheduler.startRefused(Refused.Incarnation, Refused.Task, Refused.Run,
                            Refused.Reason, Now);
     DecisionNeeded = true;
@@ -846,6 +874,20 @@
   return encode(Message);
 }
 
+// A member gets an order within MemberAckTimeout or is removed.
+TimePoint Leader::latestSendOf(TimePoint Dispatched) const {
+  return Dispatched + MemberAckTimeout +
+         std::max(Deps.Times.MemberLease, Deps.Times.StartValidity);
+}
+
+void Leader::forgetStart(const jobs::WorkerIncarnation &Incarnation,
+                         const std::string &Task, std::int64_t Run) {
+  const auto Found = WorkerStates.find(Incarnation.Id);
+  if (Found != WorkerStates.end() &&
+      Found->second.Info.Incarnation == Incarnation)
+    Found->second.UnconfirmedStarts.erase({Task, Run});
+}
+
 // Workers.
 
 void Leader::onWorkerReport(MemberState &From, const WorkerReport &Report) {
@@ -865,6 +907,7 @@
   if (Worker.AnsweredAt)
     noteContact(Worker);
   DecisionNeeded = true;
+  noteUnconfirmed(Report, Worker);
   if (IsAnswer || Report.Event == WorkerEvent::Reachable)
     releaseLease(Worker);
   switch (Report.Event) {
@@ -942,6 +985,42 @@
   }
 }
 
+// Must be called before the report takes effect.
+void Leader::noteUnconfirmed(const WorkerReport &Report, WorkerState &Worker) {
+  auto &Starts = Worker.UnconfirmedStarts;
+  switch (Report.Event) {
+  case WorkerEvent::Synced:
+  case WorkerEvent::ProcessEnded:
+    Starts.clear();
+    return;
+  case WorkerEvent::LeaseExpired:
+    std::erase_if(Starts, [&Report](const auto &Start) {
+      return std::none_of(Report.Running.begin(), Report.Running.end(),
+                          [&Start](const jobs::ActiveRun &Run) {
+                            return Start.first == std::pair(Run.Task, Run.Run);
+                          });
+    });
+    return;
+  case WorkerEvent::LeaseFrozen:
+    // The session sends no more starts.
+    if (!Report.UnconfirmedStarts)
+      return;
+    Starts.clear();
+    for (const UnconfirmedStart &Start : *Report.UnconfirmedStarts)
+      Starts[{Start.Task, Start.Run}] =
+          Deps.Time.now() - Duration(Start.SentMs) + Deps.Times.ClockSkewMargin;
+    return;
+  case WorkerEvent::Ended:
+    for (const jobs::EndedRun &End : Report.Ended)
+      Starts.erase({End.Task, End.Run});
+    return;
+  case WorkerEvent::Reachable:
+  case WorkerEvent::Unreachable:
+  case WorkerEvent::Fenced:
+    return;
+  }
+}
+
 void Leader::recordEnds(const WorkerReport &Report) {
   for (const jobs::EndedRun &End : Report.Ended) {
     Scheduler.runEnded(Report.Incarnation, End, Deps.Time.now());
@@ -994,12 +1073,21 @@
 }
 
 void Leader::storeRosterEntry(const WorkerState &Worker) {
-  RosterEntry Entry{Worker.Info.Incarnation, Worker.Info.Address,
-                    Worker.Info.Zone, std::nullopt, std::nullopt};
+  RosterEntry Entry{Worker.Info.Incarnation,
+                    Worker.Info.Address,
+                    Worker.Info.Zone,
+                    std::nullopt,
+                    std::nullopt,
+                    std::nullopt};
   if (Worker.FormerLeaseEnd)
     Entry.FormerLeaseEnd = StateJournal.timeAt(*Worker.FormerLeaseEnd);
-  if (Worker.LeaseFrozen && !Worker.ReleasePending)
+  if (Worker.LeaseFrozen && !Worker.ReleasePending) {
     Entry.LeaseEnd = StateJournal.timeAt(Worker.MaxLeaseEnd);
+    Entry.UnconfirmedStarts =
+        unconfirmedStarts(Worker, [this](TimePoint SentAt) {
+          return StateJournal.timeAt(SentAt).Ms;
+        });
+  }
   StateJournal.put(RosterTable, Entry.Incarnation.Id,
                    encode(std::vector<RosterEntry>{Entry}));
 }
@@ -1334,7 +1422,10 @@
     To->Outgoing.Assigned.push_back(
         {Worker.Info.Incarnation, Worker.Info.Address, Worker.Token,
          std::int64_t(Assumed.count()), Worker.LeaseFrozen,
-         !Worker.FormerLeaseEnd.has_value()});
+         !Worker.FormerLeaseEnd.has_value(),
+         unconfirmedStarts(Worker, [Now](TimePoint SentAt) {
+           return std::int64_t((Now - SentAt).count());
+         })});
   }
 }
 
@@ -1468,6 +1559,9 @@
   if (Usable && Scheduler.isCurrent(Order)) {
     To->Outgoing.Starts.push_back(Order);
     Scheduler.markDispatched(Order);
+    WorkerStates.at(Order.Worker.Id)
+        .UnconfirmedStarts[{Order.Task, Order.Run}] =
+        latestSendOf(Deps.Time.now());
     return;
   }
   // The order was never sent, so the run was not started. If the worker's lists
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -165,6 +165,9 @@
     /// No session extends its lease beyond MaxLeaseEnd before it is released,
     /// and the roster may have that time.
     bool LeaseFrozen = false;
+    /// Runs whose start may have been sent and is not confirmed, with the
+    /// latest time at which it was.
+    std::map<std::pair<std::string, std::int64_t>, TimePoint> UnconfirmedStarts;
     /// The commit before the release is under way.
     bool ReleasePending = false;
     bool Answers = false;  ///< It answered the last call of its session.
@@ -211,8 +214,17 @@
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
   void storeRosterEntry(const WorkerState &Worker);
+  std::vector<UnconfirmedStart>
+  unconfirmedStarts(const WorkerState &Worker,
+                    const std::function<std::int64_t(TimePoint)> &Encode) const;
   void updateReachable(const WorkerState &Worker);
   void restoreLeaseEnd(const RosterEntry &Entry);
+  void restoreUnconfirmedStarts(const RosterEntry &Entry);
+  /// Latest time at which a member sends an order of the leader to its worker.
+  TimePoint latestSendOf(TimePoint Dispatched) const;
+  void forgetStart(const jobs::WorkerIncarnation &Incarnation,
+                   const std::string &Task, std::int64_t Run);
+  void noteUnconfirmed(const WorkerReport &Report, WorkerState &Worker);
   TimePoint longestLeaseFrom(TimePoint Answer) const;
   void noteContact(WorkerState &Worker);
   bool mayHaveBeenCalled(const std::string &Id) const;
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -3,6 +3,7 @@
 #include "cell/codec.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -59,6 +60,9 @@
   Message.From = Instance;
   Message.PolicyVersion = PolicyVersion;
   Message.ToLeader = std::exchange(Outgoing, MemberMessage{});
+  for (auto &[Id, Supervision] : Sessions)
+    std::ranges::move(Supervision->takeConfirmedStarts(),
+                      std::back_inserter(Message.ToLeader->Confirmed));
   Message.ToLeader->Leaving = Leaving;
   Message.ToLeader->OtherShardsLed = OtherShardsLed;
   Message.ToLeader->FreezesLeases = true;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -56,6 +56,19 @@
   ShardTime Time;
 };
 
+/// A run whose start no process of its worker is known to have confirmed, so
+/// its next process may have carried out the order.
+struct UnconfirmedStart {
+  std::string Task;
+  std::int64_t Run = 0;
+  /// When the order was sent last, or the latest time at which it may have
+  /// been, in ms: before now in messages, of the time of the shard in stored
+  /// records. May be negative.
+  std::int64_t SentMs = 0;
+
+  bool operator==(const UnconfirmedStart &) const = default;
+};
+
 /// Stored record of a worker that may have active runs.
 struct RosterEntry {
   jobs::WorkerIncarnation Incarnation;
@@ -67,6 +80,9 @@
   /// Latest end of a lease that calls to a former process of the worker may
   /// have set. Empty: stored by an earlier version.
   std::optional<ShardTime> FormerLeaseEnd;
+  /// Starts that a next process may have carried out, as known when the row was
+  /// stored, in the epoch of its other times. Empty: not known.
+  std::optional<std::vector<UnconfirmedStart>> UnconfirmedStarts = std::nullopt;
 };
 
 /// Stored progress of some tasks of a job that has several such rows.
@@ -169,6 +185,16 @@
   std::int64_t AnsweredStartUnixMs = 0;
   /// If LeaseFrozen: time until the latest end of the lease.
   std::int64_t RemainingLeaseMs = 0;
+  /// If LeaseFrozen: the starts that are not confirmed. Empty: the member is of
+  /// an earlier version and does not tell.
+  std::optional<std::vector<UnconfirmedStart>> UnconfirmedStarts = std::nullopt;
+};
+
+/// A start order that the process of the worker has carried out.
+struct ConfirmedStart {
+  jobs::WorkerIncarnation Incarnation;
+  std::string Task;
+  std::int64_t Run = 0;
 };
 
 /// A start order that was not executed and never will be.
@@ -192,6 +218,8 @@
 struct MemberMessage {
   std::vector<WorkerReport> Workers;
   std::vector<RefusedStart> Refused;
+  /// Not urgent, so sent with the next message for another reason.
+  std::vector<ConfirmedStart> Confirmed;
   std::vector<AdviceAnswer> Advice;
   bool Leaving = false; ///< The member is shutting down.
   /// Time since the store last responded to the member; negative if the last
@@ -221,6 +249,8 @@
   /// No session is known to have had an answer of this process. Until its first
   /// one, it may carry out calls to a former process of the worker.
   bool FirstContact = false;
+  /// Starts of earlier sessions. Leaders of earlier versions send none.
+  std::vector<UnconfirmedStart> UnconfirmedStarts = {};
 };
 
 /// Allows a session to extend a frozen lease again.
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -55,7 +55,11 @@
       FirstContact(Assigned.FirstContact),
       LeaderReleases(Assigned.LeaseFrozen.has_value()),
       LeaseFrozen(Assigned.LeaseFrozen.value_or(false)),
-      FreezeAt(Time.now() + FreezeDelay) {}
+      FreezeAt(Time.now() + FreezeDelay) {
+  for (const UnconfirmedStart &Start : Assigned.UnconfirmedStarts)
+    UnlistedStarts[{Start.Task, Start.Run}] =
+        Time.now() - Duration(Start.SentMs);
+}
 
 std::int64_t WorkerSession::estimatedClockMs() const {
   return LastClockMs + (Time.now() - LastClockAt).count();
@@ -270,11 +274,11 @@
     PendingStarts.erase({End.Task, End.Run});
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
-    UnlistedStarts.erase({End.Task, End.Run});
+    confirm({End.Task, End.Run});
     ConfirmedRuns.erase({End.Task, End.Run});
   }
   for (const jobs::ActiveRun &Run : Result.Running) {
-    UnlistedStarts.erase({Run.Task, Run.Run});
+    confirm({Run.Task, Run.Run});
     ConfirmedRuns[{Run.Task, Run.Run}] = SentHeartbeats;
   }
   // A run in neither list may be an ended one that is not listed yet.
@@ -430,7 +434,7 @@
   case WorkerOutcome::Done:
     PendingStarts.erase(Found);
     if (isOwnClock(Answer))
-      UnlistedStarts.erase(Key);
+      confirm(Key);
     ConfirmedRuns[Key] = SentHeartbeats;
     return;
   case WorkerOutcome::Fenced:
@@ -473,6 +477,15 @@
   }
 }
 
+void WorkerSession::confirm(const RunKey &Key) {
+  if (UnlistedStarts.erase(Key) > 0)
+    NewlyConfirmed.push_back({Worker.Incarnation, Key.first, Key.second});
+}
+
+std::vector<ConfirmedStart> WorkerSession::takeConfirmedStarts() {
+  return std::exchange(NewlyConfirmed, {});
+}
+
 void WorkerSession::reportRefused(const RunKey &Key,
                                   jobs::StartRefusal Reason) {
   PendingStarts.erase(Key);
@@ -608,9 +621,14 @@
   Report.Event = Event;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
-  if (Event == WorkerEvent::LeaseFrozen)
+  if (Event == WorkerEvent::LeaseFrozen) {
     Report.RemainingLeaseMs =
         std::max(leaseEnd() - Time.now(), Duration{0}).count();
+    Report.UnconfirmedStarts.emplace();
+    for (const auto &[Key, SentAt] : UnlistedStarts)
+      Report.UnconfirmedStarts->push_back(
+          {Key.first, Key.second, (Time.now() - SentAt).count()});
+  }
   if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
     for (const auto &[Key, SentAt] : UnlistedStarts)
       Report.Running.push_back({Key.first, Key.second, "", 0});
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -54,6 +54,9 @@
   /// Notes that the ended runs up to number \p UpTo are stored.
   void acknowledge(std::int64_t UpTo);
 
+  /// Starts that the process has confirmed since the last call.
+  std::vector<ConfirmedStart> takeConfirmedStarts();
+
   /// The worker process that this session supervises.
   const jobs::WorkerIncarnation &incarnation() const {
     return Worker.Incarnation;
@@ -93,6 +96,7 @@
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
+  void confirm(const RunKey &Key);
   void reportRefused(const RunKey &Key, jobs::StartRefusal Reason);
   void sendStop(const RunKey &Key);
   void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -163,9 +167,10 @@
   /// number of the last heartbeat that was sent before the confirmation.
   std::map<RunKey, std::int64_t> ConfirmedRuns;
   /// Runs whose start was sent and that this process has not confirmed yet, and
-  /// when it was sent last. If the worker restarts, its next process may have
-  /// carried out the order.
+  /// when it was sent last, also by earlier sessions. If the worker restarts,
+  /// its next process may have carried out the order.
   std::map<RunKey, TimePoint> UnlistedStarts;
+  std::vector<ConfirmedStart> NewlyConfirmed; ///< Not taken yet.
   /// Runs of which a start order got no answer, and when it was sent. The
   /// worker may delay it, and its next process carry it out, whatever became of
   /// others.
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -43,6 +43,53 @@
   const RosterEntry Former = Read(R"([[["w",5],"address","zone",[2,600]]])");
   EXPECT_EQ(Former.LeaseEnd, (ShardTime{2, 600}));
   EXPECT_EQ(Former.FormerLeaseEnd, std::nullopt);
+  EXPECT_EQ(Former.UnconfirmedStarts, std::nullopt);
+  Entry.LeaseEnd = ShardTime{2, 600};
+  Entry.UnconfirmedStarts = {{{"task", 3, 100}}};
+  const RosterEntry Frozen = Read(encode(std::vector{Entry}));
+  EXPECT_EQ(Frozen.LeaseEnd, Entry.LeaseEnd);
+  EXPECT_EQ(Frozen.FormerLeaseEnd, Entry.FormerLeaseEnd);
+  EXPECT_EQ(Frozen.UnconfirmedStarts, Entry.UnconfirmedStarts);
+  Entry.UnconfirmedStarts->clear();
+  EXPECT_EQ(Read(encode(std::vector{Entry})).UnconfirmedStarts,
+            Entry.UnconfirmedStarts);
+}
+
+// Guards against starts that are taken for confirmed because an instance of the
+// former version does not tell.
+TEST(CodecTest, ReadsMessagesWithoutUnconfirmedStarts) {
+  const auto Decode = [](const Envelope &Message) {
+    const auto Decoded = decodePeerMessage(encode(Message));
+    return Decoded && std::holds_alternative<Envelope>(*Decoded)
+               ? std::get<Envelope>(*Decoded)
+               : Envelope{};
+  };
+  const std::vector<UnconfirmedStart> Starts = {{"task", 3, -100}};
+  for (const auto &Sent :
+       {std::optional<std::vector<UnconfirmedStart>>{}, std::optional(Starts),
+        std::optional(std::vector<UnconfirmedStart>{})}) {
+    Envelope Message;
+    Message.ToLeader = MemberMessage{};
+    Message.ToLeader->Workers.resize(1);
+    Message.ToLeader->Workers[0].UnconfirmedStarts = Sent;
+    Message.ToLeader->Confirmed = {{{"w", 5}, "other", 4}};
+    const Envelope Result = Decode(Message);
+    ASSERT_TRUE(Result.ToLeader);
+    ASSERT_EQ(Result.ToLeader->Workers.size(), 1U);
+    EXPECT_EQ(Result.ToLeader->Workers[0].UnconfirmedStarts, Sent);
+    ASSERT_EQ(Result.ToLeader->Confirmed.size(), 1U);
+    EXPECT_EQ(Result.ToLeader->Confirmed[0].Task, "other");
+  }
+  Envelope Message;
+  Message.ToMember = LeaderMessage{};
+  Message.ToMember->Assigned = {
+      {{"w", 5}, "address", 7, 0, true, false, {}},
+      {{"w", 5}, "address", 8, 0, true, false, Starts}};
+  const Envelope Result = Decode(Message);
+  ASSERT_TRUE(Result.ToMember);
+  ASSERT_EQ(Result.ToMember->Assigned.size(), 2U);
+  EXPECT_TRUE(Result.ToMember->Assigned[0].UnconfirmedStarts.empty());
+  EXPECT_EQ(Result.ToMember->Assigned[1].UnconfirmedStarts, Starts);
 }
 
 // Guards against answers of an instance of the former version that are not
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -416,13 +416,15 @@
 }
 
 /// Plays long tasks on workers that restart under their ids \p Absence after
-/// their end and are cut off \p Contact later. \p BeforeCut is called shortly
-/// before.
+/// their end and are cut off \p Contact later. \p Disturb is called
+/// \p SinceCut after that.
 void expectNothingTwiceAfterRestartsAndCuts(
     Duration Absence, Duration Contact,
-    const std::function<void(EmulatedCell &)> &BeforeCut) {
+    const std::function<void(EmulatedCell &)> &Disturb,
+    Duration SinceCut = -600ms) {
   const int RestartStep = 20 + int(Absence / 100ms);
   const int CutStep = RestartStep + int(Contact / 100ms);
+  const int DisturbStep = CutStep + int(SinceCut / 100ms);
   for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
     EmulatedCell Cell(Seed, 4, 9);
     std::mt19937_64 Random(Seed);
@@ -439,8 +441,8 @@
         if (Step % 4 == 0)
           Cell.submit("n" + std::to_string(Any(0, 3)),
                       stepOf(Any(1, 3), Any(0, 2) == 0 ? 12s : 500ms));
-        if (Step == CutStep - 6)
-          BeforeCut(Cell);
+        if (Step == DisturbStep)
+          Disturb(Cell);
         for (const std::string &Id : Affected) {
           if (Step == 20)
             Workers.crash(Id);
@@ -459,6 +461,43 @@
   }
 }
 
+/// The same for next processes that are hardly ever reached.
+void expectNothingTwiceIfTheNextProcessIsNotReached(
+    const std::function<void(EmulatedCell &)> &Disturb, Duration SinceCut) {
+  for (const Duration Absence : {100ms, 200ms, 600ms})
+    for (const Duration Contact : {100ms, 300ms, 700ms})
+      expectNothingTwiceAfterRestartsAndCuts(Absence, Contact, Disturb,
+                                             SinceCut);
+}
+
+void killForOneSecond(EmulatedCell &Cell, const std::string &Name) {
+  Cell.kill(Name);
+  Cell.time().after(1s, [&Cell, Name] { Cell.start(Name); });
+}
+
+void loseLeader(EmulatedCell &Cell) {
+  const std::string Leader = Cell.leader();
+  if (!Leader.empty())
+    killForOneSecond(Cell, Leader);
+}
+
+void loseMembers(EmulatedCell &Cell) {
+  const std::string Leader = Cell.leader();
+  for (const std::string &Name : Cell.names())
+    if (Name != Leader)
+      killForOneSecond(Cell, Name);
+}
+
+void cutMembersOff(EmulatedCell &Cell) {
+  const std::string Leader = Cell.leader();
+  for (const std::string &Name : Cell.names()) {
+    if (Name == Leader)
+      continue;
+    Cell.cut(Name);
+    Cell.time().after(2s, [&Cell, Name] { Cell.heal(Name); });
+  }
+}
+
 // Guards against a lease that the next process of a worker has extended for a
 // call to the former one, and that nobody counts.
 TEST(RestartHazardsTest, NoTaskRunsTwiceIfARestartedWorkerIsCutOff) {
@@ -476,13 +515,57 @@
 
 // Guards against the same if the next leader doesn't know of the restart.
 TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheLeaderIsLostBeforeTheCut) {
-  expectNothingTwiceAfterRestartsAndCuts(600ms, 2s, [](EmulatedCell &Cell) {
-    const std::string Leader = Cell.leader();
-    if (Leader.empty())
-      return;
-    Cell.kill(Leader);
-    Cell.time().after(1s, [&Cell, Leader] { Cell.start(Leader); });
-  });
+  expectNothingTwiceAfterRestartsAndCuts(600ms, 2s, loseLeader);
+}
+
+// Guards against a start that only the lost member knew to be unconfirmed.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheMemberOfALostStartIsLost) {
+  expectNothingTwiceIfTheNextProcessIsNotReached(loseMembers, 0ms);
+  expectNothingTwiceIfTheNextProcessIsNotReached(cutMembersOff, 0ms);
+}
+
+// Guards against the same once the lease is frozen.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheMemberOfAFrozenLeaseIsLost) {
+  expectNothingTwiceIfTheNextProcessIsNotReached(loseMembers, 3s);
+}
+
+// Guards against a frozen lease that a next leader takes for that of all starts
+// which the worker was sent.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheLeaderOfAFrozenLeaseIsLost) {
+  expectNothingTwiceIfTheNextProcessIsNotReached(loseLeader, 3s);
+}
+
+/// Longest time until the tasks of a worker that ends for good are at work
+/// again. \p Disturb is called \p SinceEnd after its end.
+Duration
+longestWaitAfterALoss(const std::function<void(EmulatedCell &)> &Disturb,
+                      Duration SinceEnd) {
+  EmulatedCell Cell(1, 4, 6);
+  Cell.workers().CrashesSilently = true;
+  Cell.run(3s);
+  Cell.submit("n0", stepOf(24, 60s));
+  Cell.run(1s);
+  const std::set<std::string> All = Cell.workers().activeTasks();
+  EXPECT_EQ(All.size(), 24U);
+  const TimePoint End = Cell.time().now();
+  Cell.workers().crash("w0");
+  EXPECT_LT(Cell.workers().activeTasks().size(), All.size());
+  Cell.run(SinceEnd);
+  Disturb(Cell);
+  while (Cell.workers().activeTasks() != All && Cell.time().now() - End < 30s)
+    Cell.run(20ms);
+  return Cell.time().now() - End;
+}
+
+// Guards against confirmed runs that wait for starts which may be on their way.
+TEST(RestartHazardsTest, ConfirmedRunsStartAgainAfterTheLeaseOfAnEndedWorker) {
+  const cell::Timing Times;
+  const Duration Lease = Times.onWorkerClock(Times.WorkerLease) + 500ms;
+  const Duration Contact = Times.MemberLease + 1s;
+  EXPECT_LE(longestWaitAfterALoss([](EmulatedCell &) {}, 0s), Lease);
+  EXPECT_LE(longestWaitAfterALoss(loseMembers, 0s), Lease + Contact);
+  EXPECT_LE(longestWaitAfterALoss(loseMembers, 3s), Lease + Contact);
+  EXPECT_LE(longestWaitAfterALoss(loseLeader, 3s), Lease + Contact);
 }
 
 // Guards against a withdrawn key that is accepted again after a restart.
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -490,6 +490,52 @@
   EXPECT_TRUE(Extends);
 }
 
+// Guards against a frozen lease whose unconfirmed starts nobody else knows.
+TEST_F(WorkerSessionTest, AFrozenLeaseNamesTheUnconfirmedStarts) {
+  synchronize({});
+  Session.start({Worker, "listed.0.0.0", 1, "", "", ""});
+  answerHeartbeat({{"listed.0.0.0", 1, "", 0}});
+  Session.start(Start);
+  const auto Confirmed = Session.takeConfirmedStarts();
+  ASSERT_EQ(Confirmed.size(), 1U);
+  EXPECT_EQ(Confirmed[0].Task, "listed.0.0.0");
+  EXPECT_TRUE(Session.takeConfirmedStarts().empty());
+  answerHeartbeat({}, WorkerOutcome::NoAnswer);
+  Time.advanceTo(Time.now() + 600ms);
+  Session.pump();
+  ASSERT_EQ(Reports.back().Event, WorkerEvent::LeaseFrozen);
+  EXPECT_EQ(Reports.back().UnconfirmedStarts,
+            (std::vector<UnconfirmedStart>{{Start.Task, Start.Run, 700}}));
+}
+
+// Guards against a start of an earlier session that is given up with the lease.
+TEST_F(WorkerSessionTest, WaitsForTheUnconfirmedStartsOfEarlierSessions) {
+  WorkerSession Next(
+      Client, Time, Times, Log,
+      {Worker, "address", 8, 3000, true, false, {{Start.Task, Start.Run, 500}}},
+      {[this](WorkerReport Report) { Reports.push_back(std::move(Report)); },
+       [this](const RefusedStart &Start) { Refused.push_back(Start); },
+       [this] { return MayExtend; }});
+  const TimePoint Latest =
+      Time.now() - 500ms + Times.StartTransit + Times.MaxWorkerLease;
+  Next.pump();
+  std::exchange(Heartbeat, {})({});
+  while (Time.now() < Latest) {
+    Next.pump();
+    if (Heartbeat)
+      std::exchange(Heartbeat, {})({});
+    Time.advanceTo(Time.now() + 50ms);
+  }
+  ASSERT_EQ(events(), std::vector{WorkerEvent::LeaseExpired});
+  ASSERT_EQ(Reports[0].Running.size(), 1U);
+  EXPECT_EQ(Reports[0].Running[0].Task, Start.Task);
+  Time.advanceTo(Time.now() + 1s);
+  Next.pump();
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports[1].Event, WorkerEvent::LeaseExpired);
+  EXPECT_TRUE(Reports[1].Running.empty());
+}
+
 // Guards against a session that is never released after a late first answer.
 TEST_F(WorkerSessionTest, ALeaseIsFrozenIfTheFirstAnswerIsLate) {
   Session.pump();
