Store unconfirmed starts when a leader steps down

What callers saw: a task ran twice after a leader had stepped down. The next one takes over at once and gives runs up by what its predecessor's members may have granted (8.65 s). A next process of a worker that had just begun a start keeps the longest lease (10.2 s) from then on.

A leader that steps down now stores the starts that are not confirmed with the rows of their workers.

Ruled out: that the next leader takes all restored runs for unconfirmed (trial).

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -440,14 +440,15 @@
 
 void Leader::restoreUnconfirmedStarts(const RosterEntry &Entry) {
   WorkerState &Worker = WorkerStates.at(Entry.Incarnation.Id);
-  if (!Worker.LeaseFrozen || !Entry.UnconfirmedStarts)
+  const TimePoint Now = Deps.Time.now();
+  const ShardTime SharedNow = StateJournal.timeAt(Now);
+  const auto &Stored = Entry.LeaseEnd ? Entry.LeaseEnd : Entry.FormerLeaseEnd;
+  if (!Entry.UnconfirmedStarts || !Stored || Stored->Epoch != SharedNow.Epoch)
     return;
   const TimePoint LastSend = TermStartedAt + Deps.Times.MemberLease;
-  const TimePoint Now = Deps.Time.now();
-  const std::int64_t SharedNowMs = StateJournal.timeAt(Now).Ms;
   for (const UnconfirmedStart &Start : *Entry.UnconfirmedStarts)
     Worker.UnconfirmedStarts[{Start.Task, Start.Run}] =
-        std::min(Now + Duration(Start.SentMs - SharedNowMs), LastSend);
+        std::min(Now + Duration(Start.SentMs - SharedNow.Ms), LastSend);
 }
 
 std::vector<UnconfirmedStart> Leader::unconfirmedStarts(
@@ -532,6 +533,11 @@
                  {{"shard", std::to_string(Shard)},
                   {"term", std::to_string(Record.Term)},
                   {"for", Successor}});
+  // The next leader takes over sooner than after a crash, in which time these
+  // starts may still reach the next processes of their workers.
+  for (const auto &[Id, Worker] : WorkerStates)
+    if (Worker.InRoster && !Worker.UnconfirmedStarts.empty())
+      storeRosterEntry(Worker);
   StateJournal.stepDown(Successor);
 }
 
@@ -1081,13 +1087,13 @@
                     std::nullopt};
   if (Worker.FormerLeaseEnd)
     Entry.FormerLeaseEnd = StateJournal.timeAt(*Worker.FormerLeaseEnd);
-  if (Worker.LeaseFrozen && !Worker.ReleasePending) {
+  if (Worker.LeaseFrozen && !Worker.ReleasePending)
     Entry.LeaseEnd = StateJournal.timeAt(Worker.MaxLeaseEnd);
+  if (Entry.LeaseEnd || !Worker.UnconfirmedStarts.empty())
     Entry.UnconfirmedStarts =
         unconfirmedStarts(Worker, [this](TimePoint SentAt) {
           return StateJournal.timeAt(SentAt).Ms;
         });
-  }
   StateJournal.put(RosterTable, Entry.Incarnation.Id,
                    encode(std::vector<RosterEntry>{Entry}));
 }
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -481,6 +481,14 @@
     killForOneSecond(Cell, Leader);
 }
 
+void replaceLeader(EmulatedCell &Cell) {
+  const std::string Leader = Cell.leader();
+  if (Leader.empty())
+    return;
+  Cell.node(Leader).leave();
+  Cell.time().after(1s, [&Cell, Leader] { killForOneSecond(Cell, Leader); });
+}
+
 void loseMembers(EmulatedCell &Cell) {
   const std::string Leader = Cell.leader();
   for (const std::string &Name : Cell.names())
@@ -535,6 +543,16 @@
   expectNothingTwiceIfTheNextProcessIsNotReached(loseLeader, 3s);
 }
 
+// Guards against starts that the next leader doesn't know to be unconfirmed.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheLeaderOfALostStartIsReplaced) {
+  expectNothingTwiceIfTheNextProcessIsNotReached(replaceLeader, 0ms);
+}
+
+// Guards against the same if the leader is killed.
+TEST(RestartHazardsTest, NoTaskRunsTwiceIfTheLeaderOfALostStartIsLost) {
+  expectNothingTwiceIfTheNextProcessIsNotReached(loseLeader, -200ms);
+}
+
 /// Longest time until the tasks of a worker that ends for good are at work
 /// again. \p Disturb is called \p SinceEnd after its end.
 Duration
