Release the claims of a gang whose given-up run has succeeded

A gang that waits claims free room. If a run of it that had been given up turns out to have ended as done, its step is finished, but the claims stayed until the whole job had ended: other work was kept from that room while nothing of the gang waited for it.

Cause: only a start and the end of the job released claims. Now the end of the step does as well.

GangPlacementTest.ReleasesClaimsWhenAGivenUpRunHasSucceeded fails without the change (16 cores stay claimed, the waiting task isn't started) and passes.

--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -1061,6 +1061,7 @@
     dequeue(CurrentJob, Step);
   if (!CurrentJob.isStepDone(Step))
     return;
+  releaseClaims(stepName(CurrentJob.Spec.Id, Step), State);
   CurrentJob.updateEstimate();
   if (CurrentJob.isDone())
     finishJob(CurrentJob, JobPhase::Completed, Now);
--- a/tests/jobs/gangplacement_test.cpp
+++ b/tests/jobs/gangplacement_test.cpp
@@ -112,6 +112,27 @@
   EXPECT_EQ(decide().Starts.size(), 1U);
 }
 
+// Guards against claims that outlive the step: a run of the gang that had been
+// given up has succeeded while the gang waited.
+TEST_F(GangPlacementTest, ReleasesClaimsWhenAGivenUpRunHasSucceeded) {
+  const auto InitialStarts = fillWorkers();
+  JobSpec Spec;
+  Spec.Id = "chain";
+  Spec.Queue = "quick";
+  Spec.Steps = {gang(4, 16'000), step(1, 1000)};
+  Spec.Steps[1].After = {0};
+  Spec.Steps[1].RequiredLabel = "missing";
+  Scheduler.add(Spec, false, Now);
+  const StartCommand First = InitialStarts.begin()->second.front();
+  end(First, EndKind::Done);
+  EXPECT_TRUE(decide().Starts.empty());
+  addJob("batch", step(1, 16'000));
+  EXPECT_TRUE(decide().Starts.empty());
+  end({First.Worker, "chain.0.0.0", 1, {}, {}, {}}, EndKind::Done);
+  EXPECT_EQ(Scheduler.worker(First.Worker.Id)->claimed(), Resources{});
+  EXPECT_EQ(decide().Starts.size(), 1U);
+}
+
 // Guards against resources that stay idle because they are claimed for a gang
 // whose account is at its resource limit.
 TEST_F(GangPlacementTest, ClaimsNothingForAnAccountAtItsLimit) {
