--- a/tests/soak/restartseries.cpp
+++ b/tests/soak/restartseries.cpp
@@ -9,14 +9,6 @@
 
 constexpr std::int64_t BeforeCutMs = 600;
 
-std::vector<int> drawWorkers(std::mt19937_64 &Draw, double Share) {
-  std::vector<int> Result(WorkerCount);
-  std::iota(Result.begin(), Result.end(), 0);
-  std::shuffle(Result.begin(), Result.end(), Draw);
-  Result.resize(std::size_t(std::max(1.0, Share * WorkerCount)));
-  return Result;
-}
-
 std::vector<int> drawZone(std::mt19937_64 &Draw) {
   const int Zone = std::uniform_int_distribution(0, ZoneCount - 1)(Draw);
   std::vector<int> Result;
@@ -28,6 +20,14 @@
 
 } // namespace
 
+std::vector<int> drawWorkers(std::mt19937_64 &Draw, double Share) {
+  std::vector<int> Result(WorkerCount);
+  std::iota(Result.begin(), Result.end(), 0);
+  std::shuffle(Result.begin(), Result.end(), Draw);
+  Result.resize(std::size_t(std::max(1.0, Share * WorkerCount)));
+  return Result;
+}
+
 RestartSeries RestartSeries::ofAThird(std::mt19937_64 &Draw, int Rounds) {
   RestartSeries Result;
   Result.Rounds = Rounds;
--- a/tests/soak/restartseries.h
+++ b/tests/soak/restartseries.h
@@ -12,6 +12,9 @@
 
 namespace apricotwing::soak {
 
+/// A share of the workers, by index; at least one.
+std::vector<int> drawWorkers(std::mt19937_64 &Draw, double Share);
+
 /// Each round, the workers go dark for AwayMs, the next processes take over,
 /// and GapMs later they are cut off for CutMs.
 struct RestartSeries {
