--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -37,6 +37,11 @@
     Found->get_to(Field);
 }
 
+template <typename Enum>
+void putEnum(json &To, const char *Name, Enum Field, Enum Default = Enum()) {
+  put(To, Name, int(Field), int(Default));
+}
+
 template <typename Enum>
 void takeEnum(const json &From, const char *Name, Enum &Field) {
   int Number = int(Field);
@@ -275,6 +280,32 @@
   From.at(4).get_to(Value.Checkpoint);
 }
 
+static void to_json(json &To, const PreviousRun &Value) {
+  To = json::object();
+  put(To, "run", Value.Run);
+  put(To, "worker", Value.Worker);
+  putEnum(To, "outcome", Value.Outcome);
+  put(To, "age", std::int64_t(Value.Age.count()));
+  putEnum(To, "cause", Value.Cause);
+  putEnum(To, "evidence", Value.Proof.Evidence);
+  putEnum(To, "basis", Value.Proof.Basis);
+  put(To, "grant_age", Value.Proof.GrantAgeMs, std::int64_t(-1));
+  put(To, "answer_age", Value.Proof.AnswerAgeMs, std::int64_t(-1));
+}
+static void from_json(const json &From, PreviousRun &Value) {
+  std::int64_t AgeMs = 0;
+  take(From, "run", Value.Run);
+  take(From, "worker", Value.Worker);
+  takeEnum(From, "outcome", Value.Outcome);
+  take(From, "age", AgeMs);
+  Value.Age = Duration(AgeMs);
+  takeEnum(From, "cause", Value.Cause);
+  takeEnum(From, "evidence", Value.Proof.Evidence);
+  takeEnum(From, "basis", Value.Proof.Basis);
+  take(From, "grant_age", Value.Proof.GrantAgeMs);
+  take(From, "answer_age", Value.Proof.AnswerAgeMs);
+}
+
 static void to_json(json &To, const StartCommand &Value) {
   To = json::object();
   To["worker"] = Value.Worker;
@@ -283,6 +314,8 @@
   put(To, "payload", Value.Payload);
   put(To, "ticket", Value.Ticket);
   put(To, "saved", Value.Checkpoint);
+  if (Value.Previous)
+    To["previous"] = *Value.Previous;
 }
 static void from_json(const json &From, StartCommand &Value) {
   From.at("worker").get_to(Value.Worker);
@@ -291,6 +324,8 @@
   take(From, "payload", Value.Payload);
   take(From, "ticket", Value.Ticket);
   take(From, "saved", Value.Checkpoint);
+  if (From.contains("previous"))
+    Value.Previous = From.at("previous").get<PreviousRun>();
 }
 
 static void to_json(json &To, const StopCommand &Value) {
@@ -385,12 +420,23 @@
   take(From, "time", Value.Time);
 }
 
+static void to_json(json &To, const UnconfirmedStart &Value) {
+  To = json::array({Value.Task, Value.Run, Value.SentMs});
+}
+static void from_json(const json &From, UnconfirmedStart &Value) {
+  From.at(0).get_to(Value.Task);
+  From.at(1).get_to(Value.Run);
+  From.at(2).get_to(Value.SentMs);
+}
+
 static void to_json(json &To, const RosterEntry &Value) {
   // Earlier versions ignore an end of epoch 0, and what follows it.
   To = json::array({Value.Incarnation, Value.Address, Value.Zone,
                     Value.LeaseEnd.value_or(ShardTime{})});
-  if (Value.FormerLeaseEnd)
-    To.push_back(*Value.FormerLeaseEnd);
+  if (Value.FormerLeaseEnd || Value.UnconfirmedStarts)
+    To.push_back(Value.FormerLeaseEnd.value_or(ShardTime{}));
+  if (Value.UnconfirmedStarts)
+    To.push_back(*Value.UnconfirmedStarts);
 }
 static void from_json(const json &From, RosterEntry &Value) {
   From.at(0).get_to(Value.Incarnation);
@@ -402,6 +448,8 @@
     Value.LeaseEnd.reset();
   if (From.size() > 4)
     Value.FormerLeaseEnd = From.at(4).get<ShardTime>();
+  if (From.size() > 5)
+    Value.UnconfirmedStarts = From.at(5).get<std::vector<UnconfirmedStart>>();
 }
 
 /// Encodes ascending numbers as the first and the last of each range.
@@ -497,8 +545,12 @@
   putList(To, "ended", Value.Ended);
   put(To, "refused", Value.ProcessAbsent);
   put(To, "answer_age", Value.AnswerAgeMs, std::int64_t(-1));
+  putEnum(To, "basis", Value.Basis);
+  put(To, "grant_age", Value.GrantAgeMs, std::int64_t(-1));
   put(To, "other_start", Value.AnsweredStartUnixMs);
   put(To, "lease", Value.RemainingLeaseMs);
+  if (Value.UnconfirmedStarts)
+    To["starts"] = *Value.UnconfirmedStarts;
 }
 static void from_json(const json &From, WorkerReport &Value) {
   takeEnum(From, "event", Value.Event);
@@ -508,8 +560,22 @@
   take(From, "ended", Value.Ended);
   take(From, "refused", Value.ProcessAbsent);
   take(From, "answer_age", Value.AnswerAgeMs);
+  takeEnum(From, "basis", Value.Basis);
+  take(From, "grant_age", Value.GrantAgeMs);
   take(From, "other_start", Value.AnsweredStartUnixMs);
   take(From, "lease", Value.RemainingLeaseMs);
+  if (From.contains("starts"))
+    Value.UnconfirmedStarts =
+        From.at("starts").get<std::vector<UnconfirmedStart>>();
+}
+
+static void to_json(json &To, const ConfirmedStart &Value) {
+  To = json::array({Value.Incarnation, Value.Task, Value.Run});
+}
+static void from_json(const json &From, ConfirmedStart &Value) {
+  From.at(0).get_to(Value.Incarnation);
+  From.at(1).get_to(Value.Task);
+  From.at(2).get_to(Value.Run);
 }
 
 static void to_json(json &To, const RefusedStart &Value) {
@@ -540,6 +606,7 @@
   To = json::object();
   putList(To, "workers", Value.Workers);
   putList(To, "refused", Value.Refused);
+  putList(To, "confirmed", Value.Confirmed);
   putList(To, "advice", Value.Advice);
   put(To, "leaving", Value.Leaving);
   put(To, "leads", Value.OtherShardsLed);
@@ -549,6 +616,7 @@
 static void from_json(const json &From, MemberMessage &Value) {
   take(From, "workers", Value.Workers);
   take(From, "refused", Value.Refused);
+  take(From, "confirmed", Value.Confirmed);
   take(From, "advice", Value.Advice);
   take(From, "leaving", Value.Leaving);
   take(From, "leads", Value.OtherShardsLed);
@@ -561,6 +629,8 @@
       {Value.Incarnation, Value.Address, Value.Token, Value.AssumedLeaseMs});
   if (Value.LeaseFrozen)
     To.insert(To.end(), {*Value.LeaseFrozen, Value.FirstContact});
+  if (Value.LeaseFrozen && !Value.UnconfirmedStarts.empty())
+    To.push_back(Value.UnconfirmedStarts);
 }
 static void from_json(const json &From, Assignment &Value) {
   From.at(0).get_to(Value.Incarnation);
@@ -573,6 +643,8 @@
     Value.LeaseFrozen = From.at(4).get<bool>();
   if (From.size() > 5)
     From.at(5).get_to(Value.FirstContact);
+  if (From.size() > 6)
+    From.at(6).get_to(Value.UnconfirmedStarts);
 }
 
 static void to_json(json &To, const LeaseRelease &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -186,7 +186,7 @@
     if (!isOwnWorker(Id))
       Foreign.push_back(Id);
   for (const std::string &Id : Foreign)
-    removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
+    removeWorker(Id, jobs::WorkerLoss::Transferred, jobs::LossEvidence::NoRuns);
   if (NewLayout.shardCount() > 1) {
     std::vector<std::string> Partitions;
     Partitions.reserve(std::size_t(NewLayout.shardCount()));
@@ -231,7 +231,8 @@
   // runs of a worker that has returned.
   for (const std::string &Id : Changed) {
     if (!isOwnWorker(Id)) {
-      removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
+      removeWorker(Id, jobs::WorkerLoss::Transferred,
+                   jobs::LossEvidence::NoRuns);
       continue;
     }
     if (const auto Known = ForeignRows.extract(Id); !Known.empty()) {
@@ -307,7 +308,7 @@
       {{TransferTable, Id, encode(Transfer)}, {RosterTable, Id, std::nullopt}});
   Ownership->record(Id, Transfer);
   WorkerStates.at(Id).InRoster = false;
-  removeWorker(Id, jobs::WorkerLoss::Transferred, LossEvidence::NoRuns);
+  removeWorker(Id, jobs::WorkerLoss::Transferred, jobs::LossEvidence::NoRuns);
 }
 
 // A cell whose workers are just starting waits until they have registered,
@@ -400,6 +401,8 @@
                                                         : Progress->second,
                       Age, Now);
   }
+  for (const RosterEntry &Entry : Stored.Roster)
+    restoreUnconfirmedStarts(Entry);
   Scheduler.forgetUnusedSettings();
   StoredSettings = encode(Stored.Settings);
   storeSettings();
@@ -436,6 +439,28 @@
   }
 }
 
+void Leader::restoreUnconfirmedStarts(const RosterEntry &Entry) {
+  WorkerState &Worker = WorkerStates.at(Entry.Incarnation.Id);
+  const TimePoint Now = Deps.Time.now();
+  const ShardTime SharedNow = StateJournal.timeAt(Now);
+  const auto &Stored = Entry.LeaseEnd ? Entry.LeaseEnd : Entry.FormerLeaseEnd;
+  if (!Entry.UnconfirmedStarts || !Stored || Stored->Epoch != SharedNow.Epoch)
+    return;
+  const TimePoint LastSend = TermStartedAt + Deps.Times.MemberLease;
+  for (const UnconfirmedStart &Start : *Entry.UnconfirmedStarts)
+    Worker.UnconfirmedStarts[{Start.Task, Start.Run}] =
+        std::min(Now + Duration(Start.SentMs - SharedNow.Ms), LastSend);
+}
+
+std::vector<UnconfirmedStart> Leader::unconfirmedStarts(
+    const WorkerState &Worker,
+    const std::function<std::int64_t(TimePoint)> &Encode) const {
+  std::vector<UnconfirmedStart> Result;
+  for (const auto &[Key, SentAt] : Worker.UnconfirmedStarts)
+    Result.push_back({Key.first, Key.second, Encode(SentAt)});
+  return Result;
+}
+
 TimePoint Leader::longestLeaseFrom(TimePoint Answer) const {
   return Answer + Deps.Times.onWorkerClock(Deps.Times.MaxWorkerLease) +
          Deps.Times.ClockSkewMargin;
@@ -509,6 +534,11 @@
                  {{"shard", std::to_string(Shard)},
                   {"term", std::to_string(Record.Term)},
                   {"for", Successor}});
+  // The next leader takes over sooner than after a crash, in which time these
+  // starts may still reach the next processes of their workers.
+  for (const auto &[Id, Worker] : WorkerStates)
+    if (Worker.InRoster && !Worker.UnconfirmedStarts.empty())
+      storeRosterEntry(Worker);
   StateJournal.stepDown(Successor);
 }
 
@@ -656,7 +686,7 @@
     removeWorker(Id,
                  Former.causeOfLoss(IsLater ? jobs::WorkerLoss::ProcessEnded
                                             : jobs::WorkerLoss::LeaseExpired),
-                 LossEvidence::NoRuns);
+                 jobs::LossEvidence::NoRuns);
     updateWorkerInfo(Info);
   }
 }
@@ -693,18 +723,19 @@
                                              : jobs::WorkerLoss::Gone;
     Deps.Log.event("worker removed", Id,
                    {{"refused", Worker.AbsentAtExpiry ? "1" : "0"}});
-    removeWorker(Id, Worker.causeOfLoss(Unannounced), LossEvidence::NoRuns);
+    removeWorker(Id, Worker.causeOfLoss(Unannounced),
+                 jobs::LossEvidence::NoRuns);
   }
 }
 
 void Leader::removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
-                          LossEvidence Evidence) {
+                          jobs::LossEvidence Evidence) {
   const auto Found = WorkerStates.find(Id);
   if (Found == WorkerStates.end())
     return;
-  Scheduler.removeWorker(Found->second.Info.Incarnation, Cause,
-                         Deps.Time.now());
-  logLostRuns(Found->second, Evidence);
+  Scheduler.removeWorker(Found->second.Info.Incarnation, Cause, Deps.Time.now(),
+                         proofOf(Found->second, Evidence));
+  logLostRuns(Found->second);
   releaseFromMember(Id);
   if (Found->second.InRoster || Found->second.RosterPending)
     StateJournal.remove(RosterTable, Id);
@@ -724,6 +755,8 @@
   if (!Worker.LeaseFrozen)
     Worker.MaxLeaseEnd =
         std::max(Worker.MaxLeaseEnd, latestGrantFrom(LastContact));
+  for (auto &[Key, SentAt] : Worker.UnconfirmedStarts)
+    SentAt = std::min(SentAt, LastContact + Deps.Times.MemberLease);
 }
 
 // A message that has both an assignment and a revocation of a worker would not
@@ -805,9 +838,12 @@
     From.StoreAnsweredAt = Now - Duration(Content.StoreResponseAgeMs);
   From.OtherShardsLed = Content.OtherShardsLed;
   From.FreezesLeases = Content.FreezesLeases;
+  for (const ConfirmedStart &Start : Content.Confirmed)
+    forgetStart(Start.Incarnation, Start.Task, Start.Run);
   for (const WorkerReport &Report : Content.Workers)
     onWorkerReport(From, Report);
   for (const RefusedStart &Refused : Content.Refused) {
+    forgetStart(Refused.Incarnation, Refused.Task, Refused.Run);
     Scheduler.startRefused(Refused.Incarnation, Refused.Task, Refused.Run,
                            Refused.Reason, Now);
     DecisionNeeded = true;
@@ -846,6 +882,20 @@
   return encode(Message);
 }
 
+// A member gets an order within MemberAckTimeout or is removed.
+TimePoint Leader::latestSendOf(TimePoint Dispatched) const {
+  return Dispatched + MemberAckTimeout +
+         std::max(Deps.Times.MemberLease, Deps.Times.StartValidity);
+}
+
+void Leader::forgetStart(const jobs::WorkerIncarnation &Incarnation,
+                         const std::string &Task, std::int64_t Run) {
+  const auto Found = WorkerStates.find(Incarnation.Id);
+  if (Found != WorkerStates.end() &&
+      Found->second.Info.Incarnation == Incarnation)
+    Found->second.UnconfirmedStarts.erase({Task, Run});
+}
+
 // Workers.
 
 void Leader::onWorkerReport(MemberState &From, const WorkerReport &Report) {
@@ -865,6 +915,7 @@
   if (Worker.AnsweredAt)
     noteContact(Worker);
   DecisionNeeded = true;
+  noteUnconfirmed(Report, Worker);
   if (IsAnswer || Report.Event == WorkerEvent::Reachable)
     releaseLease(Worker);
   switch (Report.Event) {
@@ -872,6 +923,7 @@
     Worker.Resolved = true;
     Worker.Answers = true;
     Scheduler.syncWorker(Report.Incarnation, Report.Running, Report.Ended, Now);
+    logGivenUpEnds();
     Deps.Log.event(
         "worker synced", Report.Incarnation.Id,
         {{"member", From.Info.Name},
@@ -904,18 +956,22 @@
     updateReachable(Worker);
     freezeLease(Worker, Duration(Report.RemainingLeaseMs));
     return;
-  case WorkerEvent::LeaseExpired:
+  case WorkerEvent::LeaseExpired: {
     Worker.Resolved = true;
     Worker.AbsentAtExpiry = Report.ProcessAbsent;
+    jobs::LossProof Proof = proofOf(Worker, jobs::LossEvidence::LeaseEnded);
+    Proof.Basis = Report.Basis;
+    Proof.GrantAgeMs = Report.GrantAgeMs;
     Scheduler.loseRuns(Report.Incarnation,
                        Report.ProcessAbsent && !Worker.StopAnnounced
                            ? jobs::WorkerLoss::Refused
                            : jobs::WorkerLoss::LeaseExpired,
-                       Now, Report.Running);
-    logLostRuns(Worker, LossEvidence::LeaseEnded);
+                       Now, Report.Running, Proof);
+    logLostRuns(Worker);
     Worker.Answers = false;
     updateReachable(Worker);
     return;
+  }
   case WorkerEvent::Fenced:
     // The cause is an order of a later term or a delayed call of an earlier
     // session of this term. A new token resolves both cases.
@@ -929,10 +985,10 @@
     // the next process once that has registered.
     Worker.Resolved = true;
     recordEnds(Report);
-    Scheduler.loseRuns(Report.Incarnation,
-                       Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded), Now);
-    logLostRuns(Worker, LossEvidence::LaterStartAnswered,
-                Report.AnsweredStartUnixMs);
+    Scheduler.loseRuns(
+        Report.Incarnation, Worker.causeOfLoss(jobs::WorkerLoss::ProcessEnded),
+        Now, {}, proofOf(Worker, jobs::LossEvidence::LaterStartAnswered));
+    logLostRuns(Worker, Report.AnsweredStartUnixMs);
     Worker.Answers = false;
     updateReachable(Worker);
     From.Workers.erase(Report.Incarnation.Id);
@@ -942,6 +998,42 @@
   }
 }
 
+// Must be called before the report takes effect.
+void Leader::noteUnconfirmed(const WorkerReport &Report, WorkerState &Worker) {
+  auto &Starts = Worker.UnconfirmedStarts;
+  switch (Report.Event) {
+  case WorkerEvent::Synced:
+  case WorkerEvent::ProcessEnded:
+    Starts.clear();
+    return;
+  case WorkerEvent::LeaseExpired:
+    std::erase_if(Starts, [&Report](const auto &Start) {
+      return std::none_of(Report.Running.begin(), Report.Running.end(),
+                          [&Start](const jobs::ActiveRun &Run) {
+                            return Start.first == std::pair(Run.Task, Run.Run);
+                          });
+    });
+    return;
+  case WorkerEvent::LeaseFrozen:
+    // The session sends no more starts.
+    if (!Report.UnconfirmedStarts)
+      return;
+    Starts.clear();
+    for (const UnconfirmedStart &Start : *Report.UnconfirmedStarts)
+      Starts[{Start.Task, Start.Run}] =
+          Deps.Time.now() - Duration(Start.SentMs) + Deps.Times.ClockSkewMargin;
+    return;
+  case WorkerEvent::Ended:
+    for (const jobs::EndedRun &End : Report.Ended)
+      Starts.erase({End.Task, End.Run});
+    return;
+  case WorkerEvent::Reachable:
+  case WorkerEvent::Unreachable:
+  case WorkerEvent::Fenced:
+    return;
+  }
+}
+
 void Leader::recordEnds(const WorkerReport &Report) {
   for (const jobs::EndedRun &End : Report.Ended) {
     Scheduler.runEnded(Report.Incarnation, End, Deps.Time.now());
@@ -951,12 +1043,34 @@
          {"worker", Report.Incarnation.Id},
          {"how", std::string(enumName(jobs::EndKindNames, End.Kind))}});
   }
+  logGivenUpEnds();
+}
+
+void Leader::logGivenUpEnds() {
+  for (const jobs::GivenUpEnd &End : Scheduler.takeGivenUpEnds())
+    Deps.Log.event(
+        "given-up run ended", End.Task,
+        {{"run", std::to_string(End.Run)},
+         {"worker", End.Worker.Id},
+         {"how", std::string(enumName(jobs::EndKindNames, End.Kind))},
+         {"believed",
+          std::string(enumName(jobs::RunOutcomeNames, End.Believed))},
+         {"newest_run", std::to_string(End.NewestRun)},
+         {"newest_worker", End.NewestWorker},
+         {"counts", End.Counts ? "1" : "0"}});
+}
+
+jobs::LossProof Leader::proofOf(const WorkerState &Worker,
+                                jobs::LossEvidence Evidence) const {
+  jobs::LossProof Result;
+  Result.Evidence = Evidence;
+  if (Worker.AnsweredAt)
+    Result.AnswerAgeMs = (Deps.Time.now() - *Worker.AnsweredAt).count();
+  return Result;
 }
 
-void Leader::logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
+void Leader::logLostRuns(const WorkerState &Worker,
                          std::int64_t OtherStartUnixMs) {
-  const Duration::rep AnswerAgeMs =
-      Worker.AnsweredAt ? (Deps.Time.now() - *Worker.AnsweredAt).count() : -1;
   for (const jobs::LostRun &Lost : Scheduler.takeLostRuns()) {
     ++LostRuns;
     Deps.Log.event(
@@ -967,10 +1081,14 @@
          {"age_ms", std::to_string(Lost.Age.count())},
          {"losses", std::to_string(Lost.Losses)},
          {"restored", Lost.Restored ? "1" : "0"},
-         {"evidence", std::string(enumName(LossEvidenceNames, Evidence))},
+         {"evidence",
+          std::string(enumName(jobs::LossEvidenceNames, Lost.Proof.Evidence))},
+         {"basis",
+          std::string(enumName(jobs::LeaseBasisNames, Lost.Proof.Basis))},
+         {"grant_age_ms", std::to_string(Lost.Proof.GrantAgeMs)},
          {"born", std::to_string(Lost.Worker.StartedUnixMs)},
          {"other_born", std::to_string(OtherStartUnixMs)},
-         {"answer_age_ms", std::to_string(AnswerAgeMs)},
+         {"answer_age_ms", std::to_string(Lost.Proof.AnswerAgeMs)},
          {"member", Worker.Member}});
   }
 }
@@ -994,12 +1112,21 @@
 }
 
 void Leader::storeRosterEntry(const WorkerState &Worker) {
-  RosterEntry Entry{Worker.Info.Incarnation, Worker.Info.Address,
-                    Worker.Info.Zone, std::nullopt, std::nullopt};
+  RosterEntry Entry{Worker.Info.Incarnation,
+                    Worker.Info.Address,
+                    Worker.Info.Zone,
+                    std::nullopt,
+                    std::nullopt,
+                    std::nullopt};
   if (Worker.FormerLeaseEnd)
     Entry.FormerLeaseEnd = StateJournal.timeAt(*Worker.FormerLeaseEnd);
   if (Worker.LeaseFrozen && !Worker.ReleasePending)
     Entry.LeaseEnd = StateJournal.timeAt(Worker.MaxLeaseEnd);
+  if (Entry.LeaseEnd || !Worker.UnconfirmedStarts.empty())
+    Entry.UnconfirmedStarts =
+        unconfirmedStarts(Worker, [this](TimePoint SentAt) {
+          return StateJournal.timeAt(SentAt).Ms;
+        });
   StateJournal.put(RosterTable, Entry.Incarnation.Id,
                    encode(std::vector<RosterEntry>{Entry}));
 }
@@ -1334,7 +1461,10 @@
     To->Outgoing.Assigned.push_back(
         {Worker.Info.Incarnation, Worker.Info.Address, Worker.Token,
          std::int64_t(Assumed.count()), Worker.LeaseFrozen,
-         !Worker.FormerLeaseEnd.has_value()});
+         !Worker.FormerLeaseEnd.has_value(),
+         unconfirmedStarts(Worker, [Now](TimePoint SentAt) {
+           return std::int64_t((Now - SentAt).count());
+         })});
   }
 }
 
@@ -1468,6 +1598,9 @@
   if (Usable && Scheduler.isCurrent(Order)) {
     To->Outgoing.Starts.push_back(Order);
     Scheduler.markDispatched(Order);
+    WorkerStates.at(Order.Worker.Id)
+        .UnconfirmedStarts[{Order.Task, Order.Run}] =
+        latestSendOf(Deps.Time.now());
     return;
   }
   // The order was never sent, so the run was not started. If the worker's lists
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -115,18 +115,6 @@
   }
 
 private:
-  /// What shows that the runs of a worker have ended.
-  enum class LossEvidence {
-    LeaseEnded,         ///< Its lease has ended on its own clock.
-    LaterStartAnswered, ///< It answered and named a later start.
-    NoRuns,             ///< It had none.
-  };
-  static constexpr NameTable<LossEvidence, 3> LossEvidenceNames = {{
-      {LossEvidence::LeaseEnded, "lease_ended"},
-      {LossEvidence::LaterStartAnswered, "later_start_answered"},
-      {LossEvidence::NoRuns, "no_runs"},
-  }};
-
   struct MemberState {
     InstanceInfo Info;
     std::string Session;
@@ -165,6 +153,9 @@
     /// No session extends its lease beyond MaxLeaseEnd before it is released,
     /// and the roster may have that time.
     bool LeaseFrozen = false;
+    /// Runs whose start may have been sent and is not confirmed, with the
+    /// latest time at which it was.
+    std::map<std::pair<std::string, std::int64_t>, TimePoint> UnconfirmedStarts;
     /// The commit before the release is under way.
     bool ReleasePending = false;
     bool Answers = false;  ///< It answered the last call of its session.
@@ -203,16 +194,28 @@
   void markUnregistered(WorkerState &Worker);
   void removeUnregistered();
   void removeWorker(const std::string &Id, jobs::WorkerLoss Cause,
-                    LossEvidence Evidence);
+                    jobs::LossEvidence Evidence);
   void recordEnds(const WorkerReport &Report);
-  void logLostRuns(const WorkerState &Worker, LossEvidence Evidence,
+  jobs::LossProof proofOf(const WorkerState &Worker,
+                          jobs::LossEvidence Evidence) const;
+  void logLostRuns(const WorkerState &Worker,
                    std::int64_t OtherStartUnixMs = 0);
+  void logGivenUpEnds();
 
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
   void storeRosterEntry(const WorkerState &Worker);
+  std::vector<UnconfirmedStart>
+  unconfirmedStarts(const WorkerState &Worker,
+                    const std::function<std::int64_t(TimePoint)> &Encode) const;
   void updateReachable(const WorkerState &Worker);
   void restoreLeaseEnd(const RosterEntry &Entry);
+  void restoreUnconfirmedStarts(const RosterEntry &Entry);
+  /// Latest time at which a member sends an order of the leader to its worker.
+  TimePoint latestSendOf(TimePoint Dispatched) const;
+  void forgetStart(const jobs::WorkerIncarnation &Incarnation,
+                   const std::string &Task, std::int64_t Run);
+  void noteUnconfirmed(const WorkerReport &Report, WorkerState &Worker);
   TimePoint longestLeaseFrom(TimePoint Answer) const;
   void noteContact(WorkerState &Worker);
   bool mayHaveBeenCalled(const std::string &Id) const;
--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -55,7 +55,11 @@
       FirstContact(Assigned.FirstContact),
       LeaderReleases(Assigned.LeaseFrozen.has_value()),
       LeaseFrozen(Assigned.LeaseFrozen.value_or(false)),
-      FreezeAt(Time.now() + FreezeDelay) {}
+      FreezeAt(Time.now() + FreezeDelay) {
+  for (const UnconfirmedStart &Start : Assigned.UnconfirmedStarts)
+    UnlistedStarts[{Start.Task, Start.Run}] =
+        Time.now() - Duration(Start.SentMs);
+}
 
 std::int64_t WorkerSession::estimatedClockMs() const {
   return LastClockMs + (Time.now() - LastClockAt).count();
@@ -101,20 +105,30 @@
   return std::max(GrantedLeaseEnd, AssumedLeaseEnd);
 }
 
+jobs::LeaseBasis WorkerSession::leaseBasis() const {
+  return leaseEnd() == AssumedLeaseEnd ? jobs::LeaseBasis::Assumed
+                                       : jobs::LeaseBasis::Granted;
+}
+
+std::int64_t WorkerSession::ageMsOf(const std::optional<TimePoint> &At) const {
+  return At ? (Time.now() - *At).count() : -1;
+}
+
 // Tells how the end of the lease was determined.
 void WorkerSession::logLeaseEnd(std::string_view LogEvent) const {
   const auto AgeOf = [this](const std::optional<TimePoint> &At) {
-    return std::to_string(At ? (Time.now() - *At).count() : -1);
+    return std::to_string(ageMsOf(At));
   };
-  Log.event(LogEvent, Worker.Incarnation.Id,
-            {{"token", std::to_string(Worker.Token)},
-             {"refused", ProcessAbsent ? "1" : "0"},
-             {"basis", leaseEnd() == AssumedLeaseEnd ? "assumed" : "granted"},
-             {"grant_age_ms", AgeOf(LastGrantAt)},
-             {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
-             {"answer_age_ms", AgeOf(LastAnswerAt)},
-             {"unanswered", std::to_string(UnansweredCalls)},
-             {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
+  Log.event(
+      LogEvent, Worker.Incarnation.Id,
+      {{"token", std::to_string(Worker.Token)},
+       {"refused", ProcessAbsent ? "1" : "0"},
+       {"basis", std::string(enumName(jobs::LeaseBasisNames, leaseBasis()))},
+       {"grant_age_ms", AgeOf(LastGrantAt)},
+       {"first_answer_age_ms", AgeOf(FirstAnswerAt)},
+       {"answer_age_ms", AgeOf(LastAnswerAt)},
+       {"unanswered", std::to_string(UnansweredCalls)},
+       {"unlisted_starts", std::to_string(UnlistedStarts.size())}});
 }
 
 // The lease ends all runs of this process. A start that it has not confirmed
@@ -145,6 +159,7 @@
     end(WorkerEvent::ProcessEnded, "worker process ended");
     return;
   }
+  reportFormerRunsIfDue(Now);
   freezeLeaseIfDue(Now);
   reportExpiryIfDue(Now);
   if (!HeartbeatInFlight && Now >= NextHeartbeat)
@@ -183,8 +198,10 @@
   HeartbeatSentAt = Time.now();
   Client.heartbeat(
       Worker, Request,
-      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty()](
-                     const HeartbeatResult &Result) {
+      Guard.wrap([this, Extend, StopsAnswered = PendingStops.empty(),
+                  Number = SentHeartbeats](const HeartbeatResult &Result) {
+        if (Number != SentHeartbeats)
+          return; // checkClock() has sent a later one.
         HeartbeatInFlight = false;
         onHeartbeat(Result, Extend, StopsAnswered);
       }));
@@ -218,6 +235,7 @@
   if (FirstContact && !HasClock)
     assumeFormerCalls();
   updateClock(Result.ClockMs);
+  ProcessDoubted = false;
   // Runs that ended before an expiry of the lease do not count, so the owner
   // must be told of the expiry before it gets the list.
   if (!Extended && Synced && MaxDeadlineMs > 0 &&
@@ -270,11 +288,11 @@
     PendingStarts.erase({End.Task, End.Run});
     PendingStops.erase({End.Task, End.Run});
     ExpectedRuns.erase({End.Task, End.Run});
-    UnlistedStarts.erase({End.Task, End.Run});
+    confirm({End.Task, End.Run});
     ConfirmedRuns.erase({End.Task, End.Run});
   }
   for (const jobs::ActiveRun &Run : Result.Running) {
-    UnlistedStarts.erase({Run.Task, Run.Run});
+    confirm({Run.Task, Run.Run});
     ConfirmedRuns[{Run.Task, Run.Run}] = SentHeartbeats;
   }
   // A run in neither list may be an ended one that is not listed yet.
@@ -386,7 +404,8 @@
   const RunKey Key{Order.Task, Order.Run};
   PendingStarts[Key] = PendingStart{Order, 0, 0, false};
   // The order may come late, or this process may have been paused.
-  const bool IsPermitted = Synced && !RestartResolvedBy && mayExtend();
+  const bool IsPermitted =
+      Synced && !RestartResolvedBy && !ProcessDoubted && mayExtend();
   if (Ended || !IsPermitted || PendingStops.contains(Key)) {
     reportRefused(Key, jobs::StartRefusal::Expired);
     return;
@@ -410,8 +429,32 @@
                }));
 }
 
+// A heartbeat that the former process had accepted gets its answer from the
+// next one late or never, so another one finds out at once.
+void WorkerSession::checkClock(const RunKey &Key, const WorkerAnswer &Answer) {
+  const auto Sent = UnlistedStarts.find(Key);
+  if (!Answer.ClockMs || Answer.Outcome == WorkerOutcome::OtherWorker ||
+      Sent == UnlistedStarts.end() || RestartResolvedBy || ProcessDoubted)
+    return;
+  // The answer may have taken all the time since the order was sent.
+  const std::int64_t MaxLag =
+      (Time.now() - Sent->second).count() + MaxClockError;
+  const std::int64_t Lag = estimatedClockMs() - *Answer.ClockMs;
+  if (Lag >= -MaxClockError && Lag <= MaxLag)
+    return;
+  Log.event("start answered by another process", Key.first,
+            {{"run", std::to_string(Key.second)},
+             {"worker", Worker.Incarnation.Id},
+             {"clock_ms", std::to_string(*Answer.ClockMs)},
+             {"expected_clock_ms", std::to_string(estimatedClockMs())}});
+  ProcessDoubted = true;
+  sendHeartbeat(true);
+}
+
 void WorkerSession::onStartAnswer(const RunKey &Key,
                                   const WorkerAnswer &Answer) {
+  if (!Ended)
+    checkClock(Key, Answer);
   const auto Found = PendingStarts.find(Key);
   if (Found == PendingStarts.end() || Ended)
     return; // The outcome is already known from a list.
@@ -430,7 +473,7 @@
   case WorkerOutcome::Done:
     PendingStarts.erase(Found);
     if (isOwnClock(Answer))
-      UnlistedStarts.erase(Key);
+      confirm(Key);
     ConfirmedRuns[Key] = SentHeartbeats;
     return;
   case WorkerOutcome::Fenced:
@@ -473,6 +516,15 @@
   }
 }
 
+void WorkerSession::confirm(const RunKey &Key) {
+  if (UnlistedStarts.erase(Key) > 0)
+    NewlyConfirmed.push_back({Worker.Incarnation, Key.first, Key.second});
+}
+
+std::vector<ConfirmedStart> WorkerSession::takeConfirmedStarts() {
+  return std::exchange(NewlyConfirmed, {});
+}
+
 void WorkerSession::reportRefused(const RunKey &Key,
                                   jobs::StartRefusal Reason) {
   PendingStarts.erase(Key);
@@ -560,7 +612,20 @@
     for (const auto &[Key, SentAt] : *Starts)
       Keys.insert(Key);
   for (const RunKey &Key : Keys)
-    stop({Worker.Incarnation, Key.first, Key.second});
+    stopOnNextProcess(Key);
+}
+
+void WorkerSession::stopOnNextProcess(const RunKey &Key) {
+  NextProcessRuns.insert(Key);
+  stop({Worker.Incarnation, Key.first, Key.second});
+}
+
+// The next process can't have the other runs, whatever it still carries out.
+void WorkerSession::reportFormerRunsIfDue(TimePoint Now) {
+  if (!FormerRunsDue || Now < *FormerRunsDue)
+    return;
+  FormerRunsDue.reset();
+  report(WorkerEvent::LeaseExpired);
 }
 
 // Orders name a worker by its id, so the next process may have carried out some
@@ -572,7 +637,11 @@
   const bool IsFirst = NextStartUnixMs != Result.StartedUnixMs;
   NextStartUnixMs = Result.StartedUnixMs;
   if (IsFirst) {
-    RestartResolvedBy = Now + Times.onWorkerClock(Times.MaxWorkerLease);
+    // A late call of this session may begin a run, and extend the lease.
+    const TimePoint LastCallBy =
+        LastGrantAt ? std::max(Now, *LastGrantAt + Times.MaxCallDelay) : Now;
+    RestartResolvedBy = longestLeaseFrom(LastCallBy);
+    FormerRunsDue = longestLeaseFrom(Now);
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
@@ -581,7 +650,7 @@
   const bool IsStopDue = IsFirst || Now >= NextStop;
   for (const jobs::ActiveRun &Run : Result.Running)
     if (IsStopDue && !PendingStops.contains({Run.Task, Run.Run}))
-      stop({Worker.Incarnation, Run.Task, Run.Run});
+      stopOnNextProcess({Run.Task, Run.Run});
   // The lists tell the outcome if they were read after the stops.
   if (Result.Running.empty() && PendingStops.empty() &&
       (IsFirst || StopsAnswered)) {
@@ -608,15 +677,26 @@
   Report.Event = Event;
   Report.Incarnation = Worker.Incarnation;
   Report.Token = Worker.Token;
-  if (Event == WorkerEvent::LeaseFrozen)
+  if (Event == WorkerEvent::LeaseFrozen) {
     Report.RemainingLeaseMs =
         std::max(leaseEnd() - Time.now(), Duration{0}).count();
-  if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
+    Report.UnconfirmedStarts.emplace();
+    for (const auto &[Key, SentAt] : UnlistedStarts)
+      Report.UnconfirmedStarts->push_back(
+          {Key.first, Key.second, (Time.now() - SentAt).count()});
+  }
+  if (Event == WorkerEvent::LeaseExpired && RestartResolvedBy)
+    for (const RunKey &Key : NextProcessRuns)
+      Report.Running.push_back({Key.first, Key.second, "", 0});
+  else if (Event == WorkerEvent::LeaseExpired && ExpiryIsPartial)
     for (const auto &[Key, SentAt] : UnlistedStarts)
       Report.Running.push_back({Key.first, Key.second, "", 0});
-  Report.ProcessAbsent = Event == WorkerEvent::LeaseExpired && ProcessAbsent;
-  if (LastAnswerAt)
-    Report.AnswerAgeMs = (Time.now() - *LastAnswerAt).count();
+  if (Event == WorkerEvent::LeaseExpired) {
+    Report.ProcessAbsent = ProcessAbsent;
+    Report.Basis = leaseBasis();
+    Report.GrantAgeMs = ageMsOf(LastGrantAt);
+  }
+  Report.AnswerAgeMs = ageMsOf(LastAnswerAt);
   Report.Ended = std::move(EndedRuns);
   if (Event == WorkerEvent::ProcessEnded)
     Report.AnsweredStartUnixMs = NextStartUnixMs;
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -54,6 +54,9 @@
   /// Notes that the ended runs up to number \p UpTo are stored.
   void acknowledge(std::int64_t UpTo);
 
+  /// Starts that the process has confirmed since the last call.
+  std::vector<ConfirmedStart> takeConfirmedStarts();
+
   /// The worker process that this session supervises.
   const jobs::WorkerIncarnation &incarnation() const {
     return Worker.Incarnation;
@@ -90,9 +93,12 @@
   void freezeLeaseIfDue(TimePoint Now);
   void forgetOldStarts();
   void stopFormerStarts();
+  void stopOnNextProcess(const RunKey &Key);
+  void reportFormerRunsIfDue(TimePoint Now);
   void onRestart(const HeartbeatResult &Result, bool StopsAnswered);
   void send(const RunKey &Key);
   void onStartAnswer(const RunKey &Key, const WorkerAnswer &Answer);
+  void confirm(const RunKey &Key);
   void reportRefused(const RunKey &Key, jobs::StartRefusal Reason);
   void sendStop(const RunKey &Key);
   void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
@@ -106,8 +112,12 @@
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool isOwnClock(const WorkerAnswer &Answer) const;
+  void checkClock(const RunKey &Key, const WorkerAnswer &Answer);
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
+  jobs::LeaseBasis leaseBasis() const;
+  /// Time since \p At in ms; -1 if it is empty.
+  std::int64_t ageMsOf(const std::optional<TimePoint> &At) const;
   void reportExpiryIfDue(TimePoint Now);
   void logLeaseEnd(std::string_view LogEvent) const;
 
@@ -149,6 +159,9 @@
   bool Reachable = true;
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
+  /// A start was answered with the clock of another process, and no heartbeat
+  /// since.
+  bool ProcessDoubted = false;
   bool ExpiryReported = false;
   /// The runs of UnlistedStarts were left out of the reported expiry.
   bool ExpiryIsPartial = false;
@@ -163,9 +176,10 @@
   /// number of the last heartbeat that was sent before the confirmation.
   std::map<RunKey, std::int64_t> ConfirmedRuns;
   /// Runs whose start was sent and that this process has not confirmed yet, and
-  /// when it was sent last. If the worker restarts, its next process may have
-  /// carried out the order.
+  /// when it was sent last, also by earlier sessions. If the worker restarts,
+  /// its next process may have carried out the order.
   std::map<RunKey, TimePoint> UnlistedStarts;
+  std::vector<ConfirmedStart> NewlyConfirmed; ///< Not taken yet.
   /// Runs of which a start order got no answer, and when it was sent. The
   /// worker may delay it, and its next process carry it out, whatever became of
   /// others.
@@ -173,6 +187,11 @@
   /// Set once the worker has named a later start: time until which its next
   /// process may still run what this session has started.
   std::optional<TimePoint> RestartResolvedBy;
+  /// When all runs but those of NextProcessRuns are reported as over, if that
+  /// time is not known before.
+  std::optional<TimePoint> FormerRunsDue;
+  /// Runs that the next process has, or may have because of a late start.
+  std::set<RunKey> NextProcessRuns;
   /// Start time of the next process; 0: not known.
   std::int64_t NextStartUnixMs = 0;
   std::map<RunKey, jobs::StopCommand> PendingStops;
