Take a late reading of a heartbeat into account for clocks

A member that reads the answer to a heartbeat late estimates the worker's clock too low by that time. The prompt answer to the next start was then taken for one of another process: the session dropped the waiting heartbeat and refused starts until it was answered.

The bound for clocks that are ahead now includes the time that the answer can have been on its way. That a next process's clock is always behind, as it starts anew, is not relied on: the emulator draws it freely.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -81,6 +81,7 @@
   HasClock = true;
   LastClockMs = ClockMs;
   LastClockAt = Time.now();
+  LastClockTransit = LastClockAt - HeartbeatSentAt;
 }
 
 TimePoint WorkerSession::longestLeaseFrom(TimePoint Start) const {
@@ -440,7 +441,8 @@
   const std::int64_t MaxLag =
       (Time.now() - Sent->second).count() + MaxClockError;
   const std::int64_t Lag = estimatedClockMs() - *Answer.ClockMs;
-  if (Lag >= -MaxClockError && Lag <= MaxLag)
+  // So may that of the heartbeat which the estimate rests on.
+  if (Lag >= -MaxClockError - LastClockTransit.count() && Lag <= MaxLag)
     return;
   Log.event("start answered by another process", Key.first,
             {{"run", std::to_string(Key.second)},
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -144,6 +144,7 @@
   bool HasClock = false;
   std::int64_t LastClockMs = 0;
   TimePoint LastClockAt;
+  Duration LastClockTransit{0}; ///< Longest possible age of that answer.
   /// Latest deadline that was ever sent, on the worker's clock.
   std::int64_t MaxDeadlineMs = 0;
 
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -368,6 +368,26 @@
   EXPECT_FALSE(Heartbeat);
 }
 
+// Guards against starts that are refused because an answer of the same process
+// was read late, so that its clock seems to be ahead.
+TEST_F(WorkerSessionTest, AnAnswerThatWasReadLateIsNotTakenForARestart) {
+  Session.pump();
+  const std::int64_t ClockMs = Time.now().time_since_epoch().count();
+  Time.advanceTo(Time.now() + 450ms);
+  HeartbeatResult Result;
+  Result.StartedUnixMs = 1;
+  Result.Outcome = WorkerOutcome::Done;
+  Result.ClockMs = ClockMs;
+  std::exchange(Heartbeat, {})(Result);
+  Session.pump();
+  Heartbeat = {};
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::Done, Time.now().time_since_epoch().count()});
+  EXPECT_FALSE(Heartbeat);
+  Session.start({Worker, "job.0.0.1", 1, "", "", ""});
+  EXPECT_TRUE(Refused.empty());
+}
+
 // Guards against a session that never ends because the next process is gone.
 TEST_F(WorkerSessionTest, EndsOnceTheLeasesOfTheNextProcessHaveEnded) {
   synchronize({});
