Judge answers to stops by the process that gave them

Found by the review, each with a test that fails on: - An answer of the former process to a stop, read after the restart was known, was taken for one of the next process. That was never told, so a start that it got late began there (AnAnswerOfTheFormerProcessToAStopIsNotThatOfTheNext). Stops that were in flight are now sent again to the next process, and the answers of the former one count for nothing. - The clock in an answer to a stop was logged and not looked at, so the session went on to send starts to a process that it did not know (AStopThatTheNextProcessAnswersShowsTheRestart). It is checked like that in an answer to a start.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -432,19 +432,18 @@
 
 // A heartbeat that the former process had accepted gets its answer from the
 // next one late or never, so another one finds out at once.
-void WorkerSession::checkClock(const RunKey &Key, const WorkerAnswer &Answer) {
-  const auto Sent = UnlistedStarts.find(Key);
+void WorkerSession::checkClock(const RunKey &Key, const WorkerAnswer &Answer,
+                               TimePoint SentAt) {
   if (!Answer.ClockMs || Answer.Outcome == WorkerOutcome::OtherWorker ||
-      Sent == UnlistedStarts.end() || RestartResolvedBy || ProcessDoubted)
+      !HasClock || RestartResolvedBy || ProcessDoubted)
     return;
   // The answer may have taken all the time since the order was sent.
-  const std::int64_t MaxLag =
-      (Time.now() - Sent->second).count() + MaxClockError;
+  const std::int64_t MaxLag = (Time.now() - SentAt).count() + MaxClockError;
   const std::int64_t Lag = estimatedClockMs() - *Answer.ClockMs;
   // So may that of the heartbeat which the estimate rests on.
   if (Lag >= -MaxClockError - LastClockTransit.count() && Lag <= MaxLag)
     return;
-  Log.event("start answered by another process", Key.first,
+  Log.event("order answered by another process", Key.first,
             {{"run", std::to_string(Key.second)},
              {"worker", Worker.Incarnation.Id},
              {"clock_ms", std::to_string(*Answer.ClockMs)},
@@ -455,8 +454,9 @@
 
 void WorkerSession::onStartAnswer(const RunKey &Key,
                                   const WorkerAnswer &Answer) {
-  if (!Ended)
-    checkClock(Key, Answer);
+  if (const auto Sent = UnlistedStarts.find(Key);
+      !Ended && Sent != UnlistedStarts.end())
+    checkClock(Key, Answer, Sent->second);
   const auto Found = PendingStarts.find(Key);
   if (Found == PendingStarts.end() || Ended)
     return; // The outcome is already known from a list.
@@ -545,17 +545,18 @@
 void WorkerSession::sendStop(const RunKey &Key) {
   if (Ended)
     return;
+  const TimePoint SentAt = Time.now();
   StopsInFlight.insert(Key);
   NextStop = Time.now() + StopRetryDelay;
   Client.stop(Worker, PendingStops.at(Key),
-              Guard.wrap([this, Key](const WorkerAnswer &Answer) {
-                onStopAnswer(Key, Answer);
+              Guard.wrap([this, Key, SentAt, SentTo = NextStartUnixMs](
+                             const WorkerAnswer &Answer) {
+                onStopAnswer(Key, Answer, SentAt, SentTo);
               }));
 }
 
-void WorkerSession::onStopAnswer(const RunKey &Key,
-                                 const WorkerAnswer &Answer) {
-  StopsInFlight.erase(Key);
+void WorkerSession::onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer,
+                                 TimePoint SentAt, std::int64_t SentTo) {
   Log.event(
       "stop answered", Key.first,
       {{"run", std::to_string(Key.second)},
@@ -563,9 +564,12 @@
        {"outcome", std::string(enumName(WorkerOutcomeNames, Answer.Outcome))},
        {"clock_ms", std::to_string(Answer.ClockMs.value_or(-1))},
        {"expected_clock_ms", std::to_string(estimatedClockMs())}});
-  if (Ended)
+  // An answer of the former process says nothing about the next one.
+  if (Ended || SentTo != NextStartUnixMs)
     return;
+  StopsInFlight.erase(Key);
   UnansweredCalls += Answer.Outcome == WorkerOutcome::NoAnswer ? 1 : 0;
+  checkClock(Key, Answer, SentAt);
   switch (Answer.Outcome) {
   case WorkerOutcome::Fenced:
     endIfFenced(Answer.Outcome);
@@ -647,6 +651,7 @@
     markUnreachable(WorkerOutcome::Restarted);
     PendingStarts.clear();
     PendingStops.clear();
+    StopsInFlight.clear();
     stopFormerStarts();
   }
   const bool IsStopDue = IsFirst || Now >= NextStop;
--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -101,7 +101,8 @@
   void confirm(const RunKey &Key);
   void reportRefused(const RunKey &Key, jobs::StartRefusal Reason);
   void sendStop(const RunKey &Key);
-  void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
+  void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer,
+                    TimePoint SentAt, std::int64_t SentTo);
   /// Ends the session if \p Outcome is Fenced; returns true in that case.
   bool endIfFenced(WorkerOutcome Outcome);
   void end(WorkerEvent Event, std::string_view LogEvent,
@@ -112,7 +113,8 @@
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool isOwnClock(const WorkerAnswer &Answer) const;
-  void checkClock(const RunKey &Key, const WorkerAnswer &Answer);
+  void checkClock(const RunKey &Key, const WorkerAnswer &Answer,
+                  TimePoint SentAt);
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
   jobs::LeaseBasis leaseBasis() const;
@@ -160,7 +162,7 @@
   bool Reachable = true;
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
-  /// A start was answered with the clock of another process, and no heartbeat
+  /// An order was answered with the clock of another process, and no heartbeat
   /// since.
   bool ProcessDoubted = false;
   bool ExpiryReported = false;
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -396,14 +396,55 @@
   answerRestarted({Run});
   waitForHeartbeat();
   answerHeartbeat({}, WorkerOutcome::NoAnswer);
+  Time.advanceTo(Time.now() + Times.MaxWorkerLease);
+  Session.pump();
+  EXPECT_EQ(Reports.size(), 2U);
+  Time.advanceTo(Time.now() + Times.MaxWorkerLease / 20);
+  Session.pump();
+  ASSERT_EQ(Reports.size(), 3U);
+  EXPECT_EQ(Reports.back().Event, WorkerEvent::LeaseExpired);
+  ASSERT_EQ(Reports.back().Running.size(), 1U);
+  EXPECT_EQ(Reports.back().Running[0].Task, Run.Task);
   Time.advanceTo(Sent + Times.MaxCallDelay + Times.MaxWorkerLease);
   Session.pump();
-  EXPECT_NE(Reports.back().Event, WorkerEvent::ProcessEnded);
+  EXPECT_EQ(Reports.size(), 3U);
   Time.advanceTo(Time.now() + Times.MaxWorkerLease / 20);
   Session.pump();
+  ASSERT_EQ(Reports.size(), 4U);
   EXPECT_EQ(Reports.back().Event, WorkerEvent::ProcessEnded);
 }
 
+// Guards against a restart that is known from a stop, and starts that go on.
+TEST_F(WorkerSessionTest, AStopThatTheNextProcessAnswersShowsTheRestart) {
+  synchronize({Run});
+  ASSERT_TRUE(Heartbeat);
+  const auto Waiting = std::exchange(Heartbeat, {});
+  Session.stop({Worker, Run.Task, Run.Run});
+  StopAnswer(
+      {WorkerOutcome::Done, Time.now().time_since_epoch().count() - 60'000});
+  EXPECT_TRUE(Heartbeat);
+  Session.start(Start);
+  EXPECT_EQ(Refused.size(), 1U);
+}
+
+// Guards against a start that the next process begins late, as the answer of
+// the former one to its stop was taken for that of the next.
+TEST_F(WorkerSessionTest, AnAnswerOfTheFormerProcessToAStopIsNotThatOfTheNext) {
+  synchronize({});
+  Session.start(Start);
+  StartAnswer({WorkerOutcome::NoAnswer, std::nullopt});
+  Session.stop(Stop);
+  const auto FormerAnswer = std::exchange(StopAnswer, {});
+  ASSERT_TRUE(FormerAnswer);
+  const std::int64_t FormerClockMs = Time.now().time_since_epoch().count();
+  answerRestarted({});
+  FormerAnswer({WorkerOutcome::Done, FormerClockMs});
+  waitForHeartbeat();
+  answerHeartbeat({}, WorkerOutcome::Restarted, {}, false, 2);
+  EXPECT_TRUE(StopAnswer);
+  EXPECT_NE(Reports.back().Event, WorkerEvent::ProcessEnded);
+}
+
 // Guards against a run that is given up before a late copy of its start can
 // have begun on the next process.
 TEST_F(WorkerSessionTest, ALateStartOnTheNextProcessIsWaitedFor) {
