Report the end of a lease only once after the worker answers

Traced: w4 was cut off and its lease lapsed; it answered, and the session reported LeaseExpired and Synced at once. The lease was still frozen, so the next heartbeat had no deadline either; the session saw the same past deadline and reported a second LeaseExpired. Meanwhile the leader had placed new runs on w4. It took them for lost and started them elsewhere, and the member got and sent the first starts.

A worker whose clock is past the last deadline can't get an extension by an earlier call, so the deadline is forgotten once an answer shows that.

ReportsTheEndOfALeaseOnce fails without the change. Not changed: the leader still loses runs that it has placed after the last lists, if a session reports an end.

--- a/src/cell/workersession.cpp
+++ b/src/cell/workersession.cpp
@@ -239,10 +239,10 @@
   ProcessDoubted = false;
   // Runs that ended before an expiry of the lease do not count, so the owner
   // must be told of the expiry before it gets the list.
-  if (!Extended && Synced && MaxDeadlineMs > 0 &&
-      Result.ClockMs > MaxDeadlineMs) {
-    Synced = false;
-    report(WorkerEvent::LeaseExpired);
+  if (!Extended && MaxDeadlineMs > 0 && Result.ClockMs > MaxDeadlineMs) {
+    MaxDeadlineMs = 0; // Later answers must not report the same end again.
+    if (std::exchange(Synced, false))
+      report(WorkerEvent::LeaseExpired);
   }
   if (ExpiryReported && !Result.Running.empty())
     Log.event("runs outlived the lease", Worker.Incarnation.Id,
--- a/tests/cell/workersession_test.cpp
+++ b/tests/cell/workersession_test.cpp
@@ -388,6 +388,24 @@
   EXPECT_TRUE(Refused.empty());
 }
 
+// Guards against runs that are lost although they began after their worker had
+// answered again, while its lease is still frozen.
+TEST_F(WorkerSessionTest, ReportsTheEndOfALeaseOnce) {
+  synchronize({});
+  answerHeartbeat({}, WorkerOutcome::NoAnswer);
+  Time.advanceTo(Time.now() + 600ms);
+  Session.pump();
+  Time.advanceTo(Time.now() + Times.MaxWorkerLease);
+  Session.pump();
+  answerHeartbeat({});
+  waitForHeartbeat();
+  answerHeartbeat({});
+  EXPECT_EQ(events(),
+            (std::vector{WorkerEvent::Synced, WorkerEvent::Unreachable,
+                         WorkerEvent::LeaseFrozen, WorkerEvent::LeaseExpired,
+                         WorkerEvent::Synced}));
+}
+
 // Guards against a session that never ends because the next process is gone.
 TEST_F(WorkerSessionTest, EndsOnceTheLeasesOfTheNextProcessHaveEnded) {
   synchronize({});
