--- a/src/cell/workersession.h
+++ b/src/cell/workersession.h
@@ -101,7 +101,8 @@
   void confirm(const RunKey &Key);
   void reportRefused(const RunKey &Key, jobs::StartRefusal Reason);
   void sendStop(const RunKey &Key);
-  void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer);
+  void onStopAnswer(const RunKey &Key, const WorkerAnswer &Answer,
+                    TimePoint SentAt, std::int64_t SentTo);
   /// Ends the session if \p Outcome is Fenced; returns true in that case.
   bool endIfFenced(WorkerOutcome Outcome);
   void end(WorkerEvent Event, std::string_view LogEvent,
@@ -112,7 +113,8 @@
   void assumeFormerCalls();
   std::int64_t estimatedClockMs() const;
   bool isOwnClock(const WorkerAnswer &Answer) const;
-  void checkClock(const RunKey &Key, const WorkerAnswer &Answer);
+  void checkClock(const RunKey &Key, const WorkerAnswer &Answer,
+                  TimePoint SentAt);
   bool mayExtend() const { return !LeaseFrozen && Owner.MayExtend(); }
   TimePoint leaseEnd() const;
   jobs::LeaseBasis leaseBasis() const;
@@ -144,6 +146,7 @@
   bool HasClock = false;
   std::int64_t LastClockMs = 0;
   TimePoint LastClockAt;
+  Duration LastClockTransit{0}; ///< Longest possible age of that answer.
   /// Latest deadline that was ever sent, on the worker's clock.
   std::int64_t MaxDeadlineMs = 0;
 
@@ -159,7 +162,7 @@
   bool Reachable = true;
   /// The last heartbeat was refused a connection or answered by another worker.
   bool ProcessAbsent = false;
-  /// A start was answered with the clock of another process, and no heartbeat
+  /// An order was answered with the clock of another process, and no heartbeat
   /// since.
   bool ProcessDoubted = false;
   bool ExpiryReported = false;
