--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -146,7 +146,7 @@
     : Deps(Deps), Shard(Shard), Record(Record),
       StateJournal(Deps.Store, Deps.Time, Deps.Log, Deps.Times,
                    partitionOf(Shard), Record, Version, SentAt),
-      Scheduler(Record.Term),
+      Scheduler(Record.Term, Deps.Times.Scheduler),
       Calls(
           {Scheduler, StateJournal, Deps.Time, Deps.Log},
           {[this] { storeChangedJobs(); }, [this] { DecisionNeeded = true; }}),
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -1,9 +1,10 @@
 /// \file
-/// Timeouts and intervals of the cell's protocols.
+/// Timeouts and intervals of the cell's protocols, and scheduler options.
 #ifndef APRICOTWING_CELL_TIMING_H
 #define APRICOTWING_CELL_TIMING_H
 
 #include "core/time.h"
+#include "jobs/scheduleroptions.h"
 
 namespace apricotwing::cell {
 
@@ -85,6 +86,9 @@
   /// The platform says "seconds" and has been seen to take up to 12.
   Duration MaxCallDelay{15'000};
 
+  /// Options of the scheduler of each leader.
+  jobs::SchedulerOptions Scheduler;
+
   /// Lower bound for the rate of a worker's clock relative to the local clock.
   double MinWorkerClockRate = 0.98;
 
--- /dev/null
+++ b/src/entry/entryoptions.cpp
@@ -0,0 +1,126 @@
+#include "entry/entryoptions.h"
+
+#include "core/error.h"
+
+#include <boost/program_options/errors.hpp>
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/parsers.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <iomanip>
+#include <set>
+#include <sstream>
+
+namespace po = boost::program_options;
+
+namespace apricotwing::entry {
+
+namespace {
+
+constexpr std::int64_t SecondsPerMonth = 30 * 86'400;
+
+constexpr std::array OptionRows = {
+    EntryOptionInfo{"scheduler", "migrate_from_leaving_workers", "", 0, 1, 0,
+                    "1: runs that cannot finish on a worker that is about to "
+                    "leave are stopped and started elsewhere; 0: they end with "
+                    "the worker.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Scheduler.MigrateFromLeavingWorkers = Value != 0;
+                    }},
+    EntryOptionInfo{"past_use", "half_life_s", "s", 0, SecondsPerMonth, 0,
+                    "Time after which the past use of an account counts half "
+                    "in the order of waiting work; 0: it does not count.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Scheduler.UsageHalfLife = Duration(1000 * Value);
+                    }},
+};
+
+[[noreturn]] void throwBadOption(const std::string &Path,
+                                 const std::string &Problem,
+                                 const std::string &Remedy) {
+  throw Error(ErrorKind::BadSettings, Path + ": " + Problem, Remedy);
+}
+
+std::string fullName(const EntryOptionInfo &Info) {
+  return std::string(Info.Section).append(".").append(Info.Key);
+}
+
+std::string rangeOf(const EntryOptionInfo &Info) {
+  return std::to_string(Info.Min) + ".." + std::to_string(Info.Max);
+}
+
+void apply(EntryOptions &Target, const po::option &Option,
+           const std::string &Path) {
+  const std::string &Name = Option.string_key;
+  const auto Info = std::find_if(
+      OptionRows.begin(), OptionRows.end(),
+      [&Name](const EntryOptionInfo &Row) { return fullName(Row) == Name; });
+  if (Info == OptionRows.end())
+    throwBadOption(Path, Name + ": unknown key",
+                   "remove it or correct its name; apricotwing-entry "
+                   "--help-settings lists all keys");
+  const std::string Text = Option.value.empty() ? "" : Option.value.front();
+  std::int64_t Value = 0;
+  const char *const End = Text.data() + Text.size();
+  const auto [Rest, Problem] = std::from_chars(Text.data(), End, Value);
+  if (Problem != std::errc() || Rest != End || Value < Info->Min ||
+      Value > Info->Max)
+    throwBadOption(Path, Name + " = " + Text + ": not an integer in the range",
+                   "give an integer in the range " + rangeOf(*Info));
+  Info->Assign(Target, Value);
+}
+
+} // namespace
+
+std::span<const EntryOptionInfo> entryOptionTable() { return OptionRows; }
+
+std::string entryOptionHelp() {
+  std::ostringstream Out;
+  std::string_view Section;
+  for (const EntryOptionInfo &Info : OptionRows) {
+    if (Info.Section != Section)
+      Out << "[" << Info.Section << "]\n";
+    Section = Info.Section;
+    Out << "  " << Info.Key << "\n      " << Info.Description
+        << "\n      integer, " << rangeOf(Info)
+        << (Info.Unit.empty() ? "" : " ") << Info.Unit << "; default "
+        << Info.Default << "\n";
+  }
+  return Out.str();
+}
+
+EntryOptions readEntryOptions(const std::string &Path) {
+  if (Path.empty())
+    return {};
+  std::ifstream Input(Path);
+  if (!Input)
+    throwBadOption(Path, "cannot be read",
+                   "give the path of a file that this user can read");
+  return parseEntryOptions(Input, Path);
+}
+
+EntryOptions parseEntryOptions(std::istream &Input, const std::string &Path) {
+  EntryOptions Result;
+  std::set<std::string> Seen;
+  try {
+    const po::options_description NoOptions;
+    // apply() rejects unknown keys.
+    constexpr bool AllowUnregistered = true;
+    for (const po::option &Option :
+         po::parse_config_file(Input, NoOptions, AllowUnregistered).options) {
+      if (!Seen.insert(Option.string_key).second)
+        throwBadOption(Path, Option.string_key + ": given more than once",
+                       "keep one of the lines");
+      apply(Result, Option, Path);
+    }
+  } catch (const po::error &Problem) {
+    throwBadOption(Path, Problem.what(),
+                   "write [section], key = value or # comment on each line");
+  }
+  return Result;
+}
+
+} // namespace apricotwing::entry
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(std::int64_t Term) : Term(Term) {}
+JobScheduler::JobScheduler(std::int64_t Term, const SchedulerOptions &Options)
+    : Term(Term), Options(Options) {}
 
 void JobScheduler::setPolicy(const ClusterPolicy &NewPolicy) {
   PolicyQueues.clear();
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -8,6 +8,7 @@
 #include "jobs/clusterpolicy.h"
 #include "jobs/job.h"
 #include "jobs/run.h"
+#include "jobs/scheduleroptions.h"
 #include "jobs/worker.h"
 
 #include <cstdint>
@@ -102,7 +103,8 @@
   static constexpr std::int64_t RunsPerTerm = 1000;
 
   /// \p Term is the leadership term, counted from 1.
-  explicit JobScheduler(std::int64_t Term);
+  explicit JobScheduler(std::int64_t Term,
+                        const SchedulerOptions &Options = {});
 
   /// Applies a newer policy. Queues and accounts that it no longer contains
   /// keep their last settings while active jobs refer to them.
@@ -485,6 +487,7 @@
   std::int64_t nextRun(std::int64_t Last) const;
 
   const std::int64_t Term;
+  const SchedulerOptions Options;
   std::map<std::string, Queue> Queues;
   std::map<std::string, ClientAccount> Accounts;
   /// Names of those that the last policy contains.
--- /dev/null
+++ b/src/jobs/scheduleroptions.h
@@ -0,0 +1,23 @@
+/// \file
+/// Optional behaviour of the scheduler, as set by operators.
+#ifndef APRICOTWING_JOBS_SCHEDULEROPTIONS_H
+#define APRICOTWING_JOBS_SCHEDULEROPTIONS_H
+
+#include "core/time.h"
+
+namespace apricotwing::jobs {
+
+/// Options of a JobScheduler. They must be the same on all instances of a cell,
+/// as any of them may lead. A value type.
+struct SchedulerOptions {
+  /// Stop runs on workers that are about to leave and cannot finish there.
+  bool MigrateFromLeavingWorkers = false;
+
+  /// Time after which the past use of an account counts half; zero: past use
+  /// does not affect the order of waiting work.
+  Duration UsageHalfLife{0};
+};
+
+} // namespace apricotwing::jobs
+
+#endif
--- a/tests/cell/advice_test.cpp
+++ b/tests/cell/advice_test.cpp
@@ -126,7 +126,11 @@
   Cell.LinkDelay = 190ms;
   std::vector<std::string> Gangs;
   for (int Number = 0; Number < 400; ++Number) {
-    Cell.submit("n4", stepOf(any(7, 20), Duration(any(500, 3000))));
+    // Drawn in this order on all processors: compilers differ in the order in
+    // which they evaluate the arguments of a call.
+    const Duration Estimate(any(500, 3000));
+    const int Tasks = any(7, 20);
+    Cell.submit("n4", stepOf(Tasks, Estimate));
     if (Number % 6 == 0)
       Gangs.push_back(
           Cell.submit("n4", stepOf(any(3, 10), 2s, true), "/slow/"));
--- a/tests/docs/pages_test.cpp
+++ b/tests/docs/pages_test.cpp
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
+#include "entry/entryoptions.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -34,6 +35,10 @@
   return "[" + std::string(Info.Section) + "] " + std::string(Info.Key);
 }
 
+std::string settingName(const entry::EntryOptionInfo &Info) {
+  return "[" + std::string(Info.Section) + "] " + std::string(Info.Key);
+}
+
 std::string synopsis(const CommandInfo &Command) {
   std::string Result(Command.Name);
   if (!Command.Arguments.empty())
@@ -59,6 +64,12 @@
              settingRange(Info), orDash(Info.Unit),
              Info.Default.empty() ? "required" : std::string(Info.Default),
              std::string(Info.Description)}));
+  for (const entry::EntryOptionInfo &Info : entry::entryOptionTable())
+    Expected.insert(
+        row({code(settingName(Info)), "integer",
+             std::to_string(Info.Min) + ".." + std::to_string(Info.Max),
+             orDash(Info.Unit), std::to_string(Info.Default),
+             std::string(Info.Description)}));
   std::set<std::string> Listed;
   for (const std::string &Row : tableRows(readSource("docs/settings.md")))
     if (std::count(Row.begin(), Row.end(), '|') == 7)
@@ -85,10 +96,14 @@
     Known.insert(settingName(Info));
     Sections.insert("[" + std::string(Info.Section) + "]");
   }
+  for (const entry::EntryOptionInfo &Info : entry::entryOptionTable()) {
+    Known.insert(settingName(Info));
+    Sections.insert("[" + std::string(Info.Section) + "]");
+  }
   for (const std::string &Page : allPages())
     for (const std::string &Fragment : codeFragments(readSource(Page)))
       for (const std::string &Name :
-           matches(Fragment, "^\\[[a-z]+\\]( [a-z0-9_]+)?$"))
+           matches(Fragment, "^\\[[a-z_]+\\]( [a-z0-9_]+)?$"))
         EXPECT_TRUE(Known.contains(Name) || Sections.contains(Name))
             << Page << ": " << Name;
 }
