--- a/tests/soak/entries.cpp
+++ b/tests/soak/entries.cpp
@@ -23,9 +23,10 @@
 
 } // namespace
 
-Entries::Entries(std::string Program, std::string Network, std::string Folder)
+Entries::Entries(std::string Program, std::string Network, std::string Folder,
+                 MachineLimits Limits)
     : Program(std::move(Program)), Network(std::move(Network)),
-      Folder(std::move(Folder)) {
+      Folder(std::move(Folder)), Limits(Limits) {
   // Processes append to their logs.
   for (int Index = 0; Index < EntryCount; ++Index)
     std::filesystem::remove(logFile(Index));
@@ -83,8 +84,8 @@
       {"limits",
        {{"cpu_share", 0.25},
         {"cores", 1},
-        {"memory_mb", 260},
-        {"file_descriptors", 4100},
+        {"memory_mb", Limits.MemoryMb},
+        {"file_descriptors", Limits.FileDescriptors},
         {"link_mbps", 1000.0},
         {"disk_mb", 0}}},
       {"data_directory", nullptr},
@@ -160,6 +161,11 @@
              .Status == 200;
 }
 
+pid_t Entries::pid(int Index) {
+  const std::lock_guard Lock(Mutex);
+  return Processes[std::size_t(Index)].Pid;
+}
+
 bool Entries::awaitReady() {
   for (const std::int64_t Until = nowMs() + ReadyTimeoutMs; nowMs() < Until;
        sleepMs(100)) {
--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -15,6 +15,12 @@
 
 inline constexpr int EntryCount = 9;
 
+/// Limits of the machine that the platform's settings file states.
+struct MachineLimits {
+  int MemoryMb = 260;
+  int FileDescriptors = 4100;
+};
+
 /// Starts, signals and ends the entry instances. All of them use the same ports
 /// and differ in their loopback address. Thread-safe.
 class Entries {
@@ -27,7 +33,8 @@
   /// Entry N has the address .(11 + N) of \p Network ("127.A.B."), its store
   /// .(31 + N) and its advice service .(51 + N). Settings and logs go into
   /// \p Folder.
-  Entries(std::string Program, std::string Network, std::string Folder);
+  Entries(std::string Program, std::string Network, std::string Folder,
+          MachineLimits Limits = {});
   ~Entries();
   Entries(const Entries &) = delete;
   Entries &operator=(const Entries &) = delete;
@@ -37,6 +44,8 @@
   /// Waits until all are ready; false if they are not within 60 s.
   bool awaitReady();
   bool isReady(int Index);
+  /// Process id; 0 if the process is not up.
+  pid_t pid(int Index);
   /// SIGKILL; returns when the process is gone.
   void kill(int Index);
   /// SIGTERM, and SIGKILL if the process has not ended within \p GraceMs.
@@ -72,6 +81,7 @@
   std::string writeSettings(int Index) const;
 
   const std::string Program, Network, Folder;
+  const MachineLimits Limits;
   std::mutex Mutex;
   std::array<Process, EntryCount> Processes;
   int EndedAlone = 0;
