Limit the memory and connections of unfinished requests

Cause: the size of one body and the number of connections were limited, but neither the memory of all unfinished requests and unread responses together nor the time for which a request may stay unfinished. Clients that stopped short took a process from 13 to 417 MB.

Ruled out: waiting with reads while the budget is full, as a few clients that never finish would stop all others.

Change: IntakeBudget accounts for the connections of all servers of a process and chooses those to close; ErrorReplySocket reports what is read and written. The section [intake] has the settings, which are checked against the memory and the descriptors of the machine.

--- a/src/core/httpserver.h
+++ b/src/core/httpserver.h
@@ -37,6 +37,9 @@
 /// must not block for long.
 using HttpHandler = std::function<void(HttpRequest, Responder)>;
 
+class IntakeBudget;
+enum class IntakePart;
+
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
   std::uint16_t Port = 0; ///< 0 selects any free port.
@@ -44,6 +47,11 @@
   std::size_t MaxBodyBytes = std::size_t(1) << 20;
   std::uint32_t ReadTimeoutMs = 5000; ///< For receiving a complete request.
   std::size_t MaxConnections = 2048;
+  /// Shared by the servers of a process; see httpserver/intakebudget.h. With
+  /// it, a connection beyond the limit of its part replaces an older one.
+  /// Empty: only the limits above hold.
+  std::shared_ptr<IntakeBudget> Intake;
+  IntakePart Part{}; ///< Of Intake.
 };
 
 /// A running server; the destructor stops it.
--- a/src/entry/entryoptions.cpp
+++ b/src/entry/entryoptions.cpp
@@ -30,6 +30,32 @@
                     [](EntryOptions &Target, std::int64_t Value) {
                       Target.Scheduler.MigrateFromLeavingWorkers = Value != 0;
                     }},
+    EntryOptionInfo{"intake", "budget_kib", "KiB", 0, 16 * 1024 * 1024, 0,
+                    "Memory for requests that are being received and responses "
+                    "that are not yet read, of all servers; at least 61440; 0: "
+                    "half of the machine's, at most 524288.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Intake.BudgetKib = Value;
+                    }},
+    EntryOptionInfo{"intake", "address_kib", "KiB", 0, 16 * 1024 * 1024, 0,
+                    "The part of that memory which the connections of one "
+                    "client address may use on one server; 0: all of it.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Intake.AddressKib = Value;
+                    }},
+    EntryOptionInfo{"intake", "request_timeout_ms", "ms", 3000, 600'000, 30'000,
+                    "Time from the first byte of a request to its last one; "
+                    "else 408.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Intake.RequestTimeout = Duration(Value);
+                    }},
+    EntryOptionInfo{"intake", "connections", "", 0, 65'536, 0,
+                    "Connections of callers; one more closes the one that has "
+                    "been idle or unfinished for longest; 0: a quarter of the "
+                    "file descriptors.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Intake.Connections = Value;
+                    }},
     EntryOptionInfo{"past_use", "half_life_s", "s", 0, SecondsPerMonth, 0,
                     "Time after which the past use of an account counts half "
                     "in the order of waiting work; 0: it does not count.",
--- a/src/entry/entryoptions.h
+++ b/src/entry/entryoptions.h
@@ -4,6 +4,7 @@
 #ifndef APRICOTWING_ENTRY_ENTRYOPTIONS_H
 #define APRICOTWING_ENTRY_ENTRYOPTIONS_H
 
+#include "entry/intakesettings.h"
 #include "jobs/scheduleroptions.h"
 
 #include <cstdint>
@@ -17,6 +18,7 @@
 /// All options of an entry instance. A value type.
 struct EntryOptions {
   jobs::SchedulerOptions Scheduler;
+  IntakeSettings Intake;
 };
 
 /// Definition of an option. All options are integers. The parser, the help text
@@ -24,7 +26,7 @@
 struct EntryOptionInfo {
   std::string_view Section;
   std::string_view Key;
-  std::string_view Unit; ///< "s", "ms", "bytes", or empty.
+  std::string_view Unit; ///< "s", "ms", "KiB", or empty.
   std::int64_t Min = 0;
   std::int64_t Max = 0;
   std::int64_t Default = 0;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint32_t IdleTimeoutMs = 60'000;
 
 constexpr std::size_t MaxClientBodyBytes = std::size_t(256) << 10;
+/// The readiness probe is a request without a body.
+constexpr std::size_t MaxProbeBodyBytes = std::size_t(16) << 10;
 constexpr std::size_t MaxPeerBodyBytes = std::size_t(16) << 20;
 
 /// After a stop request, the platform sends clients to this instance until two
@@ -41,8 +43,13 @@
 /// run() has returned.
 constexpr Duration ExitMargin{1200};
 
+/// Time between two log lines about closed connections.
+constexpr Duration RefusalLogPeriod{1000};
+
 HttpServerOptions optionsFor(const std::string &Address,
-                             std::size_t MaxBodyBytes) {
+                             std::size_t MaxBodyBytes,
+                             const std::shared_ptr<IntakeBudget> &Intake,
+                             IntakePart Part) {
   const std::size_t Colon = Address.rfind(':');
   HttpServerOptions Result;
   Result.Address = Address.substr(0, Colon);
@@ -51,6 +58,8 @@
   Result.Threads = 1;
   Result.MaxBodyBytes = MaxBodyBytes;
   Result.ReadTimeoutMs = IdleTimeoutMs;
+  Result.Intake = Intake;
+  Result.Part = Part;
   return Result;
 }
 
@@ -174,6 +183,22 @@
         .Add({{"outcome",
                std::string(enumName(cell::ClientStatusNames, Status))}})
         .Increment(double(Count));
+  if (Intake) {
+    auto &Refused = prometheus::BuildCounter()
+                        .Name("apricotwing_entry_refused_connections_total")
+                        .Help("Connections closed by a limit for clients")
+                        .Register(Registry);
+    for (const auto &[Reason, Name] : IntakeRefusalNames)
+      Refused.Add({{"cause", std::string(Name)}})
+          .Increment(double(Intake->refusals(Reason)));
+    auto &Held = prometheus::BuildGauge()
+                     .Name("apricotwing_entry_intake_bytes")
+                     .Help("Memory of unfinished requests and unread responses")
+                     .Register(Registry);
+    for (const auto &[Part, Name] : IntakePartNames)
+      Held.Add({{"server", std::string(Name)}})
+          .Set(double(Intake->bytes(Part)));
+  }
   cell::MemberCounts Counts;
   std::size_t WorkerSessions = 0;
   double ShardsLed = 0;
@@ -262,6 +287,22 @@
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
 
+void EntryProcess::logRefusals() {
+  const TimePoint Now = Time.now();
+  if (!Intake || Now - RefusalsLoggedAt < RefusalLogPeriod)
+    return;
+  RefusalsLoggedAt = Now;
+  for (const auto &[Reason, Name] : IntakeRefusalNames) {
+    std::uint64_t &Logged = LoggedRefusals[std::size_t(Reason)];
+    const std::uint64_t Count = Intake->refusals(Reason);
+    if (Count > Logged)
+      Log.event("connections refused", Settings.Instance.Name,
+                {{"cause", std::string(Name)},
+                 {"count", std::to_string(Count - Logged)}});
+    Logged = Count;
+  }
+}
+
 std::string EntryProcess::stateDump() const {
   nlohmann::json Dump;
   Dump["instance"] = Settings.Instance.Name;
@@ -283,6 +324,7 @@
 
 void EntryProcess::pump(const std::atomic<bool> &StopRequested) {
   Node.pump();
+  logRefusals();
   const bool IsReady = Node.isReady();
   Ready = IsReady;
   if (IsReady != WasReady) {
@@ -311,19 +353,24 @@
 void EntryProcess::run(const std::atomic<bool> &StopRequested,
                        std::atomic<bool> &ReloadRequested,
                        const std::function<void()> &Reload) {
+  const IntakeLimits Limits = intakeLimits(Settings.Intake, Settings.Machine);
+  Intake = std::make_shared<IntakeBudget>(Limits);
   const auto PeerServer =
-      startHttpServer(optionsFor(Settings.Instance.Address, MaxPeerBodyBytes),
+      startHttpServer(optionsFor(Settings.Instance.Address, MaxPeerBodyBytes,
+                                 Intake, IntakePart::Peers),
                       [this](HttpRequest Request, const Responder &Respond) {
                         servePeer(std::move(Request), Respond);
                       });
   const auto ProbeServer = startHttpServer(
-      optionsFor(Settings.ReadyAddress, MaxClientBodyBytes),
+      optionsFor(Settings.ReadyAddress, MaxProbeBodyBytes, Intake,
+                 IntakePart::Probe),
       [this](const HttpRequest &Request, const Responder &Respond) {
         const bool IsHealthy = Ready && Request.Path == Codec.readyPath();
         Respond(statusOnly(IsHealthy ? 200 : 503));
       });
   ClientServer = startHttpServer(
-      optionsFor(Settings.ClientAddress, MaxClientBodyBytes),
+      optionsFor(Settings.ClientAddress, MaxClientBodyBytes, Intake,
+                 IntakePart::Callers),
       [this](const HttpRequest &Request, const Responder &Respond) {
         serveClient(Request, Respond);
       });
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -7,7 +7,9 @@
 #include "core/httpserver.h"
 #include "entry/controlloop.h"
 #include "entry/decisionlog.h"
+#include "entry/intakesettings.h"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -25,6 +27,8 @@
   std::string ReadyAddress;    ///< host:port to listen on for the readiness
                                ///< probe.
   Duration GracePeriod{6000};  ///< Time from SIGTERM to SIGKILL.
+  MachineLimits Machine;
+  IntakeSettings Intake;
 };
 
 /// Decodes HTTP requests into client calls and encodes their answers.
@@ -54,7 +58,8 @@
   EntryProcess(EntrySettings Settings, ControlLoop &Control, cell::Node &Node,
                DecisionLog &Log, const Clock &Time, const ClientCodec &Codec);
 
-  /// Serves until a requested stop is complete. Signal handlers set
+  /// Throws Error(BadSettings) if the limits for clients do not fit the
+  /// machine. Serves until a requested stop is complete. Signal handlers set
   /// \p StopRequested and \p ReloadRequested. \p Reload is called on this
   /// thread after each reload request.
   void run(const std::atomic<bool> &StopRequested,
@@ -67,6 +72,9 @@
   /// Queues work for the control thread. Returns false if too much work is
   /// waiting or run() no longer performs any. Thread-safe.
   bool postWork(ControlLoop::Work Item);
+  /// Logs how many connections were closed because of the limits for clients,
+  /// at most once in RefusalLogPeriod and kind.
+  void logRefusals();
   std::string metrics() const;
   std::string stateDump() const;
   void pump(const std::atomic<bool> &StopRequested);
@@ -84,6 +92,9 @@
   bool WasReady = false;
   std::uint64_t InternalErrors = 0;
   std::optional<TimePoint> StoppingSince;
+  std::shared_ptr<IntakeBudget> Intake; ///< Set by run().
+  std::array<std::uint64_t, IntakeRefusalNames.size()> LoggedRefusals{};
+  TimePoint RefusalsLoggedAt;
   std::unique_ptr<HttpServer> ClientServer;
 };
 
--- /dev/null
+++ b/src/entry/intakesettings.cpp
@@ -0,0 +1,94 @@
+#include "entry/intakesettings.h"
+
+#include "core/error.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <string>
+
+namespace apricotwing::entry {
+
+namespace {
+
+constexpr std::int64_t KibPerMib = 1024;
+
+/// The callers' part of this budget holds a body of 256 KiB in one-byte chunks
+/// (15 MiB), and the peers' part a message of 16 MiB (32 MiB).
+constexpr std::int64_t MinBudgetKib = 60 * KibPerMib;
+
+/// More is of no use: it holds 12 such bodies at once.
+constexpr std::int64_t MaxDefaultBudgetKib = 512 * KibPerMib;
+
+/// The rest of the memory is for jobs, workers and buffers of the system.
+constexpr std::int64_t LargestShareOfMemory = 2;
+
+constexpr std::size_t CallerPercent = 40;
+constexpr std::size_t ProbePercent = 4;
+constexpr std::size_t PeerPercent = 56;
+
+/// Parts of the descriptors. More than half of them are left to the store, the
+/// workers and calls to other instances.
+constexpr std::int64_t CallerFraction = 4;
+constexpr std::int64_t PeerFraction = 8;
+constexpr std::int64_t ProbeFraction = 32;
+constexpr std::int64_t LingeringFraction = 32;
+constexpr std::int64_t MinProbeConnections = 4;
+constexpr std::int64_t MaxLingeringCloses = 256;
+
+std::int64_t availableDescriptors(std::int64_t Stated) {
+  rlimit Files{};
+  std::int64_t Result = Stated > 0 ? Stated : 4096;
+  if (getrlimit(RLIMIT_NOFILE, &Files) == 0 && Files.rlim_cur != RLIM_INFINITY)
+    Result = Stated > 0 ? std::min(Stated, std::int64_t(Files.rlim_cur))
+                        : std::int64_t(Files.rlim_cur);
+  return Result;
+}
+
+} // namespace
+
+IntakeLimits intakeLimits(const IntakeSettings &Settings,
+                          const MachineLimits &Machine) {
+  const std::int64_t MemoryKib = Machine.MemoryMib * KibPerMib;
+  const std::int64_t LargestKib = MemoryKib / LargestShareOfMemory;
+  std::int64_t BudgetKib = Settings.BudgetKib;
+  if (BudgetKib == 0)
+    BudgetKib = MemoryKib == 0
+                    ? MaxDefaultBudgetKib / 4
+                    : std::clamp(LargestKib, MinBudgetKib, MaxDefaultBudgetKib);
+  else if (BudgetKib < MinBudgetKib ||
+           (MemoryKib > 0 && BudgetKib > LargestKib))
+    throw Error(ErrorKind::BadSettings,
+                "intake.budget_kib = " + std::to_string(BudgetKib) +
+                    ": does not fit the machine, which has " +
+                    std::to_string(Machine.MemoryMib) + " MiB of memory",
+                "give at least " + std::to_string(MinBudgetKib) +
+                    " and at most half of the memory (limits.memory_mb), or 0");
+  const std::int64_t Files = availableDescriptors(Machine.FileDescriptors);
+  const std::int64_t Callers =
+      Settings.Connections > 0 ? Settings.Connections : Files / CallerFraction;
+  if (Callers > Files / 2)
+    throw Error(ErrorKind::BadSettings,
+                "intake.connections = " + std::to_string(Callers) +
+                    ": more than half of the " + std::to_string(Files) +
+                    " file descriptors",
+                "give at most half of limits.file_descriptors, or 0");
+  IntakeLimits Result;
+  const auto SetPart = [&](IntakePart Part, std::size_t Percent,
+                           std::int64_t Connections) {
+    Result.Parts[std::size_t(Part)] = {
+        std::size_t(BudgetKib) * KibPerMib / 100 * Percent,
+        std::size_t(std::max<std::int64_t>(Connections, 1))};
+  };
+  SetPart(IntakePart::Callers, CallerPercent, Callers);
+  SetPart(IntakePart::Probe, ProbePercent,
+          std::max(Files / ProbeFraction, MinProbeConnections));
+  SetPart(IntakePart::Peers, PeerPercent, Files / PeerFraction);
+  Result.BytesPerAddress = std::size_t(Settings.AddressKib) * KibPerMib;
+  Result.RequestTimeout = Settings.RequestTimeout;
+  Result.LingeringCloses =
+      std::size_t(std::min(Files / LingeringFraction, MaxLingeringCloses));
+  return Result;
+}
+
+} // namespace apricotwing::entry
--- a/src/httpserver/errorreplysocket.cpp
+++ b/src/httpserver/errorreplysocket.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <string>
 
@@ -17,9 +18,17 @@
 
 /// Maximum number of concurrent lingering closes; further connections are
 /// closed immediately.
-constexpr int MaxLingeringCloses = 256;
+constexpr std::size_t MaxLingeringCloses = 256;
 
-std::atomic<int> LingeringCount = 0;
+std::atomic<std::size_t> LingeringCount = 0;
+
+/// Largest part of the input that is discarded at a time.
+constexpr std::size_t DiscardBytes = 16384;
+
+TimePoint now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
 
 thread_local std::optional<ErrorKind> LastCloseReason;
 
@@ -49,22 +58,31 @@
   }
 
 private:
+  // Waits for input instead of reading into a buffer of its own, which would
+  // cost memory for each connection.
   void read() {
-    Socket.async_read_some(
-        asio::buffer(Bytes),
-        asio::bind_executor(Strand, [Self = shared_from_this()](
-                                        const asio::error_code &Code, auto) {
-          if (Code)
-            Self->Timer.cancel();
-          else
-            Self->read();
-        }));
+    Socket.async_wait(
+        asio::socket_base::wait_read,
+        asio::bind_executor(
+            Strand, [Self = shared_from_this()](const asio::error_code &Code) {
+              if (Code || !Self->discard())
+                Self->Timer.cancel();
+              else
+                Self->read();
+            }));
+  }
+
+  /// Returns false at the end of the input.
+  bool discard() {
+    std::array<char, DiscardBytes> Bytes;
+    const ssize_t Count = ::recv(Socket.native_handle(), Bytes.data(),
+                                 Bytes.size(), MSG_DONTWAIT);
+    return Count > 0 || (Count < 0 && (errno == EAGAIN || errno == EINTR));
   }
 
   asio::ip::tcp::socket Socket;
   asio::strand<asio::ip::tcp::socket::executor_type> Strand;
   asio::steady_timer Timer;
-  std::array<char, 16384> Bytes{};
 };
 
 /// Returns the complete HTTP response, headers and body, as raw bytes.
@@ -80,8 +98,15 @@
     Phrase = "Request Timeout";
     Message = "the request did not arrive in time";
     Remedy = "send the whole request at once, or raise header_timeout_ms";
+  } else if (Kind == ErrorKind::Overloaded) {
+    Phrase = "Service Unavailable";
+    Message = "unfinished requests use up the memory or connections for them";
+    Remedy = "send the whole request at once, later or to another instance";
   }
-  const HttpResponse Body = errorResponse(Error(Kind, Message, Remedy));
+  HttpResponse Body = errorResponse(Error(Kind, Message, Remedy));
+  // Not 429: this client has not necessarily sent too much itself.
+  if (Kind == ErrorKind::Overloaded)
+    Body.Status = 503;
   return "HTTP/1.1 " + std::to_string(Body.Status) + " " + Phrase +
          "\r\nConnection: close\r\nContent-Type: " + Body.ContentType +
          "\r\nApricotwing-Outcome: not_run\r\nContent-Length: " +
@@ -134,22 +159,85 @@
 
 ErrorReplySocket::~ErrorReplySocket() { unregisterSocket(); }
 
-void ErrorReplySocket::registerSocket() {
+void ErrorReplySocket::registerSocket(const Poster &Post) {
   if (Registry)
     return;
   Registry = &asio::use_service<OpenSockets>(
       asio::query(get_executor(), asio::execution::context));
   Registry->add(*this);
+  if (!Registry->intake())
+    return;
+  Target = std::make_shared<IntakeTarget>();
+  Target->Socket = this;
+  asio::error_code Ignored;
+  const std::string Address = remote_endpoint(Ignored).address().to_string();
+  Account =
+      Registry->intake()->open(Registry->part(), Address, now(),
+                               [Post, Target = Target](IntakeRefusal Reason) {
+                                 Post([Target, Reason] {
+                                   const std::lock_guard Lock(Target->Mutex);
+                                   if (Target->Socket)
+                                     Target->Socket->refuse(Reason);
+                                 });
+                               });
 }
 
 void ErrorReplySocket::unregisterSocket() {
+  if (Target) {
+    {
+      const std::lock_guard Lock(Target->Mutex);
+      Target->Socket = nullptr;
+    }
+    Registry->intake()->remove(Account);
+  }
+  Target.reset();
   if (Registry)
     Registry->remove(*this);
   Registry = nullptr;
 }
 
+void ErrorReplySocket::refuse(IntakeRefusal Reason) {
+  if (!ReadPending && !WritePending) {
+    Registry->intake()->keep(Account);
+    return;
+  }
+  Refusal = Reason;
+  asio::error_code Ignored;
+  cancel(Ignored);
+}
+
+void ErrorReplySocket::reportInput(asio::mutable_buffer Input,
+                                   std::size_t Length) {
+  if (Target && Length > 0)
+    Registry->intake()->received(
+        Account, intakeCost({static_cast<const char *>(Input.data()), Length}),
+        now());
+}
+
+void ErrorReplySocket::reportHandedOver() {
+  if (Target && is_open())
+    Registry->intake()->handedOver(Account);
+}
+
+void ErrorReplySocket::reportOutput(std::size_t Length) {
+  if (Target)
+    Registry->intake()->writing(Account, Length, now());
+}
+
+void ErrorReplySocket::reportWritten() {
+  if (Target)
+    Registry->intake()->idle(Account, now());
+}
+
 std::optional<ErrorKind> ErrorReplySocket::requiredErrorReply() const {
   const std::optional<ErrorKind> Reason = CloseReasonLogger::take();
+  if (Refusal) {
+    // A response was being written, or nothing of a request has arrived.
+    if (!InputReceived)
+      return std::nullopt;
+    return Refusal == IntakeRefusal::Slow ? ErrorKind::SlowRequest
+                                          : ErrorKind::Overloaded;
+  }
   if (Reason == ErrorKind::Internal)
     return std::nullopt;
   if (Reason)
@@ -179,7 +267,10 @@
 
 void ErrorReplySocket::close() {
   asio::error_code Ignored;
-  if (!ErrorReplySent || LingeringCount >= MaxLingeringCloses) {
+  const std::size_t MaxLingering =
+      Registry && Registry->intake() ? Registry->intake()->maxLingeringCloses()
+                                     : MaxLingeringCloses;
+  if (!ErrorReplySent || LingeringCount >= MaxLingering) {
     Base::close(Ignored);
     return;
   }
--- a/src/httpserver/errorreplysocket.h
+++ b/src/httpserver/errorreplysocket.h
@@ -5,9 +5,11 @@
 #define APRICOTWING_HTTPSERVER_ERRORREPLYSOCKET_H
 
 #include "core/error.h"
+#include "httpserver/intakebudget.h"
 
 #include <asio.hpp>
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -58,11 +60,28 @@
   /// True if no socket is registered.
   bool empty() const;
 
+  /// Accounts for the connections in \p Budget. Precondition: no socket has
+  /// been registered.
+  void setIntake(std::shared_ptr<IntakeBudget> Budget, IntakePart Part) {
+    Intake = std::move(Budget);
+    IntakeOf = Part;
+  }
+  const std::shared_ptr<IntakeBudget> &intake() const { return Intake; }
+  IntakePart part() const { return IntakeOf; }
+
 private:
   void shutdown() noexcept override {}
 
   mutable std::mutex Mutex;
   std::set<ErrorReplySocket *> Sockets;
+  std::shared_ptr<IntakeBudget> Intake;
+  IntakePart IntakeOf = IntakePart::Callers;
+};
+
+/// Leads from the budget to a socket, which may be destroyed meanwhile.
+struct IntakeTarget {
+  std::mutex Mutex;
+  ErrorReplySocket *Socket = nullptr; ///< Guarded by Mutex.
 };
 
 /// RESTinio closes the connection without a response when a request is
@@ -70,7 +89,8 @@
 /// sends status 400, 413 or 408. It then does a lingering close: it discards
 /// the rest of the request for a few seconds, because closing a socket with
 /// unread input resets the connection and the client would lose the response.
-/// Owned by RESTinio's connection; used on its strand only.
+/// It also reports to the IntakeBudget what the connection holds. Owned by
+/// RESTinio's connection; used on its strand only.
 class ErrorReplySocket : public asio::ip::tcp::socket {
 public:
   using Base = asio::ip::tcp::socket;
@@ -81,26 +101,62 @@
 
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers &Into, Handler &&Done) { // NOLINT
-    ReadPending = true;
-    registerSocket();
     auto Executor = asio::get_associated_executor(Done, get_executor());
+    ReadPending = true;
+    registerSocket([Executor](std::function<void()> Work) {
+      asio::post(Executor, std::move(Work));
+    });
+    const asio::mutable_buffer First = *asio::buffer_sequence_begin(Into);
     Base::async_read_some(
-        Into, asio::bind_executor(Executor,
-                                  [this, Done = std::forward<Handler>(Done)](
-                                      const asio::error_code &Code,
-                                      std::size_t Length) mutable {
-                                    ReadPending = false;
-                                    InputReceived = InputReceived || Length > 0;
-                                    Done(Code, Length);
-                                  }));
+        Into, asio::bind_executor(
+                  Executor, [this, First, Done = std::forward<Handler>(Done)](
+                                const asio::error_code &Code,
+                                std::size_t Length) mutable {
+                    ReadPending = false;
+                    if (Refusal) {
+                      // What has arrived meanwhile is not parsed, so the
+                      // request is not handed over.
+                      InputReceived = InputReceived || Length > 0;
+                      Done(asio::error::connection_aborted, 0);
+                      return;
+                    }
+                    InputReceived = InputReceived || Length > 0;
+                    reportInput(First, Length);
+                    Done(Code, Length);
+                    if (!ReadPending && !WritePending)
+                      reportHandedOver();
+                  }));
   }
 
   template <typename Buffers, typename Handler>
-  auto async_write_some(const Buffers &From, Handler &&Done) { // NOLINT
+  void async_write_some(const Buffers &From, Handler &&Done) { // NOLINT
     InputReceived = false;
-    return Base::async_write_some(From, std::forward<Handler>(Done));
+    WritePending = true;
+    reportOutput(asio::buffer_size(From));
+    auto Executor = asio::get_associated_executor(Done, get_executor());
+    Base::async_write_some(
+        From,
+        asio::bind_executor(Executor, [this, Size = asio::buffer_size(From),
+                                       Done = std::forward<Handler>(Done)](
+                                          const asio::error_code &Code,
+                                          std::size_t Length) mutable {
+          WritePending = false;
+          if (Refusal) {
+            Done(asio::error::connection_aborted, Length);
+            return;
+          }
+          if (!Code && Length == Size)
+            reportWritten();
+          Done(Code, Length);
+          // A pipelined request may have followed without a read.
+          if (!ReadPending && !WritePending)
+            reportHandedOver();
+        }));
   }
 
+  /// Ends the connection for \p Reason, unless its request was handed over.
+  void refuse(IntakeRefusal Reason);
+
   /// Sends the error response that belongs to the recorded close reason, if
   /// there is one, and shuts the connection down.
   void shutdown(shutdown_type Direction, asio::error_code &Code);
@@ -110,15 +166,26 @@
   void close();
 
 private:
-  void registerSocket();
+  /// Runs work on the strand of the connection.
+  using Poster = std::function<void(std::function<void()>)>;
+
+  void registerSocket(const Poster &Post);
+  void reportInput(asio::mutable_buffer Input, std::size_t Length);
+  void reportHandedOver();
+  void reportOutput(std::size_t Length);
+  void reportWritten();
   void unregisterSocket();
 
   /// Kind of the error response that the client has to receive; empty if none
   /// is to be sent.
   std::optional<ErrorKind> requiredErrorReply() const;
 
-  OpenSockets *Registry = nullptr; ///< Set by the first read.
+  OpenSockets *Registry = nullptr;      ///< Set by the first read.
+  std::shared_ptr<IntakeTarget> Target; ///< Empty without a budget.
+  IntakeBudget::Id Account = 0;
+  std::optional<IntakeRefusal> Refusal;
   bool ReadPending = false;
+  bool WritePending = false;
   bool InputReceived = false; ///< Since the last response.
   bool ErrorReplySent = false;
 };
--- /dev/null
+++ b/src/httpserver/intakebudget.cpp
@@ -0,0 +1,171 @@
+#include "httpserver/intakebudget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace apricotwing {
+
+namespace {
+
+/// Both the text and its copy for the handler, or the spare room of a string
+/// that has just doubled.
+constexpr std::size_t CostPerByte = 2;
+
+/// A chunk needs 16 bytes, or 32 after its array has doubled, and at least six
+/// bytes of input, of which one is a carriage return. Most have two.
+constexpr std::size_t CostPerCarriageReturn = 24;
+
+} // namespace
+
+std::size_t intakeCost(std::string_view Input) {
+  return CostPerByte * Input.size() +
+         CostPerCarriageReturn *
+             std::size_t(std::count(Input.begin(), Input.end(), '\r'));
+}
+
+IntakeBudget::Id IntakeBudget::open(IntakePart Part, const std::string &Address,
+                                    TimePoint Now, Closer Close) {
+  const std::lock_guard Lock(Mutex);
+  const Id Result = NextId++;
+  Entry &Fresh = Entries[Result];
+  Fresh.Part = Part;
+  Fresh.Address = Address;
+  Fresh.Close = std::move(Close);
+  Fresh.Since = Now;
+  const auto Index = std::size_t(Part);
+  if (++Connections[Index] <= Limits.Parts[Index].Connections)
+    return Result;
+  Entry *Oldest = nullptr;
+  for (auto &[Key, Item] : Entries)
+    if (Key != Result && Item.Part == Part && !Item.Closing &&
+        Item.Phase != State::Handling &&
+        (!Oldest || Item.Since < Oldest->Since))
+      Oldest = &Item;
+  if (Oldest)
+    close(*Oldest, IntakeRefusal::Connections);
+  return Result;
+}
+
+void IntakeBudget::received(Id Connection, std::size_t Cost, TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  Entry &Target = Entries.at(Connection);
+  if (Target.Phase != State::Receiving)
+    Target.Since = Now;
+  Target.Phase = State::Receiving;
+  setBytes(Target, Target.Bytes + Cost);
+  enforce(Target);
+}
+
+void IntakeBudget::handedOver(Id Connection) {
+  const std::lock_guard Lock(Mutex);
+  Entries.at(Connection).Phase = State::Handling;
+}
+
+void IntakeBudget::writing(Id Connection, std::size_t Bytes, TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  Entry &Target = Entries.at(Connection);
+  if (Target.Phase != State::Writing)
+    Target.Since = Now;
+  Target.Phase = State::Writing;
+  setBytes(Target, Bytes);
+  enforce(Target);
+}
+
+void IntakeBudget::idle(Id Connection, TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  Entry &Target = Entries.at(Connection);
+  Target.Phase = State::Idle;
+  Target.Since = Now;
+  setBytes(Target, 0);
+}
+
+void IntakeBudget::keep(Id Connection) {
+  const std::lock_guard Lock(Mutex);
+  Entry &Target = Entries.at(Connection);
+  if (!Target.Closing)
+    return;
+  Target.Closing = false;
+  --Refusals[std::size_t(Target.Reason)];
+  Bytes[std::size_t(Target.Part)] += Target.Bytes;
+  ++Connections[std::size_t(Target.Part)];
+}
+
+void IntakeBudget::remove(Id Connection) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Entries.find(Connection);
+  if (Found == Entries.end())
+    return;
+  setBytes(Found->second, 0);
+  if (!Found->second.Closing)
+    --Connections[std::size_t(Found->second.Part)];
+  Entries.erase(Found);
+}
+
+void IntakeBudget::closeOverdue(TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  for (auto &[Key, Item] : Entries)
+    if (Item.Phase == State::Receiving && !Item.Closing &&
+        Now - Item.Since > Limits.RequestTimeout)
+      close(Item, IntakeRefusal::Slow);
+}
+
+std::size_t IntakeBudget::bytes(IntakePart Part) const {
+  const std::lock_guard Lock(Mutex);
+  return Bytes[std::size_t(Part)];
+}
+
+std::uint64_t IntakeBudget::refusals(IntakeRefusal Reason) const {
+  const std::lock_guard Lock(Mutex);
+  return Refusals[std::size_t(Reason)];
+}
+
+void IntakeBudget::setBytes(Entry &Target, std::size_t NewBytes) {
+  if (!Target.Closing) {
+    std::size_t &Sum = Bytes[std::size_t(Target.Part)];
+    Sum = Sum - Target.Bytes + NewBytes;
+  }
+  Target.Bytes = NewBytes;
+}
+
+void IntakeBudget::close(Entry &Target, IntakeRefusal Reason) {
+  Bytes[std::size_t(Target.Part)] -= Target.Bytes;
+  --Connections[std::size_t(Target.Part)];
+  Target.Closing = true;
+  Target.Reason = Reason;
+  ++Refusals[std::size_t(Reason)];
+  Target.Close(Reason);
+}
+
+void IntakeBudget::enforce(const Entry &Changed) {
+  if (Changed.Closing)
+    return;
+  if (Limits.BytesPerAddress > 0) {
+    std::size_t Sum = 0;
+    for (const auto &[Key, Item] : Entries)
+      if (Item.Part == Changed.Part && !Item.Closing &&
+          Item.Address == Changed.Address)
+        Sum += Item.Bytes;
+    if (Sum > Limits.BytesPerAddress)
+      closeLargest(Changed, IntakeRefusal::Address);
+  }
+  const auto Index = std::size_t(Changed.Part);
+  if (Bytes[Index] > Limits.Parts[Index].Bytes)
+    closeLargest(Changed, IntakeRefusal::Memory);
+}
+
+void IntakeBudget::closeLargest(const Entry &Like, IntakeRefusal Reason) {
+  Entry *Largest = nullptr;
+  for (auto &[Key, Item] : Entries) {
+    if (Item.Part != Like.Part || Item.Closing ||
+        Item.Phase == State::Handling || Item.Bytes <= SmallBytes ||
+        (Reason == IntakeRefusal::Address && Item.Address != Like.Address))
+      continue;
+    if (!Largest || Item.Bytes > Largest->Bytes ||
+        (Item.Bytes == Largest->Bytes && Item.Since < Largest->Since))
+      Largest = &Item;
+  }
+  if (Largest)
+    close(*Largest, Reason);
+}
+
+} // namespace apricotwing
--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -47,6 +47,9 @@
 constexpr auto CloseStep = 10ms;
 constexpr int MaxCloseSteps = 200;
 
+/// Time between two searches for overdue requests.
+constexpr auto SweepPeriod = 250ms;
+
 constexpr std::size_t MaxUrlBytes = 8192;
 constexpr std::size_t MaxHeaderBytes = 16384;
 constexpr std::size_t MaxHeaderFields = 100;
@@ -170,7 +173,13 @@
 public:
   Server(const HttpServerOptions &Options, HttpHandler Handler)
       : Options(Options), Handler(std::move(Handler)),
-        Backend(restinio::external_io_context(IoContext), settings()) {
+        Backend(restinio::external_io_context(IoContext), settings()),
+        SweepTimer(IoContext) {
+    if (Options.Intake) {
+      asio::use_service<OpenSockets>(IoContext).setIntake(Options.Intake,
+                                                          Options.Part);
+      sweep();
+    }
     try {
       Backend.open_sync();
     } catch (const std::exception &Failure) {
@@ -214,6 +223,26 @@
       IoContext.run_for(CloseStep);
   }
 
+  /// Closes overdue connections now and after each SweepPeriod.
+  void sweep() {
+    Options.Intake->closeOverdue(TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now().time_since_epoch())));
+    SweepTimer.expires_after(SweepPeriod);
+    SweepTimer.async_wait([this](const asio::error_code &Code) {
+      if (!Code)
+        sweep();
+    });
+  }
+
+  /// With a budget, connections that are being closed leave room for the next
+  /// ones: RESTinio accepts nobody while its own limit is reached.
+  std::size_t maxConnections() const {
+    if (!Options.Intake)
+      return Options.MaxConnections;
+    const std::size_t Limit = Options.Intake->maxConnections(Options.Part);
+    return Limit + Limit / 8 + 2;
+  }
+
   RestinioSettings settings() {
     const auto ReadTimeout = std::chrono::milliseconds(Options.ReadTimeoutMs);
     RestinioSettings Result;
@@ -225,7 +254,7 @@
         .timer_manager(std::clamp<std::chrono::steady_clock::duration>(
             ReadTimeout / 4, 20ms, 1000ms))
         .max_pipelined_requests(1)
-        .max_parallel_connections(connectionLimit(Options.MaxConnections))
+        .max_parallel_connections(connectionLimit(maxConnections()))
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                       .max_url_size(MaxUrlBytes)
                                       .max_field_name_size(MaxHeaderBytes)
@@ -285,6 +314,7 @@
   std::uint16_t BoundPort = 0;
   asio::io_context IoContext;
   RestinioServer Backend;
+  asio::steady_timer SweepTimer;
   std::vector<std::thread> Threads;
 };
 
--- a/tests/entry/entryoptions_test.cpp
+++ b/tests/entry/entryoptions_test.cpp
@@ -33,15 +33,25 @@
     Info.Assign(FromTable, Info.Default);
   EXPECT_FALSE(FromTable.Scheduler.MigrateFromLeavingWorkers);
   EXPECT_EQ(FromTable.Scheduler.UsageHalfLife, Duration{0});
+  EXPECT_EQ(FromTable.Intake.BudgetKib, Options.Intake.BudgetKib);
+  EXPECT_EQ(FromTable.Intake.AddressKib, Options.Intake.AddressKib);
+  EXPECT_EQ(FromTable.Intake.RequestTimeout, Options.Intake.RequestTimeout);
+  EXPECT_EQ(FromTable.Intake.Connections, Options.Intake.Connections);
 }
 
 // Guards against a value that does not reach the scheduler.
 TEST(EntryOptionsTest, ReadsValues) {
   std::istringstream Input("[scheduler]\nmigrate_from_leaving_workers = 1\n"
-                           "[past_use]\nhalf_life_s = 3600 # an hour\n");
+                           "[past_use]\nhalf_life_s = 3600 # an hour\n"
+                           "[intake]\nbudget_kib = 70000\naddress_kib = 9\n"
+                           "request_timeout_ms = 5000\nconnections = 7\n");
   const EntryOptions Options = parseEntryOptions(Input, "entry.ini");
   EXPECT_TRUE(Options.Scheduler.MigrateFromLeavingWorkers);
   EXPECT_EQ(Options.Scheduler.UsageHalfLife, Duration{3'600'000});
+  EXPECT_EQ(Options.Intake.BudgetKib, 70'000);
+  EXPECT_EQ(Options.Intake.AddressKib, 9);
+  EXPECT_EQ(Options.Intake.RequestTimeout, Duration{5000});
+  EXPECT_EQ(Options.Intake.Connections, 7);
 }
 
 // Guards against mistakes that are ignored, or reported without a remedy.
--- a/tests/httpclient/httpserver_test.cpp
+++ b/tests/httpclient/httpserver_test.cpp
@@ -1,5 +1,6 @@
 #include "core/error.h"
 #include "core/httpserver.h"
+#include "httpserver/intakebudget.h"
 
 #include <asio.hpp>
 #include <gmock/gmock.h>
@@ -314,6 +315,67 @@
   EXPECT_EQ(Answer.get(), 200);
 }
 
+IntakeLimits smallIntake() {
+  IntakeLimits Result;
+  Result.Parts = {{{100'000, 4}, {100'000, 4}, {100'000, 4}}};
+  Result.RequestTimeout = Duration{60'000};
+  return Result;
+}
+
+// Guards against a budget that closes ordinary requests instead of the
+// unfinished one that holds most, and against a refusal without a response.
+TEST(HttpServerTest, RefusesTheLargestUnfinishedRequest) {
+  HttpServerOptions Options = testServerOptions();
+  Options.ReadTimeoutMs = 60000;
+  Options.MaxBodyBytes = 1'000'000;
+  Options.Intake = std::make_shared<IntakeBudget>(smallIntake());
+  std::atomic<int> Handled = 0;
+  const auto Server = startHttpServer(
+      Options, [&Handled](HttpRequest Request, const Responder &Respond) {
+        ++Handled;
+        echo(std::move(Request), Respond);
+      });
+  RawClient Large(Server->port());
+  Large.send(post(std::string(200'000, 'x')).substr(0, 199'999));
+  EXPECT_EQ(Large.readResponse(), 503);
+  EXPECT_NE(Large.Body.find("\"outcome\":\"not_run\""), std::string::npos);
+  EXPECT_EQ(Handled, 0);
+  RawClient Client(Server->port());
+  Client.send(post("x"));
+  EXPECT_EQ(Client.readResponse(), 200);
+}
+
+// Guards against connections that keep a new client out once the limit of
+// their part is reached.
+TEST(HttpServerTest, ANewConnectionReplacesAnUnfinishedOne) {
+  HttpServerOptions Options = testServerOptions();
+  Options.ReadTimeoutMs = 60000;
+  Options.Intake = std::make_shared<IntakeBudget>(smallIntake());
+  const auto Server = startHttpServer(Options, echo);
+  std::list<RawClient> Unfinished;
+  for (int Index = 0; Index < 12; ++Index)
+    Unfinished.emplace_back(Server->port()).send("POST / HTTP/1.1\r\n");
+  RawClient Client(Server->port());
+  Client.send(post("x"));
+  EXPECT_EQ(Client.readResponse(), 200);
+  // Closed without a response if nothing had been read of it.
+  EXPECT_THAT(Unfinished.front().readResponse(), testing::AnyOf(0, 503));
+}
+
+// Guards against an unfinished request that the time limit misses because the
+// time for idle connections is longer.
+TEST(HttpServerTest, ClosesAnOverdueRequestBeforeTheIdleTime) {
+  IntakeLimits Limits = smallIntake();
+  Limits.RequestTimeout = Duration{300};
+  HttpServerOptions Options = testServerOptions();
+  Options.ReadTimeoutMs = 60000;
+  Options.Intake = std::make_shared<IntakeBudget>(Limits);
+  const auto Server = startHttpServer(Options, echo);
+  RawClient Slow(Server->port());
+  Slow.send("POST / HTTP/1.1\r\n");
+  EXPECT_EQ(Slow.readResponse(), 408);
+}
+
 // Guards against a graceful stop that interrupts an open request or accepts new
 // connections.
 TEST(HttpServerTest, StoppingFinishesOpenRequests) {
--- a/tests/platform/nodefile_test.cpp
+++ b/tests/platform/nodefile_test.cpp
@@ -17,7 +17,8 @@
     "node_name": "frontend-a-1", "ip": "10.1.0.17", "zone": "a",
     "listen_addresses": {"frontend": "10.1.0.17:8183", "ready": "10.1.0.17:8184"},
     "internal_port_range": [7420, 7435],
-    "limits": {"cpu_share": 0.25, "cores": 1},
+    "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 120,
+               "file_descriptors": 3075},
     "contracts": ["base", "sched"], "orders": "invocation",
     "heartbeat_interval_ms": 1500,
     "recommendation": "10.200.1.9:8182",
@@ -49,6 +50,8 @@
   EXPECT_EQ(File.Entry.Instance.Address, "10.1.0.17:7420");
   EXPECT_EQ(File.Entry.ClientAddress, "10.1.0.17:8183");
   EXPECT_EQ(File.Entry.GracePeriod, Duration{6000});
+  EXPECT_EQ(File.Entry.Machine.MemoryMib, 120);
+  EXPECT_EQ(File.Entry.Machine.FileDescriptors, 3075);
   EXPECT_EQ(File.StoreAddress, "10.200.1.7:8182");
   EXPECT_EQ(File.Times.WorkerLease, Duration{6500});
   EXPECT_EQ(File.Times.StatusRetention, Duration{120'000});
