Support the evacuation of availability zones

Cause: a settings file that lists the contract "places" ended each process with code 2, as evacuations were not supported.

Ruled out: marking the workers as draining, which says something about their end, and storing the zones with the leader's state, a second source that may be older than the operators' table.

Change: PolicyTracker keeps the zones of the rows op/evacuate/ZONE by the newest version of each row (EvacuationSet) and hands them on as it does the policy. Workers of such a zone are not available for new runs, claims, advice and transfers; unsent orders to them are dropped. With the contract, a leader starts nothing while its view of the table is older than two seconds. A cold worker is used after warm ones.

--- a/src/cell/advicedispatcher.cpp
+++ b/src/cell/advicedispatcher.cpp
@@ -190,6 +190,12 @@
   classifyMembers();
 }
 
+void AdviceDispatcher::withdraw(const std::string &Name,
+                                const std::string &Step, TimePoint Now) {
+  if (const auto Found = Members.find(Name); Found != Members.end())
+    removeCall(Found->second, Step, Now);
+}
+
 std::vector<std::string> AdviceDispatcher::expireCalls(TimePoint Now) {
   std::vector<std::string> Overdue;
   for (auto &[Name, Entry] : Members) {
--- a/src/cell/advicedispatcher.h
+++ b/src/cell/advicedispatcher.h
@@ -46,6 +46,10 @@
   /// Records that the call for a step has failed.
   void fail(const std::string &Member, const std::string &Step, TimePoint Now);
 
+  /// Records that the call for a step will not be made.
+  void withdraw(const std::string &Member, const std::string &Step,
+                TimePoint Now);
+
   /// Returns the steps whose calls have become overdue since the last check.
   /// Other members may be asked for them; their calls stay open.
   std::vector<std::string> expireCalls(TimePoint Now);
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1,6 +1,7 @@
 #include "cell/leader.h"
 
 #include "cell/codec.h"
+#include "cell/policytracker.h"
 #include "cell/supervisorselection.h"
 
 #include <algorithm>
@@ -349,6 +350,70 @@
     storeSettings();
 }
 
+void Leader::setEvacuatedZones(const std::set<std::string> &Zones) {
+  const std::set<std::string> Before = Scheduler.evacuatedZones();
+  if (Zones == Before)
+    return;
+  Scheduler.setEvacuatedZones(Zones);
+  for (const std::string &Zone : Zones)
+    if (!Before.contains(Zone))
+      logZone("zone evacuated", Zone);
+  for (const std::string &Zone : Before)
+    if (!Zones.contains(Zone))
+      logZone("zone taken back", Zone);
+  dropUnsentOrders();
+  DecisionNeeded = true;
+}
+
+void Leader::logZone(std::string_view Event, const std::string &Zone) {
+  const auto &Workers = Scheduler.workers();
+  const auto Count =
+      std::count_if(Workers.begin(), Workers.end(), [&Zone](const auto &Entry) {
+        return Entry.second.info().Zone == Zone;
+      });
+  Deps.Log.event(
+      Event, Zone,
+      {{"shard", std::to_string(Shard)}, {"workers", std::to_string(Count)}});
+}
+
+// Drops what waits for the next message to a member and concerns evacuated
+// workers: starts, and their names in requests for advice.
+void Leader::dropUnsentOrders() {
+  const TimePoint Now = Deps.Time.now();
+  const auto IsEvacuated = [this](const std::string &Id) {
+    const jobs::Worker *Host = Scheduler.worker(Id);
+    return Host && Host->isEvacuated();
+  };
+  for (auto &[Name, Member] : Members) {
+    auto &Starts = Member.Outgoing.Starts;
+    const auto Dropped = std::stable_partition(
+        Starts.begin(), Starts.end(), [&](const jobs::StartCommand &Order) {
+          return !IsEvacuated(Order.Worker.Id);
+        });
+    for (auto Order = Dropped; Order != Starts.end(); ++Order) {
+      forgetStart(Order->Worker, Order->Task, Order->Run);
+      Scheduler.startRefused(Order->Worker, Order->Task, Order->Run,
+                             jobs::StartRefusal::Expired, Now);
+    }
+    Starts.erase(Dropped, Starts.end());
+    for (jobs::AdviceRequest &Request : Member.Outgoing.Advice)
+      std::erase_if(Request.Workers, IsEvacuated);
+    std::erase_if(Member.Outgoing.Advice, [&](const auto &Request) {
+      if (!Request.Workers.empty())
+        return false;
+      Dispatcher.withdraw(Name, Request.Step, Now);
+      Scheduler.adviceFailed(Request.Step);
+      return true;
+    });
+  }
+}
+
+// An evacuation that an old view lacks may be in force.
+bool Leader::mayStart() const {
+  return !Deps.Times.EvacuatesZones ||
+         Deps.Time.now() - OperatorRowsKnownUntil <= PolicyTracker::MaxViewAge;
+}
+
 // Stored no later than the first job that needs them, because no job is
 // accepted before the state is loaded.
 void Leader::storeSettings() {
@@ -1487,6 +1552,7 @@
     return;
   LastDecision = Now;
   DecisionNeeded = false;
+  Scheduler.holdStarts(!mayStart());
   const jobs::Decisions Result = Scheduler.decide(Now, Dispatcher.budget(Now));
   const TimePoint Ended = Deps.Time.now();
   NextDecision =
@@ -1593,8 +1659,8 @@
 void Leader::sendStart(const jobs::StartCommand &Order) {
   MemberState *To = supervisorOf(Order.Worker);
   const jobs::Worker *Host = Scheduler.worker(Order.Worker.Id);
-  const bool Usable =
-      To && Host && Host->isSynced() && StateJournal.isLeaseValid();
+  const bool Usable = To && Host && Host->isSynced() &&
+                      StateJournal.isLeaseValid() && mayStart();
   if (Usable && Scheduler.isCurrent(Order)) {
     To->Outgoing.Starts.push_back(Order);
     Scheduler.markDispatched(Order);
@@ -1663,6 +1729,8 @@
        {"supervisors", std::to_string(Supervisors.size())},
        {"unassigned", std::to_string(Unassigned)},
        {"reserved", std::to_string(Scheduler.reservedWorkers(Now))},
+       {"evacuated_zones", std::to_string(Scheduler.evacuatedZones().size())},
+       {"evacuated_workers", std::to_string(Scheduler.evacuatedWorkers())},
        {"own_workers", std::to_string(workersOf(Record.Instance.Name))},
        {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
 }
@@ -1671,7 +1739,7 @@
 // answer.
 void Leader::logObstacle(TimePoint Now) {
   const bool Serves = StateJournal.isLeaseValid() && Loader.isDone() &&
-                      RegistryRead && mayUseWorkers();
+                      RegistryRead && mayUseWorkers() && mayStart();
   if (Serves || Now < NextObstacleLog)
     return;
   NextObstacleLog = Now + LoadLogInterval;
@@ -1686,6 +1754,7 @@
                   {"failed_reads", std::to_string(Loader.failedReads())},
                   {"registry", RegistryRead ? "1" : "0"},
                   {"policy", PolicyVersion > 0 ? "1" : "0"},
+                  {"operator_rows", mayStart() ? "1" : "0"},
                   {"layout", Ownership ? "1" : "0"}});
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -64,6 +64,15 @@
   /// Sets how many shards with a lower number this instance leads.
   void setLowerShardsLed(int Count) { LowerShardsLed = Count; }
 
+  /// Sets the evacuated zones. Drops the unsent orders to workers there.
+  void setEvacuatedZones(const std::set<std::string> &Zones);
+
+  /// Sets the time for which the operators' rows are known. See
+  /// Timing::EvacuatesZones.
+  void setOperatorRowsKnownUntil(TimePoint Until) {
+    OperatorRowsKnownUntil = Until;
+  }
+
   /// Applies a policy.
   void setPolicy(const jobs::ClusterPolicy &NewPolicy);
 
@@ -251,6 +260,9 @@
   double loadOf(const MemberState &Member, std::size_t MoreWorkers) const;
   void rebalanceWorkers();
   bool moveOneWorker(MemberState &From);
+  void logZone(std::string_view Event, const std::string &Zone);
+  void dropUnsentOrders();
+  bool mayStart() const;
   void decide();
   void dispatch(const jobs::Decisions &Result);
   void logStop(std::string_view Event, const jobs::StopCommand &Order);
@@ -295,7 +307,8 @@
   bool Loaded = false;
   bool RegistryRead = false;
   std::int64_t PolicyVersion = 0; ///< 0: no policy is known yet.
-  std::string StoredSettings;     ///< Encoded, as last stored.
+  TimePoint OperatorRowsKnownUntil;
+  std::string StoredSettings; ///< Encoded, as last stored.
   ProgressRows JobRows;
 
   /// Set once the layout is known.
--- a/src/cell/node.cpp
+++ b/src/cell/node.cpp
@@ -38,9 +38,13 @@
       Process(std::move(Process)), Peers(*this, Deps.Peers),
       Policy({Deps.Store, Deps.Records, Deps.Time, Deps.Log},
              this->Instance.Name,
-             [this](const jobs::ClusterPolicy &NewPolicy) {
-               applyPolicy(NewPolicy);
-             }),
+             {[this](const jobs::ClusterPolicy &NewPolicy) {
+                applyPolicy(NewPolicy);
+              },
+              [this](const std::set<std::string> &Zones) {
+                for (const auto &Agent : Agents)
+                  Agent->setEvacuatedZones(Zones);
+              }}),
       Router({Deps.Time, Deps.WallTime, Deps.Log, this->Times, Policy,
               [this](int Shard) -> LeaderChannel & {
                 return Agents.at(std::size_t(Shard))->channel();
@@ -59,6 +63,7 @@
            [this, Shard](const QueryAnswer &Result) {
              Router.onAnswered(Shard, Result);
            }}}));
+  Agents.back()->setEvacuatedZones(Policy.evacuatedZones());
   Agents.back()->setPolicy(Router.policy());
 }
 
@@ -146,6 +151,7 @@
 ShardAgent::Surroundings Node::surroundingsOf(std::size_t Shard) const {
   ShardAgent::Surroundings Result;
   Result.LastStoreResponse = Policy.lastStoreResponse();
+  Result.OperatorRowsKnownUntil = Policy.knownUntil();
   for (std::size_t Other = 0; Other < Agents.size(); ++Other) {
     Result.LargestCpuShare =
         std::max(Result.LargestCpuShare, Agents[Other]->largestCpuShare());
--- a/src/cell/policytracker.cpp
+++ b/src/cell/policytracker.cpp
@@ -12,10 +12,6 @@
 constexpr Duration PolicyWatchTimeout{800};
 constexpr Duration PolicyWatchInterval{20};
 
-/// Oldest view of the policy by which calls are decided without asking the
-/// store.
-constexpr Duration MaxViewAge{2000};
-
 /// How long a failed call to the store counts as a sign that it cannot be
 /// reached. Failed calls are repeated more often.
 constexpr Duration FailureRetention{1500};
@@ -36,13 +32,16 @@
 } // namespace
 
 PolicyTracker::PolicyTracker(const Ports &Deps, std::string JitterSeed,
-                             Receiver OnPolicy)
-    : Deps(Deps), OnPolicy(std::move(OnPolicy)),
-      Table(Deps.Records.policyTable()), InForceSince(Deps.Time.now()),
-      Watcher(Deps.Store, Deps.Time, Table, {""}, PolicyWatchInterval,
-              PolicyWatchTimeout, std::move(JitterSeed),
-              {[this](const std::vector<StoredRow> &Rows) { onRows(Rows); },
-               [this](const std::vector<StoredRow> &Rows) { onRows(Rows); }}) {}
+                             Receivers Owner)
+    : Deps(Deps), Owner(std::move(Owner)), Table(Deps.Records.policyTable()),
+      InForceSince(Deps.Time.now()), Evacuations(Deps.Records),
+      Watcher(
+          Deps.Store, Deps.Time, Table, {""}, PolicyWatchInterval,
+          PolicyWatchTimeout, std::move(JitterSeed),
+          {[this](const std::vector<StoredRow> &Rows) {
+             onTable(Rows, Watcher.version());
+           },
+           [this](const std::vector<StoredRow> &Rows) { onChanges(Rows); }}) {}
 
 void PolicyTracker::pump() {
   Watcher.pump();
@@ -68,7 +67,11 @@
 }
 
 Duration PolicyTracker::viewAge() const {
-  return Deps.Time.now() - std::max(Watcher.knownUntil(), KnownUntil);
+  return Deps.Time.now() - knownUntil();
+}
+
+TimePoint PolicyTracker::knownUntil() const {
+  return std::max(Watcher.knownUntil(), KnownUntil);
 }
 
 void PolicyTracker::confirm(std::function<void(bool)> Callback) {
@@ -87,20 +90,25 @@
 
 void PolicyTracker::readSince(std::int64_t After) {
   Deps.Store.readChanges(Table, After,
-                         Guard.wrap([this](const ReadResult &Result) {
+                         Guard.wrap([this, After](const ReadResult &Result) {
                            if (Result.Outcome == StoreOutcome::HistoryLost)
                              readSince(-1);
                            else
-                             onRead(Result);
+                             onRead(Result, After < 0);
                          }));
 }
 
-void PolicyTracker::onRead(const ReadResult &Result) {
+// A result of which there is more counts as failed, so one that begins with the
+// first row has the whole table.
+void PolicyTracker::onRead(const ReadResult &Result, bool IsWhole) {
   Reading = false;
   const bool Done = Result.Outcome == StoreOutcome::Done && !Result.HasMore;
   if (Done) {
     KnownUntil = LastReadSentAt;
-    onRows(Result.Rows);
+    if (IsWhole)
+      onTable(Result.Rows, Result.Version);
+    else
+      onChanges(Result.Rows);
   } else {
     LastReadFailure = Deps.Time.now();
   }
@@ -120,7 +128,28 @@
   return Watcher.lastAnswer();
 }
 
-void PolicyTracker::onRows(const std::vector<StoredRow> &Rows) {
+void PolicyTracker::onTable(const std::vector<StoredRow> &Rows,
+                            std::int64_t ReadVersion) {
+  Evacuations.replace(Rows, ReadVersion);
+  announceZones();
+  applyPolicy(Rows);
+}
+
+void PolicyTracker::onChanges(const std::vector<StoredRow> &Rows) {
+  Evacuations.update(Rows);
+  announceZones();
+  applyPolicy(Rows);
+}
+
+void PolicyTracker::announceZones() {
+  std::set<std::string> Zones = Evacuations.zones();
+  if (Zones == Evacuated)
+    return;
+  Evacuated = std::move(Zones);
+  Owner.EvacuatedZones(Evacuated);
+}
+
+void PolicyTracker::applyPolicy(const std::vector<StoredRow> &Rows) {
   for (const StoredRow &Row : Rows) {
     // The same change may be reported by the watch and by a read.
     if (Row.Deleted || Row.Version <= RowVersion)
@@ -137,7 +166,7 @@
                     {"before_age_ms", std::to_string(age().count())}});
     Version = NewPolicy->Version;
     InForceSince = Deps.Time.now();
-    OnPolicy(*NewPolicy);
+    Owner.Policy(*NewPolicy);
   }
 }
 
--- a/src/cell/policytracker.h
+++ b/src/cell/policytracker.h
@@ -4,6 +4,7 @@
 #define APRICOTWING_CELL_POLICYTRACKER_H
 
 #include "cell/callbackguard.h"
+#include "cell/evacuationset.h"
 #include "cell/ports.h"
 #include "cell/tablewatcher.h"
 #include "jobs/clusterpolicy.h"
@@ -11,15 +12,17 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace apricotwing::cell {
 
-/// Watches the row of the policy and knows how old the instance's view of it
-/// is. Beside the watch it reads the changes at once if a caller must not be
-/// refused by an old view, if another instance has a newer policy, or if the
-/// watch gets no response. Owned by the Node and used on its thread only.
+/// Watches the rows of the policy and of evacuations and knows how old the
+/// instance's view of them is. Beside the watch it reads the changes at once if
+/// a caller must not be refused by an old view, if another instance has a newer
+/// policy, or if the watch gets no response. Owned by the Node and used on its
+/// thread only.
 class PolicyTracker {
 public:
   struct Ports {
@@ -28,11 +31,20 @@
     const Clock &Time;
     EventLog &Log;
   };
-  using Receiver = std::function<void(const jobs::ClusterPolicy &)>;
+  struct Receivers {
+    /// Called with each policy that is newer than all before.
+    std::function<void(const jobs::ClusterPolicy &)> Policy;
+    /// Called with the evacuated zones when they have changed. The first policy
+    /// follows the zones of the same read of the whole table.
+    std::function<void(const std::set<std::string> &)> EvacuatedZones;
+  };
+
+  /// Oldest view of the operators' rows by which calls are decided without
+  /// asking the store, and by which leaders start runs.
+  static constexpr Duration MaxViewAge{2000};
 
-  /// \p OnPolicy is called with each policy that is newer than all before.
   /// \p JitterSeed: see TableWatcher.
-  PolicyTracker(const Ports &Deps, std::string JitterSeed, Receiver OnPolicy);
+  PolicyTracker(const Ports &Deps, std::string JitterSeed, Receivers Owner);
 
   /// Starts the calls to the store that are due. Must be called frequently.
   void pump();
@@ -54,6 +66,12 @@
   /// force is the newest one.
   Duration viewAge() const;
 
+  /// Latest time for which the store has confirmed the view.
+  TimePoint knownUntil() const;
+
+  /// The evacuated zones.
+  const std::set<std::string> &evacuatedZones() const { return Evacuated; }
+
   /// Time since the store last answered the watch; empty if it never has.
   std::optional<Duration> storeAnswerAge() const;
 
@@ -68,17 +86,22 @@
 
   void readChanges();
   void readSince(std::int64_t After);
-  void onRead(const ReadResult &Result);
-  void onRows(const std::vector<StoredRow> &Rows);
+  void onRead(const ReadResult &Result, bool IsWhole);
+  void onTable(const std::vector<StoredRow> &Rows, std::int64_t ReadVersion);
+  void onChanges(const std::vector<StoredRow> &Rows);
+  void announceZones();
+  void applyPolicy(const std::vector<StoredRow> &Rows);
 
   const Ports Deps;
-  const Receiver OnPolicy;
+  const Receivers Owner;
   const std::string Table;
   std::int64_t Version = 0; ///< Of the policy in force; 0: there is none yet.
   std::int64_t ExpectedVersion = 0; ///< Newest one of any instance.
   TimePoint ExpectedSince;
   std::int64_t RowVersion = 0; ///< Of the newest row of the policy.
   TimePoint InForceSince;
+  EvacuationSet Evacuations;
+  std::set<std::string> Evacuated; ///< As last announced.
   TableWatcher Watcher;
   Waiters Waiting;       ///< For the next read of changes.
   Waiters WaitingInRead; ///< For the read of changes in flight.
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -138,6 +138,12 @@
   virtual std::optional<jobs::ClusterPolicy>
   decodePolicy(const StoredRow &Row) const = 0;
 
+  /// Returns the availability zone whose evacuation the row of policyTable()
+  /// requests, by its key, so that it also decodes removed rows; empty if \p
+  /// Row is a different row or names no zone.
+  virtual std::optional<std::string>
+  decodeEvacuation(const StoredRow &Row) const = 0;
+
   /// Name of the table that contains one row per worker, with the worker's id
   /// as the key.
   virtual std::string workerTable() const = 0;
--- a/src/cell/shardagent.cpp
+++ b/src/cell/shardagent.cpp
@@ -74,6 +74,12 @@
     LocalLeader->setPolicy(Policy);
 }
 
+void ShardAgent::setEvacuatedZones(const std::set<std::string> &Zones) {
+  EvacuatedZones = Zones;
+  if (LocalLeader)
+    LocalLeader->setEvacuatedZones(Zones);
+}
+
 std::optional<EnvelopeReply> ShardAgent::receive(const Envelope &Message) {
   if (Message.FromLeader)
     return LocalMember.receive(Message);
@@ -100,6 +106,7 @@
   }
   if (LocalLeader) {
     LocalLeader->setLowerShardsLed(Others.LowerShardsLed);
+    LocalLeader->setOperatorRowsKnownUntil(Others.OperatorRowsKnownUntil);
     LocalLeader->pump();
   }
   resignIfStoreUnreachable();
@@ -311,6 +318,7 @@
       Shard, Record, Version, SentAt);
   if (Layout)
     LocalLeader->setLayout(*Layout);
+  LocalLeader->setEvacuatedZones(EvacuatedZones);
   LocalLeader->setPolicy(Policy);
   Channel.setLeader(Record);
   LocalMember.connect(Record, !Home);
--- a/src/cell/shardagent.h
+++ b/src/cell/shardagent.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
     double LargestCpuShare = 0; ///< Of any instance, as far as known.
     std::optional<TimePoint> LastStoreResponse; ///< Empty if the last call
                                                 ///< failed.
+    /// For which the operators' rows are known.
+    TimePoint OperatorRowsKnownUntil;
     /// Addresses of the instances to ask for the leader; null if none is known.
     const std::vector<std::string> *Contacts = nullptr;
   };
@@ -64,6 +67,9 @@
   /// Applies a policy to the leader, if there is one.
   void setPolicy(const jobs::ClusterPolicy &NewPolicy);
 
+  /// Sets the evacuated zones.
+  void setEvacuatedZones(const std::set<std::string> &Zones);
+
   /// Handles a message of the link of a member.
   std::optional<EnvelopeReply> receive(const Envelope &Message);
 
@@ -114,6 +120,7 @@
   const Callbacks Owner;
   std::optional<ShardLayout> Layout;
   jobs::ClusterPolicy Policy;
+  std::set<std::string> EvacuatedZones;
   LeaderChannel Channel;
   LeaderLookup Lookup;
   Member LocalMember;
--- a/src/cell/timing.h
+++ b/src/cell/timing.h
@@ -86,6 +86,11 @@
   /// The platform says "seconds" and has been seen to take up to 12.
   Duration MaxCallDelay{15'000};
 
+  /// Operators may evacuate availability zones. A leader then starts nothing
+  /// while its view of the operators' rows is older than
+  /// PolicyTracker::MaxViewAge.
+  bool EvacuatesZones = false;
+
   /// Options of the scheduler of each leader.
   jobs::SchedulerOptions Scheduler;
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -72,6 +72,7 @@
     WorkerDump["synced"] = Worker.isSynced();
     WorkerDump["reachable"] = Worker.isReachable();
     WorkerDump["draining"] = Worker.info().Draining;
+    WorkerDump["evacuated"] = Worker.isEvacuated();
     WorkerDump["free_cpu_millis"] = Worker.freeResources().CpuMillis;
     WorkerDump["free_memory_mib"] = Worker.freeResources().MemoryMib;
     for (const auto &[Step, Claim] : Worker.claims())
@@ -186,6 +187,7 @@
   double RunsToStop = 0;
   Duration LongestStop{0};
   double ReservedWorkers = 0;
+  double EvacuatedWorkers = 0;
   std::map<jobs::WaitCause, int> WaitingSteps;
   for (const auto &Agent : Node.agents()) {
     Counts += Agent->member().counts();
@@ -203,6 +205,7 @@
     RunsToStop += double(Leader->scheduler().runsToStop().size());
     LongestStop = std::max(LongestStop, Leader->longestStop());
     ReservedWorkers += Leader->scheduler().reservedWorkers(Time.now());
+    EvacuatedWorkers += Leader->scheduler().evacuatedWorkers();
     for (const auto &[Cause, Count] : Leader->scheduler().waitCauses())
       WaitingSteps[Cause] += Count;
   }
@@ -225,6 +228,9 @@
   Gauge("apricotwing_entry_policy_view_age_seconds",
         "Time since the store confirmed that this policy is the newest one",
         std::chrono::duration<double>(Node.policyTracker().viewAge()).count());
+  Gauge("apricotwing_entry_evacuated_zones",
+        "Availability zones that operators have evacuated",
+        double(Node.policyTracker().evacuatedZones().size()));
   Gauge("apricotwing_entry_internal_errors",
         "Work that was abandoned because of an unexpected exception",
         double(InternalErrors));
@@ -252,6 +258,9 @@
     Gauge("apricotwing_leader_reserved_workers",
           "Workers on which nothing is started beside a suspect task",
           ReservedWorkers);
+    Gauge("apricotwing_leader_evacuated_workers",
+          "Workers in evacuated zones, on which nothing is started",
+          EvacuatedWorkers);
     auto &Waiting = prometheus::BuildGauge()
                         .Name("apricotwing_leader_waiting_steps")
                         .Help("Steps that wait for a start, by cause")
@@ -268,6 +277,7 @@
   Dump["zone"] = Settings.Instance.Zone;
   Dump["ready"] = Ready.load();
   Dump["policy_version"] = Node.router().policy().Version;
+  Dump["evacuated_zones"] = Node.policyTracker().evacuatedZones();
   Dump["shards"] = Node.shardCount();
   Dump["open_calls"] = Node.router().openCalls();
   for (const auto &Agent : Node.agents()) {
--- a/src/jobs/gangplacement.cpp
+++ b/src/jobs/gangplacement.cpp
@@ -85,9 +85,11 @@
   const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
   const std::string Name = stepName(CurrentJob.Spec.Id, Step);
   State.Cause = WaitCause::NoSlots;
-  const auto Preferred = [](const Candidate &Left, const Candidate &Right) {
-    const auto Rank = [](const Candidate &Option) {
+  const auto Preferred = [&Current](const Candidate &Left,
+                                    const Candidate &Right) {
+    const auto Rank = [&Current](const Candidate &Option) {
       return std::tuple(Option.Slots == 0, Option.ReservedFor,
+                        Option.Host->isCold(Current.Now),
                         Option.Host->slowdown() > SlowWorkerThreshold,
                         -Option.Slots);
     };
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -241,7 +241,7 @@
   const Queue &JobQueue = queueOf(Owner);
   for (const auto &[Id, Host] : Workers) {
     if (Host.info().Upstream != JobQueue.Upstream || !Host.isSynced() ||
-        !Host.isReachable() || !Host.satisfies(Spec))
+        !Host.isReachable() || Host.isEvacuated() || !Host.satisfies(Spec))
       continue;
     const auto Advice = State.Advice.find(Id);
     if (JobQueue.Advice &&
@@ -548,16 +548,45 @@
 
 void JobScheduler::updateWorker(const WorkerInfo &Info, TimePoint Now) {
   const auto Found = Workers.find(Info.Incarnation.Id);
-  if (Found != Workers.end() &&
-      Found->second.info().Incarnation == Info.Incarnation) {
-    Found->second.setInfo(Info);
-    return;
-  }
-  if (Found != Workers.end())
+  const bool IsKnown = Found != Workers.end() &&
+                       Found->second.info().Incarnation == Info.Incarnation;
+  if (Found != Workers.end() && !IsKnown)
     removeWorker(Found->second.info().Incarnation, WorkerLoss::ProcessEnded,
                  Now);
-  resolveSilenceBefore(Info.Incarnation, Now);
-  Workers.emplace(Info.Incarnation.Id, Worker(Info));
+  if (!IsKnown)
+    resolveSilenceBefore(Info.Incarnation, Now);
+  Worker &Host =
+      Workers.try_emplace(Info.Incarnation.Id, Worker(Info)).first->second;
+  Host.setInfo(Info);
+  Host.setColdUntil(Now + Info.ColdRemaining);
+  applyZone(Host);
+}
+
+void JobScheduler::setEvacuatedZones(std::set<std::string> Zones) {
+  EvacuatedZones = std::move(Zones);
+  for (auto &[Id, Host] : Workers)
+    applyZone(Host);
+}
+
+int JobScheduler::evacuatedWorkers() const {
+  return int(
+      std::count_if(Workers.begin(), Workers.end(), [](const auto &Entry) {
+        return Entry.second.isEvacuated();
+      }));
+}
+
+// Claims on an evacuated worker would count against the limit of all claims.
+void JobScheduler::applyZone(Worker &Host) {
+  Host.setEvacuated(EvacuatedZones.contains(Host.info().Zone));
+  if (!Host.isEvacuated())
+    return;
+  const std::map<std::string, Resources> Claims = Host.claims();
+  for (const auto &[Name, Amount] : Claims) {
+    Host.releaseClaim(Name);
+    if (const auto Claimant = Claimants.find(Name); Claimant != Claimants.end())
+      Claimant->second.Owner->Steps[std::size_t(Claimant->second.Step)]
+          .Claimed.erase(Host.info().Incarnation.Id);
+  }
 }
 
 void JobScheduler::removeWorker(const WorkerIncarnation &Incarnation,
@@ -1192,7 +1221,7 @@
   return Allocated != Host->runs().end() &&
          Allocated->second.Run == Order.Run &&
          !RunsToStop.contains({Order.Worker, Order.Task, Order.Run}) &&
-         Host->freeResources().isNonNegative();
+         !Host->isEvacuated() && Host->freeResources().isNonNegative();
 }
 
 void JobScheduler::markDispatched(const StartCommand &Order) {
@@ -1290,10 +1319,11 @@
   int Usable = 0;
   std::int64_t Claimed = 0;
   for (const auto &[Id, Host] : Workers) {
-    const bool Synced = Host.isSynced() && Host.isReachable();
-    Free += Synced ? Host.freeResources().CpuMillis : 0;
-    Usable += Synced ? 1 : 0;
-    Claimed += Synced ? Host.claimed().CpuMillis : 0;
+    const bool IsUsable =
+        Host.isSynced() && Host.isReachable() && !Host.isEvacuated();
+    Free += IsUsable ? Host.freeResources().CpuMillis : 0;
+    Usable += IsUsable ? 1 : 0;
+    Claimed += IsUsable ? Host.claimed().CpuMillis : 0;
   }
   return Result + "free_cores:" + std::to_string(Free / 1000) +
          ",workers:" + std::to_string(Usable) +
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -210,6 +210,18 @@
   /// ends all runs of the old incarnation.
   void updateWorker(const WorkerInfo &Info, TimePoint Now);
 
+  /// Replaces the set of evacuated availability zones. Workers there get no new
+  /// runs, and gangs lose their claims on them. Runs there go on.
+  void setEvacuatedZones(std::set<std::string> Zones);
+  const std::set<std::string> &evacuatedZones() const { return EvacuatedZones; }
+
+  /// Number of workers in evacuated zones.
+  int evacuatedWorkers() const;
+
+  /// While \p Value is true, rounds start nothing, claim nothing and request no
+  /// advice. Stops are still ordered.
+  void holdStarts(bool Value) { StartsHeld = Value; }
+
   /// Ends all runs of a worker and removes the worker. \p Proof is for the log.
   /// Precondition: it is certain that none of them is active.
   void removeWorker(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
@@ -277,7 +289,8 @@
   }
 
   /// True if \p Order should still be sent: its run is still placed on that
-  /// worker, which has room for it, and has not been stopped.
+  /// worker, which has room for it and is not evacuated, and has not been
+  /// stopped.
   bool isCurrent(const StartCommand &Order) const;
 
   /// Records that \p Order is being sent, so that its run may be the cause if
@@ -377,6 +390,7 @@
 
   void addJob(std::unique_ptr<Job> NewJob, TimePoint Now);
   void setLargestCapacity(const Resources &Largest);
+  void applyZone(Worker &Host);
   bool countsAsWaitingWork(const StepSpec &Spec) const;
   void addWaitingWork(const Job &CurrentJob, int Step, int Tasks);
   void enqueue(Job &CurrentJob, int Step, TimePoint Now);
@@ -499,6 +513,8 @@
   std::map<std::string, double> EstimateRatio;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   std::map<std::string, Worker> Workers;
+  std::set<std::string> EvacuatedZones;
+  bool StartsHeld = false;
   std::map<std::string, Resources> Running; ///< By client account.
   std::map<std::string, int> PendingJobs;   ///< By queue.
   std::size_t WithdrawnJobs = 0;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -101,10 +101,12 @@
 
 /// Weights that combine several criteria into one cost of a worker: a step of
 /// slowdown outweighs any difference in free processors, and a distant rack or
-/// the claim of a gang outweighs any slowdown.
+/// the claim of a gang outweighs any slowdown. A cold worker is slower than a
+/// warm one in a distant rack.
 constexpr std::int64_t SlowdownCost = std::int64_t(1) << 32;
 constexpr std::int64_t DistanceCost = std::int64_t(1) << 48;
-constexpr std::int64_t ClaimedCost = std::int64_t(1) << 49;
+constexpr std::int64_t ColdCost = std::int64_t(1) << 49;
+constexpr std::int64_t ClaimedCost = std::int64_t(1) << 50;
 
 bool hasCheapAdvice(const Queue &JobQueue) {
   return JobQueue.Advice && JobQueue.Advice->BaseMs <= CheapAdviceMs;
@@ -135,7 +137,8 @@
   UsableWorkers = 0;
   Resources Largest;
   for (auto &[Id, Host] : Workers) {
-    TotalCpuMillis += Host.info().Capacity.CpuMillis;
+    if (!Host.isEvacuated())
+      TotalCpuMillis += Host.info().Capacity.CpuMillis;
     Largest = Resources::max(Largest, Host.info().Capacity);
     if (Host.isAvailable(Now)) {
       Current.Usable[Host.info().Upstream].push_back(
@@ -163,12 +166,14 @@
   FreeCpuMillis = Current.FreeCpuMillis;
   Current.ClaimableCpuMillis +=
       std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
-  const std::optional<WaitRank> FrontEnd = scheduleFront(Current);
-  const std::optional<WaitRank> Next =
-      Current.SkippedGang ? Current.SkippedGang : FrontEnd;
-  ResumeAt = Next ? scheduleRest(Current, std::max(*Next, ResumeAt), FrontEnd)
-                        .value_or(WaitRank{})
-                  : WaitRank{};
+  if (!StartsHeld) {
+    const std::optional<WaitRank> FrontEnd = scheduleFront(Current);
+    const std::optional<WaitRank> Next =
+        Current.SkippedGang ? Current.SkippedGang : FrontEnd;
+    ResumeAt = Next ? scheduleRest(Current, std::max(*Next, ResumeAt), FrontEnd)
+                          .value_or(WaitRank{})
+                    : WaitRank{};
+  }
   Current.Result.Stops = dueStops(Now);
   return std::move(Current.Result);
 }
@@ -354,7 +359,8 @@
     }
     const Candidate Option{
         &Host, std::max(Slots, 0), HasAdvice ? &Advice->second : nullptr,
-        costOf(Usable, Spec, IsLowSlack) + (TakesClaimed ? ClaimedCost : 0),
+        costOf(Usable, Spec, IsLowSlack) + (TakesClaimed ? ClaimedCost : 0) +
+            (Host.isCold(Current.Now) ? ColdCost : 0),
         ReservedFor};
     if (IsValid)
       Result.Valid.push_back(Option);
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -213,7 +213,8 @@
   std::vector<std::string> Labels;
   Resources Capacity;
   bool Draining = false;
-  Duration Remaining{0}; ///< Minimum time left while it is draining.
+  Duration Remaining{0};     ///< Minimum time left while it is draining.
+  Duration ColdRemaining{0}; ///< How much longer its runs are slow.
 
   friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
 };
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -73,11 +73,20 @@
   bool isReachable() const { return Reachable; }
   void setReachable(bool Value) { Reachable = Value; }
 
+  /// True while its availability zone is evacuated: its runs go on, but it gets
+  /// no new ones.
+  bool isEvacuated() const { return Evacuated; }
+  void setEvacuated(bool Value) { Evacuated = Value; }
+
+  /// True while it is slow after the start of its process.
+  bool isCold(TimePoint Now) const { return Now < ColdUntil; }
+  void setColdUntil(TimePoint Until) { ColdUntil = Until; }
+
   /// True if new runs may be started on it at \p Now, unless it is reserved.
   /// Nothing is started beside a run of unknown size.
   bool isAvailable(TimePoint Now) const {
-    return Synced && Reachable && !Info.Draining && Now >= AvoidedUntil &&
-           UnknownRuns == 0;
+    return Synced && Reachable && !Info.Draining && !Evacuated &&
+           Now >= AvoidedUntil && UnknownRuns == 0;
   }
 
   /// True if it is available and not reserved.
@@ -184,6 +193,8 @@
   WorkerInfo Info;
   bool Synced = false;
   bool Reachable = false;
+  bool Evacuated = false;
+  TimePoint ColdUntil;
   TimePoint AvoidedUntil;
   int ConsecutiveFailures = 0;
   double Slowdown = 1;
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -22,6 +22,9 @@
 /// start time that the row claims follows.
 constexpr std::string_view ForeignRowPrefix = "foreign ";
 
+/// Start of the key of a row that evacuates a zone.
+constexpr std::string_view EvacuationPrefix = "evacuate ";
+
 /// Interval at which a caller repeats a cancellation, and for how long.
 constexpr Duration CancelInterval{500};
 constexpr Duration CancelTimeout{15'000};
@@ -37,9 +40,18 @@
 
   std::optional<jobs::ClusterPolicy>
   decodePolicy(const cell::StoredRow &Row) const override {
+    if (Row.Key != "policy")
+      return std::nullopt;
     return Policies.at(std::stoll(Row.Value));
   }
 
+  std::optional<std::string>
+  decodeEvacuation(const cell::StoredRow &Row) const override {
+    if (!Row.Key.starts_with(EvacuationPrefix))
+      return std::nullopt;
+    return Row.Key.substr(EvacuationPrefix.size());
+  }
+
   std::string workerTable() const override { return "workers"; }
 
   std::optional<jobs::WorkerInfo>
@@ -131,10 +143,9 @@
   const VirtualTime &Time;
   const bool Trace = std::getenv("APRICOTWING_TRACE") != nullptr;
   std::map<std::string_view, std::vector<std::string>> Kept = {
-      {"run lost", {}},
-      {"start refused", {}},
-      {"given-up run ended", {}},
-      {"starting", {}}};
+      {"run lost", {}},           {"start refused", {}},
+      {"given-up run ended", {}}, {"zone evacuated", {}},
+      {"zone taken back", {}},    {"starting", {}}};
 };
 
 /// Delivers messages between instances. They are lost if either end is
@@ -309,6 +320,14 @@
   putPolicy(Version);
 }
 
+void EmulatedCell::evacuate(const std::string &Zone) {
+  Store.put("policy", "", std::string(EvacuationPrefix) + Zone, "{}");
+}
+
+void EmulatedCell::takeBack(const std::string &Zone) {
+  Store.remove("policy", "", std::string(EvacuationPrefix) + Zone);
+}
+
 bool EmulatedCell::happens(double Probability) {
   return Probability > 0 &&
          std::uniform_real_distribution<double>(0, 1)(Random) < Probability;
@@ -334,7 +353,7 @@
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
                         *Entry.Peers, Time, *WallTime, *Log},
-      cell::Timing{}, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
+      Times, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
       Name + "#" + std::to_string(Entry.Starts));
   pump(Name, Entry.Starts);
 }
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -161,6 +161,13 @@
   /// Publishes a policy with the version \p Version that has no accounts.
   void removeAccounts(std::int64_t Version);
 
+  /// Writes or removes the operators' row that evacuates a zone.
+  void evacuate(const std::string &Zone);
+  void takeBack(const std::string &Zone);
+
+  /// Of the instances that are started from now on.
+  cell::Timing Times;
+
   /// Drops the row of a worker, which goes on and writes it again at its next
   /// update.
   void dropRow(const std::string &Worker);
--- a/tests/emulator/emulatedstore.cpp
+++ b/tests/emulator/emulatedstore.cpp
@@ -93,6 +93,7 @@
   Down = false;
   RefusedCallers.clear();
   Cut.clear();
+  SilentTables.clear();
   LostAnswers = 0;
   LateEffects = 0;
   Latency = UsualLatency;
@@ -100,8 +101,9 @@
 }
 
 bool EmulatedStore::hasFaults() const {
-  return Down || !RefusedCallers.empty() || !Cut.empty() || LostAnswers > 0 ||
-         LateEffects > 0 || Latency != UsualLatency || BytesPerMs > 0 ||
+  return Down || !RefusedCallers.empty() || !Cut.empty() ||
+         !SilentTables.empty() || LostAnswers > 0 || LateEffects > 0 ||
+         Latency != UsualLatency || BytesPerMs > 0 ||
          std::any_of(SilentConnections.begin(), SilentConnections.end(),
                      [](const auto &Entry) { return Entry.second > 0; });
 }
@@ -238,7 +240,7 @@
     const std::string &Caller, const std::string &Table,
     const std::string &Partition, const std::string &From, std::size_t MaxRows,
     const std::function<void(cell::ReadResult)> &Callback) {
-  const bool IsCut = Cut.contains(Caller);
+  const bool IsCut = Cut.contains(Caller) || SilentTables.contains(Table);
   if (IsCut || isRefusing(Caller)) {
     Time.after(IsCut ? CallTimeout : Latency, [Callback, IsCut] {
       cell::ReadResult Result;
@@ -287,6 +289,11 @@
 void EmulatedStore::Handle::watch(
     const std::string &Table, std::int64_t After, Duration Wait,
     std::function<void(cell::ReadResult)> Callback) {
+  if (Store.SilentTables.contains(Table)) {
+    Store.Time.after(Wait + WatchMargin,
+                     [Callback] { Callback(cell::ReadResult{}); });
+    return;
+  }
   Store.pollWatch(
       Name, Table, After, Store.Time.now() + Wait,
       Store.overConnection(Name, Wait + WatchMargin, std::move(Callback)));
@@ -295,7 +302,7 @@
 void EmulatedStore::Handle::readChanges(
     const std::string &Table, std::int64_t After,
     std::function<void(cell::ReadResult)> Callback) {
-  if (Store.Cut.contains(Name))
+  if (Store.Cut.contains(Name) || Store.SilentTables.contains(Table))
     Store.Time.after(ReadChangesTimeout,
                      [Callback] { Callback(cell::ReadResult{}); });
   else if (After < 0)
--- a/tests/emulator/emulatedstore.h
+++ b/tests/emulator/emulatedstore.h
@@ -27,6 +27,7 @@
   bool Down = false;                    ///< All calls get status 503.
   std::set<std::string> RefusedCallers; ///< Callers that get status 503.
   std::set<std::string> Cut;            ///< Callers that get no response.
+  std::set<std::string> SilentTables;   ///< Reads of them get no response.
   double LostAnswers = 0; ///< Fraction of transactions without a response.
   double LateEffects = 0; ///< Fraction of transactions that are applied seconds
                           ///< later, without a response.
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -81,6 +81,13 @@
          LostAnswers > 0;
 }
 
+std::optional<TimePoint>
+EmulatedWorkers::lastStartOn(const std::string &Worker) const {
+  const auto Found = LastStartsOn.find(Worker);
+  return Found == LastStartsOn.end() ? std::nullopt
+                                     : std::optional(Found->second);
+}
+
 std::optional<TimePoint>
 EmulatedWorkers::lastStart(const std::string &Task) const {
   const auto Found = LastStarts.find(Task);
@@ -398,6 +405,7 @@
   const std::uint64_t Serial = ++LastSerial;
   ++StartedRuns;
   LastStarts[Order.Task] = Time.now();
+  LastStartsOn[Id] = Time.now();
   Entry.Runs[Order.Task] = {Order.Run, Traits, Serial};
   if (Traits.CrashesWorkerAfter)
     crashAfter(Id, Order.Task, Serial, *Traits.CrashesWorkerAfter);
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -146,6 +146,10 @@
   /// Time of the last start of a task; empty if it was never started.
   std::optional<TimePoint> lastStart(const std::string &Task) const;
 
+  /// Time of the last start on a worker, whatever its process; empty if there
+  /// was none.
+  std::optional<TimePoint> lastStartOn(const std::string &Worker) const;
+
   /// Resources that the active runs on a worker use, and those that last.
   Resources used(const std::string &Id) const;
   Resources usedByLasting(const std::string &Id) const;
@@ -277,7 +281,8 @@
   std::mt19937_64 ClockRandom;
   std::map<std::string, Process> Processes;
   std::set<std::string> Done; ///< Tasks with an acknowledged successful run.
-  std::map<std::string, TimePoint> LastStarts; ///< By task.
+  std::map<std::string, TimePoint> LastStarts;   ///< By task.
+  std::map<std::string, TimePoint> LastStartsOn; ///< By worker id.
   std::map<std::string, int> Failures;
   std::map<std::string, int> FailedRuns;
   std::map<std::string, CrashCount> CrashCounts; ///< By task.
--- a/tests/entry/entryprocess_test.cpp
+++ b/tests/entry/entryprocess_test.cpp
@@ -43,6 +43,10 @@
   decodePolicy(const cell::StoredRow &) const override {
     return std::nullopt;
   }
+  std::optional<std::string>
+  decodeEvacuation(const cell::StoredRow &) const override {
+    return std::nullopt;
+  }
   std::string workerTable() const override { return "workers"; }
   std::optional<jobs::WorkerInfo>
   decodeWorker(const cell::StoredRow &) const override {
--- a/tests/platform/nodefile_test.cpp
+++ b/tests/platform/nodefile_test.cpp
@@ -54,6 +54,14 @@
   EXPECT_EQ(File.Times.StatusRetention, Duration{120'000});
 }
 
+// Guards against a process that does not start, and against one that starts
+// runs by an old view although operators evacuate zones.
+TEST(NodeFileTest, KnowsTheContractOfEvacuations) {
+  EXPECT_FALSE(parseNodeFile(makeSettings(), "f").Times.EvacuatesZones);
+  EXPECT_TRUE(parseNodeFile(makeSettings("\"sched\"", "\"places\""), "f")
+                  .Times.EvacuatesZones);
+}
+
 TEST(NodeFileTest, NamesFileFieldAndProblem) {
   EXPECT_EQ(errorMessageFor("\"node_name\": \"frontend-a-1\", ", ""),
             "/etc/settings.json: node_name is missing");
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -91,18 +91,31 @@
   EXPECT_FALSE(JsonPlatformRecords().decodePolicy(makeRow("other", "{}")));
 }
 
+// Guards against an evacuation of a zone without a name, and against a row that
+// is not recognized once it is removed.
+TEST(JsonPlatformRecordsTest, ParsesEvacuations) {
+  const auto ZoneOf = [](const std::string &Key, const std::string &Value) {
+    return JsonPlatformRecords().decodeEvacuation(makeRow(Key, Value));
+  };
+  EXPECT_EQ(ZoneOf("evacuate/a", "{}"), "a");
+  EXPECT_EQ(ZoneOf("evacuate/a", ""), "a");
+  EXPECT_FALSE(ZoneOf("evacuate/", "{}"));
+  EXPECT_FALSE(ZoneOf("config", "{}"));
+}
+
 // Guards against using a row as a worker that another writer stored or whose
 // state is unknown.
 TEST(JsonPlatformRecordsTest, ParsesOnlyRowsOfWorkers) {
   const std::string Valid =
       R"({"service":"s","address":"10.1.0.9:80","zone":"a","state":"draining",)"
       R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a"],)"
-      R"("born":5,"remaining_ms":700})";
+      R"("born":5,"remaining_ms":700,"cold_remaining_ms":900})";
   const auto Worker = JsonPlatformRecords().decodeWorker(makeRow("i-1", Valid));
   ASSERT_TRUE(Worker);
   EXPECT_EQ(Worker->Incarnation, (jobs::WorkerIncarnation{"i-1", 5}));
   EXPECT_TRUE(Worker->Draining);
   EXPECT_EQ(Worker->Remaining, Duration{700});
+  EXPECT_EQ(Worker->ColdRemaining, Duration{900});
   std::string UnknownState = Valid;
   UnknownState.replace(UnknownState.find("draining"), 8, "sleeping");
   EXPECT_FALSE(
