Move runs off workers that leave at short notice

Cause: runs on a draining worker continued until they ended together with it, and a lost gang member broke the whole gang.

Ruled out: stopping everything at once (work waits in a full cell) and starting the copy first (two runs of one task).

Change: with MigrateFromLeavingWorkers, the scheduler asks DeparturePolicy in each round about each run on a worker that has announced its end, and stops those that cannot end in time. Drains that the leader only assumes stop nothing. Each stop is logged.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -378,6 +378,7 @@
       Known.Info.Address = Entry.Address;
       Known.Info.Zone = Entry.Zone;
       Known.Info.Draining = true;
+      Known.Info.DrainAssumed = true;
       Known.UnregisteredSince = Now;
       Scheduler.updateWorker(Known.Info, Now);
     }
@@ -662,6 +663,7 @@
   Deps.Log.event("worker seems restarted", Next.Incarnation.Id,
                  {{"born", std::to_string(Next.Incarnation.StartedUnixMs)}});
   Worker.Info.Draining = true;
+  Worker.Info.DrainAssumed = true;
   Scheduler.updateWorker(Worker.Info, Deps.Time.now());
 }
 
@@ -707,6 +709,7 @@
       continue;
     if (!Worker.Info.Draining) {
       Worker.Info.Draining = true;
+      Worker.Info.DrainAssumed = true;
       Scheduler.updateWorker(Worker.Info, Now);
     }
     const jobs::Worker *Known = Scheduler.worker(Id);
@@ -939,7 +942,7 @@
     return;
   case WorkerEvent::Ended:
     for (const jobs::ActiveRun &Run : Report.Running)
-      Scheduler.runProgressed(Report.Incarnation, Run);
+      Scheduler.runProgressed(Report.Incarnation, Run, Now);
     recordEnds(Report);
     acknowledge(Report);
     return;
@@ -1495,6 +1498,14 @@
 }
 
 void Leader::dispatch(const jobs::Decisions &Result) {
+  for (const jobs::Migration &Entry : Result.Migrations)
+    Deps.Log.event(
+        "migrating run", Entry.Run.Task,
+        {{"run", std::to_string(Entry.Run.Run)},
+         {"worker", Entry.Run.Worker.Id},
+         {"time_left_ms", std::to_string(Entry.TimeLeft.count())},
+         {"expected_ms", std::to_string(Entry.ExpectedRemaining.count())},
+         {"tasks", std::to_string(Entry.Tasks)}});
   for (const jobs::StopCommand &Order : Result.Stops) {
     MemberState *To = supervisorOf(Order.Worker);
     if (To)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -118,6 +118,8 @@
   TimePoint ReadySince; ///< When this leader learned that its last run is over.
   TimePoint LostRunAt; ///< Start of the last run that was lost with its worker.
   std::string Checkpoint;
+  int Percent = 0;     ///< Last reported progress of the run; 0: none.
+  TimePoint PercentAt; ///< When it was reported first.
   int Failures = 0;
   std::set<std::string> FailedOn; ///< Ids of workers on which a run failed.
   CrashHistory Crashes; ///< Of a gang's member: on which it was placed.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -550,14 +550,20 @@
   const auto Found = Workers.find(Info.Incarnation.Id);
   if (Found != Workers.end() &&
       Found->second.info().Incarnation == Info.Incarnation) {
+    const WorkerInfo Before = Found->second.info();
     Found->second.setInfo(Info);
+    updateDeparture(Found->second, Before, Now);
     return;
   }
   if (Found != Workers.end())
-    removeWorker(Found->second.info().Incarnation, WorkerLoss::ProcessEnded,
+    removeWorker(Found->second.info().Incarnation,
+                 Found->second.leavesAt() ? WorkerLoss::Announced
+                                          : WorkerLoss::ProcessEnded,
                  Now);
   resolveSilenceBefore(Info.Incarnation, Now);
-  Workers.emplace(Info.Incarnation.Id, Worker(Info));
+  Worker &Added =
+      Workers.emplace(Info.Incarnation.Id, Worker(Info)).first->second;
+  updateDeparture(Added, Info, Now);
 }
 
 void JobScheduler::removeWorker(const WorkerIncarnation &Incarnation,
@@ -947,7 +953,7 @@
   if (Allocated != Host.runs().end() && Allocated->second.Run == Run.Run) {
     Allocated->second.IsDispatched = true;
     Allocated->second.IsRestored = false;
-    runProgressed(Host.info().Incarnation, Run);
+    runProgressed(Host.info().Incarnation, Run, Now);
     return;
   }
   if (Task)
@@ -959,13 +965,19 @@
 }
 
 void JobScheduler::runProgressed(const WorkerIncarnation &Incarnation,
-                                 const ActiveRun &Run) {
+                                 const ActiveRun &Run, TimePoint Now) {
   const auto Id = TaskId::parse(Run.Task);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-  if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run.Run &&
-      Task->Worker == Incarnation && !Run.Checkpoint.empty())
+  if (!Task || Task->Phase != TaskPhase::Placed || Task->Run != Run.Run ||
+      Task->Worker != Incarnation)
+    return;
+  if (!Run.Checkpoint.empty())
     Task->Checkpoint = Run.Checkpoint;
+  if (Task->Percent != Run.Percent) {
+    Task->Percent = Run.Percent;
+    Task->PercentAt = Now;
+  }
 }
 
 // Runs.
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -6,6 +6,7 @@
 #include "core/nametable.h"
 #include "core/time.h"
 #include "jobs/clusterpolicy.h"
+#include "jobs/departurepolicy.h"
 #include "jobs/job.h"
 #include "jobs/run.h"
 #include "jobs/scheduleroptions.h"
@@ -26,6 +27,7 @@
   std::vector<StartCommand> Starts;
   std::vector<StopCommand> Stops;
   std::vector<AdviceRequest> Advice;
+  std::vector<Migration> Migrations; ///< For the log; Stops has their runs.
 };
 
 /// How many calls to the advice service may be made now. The service handles
@@ -251,9 +253,9 @@
   void runEnded(const WorkerIncarnation &Incarnation, const EndedRun &End,
                 TimePoint Now);
 
-  /// Records the latest checkpoint of a running task.
-  void runProgressed(const WorkerIncarnation &Incarnation,
-                     const ActiveRun &Run);
+  /// Records the latest checkpoint and the progress of a running task.
+  void runProgressed(const WorkerIncarnation &Incarnation, const ActiveRun &Run,
+                     TimePoint Now);
 
   /// Records that a run has not started and never will.
   void startRefused(const WorkerIncarnation &Incarnation,
@@ -298,6 +300,9 @@
   /// number of steps whose tasks fit no worker.
   std::string summary() const;
 
+  /// Number of runs stopped because a worker was about to leave.
+  std::size_t migratedRuns() const { return MigratedRuns; }
+
   /// Number of jobs that have not ended.
   std::size_t activeJobs() const { return Active; }
 
@@ -429,6 +434,17 @@
   void updateSlowdown(Worker &Host, const Job &CurrentJob, const StepSpec &Spec,
                       const TaskState &Task, TimePoint Now);
   std::vector<StopCommand> dueStops(TimePoint Now);
+  static void updateDeparture(Worker &Host, const WorkerInfo &Before,
+                              TimePoint Now);
+  void migrateLeavingRuns(TimePoint Now, Decisions &Result);
+  void migrateRun(Worker &Host, const TaskId &Id, std::int64_t Run,
+                  std::int64_t &PromisedCpuMillis, TimePoint Now,
+                  Decisions &Result);
+  DepartingRun departingRun(const Worker &Host, const Job &CurrentJob,
+                            const TaskId &Id, TimePoint Now) const;
+  bool hasRoomElsewhere(const Job &CurrentJob, int Step,
+                        std::int64_t PromisedCpuMillis, TimePoint Now) const;
+  int missingTasks(const Job &CurrentJob, int Step, TimePoint Now) const;
   std::set<std::string> stepsStillAtWork() const;
   void stopRun(Worker &Host, const std::string &Task, std::int64_t Run,
                StopCause Cause, TimePoint Now);
@@ -529,6 +545,7 @@
   std::set<std::string> Changed;
   std::uint64_t LastSequence = 0;
   std::size_t Active = 0;
+  std::size_t MigratedRuns = 0;
 };
 
 } // namespace apricotwing::jobs
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -169,6 +169,7 @@
   ResumeAt = Next ? scheduleRest(Current, std::max(*Next, ResumeAt), FrontEnd)
                         .value_or(WaitRank{})
                   : WaitRank{};
+  migrateLeavingRuns(Now, Current.Result);
   Current.Result.Stops = dueStops(Now);
   return std::move(Current.Result);
 }
@@ -729,6 +730,7 @@
   Task.Worker = Host.info().Incarnation;
   Task.Run = Run;
   Task.PlacedAt = Current.Now;
+  Task.Percent = 0;
   if (Option.ReservedFor)
     Host.endApartness();
   allocateRun(Host, CurrentJob, TaskId{CurrentJob.Spec.Id, 0, Step, Index}, Run,
--- a/src/jobs/run.h
+++ b/src/jobs/run.h
@@ -213,7 +213,10 @@
   std::vector<std::string> Labels;
   Resources Capacity;
   bool Draining = false;
-  Duration Remaining{0}; ///< Minimum time left while it is draining.
+  /// Minimum time left while it is draining; zero: unknown.
+  Duration Remaining{0};
+  /// Draining is the conclusion of the leader; the worker announced nothing.
+  bool DrainAssumed = false;
 
   friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
 };
@@ -261,15 +264,25 @@
   GangIncomplete, ///< Another member of its gang does not run.
   NotPlaced,      ///< It is not placed on the worker that runs it.
   TaskDone,       ///< A former run of its task has succeeded.
+  WorkerLeaving,  ///< It cannot end before a worker leaves.
 };
 
-inline constexpr NameTable<StopCause, 4> StopCauseNames = {{
+inline constexpr NameTable<StopCause, 5> StopCauseNames = {{
     {StopCause::JobEnded, "job_ended"},
     {StopCause::GangIncomplete, "gang_incomplete"},
     {StopCause::NotPlaced, "not_placed"},
     {StopCause::TaskDone, "task_done"},
+    {StopCause::WorkerLeaving, "worker_leaving"},
 }};
 
+/// A run, or a gang, that is stopped because a worker leaves.
+struct Migration {
+  StopCommand Run; ///< On the worker that leaves.
+  Duration TimeLeft{0};
+  Duration ExpectedRemaining{0}; ///< -1 ms: it runs until it is stopped.
+  int Tasks = 1;                 ///< Runs that are stopped with it.
+};
+
 /// What is known of a run that has to end.
 struct StopProgress {
   StopCause Cause = StopCause::JobEnded;
--- a/src/jobs/worker.h
+++ b/src/jobs/worker.h
@@ -65,6 +65,10 @@
   /// Replaces the description. Precondition: it is the same incarnation.
   void setInfo(WorkerInfo NewInfo) { Info = std::move(NewInfo); }
 
+  /// Earliest time at which it leaves, if it has announced that.
+  std::optional<TimePoint> leavesAt() const { return LeavesAt; }
+  void setLeavesAt(std::optional<TimePoint> Value) { LeavesAt = Value; }
+
   /// True once the current owner has read its list of runs.
   bool isSynced() const { return Synced; }
   void setSynced(bool Value) { Synced = Value; }
@@ -182,6 +186,7 @@
   int slotsIn(const Resources &Room, const StepSpec &Step) const;
 
   WorkerInfo Info;
+  std::optional<TimePoint> LeavesAt;
   bool Synced = false;
   bool Reachable = false;
   TimePoint AvoidedUntil;
--- a/tests/jobs/jobschedulertest.h
+++ b/tests/jobs/jobschedulertest.h
@@ -19,7 +19,8 @@
 /// workers of 32 cores and jobs of one step.
 class JobSchedulerTest : public testing::Test {
 protected:
-  JobSchedulerTest() : Scheduler(1) {
+  explicit JobSchedulerTest(const SchedulerOptions &Options = {})
+      : Scheduler(1, Options) {
     ClusterPolicy Policy;
     Policy.Version = 1;
     Policy.Queues = {queueOf("quick", 0, 1.5), queueOf("batch", 2, 4)};
