--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -551,13 +551,17 @@
   const bool IsKnown = Found != Workers.end() &&
                        Found->second.info().Incarnation == Info.Incarnation;
   if (Found != Workers.end() && !IsKnown)
-    removeWorker(Found->second.info().Incarnation, WorkerLoss::ProcessEnded,
+    removeWorker(Found->second.info().Incarnation,
+                 Found->second.leavesAt() ? WorkerLoss::Announced
+                                          : WorkerLoss::ProcessEnded,
                  Now);
   if (!IsKnown)
     resolveSilenceBefore(Info.Incarnation, Now);
   Worker &Host =
       Workers.try_emplace(Info.Incarnation.Id, Worker(Info)).first->second;
+  const WorkerInfo Before = Host.info();
   Host.setInfo(Info);
+  updateDeparture(Host, Before, Now);
   Host.setColdUntil(Now + Info.ColdRemaining);
   applyZone(Host);
 }
@@ -976,7 +980,7 @@
   if (Allocated != Host.runs().end() && Allocated->second.Run == Run.Run) {
     Allocated->second.IsDispatched = true;
     Allocated->second.IsRestored = false;
-    runProgressed(Host.info().Incarnation, Run);
+    runProgressed(Host.info().Incarnation, Run, Now);
     return;
   }
   if (Task)
@@ -988,13 +992,19 @@
 }
 
 void JobScheduler::runProgressed(const WorkerIncarnation &Incarnation,
-                                 const ActiveRun &Run) {
+                                 const ActiveRun &Run, TimePoint Now) {
   const auto Id = TaskId::parse(Run.Task);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-  if (Task && Task->Phase == TaskPhase::Placed && Task->Run == Run.Run &&
-      Task->Worker == Incarnation && !Run.Checkpoint.empty())
+  if (!Task || Task->Phase != TaskPhase::Placed || Task->Run != Run.Run ||
+      Task->Worker != Incarnation)
+    return;
+  if (!Run.Checkpoint.empty())
     Task->Checkpoint = Run.Checkpoint;
+  if (Task->Percent != Run.Percent) {
+    Task->Percent = Run.Percent;
+    Task->PercentAt = Now;
+  }
 }
 
 // Runs.
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -174,6 +174,7 @@
                           .value_or(WaitRank{})
                     : WaitRank{};
   }
+  migrateLeavingRuns(Now, Current.Result);
   Current.Result.Stops = dueStops(Now);
   return std::move(Current.Result);
 }
@@ -735,6 +736,7 @@
   Task.Worker = Host.info().Incarnation;
   Task.Run = Run;
   Task.PlacedAt = Current.Now;
+  Task.Percent = 0;
   if (Option.ReservedFor)
     Host.endApartness();
   allocateRun(Host, CurrentJob, TaskId{CurrentJob.Spec.Id, 0, Step, Index}, Run,
