Delay steps of accounts with much past use

Cause: shares are kept over seconds, so an account that uses far more than others for hours is served as if it had not.

UsageHistory keeps the decayed average of each account's dominant share. JobScheduler adds its delay, at most 5 s and half of the remaining slack, to the due time in the rank of a step when the step is queued. It is dropped once the slack is used up but for it. Tier and priority come first. Without a half-life nothing is recorded and no rank differs.

A credit account was ruled out: it prefers an account for having been idle, and its error does not decay.

The leader does not store the history yet.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -87,7 +87,7 @@
 struct WaitRank {
   int Tier = 0;     ///< 0: on time, 1: late, 2: past its firm deadline.
   int Priority = 0; ///< Of the queue; 0 is the most urgent.
-  TimePoint Due;
+  TimePoint Due;    ///< Of the job, plus the step's UsageDelay.
   std::uint64_t Sequence = 0; ///< Order of acceptance.
   int Step = 0;
 
@@ -170,7 +170,9 @@
   /// Number of slots that the gang claims, by worker id.
   std::map<std::string, int> Claimed;
   std::optional<WaitRank> Rank; ///< Set while the step is waiting.
-  TimePoint QueuedAt;           ///< When it began to wait.
+  /// By which the past use of its account moves it back; valid with Rank.
+  Duration UsageDelay{0};
+  TimePoint QueuedAt;                         ///< When it began to wait.
   WaitCause Cause = WaitCause::NotConsidered; ///< Valid while it is waiting.
   /// When a round last compared it with the workers while it was waiting.
   std::optional<TimePoint> ComparedAt;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 JobScheduler::JobScheduler(std::int64_t Term, const SchedulerOptions &Options)
-    : Term(Term), Options(Options) {}
+    : Term(Term), Options(Options), Usage(Options.UsageHalfLife) {}
 
 void JobScheduler::setPolicy(const ClusterPolicy &NewPolicy) {
   PolicyQueues.clear();
@@ -79,6 +79,7 @@
     Queues.try_emplace(JobQueue.Name, JobQueue);
   for (const ClientAccount &Account : Earlier.Accounts)
     Accounts.try_emplace(Account.Name, Account);
+  updateWeights();
 }
 
 void JobScheduler::forgetUnusedSettings() {
@@ -96,6 +97,23 @@
   std::erase_if(Accounts, [&UsedAccounts](const auto &Entry) {
     return !UsedAccounts.contains(Entry.first);
   });
+  updateWeights();
+}
+
+void JobScheduler::setServedAccounts(
+    std::function<bool(const std::string &)> IsServed) {
+  Serves = std::move(IsServed);
+  updateWeights();
+}
+
+void JobScheduler::updateWeights() {
+  if (!Usage.isEnabled())
+    return;
+  std::map<std::string, int> Weights;
+  for (const auto &[Name, Account] : Accounts)
+    if (!Serves || Serves(Name))
+      Weights[Name] = Account.Weight;
+  Usage.setWeights(std::move(Weights));
 }
 
 const Queue &JobScheduler::queueOf(const Job &CurrentJob) const {
@@ -511,8 +529,13 @@
   if (State.Rank || State.ReadyCount == 0 ||
       CurrentJob.Phase != JobPhase::Active || !CurrentJob.isUnblocked(Step))
     return;
-  State.Rank = WaitRank{0, queueOf(CurrentJob).Priority, CurrentJob.Due,
-                        CurrentJob.Sequence, Step};
+  // Half of the slack remains, so that the delay alone makes no step late.
+  const Duration Slack = CurrentJob.Due - Now - CurrentJob.RemainingEstimate;
+  State.UsageDelay = std::min(Usage.delay(CurrentJob.Spec.Account, Now),
+                              std::max(Slack / 2, Duration{0}));
+  State.Rank =
+      WaitRank{0, queueOf(CurrentJob).Priority,
+               CurrentJob.Due + State.UsageDelay, CurrentJob.Sequence, Step};
   State.QueuedAt = Now;
   State.Cause = WaitCause::NotConsidered;
   State.ComparedAt.reset();
@@ -532,14 +555,27 @@
     enqueue(CurrentJob, int(Step), Now);
 }
 
+// A delayed step whose remaining slack is used up but for its delay returns to
+// its own due time.
+bool JobScheduler::mustDropDelay(const Job &CurrentJob, const StepState &State,
+                                 TimePoint Now) {
+  return State.UsageDelay > Duration::zero() &&
+         Now + CurrentJob.RemainingEstimate + State.UsageDelay > CurrentJob.Due;
+}
+
 void JobScheduler::updateRank(Job &CurrentJob, TimePoint Now) {
   const int Tier = tierOf(CurrentJob, Now);
   for (std::size_t Step = 0; Step < CurrentJob.Steps.size(); ++Step) {
     StepState &State = CurrentJob.Steps[Step];
-    if (!State.Rank || State.Rank->Tier == Tier)
+    const bool DropsDelay = mustDropDelay(CurrentJob, State, Now);
+    if (!State.Rank || (State.Rank->Tier == Tier && !DropsDelay))
       continue;
     Waiting.erase(*State.Rank);
     State.Rank->Tier = Tier;
+    if (DropsDelay) {
+      State.UsageDelay = Duration{0};
+      State.Rank->Due = CurrentJob.Due;
+    }
     Waiting.emplace(*State.Rank, StepRef{&CurrentJob, int(Step)});
   }
 }
@@ -839,7 +875,7 @@
 void JobScheduler::releaseWithoutResult(Worker &Host, const std::string &Name,
                                         std::int64_t Run, TimePoint Now,
                                         PreviousRun How) {
-  release(Host, Name, Run);
+  release(Host, Name, Run, Now);
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
@@ -884,16 +920,20 @@
       New.AloneUntil = Now + CrashHistory::DangerTime;
   }
   Host.allocate(Id.text(), std::move(New));
-  Running[CurrentJob.Spec.Account] += Spec.Request;
+  Resources &Held = Running[CurrentJob.Spec.Account];
+  Held += Spec.Request;
+  Usage.setRunning(CurrentJob.Spec.Account, Held, Now);
 }
 
 void JobScheduler::release(Worker &Host, const std::string &Task,
-                           std::int64_t Run) {
+                           std::int64_t Run, TimePoint Now) {
   RunsToStop.erase({Host.info().Incarnation, Task, Run});
   const auto Found = Host.runs().find(Task);
   if (Found == Host.runs().end() || Found->second.Run != Run)
     return;
-  Running[Found->second.Account] -= Found->second.Request;
+  Resources &Held = Running[Found->second.Account];
+  Held -= Found->second.Request;
+  Usage.setRunning(Found->second.Account, Held, Now);
   Host.release(Task, Run);
 }
 
@@ -1110,7 +1150,7 @@
   Worker *Host = findWorker(Incarnation);
   if (!Host)
     return;
-  release(*Host, End.Task, End.Run);
+  release(*Host, End.Task, End.Run, Now);
   const auto Id = TaskId::parse(End.Task);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -9,9 +9,11 @@
 #include "jobs/job.h"
 #include "jobs/run.h"
 #include "jobs/scheduleroptions.h"
+#include "jobs/usagehistory.h"
 #include "jobs/worker.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -91,7 +93,8 @@
 /// Assigns tasks to workers. Keeps all accepted jobs, the free resources of all
 /// workers and the resources that each client account uses. Waiting steps are
 /// scheduled by tier (on time, late, past the firm deadline), then by priority,
-/// then by due time, so that under overload the workers run jobs whose
+/// then by due time, to which the past use of the account may add a bounded
+/// delay (UsageHistory), so that under overload the workers run jobs whose
 /// completion still has value. All tasks of a gang are placed at once; a gang
 /// that does not fit claims free resources until it does. Owned by the leader
 /// and used on its thread only; reads no clock and does no input or output.
@@ -298,6 +301,14 @@
   /// number of steps whose tasks fit no worker.
   std::string summary() const;
 
+  /// Sets which accounts of the policy can have jobs here. The past use of an
+  /// account is compared with that of these accounts only; by default with all.
+  void setServedAccounts(std::function<bool(const std::string &)> IsServed);
+
+  /// Past use of the accounts.
+  UsageHistory &usage() { return Usage; }
+  const UsageHistory &usage() const { return Usage; }
+
   /// Number of jobs that have not ended.
   std::size_t activeJobs() const { return Active; }
 
@@ -384,9 +395,13 @@
   void requeueSteps(Job &CurrentJob, TimePoint Now);
   WaitingStep describe(const StepRef &Ref, TimePoint Now) const;
   void updateRank(Job &CurrentJob, TimePoint Now);
+  static bool mustDropDelay(const Job &CurrentJob, const StepState &State,
+                            TimePoint Now);
+  void updateWeights();
   static int tierOf(const Job &CurrentJob, TimePoint Now);
 
-  void release(Worker &Host, const std::string &Task, std::int64_t Run);
+  void release(Worker &Host, const std::string &Task, std::int64_t Run,
+               TimePoint Now);
   void releaseWithoutResult(Worker &Host, const std::string &Name,
                             std::int64_t Run, TimePoint Now, PreviousRun How);
   void allocateRun(Worker &Host, const Job &CurrentJob, const TaskId &Id,
@@ -500,7 +515,9 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
   std::map<std::string, Worker> Workers;
   std::map<std::string, Resources> Running; ///< By client account.
-  std::map<std::string, int> PendingJobs;   ///< By queue.
+  UsageHistory Usage;
+  std::function<bool(const std::string &)> Serves; ///< Empty: all accounts.
+  std::map<std::string, int> PendingJobs;          ///< By queue.
   std::size_t WithdrawnJobs = 0;
   /// Estimated work of all tasks that are ready or blocked, by priority, in
   /// thousandths of a core times milliseconds.
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -134,7 +134,9 @@
   UsableCpuMillis = 0;
   UsableWorkers = 0;
   Resources Largest;
+  Resources Capacity;
   for (auto &[Id, Host] : Workers) {
+    Capacity += Host.info().Capacity;
     TotalCpuMillis += Host.info().Capacity.CpuMillis;
     Largest = Resources::max(Largest, Host.info().Capacity);
     if (Host.isAvailable(Now)) {
@@ -160,6 +162,7 @@
     Current.ClaimableCpuMillis -= Host.claimed().CpuMillis;
   }
   setLargestCapacity(Largest);
+  Usage.setCapacity(Capacity, Now);
   FreeCpuMillis = Current.FreeCpuMillis;
   Current.ClaimableCpuMillis +=
       std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
@@ -436,7 +439,9 @@
                                 const StepRef &Ref) {
   Job &CurrentJob = *Ref.Owner;
   const int Step = Ref.Step;
-  if (tierOf(CurrentJob, Current.Now) != Rank.Tier) {
+  if (tierOf(CurrentJob, Current.Now) != Rank.Tier ||
+      mustDropDelay(CurrentJob, CurrentJob.Steps[std::size_t(Step)],
+                    Current.Now)) {
     updateRank(CurrentJob, Current.Now);
     return true;
   }
