--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -251,8 +250,7 @@
     return;
   NextLoadExchange = Now + LoadExchangeInterval;
   const ShardLoad Own{Scheduler.usableWorkers(), Scheduler.freeShare(),
-                      Scheduler.estimatedWait(std::numeric_limits<int>::max()),
-                      Scheduler.longestWait(Now)};
+                      Scheduler.totalBacklog(), Scheduler.longestWait(Now)};
   StateJournal.setLoad(Own);
   for (int Other = 0; Other < Ownership->layout().shardCount(); ++Other) {
     if (Other == Shard)
