--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -152,10 +152,10 @@
 std::optional<Duration> CallService::refusal(const jobs::JobSpec &Job,
                                              const jobs::Queue &TargetQueue,
                                              jobs::AdmissionResult &Admitted) {
-  const TimePoint Now = Deps.Time.now();
-  const Duration Wait = Deps.Scheduler.estimatedWait(Job, Now);
-  Admitted = AdmissionControl.evaluate(
-      Job, TargetQueue, Deps.Scheduler.account(Job.Account), Wait, Now);
+  const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue.Priority);
+  Admitted = AdmissionControl.evaluate(Job, TargetQueue,
+                                       Deps.Scheduler.account(Job.Account),
+                                       Wait, Deps.Time.now());
   if (Admitted.RetryAfter)
     Deps.Log.event("job refused", Job.Id,
                    {{"queue", Job.Queue},
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -250,7 +251,8 @@
     return;
   NextLoadExchange = Now + LoadExchangeInterval;
   const ShardLoad Own{Scheduler.usableWorkers(), Scheduler.freeShare(),
-                      Scheduler.totalBacklog(), Scheduler.longestWait(Now)};
+                      Scheduler.estimatedWait(std::numeric_limits<int>::max()),
+                      Scheduler.longestWait(Now)};
   StateJournal.setLoad(Own);
   for (int Other = 0; Other < Ownership->layout().shardCount(); ++Other) {
     if (Other == Shard)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -219,7 +219,6 @@
   bool HasRun = false;           ///< A worker has reported a run of it.
   bool Restored = false;         ///< Accepted by an earlier leader.
   bool BeyondShare = false;      ///< Scheduled after jobs within their share.
-  bool Expired = false;          ///< Past its firm deadline in the last round.
   Duration RemainingEstimate{0}; ///< Critical path of the unfinished steps.
   TimePoint AcceptedAt;
   TimePoint Due;             ///< Completion after this time is late.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -21,6 +21,10 @@
 /// their estimates.
 constexpr double EstimateLearningRate = 0.03;
 
+/// Share of the processors that waiting work can use: tasks do not fit the free
+/// resources exactly, and not every worker is approved for every step.
+constexpr double UsableShare = 0.8;
+
 /// A long-running task that has run for this long is not to blame for crashes
 /// of the workers on which it was started earlier.
 constexpr Duration SurvivalTime{600'000};
@@ -155,48 +159,12 @@
   return Result;
 }
 
-WaitEstimator::Demand JobScheduler::demandOf(const Job &CurrentJob, int Step,
-                                             int Tasks) const {
-  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
-  const double CpuMillis = double(Tasks) * double(Spec.Request.CpuMillis);
-  return {CpuMillis * double(Spec.Estimate.count()), CpuMillis};
-}
-
 void JobScheduler::addWaitingWork(const Job &CurrentJob, int Step, int Tasks) {
-  if (CurrentJob.Steps[std::size_t(Step)].CountsAsWaitingWork &&
-      !CurrentJob.Expired)
-    Estimator.addWaiting(queueOf(CurrentJob).Priority,
-                         demandOf(CurrentJob, Step, Tasks));
-}
-
-// Workers whose lists are still to be read count, as they are used within a
-// second or two: after a takeover the few that were read first would make the
-// backlog look endless.
-std::int64_t JobScheduler::expectedCpuMillis() const {
-  std::int64_t Sum = 0;
-  for (const auto &[Id, Host] : Workers)
-    if (!Host.info().Draining && (Host.isReachable() || !Host.isSynced()))
-      Sum += Host.info().Capacity.CpuMillis;
-  return Sum;
-}
-
-std::int64_t JobScheduler::claimedCpuMillis() const {
-  std::int64_t Sum = 0;
-  for (const auto &[Id, Host] : Workers)
-    Sum += Host.claimed().CpuMillis;
-  return Sum;
-}
-
-// New jobs are scheduled before those past their firm deadline.
-void JobScheduler::expireJobs(TimePoint Now) {
-  while (!BeforeDeadline.empty() &&
-         BeforeDeadline.begin()->first.first <= Now) {
-    Job &Late = *BeforeDeadline.begin()->second;
-    BeforeDeadline.erase(BeforeDeadline.begin());
-    for (std::size_t Step = 0; Step < Late.Steps.size(); ++Step)
-      addWaitingWork(Late, int(Step), -Late.Steps[Step].ReadyCount);
-    Late.Expired = true;
-  }
+  const StepSpec &Spec = CurrentJob.Spec.Steps[std::size_t(Step)];
+  if (CurrentJob.Steps[std::size_t(Step)].CountsAsWaitingWork)
+    WaitingWork[queueOf(CurrentJob).Priority] +=
+        double(Tasks) * double(Spec.Request.CpuMillis) *
+        double(Spec.Estimate.count());
 }
 
 void JobScheduler::setLargestCapacity(const Resources &Largest) {
@@ -228,13 +196,15 @@
          (!IsCapacityKnown || Spec.Request.fitsIn(LargestCapacity));
 }
 
-Duration JobScheduler::estimatedWait(const JobSpec &Spec, TimePoint Now) const {
-  const Queue *JobQueue = queue(Spec.Queue);
-  double CpuMillis = 0;
-  for (const StepSpec &Step : Spec.Steps)
-    if (Step.After.empty() && countsAsWaitingWork(Step))
-      CpuMillis += double(Step.Count) * double(Step.Request.CpuMillis);
-  return Estimator.wait(JobQueue ? JobQueue->Priority : 0, CpuMillis, Now);
+Duration JobScheduler::estimatedWait(int Priority) const {
+  double Work = 0;
+  for (const auto &[Level, Waiting] : WaitingWork)
+    if (Level <= Priority)
+      Work += Waiting;
+  if (UsableCpuMillis <= 0)
+    return Duration{0}; // No worker was usable yet.
+  return Duration(Duration::rep(std::max(Work, 0.0) /
+                                (double(UsableCpuMillis) * UsableShare)));
 }
 
 Duration JobScheduler::longestWait(TimePoint Now) const {
@@ -330,13 +300,7 @@
   NewJob->AcceptedAt = Now;
   NewJob->BeyondShare = BeyondShare;
   NewJob->restore(JobProgress{});
-  Job &Added = *NewJob;
   addJob(std::move(NewJob), Now);
-  for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step)
-    if (Added.Steps[Step].CountsAsWaitingWork)
-      Estimator.recordAccepted(
-          queueOf(Added).Priority,
-          demandOf(Added, int(Step), Added.Steps[Step].ReadyCount).Work, Now);
   return true;
 }
 
@@ -431,7 +395,6 @@
   if (Added.Phase != JobPhase::Active)
     return;
   ++Active;
-  BeforeDeadline[{Added.FirmDeadline, Added.Sequence}] = &Added;
   for (std::size_t Step = 0; Step < Added.Steps.size(); ++Step) {
     Added.Steps[Step].CountsAsWaitingWork =
         countsAsWaitingWork(Added.Spec.Steps[Step]);
@@ -521,7 +484,6 @@
   CurrentJob.Phase = Phase;
   CurrentJob.EndedAt = Now;
   --Active;
-  BeforeDeadline.erase({CurrentJob.FirmDeadline, CurrentJob.Sequence});
   if (!CurrentJob.Started)
     --PendingJobs[CurrentJob.Spec.Queue];
   Changed.insert(CurrentJob.Spec.Id);
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -9,7 +9,6 @@
 #include "jobs/job.h"
 #include "jobs/run.h"
 #include "jobs/scheduleroptions.h"
-#include "jobs/waitestimator.h"
 #include "jobs/worker.h"
 
 #include <cstdint>
@@ -139,12 +138,9 @@
   /// All client accounts in settings().
   std::vector<ClientAccount> accounts() const;
 
-  /// Time that the workers need for all waiting work, without jobs past their
-  /// firm deadline, which are scheduled last. Zero before the first round.
-  Duration totalBacklog() const { return Estimator.totalBacklog(); }
-
-  /// How long the new job \p Spec would wait for resources; see WaitEstimator.
-  Duration estimatedWait(const JobSpec &Spec, TimePoint Now) const;
+  /// Time that the workers need for the waiting work of \p Priority and of
+  /// more urgent priorities. Zero before the first round.
+  Duration estimatedWait(int Priority) const;
 
   /// Longest time that a waiting step has waited for a start. Steps that no
   /// worker can run, or that wait because of their account's limit, don't
@@ -382,12 +378,7 @@
   void addJob(std::unique_ptr<Job> NewJob, TimePoint Now);
   void setLargestCapacity(const Resources &Largest);
   bool countsAsWaitingWork(const StepSpec &Spec) const;
-  WaitEstimator::Demand demandOf(const Job &CurrentJob, int Step,
-                                 int Tasks) const;
   void addWaitingWork(const Job &CurrentJob, int Step, int Tasks);
-  void expireJobs(TimePoint Now);
-  std::int64_t expectedCpuMillis() const;
-  std::int64_t claimedCpuMillis() const;
   void enqueue(Job &CurrentJob, int Step, TimePoint Now);
   void dequeue(Job &CurrentJob, int Step);
   void requeueSteps(Job &CurrentJob, TimePoint Now);
@@ -511,12 +502,9 @@
   std::map<std::string, Resources> Running; ///< By client account.
   std::map<std::string, int> PendingJobs;   ///< By queue.
   std::size_t WithdrawnJobs = 0;
-  /// Knows all tasks that are ready or blocked, without those of jobs past
-  /// their firm deadline.
-  WaitEstimator Estimator;
-  /// Jobs that have not ended and are not past their firm deadline, by that
-  /// deadline and their number.
-  std::map<std::pair<TimePoint, std::uint64_t>, Job *> BeforeDeadline;
+  /// Estimated work of all tasks that are ready or blocked, by priority, in
+  /// thousandths of a core times milliseconds.
+  std::map<int, double> WaitingWork;
   /// Maximum of each resource over all workers in the last round.
   Resources LargestCapacity;
   /// Capacity of all usable workers in the last round.
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -161,8 +161,6 @@
   }
   setLargestCapacity(Largest);
   FreeCpuMillis = Current.FreeCpuMillis;
-  expireJobs(Now);
-  Estimator.setRoom(expectedCpuMillis(), FreeCpuMillis - claimedCpuMillis());
   Current.ClaimableCpuMillis +=
       std::int64_t(double(TotalCpuMillis) * MaxClaimedShare);
   const std::optional<WaitRank> FrontEnd = scheduleFront(Current);
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -541,13 +541,13 @@
   addWorker("w1");
   addJob("batch", step(100, 20'000, Duration{60'000}));
   decide();
-  EXPECT_GT(Scheduler.totalBacklog(), Duration{60'000});
+  EXPECT_GT(Scheduler.estimatedWait(2), Duration{60'000});
   resize("w1", 16'000);
   decide();
-  EXPECT_EQ(Scheduler.totalBacklog(), Duration{0});
+  EXPECT_EQ(Scheduler.estimatedWait(2), Duration{0});
   resize("w1", 32'000);
   decide();
-  EXPECT_GT(Scheduler.totalBacklog(), Duration{60'000});
+  EXPECT_GT(Scheduler.estimatedWait(2), Duration{60'000});
 }
 
 // Guards against a faulty worker on which every run fails and which, being
