--- a/tests/intake/intake_test.cpp
+++ b/tests/intake/intake_test.cpp
@@ -225,6 +225,26 @@
   expectSound();
 }
 
+// Guards against refusals that operators can neither count nor find in the log.
+TEST_F(IntakeTest, CountsAndLogsRefusals) {
+  occupy(soak::Entries::ClientPort, 30, head("/api/jobs") + chunks(262'000, 1));
+  const std::string Metrics = soak::call(Entries.ip(0), PeerPort, "GET",
+                                         "/metrics", {}, "", AnswerTimeoutMs)
+                                  .Body;
+  const std::string Name =
+      "apricotwing_entry_refused_connections_total{cause=\"memory\"} ";
+  const std::size_t Position = Metrics.find(Name);
+  ASSERT_NE(Position, std::string::npos) << Metrics;
+  EXPECT_GT(std::atoi(Metrics.c_str() + Position + Name.size()), 0);
+  std::ifstream Log(Entries.logFile(0));
+  int Lines = 0;
+  for (std::string Line; std::getline(Log, Line);)
+    if (Line.find("connections refused") != std::string::npos &&
+        Line.find("cause=memory") != std::string::npos)
+      ++Lines;
+  EXPECT_GT(Lines, 0);
+}
+
 // Guards against limits that a single client within the published ones meets:
 // 256 KiB in one-byte chunks that arrive over some seconds.
 TEST_F(IntakeTest, ServesTheSlowestShapeOfAPermittedBody) {
