Test departures of workers beside other faults

Cause: moves of runs were tested on the scheduler alone.

Change: the emulated cell takes options of the scheduler, workers state the time that they have left and may return to ready, and stops can be lost. The metrics count the runs that were stopped.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -184,6 +184,7 @@
   double LostRuns = 0;
   double FailedJobs = 0;
   double RunsToStop = 0;
+  double MigratedRuns = 0;
   Duration LongestStop{0};
   double ReservedWorkers = 0;
   std::map<jobs::WaitCause, int> WaitingSteps;
@@ -201,6 +202,7 @@
     LostRuns += double(Leader->lostRuns());
     FailedJobs += double(Leader->failedJobs());
     RunsToStop += double(Leader->scheduler().runsToStop().size());
+    MigratedRuns += double(Leader->scheduler().migratedRuns());
     LongestStop = std::max(LongestStop, Leader->longestStop());
     ReservedWorkers += Leader->scheduler().reservedWorkers(Time.now());
     for (const auto &[Cause, Count] : Leader->scheduler().waitCauses())
@@ -246,6 +248,10 @@
           FailedJobs);
     Gauge("apricotwing_leader_runs_to_stop",
           "Runs that have to end and are not known to have ended", RunsToStop);
+    Gauge("apricotwing_leader_migrated_runs",
+          "Runs stopped in this term because their worker, or that of another "
+          "member of their gang, was about to leave",
+          MigratedRuns);
     Gauge("apricotwing_leader_longest_stop_seconds",
           "Longest time for which such a run has had to end",
           std::chrono::duration<double>(LongestStop).count());
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -134,6 +134,7 @@
       {"run lost", {}},
       {"start refused", {}},
       {"given-up run ended", {}},
+      {"migrating run", {}},
       {"starting", {}}};
 };
 
@@ -331,10 +332,12 @@
   Entry.Advice =
       std::make_unique<EmulatedAdvice>(Time, Workers, AdviceLinks[Name]);
   Entry.Peers = std::make_unique<Network>(*this, Name);
+  cell::Timing Times;
+  Times.Scheduler = Scheduler;
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
                         *Entry.Peers, Time, *WallTime, *Log},
-      cell::Timing{}, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
+      Times, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
       Name + "#" + std::to_string(Entry.Starts));
   pump(Name, Entry.Starts);
 }
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -134,6 +134,9 @@
   double LostReplies = 0;
   static constexpr Duration DelayTime{2500};
 
+  /// Options of the schedulers of instances that are started from now on.
+  jobs::SchedulerOptions Scheduler;
+
   /// How much longer each message between two instances, and each reply, takes.
   Duration LinkDelay{0};
 
--- a/tests/emulator/emulatedworkers.cpp
+++ b/tests/emulator/emulatedworkers.cpp
@@ -70,6 +70,7 @@
   LateOrders = 0;
   LateHeartbeats = 0;
   LostAnswers = 0;
+  LosesStops = false;
   CrashesSilently = false;
   RestartDelay = UsualRestartDelay;
   AfterCrash = Comeback::SameId;
@@ -78,7 +79,7 @@
 bool EmulatedWorkers::hasFaults() const {
   return !Cut.empty() || !CutPairs.empty() || !Rejected.empty() ||
          !Displaced.empty() || LateOrders > 0 || LateHeartbeats > 0 ||
-         LostAnswers > 0;
+         LostAnswers > 0 || LosesStops;
 }
 
 std::optional<TimePoint>
@@ -564,6 +565,10 @@
 void EmulatedWorkers::Handle::stop(
     const cell::WorkerAddress &To, const jobs::StopCommand &Order,
     std::function<void(cell::WorkerAnswer)> Callback) {
+  if (Workers.LosesStops) {
+    Workers.Time.after(OrderTimeout, [Callback] { Callback({}); });
+    return;
+  }
   Workers.order(
       Name, To,
       [To, Order, &Target = Workers] {
--- a/tests/emulator/emulatedworkers.h
+++ b/tests/emulator/emulatedworkers.h
@@ -57,6 +57,8 @@
                           ///< but get no response.
   double LateHeartbeats = 0; ///< Fraction of heartbeats that get no response
                              ///< and are carried out 2 to 12 s later.
+  /// Stop orders get no response and have no effect.
+  bool LosesStops = false;
   std::set<std::string> Cut; ///< Ids of workers that no instance can reach.
   std::set<std::pair<std::string, std::string>>
       CutPairs; ///< Pairs of an instance and a worker that it cannot reach.
@@ -112,8 +114,18 @@
   /// Changes the capacity of a worker while its process runs.
   void resize(const std::string &Id, Resources Capacity);
 
-  /// Announces the shutdown of a worker in its registry entry.
-  void drain(const std::string &Id) { Processes.at(Id).Info.Draining = true; }
+  /// Announces the shutdown of a worker in its registry entry, with the minimum
+  /// time left if it is known.
+  void drain(const std::string &Id, Duration Remaining = Duration{0}) {
+    Processes.at(Id).Info.Draining = true;
+    Processes.at(Id).Info.Remaining = Remaining;
+  }
+
+  /// Withdraws the announced shutdown of a worker.
+  void undrain(const std::string &Id) {
+    Processes.at(Id).Info.Draining = false;
+    Processes.at(Id).Info.Remaining = Duration{0};
+  }
 
   /// Registry entry of a worker; empty if the worker has crashed.
   std::optional<jobs::WorkerInfo> info(const std::string &Id) const;
