--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -143,9 +143,9 @@
   const VirtualTime &Time;
   const bool Trace = std::getenv("APRICOTWING_TRACE") != nullptr;
   std::map<std::string_view, std::vector<std::string>> Kept = {
-      {"run lost", {}},           {"start refused", {}},
-      {"given-up run ended", {}}, {"zone evacuated", {}},
-      {"zone taken back", {}},    {"starting", {}}};
+      {"run lost", {}},      {"start refused", {}},  {"given-up run ended", {}},
+      {"migrating run", {}}, {"zone evacuated", {}}, {"zone taken back", {}},
+      {"starting", {}}};
 };
 
 /// Delivers messages between instances. They are lost if either end is
@@ -350,6 +350,8 @@
   Entry.Advice =
       std::make_unique<EmulatedAdvice>(Time, Workers, AdviceLinks[Name]);
   Entry.Peers = std::make_unique<Network>(*this, Name);
+  cell::Timing Times;
+  Times.Scheduler = Scheduler;
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
                         *Entry.Peers, Time, *WallTime, *Log},
