Store the past use of accounts for the next leader

Cause: the history was lost with the leader.

The leader puts the row usage/usage into a commit that takes place anyway, at most every 5 s and only after use. A takeover reads it before the jobs and decays it by the time of the shard; shares of another epoch count as valid now and are stored again. Accounts are compared with those of their shard only. The state dump, two metrics by account and a log line show share and delay. Without a half-life the table is neither read nor written.

Soaks and the fuzz were not run.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <stdexcept>
 #include <type_traits>
 #include <utility>
@@ -397,6 +398,24 @@
   From.at(1).get_to(Value.Ms);
 }
 
+/// Factor of the integers as which shares are stored.
+constexpr double StoredShareUnit = 1'000'000;
+
+static void to_json(json &To, const StoredUsage &Value) {
+  json Shares = json::object();
+  for (const auto &[Account, Share] : Value.Shares)
+    Shares[Account] = std::llround(Share * StoredShareUnit);
+  To = {{"time", Value.Time}, {"accounts", std::move(Shares)}};
+}
+static void from_json(const json &From, StoredUsage &Value) {
+  From.at("time").get_to(Value.Time);
+  for (const auto &[Account, Share] : From.at("accounts").items()) {
+    Value.Shares[Account] = double(Share.get<std::int64_t>()) / StoredShareUnit;
+    if (Value.Shares[Account] < 0 || Value.Shares[Account] > 1)
+      throw std::invalid_argument("a share beyond the cell");
+  }
+}
+
 static void to_json(json &To, const LeaderRecord &Value) {
   To = {{"term", Value.Term},
         {"sequence", Value.Sequence},
@@ -822,6 +841,7 @@
 std::string encode(const LeaderAnswer &Value) { return toText(Value); }
 std::string encode(const ShardLayout &Value) { return toText(Value); }
 std::string encode(const TransferRecord &Value) { return toText(Value); }
+std::string encode(const StoredUsage &Value) { return toText(Value); }
 std::string encode(const std::vector<RowChange> &Value) {
   return toText(Value);
 }
@@ -856,6 +876,9 @@
 std::optional<ShardLayout> decodeShardLayout(const std::string &Text) {
   return fromText<ShardLayout>(Text);
 }
+std::optional<StoredUsage> decodeUsage(const std::string &Text) {
+  return fromText<StoredUsage>(Text);
+}
 std::optional<TransferRecord> decodeTransfer(const std::string &Text) {
   return fromText<TransferRecord>(Text);
 }
--- a/src/cell/codec.h
+++ b/src/cell/codec.h
@@ -38,6 +38,8 @@
 std::string encode(const LeaderAnswer &Value);
 std::string encode(const ShardLayout &Value);
 std::string encode(const TransferRecord &Value);
+/// Shares are rounded to millionths.
+std::string encode(const StoredUsage &Value);
 /// Values of more than MaxQuotedBytes are contained as they are, not as text
 /// with escaped quotes, so that the largest one fits into a row.
 std::string encode(const std::vector<RowChange> &Value);
@@ -52,6 +54,7 @@
 std::optional<CallBatchReply> decodeCallBatchReply(const std::string &Text);
 std::optional<LeaderAnswer> decodeLeaderAnswer(const std::string &Text);
 std::optional<TransferRecord> decodeTransfer(const std::string &Text);
+std::optional<StoredUsage> decodeUsage(const std::string &Text);
 std::optional<ShardLayout> decodeShardLayout(const std::string &Text);
 std::optional<std::vector<RowChange>> decodeRowChanges(const std::string &Text);
 
--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -83,6 +83,12 @@
   write({{Table, Key, std::move(Value)}});
 }
 
+bool Journal::isCommitDue() const {
+  if (Batches.empty())
+    return Time.now() - LastSent >= Times.LeaderRenewInterval;
+  return Batches.size() > 1 || !(InFlight || Failing);
+}
+
 void Journal::remove(const std::string &Table, const std::string &Key) {
   write({{Table, Key, std::nullopt}});
 }
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -35,6 +35,8 @@
 inline constexpr const char *LayoutKey = "layout";
 inline constexpr const char *SettingsTable = "settings";
 inline constexpr const char *SettingsKey = "settings";
+inline constexpr const char *UsageTable = "usage";
+inline constexpr const char *UsageKey = "usage";
 
 /// Returns the partition of the rows of a shard. Thread-safe.
 std::string partitionOf(int Shard);
@@ -65,6 +67,10 @@
   /// Removes a row with the next commit.
   void remove(const std::string &Table, const std::string &Key);
 
+  /// True if a change that is added now causes no commit of its own: another
+  /// change waits for the next one, or the leader record is due.
+  bool isCommitDue() const;
+
   /// Calls \p Callback once all changes added so far are stored; immediately if
   /// no changes are pending.
   void whenCommitted(std::function<void()> Callback);
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -4,6 +4,7 @@
 #include "cell/supervisorselection.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 #include <utility>
@@ -84,6 +85,14 @@
 /// serve.
 constexpr Duration LoadLogInterval{2000};
 
+/// Minimum interval between two writes of the past use of the accounts. With a
+/// half-life of an hour, a lost leader takes at most 0.1% of the cell with it.
+constexpr Duration UsageStoreInterval{5000};
+
+/// Interval of the log lines about past use, and how many accounts they name.
+constexpr Duration UsageLogInterval{30'000};
+constexpr std::size_t MaxUsageLines = 20;
+
 /// Time after which a run that has to end but has not is logged, in intervals
 /// of LoadLogInterval, and how many of them.
 constexpr Duration OverdueStopAge{2000};
@@ -161,6 +170,7 @@
                 }}),
       Loader(
           Deps.Store, Deps.Time, Deps.Log, partitionOf(Shard),
+          Scheduler.usage().isEnabled(),
           {[this](ChangeLog Packed) { StateJournal.adopt(std::move(Packed)); },
            [this](const StoredState &Stored) { restoreJobs(Stored); },
            [this](const std::string &Id, jobs::JobPhase Phase) {
@@ -181,6 +191,9 @@
   if (Ownership)
     return;
   Ownership.emplace(NewLayout);
+  Scheduler.setServedAccounts([this](const std::string &Account) {
+    return Ownership->layout().shardOfAccount(Account) == Shard;
+  });
   std::vector<std::string> Foreign;
   for (const auto &[Id, Worker] : WorkerStates)
     if (!isOwnWorker(Id))
@@ -359,8 +372,31 @@
   StateJournal.put(SettingsTable, SettingsKey, StoredSettings);
 }
 
+// The row is part of a commit that takes place anyway. A leader that is lost
+// loses what was used since the last one.
+void Leader::storeUsage(TimePoint Now) {
+  jobs::UsageHistory &Usage = Scheduler.usage();
+  if (!Usage.isEnabled() || !Loaded || Now < NextUsageStore ||
+      !StateJournal.isLeaseValid() || !StateJournal.isCommitDue() ||
+      !Usage.takeChanged(Now))
+    return;
+  NextUsageStore = Now + UsageStoreInterval;
+  StateJournal.put(
+      UsageTable, UsageKey,
+      encode(StoredUsage{StateJournal.timeAt(Now), Usage.stored(Now)}));
+}
+
 // State recovery after a takeover.
 
+void Leader::restoreUsage(const StoredUsage &Stored) {
+  const TimePoint Now = Deps.Time.now();
+  const ShardTime SharedNow = StateJournal.timeAt(Now);
+  std::optional<Duration> Elapsed;
+  if (Stored.Time.Epoch == SharedNow.Epoch)
+    Elapsed = Duration(SharedNow.Ms - Stored.Time.Ms);
+  Scheduler.usage().restore(Stored.Shares, Elapsed, Now);
+}
+
 void Leader::restoreJobs(const StoredState &Stored) {
   const TimePoint Now = Deps.Time.now();
   if (Stored.Layout) {
@@ -391,6 +427,8 @@
     restoreLeaseEnd(Entry);
   JobRows = Stored.JobRows;
   Scheduler.restoreSettings(Stored.Settings);
+  if (Stored.Usage)
+    restoreUsage(*Stored.Usage);
   const std::int64_t UnixNowMs = Deps.WallTime.unixMs();
   for (const auto &[Id, Spec] : Stored.Jobs) {
     const auto Progress = Stored.Progress.find(Id);
@@ -1667,6 +1705,20 @@
        {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
 }
 
+void Leader::logUsage(TimePoint Now) {
+  if (Now < NextUsageLog)
+    return;
+  NextUsageLog = Now + UsageLogInterval;
+  for (const jobs::AccountUse &Use :
+       Scheduler.usage().largest(Now, MaxUsageLines))
+    Deps.Log.event(
+        "past use", Use.Account,
+        {{"shard", std::to_string(Shard)},
+         {"share_ppm", std::to_string(std::llround(Use.Share * 1e6))},
+         {"weight", std::to_string(Use.Weight)},
+         {"delay_ms", std::to_string(Use.Delay.count())}});
+}
+
 // A leader that does not serve leaves no other trace than calls without an
 // answer.
 void Leader::logObstacle(TimePoint Now) {
@@ -1739,6 +1791,7 @@
         removeExpiredJobs(Now);
         exchangeLoads(Now);
         logLoad(Now);
+        logUsage(Now);
         logOverdueStops(Now);
         logWaitingSteps(Now);
       }
@@ -1753,6 +1806,7 @@
       Member.Sender->pump();
   }
   logObstacle(Now);
+  storeUsage(Now);
   StateJournal.pump();
 }
 
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -225,6 +225,9 @@
   void acknowledge(const WorkerReport &Report);
   void onAdviceAnswer(MemberState &From, const AdviceAnswer &Answer);
 
+  void restoreUsage(const StoredUsage &Stored);
+  void storeUsage(TimePoint Now);
+  void logUsage(TimePoint Now);
   void storeSettings();
   void storeChangedJobs();
   void checkMembers();
@@ -324,6 +327,8 @@
   TimePoint NextJobExpiry;
   TimePoint NextRebalance;
   TimePoint NextLoadLog;
+  TimePoint NextUsageStore;
+  TimePoint NextUsageLog;
   TimePoint NextObstacleLog;
   TimePoint NextOverdueStopLog;
   TimePoint NextWaitingStepLog;
--- a/src/cell/messages.h
+++ b/src/cell/messages.h
@@ -10,6 +10,7 @@
 #include "jobs/run.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,6 +37,12 @@
   bool operator==(const ShardTime &) const = default;
 };
 
+/// Stored past use of the accounts of a shard; see jobs::UsageHistory.
+struct StoredUsage {
+  ShardTime Time; ///< At which the shares were valid.
+  std::map<std::string, double> Shares;
+};
+
 /// Stored record that names the current leader. Rewritten by each commit of the
 /// leader.
 struct LeaderRecord {
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -3,6 +3,7 @@
 #include "cell/codec.h"
 #include "cell/journal.h"
 
+#include <iterator>
 #include <utility>
 
 namespace apricotwing::cell {
@@ -26,11 +27,16 @@
 }
 
 StateLoader::StateLoader(MetadataStore &Store, const Clock &Time, EventLog &Log,
-                         std::string Partition, Callbacks Owner)
+                         std::string Partition, bool ReadsUsage,
+                         Callbacks Owner)
     : Store(Store), Time(Time), Log(Log), Partition(std::move(Partition)),
       Owner(std::move(Owner)), Tables{EndedTable,    RosterTable, LayoutTable,
                                       ProgressTable, JobTable,    SettingsTable,
-                                      PackedTable} {}
+                                      PackedTable} {
+  // Read before the jobs, whose places in the order depend on it.
+  if (ReadsUsage)
+    Tables.insert(std::prev(Tables.end()), UsageTable);
+}
 
 void StateLoader::pump() {
   if (Tables.empty() || InFlight || Time.now() < RetryAt)
@@ -130,6 +136,10 @@
       State.Settings = std::move(*Settings);
     return bool(Settings);
   }
+  if (Table == UsageTable) {
+    State.Usage = decodeUsage(Row.Value);
+    return bool(State.Usage);
+  }
   if (Table == LayoutTable) {
     State.Layout = decodeShardLayout(Row.Value);
     return bool(State.Layout);
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -30,6 +30,7 @@
   ProgressRows JobRows; ///< The rows that Progress was read from.
   std::vector<RosterEntry> Roster;
   std::optional<ShardLayout> Layout; ///< Only in shard 0.
+  std::optional<StoredUsage> Usage;
   jobs::ClusterPolicy Settings; ///< Queues and accounts that the jobs refer to.
 };
 
@@ -53,8 +54,9 @@
     std::function<void()> AllRead;
   };
 
+  /// The past use of the accounts is read only if \p ReadsUsage.
   StateLoader(MetadataStore &Store, const Clock &Time, EventLog &Log,
-              std::string Partition, Callbacks Owner);
+              std::string Partition, bool ReadsUsage, Callbacks Owner);
 
   /// Starts the next read if one is due. Does nothing once all tables are
   /// read.
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -11,8 +11,10 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <chrono>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace apricotwing::entry {
 
@@ -61,12 +63,22 @@
   return Result;
 }
 
-nlohmann::json leaderDump(const cell::Leader &Leader) {
+/// Number of accounts whose past use is shown by each leader.
+constexpr std::size_t MaxShownAccounts = 50;
+
+nlohmann::json leaderDump(const cell::Leader &Leader, TimePoint Now) {
   nlohmann::json Dump;
   Dump["term"] = Leader.term();
   Dump["loaded"] = Leader.isLoaded();
   Dump["members"] = Leader.memberCount();
   Dump["active_jobs"] = Leader.scheduler().activeJobs();
+  for (const jobs::AccountUse &Use :
+       Leader.scheduler().usage().largest(Now, MaxShownAccounts)) {
+    auto &UseDump = Dump["past_use"][Use.Account];
+    UseDump["share"] = Use.Share;
+    UseDump["weight"] = Use.Weight;
+    UseDump["delay_ms"] = Use.Delay.count();
+  }
   for (const auto &[Id, Worker] : Leader.scheduler().workers()) {
     auto &WorkerDump = Dump["workers"][Id];
     WorkerDump["synced"] = Worker.isSynced();
@@ -187,6 +199,7 @@
   Duration LongestStop{0};
   double ReservedWorkers = 0;
   std::map<jobs::WaitCause, int> WaitingSteps;
+  std::vector<jobs::AccountUse> PastUse;
   for (const auto &Agent : Node.agents()) {
     Counts += Agent->member().counts();
     WorkerSessions += Agent->member().workerSessionCount();
@@ -205,6 +218,10 @@
     ReservedWorkers += Leader->scheduler().reservedWorkers(Time.now());
     for (const auto &[Cause, Count] : Leader->scheduler().waitCauses())
       WaitingSteps[Cause] += Count;
+    // An account belongs to one shard.
+    for (jobs::AccountUse &Use :
+         Leader->scheduler().usage().largest(Time.now(), MaxShownAccounts))
+      PastUse.push_back(std::move(Use));
   }
   Gauge("apricotwing_entry_starts", "Start commands sent to workers",
         double(Counts.Starts));
@@ -258,6 +275,21 @@
                         .Register(Registry);
     for (const auto &[Cause, CauseName] : jobs::WaitCauseNames)
       Waiting.Add({{"cause", std::string(CauseName)}}).Set(WaitingSteps[Cause]);
+    auto &Shares = prometheus::BuildGauge()
+                       .Name("apricotwing_leader_past_use_share")
+                       .Help("Decayed average of an account's dominant share "
+                             "of the shard, of the accounts with most")
+                       .Register(Registry);
+    auto &Delays = prometheus::BuildGauge()
+                       .Name("apricotwing_leader_past_use_delay_seconds")
+                       .Help("Time by which past use moves new steps of an "
+                             "account back")
+                       .Register(Registry);
+    for (const jobs::AccountUse &Use : PastUse) {
+      Shares.Add({{"account", Use.Account}}).Set(Use.Share);
+      Delays.Add({{"account", Use.Account}})
+          .Set(std::chrono::duration<double>(Use.Delay).count());
+    }
   }
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
@@ -275,7 +307,7 @@
     ShardDump["leader_term"] = Agent->member().leaderTerm();
     ShardDump["workers_in_care"] = Agent->member().workerSessionCount();
     if (Agent->leader())
-      ShardDump["leading"] = leaderDump(*Agent->leader());
+      ShardDump["leading"] = leaderDump(*Agent->leader(), Time.now());
     Dump["by_shard"].push_back(std::move(ShardDump));
   }
   return Dump.dump();
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -90,13 +90,15 @@
 
 class VirtualWallClock final : public cell::WallClock {
 public:
-  explicit VirtualWallClock(const VirtualTime &Time) : Time(Time) {}
+  VirtualWallClock(const VirtualTime &Time, const Duration &Step)
+      : Time(Time), Step(Step) {}
   std::int64_t unixMs() const override {
-    return Time.now().time_since_epoch().count();
+    return (Time.now() + Step).time_since_epoch().count();
   }
 
 private:
   const VirtualTime &Time;
+  const Duration &Step;
 };
 
 } // namespace
@@ -201,14 +203,16 @@
                            const std::vector<double> &CpuShares,
                            int WorkerCount,
                            std::vector<jobs::ClientAccount> JobAccounts,
-                           const std::optional<cell::ShardLayout> &Layout)
+                           const std::optional<cell::ShardLayout> &Layout,
+                           const jobs::SchedulerOptions &Options)
     : Store(Time, Seed), Workers(Time, Seed + 1), Queues(usualQueues()),
       Accounts(std::move(JobAccounts)),
       Shards(Layout ? Layout->shardCount() : 1), PolicyAccounts(Accounts),
       Random(Seed + 2),
       RowCodec(std::make_unique<EmulatedRecords>(Workers, Policies)),
-      WallTime(std::make_unique<VirtualWallClock>(Time)),
+      WallTime(std::make_unique<VirtualWallClock>(Time, WallClockStep)),
       Log(std::make_unique<TraceLog>(Time)) {
+  Times.Scheduler = Options;
   Workers.TraitsOf = [this](const jobs::TaskId &Id) {
     TaskTraits Traits;
     const auto Found = Records.find(Id.Job);
@@ -334,7 +338,7 @@
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
                         *Entry.Peers, Time, *WallTime, *Log},
-      cell::Timing{}, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
+      Times, cell::InstanceInfo{Name, Name, "zone", Entry.CpuShare},
       Name + "#" + std::to_string(Entry.Starts));
   pump(Name, Entry.Starts);
 }
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -56,10 +56,12 @@
                int WorkerCount);
 
   /// The same with the client accounts \p Accounts, to which the jobs belong in
-  /// turn, and with the layout \p Layout stored before the first start.
+  /// turn, with the layout \p Layout stored before the first start, and with
+  /// the options \p Options of the schedulers.
   EmulatedCell(std::uint64_t Seed, const std::vector<double> &CpuShares,
                int WorkerCount, std::vector<jobs::ClientAccount> Accounts,
-               const std::optional<cell::ShardLayout> &Layout = {});
+               const std::optional<cell::ShardLayout> &Layout = {},
+               const jobs::SchedulerOptions &Options = {});
   ~EmulatedCell();
 
   VirtualTime &time() { return Time; }
@@ -137,6 +139,9 @@
   /// How much longer each message between two instances, and each reply, takes.
   Duration LinkDelay{0};
 
+  /// By how much the wall clocks of all instances differ from the time.
+  Duration WallClockStep{0};
+
   /// What the advice service does with the calls of an instance.
   AdviceLink &adviceLink(const std::string &Name) { return AdviceLinks[Name]; }
 
@@ -231,6 +236,7 @@
   std::vector<jobs::Queue> Queues;
   const std::vector<jobs::ClientAccount> Accounts;
   const int Shards;
+  cell::Timing Times;
   std::vector<jobs::ClientAccount> PolicyAccounts; ///< As the policy has them.
   std::map<std::int64_t, jobs::ClusterPolicy> Policies; ///< By version.
   std::mt19937_64 Random;
