--- a/tests/intake/intake_test.cpp
+++ b/tests/intake/intake_test.cpp
@@ -202,6 +202,23 @@
   expectSound();
 }
 
+// Guards against the same on the port of the readiness probe.
+TEST_F(IntakeTest, SurvivesUnfinishedBodiesOnTheProbePort) {
+  occupy(soak::Entries::ReadyPort, 60,
+         head("/api/readiness") + chunks(262'000, 1));
+  expectSound();
+}
+
+// Guards against headers that use up memory: 90 fields of 800 bytes each.
+TEST_F(IntakeTest, SurvivesUnfinishedRequestsWithManyHeaders) {
+  std::string Text = "GET /api/jobs/none HTTP/1.1\r\n";
+  for (int Index = 0; Index < 90; ++Index)
+    Text +=
+        "X-" + std::to_string(Index) + ": " + std::string(800, 'x') + "\r\n";
+  occupy(soak::Entries::ClientPort, 600, Text);
+  expectSound();
+}
+
 // Guards against connections that take the descriptors of all other uses, and
 // against a listener that accepts nobody once its limit is reached.
 TEST_F(IntakeTest, SurvivesConnectionsWithHalfAHeader) {
