Let the readiness probe share the callers' part of the budget

Cause: the probe's body limit had become 16 KiB, as its part of the budget had no room for 256 KiB in one-byte chunks. A request within the published limits must be served on every port.

Change: the probe has the limit of a body of callers again and shares their part of the bytes; its connections are still limited separately.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -23,8 +23,6 @@
 constexpr std::uint32_t IdleTimeoutMs = 60'000;
 
 constexpr std::size_t MaxClientBodyBytes = std::size_t(256) << 10;
-/// The readiness probe is a request without a body.
-constexpr std::size_t MaxProbeBodyBytes = std::size_t(16) << 10;
 constexpr std::size_t MaxPeerBodyBytes = std::size_t(16) << 20;
 
 /// After a stop request, the platform sends clients to this instance until two
@@ -362,7 +360,7 @@
                         servePeer(std::move(Request), Respond);
                       });
   const auto ProbeServer = startHttpServer(
-      optionsFor(Settings.ReadyAddress, MaxProbeBodyBytes, Intake,
+      optionsFor(Settings.ReadyAddress, MaxClientBodyBytes, Intake,
                  IntakePart::Probe),
       [this](const HttpRequest &Request, const Responder &Respond) {
         const bool IsHealthy = Ready && Request.Path == Codec.readyPath();
--- a/src/entry/intakesettings.cpp
+++ b/src/entry/intakesettings.cpp
@@ -23,8 +23,8 @@
 /// The rest of the memory is for jobs, workers and buffers of the system.
 constexpr std::int64_t LargestShareOfMemory = 2;
 
-constexpr std::size_t CallerPercent = 40;
-constexpr std::size_t ProbePercent = 4;
+constexpr std::size_t CallerPercent = 44;
+constexpr std::size_t ProbePercent = 0; // It shares the callers' part.
 constexpr std::size_t PeerPercent = 56;
 
 /// Parts of the descriptors. More than half of them are left to the store, the
--- a/src/httpserver/intakebudget.cpp
+++ b/src/httpserver/intakebudget.cpp
@@ -15,6 +15,13 @@
 /// bytes of input, of which one is a carriage return. Most have two.
 constexpr std::size_t CostPerCarriageReturn = 24;
 
+/// Index of the part whose bytes a connection uses. The probe needs none of its
+/// own, as small requests are not limited, and its clients have the same limit
+/// of a body as callers.
+std::size_t bytesOf(IntakePart Part) {
+  return std::size_t(Part == IntakePart::Probe ? IntakePart::Callers : Part);
+}
+
 } // namespace
 
 std::size_t intakeCost(std::string_view Input) {
@@ -86,7 +93,7 @@
     return;
   Target.Closing = false;
   --Refusals[std::size_t(Target.Reason)];
-  Bytes[std::size_t(Target.Part)] += Target.Bytes;
+  Bytes[bytesOf(Target.Part)] += Target.Bytes;
   ++Connections[std::size_t(Target.Part)];
 }
 
@@ -111,7 +118,7 @@
 
 std::size_t IntakeBudget::bytes(IntakePart Part) const {
   const std::lock_guard Lock(Mutex);
-  return Bytes[std::size_t(Part)];
+  return Bytes[bytesOf(Part)];
 }
 
 std::uint64_t IntakeBudget::refusals(IntakeRefusal Reason) const {
@@ -121,14 +128,14 @@
 
 void IntakeBudget::setBytes(Entry &Target, std::size_t NewBytes) {
   if (!Target.Closing) {
-    std::size_t &Sum = Bytes[std::size_t(Target.Part)];
+    std::size_t &Sum = Bytes[bytesOf(Target.Part)];
     Sum = Sum - Target.Bytes + NewBytes;
   }
   Target.Bytes = NewBytes;
 }
 
 void IntakeBudget::close(Entry &Target, IntakeRefusal Reason) {
-  Bytes[std::size_t(Target.Part)] -= Target.Bytes;
+  Bytes[bytesOf(Target.Part)] -= Target.Bytes;
   --Connections[std::size_t(Target.Part)];
   Target.Closing = true;
   Target.Reason = Reason;
@@ -142,13 +149,13 @@
   if (Limits.BytesPerAddress > 0) {
     std::size_t Sum = 0;
     for (const auto &[Key, Item] : Entries)
-      if (Item.Part == Changed.Part && !Item.Closing &&
+      if (bytesOf(Item.Part) == bytesOf(Changed.Part) && !Item.Closing &&
           Item.Address == Changed.Address)
         Sum += Item.Bytes;
     if (Sum > Limits.BytesPerAddress)
       closeLargest(Changed, IntakeRefusal::Address);
   }
-  const auto Index = std::size_t(Changed.Part);
+  const auto Index = bytesOf(Changed.Part);
   if (Bytes[Index] > Limits.Parts[Index].Bytes)
     closeLargest(Changed, IntakeRefusal::Memory);
 }
@@ -156,7 +163,7 @@
 void IntakeBudget::closeLargest(const Entry &Like, IntakeRefusal Reason) {
   Entry *Largest = nullptr;
   for (auto &[Key, Item] : Entries) {
-    if (Item.Part != Like.Part || Item.Closing ||
+    if (bytesOf(Item.Part) != bytesOf(Like.Part) || Item.Closing ||
         Item.Phase == State::Handling || Item.Bytes <= SmallBytes ||
         (Reason == IntakeRefusal::Address && Item.Address != Like.Address))
       continue;
--- a/src/httpserver/intakebudget.h
+++ b/src/httpserver/intakebudget.h
@@ -18,8 +18,8 @@
 
 namespace apricotwing {
 
-/// The server of a process that a connection belongs to. Each has its own part
-/// of the budget, so that the clients of one server cannot use up another's.
+/// The server of a process that a connection belongs to. Peers have a part of
+/// the bytes of their own; callers and the probe share the other part.
 enum class IntakePart { Callers, Probe, Peers };
 inline constexpr std::size_t IntakePartCount = 3;
 inline constexpr NameTable<IntakePart, IntakePartCount> IntakePartNames = {{
@@ -103,7 +103,7 @@
   /// Closes the connections whose request has been unfinished for too long.
   void closeOverdue(TimePoint Now);
 
-  /// Bytes that the connections of \p Part hold.
+  /// Bytes that the connections of \p Part and of those that share it hold.
   std::size_t bytes(IntakePart Part) const;
 
   /// Number of connections that were closed for \p Reason.
