--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -398,10 +398,10 @@
     Starts.erase(Dropped, Starts.end());
     for (jobs::AdviceRequest &Request : Member.Outgoing.Advice)
       std::erase_if(Request.Workers, IsEvacuated);
-    std::erase_if(Member.Outgoing.Advice, [&](const auto &Request) {
+    std::erase_if(Member.Outgoing.Advice, [&, &To = Name](const auto &Request) {
       if (!Request.Workers.empty())
         return false;
-      Dispatcher.withdraw(Name, Request.Step, Now);
+      Dispatcher.withdraw(To, Request.Step, Now);
       Scheduler.adviceFailed(Request.Step);
       return true;
     });
--- a/tests/cell/evacuation_test.cpp
+++ b/tests/cell/evacuation_test.cpp
@@ -142,6 +142,7 @@
 // no longer, and so starts runs in a zone that was evacuated meanwhile.
 TEST_F(EvacuationTest, NothingStartsByAnOldView) {
   Cell.store().SilentTables = {"policy"};
+  load(1s); // Until the watch in flight has ended.
   Cell.evacuate("far");
   load(EvacuationTimeout);
   const TimePoint Since = now();
@@ -161,6 +162,7 @@
   Cell.takeBack("far");
   expectUsed("far");
   Cell.store().SilentTables = {"policy"};
+  load(1s); // Until the watch in flight has ended.
   Cell.evacuate("far");
   load(EvacuationTimeout);
   const TimePoint Since = now();
--- a/tests/cell/evacuationset_test.cpp
+++ b/tests/cell/evacuationset_test.cpp
@@ -73,7 +73,7 @@
   Set.replace({written("B", 4)}, 7);
   EXPECT_EQ(Set.zones(), Zones{"A"});
   Set.replace({written("A", 8)}, 10);
-  Set.replace({}, 6); // Began before the last one.
+  Set.replace({written("A", 8), written("B", 4)}, 8); // Began before the last.
   EXPECT_EQ(Set.zones(), Zones{"A"});
 }
 
