Copy the name of a worker that a later process replaces

JobScheduler::updateWorker passed a reference into the worker that removeWorker erases, and resolveSilence read it afterwards.

--- a/src/entry/intakesettings.cpp
+++ b/src/entry/intakesettings.cpp
@@ -17,7 +17,7 @@
 /// (15 MiB), and the peers' part a message of 16 MiB (32 MiB).
 constexpr std::int64_t MinBudgetKib = 60 * KibPerMib;
 
-/// More is of no use: it holds 12 such bodies at once.
+/// More is of no use: it holds 15 such bodies at once.
 constexpr std::int64_t MaxDefaultBudgetKib = 512 * KibPerMib;
 
 /// The rest of the memory is for jobs, workers and buffers of the system.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -586,11 +586,14 @@
   const auto Found = Workers.find(Info.Incarnation.Id);
   const bool IsKnown = Found != Workers.end() &&
                        Found->second.info().Incarnation == Info.Incarnation;
-  if (Found != Workers.end() && !IsKnown)
-    removeWorker(Found->second.info().Incarnation,
+  if (Found != Workers.end() && !IsKnown) {
+    // A copy, as the worker that has it is erased before its last use.
+    const WorkerIncarnation Former = Found->second.info().Incarnation;
+    removeWorker(Former,
                  Found->second.leavesAt() ? WorkerLoss::Announced
                                           : WorkerLoss::ProcessEnded,
                  Now);
+  }
   if (!IsKnown)
     resolveSilenceBefore(Info.Incarnation, Now);
   Worker &Host =
