--- a/tests/cell/departures_test.cpp
+++ b/tests/cell/departures_test.cpp
@@ -20,7 +20,7 @@
 class DeparturesTest : public testing::Test {
 protected:
   DeparturesTest() : Cell(1) {
-    Cell.Scheduler.MigrateFromLeavingWorkers = true;
+    Cell.Times.Scheduler.MigrateFromLeavingWorkers = true;
     for (const std::string &Name : Cell.names()) {
       Cell.kill(Name);
       Cell.start(Name);
--- a/tests/emulator/emulatedcell.cpp
+++ b/tests/emulator/emulatedcell.cpp
@@ -354,8 +354,6 @@
   Entry.Advice =
       std::make_unique<EmulatedAdvice>(Time, Workers, AdviceLinks[Name]);
   Entry.Peers = std::make_unique<Network>(*this, Name);
-  cell::Timing Times;
-  Times.Scheduler = Scheduler;
   Entry.Node = std::make_unique<cell::Node>(
       cell::Node::Ports{*Entry.Store, *RowCodec, *Entry.Workers, *Entry.Advice,
                         *Entry.Peers, Time, *WallTime, *Log},
--- a/tests/emulator/emulatedcell.h
+++ b/tests/emulator/emulatedcell.h
@@ -136,9 +136,6 @@
   double LostReplies = 0;
   static constexpr Duration DelayTime{2500};
 
-  /// Options of the schedulers of instances that are started from now on.
-  jobs::SchedulerOptions Scheduler;
-
   /// How much longer each message between two instances, and each reply, takes.
   Duration LinkDelay{0};
 
@@ -246,7 +243,6 @@
   std::vector<jobs::Queue> Queues;
   const std::vector<jobs::ClientAccount> Accounts;
   const int Shards;
-  cell::Timing Times;
   std::vector<jobs::ClientAccount> PolicyAccounts; ///< As the policy has them.
   std::map<std::int64_t, jobs::ClusterPolicy> Policies; ///< By version.
   std::mt19937_64 Random;
