Divide the stored settings among rows

Cause: all queues and accounts of the policy were one row. Ruled out: evacuations, of which there was none, and moved runs.

Change: SettingsRows divides them at 40 kB and removes rows that are no longer needed. Without it the new test fails, as there is no leader.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -430,11 +430,10 @@
 // Stored no later than the first job that needs them, because no job is
 // accepted before the state is loaded.
 void Leader::storeSettings() {
-  std::string Settings = encode(Scheduler.settings());
-  if (Settings == StoredSettings)
-    return;
-  StoredSettings = std::move(Settings);
-  StateJournal.put(SettingsTable, SettingsKey, StoredSettings);
+  const std::vector<RowChange> Changes =
+      StoredSettings.update(Scheduler.settings());
+  if (!Changes.empty())
+    StateJournal.write(Changes);
 }
 
 // The row is part of a commit that takes place anyway. A leader that is lost
@@ -508,7 +507,7 @@
   for (const RosterEntry &Entry : Stored.Roster)
     restoreUnconfirmedStarts(Entry);
   Scheduler.forgetUnusedSettings();
-  StoredSettings = encode(Stored.Settings);
+  StoredSettings = Stored.SettingRows;
   storeSettings();
   Deps.Log.event("state loaded", Record.Instance.Name,
                  {{"shard", std::to_string(Shard)},
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -11,6 +11,7 @@
 #include "cell/messages.h"
 #include "cell/ports.h"
 #include "cell/progressrows.h"
+#include "cell/settingsrows.h"
 #include "cell/shardlayout.h"
 #include "cell/stateloader.h"
 #include "cell/tablewatcher.h"
@@ -311,7 +312,7 @@
   bool RegistryRead = false;
   std::int64_t PolicyVersion = 0; ///< 0: no policy is known yet.
   TimePoint OperatorRowsKnownUntil;
-  std::string StoredSettings; ///< Encoded, as last stored.
+  SettingsRows StoredSettings;
   ProgressRows JobRows;
 
   /// Set once the layout is known.
--- a/src/cell/stateloader.cpp
+++ b/src/cell/stateloader.cpp
@@ -130,12 +130,8 @@
   }
   if (Table == ProgressTable)
     return State.JobRows.restore(Row, State.Progress);
-  if (Table == SettingsTable) {
-    auto Settings = decodeSettings(Row.Value);
-    if (Settings)
-      State.Settings = std::move(*Settings);
-    return bool(Settings);
-  }
+  if (Table == SettingsTable)
+    return State.SettingRows.restore(Row, State.Settings);
   if (Table == UsageTable) {
     State.Usage = decodeUsage(Row.Value);
     return bool(State.Usage);
--- a/src/cell/stateloader.h
+++ b/src/cell/stateloader.h
@@ -9,6 +9,7 @@
 #include "cell/pagesize.h"
 #include "cell/ports.h"
 #include "cell/progressrows.h"
+#include "cell/settingsrows.h"
 #include "cell/shardlayout.h"
 #include "jobs/clusterpolicy.h"
 #include "jobs/job.h"
@@ -32,6 +33,7 @@
   std::optional<ShardLayout> Layout; ///< Only in shard 0.
   std::optional<StoredUsage> Usage;
   jobs::ClusterPolicy Settings; ///< Queues and accounts that the jobs refer to.
+  SettingsRows SettingRows;     ///< The rows that Settings was read from.
 };
 
 /// Encodes the final phase of a job for the table of ended jobs.
--- a/tests/cell/removedsettings_test.cpp
+++ b/tests/cell/removedsettings_test.cpp
@@ -148,6 +148,37 @@
   EXPECT_EQ(storedSettings().find("quick"), std::string::npos);
 }
 
+// Guards against a policy with so many queues that the store accepts no commit
+// with their settings: each leader resigned, and nothing was started any more.
+TEST_F(RemovedSettingsTest, ServesAPolicyWithThousandsOfQueues) {
+  const std::vector<jobs::Queue> Few = Cell.queues();
+  std::vector<jobs::Queue> Many = Few;
+  for (int Number = 0; Number < 2000; ++Number) {
+    Many.push_back(Few.front());
+    Many.back().Name = "route-" + std::to_string(Number);
+    Many.back().PathPrefix = "/route-" + std::to_string(Number) + "/";
+  }
+  Cell.submit("n0", stepOf(60, 2s), "/quick/");
+  Cell.run(500ms);
+  Cell.putQueues(Many, 2);
+  Cell.run(1s);
+  changeLeader();
+  Cell.run(1s);
+  const std::string Late = Cell.submit("n0", stepOf(1, 1s), "/route-1999/");
+  Cell.run(15s);
+  EXPECT_EQ(Cell.workers().doneRuns(), 61);
+  EXPECT_TRUE(Cell.jobs().at(Late).Accepted);
+  const auto IsStored = [this](const std::string &Key) {
+    return !Cell.store()
+                .value(cell::SettingsTable, cell::partitionOf(0), Key)
+                .empty();
+  };
+  EXPECT_TRUE(IsStored("settings/1"));
+  Cell.putQueues(Few, 3);
+  Cell.run(1s);
+  EXPECT_FALSE(IsStored("settings/1"));
+}
+
 // Guards against accepting a job that can never run: an instance that has not
 // read the newest policy sends it to a leader that does not know its queue.
 TEST_F(RemovedSettingsTest, AcceptsNoJobOfAQueueThatTheLeaderDoesNotKnow) {
