--- a/src/entry/entryoptions.cpp
+++ b/src/entry/entryoptions.cpp
@@ -20,7 +20,10 @@
 
 namespace {
 
-constexpr std::int64_t SecondsPerMonth = 30 * 86'400;
+constexpr std::int64_t SecondsPerMonth = 2'592'000;
+
+/// 16 GiB.
+constexpr std::int64_t MaxIntakeKib = 16'777'216;
 
 constexpr std::array OptionRows = {
     EntryOptionInfo{"scheduler", "migrate_from_leaving_workers", "", 0, 1, 0,
@@ -30,14 +33,14 @@
                     [](EntryOptions &Target, std::int64_t Value) {
                       Target.Scheduler.MigrateFromLeavingWorkers = Value != 0;
                     }},
-    EntryOptionInfo{"intake", "budget_kib", "KiB", 0, 16 * 1024 * 1024, 0,
+    EntryOptionInfo{"intake", "budget_kib", "KiB", 0, MaxIntakeKib, 0,
                     "Memory for requests that are being received and responses "
                     "that are not yet read, of all servers; at least 61440; 0: "
                     "half of the machine's, at most 524288.",
                     [](EntryOptions &Target, std::int64_t Value) {
                       Target.Intake.BudgetKib = Value;
                     }},
-    EntryOptionInfo{"intake", "address_kib", "KiB", 0, 16 * 1024 * 1024, 0,
+    EntryOptionInfo{"intake", "address_kib", "KiB", 0, MaxIntakeKib, 0,
                     "The part of that memory which the connections of one "
                     "client address may use on one server; 0: all of it.",
                     [](EntryOptions &Target, std::int64_t Value) {
--- a/tests/cell/evacuationset_test.cpp
+++ b/tests/cell/evacuationset_test.cpp
@@ -39,7 +39,7 @@
 protected:
   using Zones = std::set<std::string>;
 
-  const ZoneRecords Records;
+  const ZoneRecords Records{};
   EvacuationSet Set{Records};
 };
 
