Share code that a reading of the change found twice

Cause: the HTTP servers computed the time for the intake budget in two places, and the budget entered a phase in two copies of the same lines. A round looked through all runs to stop for room that is promised, also while no worker is leaving. A comment on the settings rows was wrong about earlier versions, which keep the last row that they read, not the first. Behaviour is unchanged.

--- a/src/cell/settingsrows.cpp
+++ b/src/cell/settingsrows.cpp
@@ -38,7 +38,8 @@
   appendValues(std::move(Rest), Values);
 }
 
-/// Earlier versions wrote and read the first row only.
+/// Earlier versions wrote all settings into the first row. If there are more,
+/// they keep only those of the last row that they read.
 std::string rowKey(std::size_t Number) {
   return Number == 0 ? SettingsKey
                      : std::string(SettingsKey) + "/" + std::to_string(Number);
--- a/src/entry/entryoptions.cpp
+++ b/src/entry/entryoptions.cpp
@@ -10,7 +10,6 @@
 #include <array>
 #include <charconv>
 #include <fstream>
-#include <iomanip>
 #include <set>
 #include <sstream>
 
--- a/src/httpserver/errorreplysocket.cpp
+++ b/src/httpserver/errorreplysocket.cpp
@@ -25,11 +25,6 @@
 /// Largest part of the input that is discarded at a time.
 constexpr std::size_t DiscardBytes = 16384;
 
-TimePoint now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 thread_local std::optional<ErrorKind> LastCloseReason;
 
 /// Reads and discards the input of a connection until the client closes it or
@@ -131,6 +126,11 @@
   return std::exchange(LastCloseReason, std::nullopt);
 }
 
+TimePoint intakeTime() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 asio::execution_context::id OpenSockets::id;
 
 OpenSockets::OpenSockets(asio::execution_context &Owner)
@@ -172,7 +172,7 @@
   asio::error_code Ignored;
   const std::string Address = remote_endpoint(Ignored).address().to_string();
   Account =
-      Registry->intake()->open(Registry->part(), Address, now(),
+      Registry->intake()->open(Registry->part(), Address, intakeTime(),
                                [Post, Target = Target](IntakeRefusal Reason) {
                                  Post([Target, Reason] {
                                    const std::lock_guard Lock(Target->Mutex);
@@ -211,7 +211,7 @@
   if (Target && Length > 0)
     Registry->intake()->received(
         Account, intakeCost({static_cast<const char *>(Input.data()), Length}),
-        now());
+        intakeTime());
 }
 
 void ErrorReplySocket::reportHandedOver() {
@@ -221,12 +221,12 @@
 
 void ErrorReplySocket::reportOutput(std::size_t Length) {
   if (Target)
-    Registry->intake()->writing(Account, Length, now());
+    Registry->intake()->writing(Account, Length, intakeTime());
 }
 
 void ErrorReplySocket::reportWritten() {
   if (Target)
-    Registry->intake()->idle(Account, now());
+    Registry->intake()->idle(Account, intakeTime());
 }
 
 std::optional<ErrorKind> ErrorReplySocket::requiredErrorReply() const {
--- a/src/httpserver/errorreplysocket.h
+++ b/src/httpserver/errorreplysocket.h
@@ -5,6 +5,7 @@
 #define APRICOTWING_HTTPSERVER_ERRORREPLYSOCKET_H
 
 #include "core/error.h"
+#include "core/time.h"
 #include "httpserver/intakebudget.h"
 
 #include <asio.hpp>
@@ -42,6 +43,10 @@
 
 class ErrorReplySocket;
 
+/// The time that the servers give to an IntakeBudget: that of the steady clock.
+/// Thread-safe.
+TimePoint intakeTime();
+
 /// Registry of the sockets of an io_context that have started to read. A
 /// stopping server shuts them down, because RESTinio's connections must be
 /// destroyed before the acceptor that counts them. Thread-safe.
--- a/src/httpserver/intakebudget.cpp
+++ b/src/httpserver/intakebudget.cpp
@@ -56,11 +56,7 @@
 void IntakeBudget::received(Id Connection, std::size_t Cost, TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   Entry &Target = Entries.at(Connection);
-  if (Target.Phase != State::Receiving)
-    Target.Since = Now;
-  Target.Phase = State::Receiving;
-  setBytes(Target, Target.Bytes + Cost);
-  enforce(Target);
+  hold(Target, State::Receiving, Target.Bytes + Cost, Now);
 }
 
 void IntakeBudget::handedOver(Id Connection) {
@@ -70,12 +66,7 @@
 
 void IntakeBudget::writing(Id Connection, std::size_t Bytes, TimePoint Now) {
   const std::lock_guard Lock(Mutex);
-  Entry &Target = Entries.at(Connection);
-  if (Target.Phase != State::Writing)
-    Target.Since = Now;
-  Target.Phase = State::Writing;
-  setBytes(Target, Bytes);
-  enforce(Target);
+  hold(Entries.at(Connection), State::Writing, Bytes, Now);
 }
 
 void IntakeBudget::idle(Id Connection, TimePoint Now) {
@@ -134,6 +125,17 @@
   Target.Bytes = NewBytes;
 }
 
+// Records what a connection holds in a phase, which begins if it is not already
+// in it.
+void IntakeBudget::hold(Entry &Target, State Phase, std::size_t NewBytes,
+                        TimePoint Now) {
+  if (Target.Phase != Phase)
+    Target.Since = Now;
+  Target.Phase = Phase;
+  setBytes(Target, NewBytes);
+  enforce(Target);
+}
+
 void IntakeBudget::close(Entry &Target, IntakeRefusal Reason) {
   Bytes[bytesOf(Target.Part)] -= Target.Bytes;
   --Connections[std::size_t(Target.Part)];
--- a/src/httpserver/intakebudget.h
+++ b/src/httpserver/intakebudget.h
@@ -129,6 +129,7 @@
   };
 
   void setBytes(Entry &Target, std::size_t Bytes);
+  void hold(Entry &Target, State Phase, std::size_t NewBytes, TimePoint Now);
   void close(Entry &Target, IntakeRefusal Reason);
   void enforce(const Entry &Changed);
   void closeLargest(const Entry &Like, IntakeRefusal Reason);
--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -225,8 +225,7 @@
 
   /// Closes overdue connections now and after each SweepPeriod.
   void sweep() {
-    Options.Intake->closeOverdue(TimePoint(std::chrono::duration_cast<Duration>(
-        std::chrono::steady_clock::now().time_since_epoch())));
+    Options.Intake->closeOverdue(intakeTime());
     SweepTimer.expires_after(SweepPeriod);
     SweepTimer.async_wait([this](const asio::error_code &Code) {
       if (!Code)
--- a/src/jobs/departures.cpp
+++ b/src/jobs/departures.cpp
@@ -34,7 +34,11 @@
 }
 
 void JobScheduler::migrateLeavingRuns(TimePoint Now, Decisions &Result) {
-  if (!Options.MigrateFromLeavingWorkers)
+  const bool IsAnyLeaving =
+      std::any_of(Workers.begin(), Workers.end(), [](const auto &Entry) {
+        return Entry.second.leavesAt().has_value();
+      });
+  if (!Options.MigrateFromLeavingWorkers || !IsAnyLeaving)
     return;
   // Room that runs which are being stopped will take is not promised again.
   std::int64_t PromisedCpuMillis = 0;
