Log and export where the time of an instance goes

Nothing said how busy a control thread is, with what, or how long work waits for a thread.

Change: the control loop counts its work, its time and its waits by kind; the HTTP client counts how long calls wait for its thread; the leader's line 'load' has the stages of a start and the commits. No decision has changed.

--- a/src/cell/journal.cpp
+++ b/src/cell/journal.cpp
@@ -221,6 +221,15 @@
        {"failing_ms", std::to_string(failureDuration().count())}});
 }
 
+void Journal::countCommit(const ChangeLog::Plan &Sent) {
+  ++Counts.Commits;
+  Counts.Rows += Sent.Writes.size() + 1;
+  Counts.Latency += LastLatency;
+  Counts.PackedRows += Sent.PackedKeys.size();
+  for (const RowChange &Row : Sent.Writes)
+    Counts.Bytes += Row.Value ? Row.Value->size() : 0;
+}
+
 void Journal::onCommitted(std::int64_t NewVersion) {
   Version = NewVersion;
   ++Record.Sequence;
@@ -231,6 +240,7 @@
   Log.apply(*Batches.front().Sent);
   ++Commits;
   RowsWritten += Batches.front().Sent->Writes.size() + 1;
+  countCommit(*Batches.front().Sent);
   Deposed = ClearsLeader;
   const std::vector<std::function<void()>> OnCommitted =
       std::move(Batches.front().OnCommitted);
--- a/src/cell/journal.h
+++ b/src/cell/journal.h
@@ -117,6 +117,18 @@
   std::uint64_t commits() const { return Commits; }
   std::uint64_t rowsWritten() const { return RowsWritten; }
 
+  /// The commits of some time.
+  struct CommitCounts {
+    std::uint64_t Commits = 0;
+    std::uint64_t Rows = 0;
+    std::uint64_t Bytes = 0;      ///< Of the values written.
+    Duration Latency{0};          ///< Of all commits together.
+    std::uint64_t PackedRows = 0; ///< Of Rows, those of the table `packed`.
+  };
+
+  /// Returns the commits since the last call of this method.
+  CommitCounts takeCounts() { return std::exchange(Counts, CommitCounts{}); }
+
 private:
   struct Batch {
     RowChanges Rows;
@@ -129,6 +141,7 @@
 
   Batch &openBatch(std::size_t Rows, std::size_t Bytes);
   void commit(TimePoint Now);
+  void countCommit(const ChangeLog::Plan &Sent);
   void onCommitResult(const TransactionResult &Result);
   void logInvalidCommit() const;
   void onCommitted(std::int64_t NewVersion);
@@ -168,6 +181,7 @@
   bool Failing = false; ///< The last attempt to commit the first batch failed.
   std::uint64_t Commits = 0;
   std::uint64_t RowsWritten = 0;
+  CommitCounts Counts;
   CallbackGuard Guard;
 };
 
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1595,6 +1595,8 @@
   Scheduler.holdStarts(!mayStart());
   const jobs::Decisions Result = Scheduler.decide(Now, Dispatcher.budget(Now));
   const TimePoint Ended = Deps.Time.now();
+  ++Stages.Rounds;
+  Stages.InRounds += Ended - Now;
   NextDecision =
       Ended + std::max(MinDecisionInterval, (Ended - Now) * RoundPauseFactor);
   dispatch(Result);
@@ -1622,10 +1624,14 @@
   // The placements are stored before any order is sent, so that the next leader
   // knows on which worker each task may run.
   storeChangedJobs();
-  StateJournal.whenCommitted(Guard.wrap([this, Starts = Result.Starts] {
-    for (const jobs::StartCommand &Order : Starts)
-      sendStart(Order);
-  }));
+  StateJournal.whenCommitted(
+      Guard.wrap([this, Starts = Result.Starts, DecidedAt = Deps.Time.now()] {
+        Stages.Starts += Starts.size();
+        Stages.StartsStored +=
+            (Deps.Time.now() - DecidedAt) * Duration::rep(Starts.size());
+        for (const jobs::StartCommand &Order : Starts)
+          sendStart(Order);
+      }));
 }
 
 // The member is empty if nobody supervises the worker.
@@ -1755,6 +1761,8 @@
   const Duration MaxAge = AskedAt && Answer.CallMs >= 0
                               ? Now - *AskedAt - Duration(Answer.CallMs)
                               : Duration{0};
+  ++Stages.AdviceAnswers;
+  Stages.AdviceDelay += MaxAge;
   Dispatcher.complete(From.Info.Name, Answer.Step, Now);
   Scheduler.adviceArrived(Answer.Step, Answer.RequestedWorkers, Answer.Approved,
                           Now, std::max(MaxAge, Duration{0}));
@@ -1767,6 +1775,11 @@
   const auto Unassigned = std::count_if(
       WorkerStates.begin(), WorkerStates.end(),
       [](const auto &Entry) { return Entry.second.Member.empty(); });
+  const StageTimes Recent = std::exchange(Stages, StageTimes{});
+  const Journal::CommitCounts Written = StateJournal.takeCounts();
+  const auto Mean = [](Duration Sum, std::uint64_t Count) {
+    return std::to_string(Sum.count() / std::max<Duration::rep>(Count, 1));
+  };
   Deps.Log.event(
       "load", Record.Instance.Name,
       {{"shard", std::to_string(Shard)},
@@ -1780,7 +1793,18 @@
        {"evacuated_zones", std::to_string(Scheduler.evacuatedZones().size())},
        {"evacuated_workers", std::to_string(Scheduler.evacuatedWorkers())},
        {"own_workers", std::to_string(workersOf(Record.Instance.Name))},
-       {"moved", std::to_string(std::exchange(MovedWorkers, 0))}});
+       {"moved", std::to_string(std::exchange(MovedWorkers, 0))},
+       {"commits", std::to_string(Written.Commits)},
+       {"commit_ms", Mean(Written.Latency, Written.Commits)},
+       {"commit_rows", std::to_string(Written.Rows)},
+       {"commit_bytes", std::to_string(Written.Bytes)},
+       {"packed_rows", std::to_string(Written.PackedRows)},
+       {"rounds", std::to_string(Recent.Rounds)},
+       {"rounds_ms", std::to_string(Recent.InRounds.count())},
+       {"starts", std::to_string(Recent.Starts)},
+       {"start_stored_ms", Mean(Recent.StartsStored, Recent.Starts)},
+       {"advice_answers", std::to_string(Recent.AdviceAnswers)},
+       {"advice_delay_ms", Mean(Recent.AdviceDelay, Recent.AdviceAnswers)}});
 }
 
 void Leader::logUsage(TimePoint Now) {
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -183,6 +183,16 @@
     }
   };
 
+  /// Where time went since the last line on the load.
+  struct StageTimes {
+    std::uint64_t Rounds = 0;
+    Duration InRounds{0};
+    std::uint64_t Starts = 0;
+    Duration StartsStored{0}; ///< From the decision until it was stored.
+    std::uint64_t AdviceAnswers = 0;
+    Duration AdviceDelay{0}; ///< Beyond the calls themselves.
+  };
+
   void restoreJobs(const StoredState &Stored);
   void restoreEnded(const std::string &Id, jobs::JobPhase Phase);
   void onAllLoaded();
@@ -348,6 +358,7 @@
   TimePoint NextWaitingStepLog;
   std::uint64_t LostRuns = 0;
   std::uint64_t FailedJobs = 0;
+  StageTimes Stages;
   int MovedWorkers = 0; ///< Moved to another member since the last log line.
   CallbackGuard Guard;
 };
--- a/src/entry/controlloop.cpp
+++ b/src/entry/controlloop.cpp
@@ -18,35 +18,44 @@
 
 } // namespace
 
-bool ControlLoop::tryPost(Work Item) {
-  return Queue.size() < Capacity && Queue.push(std::move(Item));
+bool ControlLoop::tryPost(WorkKind Kind, Work Item) {
+  return Queue.size() < Capacity &&
+         Queue.push({Kind, ProfileClock::now(), std::move(Item)});
 }
 
-void ControlLoop::post(Work Item) {
+void ControlLoop::post(WorkKind Kind, Work Item) {
+  Entry Added{Kind, ProfileClock::now(), std::move(Item)};
   // push() leaves the item unchanged if the queue is full.
   while (!Stopping &&
-         !Queue.push(std::move(Item))) // NOLINT(bugprone-use-after-move)
+         !Queue.push(std::move(Added))) // NOLINT(bugprone-use-after-move)
     std::this_thread::sleep_for(FullQueuePause);
 }
 
 // An exception ends only the work that threw it. It must not end the process,
 // since the same message would then end one instance after the other.
-void ControlLoop::perform(const Work &Item) {
+void ControlLoop::perform(WorkKind Kind, ProfileClock::time_point AddedAt,
+                          const Work &Run) {
+  const auto Started = ProfileClock::now();
   try {
-    Item();
+    Run();
   } catch (const std::exception &Problem) {
     OnError(Problem.what());
   }
+  const auto Micros = [](ProfileClock::duration Length) {
+    return std::chrono::duration_cast<WorkLoad::Time>(Length);
+  };
+  Profile.add(Kind, Micros(Started - AddedAt),
+              Micros(ProfileClock::now() - Started));
 }
 
 void ControlLoop::drain() {
-  Work Item;
+  Entry Item;
   while (Queue.pop(Item, std::chrono::milliseconds(0)))
     perform(Item);
 }
 
 void ControlLoop::run(const std::function<void()> &Pump, Duration Period) {
-  Work Item;
+  Entry Item;
   while (!Stopping) {
     if (Queue.pop(Item, Period)) {
       perform(Item);
@@ -55,8 +64,8 @@
            ++Count)
         perform(Item);
     }
-    Item = nullptr;
-    perform(Pump);
+    Item.Run = nullptr;
+    perform(WorkKind::Timers, ProfileClock::now(), Pump);
   }
 }
 
--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -5,8 +5,10 @@
 
 #include "core/time.h"
 #include "daemon/boundedqueue.h"
+#include "entry/loopprofile.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <string>
 #include <utility>
@@ -31,15 +33,15 @@
     OnError = std::move(Handler);
   }
 
-  /// Adds the work of a client call. Returns false if at least Capacity items
-  /// are waiting. Never blocks. Thread-safe.
-  bool tryPost(Work Item);
+  /// Adds the work of a call to this instance. Returns false if at least
+  /// Capacity items are waiting. Never blocks. Thread-safe.
+  bool tryPost(WorkKind Kind, Work Item);
 
   /// Adds work that must not be lost, such as handling the result of an
   /// outgoing call; the number of these items is bounded by the calls in
   /// progress. Blocks while the queue is full, until stop() is called.
   /// Thread-safe.
-  void post(Work Item);
+  void post(WorkKind Kind, Work Item);
 
   /// Runs queued work in order until stop() is called. Calls \p Pump after each
   /// batch of work and at least once per \p Period.
@@ -51,11 +53,27 @@
   /// Makes run() return. Thread-safe.
   void stop() { Stopping = true; }
 
+  /// Returns the work since the last call of this method. Must be called on the
+  /// thread of run().
+  LoopProfile takeProfile() { return std::exchange(Profile, LoopProfile{}); }
+
 private:
-  void perform(const Work &Item);
+  using ProfileClock = std::chrono::steady_clock;
+  struct Entry {
+    WorkKind Kind = WorkKind::Timers;
+    ProfileClock::time_point AddedAt;
+    Work Run;
+  };
+
+  void perform(const Entry &Item) {
+    perform(Item.Kind, Item.AddedAt, Item.Run);
+  }
+  void perform(WorkKind Kind, ProfileClock::time_point AddedAt,
+               const Work &Run);
 
   std::function<void(const std::string &)> OnError = [](const std::string &) {};
-  BoundedQueue<Work> Queue;
+  BoundedQueue<Entry> Queue;
+  LoopProfile Profile;
   std::atomic<bool> Stopping = false;
 };
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <map>
@@ -46,6 +47,12 @@
 /// Time between two log lines about closed connections.
 constexpr Duration RefusalLogPeriod{1000};
 
+/// Time between two log lines about the work of the control thread, and the
+/// part of it for which the thread must have been busy. Idle instances, which
+/// are the most, write none.
+constexpr Duration ProfileLogPeriod{1000};
+constexpr double MinLoggedBusyShare = 0.2;
+
 HttpServerOptions optionsFor(const std::string &Address,
                              std::size_t MaxBodyBytes,
                              const std::shared_ptr<IntakeBudget> &Intake,
@@ -110,9 +117,9 @@
     : Settings(std::move(Settings)), Control(Control), Node(Node), Log(Log),
       Time(Time), Codec(Codec) {}
 
-bool EntryProcess::postWork(ControlLoop::Work Item) {
+bool EntryProcess::postWork(WorkKind Kind, ControlLoop::Work Item) {
   const std::lock_guard Lock(IntakeMutex);
-  return !IntakeClosed && Control.tryPost(std::move(Item));
+  return !IntakeClosed && Control.tryPost(Kind, std::move(Item));
 }
 
 void EntryProcess::serveClient(const HttpRequest &Request,
@@ -129,8 +136,8 @@
     Respond(statusOnly(404));
     return;
   }
-  const bool Queued =
-      postWork([this, Call = std::move(*Call), Respond]() mutable {
+  const bool Queued = postWork(
+      WorkKind::CallerCall, [this, Call = std::move(*Call), Respond]() mutable {
         Node.serve(std::move(Call),
                    [this, Respond](const cell::ClientAnswer &Answer) {
                      Respond(Codec.encodeAnswer(Answer));
@@ -146,8 +153,8 @@
 
 void EntryProcess::servePeer(HttpRequest Request, const Responder &Respond) {
   if (Request.Path == PeerMessagePath) {
-    const bool Queued =
-        postWork([this, Body = std::move(Request.Body), Respond] {
+    const bool Queued = postWork(
+        WorkKind::PeerMessage, [this, Body = std::move(Request.Body), Respond] {
           Node.receive(Body, [Respond](std::optional<std::string> Reply) {
             HttpResponse Response = statusOnly(Reply ? 200 : 503);
             if (Reply)
@@ -169,7 +176,7 @@
     Respond(statusOnly(404));
     return;
   }
-  postWork([this, Metrics, Respond] {
+  postWork(WorkKind::Operations, [this, Metrics, Respond] {
     HttpResponse Response;
     Response.Body = Metrics ? metrics() : stateDump();
     if (Metrics)
@@ -210,6 +217,28 @@
       Held.Add({{"server", std::string(Name)}})
           .Set(double(Intake->bytes(Part)));
   }
+  auto &Busy = prometheus::BuildCounter()
+                   .Name("apricotwing_entry_busy_seconds_total")
+                   .Help("Elapsed time of the control thread's work, by kind")
+                   .Register(Registry);
+  auto &Queued = prometheus::BuildCounter()
+                     .Name("apricotwing_entry_queued_seconds_total")
+                     .Help("Time for which work waited for the control thread")
+                     .Register(Registry);
+  auto &Items = prometheus::BuildCounter()
+                    .Name("apricotwing_entry_work_items_total")
+                    .Help("Work items of the control thread")
+                    .Register(Registry);
+  for (const auto &[Kind, KindName] : WorkKindNames) {
+    const WorkLoad &Load = Profile.of(Kind);
+    const prometheus::Labels Labels{{"work", std::string(KindName)}};
+    const auto Seconds = [](WorkLoad::Time Length) {
+      return std::chrono::duration<double>(Length).count();
+    };
+    Busy.Add(Labels).Increment(Seconds(Load.Busy));
+    Queued.Add(Labels).Increment(Seconds(Load.Queued));
+    Items.Add(Labels).Increment(double(Load.Items));
+  }
   cell::MemberCounts Counts;
   std::size_t WorkerSessions = 0;
   double ShardsLed = 0;
@@ -332,6 +361,48 @@
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
 
+void EntryProcess::logProfile() {
+  const TimePoint Now = Time.now();
+  const Duration Period = Now - ProfileLoggedAt;
+  if (Period < ProfileLogPeriod)
+    return;
+  ProfileLoggedAt = Now;
+  const LoopProfile Recent = Control.takeProfile();
+  const AsyncHttpClient::QueueTimes Calls =
+      Outgoing ? Outgoing->takeQueueTimes() : AsyncHttpClient::QueueTimes{};
+  Profile += Recent;
+  const WorkLoad Total = Recent.total();
+  const auto Millis = [](WorkLoad::Time Length) {
+    return std::chrono::duration_cast<Duration>(Length).count();
+  };
+  if (double(Millis(Total.Busy)) < MinLoggedBusyShare * double(Period.count()))
+    return;
+  std::string Busy;
+  std::string Queued;
+  for (const auto &[Kind, Name] : WorkKindNames) {
+    const WorkLoad &Load = Recent.of(Kind);
+    if (Load.Items == 0)
+      continue;
+    const std::string Separator = Busy.empty() ? "" : ",";
+    Busy += Separator + std::string(Name) + ":" +
+            std::to_string(Millis(Load.Busy)) + "/" +
+            std::to_string(Load.Items);
+    Queued += Separator + std::string(Name) + ":" +
+              std::to_string(Millis(Load.Queued) / Duration::rep(Load.Items)) +
+              "/" + std::to_string(Millis(Load.LongestQueue));
+  }
+  Log.event("control thread", Settings.Instance.Name,
+            {{"period_ms", std::to_string(Period.count())},
+             {"busy_ms", std::to_string(Millis(Total.Busy))},
+             {"busy", Busy},
+             {"queued_ms", Queued},
+             {"calls", std::to_string(Calls.Calls)},
+             {"calls_queued_ms",
+              std::to_string(Millis(Calls.Sum) /
+                             std::max<Duration::rep>(Calls.Calls, 1)) +
+                  "/" + std::to_string(Millis(Calls.Longest))}});
+}
+
 void EntryProcess::logRefusals() {
   const TimePoint Now = Time.now();
   if (!Intake || Now - RefusalsLoggedAt < RefusalLogPeriod)
@@ -371,6 +442,7 @@
 void EntryProcess::pump(const std::atomic<bool> &StopRequested) {
   Node.pump();
   logRefusals();
+  logProfile();
   const bool IsReady = Node.isReady();
   Ready = IsReady;
   if (IsReady != WasReady) {
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -8,6 +8,7 @@
 #include "entry/controlloop.h"
 #include "entry/decisionlog.h"
 #include "entry/intakesettings.h"
+#include "httpclient/asynchttpclient.h"
 
 #include <array>
 #include <atomic>
@@ -58,6 +59,10 @@
   EntryProcess(EntrySettings Settings, ControlLoop &Control, cell::Node &Node,
                DecisionLog &Log, const Clock &Time, const ClientCodec &Codec);
 
+  /// Adds the calls of \p Client, which must outlive this object, to the log
+  /// lines on the control thread. Must be called before run().
+  void observe(AsyncHttpClient &Client) { Outgoing = &Client; }
+
   /// Throws Error(BadSettings) if the limits for clients do not fit the
   /// machine. Serves until a requested stop is complete. Signal handlers set
   /// \p StopRequested and \p ReloadRequested. \p Reload is called on this
@@ -71,10 +76,13 @@
   void servePeer(HttpRequest Request, const Responder &Respond);
   /// Queues work for the control thread. Returns false if too much work is
   /// waiting or run() no longer performs any. Thread-safe.
-  bool postWork(ControlLoop::Work Item);
+  bool postWork(WorkKind Kind, ControlLoop::Work Item);
   /// Logs how many connections were closed because of the limits for clients,
   /// at most once in RefusalLogPeriod and kind.
   void logRefusals();
+  /// Logs what the control thread has done since the last such line, every
+  /// ProfileLogPeriod.
+  void logProfile();
   std::string metrics() const;
   std::string stateDump() const;
   void pump(const std::atomic<bool> &StopRequested);
@@ -85,6 +93,7 @@
   DecisionLog &Log;
   const Clock &Time;
   const ClientCodec &Codec;
+  AsyncHttpClient *Outgoing = nullptr;
   std::atomic<bool> Ready = false;
   std::atomic<bool> RefusingCalls = false; ///< New calls are refused at once.
   std::mutex IntakeMutex;
@@ -95,6 +104,8 @@
   std::shared_ptr<IntakeBudget> Intake; ///< Set by run().
   std::array<std::uint64_t, IntakeRefusalNames.size()> LoggedRefusals{};
   TimePoint RefusalsLoggedAt;
+  LoopProfile Profile; ///< Since the start of the process.
+  TimePoint ProfileLoggedAt;
   std::unique_ptr<HttpServer> ClientServer;
 };
 
--- a/src/entry/httppeertransport.cpp
+++ b/src/entry/httppeertransport.cpp
@@ -22,7 +22,8 @@
     Answer.NotSent = Result.State == TransferState::NotSent;
     if (Result.State == TransferState::Complete && Result.Status == 200)
       Answer.Reply = std::move(Result.Body);
-    Control.post([Callback, Answer = std::move(Answer)] { Callback(Answer); });
+    Control.post(WorkKind::PeerReply,
+                 [Callback, Answer = std::move(Answer)] { Callback(Answer); });
   });
 }
 
--- a/src/httpclient/asynchttpclient.cpp
+++ b/src/httpclient/asynchttpclient.cpp
@@ -50,6 +50,7 @@
 struct AsyncHttpClient::PendingCall {
   HttpCall Call;
   Callback OnComplete;
+  std::chrono::steady_clock::time_point SubmittedAt;
   HttpResult Result;
   HeaderList Headers{nullptr, curl_slist_free_all};
   std::unique_ptr<Transfer> TransferContext;
@@ -277,6 +278,7 @@
   auto Pending = std::make_unique<PendingCall>();
   Pending->Call = std::move(Call);
   Pending->OnComplete = std::move(OnComplete);
+  Pending->SubmittedAt = std::chrono::steady_clock::now();
   Loop->Submitted.enqueue(std::move(Pending));
   wake();
 }
@@ -286,11 +288,27 @@
   (void)!write(Loop->WakeFd, &One, sizeof One);
 }
 
+void AsyncHttpClient::countTaken(const PendingCall &Call) {
+  const auto Waited = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - Call.SubmittedAt);
+  const std::lock_guard Lock(QueueTimesMutex);
+  ++Taken.Calls;
+  Taken.Sum += Waited;
+  Taken.Longest = std::max(Taken.Longest, Waited);
+}
+
+AsyncHttpClient::QueueTimes AsyncHttpClient::takeQueueTimes() {
+  const std::lock_guard Lock(QueueTimesMutex);
+  return std::exchange(Taken, QueueTimes{});
+}
+
 void AsyncHttpClient::run() {
   while (!Stopping) {
     std::unique_ptr<PendingCall> Next;
-    while (Loop->Submitted.try_dequeue(Next))
+    while (Loop->Submitted.try_dequeue(Next)) {
+      countTaken(*Next);
       Loop->startTransfer(std::move(Next));
+    }
     Loop->waitAndDispatch();
     Loop->completeFinishedCalls();
     Loop->endStalledCalls();
--- a/src/httpclient/asynchttpclient.h
+++ b/src/httpclient/asynchttpclient.h
@@ -8,8 +8,11 @@
 #include <concurrentqueue/concurrentqueue.h>
 
 #include <atomic>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 namespace apricotwing {
@@ -31,6 +34,16 @@
   AsyncHttpClient(const AsyncHttpClient &) = delete;
   AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
 
+  /// Calls that the client's thread took up, and how long they waited for it.
+  struct QueueTimes {
+    std::uint64_t Calls = 0;
+    std::chrono::microseconds Sum{0};
+    std::chrono::microseconds Longest{0};
+  };
+
+  /// Returns the calls since the last call of this method. Thread-safe.
+  QueueTimes takeQueueTimes();
+
   /// Starts \p Call and passes its result to \p OnComplete. Ignores
   /// HttpCall::MaySend and HttpCall::KeepConnection. Thread-safe.
   void start(HttpCall Call, Callback OnComplete);
@@ -41,8 +54,11 @@
 
   void run();
   void wake();
+  void countTaken(const PendingCall &Call);
 
   std::unique_ptr<EventLoop> Loop;
+  std::mutex QueueTimesMutex;
+  QueueTimes Taken; ///< Guarded by QueueTimesMutex.
   std::atomic<bool> Stopping = false;
   std::thread Thread;
 };
