--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -6,6 +6,7 @@
 #include "core/time.h"
 #include "daemon/boundedqueue.h"
 #include "entry/loopprofile.h"
+#include "entry/threadyielder.h"
 
 #include <atomic>
 #include <chrono>
@@ -25,7 +26,11 @@
   /// At about 20 microseconds per call, they take a fraction of a second.
   static constexpr std::size_t Capacity = 8192;
 
-  ControlLoop() : Queue(2 * Capacity) {}
+  ControlLoop() : ControlLoop(systemYielder()) {}
+
+  /// \p Yielder must outlive this object.
+  explicit ControlLoop(ThreadYielder &Yielder)
+      : Yielder(Yielder), Queue(2 * Capacity) {}
 
   /// Sets the function that is told of an exception that work has thrown; it is
   /// called on the thread of run(). Must be called before run().
@@ -71,6 +76,12 @@
   void perform(WorkKind Kind, ProfileClock::time_point AddedAt,
                const Work &Run);
 
+  static ThreadYielder &systemYielder() {
+    static SystemThreadYielder Result;
+    return Result;
+  }
+
+  ThreadYielder &Yielder;
   std::function<void(const std::string &)> OnError = [](const std::string &) {};
   BoundedQueue<Entry> Queue;
   LoopProfile Profile;
