Do not hold up commits while an instance is at its limit

Cause: the leader's half of a core is used up then, and the order in which its threads got the processor made that a collapse. Its control thread, which always had work, kept the processor for whole time slices, so each step of an outgoing call waited for 19 to 25 ms; a commit took 203 to 248 ms instead of 13, and the changes of that time made the next one larger. Yielding alone moved the wait to the control thread's queue, which took work from the thread that had most: callers' calls waited for 457 ms on average behind those of peers, results of commits for 100 ms.

Change: the control loop yields after each item. Its queue has results of own calls before new calls, and each of the two in the order of arrival. The queue is one of the standard library's behind a mutex, as the concurrent queue promises no order across threads.

--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -4,20 +4,27 @@
 #define APRICOTWING_ENTRY_CONTROLLOOP_H
 
 #include "core/time.h"
-#include "daemon/boundedqueue.h"
 #include "entry/loopprofile.h"
 #include "entry/threadyielder.h"
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <utility>
 
 namespace apricotwing::entry {
 
 /// Runs all decisions of an entry instance on the thread that calls run().
-/// Other threads add work through a bounded queue. Owned by the process.
+/// Other threads add work through a bounded queue. Results of own calls go
+/// before new calls, as they complete work that was begun: on an instance whose
+/// processor is used up, commits and orders would otherwise wait behind calls
+/// that cannot be answered without them. Each of the two kinds runs in the
+/// order of its arrival, whichever thread added it. Owned by the process.
 class ControlLoop {
 public:
   using Work = std::function<void()>;
@@ -29,8 +36,7 @@
   ControlLoop() : ControlLoop(systemYielder()) {}
 
   /// \p Yielder must outlive this object.
-  explicit ControlLoop(ThreadYielder &Yielder)
-      : Yielder(Yielder), Queue(2 * Capacity) {}
+  explicit ControlLoop(ThreadYielder &Yielder) : Yielder(Yielder) {}
 
   /// Sets the function that is told of an exception that work has thrown; it is
   /// called on the thread of run(). Must be called before run().
@@ -48,8 +54,9 @@
   /// Thread-safe.
   void post(WorkKind Kind, Work Item);
 
-  /// Runs queued work in order until stop() is called. Calls \p Pump after each
-  /// batch of work and at least once per \p Period.
+  /// Runs queued work until stop() is called. Calls \p Pump after each batch of
+  /// work and at least once per \p Period. Lets other threads run after each
+  /// item and each call of \p Pump.
   void run(const std::function<void()> &Pump, Duration Period);
 
   /// Runs the work that is still queued after run() has returned.
@@ -70,6 +77,8 @@
     Work Run;
   };
 
+  bool add(std::deque<Entry> &Queue, Entry &Item);
+  bool take(Entry &Item, Duration Timeout);
   void perform(const Entry &Item) {
     perform(Item.Kind, Item.AddedAt, Item.Run);
   }
@@ -83,7 +92,10 @@
 
   ThreadYielder &Yielder;
   std::function<void(const std::string &)> OnError = [](const std::string &) {};
-  BoundedQueue<Entry> Queue;
+  std::mutex QueueMutex;
+  std::condition_variable Added;
+  std::deque<Entry> Results;  ///< Of own calls. Guarded by QueueMutex.
+  std::deque<Entry> NewCalls; ///< Guarded by QueueMutex.
   LoopProfile Profile;
   std::atomic<bool> Stopping = false;
 };
