Pass queued work on in the order of its arrival

Cause: BoundedQueue of the daemon is built on the same concurrent queue that made callers wait behind peers in the control loop of the entries: it keeps a part for each thread that adds work and takes from the fullest. So requests that arrive through a quiet server thread, and results of a quiet call thread, waited for as long as another thread had more.

Change: a queue of the standard library behind a mutex. It does not spin before it waits either, which the comment in ThreadPool worked round.

No measured loss of callers is known from this fault.

--- a/src/daemon/boundedqueue.h
+++ b/src/daemon/boundedqueue.h
@@ -3,18 +3,19 @@
 #ifndef APRICOTWING_DAEMON_BOUNDEDQUEUE_H
 #define APRICOTWING_DAEMON_BOUNDEDQUEUE_H
 
-#include <concurrentqueue/blockingconcurrentqueue.h>
-
-#include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstddef>
+#include <deque>
+#include <mutex>
 #include <utility>
 
 namespace apricotwing {
 
-/// A multi-producer, multi-consumer queue with a fixed capacity. A producer
-/// never blocks: a full queue rejects the item, so that overload is reported to
-/// the producer instead of growing the memory. Owned by the consumer. All
+/// A multi-producer, multi-consumer queue with a fixed capacity. Items leave it
+/// in the order of their arrival, whichever thread added them. A producer never
+/// blocks for room: a full queue rejects the item, so that overload is reported
+/// to the producer instead of growing the memory. Owned by the consumer. All
 /// methods are thread-safe.
 template <typename Item> class BoundedQueue {
 public:
@@ -24,22 +25,24 @@
   /// Adds \p Value. Returns false and leaves \p Value unchanged if the queue is
   /// full or closed. Thread-safe.
   bool push(Item &&Value) {
-    if (Closed.load(std::memory_order_acquire))
-      return false;
-    if (Size.fetch_add(1, std::memory_order_acq_rel) >= Capacity) {
-      Size.fetch_sub(1, std::memory_order_acq_rel);
-      return false;
+    {
+      const std::lock_guard Lock(Mutex);
+      if (Closed || Items.size() >= Capacity)
+        return false;
+      Items.push_back(std::move(Value));
     }
-    Queue.enqueue(std::move(Value));
+    Added.notify_one();
     return true;
   }
 
   /// Removes the next item into \p Value, waiting at most \p Timeout. Returns
   /// false if no item arrived. Thread-safe.
   bool pop(Item &Value, std::chrono::milliseconds Timeout) {
-    if (!Queue.wait_dequeue_timed(Value, Timeout))
+    std::unique_lock Lock(Mutex);
+    if (!Added.wait_for(Lock, Timeout, [this] { return !Items.empty(); }))
       return false;
-    Size.fetch_sub(1, std::memory_order_acq_rel);
+    Value = std::move(Items.front());
+    Items.pop_front();
     return true;
   }
 
@@ -47,23 +50,33 @@
   /// \p WakeItems default-constructed items, which wake up blocked consumers.
   /// Thread-safe.
   void close(std::size_t WakeItems = 0) {
-    Closed.store(true, std::memory_order_release);
-    Size.fetch_add(WakeItems, std::memory_order_acq_rel);
-    for (std::size_t Index = 0; Index < WakeItems; ++Index)
-      Queue.enqueue(Item());
+    {
+      const std::lock_guard Lock(Mutex);
+      Closed = true;
+      for (std::size_t Index = 0; Index < WakeItems; ++Index)
+        Items.emplace_back();
+    }
+    Added.notify_all();
   }
 
   /// True after close(). Thread-safe.
-  bool isClosed() const { return Closed.load(std::memory_order_acquire); }
+  bool isClosed() const {
+    const std::lock_guard Lock(Mutex);
+    return Closed;
+  }
 
-  /// Approximate number of queued items. Thread-safe.
-  std::size_t size() const { return Size.load(std::memory_order_acquire); }
+  /// Number of queued items. Thread-safe.
+  std::size_t size() const {
+    const std::lock_guard Lock(Mutex);
+    return Items.size();
+  }
 
 private:
   const std::size_t Capacity;
-  std::atomic<std::size_t> Size = 0;
-  std::atomic<bool> Closed = false;
-  moodycamel::BlockingConcurrentQueue<Item> Queue;
+  mutable std::mutex Mutex;
+  std::condition_variable Added;
+  std::deque<Item> Items; ///< Guarded by Mutex.
+  bool Closed = false;    ///< Guarded by Mutex.
 };
 
 } // namespace apricotwing
--- a/src/daemon/threadpool.cpp
+++ b/src/daemon/threadpool.cpp
@@ -4,9 +4,7 @@
 
 namespace {
 
-/// The queue spins before each blocking wait, so a short timeout would keep
-/// every idle thread consuming CPU time. BoundedQueue::close() ends the wait
-/// early.
+/// Longest wait of an idle thread. BoundedQueue::close() ends it early.
 constexpr std::chrono::milliseconds IdleWait{60'000};
 
 } // namespace
--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -29,8 +29,9 @@
 public:
   using Work = std::function<void()>;
 
-  /// Largest number of client calls that wait in the queue; more are refused.
-  /// At about 20 microseconds per call, they take a fraction of a second.
+  /// Largest number of new calls that wait, and of results; more calls are
+  /// refused. At about 20 microseconds per call, they take a fraction of a
+  /// second.
   static constexpr std::size_t Capacity = 8192;
 
   ControlLoop() : ControlLoop(systemYielder()) {}
