End the waits of all threads of a pool when it closes

A closed queue woke its consumers by one empty item each, and a consumer that took two of them left another one waiting for 60 s.

Change: a closed queue ends all waits, without empty items.

--- a/src/daemon/boundedqueue.h
+++ b/src/daemon/boundedqueue.h
@@ -31,32 +31,31 @@
         return false;
       Items.push_back(std::move(Value));
     }
-    Added.notify_one();
+    Changed.notify_one();
     return true;
   }
 
   /// Removes the next item into \p Value, waiting at most \p Timeout. Returns
-  /// false if no item arrived. Thread-safe.
+  /// false if no item arrived or the queue is closed and empty. Thread-safe.
   bool pop(Item &Value, std::chrono::milliseconds Timeout) {
     std::unique_lock Lock(Mutex);
-    if (!Added.wait_for(Lock, Timeout, [this] { return !Items.empty(); }))
+    Changed.wait_for(Lock, Timeout,
+                     [this] { return Closed || !Items.empty(); });
+    if (Items.empty())
       return false;
     Value = std::move(Items.front());
     Items.pop_front();
     return true;
   }
 
-  /// Rejects new items from now on; queued items can still be removed. Adds
-  /// \p WakeItems default-constructed items, which wake up blocked consumers.
-  /// Thread-safe.
-  void close(std::size_t WakeItems = 0) {
+  /// Rejects new items from now on; queued items can still be removed. Ends the
+  /// waits of all consumers. Thread-safe.
+  void close() {
     {
       const std::lock_guard Lock(Mutex);
       Closed = true;
-      for (std::size_t Index = 0; Index < WakeItems; ++Index)
-        Items.emplace_back();
     }
-    Added.notify_all();
+    Changed.notify_all();
   }
 
   /// True after close(). Thread-safe.
@@ -74,7 +73,7 @@
 private:
   const std::size_t Capacity;
   mutable std::mutex Mutex;
-  std::condition_variable Added;
+  std::condition_variable Changed;
   std::deque<Item> Items; ///< Guarded by Mutex.
   bool Closed = false;    ///< Guarded by Mutex.
 };
--- a/src/daemon/threadpool.cpp
+++ b/src/daemon/threadpool.cpp
@@ -16,7 +16,7 @@
 }
 
 ThreadPool::~ThreadPool() {
-  Queue.close(Threads.size());
+  Queue.close();
   for (std::thread &Thread : Threads)
     Thread.join();
 }
@@ -27,13 +27,10 @@
   Job Work;
   while (true) {
     const bool IsClosed = Queue.isClosed();
-    const bool HasItem =
-        Queue.pop(Work, IsClosed ? std::chrono::milliseconds(0) : IdleWait);
-    if (!HasItem && IsClosed)
-      return;
-    // close() adds empty jobs to wake up the threads.
-    if (HasItem && Work)
+    if (Queue.pop(Work, IdleWait))
       Work();
+    else if (IsClosed)
+      return;
     // Frees what the job has captured before the wait for the next one.
     Work = nullptr;
   }
