Separate the export of the control loop's figures

Cause: the function that exports all metrics and the one that logs the work of the control thread each did several things.

--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -109,6 +109,40 @@
   return Dump;
 }
 
+void addProfile(prometheus::Registry &Registry, const LoopProfile &Profile) {
+  const auto Counter = [&](const std::string &Name, const std::string &Help)
+      -> prometheus::Family<prometheus::Counter> & {
+    return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
+  };
+  auto &Busy = Counter("apricotwing_entry_busy_seconds_total",
+                       "Elapsed time of the control thread's work, by kind");
+  auto &Queued = Counter("apricotwing_entry_queued_seconds_total",
+                         "Time for which work waited for the control thread");
+  auto &Items = Counter("apricotwing_entry_work_items_total",
+                        "Work items of the control thread");
+  const auto Seconds = [](WorkLoad::Time Length) {
+    return std::chrono::duration<double>(Length).count();
+  };
+  for (const auto &[Kind, Name] : WorkKindNames) {
+    const WorkLoad &Load = Profile.of(Kind);
+    const prometheus::Labels Labels{{"work", std::string(Name)}};
+    Busy.Add(Labels).Increment(Seconds(Load.Busy));
+    Queued.Add(Labels).Increment(Seconds(Load.Queued));
+    Items.Add(Labels).Increment(double(Load.Items));
+  }
+}
+
+std::int64_t millis(WorkLoad::Time Length) {
+  return std::chrono::duration_cast<Duration>(Length).count();
+}
+
+/// Returns "MEAN/LONGEST" in ms of \p Count waits.
+std::string meanAndLongest(WorkLoad::Time Sum, std::uint64_t Count,
+                           WorkLoad::Time Longest) {
+  const std::int64_t Mean = Count == 0 ? 0 : millis(Sum) / std::int64_t(Count);
+  return std::to_string(Mean) + "/" + std::to_string(millis(Longest));
+}
+
 } // namespace
 
 EntryProcess::EntryProcess(EntrySettings Settings, ControlLoop &Control,
@@ -217,28 +251,7 @@
       Held.Add({{"server", std::string(Name)}})
           .Set(double(Intake->bytes(Part)));
   }
-  auto &Busy = prometheus::BuildCounter()
-                   .Name("apricotwing_entry_busy_seconds_total")
-                   .Help("Elapsed time of the control thread's work, by kind")
-                   .Register(Registry);
-  auto &Queued = prometheus::BuildCounter()
-                     .Name("apricotwing_entry_queued_seconds_total")
-                     .Help("Time for which work waited for the control thread")
-                     .Register(Registry);
-  auto &Items = prometheus::BuildCounter()
-                    .Name("apricotwing_entry_work_items_total")
-                    .Help("Work items of the control thread")
-                    .Register(Registry);
-  for (const auto &[Kind, KindName] : WorkKindNames) {
-    const WorkLoad &Load = Profile.of(Kind);
-    const prometheus::Labels Labels{{"work", std::string(KindName)}};
-    const auto Seconds = [](WorkLoad::Time Length) {
-      return std::chrono::duration<double>(Length).count();
-    };
-    Busy.Add(Labels).Increment(Seconds(Load.Busy));
-    Queued.Add(Labels).Increment(Seconds(Load.Queued));
-    Items.Add(Labels).Increment(double(Load.Items));
-  }
+  addProfile(Registry, Profile);
   cell::MemberCounts Counts;
   std::size_t WorkerSessions = 0;
   double ShardsLed = 0;
@@ -371,11 +384,8 @@
   const AsyncHttpClient::QueueTimes Calls =
       Outgoing ? Outgoing->takeQueueTimes() : AsyncHttpClient::QueueTimes{};
   Profile += Recent;
-  const WorkLoad Total = Recent.total();
-  const auto Millis = [](WorkLoad::Time Length) {
-    return std::chrono::duration_cast<Duration>(Length).count();
-  };
-  if (double(Millis(Total.Busy)) < MinLoggedBusyShare * double(Period.count()))
+  const std::int64_t BusyMs = millis(Recent.total().Busy);
+  if (double(BusyMs) < MinLoggedBusyShare * double(Period.count()))
     return;
   std::string Busy;
   std::string Queued;
@@ -383,24 +393,21 @@
     const WorkLoad &Load = Recent.of(Kind);
     if (Load.Items == 0)
       continue;
-    const std::string Separator = Busy.empty() ? "" : ",";
-    Busy += Separator + std::string(Name) + ":" +
-            std::to_string(Millis(Load.Busy)) + "/" +
+    const std::string Label =
+        (Busy.empty() ? "" : ",") + std::string(Name) + ":";
+    Busy += Label + std::to_string(millis(Load.Busy)) + "/" +
             std::to_string(Load.Items);
-    Queued += Separator + std::string(Name) + ":" +
-              std::to_string(Millis(Load.Queued) / Duration::rep(Load.Items)) +
-              "/" + std::to_string(Millis(Load.LongestQueue));
+    Queued +=
+        Label + meanAndLongest(Load.Queued, Load.Items, Load.LongestQueue);
   }
   Log.event("control thread", Settings.Instance.Name,
             {{"period_ms", std::to_string(Period.count())},
-             {"busy_ms", std::to_string(Millis(Total.Busy))},
+             {"busy_ms", std::to_string(BusyMs)},
              {"busy", Busy},
              {"queued_ms", Queued},
              {"calls", std::to_string(Calls.Calls)},
              {"calls_queued_ms",
-              std::to_string(Millis(Calls.Sum) /
-                             std::max<Duration::rep>(Calls.Calls, 1)) +
-                  "/" + std::to_string(Millis(Calls.Longest))}});
+              meanAndLongest(Calls.Sum, Calls.Calls, Calls.Longest)}});
 }
 
 void EntryProcess::logRefusals() {
--- a/tests/daemon/boundedqueue_test.cpp
+++ b/tests/daemon/boundedqueue_test.cpp
@@ -55,9 +55,11 @@
 // does not end.
 TEST(BoundedQueueTest, EndsTheWaitsOfAllConsumersOnceItIsClosed) {
   constexpr std::chrono::hours UntilClosed{1};
+  constexpr std::size_t ConsumerCount = 4;
   BoundedQueue<int> Queue(1);
   std::vector<std::thread> Consumers;
-  for (int Count = 0; Count < 4; ++Count)
+  Consumers.reserve(ConsumerCount);
+  while (Consumers.size() < ConsumerCount)
     Consumers.emplace_back([&] {
       int Item = 0;
       while (Queue.pop(Item, UntilClosed) || !Queue.isClosed())
