--- a/src/entry/controlloop.h
+++ b/src/entry/controlloop.h
@@ -46,7 +46,7 @@
   }
 
   /// Adds the work of a call to this instance. Returns false if at least
-  /// Capacity items are waiting. Never blocks. Thread-safe.
+  /// Capacity items are waiting. Does not wait for room. Thread-safe.
   bool tryPost(WorkKind Kind, Work Item);
 
   /// Adds work that must not be lost, such as handling the result of an
