--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -1778,7 +1778,8 @@
   const StageTimes Recent = std::exchange(Stages, StageTimes{});
   const Journal::CommitCounts Written = StateJournal.takeCounts();
   const auto Mean = [](Duration Sum, std::uint64_t Count) {
-    return std::to_string(Sum.count() / std::max<Duration::rep>(Count, 1));
+    const auto Divisor = Duration::rep(std::max<std::uint64_t>(Count, 1));
+    return std::to_string(Sum.count() / Divisor);
   };
   Deps.Log.event(
       "load", Record.Instance.Name,
