Show what still ends or stops a process that clients misuse

Callers saw processes end (out of memory) or stop answering when clients sent what no limit counts: accepted jobs with many tasks, calls that wait for the store, bodies and peer messages that are small as text and large when parsed, input behind calls that wait, and anything at all to apricotwingd, which has no budget.

tests/intake gets a case for each, with the machine, the crowd and the bounds fixed: 120 MB and 3,075 descriptors, the smallest machine of the deployments. The memory checked is the largest resident size plus the bytes that the process has left unread in its sockets. The client and the fixture of the existing cases move to files of their own; those cases and their bounds are unchanged.

Peer messages are the worst: one of 16 MB takes a process from 14 to 633 MB.

Ruled out as fixtures: waiting calls that come 3 s after the store is cut are refused after 0.7 s, so the crowd comes after 1.5 s, and half of the calls are writes, as reads and writes are sent on apart.

--- a/tests/intake/intake_test.cpp
+++ b/tests/intake/intake_test.cpp
@@ -1,184 +1,15 @@
-#include "soak/entries.h"
-#include "soak/store.h"
-#include "soak/workload.h"
+#include "intake/entryfixture.h"
 
-#include <arpa/inet.h>
-#include <gtest/gtest.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <algorithm>
-#include <cstdio>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <list>
-#include <string>
-#include <string_view>
 
-namespace apricotwing {
+namespace apricotwing::intake {
 namespace {
 
-/// The machine of these tests, and the resident memory that the process may
-/// have used at most. The bound is the memory of the machine.
-constexpr soak::MachineLimits Machine{.MemoryMb = 120, .FileDescriptors = 400};
-constexpr int PeerPort = 7420;
-constexpr int AnswerTimeoutMs = 10'000;
-/// Time for the process to read what the clients have sent.
-constexpr std::int64_t SettleMs = 3000;
-
-/// A client that sends raw bytes and never blocks on a full send buffer.
-class Client {
-public:
-  Client(const std::string &Ip, int Port)
-      : Fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_port = htons(std::uint16_t(Port));
-    inet_pton(AF_INET, Ip.c_str(), &Address.sin_addr);
-    const timeval Limit{2, 0};
-    setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
-    (void)connect(Fd, reinterpret_cast<const sockaddr *>(&Address),
-                  sizeof Address);
-  }
-  ~Client() { close(Fd); }
-  Client(const Client &) = delete;
-  Client &operator=(const Client &) = delete;
-
-  /// Sends \p Text as far as the server reads it within 2 s. Returns false if
-  /// not all of it was sent.
-  bool send(std::string_view Text) {
-    while (!Text.empty()) {
-      const ssize_t Sent = ::send(Fd, Text.data(), Text.size(), MSG_NOSIGNAL);
-      if (Sent <= 0)
-        return false;
-      Text.remove_prefix(std::size_t(Sent));
-    }
-    return true;
-  }
-
-  /// The first bytes of the response; empty if none arrives in time.
-  std::string receive() {
-    pollfd Wait{Fd, POLLIN, 0};
-    char Bytes[512];
-    if (poll(&Wait, 1, AnswerTimeoutMs) <= 0)
-      return "";
-    const ssize_t Count = recv(Fd, Bytes, sizeof Bytes, 0);
-    return std::string(Bytes, std::size_t(std::max<ssize_t>(Count, 0)));
-  }
-
-private:
-  const int Fd;
-};
-
-std::string head(const std::string &Path) {
-  return "POST " + Path +
-         " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
-/// \p Count chunks of \p Size bytes, without the last chunk that ends the body.
-std::string chunks(std::size_t Count, std::size_t Size) {
-  char Digits[32];
-  std::snprintf(Digits, sizeof Digits, "%zx\r\n", Size);
-  const std::string One = Digits + std::string(Size, 'x') + "\r\n";
-  std::string Result;
-  for (std::size_t Index = 0; Index < Count; ++Index)
-    Result += One;
-  return Result;
-}
-
-/// One entry process with its store on loopback addresses.
-class IntakeTest : public testing::Test {
+class IntakeTest : public EntryTest {
 protected:
-  IntakeTest()
-      : Folder(std::filesystem::temp_directory_path() /
-               ("intake-" + std::to_string(getpid()))),
-        Network("127.200." + std::to_string(getpid() % 250) + "."),
-        Entries(program(), Network, createdFolder(), Machine) {}
-  ~IntakeTest() override {
-    Entries.kill(0);
-    std::filesystem::remove_all(Folder);
-  }
-
-  void SetUp() override {
-    Store.listen(Entries.storeIp(0), soak::Entries::StorePort);
-    Store.put("op", "config", soak::policy(3).dump());
-    Entries.start(0);
-    for (const std::int64_t Until = soak::nowMs() + 60'000;
-         soak::nowMs() < Until && !Entries.isReady(0);)
-      soak::sleepMs(100);
-    ASSERT_TRUE(Entries.isReady(0));
-    std::cout << "at first: " << peakMemoryMb() << " MB, " << openFiles()
-              << " descriptors\n";
-  }
-
-  /// Sends \p Text on \p Count connections of their own, which stay open.
-  void occupy(int Port, int Count, const std::string &Text) {
-    for (int Index = 0; Index < Count; ++Index)
-      Open.emplace_back(Entries.ip(0), Port).send(Text);
-    soak::sleepMs(SettleMs);
-  }
-
-  /// Checks that the process is within the limits of its machine and serves an
-  /// ordinary call and the readiness probe.
-  void expectSound() {
-    const int Memory = peakMemoryMb();
-    const int Files = openFiles();
-    std::cout << "afterwards: " << Memory << " MB, " << Files
-              << " descriptors\n";
-    EXPECT_GT(Memory, 0) << "the process has ended";
-    EXPECT_LE(Memory, Machine.MemoryMb);
-    EXPECT_LE(Files, Machine.FileDescriptors);
-    EXPECT_NE(soak::call(Entries.ip(0), soak::Entries::ClientPort, "GET",
-                         "/api/jobs/none", {}, "", AnswerTimeoutMs)
-                  .Status,
-              0);
-    EXPECT_EQ(soak::call(Entries.ip(0), soak::Entries::ReadyPort, "GET",
-                         "/api/readiness", {}, "", AnswerTimeoutMs)
-                  .Status,
-              200);
-    EXPECT_EQ(soak::call(Entries.ip(0), PeerPort, "GET", "/healthz", {}, "",
-                         AnswerTimeoutMs)
-                  .Status,
-              200);
-  }
-
-  /// Largest resident memory so far; 0 if the process has ended.
-  int peakMemoryMb() {
-    std::ifstream Status("/proc/" + std::to_string(Entries.pid(0)) + "/status");
-    for (std::string Line; std::getline(Status, Line);)
-      if (Line.starts_with("VmHWM:"))
-        return std::atoi(Line.c_str() + 6) / 1024;
-    return 0;
-  }
-
-  int openFiles() {
-    std::error_code Ignored;
-    int Count = 0;
-    for (std::filesystem::directory_iterator Next(
-             "/proc/" + std::to_string(Entries.pid(0)) + "/fd", Ignored);
-         Next != std::filesystem::directory_iterator(); Next.increment(Ignored))
-      ++Count;
-    return Count;
-  }
-
-  std::list<Client> Open;
-  const std::filesystem::path Folder;
-  const std::string Network;
-  soak::Store Store;
-  soak::Entries Entries;
-
-private:
-  static std::string program() {
-    const char *Folder = std::getenv("APRICOTWING_BIN");
-    return std::string(Folder ? Folder : "build/bin") + "/apricotwing-entry";
-  }
-  std::string createdFolder() const {
-    std::filesystem::create_directories(Folder);
-    return Folder;
-  }
+  IntakeTest() : EntryTest(SmallMachine) {}
 };
 
 // Guards against the cost of chunks, which the limit of a body does not count:
@@ -283,4 +114,4 @@
 }
 
 } // namespace
-} // namespace apricotwing
+} // namespace apricotwing::intake
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -179,9 +179,9 @@
   Fresh.Name = "d" + std::to_string(Daemons.size());
   Fresh.Address = freeAddress();
   Fresh.Store = std::make_unique<Relay>(Cell->tableAddress());
-  const std::string Peer = freeAddress();
+  Fresh.PeerAddress = freeAddress();
   Fresh.Pid =
-      spawn({binary("apricotwingd"), "--settings", writeSettings(Fresh, Peer)},
+      spawn({binary("apricotwingd"), "--settings", writeSettings(Fresh)},
             Folder + "/" + Fresh.Name + ".log");
   Daemons.push_back(std::move(Fresh));
   return Daemons.size() - 1;
@@ -189,13 +189,13 @@
 
 // The durations are shorter than the defaults but in the same proportions, so
 // that a test does not wait for long.
-std::string Cluster::writeSettings(const DaemonProcess &Daemon,
-                                   const std::string &Peer) const {
+std::string Cluster::writeSettings(const DaemonProcess &Daemon) const {
   std::string File = Folder + "/" + Daemon.Name + ".ini";
   std::ofstream Out(File);
   Out << "[instance]\nid = " << Daemon.Name << "\nzone = z"
       << Daemons.size() % 3 + 1 << "\n[http]\n"
-      << "listen = " << Daemon.Address << "\npeer_listen = " << Peer
+      << "listen = " << Daemon.Address
+      << "\npeer_listen = " << Daemon.PeerAddress
       << "\nheader_timeout_ms = 1000\n[table]\nurl = http://"
       << Daemon.Store->address()
       << "\ntimeout_ms = 500\n[objects]\nurl = http://"
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -45,6 +45,14 @@
   /// Starts another daemon without waiting for it; returns its index.
   std::size_t startDaemon();
   void signalDaemon(std::size_t Daemon, int Signal) const;
+  /// "ip:port" for callers, and for other daemons.
+  const std::string &address(std::size_t Daemon) const {
+    return Daemons.at(Daemon).Address;
+  }
+  const std::string &peerAddress(std::size_t Daemon) const {
+    return Daemons.at(Daemon).PeerAddress;
+  }
+  pid_t pid(std::size_t Daemon) const { return Daemons.at(Daemon).Pid; }
   /// Waits until the daemon exits. Returns its exit code, or the negated number
   /// of the signal that ended it.
   int waitForExit(std::size_t Daemon);
@@ -95,14 +103,14 @@
   struct DaemonProcess {
     std::string Name;
     std::string Address;
+    std::string PeerAddress;
     pid_t Pid = 0;
     std::unique_ptr<Relay> Store;
   };
 
   void start(std::size_t Count);
   void killAll();
-  std::string writeSettings(const DaemonProcess &Daemon,
-                            const std::string &PeerAddress) const;
+  std::string writeSettings(const DaemonProcess &Daemon) const;
 
   std::unique_ptr<standins::Cell> Cell;
   std::string Folder;
