Limit the number of values in a parsed body

What callers saw: a process that ended after a few requests within the limits of a body. Cause: the parsed form of a text takes up to 100 bytes for each value, however short it is, and was bounded by nothing: a peer message of 16 MB with empty lists took 619 MB, and 60 submissions of 255 kB with empty steps 142 MB beside open bodies.

parseBoundedJson() stops at a number of values, so memory no longer follows the text: 20,000 for a submission, 100,000 for a request to apricotwingd, 200,000 for a message between instances. Texts too short to have so many are parsed as before, without the callback. A job may have 256 steps, a payload of 32,000 bytes and names of 256 bytes; the largest of the deployments has 4 steps and 4,000 bytes.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -1,5 +1,7 @@
 #include "cell/codec.h"
 
+#include "json/boundedparser.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -17,6 +19,10 @@
 
 namespace {
 
+/// Largest number of values in a message or a stored row. A message about 300
+/// workers with 30 runs each has a tenth.
+constexpr std::size_t MaxMessageValues = 200'000;
+
 template <typename Value>
 void put(json &To, const char *Name, const Value &Field,
          const Value &Default = Value()) {
@@ -69,7 +75,9 @@
 
 template <typename Value>
 std::optional<Value> fromText(const std::string &Text) {
-  return decodeOr<Value>([&Text] { return json::parse(Text).get<Value>(); });
+  return decodeOr<Value>([&Text] {
+    return parseBoundedJson(Text, MaxMessageValues).get<Value>();
+  });
 }
 
 } // namespace
@@ -891,7 +899,7 @@
 decodePeerMessage(const std::string &Text) {
   using Message = std::variant<Envelope, CallBatch, LeaderQuery>;
   return decodeOr<Message>([&Text]() -> Message {
-    const json Parsed = json::parse(Text);
+    const json Parsed = parseBoundedJson(Text, MaxMessageValues);
     if (Parsed.contains("session"))
       return Parsed.get<Envelope>();
     if (Parsed.contains("leader_of"))
--- a/src/jobs/jobspec.cpp
+++ b/src/jobs/jobspec.cpp
@@ -47,6 +47,12 @@
 std::optional<std::string> validationError(const JobSpec &Spec) {
   if (Spec.Steps.empty())
     return "a job needs at least one step";
+  if (Spec.Steps.size() > MaxStepsPerJob)
+    return "a job may have at most " + std::to_string(MaxStepsPerJob) +
+           " steps";
+  if (Spec.Payload.size() > MaxPayloadBytes)
+    return "the payload of a job may have at most " +
+           std::to_string(MaxPayloadBytes) + " bytes";
   std::int64_t Tasks = 0;
   for (std::size_t Number = 0; Number < Spec.Steps.size(); ++Number) {
     const StepSpec &Step = Spec.Steps[Number];
@@ -66,6 +72,13 @@
     for (const int Earlier : Step.After)
       if (Earlier < 0 || std::size_t(Earlier) >= Number)
         return "a step may only wait for earlier steps";
+    if (Step.After.size() > MaxStepsPerJob)
+      return "a step may wait for at most " + std::to_string(MaxStepsPerJob) +
+             " steps";
+    if (std::max({Step.RequiredLabel.size(), Step.PreferredRack.size(),
+                  Step.Image.size()}) > MaxNameBytes)
+      return "a label, a rack or an image may have at most " +
+             std::to_string(MaxNameBytes) + " bytes";
   }
   return std::nullopt;
 }
--- a/src/jobs/jobspec.h
+++ b/src/jobs/jobspec.h
@@ -6,6 +6,7 @@
 #include "core/resources.h"
 #include "core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -73,12 +74,16 @@
 /// Limits of a well-formed job. They are far above what a cell can run; without
 /// them a single job could use up the memory of each instance that reads it.
 inline constexpr int MaxTasksPerJob = 20'000;
+inline constexpr std::size_t MaxStepsPerJob = 256;
+inline constexpr std::size_t MaxPayloadBytes = 32'000;
+inline constexpr std::size_t MaxNameBytes = 256; ///< Of a label or an image.
 inline constexpr std::int64_t MaxAmountPerTask = 1'000'000'000'000;
 inline constexpr Duration MaxEstimate{std::chrono::hours(24 * 365)};
 
 /// Returns what is wrong with \p Spec, or nothing if it is well-formed: it has
 /// at least one step, every task count is positive, no resource or estimate is
-/// negative or beyond the limits above, and steps depend only on earlier steps.
+/// negative, nothing is beyond the limits above, and steps depend only on
+/// earlier steps.
 /// All other functions for jobs require a well-formed one. Thread-safe.
 std::optional<std::string> validationError(const JobSpec &Spec);
 
--- a/src/wire/configcodec.cpp
+++ b/src/wire/configcodec.cpp
@@ -62,7 +62,7 @@
 } // namespace
 
 ProposalRequest decodeProposalRequest(const std::string &Text) {
-  return decodeBody(Text, UnknownFields::Rejected, [](JsonReader &Reader) {
+  return decodeRequest(Text, UnknownFields::Rejected, [](JsonReader &Reader) {
     ProposalRequest Request{Reader.number<std::uint64_t>("base"),
                             readChanges(Reader, KeyHashes::Included)};
     Reader.rejectUnknownFields();
--- a/src/wire/jsonreader.cpp
+++ b/src/wire/jsonreader.cpp
@@ -1,6 +1,7 @@
 #include "wire/jsonreader.h"
 
 #include "core/error.h"
+#include "json/boundedparser.h"
 
 namespace apricotwing {
 
@@ -19,6 +20,18 @@
   return Value;
 }
 
+Json parseRequestJson(const std::string &Text) {
+  try {
+    return parseBoundedJson(Text, MaxRequestValues);
+  } catch (const Json::parse_error &) {
+    reject("the text is not valid JSON", "send one complete JSON value");
+  } catch (const Json::out_of_range &) {
+    reject("the text has more than " + std::to_string(MaxRequestValues) +
+               " values",
+           "divide it among several requests");
+  }
+}
+
 std::string dumpJson(const Json &Value) {
   try {
     return Value.dump();
--- a/src/wire/jsonreader.h
+++ b/src/wire/jsonreader.h
@@ -23,6 +23,15 @@
 /// Thread-safe.
 Json parseJson(const std::string &Text);
 
+/// Largest number of values in a request; see parseBoundedJson(). A
+/// configuration with 10,000 keys has less.
+inline constexpr std::size_t MaxRequestValues = 100'000;
+
+/// Parses the body of a request, whose sender is not trusted. Throws
+/// Error(BadRequest) if it is invalid or has more than MaxRequestValues values.
+/// Thread-safe.
+Json parseRequestJson(const std::string &Text);
+
 /// Serializes \p Value. Throws Error(Internal) if a string is not valid UTF-8.
 /// Thread-safe.
 std::string dumpJson(const Json &Value);
@@ -164,6 +173,15 @@
   return Read(Body);
 }
 
+/// Like decodeBody() for the body of a request.
+template <typename Reader>
+auto decodeRequest(const std::string &Text, UnknownFields Policy,
+                   const Reader &Read) {
+  const Json Value = parseRequestJson(Text);
+  JsonReader Body(Value, Policy);
+  return Read(Body);
+}
+
 } // namespace apricotwing
 
 #endif
--- a/src/wire/peercodec.cpp
+++ b/src/wire/peercodec.cpp
@@ -10,7 +10,7 @@
 }
 
 SessionId decodePromiseRequest(const std::string &Text) {
-  return decodeBody(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
+  return decodeRequest(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
     return SessionId{Reader.string("from"), Reader.number<Epoch>("epoch")};
   });
 }
@@ -34,8 +34,9 @@
 }
 
 ShardId decodeNotify(const std::string &Text) {
-  return decodeBody(Text, UnknownFields::Ignored,
-                    [](JsonReader &Reader) { return Reader.string("shard"); });
+  return decodeRequest(Text, UnknownFields::Ignored, [](JsonReader &Reader) {
+    return Reader.string("shard");
+  });
 }
 
 } // namespace apricotwing
--- a/src/wire/runcodec.cpp
+++ b/src/wire/runcodec.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 RunSpec decodeRunSpec(const std::string &Text) {
-  RunSpec Spec = decodeBody(Text, UnknownFields::Rejected, readRunSpec);
+  RunSpec Spec = decodeRequest(Text, UnknownFields::Rejected, readRunSpec);
   validate(Spec);
   return Spec;
 }
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -19,6 +19,29 @@
   EXPECT_FALSE(fromBase64("???"));
 }
 
+// Guards against submissions whose parsed form takes many times their bytes.
+TEST(JobApiCodecTest, RejectsSubmissionsWithTooManyValues) {
+  const auto Repeated = [](const std::string &Item, int Count) {
+    std::string Result = Item;
+    for (int Index = 1; Index < Count; ++Index)
+      Result += "," + Item;
+    return Result;
+  };
+  const auto Steps = [&](int Count) {
+    return R"({"spec":"s","steps":[)" + Repeated(R"({"count":1})", Count) +
+           "]}";
+  };
+  EXPECT_TRUE(parseJob(Steps(int(jobs::MaxStepsPerJob))));
+  EXPECT_FALSE(parseJob(Steps(int(jobs::MaxStepsPerJob) + 1)));
+  const auto After = [&](int Count) {
+    return R"({"spec":"s","steps":[{"count":1,"after":[)" +
+           Repeated("0", Count) + "]}]}";
+  };
+  EXPECT_TRUE(parseJob(After(19'000)));
+  EXPECT_FALSE(parseJob(After(100'000)));
+  EXPECT_FALSE(parseJob(std::string(100'000, '[')));
+}
+
 TEST(JobApiCodecTest, DecodesASubmission) {
   HttpRequest Request;
   Request.Method = "POST";
--- a/tests/wire/apicodec_test.cpp
+++ b/tests/wire/apicodec_test.cpp
@@ -143,6 +143,19 @@
   }
 }
 
+// Guards against requests whose parsed form takes many times their bytes.
+TEST(CodecTest, RejectsRequestsWithTooManyValues) {
+  constexpr std::size_t TooMany = 100'000;
+  std::string Text = R"({"payload":[0)";
+  for (std::size_t Index = 0; Index < TooMany; ++Index)
+    Text += ",0";
+  Text += "]}";
+  for (const std::string &Request : {Text, std::string(2 * TooMany, '[')}) {
+    EXPECT_THROW(decodeRunSpec(Request), Error);
+    EXPECT_THROW(decodeProposalRequest(Request), Error);
+  }
+}
+
 // Guards against damaged bodies that make a decoder crash or throw an exception
 // that the server does not convert to an answer.
 TEST(CodecTest, DamagedBodiesOnlyThrowErrors) {
