Limit the memory of accepted jobs

What callers saw: the leader ended, and each leader after it, as soon as a client with a valid key had handed in some dozens of jobs with 20,000 tasks each in bodies of 100 bytes. Cause: a task takes about 220 bytes from its acceptance on, nothing bounds the tasks of all jobs together, and the next leader loads the same jobs. Ended jobs kept their tasks for two minutes.

JobMemoryBudget estimates each job and refuses a new one with 429 if its account would hold more than is left to the others, so that one account leaves half and many stay within the limit together. The limit is a setting with one default (32 MiB a shard), since the smallest instance may have to load what the largest accepted. Accepted jobs are kept whatever the limit says. Tasks of ended jobs are released after the time in which a late call can still start one of their runs. A takeover no longer holds two copies of all descriptions, and submissions that wait for it are bounded (the sender repeats the others).

--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -3,6 +3,8 @@
 #include "cell/codec.h"
 #include "cell/stateloader.h"
 
+#include <algorithm>
+
 namespace apricotwing::cell {
 
 namespace {
@@ -11,6 +13,10 @@
 /// long as its caller waits, which is 3 s, and a request may be delayed.
 constexpr Duration RefusalRetention{8000};
 
+/// Jobs that wait until the state is loaded, some of them repeatedly. About
+/// 3000 usual ones fit, more than arrive during a takeover.
+constexpr std::size_t MaxDeferredJobBytes = std::size_t(8) << 20;
+
 } // namespace
 
 CallService::OpenBatch::~OpenBatch() {
@@ -41,6 +47,7 @@
 }
 
 void CallService::runDeferred() {
+  DeferredJobBytes = 0;
   for (const auto &Call : std::exchange(DeferredCalls, {}))
     Call();
 }
@@ -51,6 +58,11 @@
   const std::uint64_t Tag = NewSubmission.Tag;
   if (!AllAllowed) {
     // Whether the job is already known is clear only once the state is loaded.
+    // Beyond the limit the sender repeats the call.
+    const std::size_t Bytes = jobs::specBytes(NewSubmission.Job);
+    if (DeferredJobBytes + Bytes > MaxDeferredJobBytes)
+      return;
+    DeferredJobBytes += Bytes;
     DeferredCalls.push_back(
         [this, Batch, NewSubmission] { submit(Batch, NewSubmission); });
     return;
@@ -92,6 +104,13 @@
     refuse(Batch, Tag, SubmitResult::Malformed, Duration{0});
     return;
   }
+  const std::size_t JobBytes = jobs::activeJobBytes(NewSubmission.Job);
+  if (!Deps.Scheduler.memory().canAdmit(JobBytes)) {
+    Deps.Log.event("job too large", Id,
+                   {{"job_memory", std::to_string(JobBytes)}});
+    refuse(Batch, Tag, SubmitResult::Malformed, Duration{0});
+    return;
+  }
   const jobs::Queue *TargetQueue =
       Deps.Scheduler.queue(NewSubmission.Job.Queue);
   if (!TargetQueue) {
@@ -147,12 +166,30 @@
       Callback();
 }
 
+// Counts and logs the refusal of a job for which there is no memory.
+bool CallService::fitsInMemory(const jobs::JobSpec &Job) {
+  const std::size_t Bytes = jobs::activeJobBytes(Job);
+  if (Deps.Scheduler.memory().admits(Job.Account, Bytes))
+    return true;
+  ++MemoryRefusals;
+  Deps.Log.event("job refused", Job.Id,
+                 {{"queue", Job.Queue},
+                  {"account", Job.Account},
+                  {"cause", "memory"},
+                  {"bytes", std::to_string(Bytes)},
+                  {"held", std::to_string(Deps.Scheduler.memory().held())}});
+  return false;
+}
+
 // Returns the time after which the caller should try again if the job must be
 // refused.
 std::optional<Duration> CallService::refusal(const jobs::JobSpec &Job,
                                              const jobs::Queue &TargetQueue,
                                              jobs::AdmissionResult &Admitted) {
   const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue.Priority);
+  if (!fitsInMemory(Job))
+    return std::clamp(Wait / 2, jobs::AdmissionController::MinRetryAfter,
+                      jobs::AdmissionController::MaxRetryAfter);
   Admitted = AdmissionControl.evaluate(Job, TargetQueue,
                                        Deps.Scheduler.account(Job.Account),
                                        Wait, Deps.Time.now());
--- a/src/cell/callservice.h
+++ b/src/cell/callservice.h
@@ -61,6 +61,9 @@
   /// Allows all calls, because all jobs are loaded.
   void allowAll();
 
+  /// Number of submissions that were refused because of the memory of jobs.
+  std::uint64_t memoryRefusals() const { return MemoryRefusals; }
+
 private:
   /// A batch that is being answered. Sends the reply when the last call is
   /// answered or dropped.
@@ -92,6 +95,7 @@
   bool cancel(const std::string &Id);
   void query(const BatchPointer &Batch, const Query &Request);
   void answerQuery(const BatchPointer &Batch, const Query &Request);
+  bool fitsInMemory(const jobs::JobSpec &Job);
   std::optional<Duration> refusal(const jobs::JobSpec &Job,
                                   const jobs::Queue &TargetQueue,
                                   jobs::AdmissionResult &Admitted);
@@ -106,8 +110,10 @@
   jobs::AdmissionController AdmissionControl;
   bool ActiveJobsAllowed = false;
   bool AllAllowed = false;
+  std::uint64_t MemoryRefusals = 0;
   /// Calls that arrived before the state was loaded.
   std::vector<std::function<void()>> DeferredCalls;
+  std::size_t DeferredJobBytes = 0; ///< Of the submissions among them.
   /// Callbacks that wait until a new job is stored, by job id.
   std::map<std::string, std::vector<std::function<void()>>> JobsBeingStored;
   std::deque<Refusal> RecentRefusals; ///< Oldest first.
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -173,7 +173,7 @@
           Deps.Store, Deps.Time, Deps.Log, partitionOf(Shard),
           Scheduler.usage().isEnabled(),
           {[this](ChangeLog Packed) { StateJournal.adopt(std::move(Packed)); },
-           [this](const StoredState &Stored) { restoreJobs(Stored); },
+           [this](StoredState Stored) { restoreJobs(std::move(Stored)); },
            [this](const std::string &Id, jobs::JobPhase Phase) {
              restoreEnded(Id, Phase);
            },
@@ -461,7 +461,7 @@
   Scheduler.usage().restore(Stored.Shares, Elapsed, Now);
 }
 
-void Leader::restoreJobs(const StoredState &Stored) {
+void Leader::restoreJobs(StoredState Stored) {
   const TimePoint Now = Deps.Time.now();
   if (Stored.Layout) {
     setLayout(*Stored.Layout);
@@ -495,14 +495,18 @@
   if (Stored.Usage)
     restoreUsage(*Stored.Usage);
   const std::int64_t UnixNowMs = Deps.WallTime.unixMs();
-  for (const auto &[Id, Spec] : Stored.Jobs) {
-    const auto Progress = Stored.Progress.find(Id);
+  const std::size_t JobCount = Stored.Jobs.size();
+  // Each job is removed once it is restored, so that no two copies of all jobs
+  // are in memory.
+  while (!Stored.Jobs.empty()) {
+    const auto Job = Stored.Jobs.extract(Stored.Jobs.begin());
+    const auto Progress = Stored.Progress.extract(Job.key());
+    const jobs::JobSpec &Spec = Job.mapped();
     const Duration Age(
         std::max<std::int64_t>(UnixNowMs - Spec.AcceptedUnixMs, 0));
-    Scheduler.restore(Spec,
-                      Progress == Stored.Progress.end() ? jobs::JobProgress{}
-                                                        : Progress->second,
-                      Age, Now);
+    Scheduler.restore(
+        Spec, Progress.empty() ? jobs::JobProgress{} : Progress.mapped(), Age,
+        Now);
   }
   for (const RosterEntry &Entry : Stored.Roster)
     restoreUnconfirmedStarts(Entry);
@@ -512,7 +516,8 @@
   Deps.Log.event("state loaded", Record.Instance.Name,
                  {{"shard", std::to_string(Shard)},
                   {"term", std::to_string(Record.Term)},
-                  {"jobs", std::to_string(Stored.Jobs.size())},
+                  {"jobs", std::to_string(JobCount)},
+                  {"job_memory", std::to_string(Scheduler.memory().held())},
                   {"roster", std::to_string(Stored.Roster.size())},
                   {"after_ms", std::to_string((Now - TermStartedAt).count())}});
   Loaded = true;
@@ -1849,6 +1854,7 @@
   if (Now < NextJobExpiry)
     return;
   NextJobExpiry = Now + JobExpiryInterval;
+  Scheduler.releaseTasksOfEnded(Now - Deps.Times.MaxCallDelay);
   // The cancellation of an unknown job is kept until no submission of it can be
   // on its way any more.
   const Duration Retention =
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -113,6 +113,9 @@
   std::uint64_t lostRuns() const { return LostRuns; }
   std::uint64_t failedJobs() const { return FailedJobs; }
 
+  /// Number of jobs that were refused because of the memory of jobs.
+  std::uint64_t jobsRefusedForMemory() const { return Calls.memoryRefusals(); }
+
   /// Longest time for which a run has had to end without being known to have
   /// ended; zero if there is none.
   Duration longestStop() const;
@@ -193,7 +196,7 @@
     Duration AdviceDelay{0}; ///< Beyond the calls themselves.
   };
 
-  void restoreJobs(const StoredState &Stored);
+  void restoreJobs(StoredState Stored);
   void restoreEnded(const std::string &Id, jobs::JobPhase Phase);
   void onAllLoaded();
   void proposeLayout();
--- a/src/entry/entryoptions.cpp
+++ b/src/entry/entryoptions.cpp
@@ -21,6 +21,11 @@
 
 constexpr std::int64_t SecondsPerMonth = 2'592'000;
 
+constexpr std::size_t BytesPerKib = 1024;
+
+/// Holds one job with the largest number of tasks.
+constexpr std::int64_t MinJobMemoryKib = 8192;
+
 /// 16 GiB.
 constexpr std::int64_t MaxIntakeKib = 16'777'216;
 
@@ -32,6 +37,15 @@
                     [](EntryOptions &Target, std::int64_t Value) {
                       Target.Scheduler.MigrateFromLeavingWorkers = Value != 0;
                     }},
+    EntryOptionInfo{"jobs", "memory_kib", "KiB", MinJobMemoryKib, MaxIntakeKib,
+                    jobs::SchedulerOptions::DefaultJobMemory / BytesPerKib,
+                    "Memory that the accepted jobs of a shard may take on its "
+                    "leader; further jobs are refused with 429. Any instance "
+                    "may have to load them, so it must fit the smallest one.",
+                    [](EntryOptions &Target, std::int64_t Value) {
+                      Target.Scheduler.JobMemory =
+                          std::size_t(Value) * BytesPerKib;
+                    }},
     EntryOptionInfo{"intake", "budget_kib", "KiB", 0, MaxIntakeKib, 0,
                     "Memory for requests that are being received and responses "
                     "that are not yet read, of all servers; at least 61440; 0: "
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -261,6 +261,8 @@
   double RowsWritten = 0;
   double LostRuns = 0;
   double FailedJobs = 0;
+  double JobMemory = 0;
+  double MemoryRefusals = 0;
   double RunsToStop = 0;
   double MigratedRuns = 0;
   Duration LongestStop{0};
@@ -281,6 +283,8 @@
     RowsWritten += double(Leader->journal().rowsWritten());
     LostRuns += double(Leader->lostRuns());
     FailedJobs += double(Leader->failedJobs());
+    JobMemory += double(Leader->scheduler().memory().held());
+    MemoryRefusals += double(Leader->jobsRefusedForMemory());
     RunsToStop += double(Leader->scheduler().runsToStop().size());
     MigratedRuns += double(Leader->scheduler().migratedRuns());
     LongestStop = std::max(LongestStop, Leader->longestStop());
@@ -334,6 +338,11 @@
           "Runs that ended with their worker in this term", LostRuns);
     Gauge("apricotwing_leader_failed_jobs", "Jobs that failed in this term",
           FailedJobs);
+    Gauge("apricotwing_leader_job_memory_bytes",
+          "Estimated memory of the accepted jobs", JobMemory);
+    Gauge("apricotwing_leader_jobs_refused_for_memory",
+          "Jobs refused in this term because of the memory of accepted ones",
+          MemoryRefusals);
     Gauge("apricotwing_leader_runs_to_stop",
           "Runs that have to end and are not known to have ended", RunsToStop);
     Gauge("apricotwing_leader_migrated_runs",
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -230,7 +230,8 @@
   TimePoint EndedAt;         ///< Valid once the phase is final.
   std::string FailureReason; ///< For the log; set if the phase is Failed.
   std::uint64_t Sequence = 0;
-  std::vector<StepState> Steps;
+  std::vector<StepState> Steps; ///< Empty if the tasks were released.
+  std::size_t HeldBytes = 0;    ///< Of the JobMemoryBudget.
 
   /// True if all steps that \p Step depends on are done.
   bool isUnblocked(int Step) const;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -48,7 +48,8 @@
 } // namespace
 
 JobScheduler::JobScheduler(std::int64_t Term, const SchedulerOptions &Options)
-    : Term(Term), Options(Options), Usage(Options.UsageHalfLife) {}
+    : Term(Term), Options(Options), Memory(Options.JobMemory),
+      Usage(Options.UsageHalfLife) {}
 
 void JobScheduler::setPolicy(const ClusterPolicy &NewPolicy) {
   PolicyQueues.clear();
@@ -409,6 +410,9 @@
   Added.Due = Added.AcceptedAt + Allowed;
   Added.FirmDeadline = Added.AcceptedAt + FirmDeadlineFactor * Allowed;
   Jobs.emplace(Added.Spec.Id, std::move(NewJob));
+  setHeldBytes(Added, Added.Phase == JobPhase::Active
+                          ? activeJobBytes(Added.Spec)
+                          : EndedJobBytes);
   WithdrawnJobs += Added.Phase == JobPhase::Withdrawn ? 1 : 0;
   if (Added.Phase != JobPhase::Active)
     return;
@@ -453,10 +457,29 @@
   --WithdrawnJobs;
 }
 
+void JobScheduler::setHeldBytes(Job &CurrentJob, std::size_t Bytes) {
+  Memory.add(CurrentJob.Spec.Account, Bytes);
+  Memory.remove(CurrentJob.Spec.Account,
+                std::exchange(CurrentJob.HeldBytes, Bytes));
+}
+
+void JobScheduler::releaseTasksOfEnded(TimePoint Limit) {
+  for (const auto &[Id, CurrentJob] : Jobs) {
+    if (CurrentJob->Phase == JobPhase::Active || CurrentJob->Steps.empty() ||
+        CurrentJob->EndedAt >= Limit)
+      continue;
+    CurrentJob->Steps = {};
+    CurrentJob->Spec.Steps = {};
+    CurrentJob->Spec.Payload = {};
+    setHeldBytes(*CurrentJob, EndedJobBytes);
+  }
+}
+
 void JobScheduler::forget(const std::string &Id) {
-  const Job *CurrentJob = find(Id);
+  Job *CurrentJob = findJob(Id);
   if (!CurrentJob || CurrentJob->Phase == JobPhase::Active)
     return;
+  setHeldBytes(*CurrentJob, 0);
   WithdrawnJobs -= CurrentJob->Phase == JobPhase::Withdrawn ? 1 : 0;
   Jobs.erase(Id);
 }
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -8,6 +8,7 @@
 #include "jobs/clusterpolicy.h"
 #include "jobs/departurepolicy.h"
 #include "jobs/job.h"
+#include "jobs/jobmemorybudget.h"
 #include "jobs/run.h"
 #include "jobs/scheduleroptions.h"
 #include "jobs/usagehistory.h"
@@ -196,6 +197,14 @@
   /// Removes a job that has ended. Precondition: all its runs have ended.
   void forget(const std::string &Id);
 
+  /// Releases the tasks of jobs that ended before \p Limit. Only their states
+  /// can be queried afterwards. Precondition: no call that was made for such a
+  /// job can still take effect.
+  void releaseTasksOfEnded(TimePoint Limit);
+
+  /// Memory that the jobs take.
+  const JobMemoryBudget &memory() const { return Memory; }
+
   /// Ids of jobs that ended before \p Limit.
   std::vector<std::string> endedBefore(TimePoint Limit) const;
 
@@ -405,6 +414,7 @@
   const Queue &queueOf(const Job &CurrentJob) const;
 
   void addJob(std::unique_ptr<Job> NewJob, TimePoint Now);
+  void setHeldBytes(Job &CurrentJob, std::size_t Bytes);
   void setLargestCapacity(const Resources &Largest);
   void applyZone(Worker &Host);
   bool countsAsWaitingWork(const StepSpec &Spec) const;
@@ -543,6 +553,7 @@
   /// Run time as a multiple of the estimate; learned, by queue.
   std::map<std::string, double> EstimateRatio;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
+  JobMemoryBudget Memory;
   std::map<std::string, Worker> Workers;
   std::set<std::string> EvacuatedZones;
   bool StartsHeld = false;
