Limit the calls that wait for their responses

What callers saw: while the store was away, 900 calls with a deadline of a minute took all connections, and nobody else got an answer, not even a refusal, until they had ended. Cause: a connection whose request was handed over cannot be closed, a call that was sent to a leader waits for as long as its caller chooses, and RESTinio accepts nobody at its limit. The jobs of waiting submissions were not limited either: 900 of them held 433 MB.

CallRouter limits the open calls to half of the callers' connections and their jobs to an eighth of the callers' memory. At the limit the call whose caller would wait longest is answered at once: 503, or 504 if a leader may have stored the job. So a patient crowd cannot keep out a caller who waits 3 s. Below it, on every server with a budget, requests beyond three quarters of the connections, or beyond half of the memory at the handlers, get 503 and Retry-After without being handed over, so the last quarter of the connections can always be replaced. Small requests, which were never closed, are once they exceed the memory by a quarter.

RESTinio's own limit was lowered to a quarter of the process's descriptors, which made it equal to the limit at which the budget replaces connections: nobody was accepted any more. A batch of calls to a leader has at most 1 MiB of jobs, as its encoded and parsed forms take several times as much.

--- a/src/cell/callrouter.cpp
+++ b/src/cell/callrouter.cpp
@@ -121,6 +121,35 @@
     sendToShards(Call);
 }
 
+bool CallRouter::isFull(std::size_t JobBytes) const {
+  return openCalls() >= Limits.Calls ||
+         (JobBytes > 0 && OpenJobBytes + JobBytes > Limits.JobBytes);
+}
+
+// Answers open calls until a new one with \p JobBytes fits. Returns false if
+// its caller would wait longer than those of all open ones.
+bool CallRouter::makeRoom(std::size_t JobBytes, TimePoint Deadline) {
+  if (JobBytes > Limits.JobBytes)
+    return false;
+  while (isFull(JobBytes)) {
+    const bool CallsSuffice = openCalls() < Limits.Calls;
+    const OpenCall *Longest = nullptr;
+    std::uint64_t LongestTag = 0;
+    for (const auto &[Tag, Call] : Open) {
+      if ((CallsSuffice && Call.JobBytes == 0) ||
+          (Longest && Call.Deadline <= Longest->Deadline))
+        continue;
+      Longest = &Call;
+      LongestTag = Tag;
+    }
+    if (!Longest || Longest->Deadline <= Deadline)
+      return false;
+    ++CallsOverLimit;
+    answer(LongestTag, failureOf(LongestTag, *Longest));
+  }
+  return true;
+}
+
 void CallRouter::serve(ClientCall Call, ClientResponder Respond) {
   OpenCall NewCall;
   NewCall.Respond = std::move(Respond);
@@ -133,6 +162,15 @@
     finish(NewCall, unavailable(Duration{0}));
     return;
   }
+  const std::size_t JobBytes =
+      NewCall.Request.Job ? jobs::specBytes(*NewCall.Request.Job) : 0;
+  if (isFull(JobBytes) && !makeRoom(JobBytes, NewCall.Deadline)) {
+    ++CallsOverLimit;
+    finish(NewCall, unavailable(Duration{0}));
+    return;
+  }
+  NewCall.JobBytes = JobBytes;
+  OpenJobBytes += JobBytes;
   NewCall.FirstRuling = rulingOf(Policy, NewCall.Request.Host,
                                  NewCall.Request.Path, NewCall.Request.Key);
   if (Deps.Tracker.isUncertain())
@@ -370,6 +408,7 @@
 
 void CallRouter::finish(OpenCall &Call, ClientAnswer Answer) {
   ++Answers[Answer.Status];
+  OpenJobBytes -= Call.JobBytes;
   logAnswer(Call, Answer.Status);
   Call.Respond(Answer);
 }
--- a/src/cell/callrouter.h
+++ b/src/cell/callrouter.h
@@ -12,6 +12,7 @@
 #include "cell/timing.h"
 #include "jobs/clusterpolicy.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -24,13 +25,24 @@
 
 namespace apricotwing::cell {
 
+/// How much the calls of an instance's callers may hold until they are
+/// answered.
+struct CallLimits {
+  std::size_t Calls = 8192; ///< Calls without an answer.
+  /// Of the jobs in them, in bytes as jobs::specBytes() estimates them.
+  std::size_t JobBytes = std::size_t(32) << 20;
+};
+
 /// Checks client calls against the policy, sends each to the leader of the
 /// shard that it concerns and answers its caller. A call is refused by the
 /// policy only once the store has confirmed that view after the call arrived.
 /// No call is decided by a newer policy than one that arrived later. Calls that
 /// concern the whole cell are sent to all shards, and their answers are
-/// combined. Holds no state that must survive the process. Owned by the Node
-/// and used on its thread only.
+/// combined. Answers a load of calls that wait, as in an outage of the store:
+/// at a limit, the call whose caller would wait longest is answered at once, so
+/// that callers who wait for less than others are still served. Holds no state
+/// that must survive the process. Owned by the Node and used on its thread
+/// only.
 class CallRouter {
 public:
   struct Ports {
@@ -53,9 +65,15 @@
   /// Sets the layout. Calls that arrived before are sent now.
   void setLayout(const ShardLayout &NewLayout);
 
+  /// Sets the limits of calls that arrive from now on.
+  void setLimits(const CallLimits &NewLimits) { Limits = NewLimits; }
+
   /// Handles a client call; \p Respond is called exactly once.
   void serve(ClientCall Call, ClientResponder Respond);
 
+  /// Number of calls that were answered early because of the limits.
+  std::uint64_t callsOverLimit() const { return CallsOverLimit; }
+
   /// Processes the answer of the leader of \p Shard.
   void onSubmitted(const SubmitAnswer &Result);
   void onAnswered(int Shard, const QueryAnswer &Result);
@@ -95,6 +113,7 @@
     /// The job may belong to another account's shard, since the queue accepts
     /// calls without a key.
     bool PublicQueue = false;
+    std::size_t JobBytes = 0; ///< Counted in OpenJobBytes.
     ClientResponder Respond;
     TimePoint ArrivedAt;
     TimePoint Deadline;
@@ -124,6 +143,8 @@
                          const std::string &Host, const std::string &Path,
                          const std::string &Key);
   bool isOvertaken(const OpenCall &Call) const;
+  bool isFull(std::size_t JobBytes) const;
+  bool makeRoom(std::size_t JobBytes, TimePoint Deadline);
   void forgetAllowedCalls();
   void route(OpenCall Call, PolicyView View);
   void refuse(OpenCall Call, ClientStatus Status, PolicyView View);
@@ -157,6 +178,9 @@
   /// decides otherwise.
   TimePoint LastOutdatedArrival;
   std::map<ClientStatus, std::uint64_t> Answers;
+  CallLimits Limits;
+  std::size_t OpenJobBytes = 0; ///< Of the calls without an answer.
+  std::uint64_t CallsOverLimit = 0;
 };
 
 } // namespace apricotwing::cell
--- a/src/cell/leaderchannel.cpp
+++ b/src/cell/leaderchannel.cpp
@@ -22,6 +22,11 @@
 /// Maximum number of calls in a batch.
 constexpr std::size_t MaxCallsPerBatch = 256;
 
+/// A batch with this many bytes of jobs, or with one larger job, is sent
+/// without further ones. Its encoded and parsed forms take several times as
+/// much. 256 usual jobs have less.
+constexpr std::size_t MaxJobBytesPerBatch = std::size_t(1) << 20;
+
 /// Delay after a batch without a valid reply.
 constexpr Duration RetryDelay{40};
 
@@ -118,7 +123,9 @@
   Message.Process = Process;
   Message.PolicyVersion = PolicyVersion;
   Batch NewBatch{Kind, Time.now(), {}};
-  while (!State.Waiting.empty() && NewBatch.Tags.size() < MaxCallsPerBatch) {
+  std::size_t JobBytes = 0;
+  while (!State.Waiting.empty() && NewBatch.Tags.size() < MaxCallsPerBatch &&
+         JobBytes < MaxJobBytesPerBatch) {
     const std::uint64_t Tag = State.Waiting.front();
     State.Waiting.pop_front();
     const auto Found = Calls.find(Tag);
@@ -127,6 +134,8 @@
     Call &Open = Found->second;
     ++Open.Sends;
     NewBatch.Tags.push_back(Tag);
+    if (Open.SubmitRequest)
+      JobBytes += jobs::specBytes(Open.SubmitRequest->Job);
     if (Open.SubmitRequest)
       Message.Submissions.push_back(*Open.SubmitRequest);
     else
--- a/src/cell/node.h
+++ b/src/cell/node.h
@@ -72,6 +72,9 @@
   /// True once this instance does not lead and no call is open.
   bool isIdle() const;
 
+  /// Sets the limits of the callers' calls that arrive from now on.
+  void setCallLimits(const CallLimits &Limits) { Router.setLimits(Limits); }
+
   const CallRouter &router() const { return Router; }
   const PolicyTracker &policyTracker() const { return Policy; }
 
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -21,6 +21,15 @@
 
 namespace {
 
+/// Half of the callers' connections may have calls that wait. The others are
+/// for calls that are answered at once, and for new clients.
+constexpr std::size_t ConnectionsPerWaitingCall = 2;
+
+/// Part of the callers' memory, as a divisor, that the jobs of waiting calls
+/// may take in addition. A job has up to four copies: at the router, in the
+/// channel to the leader, in a batch and at the leader.
+constexpr std::size_t WaitingJobsPart = 8;
+
 /// Longest time for a request to arrive on an open connection, idle time
 /// included. Clients close idle connections long before that.
 constexpr std::uint32_t IdleTimeoutMs = 60'000;
@@ -238,7 +247,8 @@
   if (Intake) {
     auto &Refused = prometheus::BuildCounter()
                         .Name("apricotwing_entry_refused_connections_total")
-                        .Help("Connections closed by a limit for clients")
+                        .Help("Connections closed and requests refused by a "
+                              "limit for clients")
                         .Register(Registry);
     for (const auto &[Reason, Name] : IntakeRefusalNames)
       Refused.Add({{"cause", std::string(Name)}})
@@ -305,6 +315,9 @@
         double(Counts.AdviceCalls));
   Gauge("apricotwing_entry_links_lost", "Links to a leader that were lost",
         double(Counts.LinksLost));
+  Gauge("apricotwing_entry_calls_over_limit",
+        "Calls answered early because too many were waiting",
+        double(Node.router().callsOverLimit()));
   Gauge("apricotwing_entry_open_calls", "Calls that wait for an answer",
         double(Node.router().openCalls()));
   // The exported name is kept from an earlier term for worker sessions.
@@ -489,6 +502,11 @@
                        const std::function<void()> &Reload) {
   const IntakeLimits Limits = intakeLimits(Settings.Intake, Settings.Machine);
   Intake = std::make_shared<IntakeBudget>(Limits);
+  const IntakePartLimits &Callers =
+      Limits.Parts[std::size_t(IntakePart::Callers)];
+  Node.setCallLimits({std::max<std::size_t>(
+                          Callers.Connections / ConnectionsPerWaitingCall, 1),
+                      Callers.Bytes / WaitingJobsPart});
   const auto PeerServer =
       startHttpServer(optionsFor(Settings.Instance.Address, MaxPeerBodyBytes,
                                  Intake, IntakePart::Peers),
--- a/src/httpserver/intakebudget.cpp
+++ b/src/httpserver/intakebudget.cpp
@@ -15,6 +15,10 @@
 /// bytes of input, of which one is a carriage return. Most have two.
 constexpr std::size_t CostPerCarriageReturn = 24;
 
+/// Part of the connections, as a divisor, that requests at their handlers leave
+/// to new clients.
+constexpr std::size_t KeptFraction = 4;
+
 /// Index of the part whose bytes a connection uses. The probe needs none of its
 /// own, as small requests are not limited, and its clients have the same limit
 /// of a body as callers.
@@ -59,9 +63,23 @@
   hold(Target, State::Receiving, Target.Bytes + Cost, Now);
 }
 
+bool IntakeBudget::admitsRequest(IntakePart Part, std::size_t BodyBytes) {
+  const std::lock_guard Lock(Mutex);
+  const std::size_t Connections = Limits.Parts[std::size_t(Part)].Connections;
+  const std::size_t MaxHandling =
+      std::max<std::size_t>(Connections - Connections / KeptFraction, 1);
+  const std::size_t Held = HandlingBytes[bytesOf(Part)];
+  const std::size_t HalfOfPart = Limits.Parts[bytesOf(Part)].Bytes / 2;
+  if (Handling[std::size_t(Part)] < MaxHandling &&
+      (Held == 0 || Held + CostPerByte * BodyBytes <= HalfOfPart))
+    return true;
+  ++Refusals[std::size_t(IntakeRefusal::Waiting)];
+  return false;
+}
+
 void IntakeBudget::handedOver(Id Connection) {
   const std::lock_guard Lock(Mutex);
-  Entries.at(Connection).Phase = State::Handling;
+  setPhase(Entries.at(Connection), State::Handling);
 }
 
 void IntakeBudget::writing(Id Connection, std::size_t Bytes, TimePoint Now) {
@@ -72,7 +90,7 @@
 void IntakeBudget::idle(Id Connection, TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   Entry &Target = Entries.at(Connection);
-  Target.Phase = State::Idle;
+  setPhase(Target, State::Idle);
   Target.Since = Now;
   setBytes(Target, 0);
 }
@@ -94,6 +112,7 @@
   if (Found == Entries.end())
     return;
   setBytes(Found->second, 0);
+  setPhase(Found->second, State::Idle);
   if (!Found->second.Closing)
     --Connections[std::size_t(Found->second.Part)];
   Entries.erase(Found);
@@ -122,16 +141,29 @@
     std::size_t &Sum = Bytes[bytesOf(Target.Part)];
     Sum = Sum - Target.Bytes + NewBytes;
   }
+  if (Target.Phase == State::Handling)
+    HandlingBytes[bytesOf(Target.Part)] += NewBytes - Target.Bytes;
   Target.Bytes = NewBytes;
 }
 
+void IntakeBudget::setPhase(Entry &Target, State Phase) {
+  std::size_t &Count = Handling[std::size_t(Target.Part)];
+  Count -= Target.Phase == State::Handling ? 1 : 0;
+  Count += Phase == State::Handling ? 1 : 0;
+  if (Target.Phase == State::Handling)
+    HandlingBytes[bytesOf(Target.Part)] -= Target.Bytes;
+  if (Phase == State::Handling)
+    HandlingBytes[bytesOf(Target.Part)] += Target.Bytes;
+  Target.Phase = Phase;
+}
+
 // Records what a connection holds in a phase, which begins if it is not already
 // in it.
 void IntakeBudget::hold(Entry &Target, State Phase, std::size_t NewBytes,
                         TimePoint Now) {
   if (Target.Phase != Phase)
     Target.Since = Now;
-  Target.Phase = Phase;
+  setPhase(Target, Phase);
   setBytes(Target, NewBytes);
   enforce(Target);
 }
@@ -155,18 +187,24 @@
           Item.Address == Changed.Address)
         Sum += Item.Bytes;
     if (Sum > Limits.BytesPerAddress)
-      closeLargest(Changed, IntakeRefusal::Address);
+      closeLargest(Changed, IntakeRefusal::Address, SmallBytes);
   }
   const auto Index = bytesOf(Changed.Part);
-  if (Bytes[Index] > Limits.Parts[Index].Bytes)
-    closeLargest(Changed, IntakeRefusal::Memory);
+  const std::size_t Limit = Limits.Parts[Index].Bytes;
+  if (Bytes[Index] > Limit &&
+      !closeLargest(Changed, IntakeRefusal::Memory, SmallBytes) &&
+      Bytes[Index] > Limit + Limit / 4)
+    closeLargest(Changed, IntakeRefusal::Memory, 0);
 }
 
-void IntakeBudget::closeLargest(const Entry &Like, IntakeRefusal Reason) {
+// Closes the connection that holds most, if that is more than \p MoreThan.
+// Returns whether there is one.
+bool IntakeBudget::closeLargest(const Entry &Like, IntakeRefusal Reason,
+                                std::size_t MoreThan) {
   Entry *Largest = nullptr;
   for (auto &[Key, Item] : Entries) {
     if (bytesOf(Item.Part) != bytesOf(Like.Part) || Item.Closing ||
-        Item.Phase == State::Handling || Item.Bytes <= SmallBytes ||
+        Item.Phase == State::Handling || Item.Bytes <= MoreThan ||
         (Reason == IntakeRefusal::Address && Item.Address != Like.Address))
       continue;
     if (!Largest || Item.Bytes > Largest->Bytes ||
@@ -175,6 +213,7 @@
   }
   if (Largest)
     close(*Largest, Reason);
+  return Largest != nullptr;
 }
 
 } // namespace apricotwing
--- a/src/httpserver/intakebudget.h
+++ b/src/httpserver/intakebudget.h
@@ -28,14 +28,15 @@
     {IntakePart::Peers, "peers"},
 }};
 
-/// Why a connection was closed.
-enum class IntakeRefusal { Memory, Address, Slow, Connections };
+/// Why a connection was closed, or a request refused.
+enum class IntakeRefusal { Memory, Address, Slow, Connections, Waiting };
 
-inline constexpr NameTable<IntakeRefusal, 4> IntakeRefusalNames = {{
+inline constexpr NameTable<IntakeRefusal, 5> IntakeRefusalNames = {{
     {IntakeRefusal::Memory, "memory"},
     {IntakeRefusal::Address, "address"},
     {IntakeRefusal::Slow, "slow"},
     {IntakeRefusal::Connections, "connections"},
+    {IntakeRefusal::Waiting, "waiting"},
 }};
 
 /// Limits of one server.
@@ -67,9 +68,10 @@
   /// budget before it returns.
   using Closer = std::function<void(IntakeRefusal)>;
 
-  /// A connection that holds no more than this is not closed because of the
-  /// budget. A request of a few KiB stays below it.
-  static constexpr std::size_t SmallBytes = std::size_t(32) << 10;
+  /// A connection that holds no more than this is closed because of the budget
+  /// only if small ones alone exceed it by a quarter. A request of a few KiB
+  /// stays below it.
+  static constexpr std::size_t SmallBytes = std::size_t(16) << 10;
 
   explicit IntakeBudget(const IntakeLimits &Limits) : Limits(Limits) {}
 
@@ -82,6 +84,13 @@
   /// closes the connection that holds most.
   void received(Id Connection, std::size_t Cost, TimePoint Now);
 
+  /// Returns whether another request of \p Part with \p BodyBytes may be handed
+  /// to its handler, and counts a refusal if not. The connections of such
+  /// requests cannot be closed, so a quarter of the connections is kept for new
+  /// clients. Handlers make copies of bodies, so several requests may count
+  /// only half of the part's bytes; a single one is always admitted.
+  bool admitsRequest(IntakePart Part, std::size_t BodyBytes);
+
   /// The request was handed to its handler: the connection is not closed
   /// before its response is written.
   void handedOver(Id Connection);
@@ -129,10 +138,12 @@
   };
 
   void setBytes(Entry &Target, std::size_t Bytes);
+  void setPhase(Entry &Target, State Phase);
   void hold(Entry &Target, State Phase, std::size_t NewBytes, TimePoint Now);
   void close(Entry &Target, IntakeRefusal Reason);
   void enforce(const Entry &Changed);
-  void closeLargest(const Entry &Like, IntakeRefusal Reason);
+  bool closeLargest(const Entry &Like, IntakeRefusal Reason,
+                    std::size_t MoreThan);
 
   const IntakeLimits Limits;
   mutable std::mutex Mutex;
@@ -141,6 +152,9 @@
   /// Of the connections that are not being closed, by IntakePart.
   std::array<std::size_t, IntakePartCount> Bytes{};
   std::array<std::size_t, IntakePartCount> Connections{};
+  /// Of the connections whose request is with its handler.
+  std::array<std::size_t, IntakePartCount> HandlingBytes{};
+  std::array<std::size_t, IntakePartCount> Handling{};
   std::array<std::uint64_t, IntakeRefusalNames.size()> Refusals{};
 };
 
--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -166,6 +166,18 @@
   }
 }
 
+/// Response to a request that is not handed to the handler because too many
+/// others wait for their responses there.
+HttpResponse tooManyWaiting() {
+  HttpResponse Result = errorResponse(
+      Error(ErrorKind::Overloaded, "too many requests wait for their responses",
+            "send the request again after the time in Retry-After, or to "
+            "another instance"));
+  Result.Status = 503; // Not 429: this client has not sent too much itself.
+  Result.Headers["Retry-After"] = "1";
+  return Result;
+}
+
 /// HttpServer on RESTinio; see core/httpserver.h. Runs its own I/O threads
 /// with asynchronous reads, so that a slow client occupies a connection but no
 /// thread.
@@ -237,7 +249,7 @@
   /// ones: RESTinio accepts nobody while its own limit is reached.
   std::size_t maxConnections() const {
     if (!Options.Intake)
-      return Options.MaxConnections;
+      return connectionLimit(Options.MaxConnections);
     const std::size_t Limit = Options.Intake->maxConnections(Options.Part);
     return Limit + Limit / 8 + 2;
   }
@@ -253,7 +265,7 @@
         .timer_manager(std::clamp<std::chrono::steady_clock::duration>(
             ReadTimeout / 4, 20ms, 1000ms))
         .max_pipelined_requests(1)
-        .max_parallel_connections(connectionLimit(maxConnections()))
+        .max_parallel_connections(maxConnections())
         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                       .max_url_size(MaxUrlBytes)
                                       .max_field_name_size(MaxHeaderBytes)
@@ -292,6 +304,11 @@
         writeResponse(Request, std::move(Response), Close,
                       std::move(OnWritten));
     });
+    if (Options.Intake &&
+        !Options.Intake->admitsRequest(Options.Part, Request->body().size())) {
+      Pending->respond(tooManyWaiting());
+      return;
+    }
     try {
       Handler(toHttpRequest(Request), [Pending](HttpResponse Response) {
         Pending->respond(std::move(Response));
--- a/tests/httpclient/httpserver_test.cpp
+++ b/tests/httpclient/httpserver_test.cpp
@@ -5,6 +5,7 @@
 #include <asio.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -362,6 +363,61 @@
   EXPECT_THAT(Unfinished.front().readResponse(), testing::AnyOf(0, 503));
 }
 
+// Guards against requests that wait on all connections, so that no other client
+// gets a response.
+TEST(HttpServerTest, RefusesRequestsWhileTooManyWait) {
+  HttpServerOptions Options = testServerOptions();
+  Options.ReadTimeoutMs = 60000;
+  Options.Intake = std::make_shared<IntakeBudget>(smallIntake());
+  std::promise<void> Release;
+  const std::shared_future<void> Released = Release.get_future().share();
+  std::vector<std::future<void>> Waiting;
+  std::atomic<int> Handled = 0;
+  const auto Server = startHttpServer(
+      Options, [&](const HttpRequest &Request, const Responder &Respond) {
+        Waiting.push_back(
+            std::async(std::launch::async, [Released, Request, Respond] {
+              Released.wait();
+              echo(Request, Respond);
+            }));
+        ++Handled;
+      });
+  std::list<RawClient> Clients;
+  for (int Index = 0; Index < 3; ++Index)
+    Clients.emplace_back(Server->port()).send(post("x"));
+  while (Handled < 3)
+    std::this_thread::sleep_for(1ms);
+  RawClient Refused(Server->port());
+  Refused.send(post("x"));
+  EXPECT_EQ(Refused.readResponse(), 503);
+  EXPECT_NE(Refused.Head.find("Retry-After: 1"), std::string::npos);
+  EXPECT_NE(Refused.Body.find("\"outcome\":\"not_run\""), std::string::npos);
+  Release.set_value();
+  EXPECT_EQ(Clients.front().readResponse(), 200);
+}
+
+// Guards against a server that accepts nobody at the limit of its budget, since
+// RESTinio's limit is the same.
+TEST(HttpServerTest, ReplacesAConnectionIfTheDescriptorsAllowNoMore) {
+  rlimit Former{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &Former), 0);
+  const rlimit Few{100, Former.rlim_max};
+  IntakeLimits Limits = smallIntake();
+  Limits.Parts[std::size_t(IntakePart::Callers)].Connections = 25;
+  HttpServerOptions Options = testServerOptions();
+  Options.ReadTimeoutMs = 60000;
+  Options.Intake = std::make_shared<IntakeBudget>(Limits);
+  setrlimit(RLIMIT_NOFILE, &Few);
+  const auto Server = startHttpServer(Options, echo);
+  setrlimit(RLIMIT_NOFILE, &Former);
+  std::list<RawClient> Unfinished;
+  for (int Index = 0; Index < 25; ++Index)
+    Unfinished.emplace_back(Server->port()).send("POST / HTTP/1.1\r\n");
+  RawClient Client(Server->port());
+  Client.send(post("x"));
+  EXPECT_EQ(Client.readResponse(), 200);
+}
+
 // Guards against an unfinished request that the time limit misses because the
 // time for idle connections is longer.
 TEST(HttpServerTest, ClosesAnOverdueRequestBeforeTheIdleTime) {
--- a/tests/httpclient/intakebudget_test.cpp
+++ b/tests/httpclient/intakebudget_test.cpp
@@ -98,6 +98,47 @@
             (std::map<int, IntakeRefusal>{{2, IntakeRefusal::Connections}}));
 }
 
+// Guards against requests at their handlers that leave no connection for new
+// clients, and against a place that is not given back.
+TEST_F(IntakeBudgetTest, AdmitsNoRequestBeyondThreeQuartersOfTheConnections) {
+  IntakeLimits Limits = limits(0);
+  Limits.Parts[std::size_t(IntakePart::Callers)].Connections = 4;
+  IntakeBudget Four(Limits);
+  for (int Key = 1; Key <= 3; ++Key) {
+    EXPECT_TRUE(Four.admitsRequest(IntakePart::Callers, 0));
+    Four.handedOver(open(Four, Key));
+  }
+  EXPECT_FALSE(Four.admitsRequest(IntakePart::Callers, 0));
+  EXPECT_TRUE(Four.admitsRequest(IntakePart::Peers, 0));
+  EXPECT_EQ(Four.refusals(IntakeRefusal::Waiting), 1U);
+  Four.writing(1, 10, {});
+  EXPECT_TRUE(Four.admitsRequest(IntakePart::Callers, 0));
+}
+
+// Guards against handlers whose copies of bodies take more than the budget, and
+// against a lone body that is refused although it is permitted.
+TEST_F(IntakeBudgetTest, AdmitsBodiesUpToHalfOfTheBytes) {
+  const auto First = open(Budget, 1);
+  Budget.received(First, 80 * Kib, {});
+  EXPECT_TRUE(Budget.admitsRequest(IntakePart::Callers, 40 * Kib));
+  Budget.handedOver(First);
+  EXPECT_FALSE(Budget.admitsRequest(IntakePart::Callers, 1));
+  Budget.idle(First, {});
+  EXPECT_TRUE(Budget.admitsRequest(IntakePart::Callers, 40 * Kib));
+}
+
+// Guards against small requests that exceed the budget because they are many.
+TEST_F(IntakeBudgetTest, ClosesSmallRequestsBeyondAQuarterMore) {
+  IntakeLimits Limits = limits(0);
+  Limits.Parts[std::size_t(IntakePart::Callers)].Connections = 20;
+  IntakeBudget Many(Limits);
+  for (int Key = 1; Key <= 12; ++Key)
+    Many.received(open(Many, Key), 10 * Kib, {});
+  EXPECT_TRUE(Closed.empty());
+  Many.received(open(Many, 13), 10 * Kib, {});
+  EXPECT_EQ(Closed, (std::map<int, IntakeRefusal>{{1, IntakeRefusal::Memory}}));
+}
+
 // Guards against unfinished requests that stay, and against idle connections
 // that this limit closes.
 TEST_F(IntakeBudgetTest, ClosesOverdueRequestsOnly) {
