Limit what clients leave in the kernel's buffers

What callers saw: a process over the memory of its machine with 25 MB resident. Cause: bytes that have arrived and are not read count toward that memory. RESTinio reads nothing on a connection while its request waits or its response is not taken, and the kernel stores 125 kB for each: 108 MB for 700 calls that wait and 380 connections of peers.

The listening sockets set the sizes of the buffers, which connections inherit before they are accepted: 8 KiB for input of callers and 16 KiB for responses, 32 and 64 KiB for peers, of which the kernel may store twice as much. Without a stated number of descriptors at most 4,096 are counted on.

A crowd that asks for metrics kept the control thread busy and 380 requests at their handlers, so that the next one was refused. Metrics and state dump are now made at most four times a second.

--- a/src/core/httpserver.h
+++ b/src/core/httpserver.h
@@ -47,6 +47,12 @@
   std::size_t MaxBodyBytes = std::size_t(1) << 20;
   std::uint32_t ReadTimeoutMs = 5000; ///< For receiving a complete request.
   std::size_t MaxConnections = 2048;
+  /// Size of the kernel's buffer for input that the server has not read, which
+  /// it leaves there while a request of the connection is with its handler. The
+  /// kernel may store twice as much. 0: the kernel's default.
+  std::size_t ReceiveBufferBytes = 0;
+  /// The same for responses that the client has not read.
+  std::size_t SendBufferBytes = 0;
   /// Shared by the servers of a process; see httpserver/intakebudget.h. With
   /// it, a connection beyond the limit of its part replaces an older one.
   /// Empty: only the limits above hold.
--- a/src/entry/entryoptions.h
+++ b/src/entry/entryoptions.h
@@ -4,7 +4,7 @@
 #ifndef APRICOTWING_ENTRY_ENTRYOPTIONS_H
 #define APRICOTWING_ENTRY_ENTRYOPTIONS_H
 
-#include "entry/intakesettings.h"
+#include "httpserver/intakesettings.h"
 #include "jobs/scheduleroptions.h"
 
 #include <cstdint>
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -62,6 +62,9 @@
 constexpr Duration ProfileLogPeriod{1000};
 constexpr double MinLoggedBusyShare = 0.2;
 
+/// Age at which the metrics and the state dump are made anew.
+constexpr Duration DumpMaxAge{250};
+
 HttpServerOptions optionsFor(const std::string &Address,
                              std::size_t MaxBodyBytes,
                              const std::shared_ptr<IntakeBudget> &Intake,
@@ -74,8 +77,7 @@
   Result.Threads = 1;
   Result.MaxBodyBytes = MaxBodyBytes;
   Result.ReadTimeoutMs = IdleTimeoutMs;
-  Result.Intake = Intake;
-  Result.Part = Part;
+  applyIntake(Result, Intake, Part);
   return Result;
 }
 
@@ -221,13 +223,21 @@
   }
   postWork(WorkKind::Operations, [this, Metrics, Respond] {
     HttpResponse Response;
-    Response.Body = Metrics ? metrics() : stateDump();
+    Response.Body = recentDump(Metrics);
     if (Metrics)
       Response.ContentType = "text/plain; version=0.0.4";
     Respond(Response);
   });
 }
 
+const std::string &EntryProcess::recentDump(bool Metrics) {
+  Dump &Last = Metrics ? LastMetrics : LastState;
+  const TimePoint Now = Time.now();
+  if (!Last.At || Now - *Last.At > DumpMaxAge)
+    Last = {Now, Metrics ? metrics() : stateDump()};
+  return Last.Text;
+}
+
 std::string EntryProcess::metrics() const {
   prometheus::Registry Registry;
   const auto Gauge = [&](const std::string &Name, const std::string &Help,
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -7,8 +7,8 @@
 #include "core/httpserver.h"
 #include "entry/controlloop.h"
 #include "entry/decisionlog.h"
-#include "entry/intakesettings.h"
 #include "httpclient/asynchttpclient.h"
+#include "httpserver/intakesettings.h"
 
 #include <array>
 #include <atomic>
@@ -83,6 +83,9 @@
   /// Logs what the control thread has done since the last such line, every
   /// ProfileLogPeriod.
   void logProfile();
+  /// Returns the metrics or the state dump, which may be DumpMaxAge old: many
+  /// requests for them must not keep the control thread from its work.
+  const std::string &recentDump(bool Metrics);
   std::string metrics() const;
   std::string stateDump() const;
   void pump(const std::atomic<bool> &StopRequested);
@@ -104,6 +107,12 @@
   std::shared_ptr<IntakeBudget> Intake; ///< Set by run().
   std::array<std::uint64_t, IntakeRefusalNames.size()> LoggedRefusals{};
   TimePoint RefusalsLoggedAt;
+  struct Dump {
+    std::optional<TimePoint> At;
+    std::string Text;
+  };
+  Dump LastMetrics;
+  Dump LastState;
   LoopProfile Profile; ///< Since the start of the process.
   TimePoint ProfileLoggedAt;
   std::unique_ptr<HttpServer> ClientServer;
--- a/src/entry/intakesettings.cpp
+++ b/src/httpserver/intakesettings.cpp
@@ -1,4 +1,4 @@
-#include "entry/intakesettings.h"
+#include "httpserver/intakesettings.h"
 
 #include "core/error.h"
 
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <string>
 
-namespace apricotwing::entry {
+namespace apricotwing {
 
 namespace {
 
@@ -15,7 +15,11 @@
 
 /// The callers' part of this budget holds a body of 256 KiB in one-byte chunks
 /// (15 MiB), and the peers' part a message of 16 MiB (32 MiB).
-constexpr std::int64_t MinBudgetKib = 60 * KibPerMib;
+constexpr std::int64_t MinBudgetKib = MinIntakeBudgetKib;
+
+/// More are not used unless the machine states them, as each connection takes
+/// memory of the kernel.
+constexpr std::int64_t MaxUnstatedDescriptors = 4096;
 
 /// More is of no use: it holds 15 such bodies at once.
 constexpr std::int64_t MaxDefaultBudgetKib = 512 * KibPerMib;
@@ -36,13 +40,19 @@
 constexpr std::int64_t MinProbeConnections = 4;
 constexpr std::int64_t MaxLingeringCloses = 256;
 
+/// Sizes of the kernel's buffers. Usual requests and responses of callers fit
+/// into theirs. Messages of peers are larger, and their connections fewer.
+constexpr std::size_t CallerReceiveBufferBytes = 8 * 1024;
+constexpr std::size_t CallerSendBufferBytes = 16 * 1024;
+constexpr std::size_t PeerReceiveBufferBytes = 32 * 1024;
+constexpr std::size_t PeerSendBufferBytes = 64 * 1024;
+
 std::int64_t availableDescriptors(std::int64_t Stated) {
   rlimit Files{};
-  std::int64_t Result = Stated > 0 ? Stated : 4096;
+  const std::int64_t Wanted = Stated > 0 ? Stated : MaxUnstatedDescriptors;
   if (getrlimit(RLIMIT_NOFILE, &Files) == 0 && Files.rlim_cur != RLIM_INFINITY)
-    Result = Stated > 0 ? std::min(Stated, std::int64_t(Files.rlim_cur))
-                        : std::int64_t(Files.rlim_cur);
-  return Result;
+    return std::min(Wanted, std::int64_t(Files.rlim_cur));
+  return Wanted;
 }
 
 } // namespace
@@ -91,4 +101,15 @@
   return Result;
 }
 
-} // namespace apricotwing::entry
+void applyIntake(HttpServerOptions &Options,
+                 const std::shared_ptr<IntakeBudget> &Budget, IntakePart Part) {
+  const bool IsForPeers = Part == IntakePart::Peers;
+  Options.Intake = Budget;
+  Options.Part = Part;
+  Options.ReceiveBufferBytes =
+      IsForPeers ? PeerReceiveBufferBytes : CallerReceiveBufferBytes;
+  Options.SendBufferBytes =
+      IsForPeers ? PeerSendBufferBytes : CallerSendBufferBytes;
+}
+
+} // namespace apricotwing
--- a/src/entry/intakesettings.h
+++ b/src/httpserver/intakesettings.h
@@ -1,14 +1,16 @@
 /// \file
-/// Limits for clients of an entry instance, derived from its settings and its
+/// Limits for the clients of a process, derived from its settings and its
 /// machine.
-#ifndef APRICOTWING_ENTRY_INTAKESETTINGS_H
-#define APRICOTWING_ENTRY_INTAKESETTINGS_H
+#ifndef APRICOTWING_HTTPSERVER_INTAKESETTINGS_H
+#define APRICOTWING_HTTPSERVER_INTAKESETTINGS_H
 
+#include "core/httpserver.h"
 #include "httpserver/intakebudget.h"
 
 #include <cstdint>
+#include <memory>
 
-namespace apricotwing::entry {
+namespace apricotwing {
 
 /// The section [intake] of the options file. 0: derived from the machine.
 struct IntakeSettings {
@@ -18,7 +20,7 @@
   Duration RequestTimeout{30'000};
 };
 
-/// What the platform states about the machine. 0: not stated.
+/// What is known of the machine. 0: not stated.
 struct MachineLimits {
   std::int64_t MemoryMib = 0;
   std::int64_t FileDescriptors = 0;
@@ -30,6 +32,15 @@
 IntakeLimits intakeLimits(const IntakeSettings &Settings,
                           const MachineLimits &Machine);
 
-} // namespace apricotwing::entry
+/// Budget in KiB that holds one permitted request on each server, and the least
+/// one that is permitted.
+inline constexpr std::int64_t MinIntakeBudgetKib = 60 * 1024;
+
+/// Sets the budget of a server and the kernel's buffers of its connections.
+/// Thread-safe for different options.
+void applyIntake(HttpServerOptions &Options,
+                 const std::shared_ptr<IntakeBudget> &Budget, IntakePart Part);
+
+} // namespace apricotwing
 
 #endif
--- a/src/httpserver/restinioserver.cpp
+++ b/src/httpserver/restinioserver.cpp
@@ -275,6 +275,17 @@
         .socket_options_setter([](auto &Socket) {
           Socket.set_option(asio::ip::tcp::no_delay(true));
         })
+        .acceptor_options_setter([this](auto &Acceptor) {
+          Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+          // Connections inherit the sizes. Set later, they would not limit
+          // what has arrived before the connections are accepted.
+          if (Options.ReceiveBufferBytes > 0)
+            Acceptor.set_option(asio::socket_base::receive_buffer_size(
+                int(Options.ReceiveBufferBytes)));
+          if (Options.SendBufferBytes > 0)
+            Acceptor.set_option(asio::socket_base::send_buffer_size(
+                int(Options.SendBufferBytes)));
+        })
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &Acceptor) {
           ListenSocket = Acceptor.native_handle();
           BoundPort = Acceptor.local_endpoint().port();
--- a/tests/entry/intakesettings_test.cpp
+++ b/tests/httpclient/intakesettings_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/intakesettings.h"
+#include "httpserver/intakesettings.h"
 
 #include "core/error.h"
 
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace apricotwing::entry {
+namespace apricotwing {
 namespace {
 
 constexpr MachineLimits Smallest{.MemoryMib = 120, .FileDescriptors = 400};
@@ -45,4 +45,4 @@
 }
 
 } // namespace
-} // namespace apricotwing::entry
+} // namespace apricotwing
