Give apricotwingd a budget for its clients

What callers saw: apricotwingd took 219 MB for 60 clients with one-byte chunks, 626 MB for 600 with 1 MB each, 646 MB for the same on the port for other daemons and 508 MB for 300 large requests that wait for their upstream. Cause: its servers had no budget; only the number of connections was limited, and the copies that handlers make of a body were not counted.

Both servers share an IntakeBudget with the parts of an entry instance. [intake] budget_kib has the least budget as its default, since the daemon does not know its machine, and [intake] connections a quarter of the descriptors, at most 1,024. Refusals are logged every five seconds and counted by cause in apricotwing_clients_refused_total. A body of 1 MiB in one-byte chunks no longer fits into the default budget; one in larger chunks does.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "httpclient/crypto.h"
+#include "httpserver/intakesettings.h"
 
 #include <thread>
 #include <utility>
@@ -19,15 +20,26 @@
 constexpr Duration LogFlushPeriod{5000};
 
 HttpServerOptions serverOptions(const Settings &Options,
-                                const ListenAddress &Address) {
+                                const ListenAddress &Address,
+                                const std::shared_ptr<IntakeBudget> &Intake,
+                                IntakePart Part) {
   HttpServerOptions Result;
   Result.Address = Address.Ip;
   Result.Port = Address.Port;
   Result.MaxBodyBytes = Options.Http.MaxBodyBytes;
   Result.ReadTimeoutMs = std::uint32_t(Options.Http.HeaderTimeout.count());
+  applyIntake(Result, Intake, Part);
   return Result;
 }
 
+IntakeLimits clientLimits(const Settings &Options) {
+  IntakeSettings Result;
+  Result.BudgetKib = Options.Intake.BudgetKib;
+  Result.Connections = Options.Intake.Connections;
+  Result.RequestTimeout = Options.Http.HeaderTimeout;
+  return intakeLimits(Result, {});
+}
+
 InstanceIdentity identity(const Settings &Options) {
   return {Options.Instance.Id, toString(Options.Http.Listen),
           toString(Options.Http.PeerListen), Options.Instance.Zone};
@@ -56,7 +68,8 @@
                                  Codec,          Ids,     Table,     Objects,
                                  InstanceClient, Workers, Upstreams, Peers,
                                  Session},
-      Ledger(Table, Codec, Time, Ids, Session) {
+      Ledger(Table, Codec, Time, Ids, Session),
+      Intake(std::make_shared<IntakeBudget>(clientLimits(Options))) {
   // The callbacks below use members that are created later. They cannot run
   // before the servers and threads at the end of this constructor start.
   Requests =
@@ -88,19 +101,21 @@
                                 [this] { return metricsText(); },
                                 [this] { Authority->wake(); }});
   PeerServer = startHttpServer(
-      serverOptions(Options, Options.Http.PeerListen),
+      serverOptions(Options, Options.Http.PeerListen, Intake,
+                    IntakePart::Peers),
       [this](const HttpRequest &Request, const Responder &Respond) {
         HttpApi->handlePeer(Request, Respond);
       });
-  Server =
-      startHttpServer(serverOptions(Options, Options.Http.Listen),
-                      [this](HttpRequest Request, const Responder &Respond) {
-                        HttpApi->handle(std::move(Request), Respond);
-                      });
+  Server = startHttpServer(
+      serverOptions(Options, Options.Http.Listen, Intake, IntakePart::Callers),
+      [this](HttpRequest Request, const Responder &Respond) {
+        HttpApi->handle(std::move(Request), Respond);
+      });
   Authority->start();
   LogFlushThread = std::make_unique<PeriodicThread>(
       LogFlushPeriod,
       [this] {
+        reportRefusals();
         Logger.flush();
         Metrics.setLogLinesSuppressed(Logger.suppressed());
       },
@@ -166,6 +181,20 @@
   return Result;
 }
 
+void Daemon::reportRefusals() {
+  for (const auto &[Reason, Name] : IntakeRefusalNames) {
+    const std::uint64_t Count = Intake->refusals(Reason);
+    const std::uint64_t Logged =
+        std::exchange(LoggedRefusals[std::size_t(Reason)], Count);
+    if (Count > Logged)
+      Logger.warning(Component::Http, "clients refused",
+                     "cause " + std::string(Name) + ", " +
+                         std::to_string(Count - Logged) +
+                         " connections or requests; see [intake]");
+    Metrics.setClientsRefused(Name, Count);
+  }
+}
+
 void Daemon::waitForOpenRequests() {
   const TimePoint GiveUpTime = Time.now() + Options.Requests.MaxDeadline;
   while ((Requests->open() > 0 || HttpApi->openCalls() > 0) &&
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -21,8 +21,11 @@
 #include "httpclient/httpupstreamclient.h"
 #include "httpclient/httpworkerclient.h"
 #include "httpclient/steadyclock.h"
+#include "httpserver/intakebudget.h"
 #include "wire/jsonrecordcodec.h"
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -51,6 +54,9 @@
   void handleConfig(const Config &Document);
   void handleSessionLost();
   void waitForOpenRequests();
+  /// Logs and counts the connections and requests that the limits for clients
+  /// have ended since the last call.
+  void reportRefusals();
 
   const Settings Options;
   SteadyClock Time;
@@ -79,6 +85,8 @@
   std::unique_ptr<RunService> Runs;
   std::unique_ptr<AuthorityService> Authority;
   std::unique_ptr<Api> HttpApi;
+  const std::shared_ptr<IntakeBudget> Intake; ///< Of both servers.
+  std::array<std::uint64_t, IntakeRefusalNames.size()> LoggedRefusals{};
   std::unique_ptr<HttpServer> PeerServer;
   std::unique_ptr<HttpServer> Server;
   std::unique_ptr<PeriodicThread> LogFlushThread;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -51,6 +51,7 @@
   ConfigAgeSeconds,
   Ready,
   LogLinesSuppressedTotal,
+  ClientsRefusedTotal,
   MetricCount,
 };
 
@@ -116,6 +117,8 @@
     {"apricotwing_ready", G, "", "1 if this instance accepts calls, else 0."},
     {"apricotwing_log_lines_suppressed_total", C, "",
      "Repeated log lines that were counted instead of written."},
+    {"apricotwing_clients_refused_total", C, "cause",
+     "Connections closed and requests refused by a limit for clients."},
 }};
 
 template <typename Enum, std::size_t Count>
@@ -370,6 +373,13 @@
   raiseCounterTo(LogLinesSuppressedTotal, static_cast<double>(Count));
 }
 
+void DaemonMetrics::setClientsRefused(std::string_view Cause,
+                                      std::uint64_t Count) {
+  const std::scoped_lock Lock(Mutex);
+  raiseCounterTo(ClientsRefusedTotal, static_cast<double>(Count),
+                 {{"cause", std::string(Cause)}});
+}
+
 void DaemonMetrics::retainTeams(const std::set<TeamName> &Teams) {
   const std::scoped_lock Lock(Mutex);
   std::erase_if(TeamGauges, [&](const auto &Entry) {
@@ -451,8 +461,9 @@
 
 // Precondition: the caller holds Mutex. Otherwise two threads could both add
 // the same difference.
-void DaemonMetrics::raiseCounterTo(std::size_t Metric, double Total) {
-  prometheus::Counter &Target = counter(Metric);
+void DaemonMetrics::raiseCounterTo(std::size_t Metric, double Total,
+                                   const Labels &Values) {
+  prometheus::Counter &Target = counter(Metric, Values);
   Target.Increment(std::max(0.0, Total - Target.Value()));
 }
 
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -149,6 +149,10 @@
   /// Sets the total number of suppressed log lines since the start.
   void setLogLinesSuppressed(std::uint64_t Count);
 
+  /// Sets the total number of connections closed and requests refused since the
+  /// start because of the limit \p Cause for clients.
+  void setClientsRefused(std::string_view Cause, std::uint64_t Count);
+
   /// Removes the gauges of all teams that are not in \p Teams. Call after teams
   /// were removed from the configuration.
   void retainTeams(const std::set<TeamName> &Teams);
@@ -169,7 +173,8 @@
   void registerAll();
   void refresh();
   void refreshProcessUsage();
-  void raiseCounterTo(std::size_t Metric, double Total);
+  void raiseCounterTo(std::size_t Metric, double Total,
+                      const Labels &Values = {});
 
   const Clock &Time;
   prometheus::Registry Registry;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/settings.h"
 
 #include "core/error.h"
+#include "httpserver/intakesettings.h"
 
 #include <arpa/inet.h>
 #include <boost/program_options/errors.hpp>
@@ -132,6 +133,18 @@
         "http", "header_timeout_ms", T::Integer, "ms", 100, 60000, "5000",
         "Time within which a whole request must arrive; else 408.",
         [](S &To, const V &From) { To.Http.HeaderTimeout = millis(From); }},
+    SettingInfo{
+        "intake", "budget_kib", T::Integer, "KiB", MinIntakeBudgetKib, 16777216,
+        "61440",
+        "Memory for requests that are received or wait for their "
+        "responses, and for responses that are not yet read.",
+        [](S &To, const V &From) { To.Intake.BudgetKib = From.Number; }},
+    SettingInfo{
+        "intake", "connections", T::Integer, "", 0, 65536, "0",
+        "Connections of callers; one more closes the one that has been idle or "
+        "unfinished for longest; 0: a quarter of the descriptors, at most "
+        "1024.",
+        [](S &To, const V &From) { To.Intake.Connections = From.Number; }},
     SettingInfo{"table", "url", T::Url, "", 16, MaxUrlLength, "",
                 "Address of the platform's table service.",
                 [](S &To, const V &From) { To.Table.Url = From.Text; }},
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -48,6 +48,11 @@
   Duration HeaderTimeout{0};
 };
 
+struct ClientLimitSettings {
+  std::int64_t BudgetKib = 0;
+  std::int64_t Connections = 0; ///< 0: derived from the file descriptors.
+};
+
 struct TableSettings {
   std::string Url; ///< "http://ip:port"
   Duration Timeout{0};
@@ -73,6 +78,7 @@
 struct Settings {
   InstanceSettings Instance;
   HttpSettings Http;
+  ClientLimitSettings Intake;
   TableSettings Table;
   std::string ObjectsUrl; ///< "http://ip:port"
   std::string ListUrl;    ///< "http://ip:port"
--- a/tests/daemon/metrics_test.cpp
+++ b/tests/daemon/metrics_test.cpp
@@ -46,6 +46,7 @@
   Metrics.setConfig(9, Time.now());
   Metrics.setReady(true);
   Metrics.setLogLinesSuppressed(17);
+  Metrics.setClientsRefused("memory", 3);
 }
 
 /// Returns the name and type of each line "# TYPE <name> <type>".
@@ -102,7 +103,8 @@
         "apricotwing_task_wait_seconds_sum{kind=\"batch\",priority=\"urgent\"} "
         "5\n",
         "apricotwing_config_version 9\n", "apricotwing_config_age_seconds 1.5",
-        "apricotwing_ready 1\n", "apricotwing_log_lines_suppressed_total 17\n"})
+        "apricotwing_ready 1\n", "apricotwing_log_lines_suppressed_total 17\n",
+        "apricotwing_clients_refused_total{cause=\"memory\"} 3\n"})
     EXPECT_THAT(Text, HasSubstr(Line));
 }
 
