--- a/src/httpserver/intakesettings.cpp
+++ b/src/httpserver/intakesettings.cpp
@@ -42,10 +42,10 @@
 
 /// Sizes of the kernel's buffers. Usual requests and responses of callers fit
 /// into theirs. Messages of peers are larger, and their connections fewer.
-constexpr std::size_t CallerReceiveBufferBytes = 8 * 1024;
-constexpr std::size_t CallerSendBufferBytes = 16 * 1024;
-constexpr std::size_t PeerReceiveBufferBytes = 32 * 1024;
-constexpr std::size_t PeerSendBufferBytes = 64 * 1024;
+constexpr std::size_t CallerReceiveBufferBytes = std::size_t(8) << 10;
+constexpr std::size_t CallerSendBufferBytes = std::size_t(16) << 10;
+constexpr std::size_t PeerReceiveBufferBytes = std::size_t(32) << 10;
+constexpr std::size_t PeerSendBufferBytes = std::size_t(64) << 10;
 
 std::int64_t availableDescriptors(std::int64_t Stated) {
   rlimit Files{};
--- a/src/httpserver/intakesettings.h
+++ b/src/httpserver/intakesettings.h
@@ -34,7 +34,7 @@
 
 /// Budget in KiB that holds one permitted request on each server, and the least
 /// one that is permitted.
-inline constexpr std::int64_t MinIntakeBudgetKib = 60 * 1024;
+inline constexpr std::int64_t MinIntakeBudgetKib = 61'440;
 
 /// Sets the budget of a server and the kernel's buffers of its connections.
 /// Thread-safe for different options.
--- a/tests/intake/heldmemory_test.cpp
+++ b/tests/intake/heldmemory_test.cpp
@@ -81,11 +81,12 @@
 
   void expectServedAfterReturnOfStore() {
     EXPECT_LE(heldMb(), Machine.MemoryMb);
-    EXPECT_NE(call("GET", 1), 0);
+    constexpr int UnknownJob = 9999;
+    EXPECT_NE(call("GET", UnknownJob), 0);
     Store.setDown(0, false);
     awaitReady();
     constexpr int Unknown = 410;
-    expectEventually("GET", 1, Unknown);
+    expectEventually("GET", UnknownJob, Unknown);
     expectSound();
   }
 };
@@ -210,5 +211,32 @@
   expectSound();
 }
 
+// Guards against limits that hold one by one and exceed the memory together:
+// accepted jobs, open bodies on two ports, calls that wait and unread input.
+TEST_F(HeldMemoryTest, SurvivesAllCrowdsTogether) {
+  for (int Job = 0; Job < 60; ++Job)
+    submit(Job, 20'000, Job % 6);
+  const std::string Garbage(200'000, 'x');
+  std::list<Client> Unread;
+  for (int Index = 0; Index < 180; ++Index)
+    Unread.emplace_back(Entries.ip(0), PeerPort)
+        .send("GET /metrics HTTP/1.1\r\n");
+  loseStore();
+  const std::string Body =
+      listOf(R"({"spec":")" + std::string(3900, 's') + R"(","steps":[)",
+             R"({"count":1})", "]}", 7000);
+  for (int Job = 0; Job < 400; ++Job) {
+    Client &Sender =
+        Open.emplace_back(Entries.ip(0), soak::Entries::ClientPort);
+    Sender.send(request("POST", jobPath(Job + 100), patientHeaders(), Body));
+    Sender.sendAvailable(Garbage);
+  }
+  occupy(soak::Entries::ClientPort, 600, head("/api/jobs") + chunks(7, 37'000));
+  occupy(PeerPort, 12, head("/cell/v1/mail") + chunks(160, 100'000));
+  for (Client &Sender : Unread)
+    Sender.sendAvailable(Garbage);
+  expectServedAfterReturnOfStore();
+}
+
 } // namespace
 } // namespace apricotwing::intake
