Do not refuse small requests and peers for others' bodies

Small requests are now bounded by their number alone.

Requests of peers are answered within a second, and a refusal costs a repetition; an instance of a cell with hundreds of others may have more than three quarters of the peers' connections in use for a moment. Only a sixteenth of them is kept free.

--- a/src/cell/callservice.cpp
+++ b/src/cell/callservice.cpp
@@ -167,10 +167,10 @@
 }
 
 // Counts and logs the refusal of a job for which there is no memory.
-bool CallService::fitsInMemory(const jobs::JobSpec &Job) {
+bool CallService::isRefusedForMemory(const jobs::JobSpec &Job) {
   const std::size_t Bytes = jobs::activeJobBytes(Job);
   if (Deps.Scheduler.memory().admits(Job.Account, Bytes))
-    return true;
+    return false;
   ++MemoryRefusals;
   Deps.Log.event("job refused", Job.Id,
                  {{"queue", Job.Queue},
@@ -178,7 +178,7 @@
                   {"cause", "memory"},
                   {"bytes", std::to_string(Bytes)},
                   {"held", std::to_string(Deps.Scheduler.memory().held())}});
-  return false;
+  return true;
 }
 
 // Returns the time after which the caller should try again if the job must be
@@ -187,7 +187,7 @@
                                              const jobs::Queue &TargetQueue,
                                              jobs::AdmissionResult &Admitted) {
   const Duration Wait = Deps.Scheduler.estimatedWait(TargetQueue.Priority);
-  if (!fitsInMemory(Job))
+  if (isRefusedForMemory(Job))
     return std::clamp(Wait / 2, jobs::AdmissionController::MinRetryAfter,
                       jobs::AdmissionController::MaxRetryAfter);
   Admitted = AdmissionControl.evaluate(Job, TargetQueue,
--- a/src/cell/callservice.h
+++ b/src/cell/callservice.h
@@ -95,7 +95,7 @@
   bool cancel(const std::string &Id);
   void query(const BatchPointer &Batch, const Query &Request);
   void answerQuery(const BatchPointer &Batch, const Query &Request);
-  bool fitsInMemory(const jobs::JobSpec &Job);
+  bool isRefusedForMemory(const jobs::JobSpec &Job);
   std::optional<Duration> refusal(const jobs::JobSpec &Job,
                                   const jobs::Queue &TargetQueue,
                                   jobs::AdmissionResult &Admitted);
--- a/src/httpserver/intakebudget.cpp
+++ b/src/httpserver/intakebudget.cpp
@@ -16,8 +16,9 @@
 constexpr std::size_t CostPerCarriageReturn = 24;
 
 /// Part of the connections, as a divisor, that requests at their handlers leave
-/// to new clients.
-constexpr std::size_t KeptFraction = 4;
+/// to new clients. Requests of peers are answered within a second, and each
+/// refusal costs a repetition, so few connections are kept from them.
+constexpr std::array<std::size_t, IntakePartCount> KeptFraction = {4, 4, 16};
 
 /// Index of the part whose bytes a connection uses. The probe needs none of its
 /// own, as small requests are not limited, and its clients have the same limit
@@ -66,12 +67,14 @@
 bool IntakeBudget::admitsRequest(IntakePart Part, std::size_t BodyBytes) {
   const std::lock_guard Lock(Mutex);
   const std::size_t Connections = Limits.Parts[std::size_t(Part)].Connections;
-  const std::size_t MaxHandling =
-      std::max<std::size_t>(Connections - Connections / KeptFraction, 1);
+  const std::size_t MaxHandling = std::max<std::size_t>(
+      Connections - Connections / KeptFraction[std::size_t(Part)], 1);
   const std::size_t Held = HandlingBytes[bytesOf(Part)];
   const std::size_t HalfOfPart = Limits.Parts[bytesOf(Part)].Bytes / 2;
-  if (Handling[std::size_t(Part)] < MaxHandling &&
-      (Held == 0 || Held + CostPerByte * BodyBytes <= HalfOfPart))
+  const std::size_t Cost = CostPerByte * BodyBytes;
+  const bool HasBytes =
+      Cost <= SmallBytes || Held == 0 || Held + Cost <= HalfOfPart;
+  if (HasBytes && Handling[std::size_t(Part)] < MaxHandling)
     return true;
   ++Refusals[std::size_t(IntakeRefusal::Waiting)];
   return false;
--- a/src/httpserver/intakebudget.h
+++ b/src/httpserver/intakebudget.h
@@ -86,9 +86,10 @@
 
   /// Returns whether another request of \p Part with \p BodyBytes may be handed
   /// to its handler, and counts a refusal if not. The connections of such
-  /// requests cannot be closed, so a quarter of the connections is kept for new
-  /// clients. Handlers make copies of bodies, so several requests may count
-  /// only half of the part's bytes; a single one is always admitted.
+  /// requests cannot be closed, so a part of the connections is kept for new
+  /// clients: a quarter, or a sixteenth of those of peers. Handlers make copies
+  /// of bodies, so large requests together may count only half of the part's
+  /// bytes; a single one is always admitted.
   bool admitsRequest(IntakePart Part, std::size_t BodyBytes);
 
   /// The request was handed to its handler: the connection is not closed
--- a/src/httpserver/intakesettings.cpp
+++ b/src/httpserver/intakesettings.cpp
@@ -13,10 +13,6 @@
 
 constexpr std::int64_t KibPerMib = 1024;
 
-/// The callers' part of this budget holds a body of 256 KiB in one-byte chunks
-/// (15 MiB), and the peers' part a message of 16 MiB (32 MiB).
-constexpr std::int64_t MinBudgetKib = MinIntakeBudgetKib;
-
 /// More are not used unless the machine states them, as each connection takes
 /// memory of the kernel.
 constexpr std::int64_t MaxUnstatedDescriptors = 4096;
@@ -63,16 +59,16 @@
   const std::int64_t LargestKib = MemoryKib / LargestShareOfMemory;
   std::int64_t BudgetKib = Settings.BudgetKib;
   if (BudgetKib == 0)
-    BudgetKib = MemoryKib == 0
-                    ? MaxDefaultBudgetKib / 4
-                    : std::clamp(LargestKib, MinBudgetKib, MaxDefaultBudgetKib);
-  else if (BudgetKib < MinBudgetKib ||
+    BudgetKib = MemoryKib == 0 ? MaxDefaultBudgetKib / 4
+                               : std::clamp(LargestKib, MinIntakeBudgetKib,
+                                            MaxDefaultBudgetKib);
+  else if (BudgetKib < MinIntakeBudgetKib ||
            (MemoryKib > 0 && BudgetKib > LargestKib))
     throw Error(ErrorKind::BadSettings,
                 "intake.budget_kib = " + std::to_string(BudgetKib) +
                     ": does not fit the machine, which has " +
                     std::to_string(Machine.MemoryMib) + " MiB of memory",
-                "give at least " + std::to_string(MinBudgetKib) +
+                "give at least " + std::to_string(MinIntakeBudgetKib) +
                     " and at most half of the memory (limits.memory_mb), or 0");
   const std::int64_t Files = availableDescriptors(Machine.FileDescriptors);
   const std::int64_t Callers =
--- a/src/httpserver/intakesettings.h
+++ b/src/httpserver/intakesettings.h
@@ -32,8 +32,8 @@
 IntakeLimits intakeLimits(const IntakeSettings &Settings,
                           const MachineLimits &Machine);
 
-/// Budget in KiB that holds one permitted request on each server, and the least
-/// one that is permitted.
+/// Least budget in KiB: the callers' part holds a body of 256 KiB in one-byte
+/// chunks (15 MiB), and the peers' part a message of 16 MiB (32 MiB).
 inline constexpr std::int64_t MinIntakeBudgetKib = 61'440;
 
 /// Sets the budget of a server and the kernel's buffers of its connections.
