--- a/src/wire/jsonreader.h
+++ b/src/wire/jsonreader.h
@@ -163,23 +163,28 @@
   std::set<std::string> ReadFields;
 };
 
+/// Returns the result of \p Read(JsonReader &) on the object \p Value. Throws
+/// Error(BadRequest). Thread-safe.
+template <typename Reader>
+auto readObject(const Json &Value, UnknownFields Policy, const Reader &Read) {
+  JsonReader Body(Value, Policy);
+  return Read(Body);
+}
+
 /// Parses \p Text and returns the result of \p Read(JsonReader &) on the object
 /// in it. Throws Error(BadRequest). Thread-safe.
 template <typename Reader>
 auto decodeBody(const std::string &Text, UnknownFields Policy,
                 const Reader &Read) {
-  const Json Value = parseJson(Text);
-  JsonReader Body(Value, Policy);
-  return Read(Body);
+  return readObject(parseJson(Text), Policy, Read);
 }
 
-/// Like decodeBody() for the body of a request.
+/// Like decodeBody() for the body of a request. Throws Error(BadRequest) also
+/// if it has more than MaxRequestValues values. Thread-safe.
 template <typename Reader>
 auto decodeRequest(const std::string &Text, UnknownFields Policy,
                    const Reader &Read) {
-  const Json Value = parseRequestJson(Text);
-  JsonReader Body(Value, Policy);
-  return Read(Body);
+  return readObject(parseRequestJson(Text), Policy, Read);
 }
 
 } // namespace apricotwing
