Limit the memory of accepted runs in apricotwingd

What callers saw: the owner of a shard took 592 MB for 60 runs of 100,000 tasks in bodies of 200 bytes, and so would each owner after it. Cause: as with the jobs of an entry instance, nothing bounds the tasks of all runs together.

Any instance accepts runs and stores them in the inbox of the shard, so the owner cannot refuse them. It leaves a run in the inbox until its team may hold it, reads no further runs of that team in the same scan and looks for runs of other teams on up to ten pages. Cancellations of runs without room wait as well. The rule for accounts is that of the jobs: the budget moves to src/core as MemoryBudget and both schedulers use it.

--- a/src/core/runintake.cpp
+++ b/src/core/runintake.cpp
@@ -4,9 +4,15 @@
 
 namespace apricotwing {
 
+bool RunIntake::hasRoomFor(const RunRecord &Run) const {
+  return Data.State.memory().admits(Run.Team, runBytes(Run));
+}
+
 void RunIntake::admit(const RunRecord &Run) {
-  if (AdmissionIds.insert(Run.Id).second)
-    Admissions.push_back(Run);
+  if (!AdmissionIds.insert(Run.Id).second)
+    return;
+  Data.State.memory().add(Run.Team, runBytes(Run));
+  Admissions.push_back(Run);
 }
 
 void RunIntake::cancel(const RunId &Run) {
@@ -30,6 +36,7 @@
     const RunRecord Record = std::move(Admissions.front());
     Admissions.pop_front();
     AdmissionIds.erase(Record.Id);
+    Data.State.memory().remove(Record.Team, runBytes(Record));
     Data.PendingDecisions.HandledAdmissions.push_back(Record.Id);
     if (Data.State.find(Record.Id) || Lifecycle.wasRetired(Record.Id) ||
         isFinal(Record.State))
--- a/src/core/runintake.h
+++ b/src/core/runintake.h
@@ -21,6 +21,9 @@
   RunIntake(SchedulerData &Data, RunLifecycle &Lifecycle)
       : Data(Data), Lifecycle(Lifecycle) {}
 
+  /// True if the memory for the runs of its team has room for \p Run.
+  bool hasRoomFor(const RunRecord &Run) const;
+
   /// Queues a run; no effect if it is already queued.
   void admit(const RunRecord &Run);
 
--- a/src/core/shardscheduler.cpp
+++ b/src/core/shardscheduler.cpp
@@ -448,6 +448,10 @@
   Implementation->Intake.discardCancellation(Run);
 }
 
+bool ShardScheduler::hasRoomFor(const RunRecord &Run) const {
+  return Implementation->Intake.hasRoomFor(Run);
+}
+
 bool ShardScheduler::knows(const RunId &Run) const {
   return Implementation->Intake.knows(Run);
 }
--- a/src/core/shardscheduler.h
+++ b/src/core/shardscheduler.h
@@ -179,6 +179,11 @@
   /// True if the run is queued for admission, known, or was retired recently.
   bool knows(const RunId &Run) const;
 
+  /// True if the memory of the shard has room for \p Run beside the other runs
+  /// of its team. Answers a load of accepted runs with more tasks than the
+  /// owner can hold: runs without room stay in the inbox.
+  bool hasRoomFor(const RunRecord &Run) const;
+
   /// Processes a worker's list of all attempts of this shard, including ended
   /// attempts that have not been acknowledged. Reports of one worker must
   /// arrive in order. The first report makes the worker eligible for starts.
--- a/src/core/shardstate.cpp
+++ b/src/core/shardstate.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// What a run adds beside its state: its place in tables and texts.
+constexpr std::size_t ExtraRunBytes = 1024;
+
 [[noreturn]] void throwInconsistent(const std::string &Message) {
   throw Error(ErrorKind::Internal,
               "the journal is inconsistent with the state of the shard: " +
@@ -105,6 +108,11 @@
   Entry.Excess = Excess;
 }
 
+std::size_t runBytes(const RunRecord &Record) {
+  return sizeof(RunEntry) + ExtraRunBytes + Record.Spec.Payload.size() +
+         Record.Spec.Tasks * sizeof(TaskEntry);
+}
+
 RunEntry &ShardState::insert(const RunRecord &Record) {
   auto Entry = std::make_unique<RunEntry>();
   Entry->Record = Record;
@@ -115,6 +123,7 @@
   if (!Runs.try_emplace(Record.Id, std::move(Entry)).second)
     throwInconsistent("run " + Record.Id + " is admitted twice");
   ByOrder.emplace(Result.Order, &Result);
+  Memory.add(Record.Team, runBytes(Record));
   return Result;
 }
 
@@ -205,6 +214,7 @@
   const RunEntry &Run = requireRun(Event.Run);
   if (!Run.isEnding() || Run.Active > 0)
     throwInconsistent("run " + Event.Run + " is retired before its end");
+  Memory.remove(Run.Record.Team, runBytes(Run.Record));
   ByOrder.erase(Run.Order);
   Runs.erase(Event.Run);
 }
--- a/src/core/shardstate.h
+++ b/src/core/shardstate.h
@@ -5,6 +5,7 @@
 
 #include "core/fairshare.h"
 #include "core/journal.h"
+#include "core/memorybudget.h"
 #include "core/placementindex.h"
 #include "core/runschedulingstate.h"
 #include "core/time.h"
@@ -62,6 +63,9 @@
   bool isEnding() const { return isFinal(Record.State); }
 };
 
+/// Estimated bytes that a run takes in memory until it is retired. Thread-safe.
+std::size_t runBytes(const RunRecord &Record);
+
 /// Reference to one task of a run.
 struct TaskRef {
   RunEntry *Run = nullptr;
@@ -112,6 +116,10 @@
 
   const std::vector<TeamName> &teamNames() const { return TeamNames; }
 
+  /// Memory of the runs by team, which the owner adds queued runs to.
+  MemoryBudget &memory() { return Memory; }
+  const MemoryBudget &memory() const { return Memory; }
+
   /// Number of tasks with an attempt that may be running.
   std::uint64_t activeTasks() const { return ActiveTasks; }
 
@@ -146,6 +154,8 @@
   std::uint64_t NextOrder = 1;
   std::uint64_t NextStart = 1;
   std::uint64_t ActiveTasks = 0;
+  /// Fits the least memory of an instance, of 120 MB, beside its clients.
+  MemoryBudget Memory{std::size_t(32) << 20};
 };
 
 } // namespace apricotwing
--- a/src/daemon/shardrunner.cpp
+++ b/src/daemon/shardrunner.cpp
@@ -26,6 +26,10 @@
 constexpr Duration ScanPeriod{1000};
 constexpr std::uint32_t MaxRowsPerScan = 1000;
 
+/// Largest number of pages of an inbox that are read at a time while runs in it
+/// wait for memory.
+constexpr int MaxInboxPages = 10;
+
 /// Journal entries between two snapshots. Bounds the part of the journal that a
 /// new owner has to replay.
 constexpr std::uint64_t JournalEntriesPerSnapshot = 500;
@@ -262,23 +266,44 @@
       !ScanInboxNow)
     return;
   Held.LastScan = Now;
-  for (const Row &Entry :
-       Context.Table.scan(keys::inboxPrefix(Shard), {}, MaxRowsPerScan)) {
-    const RunId Run = runIdFromKey(Entry.Key);
-    if (Held.AdmittedRuns.contains(Run))
-      continue;
-    const std::optional<Row> Found =
-        Context.Table.read(keys::run(Entry.Value, Run));
-    if (!Found)
-      continue;
-    Held.Scheduler->admit(Context.Codec.decodeRun(Found->Value));
-    Held.AdmittedRuns.insert(Run);
+  std::set<TeamName> FullTeams; // Whose next run has no room.
+  std::string After;
+  for (int Page = 0; Page < MaxInboxPages; ++Page) {
+    const std::vector<Row> Rows =
+        Context.Table.scan(keys::inboxPrefix(Shard), After, MaxRowsPerScan);
+    for (const Row &Entry : Rows)
+      if (!FullTeams.contains(Entry.Value) &&
+          !readInboxRow(Held, Entry.Value, runIdFromKey(Entry.Key)))
+        FullTeams.insert(Entry.Value);
+    // Runs that have room may follow those of full teams.
+    if (FullTeams.empty() || Rows.size() < MaxRowsPerScan)
+      break;
+    After = Rows.back().Key;
   }
+  if (!FullTeams.empty())
+    Context.Logger.warning(Component::Scheduler, "runs wait for memory",
+                           "teams: " + std::to_string(FullTeams.size()));
   for (const Row &Entry :
        Context.Table.scan(keys::cancelPrefix(Shard), {}, MaxRowsPerScan))
     readCancellation(Held, Entry.Value, runIdFromKey(Entry.Key));
 }
 
+// Returns false if the run has no room, and then leaves it in the inbox.
+bool ShardRunner::readInboxRow(HeldShard &Held, const TeamName &Team,
+                               const RunId &Run) {
+  if (Held.AdmittedRuns.contains(Run))
+    return true;
+  const std::optional<Row> Found = Context.Table.read(keys::run(Team, Run));
+  if (!Found)
+    return true;
+  const RunRecord Record = Context.Codec.decodeRun(Found->Value);
+  if (!Held.Scheduler->hasRoomFor(Record))
+    return false;
+  Held.Scheduler->admit(Record);
+  Held.AdmittedRuns.insert(Run);
+  return true;
+}
+
 void ShardRunner::readCancellation(HeldShard &Held, const TeamName &Team,
                                    const RunId &Run) {
   if (!Held.Scheduler->knows(Run)) {
@@ -291,6 +316,8 @@
               : std::nullopt;
     if (!Record || isFinal(Record->State))
       return Held.Scheduler->discardCancellation(Run);
+    if (!Held.Scheduler->hasRoomFor(*Record))
+      return; // The next scan finds the row of the cancellation again.
     Held.Scheduler->admit(*Record);
     Held.AdmittedRuns.insert(Run);
   }
--- a/src/daemon/shardrunner.h
+++ b/src/daemon/shardrunner.h
@@ -96,6 +96,7 @@
   void runShard(const ShardId &Shard, HeldShard &Held, TimePoint Now);
   void refreshWorkers(const ShardId &Shard, HeldShard &Held);
   void readInbox(const ShardId &Shard, HeldShard &Held, TimePoint Now);
+  bool readInboxRow(HeldShard &Held, const TeamName &Team, const RunId &Run);
   void readCancellation(HeldShard &Held, const TeamName &Team,
                         const RunId &Run);
   void tick(const ShardId &Shard, HeldShard &Held, TimePoint Now);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -231,7 +231,7 @@
   std::string FailureReason; ///< For the log; set if the phase is Failed.
   std::uint64_t Sequence = 0;
   std::vector<StepState> Steps; ///< Empty if the tasks were released.
-  std::size_t HeldBytes = 0;    ///< Of the JobMemoryBudget.
+  std::size_t HeldBytes = 0;    ///< Of the MemoryBudget.
 
   /// True if all steps that \p Step depends on are done.
   bool isUnblocked(int Step) const;
--- a/src/jobs/jobmemorybudget.cpp
+++ b/src/jobs/jobmemory.cpp
@@ -1,4 +1,4 @@
-#include "jobs/jobmemorybudget.h"
+#include "jobs/jobmemory.h"
 
 #include "jobs/job.h"
 
@@ -38,25 +38,4 @@
   return Result;
 }
 
-bool JobMemoryBudget::admits(const std::string &Account,
-                             std::size_t Bytes) const {
-  const std::size_t Free = Limit > Held ? Limit - Held : 0;
-  const auto Found = ByAccount.find(Account);
-  const std::size_t Own = Found == ByAccount.end() ? 0 : Found->second;
-  return Own + Bytes <= Free;
-}
-
-void JobMemoryBudget::add(const std::string &Account, std::size_t Bytes) {
-  Held += Bytes;
-  ByAccount[Account] += Bytes;
-}
-
-void JobMemoryBudget::remove(const std::string &Account, std::size_t Bytes) {
-  Held -= Bytes;
-  const auto Found = ByAccount.find(Account);
-  Found->second -= Bytes;
-  if (Found->second == 0)
-    ByAccount.erase(Found);
-}
-
 } // namespace apricotwing::jobs
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -3,12 +3,13 @@
 #ifndef APRICOTWING_JOBS_JOBSCHEDULER_H
 #define APRICOTWING_JOBS_JOBSCHEDULER_H
 
+#include "core/memorybudget.h"
 #include "core/nametable.h"
 #include "core/time.h"
 #include "jobs/clusterpolicy.h"
 #include "jobs/departurepolicy.h"
 #include "jobs/job.h"
-#include "jobs/jobmemorybudget.h"
+#include "jobs/jobmemory.h"
 #include "jobs/run.h"
 #include "jobs/scheduleroptions.h"
 #include "jobs/usagehistory.h"
@@ -203,7 +204,7 @@
   void releaseTasksOfEnded(TimePoint Limit);
 
   /// Memory that the jobs take.
-  const JobMemoryBudget &memory() const { return Memory; }
+  const MemoryBudget &memory() const { return Memory; }
 
   /// Ids of jobs that ended before \p Limit.
   std::vector<std::string> endedBefore(TimePoint Limit) const;
@@ -553,7 +554,7 @@
   /// Run time as a multiple of the estimate; learned, by queue.
   std::map<std::string, double> EstimateRatio;
   std::unordered_map<std::string, std::unique_ptr<Job>> Jobs;
-  JobMemoryBudget Memory;
+  MemoryBudget Memory;
   std::map<std::string, Worker> Workers;
   std::set<std::string> EvacuatedZones;
   bool StartsHeld = false;
--- a/tests/intake/daemonintake_test.cpp
+++ b/tests/intake/daemonintake_test.cpp
@@ -3,10 +3,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <list>
 #include <thread>
+#include <vector>
 
 namespace apricotwing::intake {
 namespace {
@@ -116,5 +118,36 @@
   expectSound();
 }
 
+// Guards against accepted runs whose tasks take more memory than a shard's
+// owner has, and than each owner after it has.
+TEST_F(DaemonIntakeTest, SurvivesAcceptedRunsWithManyTasks) {
+  const std::size_t Next = Target.startDaemon();
+  process::awaitCondition("both members known", [&] {
+    const nlohmann::json State = Target.state(Next);
+    return State.is_object() && State["ready"] == true &&
+           State["members"].size() == 2;
+  });
+  constexpr int Runs = 60;
+  std::vector<RunId> Accepted;
+  Accepted.reserve(Runs);
+  for (int Index = 0; Index < Runs; ++Index)
+    Accepted.push_back(
+        Target.submit(0, process::runSpec(std::to_string(Index), 100'000, -1)));
+  std::this_thread::sleep_for(SettleTime);
+  expectSound();
+  Target.killDaemon(0);
+  EXPECT_EQ(Target.shardOwner(), Next);
+  process::awaitCondition("the next owner knows the runs", [&] {
+    return std::all_of(Accepted.begin(), Accepted.end(), [&](const RunId &Run) {
+      return Target.view(Next, Run).has_value();
+    });
+  });
+  std::this_thread::sleep_for(SettleTime);
+  const int Memory = peakMemoryMb(Target.pid(Next));
+  std::cout << "the next process: " << Memory << " MB\n";
+  EXPECT_GT(Memory, 0) << "the process has ended";
+  EXPECT_LE(Memory, MemoryMb);
+}
+
 } // namespace
 } // namespace apricotwing::intake
--- a/tests/jobs/jobmemorybudget_test.cpp
+++ b/tests/jobs/jobmemory_test.cpp
@@ -1,5 +1,6 @@
-#include "jobs/jobmemorybudget.h"
+#include "jobs/jobmemory.h"
 
+#include "core/memorybudget.h"
 #include "jobs/jobschedulertest.h"
 
 #include <gtest/gtest.h>
@@ -10,31 +11,30 @@
 constexpr std::size_t Limit = 1'000'000;
 
 /// Adds jobs of \p Bytes to \p Account until one is refused.
-void fill(JobMemoryBudget &Budget, const std::string &Account,
-          std::size_t Bytes) {
+void fill(MemoryBudget &Budget, const std::string &Account, std::size_t Bytes) {
   while (Budget.admits(Account, Bytes))
     Budget.add(Account, Bytes);
 }
 
 // Guards against an account that takes the memory from all others.
-TEST(JobMemoryBudgetTest, LeavesRoomForOthersBesideAnAccountThatTakesAll) {
-  JobMemoryBudget Budget(Limit);
+TEST(MemoryBudgetTest, LeavesRoomForOthersBesideAnAccountThatTakesAll) {
+  MemoryBudget Budget(Limit);
   fill(Budget, "large", 1000);
   EXPECT_GT(Budget.held(), Limit / 2 - 2000);
   EXPECT_TRUE(Budget.admits("small", Limit / 4));
 }
 
 // Guards against many accounts that exceed the limit together.
-TEST(JobMemoryBudgetTest, KeepsManyAccountsWithinTheLimit) {
-  JobMemoryBudget Budget(Limit);
+TEST(MemoryBudgetTest, KeepsManyAccountsWithinTheLimit) {
+  MemoryBudget Budget(Limit);
   for (int Account = 0; Account < 50; ++Account)
     fill(Budget, std::to_string(Account), 1000);
   EXPECT_LE(Budget.held(), Limit);
 }
 
 // Guards against memory that stays accounted for once its job is gone.
-TEST(JobMemoryBudgetTest, AdmitsAgainWhatWasRemoved) {
-  JobMemoryBudget Budget(Limit);
+TEST(MemoryBudgetTest, AdmitsAgainWhatWasRemoved) {
+  MemoryBudget Budget(Limit);
   Budget.add("a", Limit / 2);
   EXPECT_FALSE(Budget.admits("a", 1000));
   Budget.remove("a", Limit / 2);
@@ -44,8 +44,8 @@
 
 // Guards against a lowered limit that overflows: jobs of an earlier leader are
 // kept, and new ones refused.
-TEST(JobMemoryBudgetTest, RefusesNewJobsBeyondALoweredLimit) {
-  JobMemoryBudget Budget(Limit);
+TEST(MemoryBudgetTest, RefusesNewJobsBeyondALoweredLimit) {
+  MemoryBudget Budget(Limit);
   Budget.add("a", 3 * Limit);
   EXPECT_FALSE(Budget.admits("b", 1));
   EXPECT_FALSE(Budget.canAdmit(Limit + 1));
