--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,7 +3,7 @@
 # Needs target/bin/apricotwing-entry and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/cases ] && [ -x target/bin/apricotwing-entry ] || exit 2
-timeout -k 5 115 target/review-2/cases gone review/9
+timeout -k 5 115 target/review-2/cases twice review/9
 Result=$?
 [ $Result -eq 0 ] || [ $Result -eq 1 ] || Result=2
 exit $Result
--- a/review/standin-2/cell.cpp
+++ b/review/standin-2/cell.cpp
@@ -12,9 +12,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <filesystem>
 #include <stdexcept>
+#include <utility>
 
 namespace review {
 
@@ -31,6 +33,16 @@
 constexpr std::size_t MaxListedEnds = 500;
 constexpr const char *Host = "site.example";
 
+/// The processes that are up, for the handler of signals.
+std::array<std::atomic<pid_t>, 16> Started;
+
+void endAll(int) {
+  for (const auto &Pid : Started)
+    if (Pid > 0)
+      ::kill(Pid, SIGKILL);
+  _exit(2);
+}
+
 std::string at(const std::string &Ip, int Port) {
   return Ip + ":" + std::to_string(Port);
 }
@@ -39,6 +51,8 @@
 
 Cell::Cell(Options Chosen)
     : Chosen(std::move(Chosen)), Record(this->Chosen.Folder + "/record.txt") {
+  std::signal(SIGTERM, endAll);
+  std::signal(SIGINT, endAll);
   const auto Pid = unsigned(getpid());
   Network = "127." + std::to_string(64 + ((Pid >> 8U) & 63U)) + "." +
             std::to_string(Pid & 255U) + ".";
@@ -186,6 +200,7 @@
                   Arguments, Environment) != 0)
     throw std::runtime_error("cannot start " + Program);
   posix_spawn_file_actions_destroy(&Actions);
+  Started[std::size_t(Index)] = Pids[std::size_t(Index)];
   note("start of " + entryName(Index));
 }
 
@@ -195,6 +210,7 @@
     return;
   ::kill(Pid, SIGKILL);
   waitpid(Pid, nullptr, 0);
+  Started[std::size_t(Index)] = 0;
   Pid = 0;
   note("SIGKILL of " + entryName(Index));
 }
@@ -362,6 +378,50 @@
   Changed.notify_all();
 }
 
+int Cell::pending(const std::string &Queue, const std::string &Key) {
+  const Response Answer = request("GET", "/" + Queue + "/", Key, "");
+  if (Answer.Status != 200)
+    return -1;
+  return Json::parse(Answer.Body).value("pending", -1);
+}
+
+bool Cell::hasBegun(const std::string &Id) {
+  const std::lock_guard Lock(Mutex);
+  const auto First = Starts.lower_bound(Id + ".");
+  return First != Starts.end() && First->first.starts_with(Id + ".");
+}
+
+void Cell::holdNextStart(int Index, std::int64_t Ms) {
+  const std::lock_guard Lock(Mutex);
+  Executors[std::size_t(Index)]->HoldStartMs = Ms;
+}
+
+bool Cell::isStartHeld(int Index) {
+  const std::lock_guard Lock(Mutex);
+  return !Executors[std::size_t(Index)]->HeldTask.empty();
+}
+
+void Cell::setCut(int Index, bool IsCut) {
+  const std::lock_guard Lock(Mutex);
+  Executor &One = *Executors[std::size_t(Index)];
+  One.Cut = IsCut;
+  note("executor " + One.Id + (IsCut ? " is cut off" : " is reached again"));
+  Changed.notify_all();
+}
+
+// Behind a cut the address stays, and no caller notices.
+void Cell::restartBehindCut(int Index, std::int64_t DownMs) {
+  Executor &One = *Executors[std::size_t(Index)];
+  {
+    const std::lock_guard Lock(Mutex);
+    note("crash of executor " + One.Id + " behind the cut");
+    endRuns(One);
+    Changed.notify_all();
+  }
+  soak::sleepMs(DownMs);
+  startExecutor(Index);
+}
+
 std::string Cell::stepOf(const std::string &Task) {
   return Task.substr(0, Task.rfind('.'));
 }
@@ -424,6 +484,14 @@
       finish(*One, Task, "failed");
 }
 
+int Cell::runsAtOnce(const std::string &Task) {
+  const std::lock_guard Lock(Mutex);
+  return int(
+      std::count_if(Executors.begin(), Executors.end(), [&](const auto &One) {
+        return One->Up && One->Running.contains(Task);
+      }));
+}
+
 int Cell::failedEnds(const std::string &Id) {
   const std::lock_guard Lock(Mutex);
   return FailedEnds[Id];
@@ -465,7 +533,11 @@
       }
       continue;
     }
-    if (Now >= One.ReportAt) {
+    if (One.Cut && One.Listed && Now - One.ReportAt > 2 * ReportMs) {
+      One.Listed = false;
+      Store.remove("servers", One.Id);
+    }
+    if (!One.Cut && Now >= One.ReportAt) {
       One.ReportAt = Now + ReportMs;
       One.Listed = true;
       Store.put(
@@ -504,11 +576,47 @@
 Response Cell::serve(int Index, const Request &In) {
   std::unique_lock Lock(Mutex);
   Executor &One = *Executors[std::size_t(Index)];
-  // Without power it answers nothing, and nothing tells the caller so.
-  Changed.wait(Lock, [&] { return Ending || !One.Dark; });
+  // Without power it answers nothing, and nothing tells the caller so; nor
+  // behind a cut, where what is sent is lost.
+  const auto IsSilent = [&] { return One.Dark || One.Cut; };
+  if (IsSilent()) {
+    Changed.wait(Lock, [&] { return Ending || !IsSilent(); });
+    return {};
+  }
   if (Ending || !One.Up)
     return {};
   const Json Body = Json::parse(In.Body, nullptr, false);
+  if (In.Path == "/api/run-start" && !One.HeldTask.empty() &&
+      Body.is_object() && Body.value("task", "") == One.HeldTask) {
+    // The same order once more: lost.
+    Changed.wait_for(Lock, std::chrono::seconds(3),
+                     [&] { return bool(Ending); });
+    return {};
+  }
+  if (In.Path == "/api/run-start" && One.HoldStartMs > 0) {
+    // The order gets no answer and is carried out late, by the process that is
+    // up then.
+    const auto For = std::chrono::milliseconds(
+        std::exchange(One.HoldStartMs, std::int64_t(0)));
+    One.HeldTask = Body.value("task", "");
+    note("start of run " + std::to_string(Body.value("run_id", 0)) + " of " +
+         One.HeldTask + " is held back on its way to " + One.Id);
+    Changed.wait_for(Lock, For, [&] { return bool(Ending); });
+    if (Ending || !One.Up)
+      return {};
+    carryOut(One, In, Body, Lock);
+    Changed.wait_for(Lock, std::chrono::seconds(1),
+                     [&] { return bool(Ending); });
+    return {};
+  }
+  const Response Answer = carryOut(One, In, Body, Lock);
+  if (IsSilent())
+    Changed.wait(Lock, [&] { return Ending || !IsSilent(); });
+  return Answer;
+}
+
+Response Cell::carryOut(Executor &One, const Request &In, const Json &Body,
+                        std::unique_lock<std::mutex> &Lock) {
   const auto Answer = [&](int Status, const char *Reason) {
     Json Result{{"clock_ms", One.clock()}};
     if (Status != 200)
@@ -539,8 +647,7 @@
         std::chrono::milliseconds(std::min<std::int64_t>(
             Body.value("wait_ms", std::int64_t(0)), 2000)),
         [&] { return Ending || One.Life != Life || !One.Ends.empty(); });
-    if (One.Dark)
-      Changed.wait(Lock, [&] { return bool(Ending); });
+    Changed.wait(Lock, [&] { return Ending || !(One.Dark || One.Cut); });
     if (Ending || One.Life != Life)
       return {};
     Json Result{{"clock_ms", One.clock()},
--- a/review/standin-2/cell.h
+++ b/review/standin-2/cell.h
@@ -77,6 +77,20 @@
   void crashExecutor(int Index);
   /// The executor is gone; nothing answers, connections stay open.
   void darkenExecutor(int Index);
+  /// Number of waiting jobs that a client is told; -1 without an answer.
+  int pending(const std::string &Queue, const std::string &Key);
+  /// Whether a task of the job has started on an executor.
+  bool hasBegun(const std::string &Id);
+  /// The next start order to the executor gets no answer and is carried out
+  /// that much later.
+  void holdNextStart(int Index, std::int64_t Ms);
+  bool isStartHeld(int Index);
+  /// While an executor is cut off it works on, and nobody reaches it.
+  void setCut(int Index, bool IsCut);
+  /// The process of an executor that is cut off ends, and the next one starts.
+  void restartBehindCut(int Index, std::int64_t DownMs);
+  /// Executors that run the task now.
+  int runsAtOnce(const std::string &Task);
   /// Ends the run of a task as failed.
   void failRun(const std::string &Task);
 
@@ -104,7 +118,9 @@
   };
   struct Executor {
     std::string Id, Ip;
-    bool Up = false, Dark = false, Listed = false;
+    bool Up = false, Dark = false, Cut = false, Listed = false;
+    std::int64_t HoldStartMs = 0;
+    std::string HeldTask;
     int Life = 0;
     std::int64_t Born = 0, BornAt = 0, Fence = 0, Deadline = 0, LastEnd = 0;
     std::int64_t ReportAt = 0, SilentSince = 0, Sequence = 0;
@@ -124,6 +140,8 @@
   Response request(const std::string &Method, const std::string &Path,
                    const std::string &Key, const std::string &Body);
   Response serve(int Index, const Request &In);
+  Response carryOut(Executor &One, const Request &In, const Json &Body,
+                    std::unique_lock<std::mutex> &Lock);
   Response advise(int Index, const Request &In);
   void tick();
   void endRuns(Executor &One);
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -158,49 +158,6 @@
   return Broken ? 1 : 0;
 }
 
-/// All entries are killed at once, and the executor of a task that lasts is
-/// lost for good at the same moment.
-int gone(const std::string &Folder) {
-  Options Chosen;
-  Chosen.Folder = Folder;
-  Cell Site(Chosen);
-  Queue Desk{.Name = "desk",
-             .Priority = 0,
-             .TargetMs = 250,
-             .MaxAttempts = 2,
-             .SlackFactor = 1.5,
-             .AdviceMs = 5.6,
-             .AdvicePerWorkerMs = 0.08};
-  if (!startAll(Site, Chosen.Entries, {Desk}))
-    return 2;
-  const Job Service{newId(1), "desk", "key-two", 2000, 0, 0};
-  if (Site.submit(Service, {{{"count", 1},
-                             {"cpu", Service.Cpu},
-                             {"mem_mb", 500},
-                             {"long_running", true}}}) != 200)
-    return 2;
-  const std::string Task = Service.Id + ".0.0.0";
-  soak::sleepMs(20'000);
-  bool Broken = !Site.isRunning(Task);
-  if (!Broken && hasTrouble()) {
-    const std::int64_t At = soak::nowMs();
-    Site.darkenExecutor(Site.executorOf(Task));
-    for (int Index = 0; Index < Chosen.Entries; ++Index)
-      Site.kill(Index);
-    soak::sleepMs(1000);
-    for (int Index = 0; Index < Chosen.Entries; ++Index)
-      Site.start(Index);
-    const std::int64_t Away =
-        awaitRestart(Site, Service, Task, At, 30'000, Broken);
-    Site.note(Task + " was away for " + std::to_string(Away) + " ms");
-  } else if (!Broken) {
-    soak::sleepMs(20'000);
-    Broken = !Site.isRunning(Task);
-  }
-  Site.note(Broken ? "BROKEN" : "held");
-  return Broken ? 1 : 0;
-}
-
 /// A run of a task that lasts fails while larger tasks of a more urgent queue
 /// wait for whole executors.
 int urgent(const std::string &Folder) {
@@ -266,6 +223,123 @@
   return Broken ? 1 : 0;
 }
 
+/// An executor is lost for good, and jobs come. The count of waiting jobs must
+/// be at least half of those that have waited for 5 s.
+int count(const std::string &Folder) {
+  constexpr int NewJobs = 10;
+  constexpr int WatchMs = 16'000;
+  constexpr std::int64_t VisibleMs = 3000 + 2000;
+  Options Chosen;
+  Chosen.Folder = Folder;
+  Cell Site(Chosen);
+  Queue Desk{.Name = "desk",
+             .Priority = 0,
+             .TargetMs = 250,
+             .MaxAttempts = 3,
+             .SlackFactor = 1.5};
+  if (!startAll(Site, Chosen.Entries, {Desk}))
+    return 2;
+  const Json Steps{{{"count", 1},
+                    {"cpu", 2800},
+                    {"mem_mb", 4000},
+                    {"estimated_duration_ms", 1000}}};
+  soak::sleepMs(15'000);
+  const std::int64_t LostAt = soak::nowMs();
+  if (hasTrouble())
+    Site.darkenExecutor(0);
+  soak::sleepMs(200);
+  std::vector<std::pair<std::string, std::int64_t>> Accepted;
+  for (int Number = 0; Number < NewJobs; ++Number) {
+    const Job Small{
+        newId(100 + std::uint64_t(Number)), "desk", "key-one", 2800, 1000, 0};
+    if (Site.submit(Small, Steps) == 200)
+      Accepted.emplace_back(Small.Id, soak::nowMs());
+  }
+  int BrokenChecks = 0;
+  int Checks = 0;
+  while (soak::nowMs() - LostAt < WatchMs) {
+    const std::int64_t Asked = soak::nowMs();
+    const int Told = Site.pending("desk", "key-one");
+    int Waiting = 0;
+    for (const auto &[Id, At] : Accepted)
+      Waiting += Asked - At > VisibleMs && !Site.hasBegun(Id) ? 1 : 0;
+    ++Checks;
+    const bool IsBroken = Told >= 0 && 2 * Told < Waiting;
+    BrokenChecks += IsBroken ? 1 : 0;
+    Site.note("GET desk/ -> pending " + std::to_string(Told) + "; " +
+              std::to_string(Waiting) +
+              " jobs have waited for over 5 s and haven't begun" +
+              (IsBroken ? ": BROKEN" : ""));
+    soak::sleepMs(500);
+  }
+  Site.note(std::to_string(BrokenChecks) + " of " + std::to_string(Checks) +
+            " answers are wrong");
+  Site.note(BrokenChecks > 0 ? "BROKEN" : "held");
+  return BrokenChecks > 0 ? 1 : 0;
+}
+
+/// A start order is carried out late, by the next process of its executor,
+/// which crashed behind a cut, while the leader that sent it is lost.
+int twice(const std::string &Folder) {
+  constexpr std::int64_t LateMs = 6000;
+  constexpr std::int64_t CutMs = 12'000;
+  Options Chosen;
+  Chosen.Folder = Folder;
+  Cell Site(Chosen);
+  Queue Desk{.Name = "desk",
+             .Priority = 0,
+             .TargetMs = 250,
+             .MaxAttempts = 3,
+             .SlackFactor = 1.5};
+  if (!startAll(Site, Chosen.Entries, {Desk}))
+    return 2;
+  soak::sleepMs(18'000);
+  const Job Plan{newId(1), "desk", "key-one", 9000, 16'000, 0};
+  const std::string Task = Plan.Id + ".0.0.0";
+  const bool Trouble = hasTrouble();
+  if (Trouble)
+    Site.holdNextStart(0, LateMs);
+  if (Site.submit(Plan, {{{"count", 1},
+                          {"cpu", Plan.Cpu},
+                          {"mem_mb", 9000},
+                          {"estimated_duration_ms", Plan.WorkMs}}}) != 200)
+    return 2;
+  const std::int64_t SentAt = soak::nowMs();
+  if (Trouble) {
+    while (!Site.isStartHeld(0)) {
+      soak::sleepMs(1);
+      if (soak::nowMs() - SentAt > 1000)
+        return 2; // The task was placed elsewhere.
+    }
+    Site.setCut(0, true);
+    const int Leader = Site.leader();
+    std::thread Next([&] { Site.restartBehindCut(0, 1000); });
+    soak::sleepMs(700);
+    Site.kill(Leader);
+    soak::sleepMs(500);
+    Site.start(Leader);
+    Next.join();
+  }
+  std::int64_t TwiceMs = 0;
+  bool IsCut = Trouble;
+  while (soak::nowMs() - SentAt < 30'000) {
+    if (IsCut && soak::nowMs() - SentAt >= CutMs) {
+      IsCut = false;
+      Site.setCut(0, false);
+    }
+    if (Site.runsAtOnce(Task) > 1) {
+      if (TwiceMs == 0)
+        Site.note("BROKEN: " + Task + " runs twice at the same time");
+      TwiceMs += 5;
+    }
+    soak::sleepMs(5);
+  }
+  Site.note("two runs at the same time for about " + std::to_string(TwiceMs) +
+            " ms; GET shows " + Site.state(Plan));
+  Site.note(TwiceMs > 0 ? "BROKEN" : "held");
+  return TwiceMs > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -277,10 +351,12 @@
       return crashes(Argv[2]);
     if (Case == "lasting")
       return lasting(Argv[2]);
+    if (Case == "twice")
+      return twice(Argv[2]);
+    if (Case == "count")
+      return count(Argv[2]);
     if (Case == "urgent")
       return urgent(Argv[2]);
-    if (Case == "gone")
-      return gone(Argv[2]);
   } catch (const std::exception &Problem) {
     std::cerr << "the case couldn't run: " << Problem.what() << '\n';
   }
