Log pending jobs and starts that no worker has confirmed

The log could not tell whether a start was on its way when a leader was lost, nor whether the count of waiting jobs came from placements or from reports of workers. The line "load" now has pending and unconfirmed, and "state loaded" has what a new leader knows to be unconfirmed.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -519,6 +519,7 @@
                   {"jobs", std::to_string(JobCount)},
                   {"job_memory", std::to_string(Scheduler.memory().held())},
                   {"roster", std::to_string(Stored.Roster.size())},
+                  {"unconfirmed", std::to_string(unconfirmedStarts())},
                   {"after_ms", std::to_string((Now - TermStartedAt).count())}});
   Loaded = true;
   if (Ownership)
@@ -560,6 +561,13 @@
         std::min(Now + Duration(Start.SentMs - SharedNow.Ms), LastSend);
 }
 
+std::size_t Leader::unconfirmedStarts() const {
+  std::size_t Result = 0;
+  for (const auto &[Id, Worker] : WorkerStates)
+    Result += Worker.UnconfirmedStarts.size();
+  return Result;
+}
+
 std::vector<UnconfirmedStart> Leader::unconfirmedStarts(
     const WorkerState &Worker,
     const std::function<std::int64_t(TimePoint)> &Encode) const {
@@ -1791,6 +1799,8 @@
       {{"shard", std::to_string(Shard)},
        {"waiting", Scheduler.summary()},
        {"jobs", std::to_string(Scheduler.activeJobs())},
+       {"pending", std::to_string(Scheduler.pending())},
+       {"unconfirmed", std::to_string(unconfirmedStarts())},
        {"advice_calls", std::to_string(Dispatcher.openCalls())},
        {"members", std::to_string(Members.size())},
        {"supervisors", std::to_string(Supervisors.size())},
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -228,6 +228,8 @@
   void onWorkerReport(MemberState &From, const WorkerReport &Report);
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
   void storeRosterEntry(const WorkerState &Worker);
+  /// Number of starts that no worker is known to have confirmed.
+  std::size_t unconfirmedStarts() const;
   std::vector<UnconfirmedStart>
   unconfirmedStarts(const WorkerState &Worker,
                     const std::function<std::int64_t(TimePoint)> &Encode) const;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -516,6 +516,13 @@
   return Found == PendingJobs.end() ? 0 : Found->second;
 }
 
+int JobScheduler::pending() const {
+  int Result = 0;
+  for (const auto &[Queue, Count] : PendingJobs)
+    Result += Count;
+  return Result;
+}
+
 void JobScheduler::markPhaseStored(const std::string &Id) {
   if (Job *CurrentJob = findJob(Id))
     CurrentJob->StoredPhase = CurrentJob->Phase;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -218,6 +218,9 @@
   /// Number of accepted jobs of \p Queue of which no task has been started.
   int pending(const std::string &Queue) const;
 
+  /// The same for all queues together.
+  int pending() const;
+
   /// Records that the current phase of a job is stored.
   void markPhaseStored(const std::string &Id);
 
