Let a next leader know which starts may be on their way

Cause: starts that no worker has confirmed were in the leader's memory, and in the store only with a frozen lease or a step-down. A leader that is killed before leaves no list, which the next one read as "none". Evidence: "load ... unconfirmed=1" before the loss, "state loaded ... unconfirmed=0" after it, and "worker lease lapsed ... unlisted_starts=0". Ruled out: a wait of the session that is too short (without the kill the case holds), and a lease that is counted wrongly.

Change: a placement is stored before its order is sent, so what has to be stored beside it is that a run was confirmed. The mark goes with commits that take place anyway. A next leader takes each placement without it for a start that may have been sent until MemberLease after its term began. A mark that is lost makes it wait longer, never less.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -162,10 +162,14 @@
 
 static void to_json(json &To, const PlacedRun &Value) {
   To = json::array({Value.Worker, Value.Run});
+  if (Value.Confirmed)
+    To.push_back(true);
 }
 static void from_json(const json &From, PlacedRun &Value) {
   From.at(0).get_to(Value.Worker);
   From.at(1).get_to(Value.Run);
+  // Earlier versions do not store it.
+  Value.Confirmed = From.size() > 2 && From.at(2).get<bool>();
 }
 
 static void to_json(json &To, const CrashRecord &Value) {
--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -109,6 +109,10 @@
 /// registry still contains the same process.
 constexpr Duration EndedProcessDelay{1500};
 
+/// Age of a run from which its confirmation is stored. Short runs have ended by
+/// then and need no write.
+constexpr Duration ConfirmationDelay{500};
+
 /// Tolerance for a response that was in transit when the store failed.
 constexpr Duration StoreResponseMargin{60};
 
@@ -553,12 +557,21 @@
   const TimePoint Now = Deps.Time.now();
   const ShardTime SharedNow = StateJournal.timeAt(Now);
   const auto &Stored = Entry.LeaseEnd ? Entry.LeaseEnd : Entry.FormerLeaseEnd;
-  if (!Entry.UnconfirmedStarts || !Stored || Stored->Epoch != SharedNow.Epoch)
-    return;
+  const bool HasList =
+      Entry.UnconfirmedStarts && Stored && Stored->Epoch == SharedNow.Epoch;
   const TimePoint LastSend = TermStartedAt + Deps.Times.MemberLease;
-  for (const UnconfirmedStart &Start : *Entry.UnconfirmedStarts)
-    Worker.UnconfirmedStarts[{Start.Task, Start.Run}] =
-        std::min(Now + Duration(Start.SentMs - SharedNow.Ms), LastSend);
+  if (HasList)
+    for (const UnconfirmedStart &Start : *Entry.UnconfirmedStarts)
+      Worker.UnconfirmedStarts[{Start.Task, Start.Run}] =
+          std::min(Now + Duration(Start.SentMs - SharedNow.Ms), LastSend);
+  // The list of a frozen lease is complete, as no start was sent after it.
+  if (HasList && Entry.LeaseEnd)
+    return;
+  // The last leader may have been lost before it stored the list. A placement
+  // is stored before its order is sent, so each start that may be on its way is
+  // among those that are not stored as confirmed.
+  for (const auto &Run : Scheduler.unconfirmedRuns(Entry.Incarnation))
+    Worker.UnconfirmedStarts.try_emplace(Run, LastSend);
 }
 
 std::size_t Leader::unconfirmedStarts() const {
@@ -655,6 +668,8 @@
   for (const auto &[Id, Worker] : WorkerStates)
     if (Worker.InRoster && !Worker.UnconfirmedStarts.empty())
       storeRosterEntry(Worker);
+  Scheduler.markConfirmationsChanged(Deps.Time.now());
+  storeChangedJobs();
   StateJournal.stepDown(Successor);
 }
 
@@ -956,8 +971,10 @@
     From.StoreAnsweredAt = Now - Duration(Content.StoreResponseAgeMs);
   From.OtherShardsLed = Content.OtherShardsLed;
   From.FreezesLeases = Content.FreezesLeases;
-  for (const ConfirmedStart &Start : Content.Confirmed)
+  for (const ConfirmedStart &Start : Content.Confirmed) {
     forgetStart(Start.Incarnation, Start.Task, Start.Run);
+    Scheduler.confirmRun(Start.Incarnation, Start.Task, Start.Run);
+  }
   for (const WorkerReport &Report : Content.Workers)
     onWorkerReport(From, Report);
   for (const RefusedStart &Refused : Content.Refused) {
@@ -1349,6 +1366,13 @@
   }
 }
 
+// A next leader waits longer for the runs of a silent worker that are not
+// stored as confirmed. The rows are part of a commit that takes place anyway.
+void Leader::storeConfirmations(TimePoint Now) {
+  if (StateJournal.isCommitDue())
+    Scheduler.markConfirmationsChanged(Now - ConfirmationDelay);
+}
+
 // Members.
 
 void Leader::checkMembers() {
@@ -1920,6 +1944,7 @@
       if (!Joining)
         rebalanceWorkers();
       decide();
+      storeConfirmations(Now);
       storeChangedJobs();
     }
     for (auto &[Name, Member] : Members)
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -255,6 +255,7 @@
   void logUsage(TimePoint Now);
   void storeSettings();
   void storeChangedJobs();
+  void storeConfirmations(TimePoint Now);
   void checkMembers();
   bool isLost(const MemberState &Member) const;
   EnvelopeReply accept() const;
--- a/src/cell/progressrows.cpp
+++ b/src/cell/progressrows.cpp
@@ -75,9 +75,13 @@
   std::set_union(Into.Done.begin(), Into.Done.end(), From.Done.begin(),
                  From.Done.end(), std::back_inserter(Done));
   Into.Done = std::move(Done);
-  for (const auto &[Index, Run] : From.Placed)
-    if (jobs::PlacedRun &Known = Into.Placed[Index]; Known.Run <= Run.Run)
+  for (const auto &[Index, Run] : From.Placed) {
+    jobs::PlacedRun &Known = Into.Placed[Index];
+    const bool WasConfirmed = Known.Run == Run.Run && Known.Confirmed;
+    if (Known.Run <= Run.Run)
       Known = Run;
+    Known.Confirmed = Known.Confirmed || WasConfirmed;
+  }
   for (const auto &[Index, Count] : From.Failures)
     Into.Failures[Index] = std::max(Into.Failures[Index], Count);
   Into.Checkpoints.insert(From.Checkpoints.begin(), From.Checkpoints.end());
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -116,7 +116,7 @@
         continue;
       }
       if (Task.Phase == TaskPhase::Placed)
-        Stored.Placed[int(Index)] = {Task.Worker, Task.Run};
+        Stored.Placed[int(Index)] = {Task.Worker, Task.Run, Task.Confirmed};
       if (Task.Failures > 0)
         Stored.Failures[int(Index)] = Task.Failures;
       if (!Task.Checkpoint.empty())
@@ -157,6 +157,7 @@
           Task->Phase = TaskPhase::Placed;
           Task->Worker = Run.Worker;
           Task->Run = Run.Run;
+          Task->Confirmed = Run.Confirmed;
           Started = true;
         }
       for (const auto &[Index, Count] : Progress.Failures)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -50,6 +50,8 @@
 struct PlacedRun {
   WorkerIncarnation Worker;
   std::int64_t Run = 0;
+  /// The worker has confirmed the run. If not, its next process may begin it.
+  bool Confirmed = false;
 
   friend bool operator==(const PlacedRun &, const PlacedRun &) = default;
 };
@@ -113,8 +115,9 @@
 struct TaskState {
   TaskPhase Phase = TaskPhase::Ready;
   WorkerIncarnation Worker; ///< Valid if the phase is Placed.
-  std::int64_t Run = 0; ///< Number of the last known run; 0 if there is none.
-  TimePoint PlacedAt;   ///< Valid if the phase is Placed.
+  std::int64_t Run = 0;   ///< Number of the last known run; 0 if there is none.
+  TimePoint PlacedAt;     ///< Valid if the phase is Placed.
+  bool Confirmed = false; ///< Its worker has; valid if the phase is Placed.
   TimePoint ReadySince; ///< When this leader learned that its last run is over.
   TimePoint LostRunAt; ///< Start of the last run that was lost with its worker.
   std::string Checkpoint;
@@ -126,6 +129,11 @@
   /// How its last run ended; null while it has its first one, and once it is
   /// done.
   std::shared_ptr<const PreviousRun> Previous;
+
+  /// True if it is placed on \p Host as the run \p Number.
+  bool isPlacedAs(const WorkerIncarnation &Host, std::int64_t Number) const {
+    return Phase == TaskPhase::Placed && Run == Number && Worker == Host;
+  }
 };
 
 /// What kept a waiting step from being started when a round last considered it.
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -1053,6 +1053,7 @@
   if (Allocated != Host.runs().end() && Allocated->second.Run == Run.Run) {
     Allocated->second.IsDispatched = true;
     Allocated->second.IsRestored = false;
+    confirmRun(Host.info().Incarnation, Run.Task, Run.Run);
     runProgressed(Host.info().Incarnation, Run, Now);
     return;
   }
@@ -1064,13 +1065,52 @@
   stopRun(Host, Run.Task, Run.Run, StopCause::NotPlaced, Now);
 }
 
+void JobScheduler::confirmRun(const WorkerIncarnation &Incarnation,
+                              const std::string &Name, std::int64_t Run) {
+  const auto Id = TaskId::parse(Name);
+  Job *Owner = nullptr;
+  TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+  if (!Task || !Task->isPlacedAs(Incarnation, Run) || Task->Confirmed)
+    return;
+  Task->Confirmed = true;
+  NewlyConfirmed.emplace(Task->PlacedAt, Name);
+}
+
+void JobScheduler::markConfirmationsChanged(TimePoint Limit) {
+  while (!NewlyConfirmed.empty() && NewlyConfirmed.begin()->first < Limit) {
+    const auto [PlacedAt, Name] = *NewlyConfirmed.begin();
+    NewlyConfirmed.erase(NewlyConfirmed.begin());
+    const auto Id = TaskId::parse(Name);
+    Job *Owner = nullptr;
+    const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+    if (Task && Owner->Phase == JobPhase::Active &&
+        Task->Phase == TaskPhase::Placed && Task->PlacedAt == PlacedAt)
+      Changed.insert(Id->Job);
+  }
+}
+
+std::vector<std::pair<std::string, std::int64_t>>
+JobScheduler::unconfirmedRuns(const WorkerIncarnation &Incarnation) {
+  std::vector<std::pair<std::string, std::int64_t>> Result;
+  const Worker *Host = findWorker(Incarnation);
+  if (!Host)
+    return Result;
+  for (const auto &[Name, Run] : Host->runs()) {
+    const auto Id = TaskId::parse(Name);
+    Job *Owner = nullptr;
+    const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
+    if (Task && Task->isPlacedAs(Incarnation, Run.Run) && !Task->Confirmed)
+      Result.emplace_back(Name, Run.Run);
+  }
+  return Result;
+}
+
 void JobScheduler::runProgressed(const WorkerIncarnation &Incarnation,
                                  const ActiveRun &Run, TimePoint Now) {
   const auto Id = TaskId::parse(Run.Task);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-  if (!Task || Task->Phase != TaskPhase::Placed || Task->Run != Run.Run ||
-      Task->Worker != Incarnation)
+  if (!Task || !Task->isPlacedAs(Incarnation, Run.Run))
     return;
   if (!Run.Checkpoint.empty())
     Task->Checkpoint = Run.Checkpoint;
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -281,6 +281,19 @@
   void runEnded(const WorkerIncarnation &Incarnation, const EndedRun &End,
                 TimePoint Now);
 
+  /// Records that a worker has confirmed a run.
+  void confirmRun(const WorkerIncarnation &Incarnation, const std::string &Task,
+                  std::int64_t Run);
+
+  /// Marks the jobs as changed of whose current runs, placed before \p Limit,
+  /// some were confirmed and are not stored as such.
+  void markConfirmationsChanged(TimePoint Limit);
+
+  /// Tasks and numbers of the runs that are placed on a worker and that it has
+  /// not confirmed.
+  std::vector<std::pair<std::string, std::int64_t>>
+  unconfirmedRuns(const WorkerIncarnation &Incarnation);
+
   /// Records the latest checkpoint and the progress of a running task.
   void runProgressed(const WorkerIncarnation &Incarnation, const ActiveRun &Run,
                      TimePoint Now);
@@ -590,6 +603,9 @@
   /// Names of the tasks on workers whose lease has expired, until it is known
   /// whether the worker still exists.
   std::map<WorkerIncarnation, std::set<std::string>> SilentWorkers;
+  /// Tasks with confirmed runs that may not be stored as such, by the time of
+  /// their placement.
+  std::set<std::pair<TimePoint, std::string>> NewlyConfirmed;
   std::set<std::string> Changed;
   std::uint64_t LastSequence = 0;
   std::size_t Active = 0;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -741,6 +741,7 @@
   Task.Worker = Host.info().Incarnation;
   Task.Run = Run;
   Task.PlacedAt = Current.Now;
+  Task.Confirmed = false;
   Task.Percent = 0;
   if (Option.ReservedFor)
     Host.endApartness();
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -26,6 +26,22 @@
   EXPECT_EQ(decodeProgress(Text), Progress);
 }
 
+// Guards against placements of the former version that are not read, or are
+// taken for confirmed.
+TEST(CodecTest, ReadsPlacementsOfTheFormerFormat) {
+  jobs::JobProgress Progress;
+  Progress.Steps.resize(1);
+  Progress.Steps[0].Placed[0] = {{"w", 5}, 2, true};
+  std::string Text = encode(Progress);
+  EXPECT_EQ(decodeProgress(Text), Progress);
+  const std::string Placed = "[[\"w\",5],2,true]";
+  const std::size_t At = Text.find(Placed);
+  ASSERT_NE(At, std::string::npos) << Text;
+  Text.replace(At, Placed.size(), "[[\"w\",5],2]");
+  Progress.Steps[0].Placed[0].Confirmed = false;
+  EXPECT_EQ(decodeProgress(Text), Progress);
+}
+
 // Guards against rows of workers that one version stores and the other can't
 // read during an update.
 TEST(CodecTest, ReadsRosterRowsOfTheFormerFormat) {
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -651,6 +651,59 @@
     expectNothingTwiceIfTheNextProcessIsNotReached(loseLeader, SinceCut);
 }
 
+/// Id of the worker on which the leader has placed a task; empty if there is
+/// none.
+std::string hostOf(EmulatedCell &Cell, const std::string &Task) {
+  for (const auto &[Id, Host] :
+       Cell.node(Cell.leader()).leader()->scheduler().workers())
+    if (Host.runs().contains(Task))
+      return Id;
+  return {};
+}
+
+void loseAll(EmulatedCell &Cell) {
+  for (const std::string &Name : Cell.names())
+    killForOneSecond(Cell, Name);
+}
+
+/// Sends the start of a task whose worker is cut off and restarts, so that the
+/// next process carries out the order late. \p Disturb is called meanwhile.
+void expectALateStartIsWaitedFor(
+    const std::function<void(EmulatedCell &)> &Disturb) {
+  for (std::uint64_t Seed = 1; Seed <= 12; ++Seed) {
+    EmulatedCell Cell(Seed, 3, 6);
+    EmulatedWorkers &Workers = Cell.workers();
+    Workers.CrashesSilently = true;
+    Cell.run(3s);
+    Workers.LateOrders = 1;
+    const std::string Task = Cell.submit("n0", stepOf(1, 16s)) + ".0.0.0";
+    Cell.run(400ms);
+    const std::string Host = hostOf(Cell, Task);
+    ASSERT_NE(Host, "");
+    Workers.Cut.insert(Host);
+    Workers.crash(Host);
+    Workers.LateOrders = 0;
+    Cell.run(700ms);
+    Disturb(Cell);
+    Cell.run(300ms);
+    Workers.restart(Host);
+    Cell.run(11s);
+    Workers.Cut.clear();
+    Cell.run(25s);
+    for (const std::string &Violation : Workers.violations())
+      ADD_FAILURE() << "seed " << Seed << ": " << Violation;
+    EXPECT_TRUE(Workers.isDone(Task)) << "seed " << Seed;
+  }
+}
+
+// Guards against a next leader that starts a task again while the order for its
+// last run, which got no answer, may still reach the next process of its
+// worker.
+TEST(RestartHazardsTest, ALateStartIsWaitedForAfterItsLeaderWasKilled) {
+  expectALateStartIsWaitedFor(loseLeader);
+  expectALateStartIsWaitedFor(loseAll);
+}
+
 /// Longest time until the tasks of a worker that ends for good are at work
 /// again. \p Disturb is called \p SinceEnd after its end.
 Duration
@@ -682,6 +735,8 @@
   EXPECT_LE(longestWaitAfterALoss(loseMembers, 0s), Lease + Contact);
   EXPECT_LE(longestWaitAfterALoss(loseMembers, 3s), Lease + Contact);
   EXPECT_LE(longestWaitAfterALoss(loseLeader, 3s), Lease + Contact);
+  EXPECT_LE(longestWaitAfterALoss(loseLeader, 0s),
+            Lease + Contact + Times.LeaderLease);
 }
 
 // Guards against a withdrawn key that is accepted again after a restart.
--- a/tests/cell/progressrows_test.cpp
+++ b/tests/cell/progressrows_test.cpp
@@ -84,6 +84,7 @@
     Task.Phase = jobs::TaskPhase(Below(8) == 0 ? 2 : Below(2));
     Task.Worker = {"w" + std::to_string(Below(100)), 1'790'000'000'000};
     ++Task.Run;
+    Task.Confirmed = Below(2) == 0;
     Task.Failures += Below(10) == 0 ? 1 : 0;
     if (Below(4) == 0)
       Task.Checkpoint.assign(std::size_t(Below(Length)), '"');
