Count a job as begun once a worker has reported a run

Cause: a job counted as begun when a task was placed, before the order was sent, and was put back only when the outcome of all its starts was known, which for a lost worker takes the longest lease. A next leader took stored placements for runs in the same way. Evidence: "load ... jobs=10 pending=0 unconfirmed=10" in each line for 8 s and more. Ruled out: an old answer (the leader's own count is 0), and a wrong report of a worker (nothing was confirmed).

Change: a job has begun once a worker has confirmed a start, or has listed a run or its end; a gang once that holds for all its members, or one is known to be at work. That a step has begun is stored with its progress. The count changes once a job and is kept by queue as before.

--- a/src/cell/codec.cpp
+++ b/src/cell/codec.cpp
@@ -192,6 +192,7 @@
   put(To, "gang_failed_run", Value.LastFailedRun);
   putList(To, "done", Value.Done);
   put(To, "failed", Value.Failures);
+  put(To, "begun", Value.Begun);
   put(To, "gang_failed", Value.GangFailures);
   put(To, "saved", Value.Checkpoints);
   put(To, "lost", Value.Crashes);
@@ -201,6 +202,7 @@
   take(From, "gang_failed_run", Value.LastFailedRun);
   take(From, "done", Value.Done);
   take(From, "failed", Value.Failures);
+  take(From, "begun", Value.Begun);
   take(From, "gang_failed", Value.GangFailures);
   take(From, "saved", Value.Checkpoints);
   take(From, "lost", Value.Crashes);
--- a/src/cell/progressrows.cpp
+++ b/src/cell/progressrows.cpp
@@ -37,6 +37,7 @@
   Result.Checkpoints = slice(Step.Checkpoints, From, To);
   Result.Crashes = slice(Step.Crashes, From, To);
   if (From == 0) {
+    Result.Begun = Step.Begun;
     Result.GangFailures = Step.GangFailures;
     Result.LastFailedRun = Step.LastFailedRun;
   }
@@ -86,6 +87,7 @@
     Into.Failures[Index] = std::max(Into.Failures[Index], Count);
   Into.Checkpoints.insert(From.Checkpoints.begin(), From.Checkpoints.end());
   Into.Crashes.insert(From.Crashes.begin(), From.Crashes.end());
+  Into.Begun = Into.Begun || From.Begun;
   Into.GangFailures = std::max(Into.GangFailures, From.GangFailures);
   Into.LastFailedRun = std::max(Into.LastFailedRun, From.LastFailedRun);
 }
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -15,6 +15,12 @@
   return Slots >= Tasks.size();
 }
 
+bool StepState::isWholeConfirmed() const {
+  return std::all_of(Tasks.begin(), Tasks.end(), [](const TaskState &Task) {
+    return Task.Phase == TaskPhase::Placed && Task.Confirmed;
+  });
+}
+
 CrashHistory StepState::gangCrashes() const {
   CrashHistory Result;
   for (const TaskState &Task : Tasks)
@@ -124,6 +130,7 @@
       if (!Task.Crashes.records().empty())
         Stored.Crashes[int(Index)] = Task.Crashes.records();
     }
+    Stored.Begun = Step.HasBegun && Step.DoneCount == 0;
     Result.Steps.push_back(std::move(Stored));
   }
   return Result;
@@ -140,6 +147,7 @@
       const StepProgress &Progress = Stored.Steps[Number];
       Step.GangFailures = Progress.GangFailures;
       Step.LastFailedRun = Progress.LastFailedRun;
+      Step.HasBegun = Progress.Begun || !Progress.Done.empty();
       const auto TaskAt = [&Step](int Index) -> TaskState * {
         const bool Exists =
             Index >= 0 && std::size_t(Index) < Step.Tasks.size();
@@ -158,7 +166,6 @@
           Task->Worker = Run.Worker;
           Task->Run = Run.Run;
           Task->Confirmed = Run.Confirmed;
-          Started = true;
         }
       for (const auto &[Index, Count] : Progress.Failures)
         if (TaskState *Task = TaskAt(Index))
@@ -176,7 +183,7 @@
     Step.ReadyCount = int(std::count_if(
         Step.Tasks.begin(), Step.Tasks.end(),
         [](const TaskState &Task) { return Task.Phase == TaskPhase::Ready; }));
-    Started = Started || Step.DoneCount > 0;
+    HasBegun = HasBegun || Step.HasBegun;
     Steps.push_back(std::move(Step));
   }
   updateEstimate();
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -64,8 +64,10 @@
   std::vector<int> Done;           ///< Indices of finished tasks.
   std::map<int, PlacedRun> Placed; ///< By task index.
   std::map<int, int> Failures;     ///< Number of failed runs by task index.
-  int GangFailures = 0;            ///< Number of failed runs of the gang.
-  std::int64_t LastFailedRun = 0;  ///< Of the gang; counts as one failure.
+  /// A worker has begun the step. Not set if a task is done, which shows that.
+  bool Begun = false;
+  int GangFailures = 0;           ///< Number of failed runs of the gang.
+  std::int64_t LastFailedRun = 0; ///< Of the gang; counts as one failure.
   std::map<int, std::string> Checkpoints; ///< By index of unfinished tasks.
   /// Workers lost under unfinished tasks, by task index.
   std::map<int, std::vector<CrashRecord>> Crashes;
@@ -166,6 +168,8 @@
   std::vector<TaskState> Tasks;
   int DoneCount = 0;
   int ReadyCount = 0;
+  /// A worker has begun a task, or workers have begun all members of the gang.
+  bool HasBegun = false;
   /// True if its tasks add to the waiting work; see JobScheduler.
   bool CountsAsWaitingWork = true;
   int GangFailures = 0;
@@ -200,6 +204,9 @@
   /// soon as its tickets are valid.
   bool hasAllClaims() const;
 
+  /// True if workers have confirmed the runs of all tasks, which are placed.
+  bool isWholeConfirmed() const;
+
   /// The losses of workers under the gang of which the tasks are the members.
   CrashHistory gangCrashes() const;
 
@@ -227,9 +234,8 @@
   JobSpec Spec;
   JobPhase Phase = JobPhase::Active;
   JobPhase StoredPhase = JobPhase::Active; ///< The phase that callers may see.
-  bool Started = false;                    ///< A task is placed or has run.
-  bool HasRun = false;           ///< A worker has reported a run of it.
-  bool Restored = false;         ///< Accepted by an earlier leader.
+  bool HasBegun = false;                   ///< Workers have begun a step.
+  bool Restored = false;                   ///< Accepted by an earlier leader.
   bool BeyondShare = false;      ///< Scheduled after jobs within their share.
   Duration RemainingEstimate{0}; ///< Critical path of the unfinished steps.
   TimePoint AcceptedAt;
--- a/src/jobs/jobscheduler.cpp
+++ b/src/jobs/jobscheduler.cpp
@@ -422,7 +422,7 @@
         countsAsWaitingWork(Added.Spec.Steps[Step]);
     addWaitingWork(Added, int(Step), Added.Steps[Step].ReadyCount);
   }
-  if (!Added.Started)
+  if (!Added.HasBegun)
     ++PendingJobs[Added.Spec.Queue];
   requeueSteps(Added, Now);
 }
@@ -508,7 +508,7 @@
   case JobPhase::Active:
     break;
   }
-  return CurrentJob->Started ? JobView::InProgress : JobView::Queued;
+  return CurrentJob->HasBegun ? JobView::InProgress : JobView::Queued;
 }
 
 int JobScheduler::pending(const std::string &Queue) const {
@@ -532,7 +532,7 @@
   CurrentJob.Phase = Phase;
   CurrentJob.EndedAt = Now;
   --Active;
-  if (!CurrentJob.Started)
+  if (!CurrentJob.HasBegun)
     --PendingJobs[CurrentJob.Spec.Queue];
   Changed.insert(CurrentJob.Spec.Id);
   for (std::size_t Step = 0; Step < CurrentJob.Steps.size(); ++Step) {
@@ -949,22 +949,22 @@
       Task->Worker == Host.info().Incarnation) {
     notePrevious(*Task, std::move(How));
     makeReady(*Owner, Id->Step, *Task, Now);
-    markUnstarted(*Owner);
   }
 }
 
-// Counts a job as waiting again if all its starts were refused. This happens in
-// a cell so busy that tickets expire before the start commands arrive.
-void JobScheduler::markUnstarted(Job &CurrentJob) {
-  if (!CurrentJob.Started || CurrentJob.HasRun ||
-      CurrentJob.Phase != JobPhase::Active)
+// Notes that a worker has begun a run of the step. The members of a gang wait
+// for each other, so it begins with the last one. If it is AtWork, all are
+// there.
+void JobScheduler::markBegun(Job &CurrentJob, int Step, bool AtWork) {
+  StepState &State = CurrentJob.Steps[std::size_t(Step)];
+  const bool Waits = CurrentJob.Spec.Steps[std::size_t(Step)].Gang && !AtWork;
+  if (State.HasBegun || (Waits && !State.isWholeConfirmed()))
+    return;
+  State.HasBegun = true;
+  if (std::exchange(CurrentJob.HasBegun, true))
     return;
-  for (const StepState &Step : CurrentJob.Steps)
-    for (const TaskState &Task : Step.Tasks)
-      if (Task.Phase != TaskPhase::Ready)
-        return;
-  CurrentJob.Started = false;
-  ++PendingJobs[CurrentJob.Spec.Queue];
+  if (CurrentJob.Phase == JobPhase::Active)
+    --PendingJobs[CurrentJob.Spec.Queue];
 }
 
 void JobScheduler::allocateRun(Worker &Host, const Job &CurrentJob,
@@ -1048,8 +1048,8 @@
   const auto Id = TaskId::parse(Run.Task);
   Job *Owner = nullptr;
   const TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-  if (Owner)
-    Owner->HasRun = true;
+  if (Task)
+    markBegun(*Owner, Id->Step, Run.Percent > 0);
   if (Allocated != Host.runs().end() && Allocated->second.Run == Run.Run) {
     Allocated->second.IsDispatched = true;
     Allocated->second.IsRestored = false;
@@ -1070,10 +1070,13 @@
   const auto Id = TaskId::parse(Name);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-  if (!Task || !Task->isPlacedAs(Incarnation, Run) || Task->Confirmed)
+  if (!Task)
     return;
-  Task->Confirmed = true;
-  NewlyConfirmed.emplace(Task->PlacedAt, Name);
+  if (Task->isPlacedAs(Incarnation, Run) && !Task->Confirmed) {
+    Task->Confirmed = true;
+    NewlyConfirmed.emplace(Task->PlacedAt, Name);
+  }
+  markBegun(*Owner, Id->Step, false);
 }
 
 void JobScheduler::markConfirmationsChanged(TimePoint Limit) {
@@ -1114,6 +1117,8 @@
     return;
   if (!Run.Checkpoint.empty())
     Task->Checkpoint = Run.Checkpoint;
+  if (Run.Percent > 0)
+    markBegun(*Owner, Id->Step, true);
   if (Task->Percent != Run.Percent) {
     Task->Percent = Run.Percent;
     Task->PercentAt = Now;
@@ -1266,8 +1271,9 @@
   const auto Id = TaskId::parse(End.Task);
   Job *Owner = nullptr;
   TaskState *Task = Id ? findTask(*Id, Owner) : nullptr;
-  if (Owner)
-    Owner->HasRun = true;
+  if (Task)
+    markBegun(*Owner, Id->Step,
+              End.Kind == EndKind::Done || End.Kind == EndKind::Failed);
   if (End.Kind == EndKind::Done)
     Host->recordOutcome(true, Now);
   if (Task && Task->Phase == TaskPhase::Done && Task->Run > End.Run)
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -215,7 +215,8 @@
   /// The state of a job that callers may see.
   JobView view(const std::string &Id) const;
 
-  /// Number of accepted jobs of \p Queue of which no task has been started.
+  /// Number of accepted jobs of \p Queue of which workers have not begun any
+  /// step. A task that is only placed may never reach its worker.
   int pending(const std::string &Queue) const;
 
   /// The same for all queues together.
@@ -481,7 +482,7 @@
   void noteCrash(const WorkerIncarnation &Incarnation, WorkerLoss Cause,
                  TimePoint Now);
   bool hasCrashesWithout(const CrashHistory &Crashes, TimePoint Now) const;
-  void markUnstarted(Job &CurrentJob);
+  void markBegun(Job &CurrentJob, int Step, bool AtWork);
   void makeReady(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
   void finishTask(Job &CurrentJob, int Step, TaskState &Task, TimePoint Now);
   void finishJob(Job &CurrentJob, JobPhase Phase, TimePoint Now);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -755,10 +755,6 @@
     Current.FreeCpuMillis -= Spec.Request.CpuMillis;
     Current.Use[Host.info().Upstream].Allocated += Spec.Request.CpuMillis;
   }
-  if (!CurrentJob.Started) {
-    CurrentJob.Started = true;
-    --PendingJobs[CurrentJob.Spec.Queue];
-  }
   addWaitingWork(CurrentJob, Step, -1);
   if (--State.ReadyCount == 0)
     dequeue(CurrentJob, Step);
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -704,6 +704,46 @@
   expectALateStartIsWaitedFor(loseAll);
 }
 
+// Guards against jobs that count as begun, or are shown as in progress, while
+// their starts are lost with a worker: 10 jobs did for 12 s.
+TEST(RestartHazardsTest, JobsOfALostWorkerWaitUntilTheyAreAtWork) {
+  for (const bool KillsLeader : {false, true}) {
+    EmulatedCell Cell(1, 3, 6);
+    EmulatedWorkers &Workers = Cell.workers();
+    Workers.CrashesSilently = true;
+    Cell.run(3s);
+    Workers.crash("w0");
+    Cell.run(200ms);
+    std::vector<std::string> Ids;
+    for (int Number = 0; Number < 40; ++Number)
+      Ids.push_back(Cell.submit("n0", stepOf(1, 1s)));
+    Cell.run(400ms);
+    if (KillsLeader)
+      loseLeader(Cell);
+    int MostWaiting = 0;
+    for (int Step = 0; Step < 100; ++Step) {
+      Cell.run(200ms);
+      const std::string Leader = Cell.leader();
+      if (Leader.empty() || !Cell.node(Leader).leader()->isLoaded())
+        continue;
+      const jobs::JobScheduler &Jobs = Cell.node(Leader).leader()->scheduler();
+      int Waiting = 0;
+      for (const std::string &Id : Ids) {
+        if (Workers.lastStart(Id + ".0.0.0"))
+          continue;
+        ++Waiting;
+        EXPECT_EQ(Jobs.view(Id), JobView::Queued);
+      }
+      EXPECT_GE(Jobs.pending(), Waiting);
+      MostWaiting = std::max(MostWaiting, Waiting);
+    }
+    EXPECT_GT(MostWaiting, 0);
+    EXPECT_EQ(Cell.node(Cell.leader()).leader()->scheduler().pending(), 0);
+    for (const std::string &Id : Ids)
+      EXPECT_TRUE(Workers.isDone(Id + ".0.0.0"));
+  }
+}
+
 /// Longest time until the tasks of a worker that ends for good are at work
 /// again. \p Disturb is called \p SinceEnd after its end.
 Duration
--- a/tests/cell/progressrows_test.cpp
+++ b/tests/cell/progressrows_test.cpp
@@ -77,6 +77,7 @@
   };
   jobs::StepState &State = Job.Steps[std::size_t(Step)];
   State.GangFailures += Below(2);
+  State.HasBegun = State.HasBegun || Below(3) == 0;
   for (int Index = From; Index < To; ++Index) {
     jobs::TaskState &Task = State.Tasks[std::size_t(Index)];
     if (Task.Phase == jobs::TaskPhase::Done)
