Store confirmations with the changes of the same round

The check for a due commit came before the changes of a round were added, so confirmations could wait for a later commit than the one that these cause. The count of unconfirmed starts has a name of its own, and some comments say what they mean.

--- a/src/cell/leader.cpp
+++ b/src/cell/leader.cpp
@@ -523,7 +523,7 @@
                   {"jobs", std::to_string(JobCount)},
                   {"job_memory", std::to_string(Scheduler.memory().held())},
                   {"roster", std::to_string(Stored.Roster.size())},
-                  {"unconfirmed", std::to_string(unconfirmedStarts())},
+                  {"unconfirmed", std::to_string(countUnconfirmedStarts())},
                   {"after_ms", std::to_string((Now - TermStartedAt).count())}});
   Loaded = true;
   if (Ownership)
@@ -574,7 +574,7 @@
     Worker.UnconfirmedStarts.try_emplace(Run, LastSend);
 }
 
-std::size_t Leader::unconfirmedStarts() const {
+std::size_t Leader::countUnconfirmedStarts() const {
   std::size_t Result = 0;
   for (const auto &[Id, Worker] : WorkerStates)
     Result += Worker.UnconfirmedStarts.size();
@@ -1369,8 +1369,10 @@
 // A next leader waits longer for the runs of a silent worker that are not
 // stored as confirmed. The rows are part of a commit that takes place anyway.
 void Leader::storeConfirmations(TimePoint Now) {
-  if (StateJournal.isCommitDue())
-    Scheduler.markConfirmationsChanged(Now - ConfirmationDelay);
+  if (!StateJournal.isCommitDue())
+    return;
+  Scheduler.markConfirmationsChanged(Now - ConfirmationDelay);
+  storeChangedJobs();
 }
 
 // Members.
@@ -1824,7 +1826,7 @@
        {"waiting", Scheduler.summary()},
        {"jobs", std::to_string(Scheduler.activeJobs())},
        {"pending", std::to_string(Scheduler.pending())},
-       {"unconfirmed", std::to_string(unconfirmedStarts())},
+       {"unconfirmed", std::to_string(countUnconfirmedStarts())},
        {"advice_calls", std::to_string(Dispatcher.openCalls())},
        {"members", std::to_string(Members.size())},
        {"supervisors", std::to_string(Supervisors.size())},
@@ -1944,8 +1946,8 @@
       if (!Joining)
         rebalanceWorkers();
       decide();
-      storeConfirmations(Now);
       storeChangedJobs();
+      storeConfirmations(Now);
     }
     for (auto &[Name, Member] : Members)
       Member.Sender->pump();
--- a/src/cell/leader.h
+++ b/src/cell/leader.h
@@ -229,7 +229,7 @@
   void ensureInRoster(const WorkerReport &Report, WorkerState &Worker);
   void storeRosterEntry(const WorkerState &Worker);
   /// Number of starts that no worker is known to have confirmed.
-  std::size_t unconfirmedStarts() const;
+  std::size_t countUnconfirmedStarts() const;
   std::vector<UnconfirmedStart>
   unconfirmedStarts(const WorkerState &Worker,
                     const std::function<std::int64_t(TimePoint)> &Encode) const;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -117,9 +117,10 @@
 struct TaskState {
   TaskPhase Phase = TaskPhase::Ready;
   WorkerIncarnation Worker; ///< Valid if the phase is Placed.
-  std::int64_t Run = 0;   ///< Number of the last known run; 0 if there is none.
-  TimePoint PlacedAt;     ///< Valid if the phase is Placed.
-  bool Confirmed = false; ///< Its worker has; valid if the phase is Placed.
+  std::int64_t Run = 0; ///< Number of the last known run; 0 if there is none.
+  TimePoint PlacedAt;   ///< Valid if the phase is Placed.
+  /// Its worker has confirmed the run; valid if the phase is Placed.
+  bool Confirmed = false;
   TimePoint ReadySince; ///< When this leader learned that its last run is over.
   TimePoint LostRunAt; ///< Start of the last run that was lost with its worker.
   std::string Checkpoint;
@@ -204,7 +205,7 @@
   /// soon as its tickets are valid.
   bool hasAllClaims() const;
 
-  /// True if workers have confirmed the runs of all tasks, which are placed.
+  /// True if all tasks are placed and workers have confirmed their runs.
   bool isWholeConfirmed() const;
 
   /// The losses of workers under the gang of which the tasks are the members.
--- a/src/jobs/jobscheduler.h
+++ b/src/jobs/jobscheduler.h
@@ -286,8 +286,8 @@
   void confirmRun(const WorkerIncarnation &Incarnation, const std::string &Task,
                   std::int64_t Run);
 
-  /// Marks the jobs as changed of whose current runs, placed before \p Limit,
-  /// some were confirmed and are not stored as such.
+  /// Adds the jobs to takeChanged() that have runs which were placed before
+  /// \p Limit and confirmed since the last call.
   void markConfirmationsChanged(TimePoint Limit);
 
   /// Tasks and numbers of the runs that are placed on a worker and that it has
@@ -604,8 +604,8 @@
   /// Names of the tasks on workers whose lease has expired, until it is known
   /// whether the worker still exists.
   std::map<WorkerIncarnation, std::set<std::string>> SilentWorkers;
-  /// Tasks with confirmed runs that may not be stored as such, by the time of
-  /// their placement.
+  /// Tasks with runs that were confirmed since the last call of
+  /// markConfirmationsChanged(), by the time of their placement.
   std::set<std::pair<TimePoint, std::string>> NewlyConfirmed;
   std::set<std::string> Changed;
   std::uint64_t LastSequence = 0;
