Let tasks that last use room reserved for urgent tasks

Cause: each urgent task on time that finds no room reserves the worker with the most free processors for its priority, also if what is free there is too little for it. With as many such tasks as workers, all are reserved in each round. Claims of gangs and reservations for suspects yield to a task that lasts after 1.5 s; these did not.

Change: they do, after the same time, and other workers are preferred.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -101,8 +101,8 @@
 
 /// Weights that combine several criteria into one cost of a worker: a step of
 /// slowdown outweighs any difference in free processors, and a distant rack or
-/// the claim of a gang outweighs any slowdown. A cold worker is slower than a
-/// warm one in a distant rack.
+/// the claim of a gang or an urgent task outweighs any slowdown. A cold worker
+/// is slower than a warm one in a distant rack.
 constexpr std::int64_t SlowdownCost = std::int64_t(1) << 32;
 constexpr std::int64_t DistanceCost = std::int64_t(1) << 48;
 constexpr std::int64_t ColdCost = std::int64_t(1) << 49;
@@ -330,8 +330,11 @@
     if (!Spec.Request.fitsIn(Host.info().Capacity) || !Host.satisfies(Spec))
       continue;
     const auto Reservation = Current.ReservedHosts.find(&Host);
-    if (Reservation != Current.ReservedHosts.end() &&
-        JobQueue.Priority > Reservation->second)
+    const bool IsForUrgent = Reservation != Current.ReservedHosts.end() &&
+                             JobQueue.Priority > Reservation->second;
+    // The urgent tasks may be too large for what is free, for as long as their
+    // queue lasts.
+    if (IsForUrgent && !(Spec.LongRunning && YieldingAge))
       continue;
     const bool HasAdvice = Advice != State.Advice.end() &&
                            Advice->first == Id &&
@@ -361,11 +364,12 @@
           (IsValid && Current.Now - ReservedFor->Since < *YieldingAge))
         Slots = 0;
     }
-    const Candidate Option{
-        &Host, std::max(Slots, 0), HasAdvice ? &Advice->second : nullptr,
-        costOf(Usable, Spec, IsLowSlack) + (TakesClaimed ? ClaimedCost : 0) +
-            (Host.isCold(Current.Now) ? ColdCost : 0),
-        ReservedFor};
+    const Candidate Option{&Host, std::max(Slots, 0),
+                           HasAdvice ? &Advice->second : nullptr,
+                           costOf(Usable, Spec, IsLowSlack) +
+                               (TakesClaimed || IsForUrgent ? ClaimedCost : 0) +
+                               (Host.isCold(Current.Now) ? ColdCost : 0),
+                           ReservedFor};
     if (IsValid)
       Result.Valid.push_back(Option);
     else
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -646,6 +646,22 @@
   EXPECT_EQ(TaskId::parse(Next.Starts[0].Task)->Job, Urgent);
 }
 
+// Guards against a task that lasts and is kept away, for as long as urgent
+// tasks wait, from room that is reserved for these and too small for them.
+TEST_F(JobSchedulerTest, ATaskThatLastsUsesRoomReservedForUrgentTasks) {
+  addWorker("w1");
+  addWorker("w2");
+  StepSpec Lasting = step(1, 1000);
+  Lasting.LongRunning = true;
+  const std::string Id = addJob("batch", Lasting);
+  const Decisions First = decide();
+  ASSERT_EQ(First.Starts.size(), 1U);
+  addJob("quick", step(6, 30'000, Duration{20'000}));
+  ASSERT_EQ(decide().Starts.size(), 2U);
+  end(First.Starts[0], EndKind::Failed);
+  EXPECT_TRUE(startsInTime(Id));
+}
+
 // Guards against starvation of an urgent task on a full worker: a backlog of
 // smaller, less urgent tasks takes all resources that become free.
 TEST_F(JobSchedulerTest, ReservesResourcesForAnUrgentLargerTask) {
