Shorten the comments of the new tests

Each names the failure that the test guards against in one line; one comment in the placement says what it does.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -332,8 +332,8 @@
     const auto Reservation = Current.ReservedHosts.find(&Host);
     const bool IsForUrgent = Reservation != Current.ReservedHosts.end() &&
                              JobQueue.Priority > Reservation->second;
-    // The urgent tasks may be too large for what is free, for as long as their
-    // queue lasts.
+    // The urgent tasks may be too large for what is free there, for as long as
+    // their queue has work, so the reservation yields to a task that lasts.
     if (IsForUrgent && !(Spec.LongRunning && YieldingAge))
       continue;
     const bool HasAdvice = Advice != State.Advice.end() &&
--- a/tests/cell/codec_test.cpp
+++ b/tests/cell/codec_test.cpp
@@ -26,8 +26,7 @@
   EXPECT_EQ(decodeProgress(Text), Progress);
 }
 
-// Guards against placements of the former version that are not read, or are
-// taken for confirmed.
+// Guards against placements of the former version taken for confirmed ones.
 TEST(CodecTest, ReadsPlacementsOfTheFormerFormat) {
   jobs::JobProgress Progress;
   Progress.Steps.resize(1);
--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -696,16 +696,13 @@
   }
 }
 
-// Guards against a next leader that starts a task again while the order for its
-// last run, which got no answer, may still reach the next process of its
-// worker.
+// Guards against a start on its way that the next leader does not know of.
 TEST(RestartHazardsTest, ALateStartIsWaitedForAfterItsLeaderWasKilled) {
   expectALateStartIsWaitedFor(loseLeader);
   expectALateStartIsWaitedFor(loseAll);
 }
 
-// Guards against jobs that count as begun, or are shown as in progress, while
-// their starts are lost with a worker: 10 jobs did for 12 s.
+// Guards against jobs that count as begun though their starts were lost.
 TEST(RestartHazardsTest, JobsOfALostWorkerWaitUntilTheyAreAtWork) {
   for (const bool KillsLeader : {false, true}) {
     EmulatedCell Cell(1, 3, 6);
--- a/tests/jobs/begunjobs_test.cpp
+++ b/tests/jobs/begunjobs_test.cpp
@@ -45,8 +45,7 @@
   }
 };
 
-// Guards against a job that counts as begun although its start may never reach
-// the worker: none counted as waiting for 12 s after a worker was lost.
+// Guards against a job that counts as begun though its start may be lost.
 TEST_F(BegunJobsTest, APlacedJobWaitsUntilAWorkerConfirmsARun) {
   addWorker("w1");
   const std::string Id = addJob("batch", step(2, 1000));
@@ -59,8 +58,7 @@
   expectWaiting(Id, false);
 }
 
-// Guards against a job that waits for ever because only the lists of its
-// worker show that it has begun.
+// Guards against a job that waits for ever as its confirmation was lost.
 TEST_F(BegunJobsTest, AJobHasBegunOnceAWorkerListsARun) {
   const WorkerIncarnation Host = addWorker("w1");
   const std::string Id = addJob("batch", step(1, 1000));
@@ -81,8 +79,7 @@
   expectWaiting(Id, false);
 }
 
-// Guards against a gang that counts as begun while its members wait for one
-// whose start was lost.
+// Guards against a gang that counts as begun while its members wait for one.
 TEST_F(BegunJobsTest, AGangWaitsUntilAllItsMembersAreConfirmed) {
   addWorker("w1");
   addWorker("w2");
@@ -104,8 +101,7 @@
   expectWaiting(Id, false);
 }
 
-// Guards against a gang that waits for ever because the confirmation of one
-// member was lost.
+// Guards against a gang that waits for ever as one confirmation was lost.
 TEST_F(BegunJobsTest, AGangHasBegunOnceAMemberIsAtWork) {
   addWorker("w1");
   addWorker("w2");
@@ -146,8 +142,7 @@
   }
 }
 
-// Guards against a job that is shown as queued again, by the same leader or the
-// next one, because its only run was lost.
+// Guards against a job that is shown as queued again after its run was lost.
 TEST_F(BegunJobsTest, AJobStaysBegunAfterItsRunIsLost) {
   const WorkerIncarnation Host = addWorker("w1");
   const std::string Id = addJob("batch", step(1, 1000));
@@ -160,8 +155,7 @@
   expectWaiting(nextLeader(Id, {}), Id, false);
 }
 
-// Guards against a count that goes wrong for good: by a job that ended before a
-// run of it was reported, and by a repeated report.
+// Guards against a count that is lowered twice for one job.
 TEST_F(BegunJobsTest, CountsEachJobOnce) {
   addWorker("w1");
   const std::string Cancelled = addJob("batch", step(1, 1000));
--- a/tests/jobs/jobscheduler_test.cpp
+++ b/tests/jobs/jobscheduler_test.cpp
@@ -646,8 +646,7 @@
   EXPECT_EQ(TaskId::parse(Next.Starts[0].Task)->Job, Urgent);
 }
 
-// Guards against a task that lasts and is kept away, for as long as urgent
-// tasks wait, from room that is reserved for these and too small for them.
+// Guards against urgent tasks that keep room too small for them from others.
 TEST_F(JobSchedulerTest, ATaskThatLastsUsesRoomReservedForUrgentTasks) {
   addWorker("w1");
   addWorker("w2");
