--- a/tests/cell/hazards_test.cpp
+++ b/tests/cell/hazards_test.cpp
@@ -711,8 +711,10 @@
     Cell.run(3s);
     Workers.crash("w0");
     Cell.run(200ms);
+    constexpr int JobCount = 40;
     std::vector<std::string> Ids;
-    for (int Number = 0; Number < 40; ++Number)
+    Ids.reserve(JobCount);
+    for (int Number = 0; Number < JobCount; ++Number)
       Ids.push_back(Cell.submit("n0", stepOf(1, 1s)));
     Cell.run(400ms);
     if (KillsLeader)
